--- /dev/null
+++ b/src/agent/endpoint.rs
@@ -0,0 +1,218 @@
+//! Calls an endpoint over HTTP: a plain service answers once, an engine streams and can be resumed.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{Buf, Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Deserialize;
+
+use super::core::{AgentCore, CallStart, EndpointEvent, EndpointFailure, Event};
+use crate::actor::Handle;
+use crate::config::EndpointKind;
+use crate::message::{AttemptId, Run};
+
+/// How long a connection to the endpoint may take to be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest line of an engine's stream.
+const MAX_LINE_LEN: usize = 1 << 20;
+
+/// Names the attempt, in requests and in answers.
+pub const ATTEMPT_HEADER: &str = "x-stackmast-attempt";
+/// Names the request.
+pub const REQUEST_HEADER: &str = "x-stackmast-request";
+/// Names the organisation.
+pub const ORGANISATION_HEADER: &str = "x-stackmast-organisation";
+/// Gives the priority.
+pub const PRIORITY_HEADER: &str = "x-stackmast-priority";
+/// Gives the milliseconds until the caller's deadline.
+pub const DEADLINE_HEADER: &str = "x-stackmast-deadline-ms";
+
+/// A line of an engine's stream.
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum Line {
+    Chunk { offset: u64, text: String },
+    Done { done: bool, length: u64 },
+}
+
+/// A client of one endpoint.
+#[derive(Debug, Clone)]
+pub struct EndpointClient {
+    address: SocketAddr,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl EndpointClient {
+    /// A client of the endpoint at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        // Only a request of which no byte was written is sent again by the library.
+        let client = Client::builder(TokioExecutor::new()).build(connector);
+        Self { address, client }
+    }
+
+    /// Makes a call and passes what comes of it to the core.
+    pub async fn call(
+        &self,
+        kind: EndpointKind,
+        attempt: AttemptId,
+        start: CallStart,
+        core: &Handle<AgentCore>,
+    ) {
+        let events = Events { attempt, core };
+        let ended = match kind {
+            EndpointKind::Service => self.call_service(attempt, start, &events).await,
+            EndpointKind::Engine => self.call_engine(attempt, start, &events).await,
+        };
+        let last = match ended {
+            Ok(length) => EndpointEvent::Done { length },
+            Err(failure) => EndpointEvent::Failed(failure),
+        };
+        events.send(last).await;
+    }
+
+    /// Ends a stream at an engine; what the engine makes of it doesn't matter any more.
+    pub async fn cancel(&self, attempt: AttemptId) {
+        let uri = format!("http://{}/v1/streams/{attempt}", self.address);
+        let request = Request::builder().method(Method::DELETE).uri(uri).body(Full::default());
+        if let Ok(request) = request {
+            self.client.request(request).await.ok();
+        }
+    }
+
+    async fn call_service(
+        &self,
+        attempt: AttemptId,
+        start: CallStart,
+        events: &Events<'_>,
+    ) -> Result<u64, EndpointFailure> {
+        let CallStart::Begin(run) = start else {
+            return Err(EndpointFailure::UnknownAttempt);
+        };
+        let uri = format!("http://{}/v1/stages/{}", self.address, run.stage);
+        let response = self.send(begin_request(uri, attempt, *run)?).await?;
+        check_answer(&response, attempt)?;
+        let mut body = response.into_body();
+        let mut offset = 0;
+        while let Some(data) = next_data(&mut body).await? {
+            let length = data.len() as u64;
+            events.send(EndpointEvent::Chunk { offset, data }).await;
+            offset += length;
+        }
+        Ok(offset)
+    }
+
+    async fn call_engine(
+        &self,
+        attempt: AttemptId,
+        start: CallStart,
+        events: &Events<'_>,
+    ) -> Result<u64, EndpointFailure> {
+        let uri = format!("http://{}/v1/streams/{attempt}", self.address);
+        let request = match start {
+            CallStart::Begin(run) => begin_request(uri, attempt, *run)?,
+            CallStart::Resume { offset } => {
+                let uri = format!("{uri}?offset={offset}");
+                let request = Request::get(uri).body(Full::default());
+                request.map_err(|_| EndpointFailure::Failed)?
+            }
+        };
+        let response = self.send(request).await?;
+        if response.status() == StatusCode::NOT_FOUND {
+            return Err(EndpointFailure::UnknownAttempt);
+        }
+        check_answer(&response, attempt)?;
+        read_lines(response.into_body(), events).await
+    }
+
+    async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, EndpointFailure> {
+        let sent = self.client.request(request).await;
+        sent.map_err(|e| {
+            if e.is_connect() { EndpointFailure::Unreachable } else { EndpointFailure::Cut }
+        })
+    }
+}
+
+/// Where the events of one call go.
+struct Events<'a> {
+    attempt: AttemptId,
+    core: &'a Handle<AgentCore>,
+}
+
+impl Events<'_> {
+    async fn send(&self, event: EndpointEvent) {
+        let attempt = self.attempt;
+        // A core that has stopped has no use for it.
+        self.core.send(Event::Endpoint { attempt, event }).await.ok();
+    }
+}
+
+fn begin_request(
+    uri: String,
+    attempt: AttemptId,
+    run: Run,
+) -> Result<Request<Full<Bytes>>, EndpointFailure> {
+    Request::post(uri)
+        .header(ATTEMPT_HEADER, attempt.to_string())
+        .header(REQUEST_HEADER, run.request)
+        .header(ORGANISATION_HEADER, run.organisation)
+        .header(PRIORITY_HEADER, run.priority.to_string())
+        .header(DEADLINE_HEADER, run.time_left.as_millis().to_string())
+        .header(hyper::header::CONTENT_TYPE, "application/json")
+        .body(Full::new(run.input))
+        .map_err(|_| EndpointFailure::Failed)
+}
+
+fn check_answer(response: &Response<Incoming>, attempt: AttemptId) -> Result<(), EndpointFailure> {
+    if !response.status().is_success() {
+        return Err(EndpointFailure::Failed);
+    }
+    let named = response.headers().get(ATTEMPT_HEADER).and_then(|v| v.to_str().ok());
+    if named != Some(attempt.to_string().as_str()) {
+        return Err(EndpointFailure::Misbehaved);
+    }
+    Ok(())
+}
+
+async fn next_data(body: &mut Incoming) -> Result<Option<Bytes>, EndpointFailure> {
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| EndpointFailure::Cut)?;
+        if let Ok(data) = frame.into_data() {
+            return Ok(Some(data));
+        }
+    }
+    Ok(None)
+}
+
+async fn read_lines(mut body: Incoming, events: &Events<'_>) -> Result<u64, EndpointFailure> {
+    let mut buffer = BytesMut::new();
+    while let Some(data) = next_data(&mut body).await? {
+        buffer.extend_from_slice(&data);
+        while let Some(end) = buffer.iter().position(|b| *b == b'\n') {
+            let line = buffer.split_to(end);
+            buffer.advance(1);
+            match serde_json::from_slice(&line) {
+                Ok(Line::Chunk { offset, text }) => {
+                    events.send(EndpointEvent::Chunk { offset, data: Bytes::from(text) }).await;
+                }
+                Ok(Line::Done { done: true, length }) => return Ok(length),
+                Ok(Line::Done { .. }) | Err(_) => return Err(EndpointFailure::Misbehaved),
+            }
+        }
+        if buffer.len() > MAX_LINE_LEN {
+            return Err(EndpointFailure::Misbehaved);
+        }
+    }
+    Err(EndpointFailure::Cut)
+}
--- /dev/null
+++ b/src/agent/tickets.rs
@@ -0,0 +1,153 @@
+//! The home of tickets: grants one run of a request, once, and keeps its answer until the expiry.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use crate::message::{Incarnation, RunId};
+use crate::wire::v1;
+
+/// Tickets that are kept at once; at the bound no new one is opened.
+const MAX_TICKETS: usize = 65_536;
+/// Bytes of answers that are kept; beyond that an answer is not kept, and a repeat hears "may have run".
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// The longest time that a ticket is valid.
+const MAX_VALID: Duration = Duration::from_secs(3_600);
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum State {
+    Free,
+    Begun(RunId),
+    Done { run: RunId, request: String, answer: Vec<u8> },
+}
+
+#[derive(Debug, Default)]
+struct Book {
+    entries: HashMap<u64, State>,
+    expiries: BTreeSet<(Instant, u64)>,
+    answer_bytes: usize,
+}
+
+/// The tickets of one life of an agent.
+#[derive(Debug)]
+pub struct Tickets {
+    home: Incarnation,
+    book: Mutex<Book>,
+}
+
+impl Tickets {
+    /// A home without tickets.
+    pub fn new(home: Incarnation) -> Self {
+        Self { home, book: Mutex::default() }
+    }
+
+    fn with_book<T>(&self, now: Instant, act: impl FnOnce(&mut Book) -> T) -> T {
+        let mut book = self.book.lock().unwrap_or_else(PoisonError::into_inner);
+        book.expire(now);
+        act(&mut book)
+    }
+
+    /// Opens a ticket; number 0 says that the home is full.
+    pub fn open(&self, request: &v1::OpenTicketRequest) -> v1::OpenTicketReply {
+        let now = Instant::now();
+        let valid = Duration::from_millis(request.valid_ms).min(MAX_VALID);
+        let ticket = self.with_book(now, |book| book.open(now + valid));
+        v1::OpenTicketReply { ticket, home: self.home.0 }
+    }
+
+    /// Grants a run, unless another one has begun.
+    pub fn claim(&self, request: &v1::ClaimRequest) -> v1::ClaimReply {
+        let granted = request.home == self.home.0
+            && request.run.is_some_and(|run| {
+                self.with_book(Instant::now(), |book| book.claim(request.ticket, run.into()))
+            });
+        let grant = if granted { v1::Grant::Given } else { v1::Grant::Refused };
+        v1::ClaimReply { grant: grant.into() }
+    }
+
+    /// What became of a ticket.
+    pub fn read(&self, request: &v1::ReadTicketRequest) -> v1::ReadTicketReply {
+        if request.home != self.home.0 {
+            return v1::ReadTicketReply::default();
+        }
+        self.with_book(Instant::now(), |book| book.read(request.ticket))
+    }
+
+    /// Takes in how a run ended.
+    pub fn finish(&self, request: v1::FinishTicketRequest) -> v1::FinishTicketReply {
+        if let (true, Some(run)) = (request.home == self.home.0, request.run) {
+            self.with_book(Instant::now(), |book| book.finish(request, run.into()));
+        }
+        v1::FinishTicketReply {}
+    }
+}
+
+impl Book {
+    fn expire(&mut self, now: Instant) {
+        while let Some((at, ticket)) = self.expiries.first().copied() {
+            if at > now {
+                return;
+            }
+            self.expiries.remove(&(at, ticket));
+            if let Some(State::Done { answer, .. }) = self.entries.remove(&ticket) {
+                self.answer_bytes -= answer.len();
+            }
+        }
+    }
+
+    fn open(&mut self, expires: Instant) -> u64 {
+        if self.entries.len() >= MAX_TICKETS {
+            return 0;
+        }
+        let ticket = rand::random::<u64>().max(1);
+        self.expiries.insert((expires, ticket));
+        self.entries.insert(ticket, State::Free);
+        ticket
+    }
+
+    fn claim(&mut self, ticket: u64, run: RunId) -> bool {
+        let Some(state) = self.entries.get_mut(&ticket) else {
+            return false;
+        };
+        match state {
+            State::Free => {
+                *state = State::Begun(run);
+                true
+            }
+            // One run claims again only with a proof that its attempt before did not run.
+            State::Begun(begun) => *begun == run,
+            State::Done { .. } => false,
+        }
+    }
+
+    fn read(&self, ticket: u64) -> v1::ReadTicketReply {
+        let Some(found) = self.entries.get(&ticket) else {
+            return v1::ReadTicketReply::default();
+        };
+        let (state, answer, request) = match found {
+            State::Free => (v1::TicketState::Free, Vec::new(), String::new()),
+            State::Begun(_) => (v1::TicketState::Begun, Vec::new(), String::new()),
+            State::Done { answer, request, .. } => {
+                (v1::TicketState::Done, answer.clone(), request.clone())
+            }
+        };
+        v1::ReadTicketReply { state: state.into(), answer, request }
+    }
+
+    fn finish(&mut self, request: v1::FinishTicketRequest, run: RunId) {
+        let Some(state) = self.entries.get_mut(&request.ticket) else {
+            return;
+        };
+        if *state != State::Begun(run) {
+            return;
+        }
+        match request.answer {
+            Some(answer) if self.answer_bytes + answer.len() <= MAX_ANSWER_BYTES => {
+                self.answer_bytes += answer.len();
+                *state = State::Done { run, request: request.request, answer };
+            }
+            None if !request.begun => *state = State::Free,
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/stackmast.rs
@@ -0,0 +1,3 @@
+//! The operators' tool.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/stackmastd.rs
@@ -0,0 +1,8 @@
+//! The daemon: a gateway or an agent, by its settings.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    ExitCode::from(stackmast::options::main(&args))
+}
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,361 @@
+//! The daemon: starts a process's parts by its settings, and stops them without cutting anything off.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Notify;
+use tonic::transport::server::TcpIncoming;
+
+use crate::actor::{self, Handle};
+use crate::admin::{self, AdminState, RoleHandle};
+use crate::agent;
+use crate::agent::core::AgentCore;
+use crate::agent::endpoint::EndpointClient;
+use crate::agent::service::AgentService;
+use crate::agent::tickets::Tickets;
+use crate::audit::{Audit, Change};
+use crate::channels::Channels;
+use crate::config::{Config, EndpointKind};
+use crate::gateway;
+use crate::gateway::core::GatewayCore;
+use crate::gateway::http::CallerState;
+use crate::gateway::shell::{Callers, GatewayShell};
+use crate::http::{ListenError, Listener};
+use crate::keeper::Keeper;
+use crate::logging;
+use crate::message::Incarnation;
+use crate::metrics as m;
+use crate::peer::PeerService;
+use crate::platform::{HostState, Platform};
+use crate::settings::{Role, Settings};
+use crate::spread::{self, Spread};
+use crate::view::{Place, View};
+use crate::wire::MAX_MESSAGE_LEN;
+use crate::wire::v1::agent_server::AgentServer;
+use crate::wire::v1::peer_server::PeerServer;
+
+/// A stopping process looks this often whether anything is in flight.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// After the last answer was handed to its socket, it is given this long to leave.
+const FLUSH: Duration = Duration::from_millis(200);
+
+/// Why the daemon ended.
+#[derive(Debug, Snafu)]
+pub enum DaemonError {
+    /// A listener could not be opened.
+    #[snafu(display("{source}"), context(false))]
+    Listen {
+        /// Which, and why.
+        source: ListenError,
+    },
+    /// The runtime could not be started.
+    #[snafu(display("can't start the runtime: {source}"))]
+    Runtime {
+        /// Why.
+        source: std::io::Error,
+    },
+    /// Signals can't be received.
+    #[snafu(display("can't receive signals: {source}"))]
+    Signals {
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The metrics could not be set up.
+    #[snafu(display("can't record metrics: {source}"))]
+    Metrics {
+        /// Why.
+        source: metrics_exporter_prometheus::BuildError,
+    },
+}
+
+/// Runs a process until it is told to stop and nothing is in flight.
+pub fn run(settings: Settings) -> Result<(), DaemonError> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.threads)
+        .enable_all()
+        .build()
+        .context(RuntimeSnafu)?;
+    runtime.block_on(serve(Arc::new(settings)))
+}
+
+/// What every role's process has.
+struct Base {
+    settings: Arc<Settings>,
+    incarnation: Incarnation,
+    audit: Audit,
+    channels: Arc<Channels>,
+    spread: Arc<Spread>,
+    metrics: PrometheusHandle,
+    drain: Arc<Notify>,
+}
+
+impl Base {
+    fn new(settings: Arc<Settings>, role: &'static str) -> Result<Self, DaemonError> {
+        let metrics = PrometheusBuilder::new().install_recorder().context(MetricsSnafu)?;
+        m::describe();
+        let audit = Audit::new(logging::logger(&settings.host, role));
+        let channels = Arc::<Channels>::default();
+        let keeper = Arc::new(Keeper::new(audit.clone()));
+        let spread = Arc::new(Spread::new(spread::Setup {
+            address: settings.internal,
+            seeds: settings.peers.clone(),
+            polls_per_second: settings.fleet_polls_per_second,
+            keeper,
+            platform: Platform::new(settings.platform),
+            channels: channels.clone(),
+            audit: audit.clone(),
+        }));
+        let incarnation = Incarnation(rand::random::<u64>().max(1));
+        let drain = Arc::<Notify>::default();
+        Ok(Self { settings, incarnation, audit, channels, spread, metrics, drain })
+    }
+
+    fn admin(&self, role: RoleHandle) -> Result<Listener, ListenError> {
+        let state = AdminState {
+            role,
+            settings: self.settings.clone(),
+            incarnation: self.incarnation,
+            started: Instant::now(),
+            spread: self.spread.clone(),
+            channels: self.channels.clone(),
+            audit: self.audit.clone(),
+            metrics: self.metrics.clone(),
+            drain: self.drain.clone(),
+            runtime: tokio::runtime::Handle::current(),
+        };
+        admin::listen(state, self.settings.admin)
+    }
+
+    /// Waits until the process is told to stop; further signals change nothing.
+    async fn told_to_stop(&self) -> Result<(), DaemonError> {
+        let mut term = signal(SignalKind::terminate()).context(SignalsSnafu)?;
+        let mut interrupt = signal(SignalKind::interrupt()).context(SignalsSnafu)?;
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = interrupt.recv() => {}
+            () = self.drain.notified() => {}
+        }
+        self.audit.record(Change::Draining);
+        Ok(())
+    }
+
+    /// Waits until nothing is in flight, at most as long as the settings say.
+    async fn drained(&self, mut in_flight: impl AsyncFnMut() -> usize) {
+        let until = Instant::now() + self.settings.bounds.drain_timeout;
+        while Instant::now() < until && in_flight().await > 0 {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+        tokio::time::sleep(FLUSH).await;
+    }
+}
+
+async fn serve(settings: Arc<Settings>) -> Result<(), DaemonError> {
+    match settings.role.clone() {
+        Role::Gateway { callers } => serve_gateway(Base::new(settings, "gateway")?, callers).await,
+        Role::Agent { endpoint, address } => {
+            serve_agent(Base::new(settings, "agent")?, &endpoint, address).await
+        }
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpIncoming, ListenError> {
+    let bound = TcpListener::bind(address).await;
+    let listener = bound.map_err(|source| ListenError { address, source })?;
+    Ok(TcpIncoming::from(listener).with_nodelay(Some(true)))
+}
+
+async fn serve_gateway(base: Base, callers_address: SocketAddr) -> Result<(), DaemonError> {
+    let settings = base.settings.clone();
+    let core = GatewayCore::new(gateway::core::Setup {
+        host: settings.host.as_str().into(),
+        incarnation: base.incarnation,
+        in_flight: settings.bounds.in_flight,
+        records: settings.bounds.records,
+        result_bytes: settings.bounds.result_bytes,
+        seed: rand::random(),
+    });
+    let (handle, mailbox) = actor::mailbox();
+    let callers = Arc::<Callers>::default();
+    let shell = GatewayShell::new(
+        handle.clone(),
+        callers.clone(),
+        base.channels.clone(),
+        base.audit.clone(),
+    );
+    tokio::spawn(actor::run(core, shell, mailbox));
+
+    let internal = bind(settings.internal).await?;
+    let peers = PeerService { spread: base.spread.clone(), gateway: Some(handle.clone()) };
+    let server = tonic::transport::Server::builder().add_service(peer_server(peers));
+    tokio::spawn(server.serve_with_incoming(internal));
+    let admin = base.admin(RoleHandle::Gateway(handle.clone()))?;
+    let listener = gateway::http::listen(
+        CallerState {
+            core: handle.clone(),
+            callers: callers.clone(),
+            channels: base.channels.clone(),
+            settings: settings.clone(),
+            runtime: tokio::runtime::Handle::current(),
+        },
+        callers_address,
+    )?;
+    tokio::spawn(base.spread.clone().run());
+    tokio::spawn(configure_gateway(handle.clone(), base.spread.clone(), settings));
+    base.audit.record(Change::Started { incarnation: base.incarnation.to_string() });
+
+    base.told_to_stop().await?;
+    handle.send(gateway::core::Event::Drain).await.ok();
+    base.drained(async || callers.len()).await;
+    listener.stop();
+    admin.stop();
+    Ok(())
+}
+
+fn peer_server(service: PeerService) -> PeerServer<PeerService> {
+    PeerServer::new(service).max_decoding_message_size(MAX_MESSAGE_LEN)
+}
+
+/// Hands each configuration that comes in force to the core, compiled.
+async fn configure_gateway(
+    core: Handle<GatewayCore>,
+    spread: Arc<Spread>,
+    settings: Arc<Settings>,
+) {
+    let mut configs = spread.keeper().subscribe();
+    let mut hosts = spread.subscribe_hosts();
+    let mut applied = 0;
+    loop {
+        if let Some(installed) = spread.keeper().installed()
+            && installed.config.version > applied
+        {
+            applied = installed.config.version;
+            let place =
+                Place { host: settings.host.clone(), data_centre: settings.data_centre.clone() };
+            let digest = installed.bundle.manifest.digest.clone();
+            let view = Arc::new(View::new(installed.config.clone(), digest, place));
+            core.send(gateway::core::Event::Configure { view }).await.ok();
+        }
+        let count = spread.gateways();
+        core.send(gateway::core::Event::Gateways { count }).await.ok();
+        tokio::select! {
+            changed = configs.changed() => if changed.is_err() { return },
+            changed = hosts.changed() => if changed.is_err() { return },
+        }
+    }
+}
+
+async fn serve_agent(base: Base, endpoint: &str, address: SocketAddr) -> Result<(), DaemonError> {
+    let settings = base.settings.clone();
+    let bounds = agent::core::Bounds {
+        queue: settings.bounds.in_flight,
+        result_bytes: settings.bounds.result_bytes,
+        ..agent::core::Bounds::default()
+    };
+    let core = AgentCore::new(base.incarnation, endpoint, bounds);
+    let (handle, mailbox) = actor::mailbox();
+    let kind = Arc::new(Mutex::new(EndpointKind::Service));
+    let client = EndpointClient::new(address);
+    let (shell, stages) = agent::shell::shell(
+        handle.clone(),
+        base.incarnation,
+        client,
+        kind.clone(),
+        base.channels.clone(),
+    );
+    tokio::spawn(actor::run(core, shell, mailbox));
+
+    let internal = bind(settings.internal).await?;
+    let service = AgentService { stages, tickets: Arc::new(Tickets::new(base.incarnation)) };
+    let peers = PeerService { spread: base.spread.clone(), gateway: None };
+    let stages = AgentServer::new(service).max_decoding_message_size(MAX_MESSAGE_LEN);
+    let server =
+        tonic::transport::Server::builder().add_service(stages).add_service(peer_server(peers));
+    tokio::spawn(server.serve_with_incoming(internal));
+    let admin = base.admin(RoleHandle::Agent(handle.clone()))?;
+    tokio::spawn(base.spread.clone().run());
+    let configured = ConfiguredEndpoint {
+        name: endpoint.to_owned(),
+        core: handle.clone(),
+        kind,
+        audit: base.audit.clone(),
+    };
+    tokio::spawn(configure_agent(configured, base.spread.clone(), settings));
+    base.audit.record(Change::Started { incarnation: base.incarnation.to_string() });
+
+    base.told_to_stop().await?;
+    handle.send(agent::core::Event::Drain).await.ok();
+    base.drained(async || {
+        let idle = handle.inspect(|core, _| core.is_idle()).await;
+        usize::from(!idle.unwrap_or(true))
+    })
+    .await;
+    admin.stop();
+    Ok(())
+}
+
+/// The endpoint that an agent stands beside, as the configuration names it.
+struct ConfiguredEndpoint {
+    name: String,
+    core: Handle<AgentCore>,
+    kind: Arc<Mutex<EndpointKind>>,
+    audit: Audit,
+}
+
+/// Tells the core what the configuration and the host list say of its endpoint.
+async fn configure_agent(
+    configured: ConfiguredEndpoint,
+    spread: Arc<Spread>,
+    settings: Arc<Settings>,
+) {
+    let mut configs = spread.keeper().subscribe();
+    let mut hosts = spread.subscribe_hosts();
+    let mut was_leaving = None;
+    loop {
+        let listed_leaving = spread
+            .hosts()
+            .hosts
+            .iter()
+            .any(|h| h.name == settings.host && h.state == HostState::Leaving);
+        if let Some(installed) = spread.keeper().installed() {
+            let leaving = configured.apply(&installed.config, listed_leaving).await;
+            if was_leaving.replace(leaving) != Some(leaving) {
+                configured.note(leaving);
+            }
+        }
+        tokio::select! {
+            changed = configs.changed() => if changed.is_err() { return },
+            changed = hosts.changed() => if changed.is_err() { return },
+        }
+    }
+}
+
+impl ConfiguredEndpoint {
+    /// Returns whether the endpoint is leaving; one that is not in the configuration is.
+    async fn apply(&self, config: &Config, listed_leaving: bool) -> bool {
+        let found = config.endpoints.iter().find(|e| e.name == self.name);
+        let kind = found.map_or(EndpointKind::Service, |e| e.kind);
+        *self.kind.lock().unwrap_or_else(PoisonError::into_inner) = kind;
+        let leaving = listed_leaving || found.is_none_or(|e| e.leaving);
+        let event = agent::core::Event::Configure {
+            concurrency: found.map_or(0, |e| e.concurrency),
+            leaving,
+            is_engine: kind == EndpointKind::Engine,
+        };
+        self.core.send(event).await.ok();
+        leaving
+    }
+
+    fn note(&self, leaving: bool) {
+        let endpoint = self.name.clone();
+        self.audit.record(if leaving {
+            Change::EndpointLeaving { endpoint }
+        } else {
+            Change::EndpointServing { endpoint }
+        });
+    }
+}
--- /dev/null
+++ b/src/gateway/sse.rs
@@ -0,0 +1,147 @@
+//! Server-sent events: pieces as they come, and at the end `done` with length and digest, or `refused`.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::{Bytes, BytesMut};
+use serde::Serialize;
+use tokio::sync::mpsc;
+use xitca_web::body::{Body, Frame, SizeHint};
+
+use super::core::Answer;
+use super::http::{CallerGuard, CallerState, finish_ticket, refusal_problem};
+use super::shell::CallerMessage;
+use crate::message::Claim;
+
+#[derive(Serialize)]
+struct TextChunk<'a> {
+    offset: u64,
+    text: &'a str,
+}
+
+#[derive(Serialize)]
+struct ByteChunk<'a> {
+    offset: u64,
+    bytes: &'a [u8],
+}
+
+#[derive(Serialize)]
+struct Done {
+    request: String,
+    length: usize,
+    digest: String,
+}
+
+/// The events of one answer.
+pub(super) struct SseBody {
+    first: Option<CallerMessage>,
+    messages: mpsc::UnboundedReceiver<CallerMessage>,
+    guard: Option<CallerGuard>,
+    ticket: Option<(Claim, CallerState)>,
+    /// The start of a character whose rest has not come, and where it stands.
+    tail: BytesMut,
+    sent: u64,
+}
+
+impl SseBody {
+    /// Events from messages of the core, of which the first was taken out.
+    pub fn new(
+        first: Option<CallerMessage>,
+        messages: mpsc::UnboundedReceiver<CallerMessage>,
+        guard: CallerGuard,
+        ticket: Option<(Claim, CallerState)>,
+    ) -> Self {
+        let tail = BytesMut::new();
+        Self { first, messages, guard: Some(guard), ticket, tail, sent: 0 }
+    }
+
+    fn event(&mut self, message: CallerMessage) -> Bytes {
+        match message {
+            CallerMessage::Chunk { data, .. } => self.chunk(&data),
+            CallerMessage::Reset => {
+                self.tail.clear();
+                self.sent = 0;
+                Bytes::from_static(b"event: reset\ndata: {}\n\n")
+            }
+            CallerMessage::Answer(answer) => self.last(&answer),
+        }
+    }
+
+    fn chunk(&mut self, data: &[u8]) -> Bytes {
+        self.tail.extend_from_slice(data);
+        let offset = self.sent;
+        let (whole, event) = match std::str::from_utf8(&self.tail) {
+            Ok(text) => (text.len(), encode("chunk", &TextChunk { offset, text })),
+            Err(error) if error.error_len().is_some() => {
+                (self.tail.len(), encode("chunk", &ByteChunk { offset, bytes: &self.tail }))
+            }
+            Err(error) => {
+                let whole = error.valid_up_to();
+                let text = std::str::from_utf8(&self.tail[..whole]).unwrap_or_default();
+                (whole, encode("chunk", &TextChunk { offset, text }))
+            }
+        };
+        let _ = self.tail.split_to(whole);
+        self.sent += whole as u64;
+        event
+    }
+
+    fn last(&mut self, answer: &Answer) -> Bytes {
+        if let Some((claim, state)) = self.ticket.take() {
+            finish_ticket(&state, claim, answer);
+        }
+        self.guard = None;
+        match answer {
+            Answer::Complete { request, result, digest } => {
+                let mut events = BytesMut::new();
+                if !self.tail.is_empty() {
+                    let chunk = ByteChunk { offset: self.sent, bytes: &self.tail };
+                    events.extend_from_slice(&encode("chunk", &chunk));
+                }
+                let done = Done {
+                    request: request.to_string(),
+                    length: result.len(),
+                    digest: format!("{digest:016x}"),
+                };
+                events.extend_from_slice(&encode("done", &done));
+                events.freeze()
+            }
+            Answer::Refused { request, refusal } => {
+                encode("refused", &refusal_problem(&request.to_string(), refusal))
+            }
+        }
+    }
+}
+
+fn encode<T: Serialize>(event: &str, data: &T) -> Bytes {
+    let data = serde_json::to_string(data).unwrap_or_default();
+    Bytes::from(format!("event: {event}\ndata: {data}\n\n"))
+}
+
+impl Body for SseBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        if self.guard.is_none() {
+            return Poll::Ready(None);
+        }
+        let message = match self.first.take() {
+            Some(first) => Some(first),
+            None => match self.messages.poll_recv(cx) {
+                Poll::Ready(message) => message,
+                Poll::Pending => return Poll::Pending,
+            },
+        };
+        let event = message.map(|m| Ok(Frame::Data(self.event(m))));
+        Poll::Ready(event)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::Unknown
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,30 @@
+//! stackmast: a serving system for multi-stage model pipelines.
+//!
+//! Two kinds of process, one daemon: a gateway takes callers' requests and decides, an agent stands
+//! beside each endpoint and alone knows what has begun to run there. See docs/DESIGN.md.
+
+pub mod actor;
+pub mod admin;
+pub mod agent;
+pub mod audit;
+pub mod channels;
+pub mod config;
+pub mod daemon;
+pub mod fleet;
+pub mod gateway;
+pub mod http;
+pub mod invariant;
+pub mod keeper;
+pub mod logging;
+pub mod message;
+pub mod metrics;
+pub mod options;
+pub mod peer;
+pub mod platform;
+pub mod policy;
+pub mod refusal;
+pub mod result;
+pub mod settings;
+pub mod spread;
+pub mod view;
+pub mod wire;
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,127 @@
+//! The metrics: their names in one place, and the few helpers that the cores call.
+
+use std::time::Duration;
+
+use metrics::{counter, describe_counter, describe_gauge, describe_histogram, gauge, histogram};
+
+use crate::message::Ran;
+use crate::refusal::Refusal;
+
+/// Requests answered in full, by whether that was within the deadline.
+pub const COMPLETED: &str = "stackmast_requests_completed_total";
+/// Requests refused, by reason and by what ran.
+pub const REFUSED: &str = "stackmast_requests_refused_total";
+/// Time from a request's arrival to its whole answer, in seconds.
+pub const LATENCY: &str = "stackmast_request_seconds";
+/// Time from sending an attempt to its hand-over, in seconds.
+pub const WAITED: &str = "stackmast_stage_wait_seconds";
+/// Seconds of endpoint time that gave an adopted result, by stage.
+pub const STAGE_SECONDS: &str = "stackmast_stage_service_seconds_total";
+/// Cost of adopted results by stage: seconds times the endpoint's relative cost.
+pub const STAGE_COST: &str = "stackmast_stage_cost_total";
+/// Attempts whose result could not be had and that were run again, by stage.
+pub const STAGE_WASTED: &str = "stackmast_stage_wasted_attempts_total";
+/// Second and further attempts of a stage.
+pub const RETRIES: &str = "stackmast_retries_total";
+/// Retries that the budget holds now.
+pub const RETRY_BUDGET: &str = "stackmast_retry_budget";
+/// Replies that matched no open call.
+pub const STRAYS: &str = "stackmast_stray_replies_total";
+/// Results whose length or digest was wrong.
+pub const MISMATCHES: &str = "stackmast_result_mismatches_total";
+/// Invariants found broken; always 0.
+pub const INVARIANT_VIOLATIONS: &str = "stackmast_invariant_violations_total";
+/// Requests in flight in this gateway, or attempts in this agent.
+pub const IN_FLIGHT: &str = "stackmast_in_flight";
+/// The version of the configuration in force.
+pub const CONFIG_VERSION: &str = "stackmast_config_version";
+/// Seconds since the platform last answered.
+pub const PLATFORM_AGE: &str = "stackmast_platform_age_seconds";
+/// Calls to the platform, by outcome.
+pub const PLATFORM_CALLS: &str = "stackmast_platform_calls_total";
+/// Configurations accepted, rejected or in conflict.
+pub const CONFIG_CHANGES: &str = "stackmast_config_changes_total";
+/// Bytes of documents sent to and received from peers and the platform.
+pub const CONTROL_BYTES: &str = "stackmast_control_bytes_total";
+
+/// Gives every metric its help text.
+pub fn describe() {
+    describe_counter!(COMPLETED, "Requests answered in full, by in_time");
+    describe_counter!(REFUSED, "Requests refused, by reason and ran");
+    describe_histogram!(LATENCY, "Seconds from arrival to the whole answer");
+    describe_histogram!(WAITED, "Seconds from sending an attempt to its hand-over");
+    describe_counter!(STAGE_SECONDS, "Seconds of endpoint time of adopted results, by stage");
+    describe_counter!(STAGE_COST, "Cost of adopted results, by stage");
+    describe_counter!(STAGE_WASTED, "Attempts run again because of an unknown outcome, by stage");
+    describe_counter!(RETRIES, "Second and further attempts");
+    describe_gauge!(RETRY_BUDGET, "Retries that the budget holds");
+    describe_counter!(STRAYS, "Replies that matched no open call");
+    describe_counter!(MISMATCHES, "Results with a wrong length or digest");
+    describe_counter!(INVARIANT_VIOLATIONS, "Invariants found broken");
+    describe_gauge!(IN_FLIGHT, "Requests or attempts in flight");
+    describe_gauge!(CONFIG_VERSION, "Version of the configuration in force");
+    describe_gauge!(PLATFORM_AGE, "Seconds since the platform last answered");
+    describe_counter!(PLATFORM_CALLS, "Calls to the platform, by outcome");
+    describe_counter!(CONFIG_CHANGES, "Configurations accepted, rejected or in conflict");
+    describe_counter!(CONTROL_BYTES, "Bytes of documents, by direction");
+    counter!(INVARIANT_VIOLATIONS).absolute(0);
+}
+
+/// A request was answered in full.
+pub fn completed(took: Duration, in_time: bool) {
+    counter!(COMPLETED, "in_time" => if in_time { "true" } else { "false" }).increment(1);
+    histogram!(LATENCY).record(took.as_secs_f64());
+}
+
+/// A request was refused.
+pub fn refused(refusal: &Refusal) {
+    let ran = match refusal.ran {
+        Ran::NotRun => "not_run",
+        Ran::RanInPart => "ran_in_part",
+        Ran::Unknown => "unknown",
+    };
+    counter!(REFUSED, "reason" => refusal.reason.as_str(), "ran" => ran).increment(1);
+}
+
+/// An attempt was handed over after this time.
+pub fn waited(time: Duration) {
+    histogram!(WAITED).record(time.as_secs_f64());
+}
+
+/// A stage's result was adopted; counters hold whole numbers, so time and cost are in microseconds.
+pub fn stage_done(stage: &str, service: Duration, cost: f64) {
+    let micros = service.as_micros() as u64;
+    counter!(STAGE_SECONDS, "stage" => stage.to_owned(), "unit" => "us").increment(micros);
+    let cost = (micros as f64 * cost) as u64;
+    counter!(STAGE_COST, "stage" => stage.to_owned(), "unit" => "us").increment(cost);
+}
+
+/// An attempt's work is lost and is done again.
+pub fn wasted(stage: &str) {
+    counter!(STAGE_WASTED, "stage" => stage.to_owned()).increment(1);
+}
+
+/// A stage is sent a second or further time.
+pub fn retried() {
+    counter!(RETRIES).increment(1);
+}
+
+/// A reply matched no open call.
+pub fn stray() {
+    counter!(STRAYS).increment(1);
+}
+
+/// A result had a wrong length or digest.
+pub fn mismatch() {
+    counter!(MISMATCHES).increment(1);
+}
+
+/// Document bytes that went in a direction, `in` or `out`.
+pub fn control_bytes(direction: &'static str, bytes: usize) {
+    counter!(CONTROL_BYTES, "direction" => direction).increment(bytes as u64);
+}
+
+/// How many requests or attempts are in flight.
+pub fn in_flight(count: usize) {
+    gauge!(IN_FLIGHT).set(count as f64);
+}
--- /dev/null
+++ b/src/peer.rs
@@ -0,0 +1,142 @@
+//! What processes ask each other about documents and requests.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::{Request, Response, Status};
+
+use crate::actor::Handle;
+use crate::channels::Channels;
+use crate::gateway::core::GatewayCore;
+use crate::message::RequestId;
+use crate::metrics as m;
+use crate::policy::explain::Explanation;
+use crate::spread::{CONFIG, HOSTS, Spread};
+use crate::wire::v1::peer_client::PeerClient;
+use crate::wire::{PROTOCOL, v1};
+
+/// Parts that wait to be sent on one call.
+const PARTS_BUFFERED: usize = 4;
+/// How long another gateway may take to explain.
+const EXPLAIN_TIMEOUT: Duration = Duration::from_secs(1);
+/// Peers that are asked where the host list does not name the gateway.
+const PEERS_ASKED: usize = 16;
+
+/// Answers other processes.
+#[derive(Clone)]
+pub struct PeerService {
+    /// The documents.
+    pub spread: Arc<Spread>,
+    /// The gateway's core, in a gateway.
+    pub gateway: Option<Handle<GatewayCore>>,
+}
+
+#[tonic::async_trait]
+impl v1::peer_server::Peer for PeerService {
+    type PartsStream = ReceiverStream<Result<v1::Part, Status>>;
+
+    async fn exchange(
+        &self,
+        request: Request<v1::ExchangeRequest>,
+    ) -> Result<Response<v1::ExchangeReply>, Status> {
+        let request = request.into_inner();
+        if request.protocol != PROTOCOL {
+            return Err(Status::failed_precondition("another version of the protocol"));
+        }
+        if let Ok(peer) = request.address.parse::<SocketAddr>() {
+            let spread = self.spread.clone();
+            tokio::spawn(async move { spread.pull_newer(peer, &request.documents).await.ok() });
+        }
+        Ok(Response::new(v1::ExchangeReply { documents: self.spread.versions() }))
+    }
+
+    async fn manifest(
+        &self,
+        request: Request<v1::ManifestRequest>,
+    ) -> Result<Response<v1::ManifestReply>, Status> {
+        let manifest = match request.into_inner().document.as_str() {
+            CONFIG => {
+                let installed = self.spread.keeper().installed();
+                installed.and_then(|i| serde_json::to_vec(&i.bundle.manifest).ok())
+            }
+            HOSTS => serde_json::to_vec(&*self.spread.hosts()).ok(),
+            _ => return Err(Status::not_found("no such document")),
+        };
+        let manifest = manifest.unwrap_or_default();
+        m::control_bytes("out", manifest.len());
+        Ok(Response::new(v1::ManifestReply { manifest }))
+    }
+
+    async fn parts(
+        &self,
+        request: Request<v1::PartsRequest>,
+    ) -> Result<Response<Self::PartsStream>, Status> {
+        let installed = self.spread.keeper().installed();
+        let installed = installed.ok_or_else(|| Status::not_found("no configuration"))?;
+        let (sender, receiver) = mpsc::channel(PARTS_BUFFERED);
+        tokio::spawn(async move {
+            for digest in request.into_inner().digests {
+                let Some(content) = installed.bundle.parts.get(&digest) else {
+                    continue;
+                };
+                m::control_bytes("out", content.len());
+                let part = v1::Part { digest, content: content.to_vec() };
+                if sender.send(Ok(part)).await.is_err() {
+                    return;
+                }
+            }
+        });
+        Ok(Response::new(ReceiverStream::new(receiver)))
+    }
+
+    async fn explain(
+        &self,
+        request: Request<v1::ExplainRequest>,
+    ) -> Result<Response<v1::ExplainReply>, Status> {
+        let id: Result<RequestId, _> = request.into_inner().request.parse();
+        let id = id.map_err(|e| Status::invalid_argument(e.to_string()))?;
+        let explained = match &self.gateway {
+            Some(gateway) => explain_here(gateway, id).await,
+            None => None,
+        };
+        let explanation = explained.and_then(|e| serde_json::to_vec(&e).ok());
+        Ok(Response::new(v1::ExplainReply { explanation: explanation.unwrap_or_default() }))
+    }
+}
+
+/// Explains a request of this gateway's.
+pub async fn explain_here(gateway: &Handle<GatewayCore>, id: RequestId) -> Option<Explanation> {
+    let record = gateway.inspect(move |core, _| core.record(&id)).await.ok()??;
+    Some(Explanation::from(&*record))
+}
+
+/// Has another gateway explain a request of its.
+pub async fn explain_elsewhere(
+    spread: &Spread,
+    channels: &Channels,
+    id: &RequestId,
+) -> Option<Explanation> {
+    let hosts = spread.hosts();
+    let named = hosts.hosts.iter().find(|h| *h.name == *id.gateway).map(|h| h.internal);
+    let asked = match named {
+        Some(gateway) => vec![gateway],
+        None => spread.peers().into_iter().take(PEERS_ASKED).collect(),
+    };
+    for peer in asked {
+        let explained = tokio::time::timeout(EXPLAIN_TIMEOUT, ask(channels, peer, id)).await;
+        if let Ok(Some(explanation)) = explained {
+            return Some(explanation);
+        }
+    }
+    None
+}
+
+async fn ask(channels: &Channels, peer: SocketAddr, id: &RequestId) -> Option<Explanation> {
+    let channel = channels.get(peer).await.ok()?;
+    let request = v1::ExplainRequest { request: id.to_string() };
+    let reply = PeerClient::new(channel).explain(request).await.ok()?;
+    serde_json::from_slice(&reply.into_inner().explanation).ok()
+}
--- /dev/null
+++ b/src/policy/limit.rs
@@ -0,0 +1,77 @@
+//! Limits of organisations: token buckets, each gateway holding an equal share of the fleet's limit.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::config::Limit;
+use crate::message::Timestamp;
+
+/// Buckets kept at most; full ones are let go of first.
+const MAX_BUCKETS: usize = 65_536;
+
+#[derive(Debug)]
+struct Bucket {
+    tokens: f64,
+    filled_at: Timestamp,
+}
+
+/// The buckets of one gateway, by limit and organisation.
+#[derive(Debug, Default)]
+pub struct Limiter {
+    buckets: HashMap<(String, String), Bucket>,
+}
+
+/// A bucket that is empty: when the next token comes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Empty {
+    /// Time until a request may pass.
+    pub retry_after: Duration,
+}
+
+impl Limiter {
+    /// Takes one token of `limit` for `organisation`, where `gateways` share the limit.
+    pub fn take(
+        &mut self,
+        limit: &Limit,
+        organisation: &str,
+        gateways: usize,
+        now: Timestamp,
+    ) -> Result<(), Empty> {
+        let share = 1.0 / gateways.max(1) as f64;
+        let rate = limit.per_second * share;
+        let burst = (limit.burst * share).max(1.0);
+        self.make_room();
+        let key = (limit.name.clone(), organisation.to_owned());
+        let bucket = self.buckets.entry(key).or_insert(Bucket { tokens: burst, filled_at: now });
+        let elapsed = now.saturating_sub(bucket.filled_at).as_secs_f64();
+        bucket.tokens = (bucket.tokens + elapsed * rate).min(burst);
+        bucket.filled_at = now;
+        if bucket.tokens < 1.0 {
+            let wait = (1.0 - bucket.tokens) / rate;
+            return Err(Empty { retry_after: Duration::from_secs_f64(wait.min(3600.0)) });
+        }
+        bucket.tokens -= 1.0;
+        Ok(())
+    }
+
+    /// Buckets in memory.
+    pub fn len(&self) -> usize {
+        self.buckets.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.buckets.is_empty()
+    }
+
+    fn make_room(&mut self) {
+        if self.buckets.len() < MAX_BUCKETS {
+            return;
+        }
+        let mut filled: Vec<_> = self.buckets.values().map(|b| b.filled_at).collect();
+        let middle = filled.len() / 2;
+        let (_, median, _) = filled.select_nth_unstable(middle);
+        let median = *median;
+        self.buckets.retain(|_, b| b.filled_at > median);
+    }
+}
--- /dev/null
+++ b/src/policy/mod.rs
@@ -0,0 +1,8 @@
+//! The decisions: pure functions of the view, the fleet and the time, each with its reasons.
+
+pub mod admit;
+pub mod budget;
+pub mod explain;
+pub mod limit;
+pub mod predict;
+pub mod route;
--- /dev/null
+++ b/src/policy/route.rs
@@ -0,0 +1,154 @@
+//! Chooses the endpoint of a stage: selectors give candidates, a few are compared by predicted finish.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::seq::SliceRandom;
+use rand::{Rng, RngExt};
+
+use super::explain::{Alternative, Decision, Verdict};
+use super::predict::SizeClass;
+use crate::config::{Endpoint, Policy};
+use crate::fleet::{EndpointState, Fleet};
+use crate::message::Timestamp;
+use crate::view::{Pool, StageView, View};
+
+/// What a choice depends on, besides the fleet.
+#[derive(Debug, Clone, Copy)]
+pub struct Question<'a> {
+    /// The configuration.
+    pub view: &'a View,
+    /// The stage to be run.
+    pub stage: &'a StageView,
+    /// Positions of the rules that match the request.
+    pub rules: &'a [usize],
+    /// The size of the stage's input.
+    pub size: SizeClass,
+    /// Endpoints that this stage was sent to before.
+    pub tried: &'a [String],
+    /// The time.
+    pub now: Timestamp,
+}
+
+/// Whether and why an endpoint is out of the question.
+fn excluded(question: &Question<'_>, endpoint: &Endpoint, fleet: &Fleet) -> Option<Verdict> {
+    if question.tried.contains(&endpoint.name) {
+        return Some(Verdict::Tried);
+    }
+    let state = fleet.get(&endpoint.name)?;
+    if state.is_leaving(question.now) {
+        return Some(Verdict::Leaving);
+    }
+    state.is_suspected(question.now).then_some(Verdict::Suspected)
+}
+
+/// Decides where a stage runs; the decision names every alternative and what ruled it out.
+pub fn choose(question: &Question<'_>, fleet: &Fleet, rng: &mut impl Rng) -> Decision {
+    let (pool, rule) = question.stage.pool_under(question.rules);
+    let mut alternatives: Vec<Alternative> = pool
+        .members
+        .iter()
+        .map(|endpoint| Alternative {
+            endpoint: endpoint.clone(),
+            verdict: excluded(question, endpoint, fleet).unwrap_or(Verdict::NotCompared),
+        })
+        .collect();
+    bound_suspicion(&mut alternatives, question.view.config.policy.suspected_fraction);
+    let chosen = compare(question, fleet, &mut alternatives, rng);
+    Decision {
+        stage: question.stage.stage.name.clone(),
+        pool: pool.clone(),
+        rule: rule.map(|i| question.view.config.rules[i].name.clone()),
+        alternatives,
+        chosen,
+        at: question.now,
+    }
+}
+
+/// Suspicion of too large a part of a pool says more about this process than about the pool.
+fn bound_suspicion(alternatives: &mut [Alternative], fraction: f64) {
+    let suspected = alternatives.iter().filter(|a| a.verdict == Verdict::Suspected).count();
+    let usable = alternatives.iter().any(|a| a.verdict == Verdict::NotCompared);
+    if usable && suspected as f64 <= fraction * alternatives.len() as f64 {
+        return;
+    }
+    for alternative in alternatives.iter_mut().filter(|a| a.verdict == Verdict::Suspected) {
+        alternative.verdict = Verdict::NotCompared;
+    }
+}
+
+fn compare(
+    question: &Question<'_>,
+    fleet: &Fleet,
+    alternatives: &mut [Alternative],
+    rng: &mut impl Rng,
+) -> Option<usize> {
+    let policy = &question.view.config.policy;
+    let mut open: Vec<usize> = (0..alternatives.len())
+        .filter(|&i| alternatives[i].verdict == Verdict::NotCompared)
+        .collect();
+    let (sample, _) = open.partial_shuffle(rng, policy.compared);
+    let mut best: Option<(f64, usize)> = None;
+    for &mut i in sample {
+        let endpoint = &alternatives[i].endpoint;
+        let finish = predict(question, endpoint, fleet);
+        let score = score(finish, endpoint, question, policy) * rng.random_range(1.0..1.02);
+        alternatives[i].verdict = Verdict::Slower { predicted: finish };
+        if best.is_none_or(|(b, _)| score < b) {
+            best = Some((score, i));
+        }
+    }
+    let (_, chosen) = best?;
+    if let Verdict::Slower { predicted } = alternatives[chosen].verdict {
+        alternatives[chosen].verdict = Verdict::Chosen { predicted };
+    }
+    Some(chosen)
+}
+
+/// Milliseconds until the finish, with the cost of the work added by the operator's weight.
+fn score(finish: Duration, endpoint: &Endpoint, question: &Question<'_>, policy: &Policy) -> f64 {
+    let expected = question.stage.stage.expected_ms as f64 / 1_000.0;
+    finish.as_secs_f64() * 1_000.0 + policy.cost_weight_ms * endpoint.cost * expected
+}
+
+/// The time of a stage at an endpoint once it runs there.
+pub fn service_time(
+    question: &Question<'_>,
+    state: Option<&EndpointState>,
+    fleet: &Fleet,
+) -> Duration {
+    let (key, size) = (question.stage.key, question.size);
+    if let Some(estimate) = state.and_then(|s| s.estimate(key, size)) {
+        return estimate.typical();
+    }
+    if let Some(estimate) = fleet.stage_estimate(key, size) {
+        return estimate.typical();
+    }
+    Duration::from_millis(question.stage.stage.expected_ms)
+}
+
+/// Predicted time from now to the result: distance, waiting and service.
+pub fn predict(question: &Question<'_>, endpoint: &Endpoint, fleet: &Fleet) -> Duration {
+    let state = fleet.get(&endpoint.name);
+    let service = service_time(question, state, fleet);
+    let remote = endpoint.data_centre != question.view.place.data_centre;
+    let distance = if remote { 2.0 * question.view.config.policy.remote_ms / 1_000.0 } else { 0.0 };
+    let waiting = state.map_or(0.0, |s| {
+        let limit = f64::from(s.limit(endpoint.concurrency));
+        let before = s.backlog(question.now, service) + 1.0 - limit;
+        before.max(0.0) / limit * service.as_secs_f64()
+    });
+    service + Duration::from_secs_f64(distance + waiting)
+}
+
+/// The smallest predicted time over a pool, for admission; `None` when nothing may run there.
+pub fn best_predicted(question: &Question<'_>, fleet: &Fleet) -> Option<(Duration, Arc<Pool>)> {
+    let (pool, _) = question.stage.pool_under(question.rules);
+    let best = pool
+        .members
+        .iter()
+        .filter(|e| !matches!(excluded(question, e, fleet), Some(Verdict::Leaving)))
+        .map(|e| predict(question, e, fleet))
+        .min()?;
+    Some((best, pool.clone()))
+}
--- /dev/null
+++ b/src/spread.rs
@@ -0,0 +1,454 @@
+//! Spreads documents: the fleet together polls the platform at a fixed rate, and whoever finds a newer
+//! version tells its neighbours, who pull it and tell theirs.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use rand::RngExt;
+use rand::seq::IndexedRandom;
+use snafu::{ResultExt, Snafu};
+use tokio::sync::{Mutex, watch};
+use tokio::task::JoinSet;
+use tokio_stream::StreamExt;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::audit::{Audit, Change};
+use crate::channels::{Channels, ConnectError};
+use crate::config::parts::{Bundle, Manifest};
+use crate::keeper::{Keeper, Outcome, Rejection};
+use crate::metrics as m;
+use crate::platform::{HostList, HostState, Platform, PlatformError};
+use crate::wire::v1::peer_client::PeerClient;
+use crate::wire::{MAX_MESSAGE_LEN, PROTOCOL, v1};
+
+/// The name of the configuration in exchanges.
+pub const CONFIG: &str = "config";
+/// The name of the host list in exchanges.
+pub const HOSTS: &str = "hosts";
+/// Peers that are told of a new version, and with which versions are compared.
+const NEIGHBOURS: usize = 8;
+/// Versions are compared with one neighbour this often.
+const EXCHANGE_EVERY: Duration = Duration::from_secs(2);
+/// How long one exchange or pull may take.
+const PEER_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long a process that starts waits for the slowest of those that it asks.
+const BOOTSTRAP_TIMEOUT: Duration = Duration::from_secs(3);
+/// Calls of one poll: the manifest and the host list.
+const CALLS_PER_POLL: f64 = 2.0;
+
+/// Why documents could not be had from a peer.
+#[derive(Debug, Snafu)]
+pub enum PullError {
+    /// No connection.
+    #[snafu(display("{source}"), context(false))]
+    Connect {
+        /// Why.
+        source: ConnectError,
+    },
+    /// The peer answered with an error, or the connection was lost.
+    #[snafu(display("{source}"))]
+    Call {
+        /// Why.
+        source: Box<tonic::Status>,
+    },
+    /// The peer did not answer in time.
+    #[snafu(display("no answer in time"))]
+    TimedOut,
+    /// What the peer sent is no document.
+    #[snafu(display("{source}"))]
+    Syntax {
+        /// Where and why.
+        source: serde_json::Error,
+    },
+    /// The platform could not be read.
+    #[snafu(display("{source}"), context(false))]
+    Platform {
+        /// Why.
+        source: PlatformError,
+    },
+    /// The document was not applied.
+    #[snafu(display("{source}"), context(false))]
+    Rejected {
+        /// Why.
+        source: Rejection,
+    },
+}
+
+impl From<tonic::Status> for PullError {
+    fn from(status: tonic::Status) -> Self {
+        Self::Call { source: Box::new(status) }
+    }
+}
+
+/// The state of spreading in one process.
+pub struct Spread {
+    /// Where this process answers others.
+    address: SocketAddr,
+    seeds: Vec<SocketAddr>,
+    polls_per_second: f64,
+    keeper: Arc<Keeper>,
+    hosts: ArcSwap<HostList>,
+    hosts_announced: watch::Sender<u64>,
+    platform: Platform,
+    platform_answered: std::sync::Mutex<Option<Instant>>,
+    channels: Arc<Channels>,
+    audit: Audit,
+    /// One pull at a time, so that neighbours' words of one version give one transfer.
+    pulling: Mutex<()>,
+}
+
+/// What [`Spread`] is made with.
+pub struct Setup {
+    /// Where this process answers others.
+    pub address: SocketAddr,
+    /// Processes from the settings.
+    pub seeds: Vec<SocketAddr>,
+    /// Calls a second of the whole fleet to the platform.
+    pub polls_per_second: u32,
+    /// The configuration.
+    pub keeper: Arc<Keeper>,
+    /// The platform.
+    pub platform: Platform,
+    /// Connections to peers.
+    pub channels: Arc<Channels>,
+    /// Where changes are recorded.
+    pub audit: Audit,
+}
+
+impl Spread {
+    /// Spreads nothing yet.
+    pub fn new(setup: Setup) -> Self {
+        Self {
+            address: setup.address,
+            seeds: setup.seeds,
+            polls_per_second: f64::from(setup.polls_per_second),
+            keeper: setup.keeper,
+            hosts: ArcSwap::from_pointee(HostList::default()),
+            hosts_announced: watch::Sender::new(0),
+            platform: setup.platform,
+            platform_answered: std::sync::Mutex::new(None),
+            channels: setup.channels,
+            audit: setup.audit,
+            pulling: Mutex::new(()),
+        }
+    }
+
+    /// The configuration's keeper.
+    pub const fn keeper(&self) -> &Arc<Keeper> {
+        &self.keeper
+    }
+
+    /// The newest host list that is known.
+    pub fn hosts(&self) -> Arc<HostList> {
+        self.hosts.load_full()
+    }
+
+    /// Says each revision of the host list that becomes known.
+    pub fn subscribe_hosts(&self) -> watch::Receiver<u64> {
+        self.hosts_announced.subscribe()
+    }
+
+    /// Live gateways by the host list, at least one.
+    pub fn gateways(&self) -> usize {
+        let hosts = self.hosts();
+        let live = hosts.hosts.iter().filter(|h| h.gateway && h.state == HostState::Live);
+        live.count().max(1)
+    }
+
+    /// Seconds since the platform last answered; `None` where it never has.
+    pub fn platform_age(&self) -> Option<Duration> {
+        let answered = self.platform_answered.lock().unwrap_or_else(|p| p.into_inner());
+        answered.map(|at| at.elapsed())
+    }
+
+    /// Every other process that is known.
+    pub fn peers(&self) -> BTreeSet<SocketAddr> {
+        let listed = self.hosts();
+        let listed = listed.hosts.iter().map(|h| h.internal);
+        let mut peers: BTreeSet<_> = self.seeds.iter().copied().chain(listed).collect();
+        peers.remove(&self.address);
+        peers
+    }
+
+    /// The same few peers while the fleet stays the same, so that connections are kept.
+    fn neighbours(&self) -> Vec<SocketAddr> {
+        let own = u64::from(self.address.port()) ^ hash_ip(self.address);
+        let mut ranked: Vec<_> = self
+            .peers()
+            .into_iter()
+            .map(|peer| (xxh3_64_with_seed(peer.to_string().as_bytes(), own), peer))
+            .collect();
+        ranked.sort_unstable();
+        ranked.into_iter().take(NEIGHBOURS).map(|(_, peer)| peer).collect()
+    }
+
+    /// Asks the platform and peers, and takes the highest; then goes on for good.
+    pub async fn run(self: Arc<Self>) {
+        self.bootstrap().await;
+        tokio::join!(self.poll_for_good(), self.exchange_for_good(), self.push_for_good());
+    }
+
+    async fn bootstrap(self: &Arc<Self>) {
+        let mut asked = JoinSet::new();
+        let this = self.clone();
+        asked.spawn(async move { this.poll().await.err().map(|_| ()) });
+        for peer in self.neighbours() {
+            let this = self.clone();
+            asked.spawn(async move { this.exchange(peer).await.err().map(|_| ()) });
+        }
+        let all = async { while asked.join_next().await.is_some() {} };
+        tokio::time::timeout(BOOTSTRAP_TIMEOUT, all).await.ok();
+    }
+
+    async fn poll_for_good(&self) {
+        loop {
+            let processes = self.peers().len() as f64 + 1.0;
+            let every = CALLS_PER_POLL * processes / self.polls_per_second;
+            let phase = rand::rng().random_range(0.5..1.5);
+            tokio::time::sleep(Duration::from_secs_f64(every * phase)).await;
+            // A failed poll shows in the counter of calls and in the platform's age.
+            self.poll().await.ok();
+        }
+    }
+
+    async fn exchange_for_good(&self) {
+        loop {
+            let phase = rand::rng().random_range(0.5..1.5);
+            tokio::time::sleep(EXCHANGE_EVERY.mul_f64(phase)).await;
+            let peer = self.neighbours().choose(&mut rand::rng()).copied();
+            if let Some(peer) = peer {
+                self.exchange(peer).await.ok();
+            }
+        }
+    }
+
+    async fn push_for_good(self: &Arc<Self>) {
+        let mut configs = self.keeper.subscribe();
+        let mut hosts = self.subscribe_hosts();
+        loop {
+            tokio::select! {
+                changed = configs.changed() => if changed.is_err() { return },
+                changed = hosts.changed() => if changed.is_err() { return },
+            }
+            for peer in self.neighbours() {
+                let this = self.clone();
+                tokio::spawn(async move { this.exchange(peer).await.ok() });
+            }
+        }
+    }
+
+    /// Reads the platform once.
+    pub async fn poll(&self) -> Result<(), PullError> {
+        let polled = self.poll_documents().await;
+        let answers = !matches!(polled, Err(PullError::Platform { .. }));
+        self.note_platform(answers);
+        polled
+    }
+
+    async fn poll_documents(&self) -> Result<(), PullError> {
+        let hosts = self.platform.hosts().await;
+        let manifest = self.platform.manifest().await?;
+        if let Some(manifest) = manifest {
+            self.adopt(manifest, Source::Platform).await?;
+        }
+        self.adopt_hosts(hosts?);
+        Ok(())
+    }
+
+    fn note_platform(&self, answers: bool) {
+        let mut answered = self.platform_answered.lock().unwrap_or_else(|p| p.into_inner());
+        let before = answered.is_some_and(|at| at.elapsed() < Duration::from_secs(60));
+        if answers {
+            *answered = Some(Instant::now());
+        }
+        drop(answered);
+        if answers && !before {
+            self.audit.record(Change::Platform { answers });
+        }
+        let age = self.platform_age().map_or(f64::INFINITY, |a| a.as_secs_f64());
+        metrics::gauge!(m::PLATFORM_AGE).set(age);
+    }
+
+    fn adopt_hosts(&self, hosts: HostList) {
+        if hosts.revision <= self.hosts.load().revision {
+            return;
+        }
+        let revision = hosts.revision;
+        self.hosts.store(Arc::new(hosts));
+        self.hosts_announced.send_replace(revision);
+    }
+
+    /// Fetches the parts that a manifest changes and offers the whole to the keeper.
+    async fn adopt(&self, manifest: Manifest, source: Source) -> Result<(), PullError> {
+        if self.keeper.is_conflict(manifest.version, &manifest.digest) {
+            return Ok(());
+        }
+        if !self.keeper.wants(manifest.version, &manifest.digest) {
+            return Ok(());
+        }
+        let parts = self.gather(&manifest, source).await?;
+        let outcome = self.keeper.offer(Bundle { manifest, parts }, &source.to_string())?;
+        debug_assert!(outcome != Outcome::Older || self.keeper.version() > 0);
+        Ok(())
+    }
+
+    async fn gather(
+        &self,
+        manifest: &Manifest,
+        source: Source,
+    ) -> Result<BTreeMap<String, Bytes>, PullError> {
+        let mut parts = BTreeMap::new();
+        let mut missing = Vec::new();
+        let installed = self.keeper.installed();
+        for entry in &manifest.parts {
+            let have = installed.as_ref().and_then(|i| i.bundle.parts.get(&entry.digest));
+            match have {
+                Some(bytes) => {
+                    parts.insert(entry.digest.clone(), bytes.clone());
+                }
+                None => missing.push(entry.digest.clone()),
+            }
+        }
+        match source {
+            Source::Platform => {
+                for digest in missing {
+                    let bytes = self.platform.part(&digest).await?;
+                    parts.insert(digest, bytes);
+                }
+            }
+            Source::Peer(peer) => parts.extend(self.fetch_parts(peer, missing).await?),
+        }
+        Ok(parts)
+    }
+
+    async fn fetch_parts(
+        &self,
+        peer: SocketAddr,
+        digests: Vec<String>,
+    ) -> Result<BTreeMap<String, Bytes>, PullError> {
+        let mut parts = BTreeMap::new();
+        if digests.is_empty() {
+            return Ok(parts);
+        }
+        let mut client = self.client(peer).await?;
+        let request = v1::PartsRequest { document: CONFIG.to_owned(), digests };
+        let mut stream = client.parts(request).await?.into_inner();
+        while let Some(part) = stream.next().await {
+            let part = part?;
+            m::control_bytes("in", part.content.len());
+            parts.insert(part.digest, Bytes::from(part.content));
+        }
+        Ok(parts)
+    }
+
+    async fn client(
+        &self,
+        peer: SocketAddr,
+    ) -> Result<PeerClient<tonic::transport::Channel>, PullError> {
+        let channel = self.channels.get(peer).await?;
+        Ok(PeerClient::new(channel).max_decoding_message_size(MAX_MESSAGE_LEN))
+    }
+
+    /// Compares versions with a peer, and pulls what it has newer.
+    pub async fn exchange(&self, peer: SocketAddr) -> Result<(), PullError> {
+        let exchanged = tokio::time::timeout(PEER_TIMEOUT, self.exchange_once(peer)).await;
+        let result = exchanged.unwrap_or(Err(PullError::TimedOut));
+        if matches!(result, Err(PullError::Call { .. } | PullError::TimedOut)) {
+            self.channels.forget(peer);
+        }
+        result
+    }
+
+    async fn exchange_once(&self, peer: SocketAddr) -> Result<(), PullError> {
+        let request = v1::ExchangeRequest {
+            protocol: PROTOCOL,
+            documents: self.versions(),
+            address: self.address.to_string(),
+        };
+        let reply = self.client(peer).await?.exchange(request).await?.into_inner();
+        self.pull_newer(peer, &reply.documents).await
+    }
+
+    /// The versions of the documents in force here.
+    pub fn versions(&self) -> Vec<v1::DocumentVersion> {
+        let config = self.keeper.installed();
+        let config = config.map(|i| v1::DocumentVersion {
+            document: CONFIG.to_owned(),
+            version: i.config.version,
+            digest: i.bundle.manifest.digest.clone(),
+        });
+        let hosts = v1::DocumentVersion {
+            document: HOSTS.to_owned(),
+            version: self.hosts.load().revision,
+            digest: String::new(),
+        };
+        config.into_iter().chain([hosts]).collect()
+    }
+
+    /// Pulls from a peer what it says it has newer.
+    pub async fn pull_newer(
+        &self,
+        peer: SocketAddr,
+        theirs: &[v1::DocumentVersion],
+    ) -> Result<(), PullError> {
+        for document in theirs {
+            match document.document.as_str() {
+                CONFIG => self.pull_config(peer, document).await?,
+                HOSTS if document.version > self.hosts.load().revision => {
+                    let bytes = self.fetch_manifest(peer, HOSTS).await?;
+                    self.adopt_hosts(serde_json::from_slice(&bytes).context(SyntaxSnafu)?);
+                }
+                _ => {}
+            }
+        }
+        Ok(())
+    }
+
+    async fn pull_config(
+        &self,
+        peer: SocketAddr,
+        theirs: &v1::DocumentVersion,
+    ) -> Result<(), PullError> {
+        if self.keeper.is_conflict(theirs.version, &theirs.digest) {
+            return Ok(());
+        }
+        let _one_at_a_time = self.pulling.lock().await;
+        if !self.keeper.wants(theirs.version, &theirs.digest) {
+            return Ok(());
+        }
+        let bytes = self.fetch_manifest(peer, CONFIG).await?;
+        let manifest: Manifest = serde_json::from_slice(&bytes).context(SyntaxSnafu)?;
+        self.adopt(manifest, Source::Peer(peer)).await
+    }
+
+    async fn fetch_manifest(&self, peer: SocketAddr, document: &str) -> Result<Vec<u8>, PullError> {
+        let request = v1::ManifestRequest { document: document.to_owned() };
+        let reply = self.client(peer).await?.manifest(request).await?.into_inner();
+        m::control_bytes("in", reply.manifest.len());
+        Ok(reply.manifest)
+    }
+}
+
+/// Where a document comes from.
+#[derive(Debug, Clone, Copy)]
+enum Source {
+    Platform,
+    Peer(SocketAddr),
+}
+
+impl std::fmt::Display for Source {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Platform => f.write_str("platform"),
+            Self::Peer(peer) => write!(f, "peer {peer}"),
+        }
+    }
+}
+
+fn hash_ip(address: SocketAddr) -> u64 {
+    xxh3_64_with_seed(address.ip().to_string().as_bytes(), 0)
+}
--- /dev/null
+++ b/src/view.rs
@@ -0,0 +1,212 @@
+//! A configuration compiled for one process: pools, subsets and indexes, made once for each version.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::config::{Config, Effect, Endpoint, Labels, Name, Organisation, Pipeline, Rule, Stage};
+
+/// The share of a subset that is taken from the process's own data centre, where it has that many.
+const LOCAL_SHARE: f64 = 0.75;
+
+/// Who compiles: the subset and the distances depend on it.
+#[derive(Debug, Clone)]
+pub struct Place {
+    /// The process's host name.
+    pub host: String,
+    /// Where it stands.
+    pub data_centre: Name,
+}
+
+/// The endpoints that this process considers for a selector.
+#[derive(Debug)]
+pub struct Pool {
+    /// The selectors, as operators wrote them, joined.
+    pub selector: String,
+    /// The subset.
+    pub members: Vec<Arc<Endpoint>>,
+    /// Endpoints of the fleet that match.
+    pub matching: usize,
+    /// Of those, endpoints that the configuration calls leaving.
+    pub leaving: usize,
+}
+
+/// A stage with its pools.
+#[derive(Debug)]
+pub struct StageView {
+    /// The stage as published.
+    pub stage: Stage,
+    /// Identifies the stage in estimates.
+    pub key: u64,
+    /// The pool where no rule says otherwise.
+    pub pool: Arc<Pool>,
+    /// The pools of the `require` rules for this stage, by the rule's position.
+    pub required: Vec<(usize, Arc<Pool>)>,
+}
+
+/// A pipeline with its stages.
+#[derive(Debug)]
+pub struct PipelineView {
+    /// The pipeline as published.
+    pub pipeline: Pipeline,
+    /// Its stages in order.
+    pub stages: Vec<StageView>,
+}
+
+/// A compiled configuration.
+#[derive(Debug)]
+pub struct View {
+    /// The configuration.
+    pub config: Arc<Config>,
+    /// The digest of its manifest.
+    pub digest: String,
+    /// Who compiled it.
+    pub place: Place,
+    pipelines: HashMap<Name, Arc<PipelineView>>,
+    organisations: HashMap<Name, usize>,
+}
+
+impl View {
+    /// Compiles a checked configuration.
+    pub fn new(config: Arc<Config>, digest: String, place: Place) -> Self {
+        let mut pools = Pools { config: &config, place: &place, made: HashMap::new() };
+        let endpoints: Vec<Arc<Endpoint>> =
+            config.endpoints.iter().cloned().map(Arc::new).collect();
+        let pipelines = config
+            .pipelines
+            .iter()
+            .map(|p| (p.name.clone(), Arc::new(compile(p, &config, &endpoints, &mut pools))))
+            .collect();
+        let organisations =
+            config.organisations.iter().enumerate().map(|(i, o)| (o.name.clone(), i)).collect();
+        Self { config, digest, place, pipelines, organisations }
+    }
+
+    /// The pipeline of this name.
+    pub fn pipeline(&self, name: &str) -> Option<&Arc<PipelineView>> {
+        self.pipelines.get(name)
+    }
+
+    /// The organisation of this name.
+    pub fn organisation(&self, name: &str) -> Option<&Organisation> {
+        self.organisations.get(name).map(|&i| &self.config.organisations[i])
+    }
+
+    /// Every endpoint that is a member of some pool, once each.
+    pub fn endpoints_in_use(&self) -> Vec<Arc<Endpoint>> {
+        let stages = self.pipelines.values().flat_map(|p| &p.stages);
+        let pools = stages.flat_map(|s| s.required.iter().map(|(_, p)| p).chain([&s.pool]));
+        let mut endpoints: Vec<_> = pools.flat_map(|p| p.members.iter().cloned()).collect();
+        endpoints.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+        endpoints.dedup_by(|a, b| a.name == b.name);
+        endpoints
+    }
+
+    /// The rules that match, with their positions, in order.
+    pub fn rules<'a>(
+        &'a self,
+        organisation: &'a Labels,
+        request: &'a Labels,
+    ) -> impl Iterator<Item = (usize, &'a Rule)> {
+        let matches =
+            |r: &Rule| r.organisations.matches(organisation) && r.requests.matches(request);
+        self.config.rules.iter().enumerate().filter(move |(_, r)| matches(r))
+    }
+}
+
+impl StageView {
+    /// The pool under the first of the matching rules that is for this stage, and that rule's position.
+    pub fn pool_under(&self, matching: &[usize]) -> (&Arc<Pool>, Option<usize>) {
+        let required = self.required.iter().find(|(rule, _)| matching.contains(rule));
+        match required {
+            Some((rule, pool)) => (pool, Some(*rule)),
+            None => (&self.pool, None),
+        }
+    }
+}
+
+fn compile(
+    pipeline: &Pipeline,
+    config: &Config,
+    endpoints: &[Arc<Endpoint>],
+    pools: &mut Pools<'_>,
+) -> PipelineView {
+    let stages = pipeline.stages.iter().map(|stage| {
+        let required = config.rules.iter().enumerate().filter_map(|(i, rule)| match &rule.effect {
+            Effect::Require { stage: name, endpoints: only } if *name == stage.name => {
+                Some((i, pools.pool(stage, Some(only), endpoints)))
+            }
+            _ => None,
+        });
+        let required = required.collect();
+        StageView {
+            stage: stage.clone(),
+            key: xxh3_64(format!("{}/{}", pipeline.name, stage.name).as_bytes()),
+            pool: pools.pool(stage, None, endpoints),
+            required,
+        }
+    });
+    PipelineView { pipeline: pipeline.clone(), stages: stages.collect() }
+}
+
+/// Pools made so far; stages with equal selectors share one.
+struct Pools<'a> {
+    config: &'a Config,
+    place: &'a Place,
+    made: HashMap<String, Arc<Pool>>,
+}
+
+impl Pools<'_> {
+    fn pool(
+        &mut self,
+        stage: &Stage,
+        only: Option<&crate::config::Selector>,
+        endpoints: &[Arc<Endpoint>],
+    ) -> Arc<Pool> {
+        let selector = match only {
+            Some(only) => format!("{},{only}", stage.endpoints),
+            None => stage.endpoints.to_string(),
+        };
+        if let Some(pool) = self.made.get(&selector) {
+            return pool.clone();
+        }
+        let matches = |e: &&Arc<Endpoint>| {
+            stage.endpoints.matches(&e.labels) && only.is_none_or(|s| s.matches(&e.labels))
+        };
+        let matching: Vec<_> = endpoints.iter().filter(matches).collect();
+        let serving: Vec<_> = matching.iter().filter(|e| !e.leaving).copied().collect();
+        let pool = Arc::new(Pool {
+            selector: selector.clone(),
+            matching: matching.len(),
+            leaving: matching.len() - serving.len(),
+            members: subset(serving, self.config.policy.subset, self.place),
+        });
+        self.made.insert(selector, pool.clone());
+        pool
+    }
+}
+
+/// Rendezvous hashing: a host keeps its members when others come and go; its data centre comes first.
+fn subset(endpoints: Vec<&Arc<Endpoint>>, size: usize, place: &Place) -> Vec<Arc<Endpoint>> {
+    if endpoints.len() <= size {
+        return endpoints.into_iter().cloned().collect();
+    }
+    let seed = xxh3_64(place.host.as_bytes());
+    let mut ranked: Vec<_> =
+        endpoints.into_iter().map(|e| (xxh3_64_with_seed(e.name.as_bytes(), seed), e)).collect();
+    ranked.sort_unstable_by_key(|(rank, _)| *rank);
+    let local_size = (size as f64 * LOCAL_SHARE) as usize;
+    let local = |e: &Endpoint| e.data_centre == place.data_centre;
+    let mut members: Vec<_> =
+        ranked.iter().filter(|(_, e)| local(e)).take(local_size).map(|(_, e)| *e).collect();
+    for (_, endpoint) in &ranked {
+        if members.len() == size {
+            break;
+        }
+        if !members.iter().any(|m| m.name == endpoint.name) {
+            members.push(endpoint);
+        }
+    }
+    members.into_iter().cloned().collect()
+}
--- /dev/null
+++ b/testbed/src/deployment.rs
@@ -0,0 +1,202 @@
+//! The two deployments of the brief, at their sizes or smaller, as configurations and stand-ins.
+
+use std::time::Duration;
+
+use stackmast::config::labels::Labels;
+use stackmast::config::{
+    Config, Effect, EndpointKind, Organisation, Pipeline, Policy, Rule, Selector, Stage,
+};
+
+use crate::engine::Speed;
+use crate::service::Times;
+
+/// What a stand-in endpoint is.
+#[derive(Debug, Clone, Copy)]
+pub enum StandIn {
+    /// A plain service.
+    Service(Times),
+    /// A model engine.
+    Engine(Speed),
+}
+
+/// One endpoint to start.
+#[derive(Debug, Clone)]
+pub struct EndpointSpec {
+    /// Its name.
+    pub name: String,
+    /// What it is.
+    pub stand_in: StandIn,
+    /// Its labels.
+    pub labels: Labels,
+    /// Where it stands.
+    pub data_centre: String,
+    /// Calls that its agent hands over at once.
+    pub concurrency: u32,
+}
+
+impl EndpointSpec {
+    /// The kind in the configuration.
+    pub const fn kind(&self) -> EndpointKind {
+        match self.stand_in {
+            StandIn::Service(_) => EndpointKind::Service,
+            StandIn::Engine(_) => EndpointKind::Engine,
+        }
+    }
+}
+
+/// A deployment: what operators publish, less the addresses, and the endpoints to start.
+#[derive(Debug, Clone)]
+pub struct Deployment {
+    /// The configuration without endpoints.
+    pub config: Config,
+    /// The endpoints.
+    pub endpoints: Vec<EndpointSpec>,
+}
+
+/// Replicas of each service, and of the model.
+#[derive(Debug, Clone, Copy)]
+pub struct Sizes {
+    /// Of each of the four services.
+    pub service: usize,
+    /// Of the model.
+    pub model: usize,
+    /// Data centres.
+    pub data_centres: usize,
+}
+
+/// A selector that is known to be well formed.
+pub fn selector(text: &str) -> Selector {
+    Selector::parse(text).expect("a selector of the test bench")
+}
+
+/// Labels from pairs.
+pub fn labels(pairs: &[(&str, &str)]) -> Labels {
+    pairs.iter().map(|(k, v)| ((*k).to_owned(), (*v).to_owned())).collect()
+}
+
+fn stage(name: &str, service: &str, may_repeat: bool, expected_ms: u64) -> Stage {
+    Stage {
+        name: name.to_owned(),
+        endpoints: selector(&format!("service={service}")),
+        may_repeat,
+        expected_ms,
+    }
+}
+
+fn pipeline(name: &str, deadline_ms: u64, priority: u8, stages: Vec<Stage>) -> Pipeline {
+    Pipeline { name: name.to_owned(), deadline_ms, priority, stages }
+}
+
+fn four_stages(model: &str) -> Vec<Stage> {
+    vec![
+        stage("encode", "encoder", true, 10),
+        stage("retrieve", "retriever", true, 10),
+        stage("rerank", "reranker", true, 10),
+        stage("generate", model, true, 100),
+    ]
+}
+
+fn organisations(prefix: &str) -> Vec<Organisation> {
+    (0..5)
+        .map(|i| Organisation {
+            name: format!("{prefix}-{i}"),
+            labels: labels(&[("size", if i == 0 { "large" } else { "small" })]),
+        })
+        .collect()
+}
+
+fn endpoints(
+    model: &str,
+    services: &[&str],
+    sizes: Sizes,
+    times: Times,
+    speed: Speed,
+) -> Vec<EndpointSpec> {
+    let centre = |i: usize| format!("dc-{}", i % sizes.data_centres);
+    let mut specs = Vec::new();
+    for service in services {
+        for i in 0..sizes.service {
+            specs.push(EndpointSpec {
+                name: format!("{service}-{i}"),
+                stand_in: StandIn::Service(times),
+                labels: labels(&[("service", service), ("data-centre", &centre(i))]),
+                data_centre: centre(i),
+                concurrency: times.concurrency as u32,
+            });
+        }
+    }
+    for i in 0..sizes.model {
+        let pool = if i % 2 == 1 { "batch" } else { "interactive" };
+        specs.push(EndpointSpec {
+            name: format!("{model}-{i}"),
+            stand_in: StandIn::Engine(speed),
+            labels: labels(&[("service", model), ("pool", pool), ("data-centre", &centre(i))]),
+            data_centre: centre(i),
+            concurrency: speed.batch as u32,
+        });
+    }
+    specs
+}
+
+/// How long the services of both deployments take.
+pub const SERVICE_TIMES: Times =
+    Times { base: Duration::from_millis(5), per_kib: Duration::from_micros(500), concurrency: 8 };
+
+/// The campsite keepers' association: short guest replies, refund notices, slot holds.
+pub fn campsites(sizes: Sizes, times: Times, speed: Speed) -> Deployment {
+    let notice = vec![
+        stage("encode", "encoder", true, 10),
+        stage("retrieve", "retriever", true, 10),
+        stage("send", "notifier", false, 10),
+    ];
+    let config = Config {
+        version: 1,
+        pipelines: vec![
+            pipeline("guest-reply", 2_000, 5, four_stages("llm")),
+            pipeline("refund-notice", 1_000, 9, notice),
+            pipeline("season-plan", 2_000, 1, four_stages("llm")),
+        ],
+        organisations: organisations("keepers"),
+        rules: vec![
+            Rule {
+                name: "plans-run-in-batch".to_owned(),
+                organisations: Selector::default(),
+                requests: selector("kind=plan"),
+                effect: Effect::Require {
+                    stage: "generate".to_owned(),
+                    endpoints: selector("pool=batch"),
+                },
+            },
+            Rule {
+                name: "guests-first".to_owned(),
+                organisations: Selector::default(),
+                requests: selector("caller=guest"),
+                effect: Effect::Priority(8),
+            },
+        ],
+        ..Config::default()
+    };
+    let services = ["encoder", "retriever", "reranker", "notifier"];
+    Deployment { config, endpoints: endpoints("llm", &services, sizes, times, speed) }
+}
+
+/// The guild of rendering studios: long briefs, material schedules, client notes.
+pub fn guild(sizes: Sizes, times: Times, speed: Speed) -> Deployment {
+    let invoice = vec![
+        stage("encode", "encoder", true, 10),
+        stage("retrieve", "retriever", true, 10),
+        stage("send", "invoicer", false, 10),
+    ];
+    let config = Config {
+        version: 1,
+        pipelines: vec![
+            pipeline("walkthrough", 2_000, 5, four_stages("drafter")),
+            pipeline("invoice", 1_000, 9, invoice),
+        ],
+        organisations: organisations("studio"),
+        policy: Policy { cost_weight_ms: 5.0, ..Policy::default() },
+        ..Config::default()
+    };
+    let services = ["encoder", "retriever", "reranker", "invoicer"];
+    Deployment { config, endpoints: endpoints("drafter", &services, sizes, times, speed) }
+}
--- /dev/null
+++ b/testbed/src/load.rs
@@ -0,0 +1,1 @@
+//! The load tool.
