--- a/src/agent/endpoint.rs
+++ b/src/agent/endpoint.rs
@@ -12,7 +12,8 @@
 use hyper_util::rt::TokioExecutor;
 use serde::Deserialize;
 
-use super::core::{AgentCore, CallStart, EndpointEvent, EndpointFailure, Event};
+use super::core::AgentCore;
+use super::event::{CallStart, EndpointEvent, EndpointFailure, Event};
 use crate::actor::Handle;
 use crate::config::EndpointKind;
 use crate::message::{AttemptId, Run};
--- /dev/null
+++ b/src/agent/running.rs
@@ -0,0 +1,121 @@
+//! What comes of attempts that were handed over: pieces, results, failures.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use super::core::{AgentCore, Phase};
+use super::event::{Action, CallStart, ClaimAnswer, EndpointEvent, EndpointFailure};
+use crate::message::{AgentReason, AttemptId, Ran, Reply, Timestamp};
+
+/// Tries to resume one stream at the engine before it is given up.
+const ENGINE_RESUMES: u32 = 3;
+
+impl AgentCore {
+    pub(super) fn on_endpoint(&mut self, id: AttemptId, event: EndpointEvent, now: Timestamp) {
+        let running = self.attempts.get(&id).map(|a| &a.phase);
+        let Some(Phase::Running { since, resumes }) = running.cloned() else {
+            return;
+        };
+        match event {
+            EndpointEvent::Chunk { offset, data } => self.on_chunk(id, offset, data, now),
+            EndpointEvent::Done { length } => self.on_done(id, length, now - since, now),
+            EndpointEvent::Failed(failure) => self.on_failed(id, failure, resumes, now),
+        }
+    }
+
+    pub(super) fn on_chunk(&mut self, id: AttemptId, offset: u64, data: Bytes, now: Timestamp) {
+        let bound = self.bounds.result_bytes;
+        let Some(attempt) = self.attempts.get_mut(&id) else {
+            return;
+        };
+        let have = attempt.output.len();
+        let Ok(fresh) = attempt.output.append(offset, &data, bound) else {
+            return self.fail_running(id, AgentReason::EndpointMisbehaved, now);
+        };
+        // A gateway that came back has what lies before its offset.
+        let seen = attempt.run.resume.unwrap_or(0);
+        let listener = attempt.listener;
+        let skip = seen.saturating_sub(have).min(fresh.len() as u64) as usize;
+        let (offset, data) = (have + skip as u64, fresh.slice(skip..));
+        if let (Some(call), false) = (listener, data.is_empty()) {
+            self.send(call, id, Reply::Chunk { offset, data });
+        }
+    }
+
+    pub(super) fn on_done(
+        &mut self,
+        id: AttemptId,
+        length: u64,
+        service: Duration,
+        now: Timestamp,
+    ) {
+        let Some(attempt) = self.attempts.get(&id) else {
+            return;
+        };
+        if attempt.output.len() != length {
+            return self.on_failed(id, EndpointFailure::Cut, ENGINE_RESUMES, now);
+        }
+        let digest = attempt.output.digest();
+        self.service.add(service);
+        self.end(id, Reply::Done { length, digest, service }, now);
+    }
+
+    pub(super) fn on_failed(
+        &mut self,
+        id: AttemptId,
+        failure: EndpointFailure,
+        tried: u32,
+        now: Timestamp,
+    ) {
+        match failure {
+            // Only what was never connected is known not to have run, and only where it was not resumed.
+            EndpointFailure::Unreachable if tried == 0 && self.is_first_call(id) => {
+                self.end_refused(id, Ran::NotRun, AgentReason::EndpointUnreachable, now);
+            }
+            EndpointFailure::Cut | EndpointFailure::Unreachable
+                if self.is_engine && tried < ENGINE_RESUMES =>
+            {
+                self.resume_at_engine(id, tried);
+            }
+            EndpointFailure::Misbehaved => {
+                self.fail_running(id, AgentReason::EndpointMisbehaved, now);
+            }
+            _ => self.end_refused(id, Ran::Unknown, AgentReason::EndpointFailed, now),
+        }
+    }
+
+    pub(super) fn is_first_call(&self, id: AttemptId) -> bool {
+        self.attempts.get(&id).is_some_and(|a| a.run.resume.is_none() && a.output.is_empty())
+    }
+
+    pub(super) fn resume_at_engine(&mut self, id: AttemptId, tried: u32) {
+        let Some(attempt) = self.attempts.get_mut(&id) else {
+            return;
+        };
+        if let Phase::Running { resumes, .. } = &mut attempt.phase {
+            *resumes = tried + 1;
+        }
+        let offset = attempt.output.len();
+        self.actions.push(Action::Call { attempt: id, start: CallStart::Resume { offset } });
+    }
+
+    pub(super) fn fail_running(&mut self, id: AttemptId, reason: AgentReason, now: Timestamp) {
+        self.actions.push(Action::CancelCall { attempt: id });
+        self.end_refused(id, Ran::Unknown, reason, now);
+    }
+
+    pub(super) fn on_claimed(&mut self, id: AttemptId, answer: ClaimAnswer, now: Timestamp) {
+        if self.attempts.get(&id).is_none_or(|a| a.phase != Phase::Claiming) {
+            return;
+        }
+        match answer {
+            ClaimAnswer::Granted => self.begin(id, now),
+            // Nothing of this run has begun; whether another one has is the home's to say.
+            ClaimAnswer::Refused | ClaimAnswer::Unreachable => {
+                self.running -= 1;
+                self.end_refused(id, Ran::NotRun, AgentReason::ClaimRefused, now);
+            }
+        }
+    }
+}
--- a/src/agent/shell.rs
+++ b/src/agent/shell.rs
@@ -11,8 +11,9 @@
 use tokio_stream::Stream;
 use tonic::Status;
 
-use super::core::{Action, AgentCore, CallId, CallStart, ClaimAnswer, Event};
+use super::core::AgentCore;
 use super::endpoint::EndpointClient;
+use super::event::{Action, CallId, CallStart, ClaimAnswer, Event};
 use crate::actor::{Core, Handle, Shell};
 use crate::channels::Channels;
 use crate::config::EndpointKind;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -171,7 +171,7 @@
 
 async fn serve_gateway(base: Base, callers_address: SocketAddr) -> Result<(), DaemonError> {
     let settings = base.settings.clone();
-    let core = GatewayCore::new(gateway::core::Setup {
+    let core = GatewayCore::new(gateway::event::Setup {
         host: settings.host.as_str().into(),
         incarnation: base.incarnation,
         in_flight: settings.bounds.in_flight,
@@ -209,7 +209,7 @@
     base.audit.record(Change::Started { incarnation: base.incarnation.to_string() });
 
     base.told_to_stop().await?;
-    handle.send(gateway::core::Event::Drain).await.ok();
+    handle.send(gateway::event::Event::Drain).await.ok();
     base.drained(async || callers.len()).await;
     listener.stop();
     admin.stop();
@@ -238,10 +238,10 @@
                 Place { host: settings.host.clone(), data_centre: settings.data_centre.clone() };
             let digest = installed.bundle.manifest.digest.clone();
             let view = Arc::new(View::new(installed.config.clone(), digest, place));
-            core.send(gateway::core::Event::Configure { view }).await.ok();
+            core.send(gateway::event::Event::Configure { view }).await.ok();
         }
         let count = spread.gateways();
-        core.send(gateway::core::Event::Gateways { count }).await.ok();
+        core.send(gateway::event::Event::Gateways { count }).await.ok();
         tokio::select! {
             changed = configs.changed() => if changed.is_err() { return },
             changed = hosts.changed() => if changed.is_err() { return },
@@ -251,10 +251,10 @@
 
 async fn serve_agent(base: Base, endpoint: &str, address: SocketAddr) -> Result<(), DaemonError> {
     let settings = base.settings.clone();
-    let bounds = agent::core::Bounds {
+    let bounds = agent::event::Bounds {
         queue: settings.bounds.in_flight,
         result_bytes: settings.bounds.result_bytes,
-        ..agent::core::Bounds::default()
+        ..agent::event::Bounds::default()
     };
     let core = AgentCore::new(base.incarnation, endpoint, bounds);
     let (handle, mailbox) = actor::mailbox();
@@ -288,7 +288,7 @@
     base.audit.record(Change::Started { incarnation: base.incarnation.to_string() });
 
     base.told_to_stop().await?;
-    handle.send(agent::core::Event::Drain).await.ok();
+    handle.send(agent::event::Event::Drain).await.ok();
     base.drained(async || {
         let idle = handle.inspect(|core, _| core.is_idle()).await;
         usize::from(!idle.unwrap_or(true))
@@ -341,7 +341,7 @@
         let kind = found.map_or(EndpointKind::Service, |e| e.kind);
         *self.kind.lock().unwrap_or_else(PoisonError::into_inner) = kind;
         let leaving = listed_leaving || found.is_none_or(|e| e.leaving);
-        let event = agent::core::Event::Configure {
+        let event = agent::event::Event::Configure {
             concurrency: found.map_or(0, |e| e.concurrency),
             leaving,
             is_engine: kind == EndpointKind::Engine,
--- a/src/gateway/http.rs
+++ b/src/gateway/http.rs
@@ -19,7 +19,8 @@
 use xitca_web::http::{StatusCode, WebResponse};
 use xitca_web::route::{get, post};
 
-use super::core::{Answer, Event, GatewayCore};
+use super::core::GatewayCore;
+use super::event::{Answer, Event};
 use super::request::Submission;
 use super::shell::{CallerMessage, Callers};
 use super::sse::SseBody;
--- /dev/null
+++ b/src/gateway/recovery.rs
@@ -0,0 +1,206 @@
+//! What follows when an attempt does not end well: resume it, take it back, go elsewhere, or say so.
+//!
+//! A second attempt needs a proof that the first did not run, or a stage that may be repeated.
+
+use std::time::Duration;
+
+use super::core::{GatewayCore, RETRY_AFTER, Timer};
+use super::event::{Action, EndpointChange};
+use super::request::{Progress, run_of};
+use crate::message::{AgentReason, AttemptId, Revocation, Timestamp};
+use crate::metrics as m;
+use crate::policy::explain::Step;
+use crate::refusal::Reason;
+
+/// Calls resumed in vain before an attempt of a repeatable stage is left for another endpoint.
+const RESUMES_BEFORE_ELSEWHERE: u32 = 2;
+/// The first wait before a lost call is resumed; each further one is twice as long.
+const RESUME_FIRST: Duration = Duration::from_millis(20);
+/// The longest wait before a lost call is resumed.
+const RESUME_LONGEST: Duration = Duration::from_millis(500);
+/// Stands for a call that is lost and not yet resumed.
+const NO_CALL: u64 = 0;
+
+impl GatewayCore {
+    /// The attempt is proved not to have run: the stage may go elsewhere.
+    pub(super) fn not_run(
+        &mut self,
+        caller: u64,
+        reason: AgentReason,
+        retry_after: Duration,
+        same_again: bool,
+        now: Timestamp,
+    ) {
+        let Some(attempt) = self.close_attempt(caller, now) else {
+            return;
+        };
+        let Some(request) = self.requests.get_mut(&caller) else {
+            return;
+        };
+        request.last_reason = Some(reason);
+        request.retry_after = retry_after;
+        if reason == AgentReason::ClaimRefused {
+            return self.refuse(caller, Reason::TicketUsed, retry_after, now);
+        }
+        if same_again {
+            return self.dispatch(caller, now);
+        }
+        request.tried.push(attempt.endpoint.name.clone());
+        self.retry(caller, reason, retry_after, now);
+    }
+
+    pub(super) fn retry(
+        &mut self,
+        caller: u64,
+        reason: AgentReason,
+        retry_after: Duration,
+        now: Timestamp,
+    ) {
+        let Some(request) = self.requests.get(&caller) else {
+            return;
+        };
+        // A refusal for leaving is the fleet's doing and not an overload, so it costs no retry.
+        if reason != AgentReason::Leaving && !self.budget.spend() {
+            let stage = request.stage_view().stage.name.clone();
+            return self.refuse(
+                caller,
+                Reason::RetryBudget { stage, last: reason },
+                retry_after,
+                now,
+            );
+        }
+        m::retried();
+        self.dispatch(caller, now);
+    }
+
+    /// The outcome of the attempt can't be had: run again what may be repeated, else say so.
+    pub(super) fn outcome_unknown(&mut self, caller: u64, reason: AgentReason, now: Timestamp) {
+        let Some(attempt) = self.close_attempt(caller, now) else {
+            return;
+        };
+        let endpoint = attempt.endpoint.clone();
+        if self.fleet.failed(&endpoint.name, now) {
+            self.changed(endpoint.name.clone(), EndpointChange::Suspected);
+        }
+        let (id, agent) = (attempt.id, attempt.agent);
+        self.actions.push(Action::Cancel { endpoint: endpoint.clone(), attempt: id, agent });
+        let Some(request) = self.requests.get_mut(&caller) else {
+            return;
+        };
+        request.stage_begun = true;
+        request.last_reason = Some(reason);
+        if !request.may_repeat_stage() {
+            let stage = request.stage_view().stage.name.clone();
+            let reason = Reason::OutcomeUnknown { stage, endpoint: endpoint.name.clone() };
+            return self.refuse(caller, reason, RETRY_AFTER, now);
+        }
+        request.tried.push(endpoint.name.clone());
+        if std::mem::take(&mut request.streamed) {
+            self.actions.push(Action::Reset { caller });
+        }
+        m::wasted(&self.requests[&caller].stage_view().stage.name);
+        self.retry(caller, reason, RETRY_AFTER, now);
+    }
+
+    pub(super) fn on_lost(&mut self, call: u64, id: AttemptId, now: Timestamp) {
+        let Some((caller, attempt)) = self.open(id) else {
+            return;
+        };
+        if attempt.call == call {
+            self.lose(caller, now);
+        }
+    }
+
+    pub(super) fn on_unsent(&mut self, call: u64, id: AttemptId, now: Timestamp) {
+        let Some((caller, attempt)) = self.open(id) else {
+            return;
+        };
+        if attempt.call != call {
+            return;
+        }
+        if attempt.was_sent {
+            return self.lose(caller, now);
+        }
+        let endpoint = attempt.endpoint.name.clone();
+        if self.fleet.failed(&endpoint, now) {
+            self.changed(endpoint, EndpointChange::Suspected);
+        }
+        self.not_run(caller, AgentReason::AgentUnreachable, RETRY_AFTER, false, now);
+    }
+
+    /// The call is gone; the attempt may go on at the agent, so it is asked for again.
+    pub(super) fn lose(&mut self, caller: u64, now: Timestamp) {
+        let Some(request) = self.requests.get_mut(&caller) else {
+            return;
+        };
+        let may_repeat = request.may_repeat_stage();
+        let Some(attempt) = request.attempt.as_mut() else {
+            return;
+        };
+        attempt.resumes += 1;
+        let call = std::mem::replace(&mut attempt.call, NO_CALL);
+        let (id, tries) = (attempt.id, attempt.resumes);
+        let endpoint = attempt.endpoint.name.clone();
+        request.record.steps.push((now, Step::Lost { endpoint: endpoint.clone() }));
+        self.actions.push(Action::Hangup { call });
+        if self.fleet.failed(&endpoint, now) {
+            self.changed(endpoint, EndpointChange::Suspected);
+        }
+        if may_repeat && tries > RESUMES_BEFORE_ELSEWHERE {
+            return self.outcome_unknown(caller, AgentReason::EndpointUnreachable, now);
+        }
+        let wait = (RESUME_FIRST * 2u32.pow(tries.min(10) - 1)).min(RESUME_LONGEST);
+        self.timers.insert((now + wait, caller, Timer::Resume(id)));
+    }
+
+    pub(super) fn resume(&mut self, caller: u64, now: Timestamp) {
+        let call = self.new_call();
+        let Some(request) = self.requests.get_mut(&caller) else {
+            return;
+        };
+        let Some(attempt) = request.attempt.as_mut() else {
+            return;
+        };
+        attempt.call = call;
+        attempt.was_sent = true;
+        let (id, agent, endpoint) = (attempt.id, attempt.agent, attempt.endpoint.clone());
+        let offset = attempt.output.len();
+        let run = run_of(request, id, agent, &endpoint, Some(offset), now);
+        self.actions.push(Action::Run { endpoint, call, run });
+    }
+
+    /// The attempt has waited its share of the time: it is taken back, to go elsewhere or nowhere.
+    pub(super) fn lose_patience(&mut self, caller: u64) {
+        let Some(attempt) = self.requests.get_mut(&caller).and_then(|r| r.attempt.as_mut()) else {
+            return;
+        };
+        if attempt.progress != Progress::Sent {
+            return;
+        }
+        attempt.progress = Progress::Revoking;
+        let (endpoint, agent) = (attempt.endpoint.clone(), attempt.agent);
+        self.actions.push(Action::Revoke { endpoint, attempt: attempt.id, agent });
+    }
+
+    pub(super) fn on_revoked(&mut self, id: AttemptId, outcome: Revocation, now: Timestamp) {
+        let Some((caller, attempt)) = self.open(id) else {
+            return;
+        };
+        if attempt.progress != Progress::Revoking {
+            return;
+        }
+        let endpoint = attempt.endpoint.name.clone();
+        match outcome {
+            Revocation::NotRun => {
+                if let Some(request) = self.requests.get_mut(&caller) {
+                    request.record.steps.push((now, Step::Revoked { endpoint }));
+                }
+                self.not_run(caller, AgentReason::Revoked, RETRY_AFTER, false, now);
+            }
+            Revocation::Begun => self.on_begun(caller, now),
+            Revocation::Unknown => self.outcome_unknown(caller, AgentReason::Forgotten, now),
+            // The call itself will end, or the deadline comes first.
+            Revocation::Unreachable => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/replies.rs
@@ -0,0 +1,157 @@
+//! Replies of agents: matched with the open call, or dropped and counted as strays.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use super::core::GatewayCore;
+use super::event::{Action, EndpointChange};
+use super::request::{Attempt, Progress};
+use crate::message::{AgentReason, AttemptId, Incarnation, Load, Ran, Reply, Timestamp};
+use crate::metrics as m;
+use crate::policy::explain::Step;
+use crate::result::AppendError;
+
+impl GatewayCore {
+    pub(super) fn on_reply(
+        &mut self,
+        call: u64,
+        id: AttemptId,
+        from: Incarnation,
+        load: Option<Load>,
+        reply: Reply,
+        now: Timestamp,
+    ) {
+        let Some((caller, attempt)) = self.open(id) else {
+            m::stray();
+            return;
+        };
+        if attempt.call != call {
+            m::stray();
+            return;
+        }
+        attempt.resumes = 0;
+        let name = attempt.endpoint.name.clone();
+        let was_suspected = self.fleet.get(&name).is_some_and(|e| e.is_suspected(now));
+        self.fleet.heard(&name, from, load, now);
+        if was_suspected {
+            self.changed(name, EndpointChange::Back);
+        }
+        match reply {
+            Reply::Begun => self.on_begun(caller, now),
+            Reply::Chunk { offset, data } => self.on_chunk(caller, offset, &data, now),
+            Reply::Done { length, digest, service } => {
+                self.on_done(caller, length, digest, service, now);
+            }
+            Reply::Refused { ran, reason, retry_after } => {
+                self.on_refused(caller, from, ran, reason, retry_after, now);
+            }
+        }
+    }
+
+    pub(super) fn open(&mut self, id: AttemptId) -> Option<(u64, &mut Attempt)> {
+        let caller = *self.attempts.get(&id)?;
+        let attempt = self.requests.get_mut(&caller)?.attempt.as_mut()?;
+        (attempt.id == id).then_some((caller, attempt))
+    }
+
+    pub(super) fn changed(&mut self, endpoint: String, change: EndpointChange) {
+        self.actions.push(Action::EndpointChanged { endpoint, change });
+    }
+
+    pub(super) fn on_begun(&mut self, caller: u64, now: Timestamp) {
+        let Some(request) = self.requests.get_mut(&caller) else {
+            return;
+        };
+        let Some(attempt) = request.attempt.as_mut() else {
+            return;
+        };
+        if attempt.progress == Progress::Begun {
+            return;
+        }
+        attempt.progress = Progress::Begun;
+        let waited = now.saturating_sub(attempt.sent_at);
+        request.record.steps.push((now, Step::Begun { waited }));
+        m::waited(waited);
+    }
+
+    pub(super) fn on_chunk(&mut self, caller: u64, offset: u64, data: &Bytes, now: Timestamp) {
+        self.on_begun(caller, now);
+        let bound = self.setup.result_bytes;
+        let Some(request) = self.requests.get_mut(&caller) else {
+            return;
+        };
+        let passes_on = request.submission.stream && request.is_last_stage();
+        let Some(attempt) = request.attempt.as_mut() else {
+            return;
+        };
+        let have = attempt.output.len();
+        let fresh = match attempt.output.append(offset, data, bound) {
+            Ok(fresh) => fresh,
+            // A piece is missing: the call is asked for again from where the result ends.
+            Err(AppendError::Gap { .. }) => return self.lose(caller, now),
+            Err(AppendError::TooLong { .. }) => {
+                return self.outcome_unknown(caller, AgentReason::EndpointMisbehaved, now);
+            }
+        };
+        if passes_on && !fresh.is_empty() {
+            request.streamed = true;
+            self.actions.push(Action::Chunk { caller, offset: have, data: fresh });
+        }
+    }
+
+    pub(super) fn on_done(
+        &mut self,
+        caller: u64,
+        length: u64,
+        digest: u64,
+        service: Duration,
+        now: Timestamp,
+    ) {
+        self.on_begun(caller, now);
+        let Some(attempt) = self.requests.get(&caller).and_then(|r| r.attempt.as_ref()) else {
+            return;
+        };
+        if attempt.output.len() < length {
+            return self.lose(caller, now);
+        }
+        if attempt.output.len() != length || attempt.output.digest() != digest {
+            m::mismatch();
+            return self.outcome_unknown(caller, AgentReason::EndpointMisbehaved, now);
+        }
+        self.adopt(caller, digest, service, now);
+    }
+
+    pub(super) fn on_refused(
+        &mut self,
+        caller: u64,
+        from: Incarnation,
+        ran: Ran,
+        reason: AgentReason,
+        retry_after: Duration,
+        now: Timestamp,
+    ) {
+        let Some(request) = self.requests.get_mut(&caller) else {
+            return;
+        };
+        let Some(attempt) = request.attempt.as_ref() else {
+            return;
+        };
+        let endpoint = attempt.endpoint.clone();
+        let learnt = reason == AgentReason::WrongIncarnation && attempt.agent != from;
+        request
+            .record
+            .steps
+            .push((now, Step::AgentRefused { endpoint: endpoint.name.clone(), reason }));
+        if ran != Ran::NotRun {
+            return self.outcome_unknown(caller, reason, now);
+        }
+        if reason == AgentReason::Leaving && self.fleet.leaving(&endpoint.name, now) {
+            self.changed(endpoint.name.clone(), EndpointChange::Leaving);
+        }
+        if reason == AgentReason::EndpointUnreachable && self.fleet.failed(&endpoint.name, now) {
+            self.changed(endpoint.name.clone(), EndpointChange::Suspected);
+        }
+        self.not_run(caller, reason, retry_after, learnt, now);
+    }
+}
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -1,16 +1,22 @@
 //! The state of one request in a gateway, and of its open attempt.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 
+use super::core::RETRY_AFTER;
 use crate::config::{Endpoint, Labels};
-use crate::message::{AgentReason, AttemptId, Claim, Incarnation, Ran, Timestamp};
-use crate::policy::explain::Record;
+use crate::message::{AgentReason, AttemptId, Claim, Incarnation, Ran, Run, RunId, Timestamp};
+use crate::policy::admit::Admitted;
+use crate::policy::explain::{Record, Step};
 use crate::policy::predict::SizeClass;
 use crate::result::ResultBuffer;
 use crate::view::{PipelineView, StageView, View};
 
+/// A waiting attempt is taken back at the latest this share of the deadline before it.
+const LAST_REVOKE_SHARE: f64 = 0.1;
+
 /// What a caller asks for, checked for form.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Submission {
@@ -23,7 +29,7 @@
     /// The first stage's input.
     pub input: Bytes,
     /// Time until the caller stops waiting; the pipeline's own where none is given.
-    pub deadline: Option<std::time::Duration>,
+    pub deadline: Option<Duration>,
     /// Whether stages may be run again.
     pub may_repeat: bool,
     /// Whether pieces of the last stage's result are wanted as they come.
@@ -94,7 +100,7 @@
     /// What the last agent that gave up said.
     pub last_reason: Option<AgentReason>,
     /// When that agent said to come back.
-    pub retry_after: std::time::Duration,
+    pub retry_after: Duration,
     /// Whether the caller has seen pieces of the open attempt.
     pub streamed: bool,
     /// What happened to it.
@@ -138,3 +144,98 @@
         self.pipeline.stages[..self.stage].iter().map(|s| s.stage.name.clone()).collect()
     }
 }
+
+pub(super) fn time_allowed(submission: &Submission, configured_ms: u64) -> Duration {
+    let configured = Duration::from_millis(configured_ms);
+    submission.deadline.unwrap_or(configured)
+}
+
+pub(super) fn start(
+    submission: Submission,
+    view: Arc<View>,
+    admitted: Admitted,
+    mut record: Record,
+    now: Timestamp,
+) -> Request {
+    let pipeline = view.pipeline(&submission.pipeline).expect("admitted").clone();
+    let left = time_allowed(&submission, pipeline.pipeline.deadline_ms);
+    let step = Step::Admitted {
+        config: view.config.version,
+        priority: admitted.priority,
+        priority_rule: admitted.priority_rule,
+        predicted: admitted.predicted,
+        left,
+    };
+    record.steps.push((now, step));
+    Request {
+        input: submission.input.clone(),
+        submission,
+        view,
+        pipeline,
+        rules: admitted.rules,
+        priority: admitted.priority,
+        deadline: now + left,
+        stage: 0,
+        attempt: None,
+        tried: Vec::new(),
+        stage_begun: false,
+        last_reason: None,
+        retry_after: RETRY_AFTER,
+        streamed: false,
+        record,
+    }
+}
+
+pub(super) fn new_attempt(
+    id: AttemptId,
+    endpoint: Arc<Endpoint>,
+    agent: Incarnation,
+    call: u64,
+    now: Timestamp,
+) -> Attempt {
+    Attempt {
+        id,
+        endpoint,
+        agent,
+        call,
+        progress: Progress::Sent,
+        sent_at: now,
+        output: ResultBuffer::default(),
+        resumes: 0,
+        was_sent: false,
+    }
+}
+
+pub(super) fn run_of(
+    request: &Request,
+    attempt: AttemptId,
+    agent: Incarnation,
+    endpoint: &Endpoint,
+    resume: Option<u64>,
+    now: Timestamp,
+) -> Run {
+    let id = &request.record.id;
+    let run_id = RunId { gateway: id.incarnation, number: id.number };
+    let is_first = request.stage == 0;
+    let claim = request.submission.claim.clone().filter(|_| is_first);
+    Run {
+        attempt,
+        agent,
+        endpoint: endpoint.name.clone(),
+        request: id.to_string(),
+        stage: request.stage_view().stage.name.clone(),
+        organisation: request.submission.organisation.clone(),
+        priority: request.priority,
+        time_left: request.deadline.saturating_sub(now),
+        resume,
+        claim: claim.map(|c| Claim { run: run_id, ..c }),
+        input: request.input.clone(),
+    }
+}
+
+/// When a waiting attempt is taken back: after its share of the time left, and in time for the answer.
+pub(super) fn patience(request: &Request, now: Timestamp) -> Timestamp {
+    let left = request.deadline.saturating_sub(now);
+    let share = request.view.config.policy.patience.min(1.0 - LAST_REVOKE_SHARE);
+    now + left.mul_f64(share)
+}
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -10,7 +10,8 @@
 use tokio::task::AbortHandle;
 use tokio_stream::StreamExt;
 
-use super::core::{Action, Answer, EndpointChange, Event, GatewayCore};
+use super::core::GatewayCore;
+use super::event::{Action, Answer, EndpointChange, Event};
 use crate::actor::{Core, Handle, Shell};
 use crate::audit::{Audit, Change};
 use crate::channels::Channels;
--- a/src/gateway/sse.rs
+++ b/src/gateway/sse.rs
@@ -9,7 +9,7 @@
 use tokio::sync::mpsc;
 use xitca_web::body::{Body, Frame, SizeHint};
 
-use super::core::Answer;
+use super::event::Answer;
 use super::http::{CallerGuard, CallerState, finish_ticket, refusal_problem};
 use super::shell::CallerMessage;
 use crate::message::Claim;
