Random schedules of the cores, and a checker of histories

Cause: the promises were built in but not proved. Change: small fakes drive gateway and agent cores by one seed: messages lost, doubled, late and out of order; agents and gateways killed, frozen, leaving and cut off; endpoints that can't be reached, fail, stall, answer wrongly or are cut. The cause was the harness: it counted a frozen gateway's deadline from when the caller sent and let a second freeze shorten the first. Both were mended there; no check was loosened. Conclusion: next, each mechanism is turned off to see the run fail.

--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod deployment;
 pub mod engine;
 pub mod fleet;
+pub mod history;
 pub mod load;
 pub mod options;
 pub mod platform;
--- /dev/null
+++ b/tests/schedules/mod.rs
@@ -0,0 +1,674 @@
+//! Small fakes around the cores: a network, endpoints and callers, driven by one seed.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use stackmast::agent::core::AgentCore;
+use stackmast::agent::event as agent;
+use stackmast::agent::event::{CallId, CallStart, EndpointEvent, EndpointFailure};
+use stackmast::config::{Config, Endpoint, EndpointKind, Organisation, Pipeline, Stage};
+use stackmast::gateway::core::GatewayCore;
+use stackmast::gateway::event as gateway;
+use stackmast::gateway::event::Answer;
+use stackmast::gateway::request::Submission;
+use stackmast::message::{AttemptId, Incarnation, Ran, Reply, Revocation, Run, Timestamp};
+use stackmast::view::{Place, View};
+use stackmast_testbed::deployment::{labels, selector};
+use stackmast_testbed::history::{self, Breach, SaidRan, Seen};
+use stackmast_testbed::runs;
+
+pub const GATEWAYS: usize = 2;
+pub const AGENTS: usize = 4;
+/// Agents from this one on stand beside engines.
+const FIRST_ENGINE: usize = 2;
+const FIRST_PORT: u16 = 1_000;
+const REQUESTS: usize = 8;
+/// The stages, and whether each may be repeated.
+const STAGES: [(&str, bool); 3] = [("encode", true), ("book", false), ("generate", true)];
+const DEADLINE: Duration = Duration::from_secs(2);
+/// Nothing of a schedule lasts longer.
+const END: Duration = Duration::from_secs(40);
+const REVOKE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How often things go wrong, in thousandths of the chances that they have.
+#[derive(Debug, Clone, Copy)]
+pub struct Odds {
+    pub lost: u32,
+    pub doubled: u32,
+    pub endpoint: u32,
+    /// Kills, freezes, drains and cuts in one schedule.
+    pub faults: u32,
+}
+
+/// One call of a gateway's, known to its agent by its position in the list of calls.
+#[derive(Debug, Clone)]
+struct Call {
+    gateway: usize,
+    life: u64,
+    number: u64,
+    attempt: AttemptId,
+    agent: usize,
+    /// Replies don't get through any more; of a doubled message's call they never did.
+    broken: bool,
+}
+
+#[derive(Debug, Clone)]
+enum ToAgent {
+    Run(CallId, Run),
+    Closed(CallId),
+    Revoke { gateway: usize, life: u64, attempt: AttemptId, agent: Incarnation, cancel: bool },
+    Endpoint { life: u64, attempt: AttemptId, event: EndpointEvent },
+    Tick,
+}
+
+#[derive(Debug, Clone)]
+enum Fault {
+    KillAgent(usize),
+    KillGateway(usize),
+    FreezeAgent(usize, Duration),
+    FreezeGateway(usize, Duration),
+    Leaving(usize, bool),
+    CutLink(usize, usize, Duration),
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Submit(usize),
+    Gateway { index: usize, life: u64, event: gateway::Event },
+    Agent { index: usize, message: ToAgent },
+    Fault(Fault),
+}
+
+struct Node<C> {
+    core: C,
+    life: u64,
+    frozen_until: Timestamp,
+}
+
+#[derive(Debug)]
+struct Asked {
+    gateway: usize,
+    life: u64,
+    at: Timestamp,
+    submission: Submission,
+    request: history::Request,
+    answered_at: Option<Timestamp>,
+}
+
+/// A revocation that an agent has not answered yet.
+#[derive(Debug, Clone, Copy)]
+struct Revoking {
+    gateway: usize,
+    life: u64,
+    attempt: AttemptId,
+    cancel: bool,
+}
+
+pub struct World {
+    rng: StdRng,
+    odds: Odds,
+    now: Timestamp,
+    order: BinaryHeap<Reverse<(Timestamp, u64)>>,
+    steps: HashMap<u64, Step>,
+    next_step: u64,
+    gateways: Vec<Node<GatewayCore>>,
+    agents: Vec<Node<AgentCore>>,
+    calls: Vec<Call>,
+    revocations: HashMap<CallId, Revoking>,
+    cut_until: HashMap<(usize, usize), Timestamp>,
+    streams: HashMap<(usize, AttemptId), String>,
+    runs: Vec<runs::Run>,
+    asked: Vec<Asked>,
+    view: Arc<View>,
+}
+
+fn config() -> Config {
+    let stage = |name: &str, service: &str, may_repeat| Stage {
+        name: name.to_owned(),
+        endpoints: selector(&format!("service={service}")),
+        may_repeat,
+        expected_ms: 20,
+    };
+    let endpoints = (0..AGENTS).map(|i| Endpoint {
+        name: format!("endpoint-{i}"),
+        kind: if i < FIRST_ENGINE { EndpointKind::Service } else { EndpointKind::Engine },
+        agent: ([127, 0, 0, 1], FIRST_PORT + i as u16).into(),
+        data_centre: "dc".to_owned(),
+        labels: labels(&[("service", if i < FIRST_ENGINE { "plain" } else { "model" })]),
+        concurrency: 2,
+        cost: 1.0,
+        leaving: false,
+    });
+    Config {
+        version: 1,
+        pipelines: vec![Pipeline {
+            name: "p".to_owned(),
+            deadline_ms: DEADLINE.as_millis() as u64,
+            priority: 0,
+            stages: vec![
+                stage("encode", "plain", true),
+                stage("book", "plain", false),
+                stage("generate", "model", true),
+            ],
+        }],
+        endpoints: endpoints.collect(),
+        organisations: vec![Organisation { name: "o".to_owned(), labels: labels(&[]) }],
+        ..Config::default()
+    }
+}
+
+/// What a stage makes of its input: the key in front, so that a mix-up shows.
+fn output(stage: &str, input: &str) -> String {
+    let key = input.split('|').next().unwrap_or_default();
+    let digest = xxhash_rust::xxh3::xxh3_64(input.as_bytes());
+    format!("{key}|{stage}|{digest:016x}")
+}
+
+fn expected(key: &str) -> String {
+    STAGES.iter().fold(key.to_owned(), |input, (stage, _)| output(stage, &input))
+}
+
+impl World {
+    pub fn new(seed: u64, odds: Odds) -> Self {
+        let place = Place { host: "gateway".to_owned(), data_centre: "dc".to_owned() };
+        let view = Arc::new(View::new(Arc::new(config()), "digest".to_owned(), place));
+        let mut world = Self {
+            rng: StdRng::seed_from_u64(seed),
+            odds,
+            now: Duration::ZERO,
+            order: BinaryHeap::new(),
+            steps: HashMap::new(),
+            next_step: 0,
+            gateways: Vec::new(),
+            agents: Vec::new(),
+            calls: Vec::new(),
+            revocations: HashMap::new(),
+            cut_until: HashMap::new(),
+            streams: HashMap::new(),
+            runs: Vec::new(),
+            asked: Vec::new(),
+            view,
+        };
+        world.gateways = (0..GATEWAYS).map(|i| world.new_gateway(i, 0)).collect();
+        world.agents = (0..AGENTS).map(|i| world.new_agent(i, 0)).collect();
+        world.plan();
+        world
+    }
+
+    fn new_gateway(&self, index: usize, life: u64) -> Node<GatewayCore> {
+        let mut core = GatewayCore::new(gateway::Setup {
+            host: format!("gateway-{index}").into(),
+            incarnation: Incarnation(10_000 + index as u64 * 1_000 + life),
+            in_flight: 100,
+            records: 100,
+            result_bytes: 1 << 16,
+            seed: life * 10 + index as u64,
+        });
+        core.handle(gateway::Event::Configure { view: self.view.clone() }, self.now);
+        Node { core, life, frozen_until: Duration::ZERO }
+    }
+
+    fn new_agent(&self, index: usize, life: u64) -> Node<AgentCore> {
+        let incarnation = Incarnation(1 + index as u64 * 1_000 + life);
+        let bounds = agent::Bounds { queue: 16, ..agent::Bounds::default() };
+        let mut core = AgentCore::new(incarnation, &format!("endpoint-{index}"), bounds);
+        core.handle(serving(index, false), self.now);
+        Node { core, life, frozen_until: Duration::ZERO }
+    }
+
+    fn plan(&mut self) {
+        for i in 0..REQUESTS {
+            let at = self.millis(0, 1_500);
+            let may_repeat = self.rng.random_bool(0.5);
+            let key = format!("k{i}");
+            let submission = Submission {
+                pipeline: "p".to_owned(),
+                organisation: "o".to_owned(),
+                labels: labels(&[]),
+                input: Bytes::from(key.clone()),
+                deadline: None,
+                may_repeat,
+                stream: self.rng.random_bool(0.3),
+                claim: None,
+            };
+            let stages = STAGES.iter().map(|(s, repeat)| ((*s).to_owned(), *repeat)).collect();
+            let expected = expected(&key);
+            let request = history::Request { key, may_repeat, stages, expected, seen: Vec::new() };
+            let gateway = self.rng.random_range(0..GATEWAYS);
+            let life = 0;
+            self.asked.push(Asked { gateway, life, at, submission, request, answered_at: None });
+            self.at(at, Step::Submit(i));
+        }
+        for _ in 0..self.odds.faults {
+            let at = self.millis(0, 3_000);
+            let fault = self.any_fault();
+            self.at(at, Step::Fault(fault));
+        }
+    }
+
+    fn any_fault(&mut self) -> Fault {
+        let agent = self.rng.random_range(0..AGENTS);
+        let gateway = self.rng.random_range(0..GATEWAYS);
+        let time = self.millis(10, 4_000);
+        match self.rng.random_range(0..6) {
+            0 => Fault::KillAgent(agent),
+            1 => Fault::KillGateway(gateway),
+            2 => Fault::FreezeAgent(agent, time),
+            3 => Fault::FreezeGateway(gateway, time),
+            4 => Fault::Leaving(agent, self.rng.random_bool(0.5)),
+            _ => Fault::CutLink(gateway, agent, time),
+        }
+    }
+
+    fn millis(&mut self, from: u64, to: u64) -> Duration {
+        Duration::from_micros(self.rng.random_range(from * 1_000..=to * 1_000))
+    }
+
+    fn happens(&mut self, thousandths: u32) -> bool {
+        self.rng.random_ratio(thousandths.min(1_000), 1_000)
+    }
+
+    fn at(&mut self, at: Timestamp, step: Step) {
+        self.next_step += 1;
+        self.order.push(Reverse((at, self.next_step)));
+        self.steps.insert(self.next_step, step);
+    }
+
+    /// After a network's delay, which is seldom long; messages overtake each other.
+    fn soon(&mut self, step: Step) {
+        let delay = if self.happens(20) { self.millis(50, 800) } else { self.millis(0, 3) };
+        self.at(self.now + delay, step);
+    }
+
+    /// Runs the schedule to its end and returns every promise that it broke.
+    pub fn run(&mut self) -> Vec<String> {
+        while let Some(Reverse((at, id))) = self.order.pop() {
+            if at > END {
+                break;
+            }
+            self.now = at;
+            if let Some(step) = self.steps.remove(&id) {
+                self.take(step);
+            }
+        }
+        self.breaches()
+    }
+
+    /// Steps of this schedule.
+    pub fn steps_taken(&self) -> u64 {
+        self.next_step
+    }
+
+    /// Final answers that were whole.
+    pub fn whole(&self) -> usize {
+        let whole = |a: &&Asked| matches!(a.request.seen.first(), Some(Seen::Whole(_)));
+        self.asked.iter().filter(whole).count()
+    }
+
+    fn take(&mut self, step: Step) {
+        match step {
+            Step::Submit(i) => {
+                let index = self.asked[i].gateway;
+                let life = self.gateways[index].life;
+                self.asked[i].life = life;
+                let submission = self.asked[i].submission.clone();
+                let event = gateway::Event::Submit { caller: i as u64, submission };
+                self.to_gateway(index, life, event);
+            }
+            Step::Gateway { index, life, event } => self.to_gateway(index, life, event),
+            Step::Agent { index, message } => self.to_agent(index, message),
+            Step::Fault(fault) => self.break_something(fault),
+        }
+    }
+
+    fn break_something(&mut self, fault: Fault) {
+        match fault {
+            Fault::KillAgent(i) => {
+                self.agents[i] = self.new_agent(i, self.agents[i].life + 1);
+                self.break_calls(|call| call.agent == i);
+            }
+            Fault::KillGateway(i) => {
+                self.gateways[i] = self.new_gateway(i, self.gateways[i].life + 1);
+                self.break_calls(|call| call.gateway == i);
+            }
+            Fault::FreezeAgent(i, time) => freeze(&mut self.agents[i], self.now + time),
+            Fault::FreezeGateway(i, time) => freeze(&mut self.gateways[i], self.now + time),
+            Fault::Leaving(i, leaving) => self.feed_agent(i, serving(i, leaving)),
+            Fault::CutLink(gateway, agent, time) => {
+                self.cut_until.insert((gateway, agent), self.now + time);
+                self.break_calls(|call| call.gateway == gateway && call.agent == agent);
+            }
+        }
+    }
+
+    fn break_calls(&mut self, which: impl Fn(&Call) -> bool) {
+        for i in 0..self.calls.len() {
+            if !self.calls[i].broken && which(&self.calls[i]) {
+                self.break_call(i);
+            }
+        }
+    }
+
+    /// Both sides learn of it, each in its own time.
+    fn break_call(&mut self, i: usize) {
+        self.calls[i].broken = true;
+        let Call { gateway, life, number, attempt, agent, .. } = self.calls[i].clone();
+        let event = gateway::Event::Lost { call: number, attempt };
+        self.soon(Step::Gateway { index: gateway, life, event });
+        self.soon(Step::Agent { index: agent, message: ToAgent::Closed(CallId(i as u64)) });
+    }
+
+    fn to_gateway(&mut self, index: usize, life: u64, event: gateway::Event) {
+        let node = &mut self.gateways[index];
+        if node.life != life {
+            return;
+        }
+        if self.now < node.frozen_until {
+            let at = node.frozen_until;
+            return self.at(at, Step::Gateway { index, life, event });
+        }
+        if let gateway::Event::Submit { caller, .. } = event {
+            // A frozen gateway takes its callers' requests in when it wakes up.
+            self.asked[caller as usize].at = self.now;
+        }
+        for action in self.gateways[index].core.handle(event, self.now) {
+            self.act_gateway(index, life, action);
+        }
+        if let Some(at) = self.gateways[index].core.next_wakeup() {
+            let at = at.max(self.now + Duration::from_micros(1));
+            self.at(at, Step::Gateway { index, life, event: gateway::Event::Tick });
+        }
+    }
+
+    fn act_gateway(&mut self, index: usize, life: u64, action: gateway::Action) {
+        match action {
+            gateway::Action::Run { endpoint, call, run } => {
+                self.send_run(index, life, agent_of(&endpoint), call, run);
+            }
+            gateway::Action::Revoke { endpoint, attempt, agent } => {
+                self.send_revoke(index, life, agent_of(&endpoint), attempt, agent, false);
+            }
+            gateway::Action::Cancel { endpoint, attempt, agent } => {
+                self.send_revoke(index, life, agent_of(&endpoint), attempt, agent, true);
+            }
+            gateway::Action::Hangup { call } => {
+                let found = self.calls.iter().position(|c| {
+                    !c.broken && c.gateway == index && c.life == life && c.number == call
+                });
+                if let Some(i) = found {
+                    self.calls[i].broken = true;
+                    let message = ToAgent::Closed(CallId(i as u64));
+                    self.soon(Step::Agent { index: self.calls[i].agent, message });
+                }
+            }
+            gateway::Action::Answer { caller, answer } => self.answered(caller as usize, answer),
+            gateway::Action::Chunk { .. }
+            | gateway::Action::Reset { .. }
+            | gateway::Action::EndpointChanged { .. } => {}
+        }
+    }
+
+    fn send_run(&mut self, gateway: usize, life: u64, agent: usize, number: u64, run: Run) {
+        let attempt = run.attempt;
+        if self.is_cut(gateway, agent) {
+            let event = gateway::Event::Unsent { call: number, attempt };
+            return self.soon(Step::Gateway { index: gateway, life, event });
+        }
+        let call = Call { gateway, life, number, attempt, agent, broken: false };
+        let i = self.calls.len();
+        self.calls.push(call.clone());
+        // Lost on the way, or after it was delivered: the gateway can't tell which.
+        let lost = self.happens(self.odds.lost);
+        if !lost || self.rng.random_bool(0.5) {
+            let message = ToAgent::Run(CallId(i as u64), run.clone());
+            self.soon(Step::Agent { index: agent, message });
+        }
+        if lost {
+            self.break_call(i);
+        }
+        if self.happens(self.odds.doubled) {
+            self.calls.push(Call { broken: true, ..call });
+            let message = ToAgent::Run(CallId(i as u64 + 1), run);
+            let delay = self.millis(0, 3_000);
+            self.at(self.now + delay, Step::Agent { index: agent, message });
+        }
+    }
+
+    fn send_revoke(
+        &mut self,
+        gateway: usize,
+        life: u64,
+        index: usize,
+        attempt: AttemptId,
+        agent: Incarnation,
+        cancel: bool,
+    ) {
+        let event = gateway::Event::Revoked { attempt, outcome: Revocation::Unreachable };
+        self.at(self.now + REVOKE_TIMEOUT, Step::Gateway { index: gateway, life, event });
+        if self.is_cut(gateway, index) || self.happens(self.odds.lost) {
+            return;
+        }
+        let message = ToAgent::Revoke { gateway, life, attempt, agent, cancel };
+        self.soon(Step::Agent { index, message });
+    }
+
+    fn is_cut(&self, gateway: usize, agent: usize) -> bool {
+        self.cut_until.get(&(gateway, agent)).is_some_and(|until| self.now < *until)
+    }
+
+    fn to_agent(&mut self, index: usize, message: ToAgent) {
+        let frozen_until = self.agents[index].frozen_until;
+        if self.now < frozen_until {
+            return self.at(frozen_until, Step::Agent { index, message });
+        }
+        let event = match message {
+            ToAgent::Run(call, run) => agent::Event::Run { call, run },
+            ToAgent::Closed(call) => agent::Event::CallClosed { call },
+            ToAgent::Revoke { gateway, life, attempt, agent, cancel } => {
+                let call = CallId(1 << 40 | self.next_step);
+                self.revocations.insert(call, Revoking { gateway, life, attempt, cancel });
+                agent::Event::Revoke { call, attempt, agent }
+            }
+            ToAgent::Endpoint { life, attempt, event } => {
+                if life != self.agents[index].life {
+                    return;
+                }
+                agent::Event::Endpoint { attempt, event }
+            }
+            ToAgent::Tick => agent::Event::Tick,
+        };
+        self.feed_agent(index, event);
+    }
+
+    fn feed_agent(&mut self, index: usize, event: agent::Event) {
+        for action in self.agents[index].core.handle(event, self.now) {
+            self.act_agent(index, action);
+        }
+        if let Some(at) = self.agents[index].core.next_wakeup() {
+            let at = at.max(self.now + Duration::from_micros(1));
+            self.at(at, Step::Agent { index, message: ToAgent::Tick });
+        }
+    }
+
+    fn act_agent(&mut self, index: usize, action: agent::Action) {
+        match action {
+            agent::Action::Send { call, attempt, reply } => {
+                self.send_reply(index, call, attempt, reply);
+            }
+            agent::Action::Close { call } => {
+                if !self.calls[call.0 as usize].broken {
+                    self.break_call(call.0 as usize);
+                }
+            }
+            agent::Action::Revoked { call, outcome } => {
+                let Some(asked) = self.revocations.remove(&call) else {
+                    return;
+                };
+                let Revoking { gateway, life, attempt, cancel } = asked;
+                if cancel && outcome == Revocation::Begun {
+                    self.feed_agent(index, agent::Event::Cancel { attempt });
+                } else if !cancel {
+                    let event = gateway::Event::Revoked { attempt, outcome };
+                    self.soon(Step::Gateway { index: gateway, life, event });
+                }
+            }
+            agent::Action::Call { attempt, start } => self.call_endpoint(index, attempt, start),
+            agent::Action::CancelCall { attempt } => {
+                self.streams.remove(&(index, attempt));
+            }
+            agent::Action::Claim { .. } => unreachable!("no request here is under a ticket"),
+        }
+    }
+
+    fn send_reply(&mut self, index: usize, call: CallId, attempt: AttemptId, reply: Reply) {
+        let Call { gateway, life, number, broken, .. } = self.calls[call.0 as usize].clone();
+        if broken {
+            return;
+        }
+        if self.happens(self.odds.lost) {
+            return self.break_call(call.0 as usize);
+        }
+        let core = &self.agents[index].core;
+        let (from, load) = (core.incarnation(), Some(core.load()));
+        let event = gateway::Event::Reply { call: number, attempt, from, load, reply };
+        if self.happens(self.odds.doubled) {
+            self.soon(Step::Gateway { index: gateway, life, event: event.clone() });
+        }
+        self.soon(Step::Gateway { index: gateway, life, event });
+    }
+
+    fn endpoint_says(
+        &mut self,
+        index: usize,
+        after: Duration,
+        id: AttemptId,
+        event: EndpointEvent,
+    ) {
+        let life = self.agents[index].life;
+        let message = ToAgent::Endpoint { life, attempt: id, event };
+        self.at(self.now + after, Step::Agent { index, message });
+    }
+
+    fn call_endpoint(&mut self, index: usize, attempt: AttemptId, start: CallStart) {
+        let is_engine = index >= FIRST_ENGINE;
+        let failed = |failure| EndpointEvent::Failed(failure);
+        let (text, offset) = match start {
+            CallStart::Begin(run) => {
+                if self.happens(self.odds.endpoint) {
+                    let failure = failed(EndpointFailure::Unreachable);
+                    return self.endpoint_says(index, Duration::from_millis(1), attempt, failure);
+                }
+                let input = String::from_utf8_lossy(&run.input).into_owned();
+                self.runs.push(runs::Run {
+                    endpoint: run.endpoint.clone(),
+                    stage: run.stage.clone(),
+                    request: run.request.clone(),
+                    attempt: attempt.to_string(),
+                    key: input.split('|').next().unwrap_or_default().to_owned(),
+                });
+                let text = output(&run.stage, &input);
+                if is_engine {
+                    self.streams.insert((index, attempt), text.clone());
+                }
+                (text, 0)
+            }
+            CallStart::Resume { offset } => match self.streams.get(&(index, attempt)) {
+                Some(text) => (text.clone(), offset as usize),
+                None => {
+                    let failure = failed(EndpointFailure::UnknownAttempt);
+                    return self.endpoint_says(index, Duration::from_millis(1), attempt, failure);
+                }
+            },
+        };
+        self.stream_text(index, attempt, &text, offset);
+    }
+
+    fn stream_text(&mut self, index: usize, attempt: AttemptId, text: &str, offset: usize) {
+        let mut after = self.millis(1, 60);
+        let mut offset = offset;
+        while offset < text.len() {
+            if self.happens(self.odds.endpoint) {
+                let failure = match self.rng.random_range(0..4) {
+                    0 => EndpointFailure::Failed,
+                    1 => EndpointFailure::Misbehaved,
+                    // It stalls.
+                    2 => return,
+                    _ => EndpointFailure::Cut,
+                };
+                let event = EndpointEvent::Failed(failure);
+                return self.endpoint_says(index, after, attempt, event);
+            }
+            let end = (offset + self.rng.random_range(1..24)).min(text.len());
+            let data = Bytes::copy_from_slice(&text.as_bytes()[offset..end]);
+            let event = EndpointEvent::Chunk { offset: offset as u64, data };
+            self.endpoint_says(index, after, attempt, event);
+            after += self.millis(0, 20);
+            offset = end;
+        }
+        let event = EndpointEvent::Done { length: text.len() as u64 };
+        self.endpoint_says(index, after, attempt, event);
+    }
+
+    fn answered(&mut self, caller: usize, answer: Answer) {
+        let seen = match answer {
+            Answer::Complete { result, .. } => {
+                Seen::Whole(String::from_utf8_lossy(&result).into_owned())
+            }
+            Answer::Refused { refusal, .. } => Seen::Refused {
+                ran: match refusal.ran {
+                    Ran::NotRun => SaidRan::NotRun,
+                    Ran::RanInPart => SaidRan::InPart,
+                    Ran::Unknown => SaidRan::Unknown,
+                },
+                stages_run: refusal.stages_run,
+            },
+        };
+        let asked = &mut self.asked[caller];
+        asked.request.seen.push(seen);
+        asked.answered_at.get_or_insert(self.now);
+    }
+
+    fn breaches(&self) -> Vec<String> {
+        let requests: Vec<_> = self.asked.iter().map(|a| a.request.clone()).collect();
+        let broken = history::check(&requests, &self.runs);
+        let mut found: Vec<_> = broken.iter().map(Breach::to_string).collect();
+        for asked in &self.asked {
+            let key = &asked.request.key;
+            let gateway = &self.gateways[asked.gateway];
+            let answers = asked.request.seen.len();
+            if answers > 1 {
+                found.push(format!("{key}: {answers} final answers"));
+            }
+            if answers == 0 && gateway.life == asked.life {
+                found.push(format!("{key}: no final answer"));
+            }
+            let latest = (asked.at + DEADLINE).max(gateway.frozen_until);
+            if asked.answered_at.is_some_and(|at| at > latest + Duration::from_millis(1)) {
+                found.push(format!("{key}: answered late, at {:?}", asked.answered_at));
+            }
+        }
+        for (i, node) in self.gateways.iter().enumerate() {
+            if node.core.in_flight() > 0 {
+                found.push(format!("gateway {i}: {} still in flight", node.core.in_flight()));
+            }
+        }
+        found
+    }
+}
+
+fn freeze<C>(node: &mut Node<C>, until: Timestamp) {
+    node.frozen_until = node.frozen_until.max(until);
+}
+
+fn serving(index: usize, leaving: bool) -> agent::Event {
+    agent::Event::Configure { concurrency: 2, leaving, is_engine: index >= FIRST_ENGINE }
+}
+
+fn agent_of(endpoint: &Endpoint) -> usize {
+    (endpoint.agent.port() - FIRST_PORT) as usize
+}
