--- a/tests/generated.rs
+++ b/codegen/tests/generated.rs
@@ -4,7 +4,7 @@
 
 #[test]
 fn wire_code_is_what_the_proto_gives() {
-    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
     let wire = root.join("src/wire");
     let out = Path::new(env!("CARGO_TARGET_TMPDIR")).join("generated");
     std::fs::create_dir_all(&out).unwrap();
--- a/src/agent/calls.rs
+++ b/src/agent/calls.rs
@@ -64,7 +64,8 @@
         self.attempts.insert(attempt, adopted);
         self.calls.insert(call, attempt);
         self.running += 1;
-        self.actions.push(Action::Call { attempt, start: CallStart::Resume { offset: 0 } });
+        let start = CallStart::Resume { offset: 0, after: Duration::ZERO };
+        self.actions.push(Action::Call { attempt, start });
     }
 
     pub(super) fn refuse_first(
@@ -167,6 +168,10 @@
                 Phase::Claiming | Phase::Running { .. } | Phase::Ended(_) => Revocation::Begun,
             };
         }
+        if agent == Incarnation::UNKNOWN {
+            // No life of any agent begins what names none.
+            return Revocation::NotRun;
+        }
         let forgotten = self.floors.get(&id.gateway).is_some_and(|f| id.sequence <= f.sequence);
         if agent != self.incarnation || forgotten {
             return Revocation::Unknown;
--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -134,6 +134,10 @@
 
     /// Takes in an event and returns what must be done, in order.
     pub fn handle(&mut self, event: Event, now: Timestamp) -> Vec<Action> {
+        let asked = match &event {
+            Event::Run { call, run } => Some((*call, run.attempt)),
+            _ => None,
+        };
         match event {
             Event::Run { call, run } => self.on_run(call, run, now),
             Event::CallClosed { call } => self.on_call_closed(call, now),
@@ -151,9 +155,19 @@
         }
         self.expire(now);
         self.dispatch(now);
+        if let Some((call, attempt)) = asked {
+            self.acknowledge(call, attempt);
+        }
         std::mem::take(&mut self.actions)
     }
 
+    /// Says that an attempt waits, so that its gateway can tell waiting from silence.
+    fn acknowledge(&mut self, call: CallId, id: AttemptId) {
+        if self.attempts.get(&id).is_some_and(|a| a.phase == Phase::Queued) {
+            self.send(call, id, Reply::Queued);
+        }
+    }
+
     pub(super) fn send(&mut self, call: CallId, attempt: AttemptId, reply: Reply) {
         self.actions.push(Action::Send { call, attempt, reply });
     }
--- a/src/agent/endpoint.rs
+++ b/src/agent/endpoint.rs
@@ -120,7 +120,8 @@
         let uri = format!("http://{}/v1/streams/{attempt}", self.address);
         let request = match start {
             CallStart::Begin(run) => begin_request(uri, attempt, *run)?,
-            CallStart::Resume { offset } => {
+            CallStart::Resume { offset, after } => {
+                tokio::time::sleep(after).await;
                 let uri = format!("{uri}?offset={offset}");
                 let request = Request::get(uri).body(Full::default());
                 request.map_err(|_| EndpointFailure::Failed)?
--- a/src/agent/event.rs
+++ b/src/agent/event.rs
@@ -155,6 +155,8 @@
     Resume {
         /// From this offset.
         offset: u64,
+        /// After this time.
+        after: Duration,
     },
 }
 
--- a/src/agent/running.rs
+++ b/src/agent/running.rs
@@ -9,7 +9,9 @@
 use crate::message::{AgentReason, AttemptId, Ran, Reply, Timestamp};
 
 /// Tries to resume one stream at the engine before it is given up.
-const ENGINE_RESUMES: u32 = 3;
+const ENGINE_RESUMES: u32 = 6;
+/// The wait before a stream is resumed; each further one is twice as long.
+const ENGINE_RESUME_FIRST: Duration = Duration::from_millis(10);
 
 impl AgentCore {
     pub(super) fn on_endpoint(&mut self, id: AttemptId, event: EndpointEvent, now: Timestamp) {
@@ -33,6 +35,9 @@
         let Ok(fresh) = attempt.output.append(offset, &data, bound) else {
             return self.fail_running(id, AgentReason::EndpointMisbehaved, now);
         };
+        if let Phase::Running { resumes, .. } = &mut attempt.phase {
+            *resumes = 0;
+        }
         // A gateway that came back has what lies before its offset.
         let seen = attempt.run.resume.unwrap_or(0);
         let listener = attempt.listener;
@@ -97,7 +102,9 @@
             *resumes = tried + 1;
         }
         let offset = attempt.output.len();
-        self.actions.push(Action::Call { attempt: id, start: CallStart::Resume { offset } });
+        let after = ENGINE_RESUME_FIRST * 2u32.pow(tried);
+        let start = CallStart::Resume { offset, after };
+        self.actions.push(Action::Call { attempt: id, start });
     }
 
     pub(super) fn fail_running(&mut self, id: AttemptId, reason: AgentReason, now: Timestamp) {
--- a/src/bin/stackmast.rs
+++ b/src/bin/stackmast.rs
@@ -1,3 +1,8 @@
 //! The operators' tool.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    ExitCode::from(stackmast::tool::main(&args))
+}
--- a/src/config/diff.rs
+++ b/src/config/diff.rs
@@ -35,6 +35,9 @@
 pub fn diff(before: &Config, after: &Config) -> Vec<Change> {
     let mut changes = Vec::new();
     compare("", &to_value(before), &to_value(after), &mut changes);
+    for change in &mut changes {
+        change.path = change.path.trim_start_matches('.').to_owned();
+    }
     changes
 }
 
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -35,11 +35,16 @@
 /// When to come back after a refusal where nothing better is known.
 pub(super) const RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// An agent that has not said a word of an attempt after this time is asked to give it back.
+const SILENCE: Duration = Duration::from_millis(150);
+
 /// What a timer is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Timer {
     Deadline,
+    Silence(AttemptId),
     Patience(AttemptId),
+    Stall(AttemptId),
     Resume(AttemptId),
 }
 
@@ -271,6 +276,7 @@
         let patience = patience(request, now);
         self.attempts.insert(id, caller);
         self.timers.insert((patience, caller, Timer::Patience(id)));
+        self.timers.insert((now + SILENCE, caller, Timer::Silence(id)));
         self.fleet.sent(&endpoint.name, now);
         self.actions.push(Action::Run { endpoint, call, run });
     }
@@ -412,7 +418,11 @@
                     self.lose_patience(caller);
                 }
                 Timer::Resume(id) if self.attempts.contains_key(&id) => self.resume(caller, now),
-                Timer::Patience(_) | Timer::Resume(_) => {}
+                Timer::Silence(id) if self.is_unheard(id) => self.lose_patience(caller),
+                Timer::Stall(id) if self.attempts.contains_key(&id) => {
+                    self.check_progress(caller, now);
+                }
+                Timer::Silence(_) | Timer::Patience(_) | Timer::Stall(_) | Timer::Resume(_) => {}
             }
         }
     }
--- a/src/gateway/recovery.rs
+++ b/src/gateway/recovery.rs
@@ -7,7 +7,7 @@
 use super::core::{GatewayCore, RETRY_AFTER, Timer};
 use super::event::{Action, EndpointChange};
 use super::request::{Progress, run_of};
-use crate::message::{AgentReason, AttemptId, Revocation, Timestamp};
+use crate::message::{AgentReason, AttemptId, Incarnation, Revocation, Timestamp};
 use crate::metrics as m;
 use crate::policy::explain::Step;
 use crate::refusal::Reason;
@@ -20,6 +20,12 @@
 const RESUME_LONGEST: Duration = Duration::from_millis(500);
 /// Stands for a call that is lost and not yet resumed.
 const NO_CALL: u64 = 0;
+/// A begun attempt is stalled after this many times the time that such a stage usually takes.
+const STALL_FACTOR: u32 = 3;
+/// No attempt is stalled before this time.
+const STALL_SHORTEST: Duration = Duration::from_millis(100);
+/// A begun attempt is stalled after this share of the time left, at the latest.
+const STALL_SHARE: f64 = 0.4;
 
 impl GatewayCore {
     /// The attempt is proved not to have run: the stage may go elsewhere.
@@ -46,6 +52,9 @@
             return self.dispatch(caller, now);
         }
         request.tried.push(attempt.endpoint.name.clone());
+        if reason == AgentReason::AgentUnreachable {
+            self.suspect(attempt.endpoint.name.clone(), now);
+        }
         self.retry(caller, reason, retry_after, now);
     }
 
@@ -79,9 +88,7 @@
             return;
         };
         let endpoint = attempt.endpoint.clone();
-        if self.fleet.failed(&endpoint.name, now) {
-            self.changed(endpoint.name.clone(), EndpointChange::Suspected);
-        }
+        self.suspect(endpoint.name.clone(), now);
         let (id, agent) = (attempt.id, attempt.agent);
         self.actions.push(Action::Cancel { endpoint: endpoint.clone(), attempt: id, agent });
         let Some(request) = self.requests.get_mut(&caller) else {
@@ -121,15 +128,14 @@
         if attempt.was_sent {
             return self.lose(caller, now);
         }
-        let endpoint = attempt.endpoint.name.clone();
-        if self.fleet.failed(&endpoint, now) {
-            self.changed(endpoint, EndpointChange::Suspected);
-        }
         self.not_run(caller, AgentReason::AgentUnreachable, RETRY_AFTER, false, now);
     }
 
     /// The call is gone; the attempt may go on at the agent, so it is asked for again.
     pub(super) fn lose(&mut self, caller: u64, now: Timestamp) {
+        if self.is_greeting(caller) {
+            return self.not_run(caller, AgentReason::AgentUnreachable, RETRY_AFTER, false, now);
+        }
         let Some(request) = self.requests.get_mut(&caller) else {
             return;
         };
@@ -143,9 +149,7 @@
         let endpoint = attempt.endpoint.name.clone();
         request.record.steps.push((now, Step::Lost { endpoint: endpoint.clone() }));
         self.actions.push(Action::Hangup { call });
-        if self.fleet.failed(&endpoint, now) {
-            self.changed(endpoint, EndpointChange::Suspected);
-        }
+        self.suspect(endpoint, now);
         if may_repeat && tries > RESUMES_BEFORE_ELSEWHERE {
             return self.outcome_unknown(caller, AgentReason::EndpointUnreachable, now);
         }
@@ -199,8 +203,82 @@
             }
             Revocation::Begun => self.on_begun(caller, now),
             Revocation::Unknown => self.outcome_unknown(caller, AgentReason::Forgotten, now),
-            // The call itself will end, or the deadline comes first.
-            Revocation::Unreachable => {}
+            Revocation::Unreachable => self.unreachable(caller, now),
+        }
+    }
+
+    /// Whether the open attempt named no life of its agent: none begins it, so it can't have run.
+    fn is_greeting(&self, caller: u64) -> bool {
+        let attempt = self.requests.get(&caller).and_then(|r| r.attempt.as_ref());
+        attempt.is_some_and(|a| a.agent == Incarnation::UNKNOWN)
+    }
+
+    /// Neither the attempt nor its revocation is answered: what may be repeated goes elsewhere; the
+    /// rest waits for the agent's word, which alone can say what became of it.
+    fn unreachable(&mut self, caller: u64, now: Timestamp) {
+        if self.is_greeting(caller) {
+            return self.not_run(caller, AgentReason::AgentUnreachable, RETRY_AFTER, false, now);
+        }
+        let Some(request) = self.requests.get(&caller) else {
+            return;
+        };
+        let Some(attempt) = request.attempt.as_ref() else {
+            return;
+        };
+        let endpoint = attempt.endpoint.name.clone();
+        if request.may_repeat_stage() {
+            return self.outcome_unknown(caller, AgentReason::AgentUnreachable, now);
+        }
+        self.suspect(endpoint, now);
+    }
+
+    pub(super) fn suspect(&mut self, endpoint: String, now: Timestamp) {
+        if self.fleet.failed(&endpoint, now) {
+            self.changed(endpoint, EndpointChange::Suspected);
         }
     }
+
+    pub(super) fn is_unheard(&self, id: AttemptId) -> bool {
+        let request = self.attempts.get(&id).and_then(|caller| self.requests.get(caller));
+        let attempt = request.and_then(|r| r.attempt.as_ref());
+        attempt.is_some_and(|a| a.heard_at.is_none())
+    }
+
+    /// How long a begun attempt may be silent: far longer than such a stage takes, but short enough
+    /// that another endpoint can still answer in time.
+    pub(super) fn stall_limit(&self, caller: u64, now: Timestamp) -> Duration {
+        let Some(request) = self.requests.get(&caller) else {
+            return STALL_SHORTEST;
+        };
+        let stage = request.stage_view();
+        let expected = Duration::from_millis(stage.stage.expected_ms);
+        let estimate = self.fleet.stage_estimate(stage.key, request.size());
+        let usual = estimate.map_or(expected, |e| e.high());
+        let left = request.deadline.saturating_sub(now).mul_f64(STALL_SHARE);
+        (usual * STALL_FACTOR).max(STALL_SHORTEST).min(left)
+    }
+
+    /// Leaves a stalled attempt of a repeatable stage, or looks again later.
+    pub(super) fn check_progress(&mut self, caller: u64, now: Timestamp) {
+        let limit = self.stall_limit(caller, now);
+        let Some(request) = self.requests.get_mut(&caller) else {
+            return;
+        };
+        let may_repeat = request.may_repeat_stage();
+        let Some(attempt) = request.attempt.as_ref() else {
+            return;
+        };
+        let (id, heard_at) = (attempt.id, attempt.heard_at.unwrap_or(attempt.sent_at));
+        if now < heard_at + limit {
+            self.timers.insert((heard_at + limit, caller, Timer::Stall(id)));
+            return;
+        }
+        if !may_repeat {
+            return;
+        }
+        let endpoint = attempt.endpoint.name.clone();
+        let reason = AgentReason::Stalled;
+        request.record.steps.push((now, Step::AgentRefused { endpoint, reason }));
+        self.outcome_unknown(caller, reason, now);
+    }
 }
--- a/src/gateway/replies.rs
+++ b/src/gateway/replies.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 
-use super::core::GatewayCore;
+use super::core::{GatewayCore, Timer};
 use super::event::{Action, EndpointChange};
 use super::request::{Attempt, Progress};
 use crate::message::{AgentReason, AttemptId, Incarnation, Load, Ran, Reply, Timestamp};
@@ -31,6 +31,7 @@
             return;
         }
         attempt.resumes = 0;
+        attempt.heard_at = Some(now);
         let name = attempt.endpoint.name.clone();
         let was_suspected = self.fleet.get(&name).is_some_and(|e| e.is_suspected(now));
         self.fleet.heard(&name, from, load, now);
@@ -38,6 +39,7 @@
             self.changed(name, EndpointChange::Back);
         }
         match reply {
+            Reply::Queued => {}
             Reply::Begun => self.on_begun(caller, now),
             Reply::Chunk { offset, data } => self.on_chunk(caller, offset, &data, now),
             Reply::Done { length, digest, service } => {
@@ -73,6 +75,9 @@
         let waited = now.saturating_sub(attempt.sent_at);
         request.record.steps.push((now, Step::Begun { waited }));
         m::waited(waited);
+        let id = attempt.id;
+        let due = now + self.stall_limit(caller, now);
+        self.timers.insert((due, caller, Timer::Stall(id)));
     }
 
     pub(super) fn on_chunk(&mut self, caller: u64, offset: u64, data: &Bytes, now: Timestamp) {
@@ -149,8 +154,8 @@
         if reason == AgentReason::Leaving && self.fleet.leaving(&endpoint.name, now) {
             self.changed(endpoint.name.clone(), EndpointChange::Leaving);
         }
-        if reason == AgentReason::EndpointUnreachable && self.fleet.failed(&endpoint.name, now) {
-            self.changed(endpoint.name.clone(), EndpointChange::Suspected);
+        if reason == AgentReason::EndpointUnreachable {
+            self.suspect(endpoint.name.clone(), now);
         }
         self.not_run(caller, reason, retry_after, learnt, now);
     }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -64,6 +64,8 @@
     pub progress: Progress,
     /// When it was sent first.
     pub sent_at: Timestamp,
+    /// When the agent last spoke of it; `None` before its first word.
+    pub heard_at: Option<Timestamp>,
     /// The result so far.
     pub output: ResultBuffer,
     /// Times that a lost call was resumed without a word from the agent since.
@@ -200,6 +202,7 @@
         call,
         progress: Progress::Sent,
         sent_at: now,
+        heard_at: None,
         output: ResultBuffer::default(),
         resumes: 0,
         was_sent: false,
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -21,7 +21,7 @@
 use crate::wire::{MAX_MESSAGE_LEN, reply_from_wire, run_to_wire, v1};
 
 /// How long an agent may take to answer a revocation.
-const REVOKE_TIMEOUT: Duration = Duration::from_millis(500);
+const REVOKE_TIMEOUT: Duration = Duration::from_millis(150);
 
 impl Core for GatewayCore {
     type Event = Event;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,5 +26,6 @@
 pub mod result;
 pub mod settings;
 pub mod spread;
+pub mod tool;
 pub mod view;
 pub mod wire;
--- a/src/message.rs
+++ b/src/message.rs
@@ -166,6 +166,8 @@
     EndpointUnreachable,
     /// The endpoint failed while it ran the attempt.
     EndpointFailed,
+    /// Nothing was heard of it for far longer than such a stage takes.
+    Stalled,
     /// The endpoint answered for another attempt, or more than the bound.
     EndpointMisbehaved,
     /// The ticket's home did not grant the run.
@@ -188,6 +190,7 @@
             Self::AgentUnreachable => "agent_unreachable",
             Self::EndpointUnreachable => "endpoint_unreachable",
             Self::EndpointFailed => "endpoint_failed",
+            Self::Stalled => "stalled",
             Self::EndpointMisbehaved => "endpoint_misbehaved",
             Self::ClaimRefused => "claim_refused",
             Self::ProtocolVersion => "protocol_version",
@@ -198,6 +201,8 @@
 /// What an agent says of an attempt.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Reply {
+    /// It waits in the agent's queue.
+    Queued,
     /// It was handed over to the endpoint.
     Begun,
     /// A piece of the result.
--- a/src/policy/explain.rs
+++ b/src/policy/explain.rs
@@ -281,9 +281,7 @@
         Step::StageDone { stage, service, length } => {
             format!("{stage} done: {length} bytes, {:.2} ms at the endpoint", millis(*service))
         }
-        Step::AgentRefused { endpoint, reason } => {
-            format!("the agent of {endpoint} gave it up: {}", reason.as_str())
-        }
+        Step::AgentRefused { endpoint, reason } => given_up_sentence(endpoint, *reason),
         Step::Lost { endpoint } => format!("the connection to the agent of {endpoint} was lost"),
         Step::Revoked { endpoint } => format!("taken back from {endpoint}: it waited too long"),
         Step::Completed => "the whole answer went to the caller".to_owned(),
@@ -291,6 +289,16 @@
     }
 }
 
+fn given_up_sentence(endpoint: &str, reason: AgentReason) -> String {
+    match reason {
+        AgentReason::WrongIncarnation => {
+            format!("the agent of {endpoint} is another life of it than was known: asked again")
+        }
+        AgentReason::Stalled => format!("{endpoint} stalled: given up there"),
+        other => format!("the agent of {endpoint} gave it up: {}", other.as_str()),
+    }
+}
+
 fn sent_sentence(decision: &Decision) -> String {
     let pool = &decision.pool;
     let rule = decision.rule.as_ref().map_or(String::new(), |r| format!(" under rule {r:?}"));
--- /dev/null
+++ b/src/tool.rs
@@ -0,0 +1,493 @@
+//! The operators' tool: checks and compares configurations, tries requests, asks running processes.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use getopts::{Matches, Options as Parser};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Method, Request, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use rand::SeedableRng;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use snafu::{ResultExt, Snafu};
+
+use crate::admin::{EndpointStatus, RequestStatus, Status};
+use crate::audit::Entry;
+use crate::config::Config;
+use crate::config::check::{Finding, check};
+use crate::config::diff::diff;
+use crate::config::labels::Labels;
+use crate::config::parts::{PartsError, split};
+use crate::fleet::Fleet;
+use crate::options::exit;
+use crate::policy::admit::{Admitted, Candidate, admit};
+use crate::policy::explain::{Decision, Explanation, Record, Step};
+use crate::policy::limit::Limiter;
+use crate::policy::predict::SizeClass;
+use crate::policy::route::{Question, choose};
+use crate::view::{Place, View};
+
+/// How long a process may take to answer.
+const TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest answer that is read.
+const MAX_ANSWER_LEN: usize = 64 << 20;
+/// Longest configuration file that is read.
+const MAX_CONFIG_LEN: u64 = 256 << 20;
+
+const USAGE: &str = "Usage: stackmast COMMAND [OPTIONS]
+
+On files:
+  check FILE              everything that is wrong with a configuration
+  diff BEFORE AFTER       what a configuration changes
+  parts FILE FOLDER       split a configuration into the platform's values
+  try FILE PIPELINE ORGANISATION [KEY=VALUE ...]
+                          where a request with these labels would go, and why
+
+On a running process (--admin, --token):
+  status                  what it is and how it does
+  endpoints               what a gateway knows of the endpoints
+  requests                the newest ended requests
+  explain REQUEST         why a request went where it went, waited or was refused
+  audit                   the newest changes
+  config                  the configuration in force
+  drain                   stop it without cutting anything off
+";
+
+/// Why the tool failed.
+#[derive(Debug, Snafu)]
+pub enum ToolError {
+    /// The command line can't be read.
+    #[snafu(display("{source}; see --help"))]
+    Syntax {
+        /// Which option.
+        source: getopts::Fail,
+    },
+    /// No such command, or a command without its operands.
+    #[snafu(display("no such command, or operands are missing; see --help"))]
+    Usage,
+    /// A file can't be read or written.
+    #[snafu(display("{path}: {source}"))]
+    File {
+        /// Which.
+        path: String,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// A file is longer than any configuration.
+    #[snafu(display("{path}: {len} bytes are more than {MAX_CONFIG_LEN}"))]
+    FileTooLong {
+        /// Which.
+        path: String,
+        /// Its bytes.
+        len: u64,
+    },
+    /// A file is not a configuration.
+    #[snafu(display("{path}: {source}"))]
+    Config {
+        /// Which.
+        path: String,
+        /// Where and why.
+        source: serde_json::Error,
+    },
+    /// A configuration must not be published.
+    #[snafu(display("{}", findings.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n")))]
+    Findings {
+        /// Everything that is wrong.
+        findings: Vec<Finding>,
+    },
+    /// A configuration can't be split.
+    #[snafu(display("{source}"), context(false))]
+    Parts {
+        /// Why.
+        source: PartsError,
+    },
+    /// A label that is not KEY=VALUE.
+    #[snafu(display("{text:?} is not KEY=VALUE"))]
+    Label {
+        /// The text.
+        text: String,
+    },
+    /// The pipeline or organisation is not in the configuration.
+    #[snafu(display("{name:?} is not in the configuration"))]
+    NotInConfig {
+        /// Its name.
+        name: String,
+    },
+    /// The process can't be reached.
+    #[snafu(display("{address}: no answer"))]
+    Unreachable {
+        /// Where.
+        address: String,
+    },
+    /// The process refused.
+    #[snafu(display("{status}: {detail}"))]
+    Refused {
+        /// The status.
+        status: StatusCode,
+        /// What it says.
+        detail: String,
+    },
+    /// The process answered with something else.
+    #[snafu(display("the answer can't be read: {source}"))]
+    Answer {
+        /// Where and why.
+        source: serde_json::Error,
+    },
+}
+
+impl ToolError {
+    const fn exit_code(&self) -> u8 {
+        match self {
+            Self::Syntax { .. } | Self::Usage | Self::Label { .. } => exit::USAGE,
+            Self::File { .. } => exit::FAILED,
+            Self::FileTooLong { .. }
+            | Self::Config { .. }
+            | Self::Findings { .. }
+            | Self::Parts { .. } => exit::INVALID,
+            Self::NotInConfig { .. } => exit::NOT_KNOWN,
+            Self::Unreachable { .. } => exit::UNREACHABLE,
+            Self::Refused { status, .. } => {
+                if status.as_u16() == 404 {
+                    exit::NOT_KNOWN
+                } else {
+                    exit::FAILED
+                }
+            }
+            Self::Answer { .. } => exit::FAILED,
+        }
+    }
+}
+
+/// Carries the command line out and returns the exit code.
+pub fn main(args: &[String]) -> u8 {
+    match run(args) {
+        Ok(text) => {
+            print!("{text}");
+            exit::OK
+        }
+        Err(error) => {
+            eprintln!("stackmast: {error}");
+            error.exit_code()
+        }
+    }
+}
+
+fn run(args: &[String]) -> Result<String, ToolError> {
+    let mut parser = Parser::new();
+    parser.optopt("a", "admin", "administration address", "IP:PORT");
+    parser.optopt("t", "token", "bearer token; STACKMAST_TOKEN where it is not given", "TOKEN");
+    parser.optopt("n", "count", "entries to list", "N");
+    parser.optflag("j", "json", "print JSON");
+    parser.optflag("h", "help", "print this help");
+    parser.optflag("V", "version", "print the version");
+    let matches = parser.parse(args).context(SyntaxSnafu)?;
+    if matches.opt_present("help") {
+        return Ok(parser.usage(USAGE));
+    }
+    if matches.opt_present("version") {
+        return Ok(format!("stackmast {}\n", env!("CARGO_PKG_VERSION")));
+    }
+    let words: Vec<&str> = matches.free.iter().map(String::as_str).collect();
+    match words.as_slice() {
+        ["check", file] => check_file(Path::new(file)),
+        ["diff", before, after] => diff_files(Path::new(before), Path::new(after), &matches),
+        ["parts", file, folder] => write_parts(Path::new(file), Path::new(folder)),
+        ["try", file, pipeline, organisation, labels @ ..] => {
+            try_request(Path::new(file), pipeline, organisation, labels, &matches)
+        }
+        ["status"] => show::<Status>(&matches, "/v1/status", status_table),
+        ["endpoints"] => {
+            show::<Vec<EndpointStatus>>(&matches, "/v1/endpoints", |e| endpoints_table(e))
+        }
+        ["requests"] => {
+            let path = counted(&matches, "/v1/requests");
+            show::<Vec<RequestStatus>>(&matches, &path, |r| requests_table(r))
+        }
+        ["explain", request] => {
+            let path = format!("/v1/requests/{request}/explain");
+            show::<Explanation>(&matches, &path, explanation_text)
+        }
+        ["audit"] => {
+            let path = counted(&matches, "/v1/audit");
+            show::<Vec<Entry>>(&matches, &path, |entries| {
+                entries.iter().map(|e| format!("{e}\n")).collect()
+            })
+        }
+        ["config"] => show::<Value>(&matches, "/v1/config", |v| format!("{v:#}\n")),
+        ["drain"] => {
+            let answer = call(&matches, Method::POST, "/v1/drain")?;
+            Ok(format!("{answer}\n"))
+        }
+        _ => UsageSnafu.fail(),
+    }
+}
+
+fn read_config(path: &Path) -> Result<Config, ToolError> {
+    let shown = path.display().to_string();
+    let len = std::fs::metadata(path).context(FileSnafu { path: &shown })?.len();
+    if len > MAX_CONFIG_LEN {
+        return FileTooLongSnafu { path: shown, len }.fail();
+    }
+    let text = std::fs::read_to_string(path).context(FileSnafu { path: &shown })?;
+    serde_json::from_str(&text).context(ConfigSnafu { path: shown })
+}
+
+fn read_checked(path: &Path) -> Result<Config, ToolError> {
+    let config = read_config(path)?;
+    let findings = check(&config);
+    if !findings.is_empty() {
+        return FindingsSnafu { findings }.fail();
+    }
+    Ok(config)
+}
+
+fn check_file(path: &Path) -> Result<String, ToolError> {
+    let config = read_checked(path)?;
+    let parts = split(&config)?.manifest.parts.len();
+    Ok(format!(
+        "version {}: {} pipelines, {} endpoints, {} organisations, in {parts} parts\n",
+        config.version,
+        config.pipelines.len(),
+        config.endpoints.len(),
+        config.organisations.len()
+    ))
+}
+
+fn diff_files(before: &Path, after: &Path, matches: &Matches) -> Result<String, ToolError> {
+    let changes = diff(&read_config(before)?, &read_config(after)?);
+    if matches.opt_present("json") {
+        return to_json(&changes);
+    }
+    Ok(changes.iter().map(|change| format!("{change}\n")).collect())
+}
+
+fn write_parts(file: &Path, folder: &Path) -> Result<String, ToolError> {
+    let bundle = split(&read_checked(file)?)?;
+    let write = |name: &str, bytes: &[u8]| {
+        let path = folder.join(name);
+        std::fs::write(&path, bytes).context(FileSnafu { path: path.display().to_string() })
+    };
+    for (digest, bytes) in &bundle.parts {
+        write(digest, bytes)?;
+    }
+    write("manifest", to_json(&bundle.manifest)?.as_bytes())?;
+    Ok(format!("{} parts and the manifest\n", bundle.parts.len()))
+}
+
+fn to_json<T: serde::Serialize>(value: &T) -> Result<String, ToolError> {
+    serde_json::to_string_pretty(value).map(|text| text + "\n").context(AnswerSnafu)
+}
+
+fn read_labels(texts: &[&str]) -> Result<Labels, ToolError> {
+    let pairs = texts.iter().map(|text| match text.split_once('=') {
+        Some((key, value)) => Ok((key.to_owned(), value.to_owned())),
+        None => LabelSnafu { text: *text }.fail(),
+    });
+    pairs.collect()
+}
+
+/// Decides a request as a gateway would that has seen no load yet.
+fn try_request(
+    file: &Path,
+    pipeline: &str,
+    organisation: &str,
+    labels: &[&str],
+    matches: &Matches,
+) -> Result<String, ToolError> {
+    let config = Arc::new(read_checked(file)?);
+    let data_centre = config.endpoints.first().map(|e| e.data_centre.clone()).unwrap_or_default();
+    let place = Place { host: "stackmast-try".to_owned(), data_centre };
+    let view = View::new(config, String::new(), place);
+    let labels = read_labels(labels)?;
+    let known = |name: &str| ToolError::NotInConfig { name: name.to_owned() };
+    let pipeline = view.pipeline(pipeline).ok_or_else(|| known(pipeline))?;
+    let organisation = view.organisation(organisation).ok_or_else(|| known(organisation))?;
+    let candidate = Candidate {
+        view: &view,
+        pipeline,
+        organisation,
+        labels: &labels,
+        size: SizeClass::of(0),
+        left: Duration::from_millis(pipeline.pipeline.deadline_ms),
+        gateways: 1,
+    };
+    let steps = decide(&candidate);
+    let record = Record {
+        id: crate::message::RequestId {
+            gateway: "try".into(),
+            incarnation: crate::message::Incarnation::UNKNOWN,
+            number: 0,
+        },
+        pipeline: pipeline.pipeline.name.clone(),
+        organisation: organisation.name.clone(),
+        arrived: Duration::ZERO,
+        steps: steps.into_iter().map(|step| (Duration::ZERO, step)).collect(),
+    };
+    let explanation = Explanation::from(&record);
+    if matches.opt_present("json") {
+        return to_json(&explanation);
+    }
+    Ok(explanation_text(&explanation))
+}
+
+fn decide(candidate: &Candidate<'_>) -> Vec<Step> {
+    let mut rng = rand::rngs::StdRng::seed_from_u64(0);
+    let fleet = Fleet::default();
+    let now = Duration::ZERO;
+    let admitted = admit(candidate, &fleet, &mut Limiter::default(), now, &mut rng);
+    let admitted: Admitted = match admitted {
+        Ok(admitted) => admitted,
+        Err(refusal) => return vec![Step::Refused(refusal)],
+    };
+    let decisions = candidate.pipeline.stages.iter().map(|stage| -> Decision {
+        let question = Question {
+            view: candidate.view,
+            stage,
+            rules: &admitted.rules,
+            size: candidate.size,
+            tried: &[],
+            now,
+        };
+        choose(&question, &fleet, &mut rng)
+    });
+    let decisions: Vec<_> = decisions.map(Step::Sent).collect();
+    let step = Step::Admitted {
+        config: candidate.view.config.version,
+        priority: admitted.priority,
+        priority_rule: admitted.priority_rule,
+        predicted: admitted.predicted,
+        left: candidate.left,
+    };
+    [step].into_iter().chain(decisions).collect()
+}
+
+fn counted(matches: &Matches, path: &str) -> String {
+    match matches.opt_str("count") {
+        Some(count) => format!("{path}?count={count}"),
+        None => path.to_owned(),
+    }
+}
+
+fn show<T: DeserializeOwned>(
+    matches: &Matches,
+    path: &str,
+    table: impl Fn(&T) -> String,
+) -> Result<String, ToolError> {
+    let value = call(matches, Method::GET, path)?;
+    if matches.opt_present("json") {
+        return to_json(&value);
+    }
+    let parsed: T = serde_json::from_value(value).context(AnswerSnafu)?;
+    Ok(table(&parsed))
+}
+
+fn call(matches: &Matches, method: Method, path: &str) -> Result<Value, ToolError> {
+    let Some(address) = matches.opt_str("admin") else {
+        return UsageSnafu.fail();
+    };
+    let token = matches.opt_str("token").or_else(|| std::env::var("STACKMAST_TOKEN").ok());
+    let token = token.unwrap_or_default();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|_| ToolError::Unreachable { address: address.clone() })?;
+    let asked = ask(&address, method, path, &token);
+    let answer = runtime.block_on(async { tokio::time::timeout(TIMEOUT, asked).await });
+    let Some((status, body)) = answer.ok().flatten() else {
+        return UnreachableSnafu { address }.fail();
+    };
+    let value: Value = serde_json::from_slice(&body).context(AnswerSnafu)?;
+    if status.is_success() {
+        return Ok(value);
+    }
+    let detail = value["detail"].as_str().unwrap_or_default().to_owned();
+    RefusedSnafu { status, detail }.fail()
+}
+
+async fn ask(
+    address: &str,
+    method: Method,
+    path: &str,
+    token: &str,
+) -> Option<(StatusCode, Bytes)> {
+    let address: SocketAddr = address.parse().ok()?;
+    let request = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"))
+        .header("authorization", format!("Bearer {token}"))
+        .body(Full::<Bytes>::default())
+        .ok()?;
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let response = client.request(request).await.ok()?;
+    let status = response.status();
+    let body = Limited::new(response.into_body(), MAX_ANSWER_LEN).collect().await.ok()?;
+    Some((status, body.to_bytes()))
+}
+
+fn status_table(status: &Status) -> String {
+    let age = status.platform_age_s.map_or("never".to_owned(), |a| format!("{a:.1} s ago"));
+    let state = if status.draining { "draining" } else { "serving" };
+    format!(
+        "{} {} in {}: {state}\n\
+         incarnation       {}\n\
+         up                {} s\n\
+         configuration     {}\n\
+         platform answered {age}\n\
+         peers             {}\n\
+         in flight         {}\n",
+        status.role,
+        status.host,
+        status.data_centre,
+        status.incarnation,
+        status.uptime_s,
+        status.config_version,
+        status.peers,
+        status.in_flight
+    )
+}
+
+fn endpoints_table(endpoints: &[EndpointStatus]) -> String {
+    let mut table = format!(
+        "{:<24} {:<10} {:>9} {:>7} {:>8} {:>6} {:>11}\n",
+        "ENDPOINT", "STATE", "IN FLIGHT", "QUEUED", "RUNNING", "LIMIT", "REPORT AGE"
+    );
+    for e in endpoints {
+        let age = e.report_age_ms.map_or("-".to_owned(), |ms| format!("{ms} ms"));
+        table.push_str(&format!(
+            "{:<24} {:<10} {:>9} {:>7} {:>8} {:>6} {age:>11}\n",
+            e.endpoint, e.state, e.in_flight, e.queued, e.running, e.limit
+        ));
+    }
+    table
+}
+
+fn requests_table(requests: &[RequestStatus]) -> String {
+    let lines = requests.iter().map(|r| {
+        format!("{:<44} {:<16} {:<16} {}\n", r.request, r.pipeline, r.organisation, r.last)
+    });
+    lines.collect()
+}
+
+fn explanation_text(explanation: &Explanation) -> String {
+    let Explanation { request, pipeline, organisation, ended, steps } = explanation;
+    let state = if *ended { "ended" } else { "not ended" };
+    let mut text = format!("request {request} ({state}): {pipeline} for {organisation}\n");
+    for step in steps {
+        text.push_str(&format!("{:>10.2} ms  {}\n", step.at_ms, step.what));
+        for alternative in &step.alternatives {
+            let labels = alternative.labels.iter().map(|(k, v)| format!("{k}={v}"));
+            let labels: Vec<_> = labels.collect();
+            text.push_str(&format!(
+                "{:14} {:<20} {} [{}]\n",
+                "",
+                alternative.endpoint,
+                alternative.verdict,
+                labels.join(",")
+            ));
+        }
+    }
+    text
+}
--- a/src/wire/convert.rs
+++ b/src/wire/convert.rs
@@ -151,6 +151,7 @@
 ) -> v1::StageReply {
     use v1::stage_reply::Reply as Wire;
     let reply = match reply {
+        Reply::Queued => Wire::Queued(v1::Queued {}),
         Reply::Begun => Wire::Begun(v1::Begun {}),
         Reply::Chunk { offset, data } => Wire::Chunk(v1::Chunk { offset, data: data.into() }),
         Reply::Done { length, digest, service } => {
@@ -174,6 +175,7 @@
 pub fn reply_from_wire(reply: v1::stage_reply::Reply) -> Reply {
     use v1::stage_reply::Reply as Wire;
     match reply {
+        Wire::Queued(_) => Reply::Queued,
         Wire::Begun(_) => Reply::Begun,
         Wire::Chunk(c) => Reply::Chunk { offset: c.offset, data: Bytes::from(c.data) },
         Wire::Done(d) => Reply::Done {
@@ -215,7 +217,7 @@
         AgentReason::AgentUnreachable | AgentReason::EndpointUnreachable => {
             v1::Reason::EndpointUnreachable
         }
-        AgentReason::EndpointFailed => v1::Reason::EndpointFailed,
+        AgentReason::EndpointFailed | AgentReason::Stalled => v1::Reason::EndpointFailed,
         AgentReason::EndpointMisbehaved => v1::Reason::EndpointMisbehaved,
         AgentReason::ClaimRefused => v1::Reason::ClaimRefused,
         AgentReason::ProtocolVersion => v1::Reason::ProtocolVersion,
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -59,7 +59,7 @@
     pub agent: u64,
     #[prost(message, optional, tag = "3")]
     pub load: ::core::option::Option<Load>,
-    #[prost(oneof = "stage_reply::Reply", tags = "4, 5, 6, 7")]
+    #[prost(oneof = "stage_reply::Reply", tags = "4, 5, 6, 7, 8")]
     pub reply: ::core::option::Option<stage_reply::Reply>,
 }
 /// Nested message and enum types in `StageReply`.
@@ -74,6 +74,8 @@
         Done(super::Done),
         #[prost(message, tag = "7")]
         Refused(super::Refused),
+        #[prost(message, tag = "8")]
+        Queued(super::Queued),
     }
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -86,6 +88,8 @@
     pub limit: u32,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Queued {}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Begun {}
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Chunk {
--- a/tests/schedules/mod.rs
+++ b/tests/schedules/mod.rs
@@ -33,7 +33,7 @@
 const DEADLINE: Duration = Duration::from_secs(2);
 /// Nothing of a schedule lasts longer.
 const END: Duration = Duration::from_secs(40);
-const REVOKE_TIMEOUT: Duration = Duration::from_millis(500);
+const REVOKE_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// How often things go wrong, in thousandths of the chances that they have.
 #[derive(Debug, Clone, Copy)]
@@ -318,10 +318,10 @@
                 self.asked[i].life = life;
                 let submission = self.asked[i].submission.clone();
                 let event = gateway::Event::Submit { caller: i as u64, submission };
-                self.to_gateway(index, life, event);
+                self.deliver_to_gateway(index, life, event);
             }
-            Step::Gateway { index, life, event } => self.to_gateway(index, life, event),
-            Step::Agent { index, message } => self.to_agent(index, message),
+            Step::Gateway { index, life, event } => self.deliver_to_gateway(index, life, event),
+            Step::Agent { index, message } => self.deliver_to_agent(index, message),
             Step::Fault(fault) => self.break_something(fault),
         }
     }
@@ -363,7 +363,7 @@
         self.soon(Step::Agent { index: agent, message: ToAgent::Closed(CallId(i as u64)) });
     }
 
-    fn to_gateway(&mut self, index: usize, life: u64, event: gateway::Event) {
+    fn deliver_to_gateway(&mut self, index: usize, life: u64, event: gateway::Event) {
         let node = &mut self.gateways[index];
         if node.life != life {
             return;
@@ -461,7 +461,7 @@
         self.cut_until.get(&(gateway, agent)).is_some_and(|until| self.now < *until)
     }
 
-    fn to_agent(&mut self, index: usize, message: ToAgent) {
+    fn deliver_to_agent(&mut self, index: usize, message: ToAgent) {
         let frozen_until = self.agents[index].frozen_until;
         if self.now < frozen_until {
             return self.at(frozen_until, Step::Agent { index, message });
@@ -577,7 +577,7 @@
                 }
                 (text, 0)
             }
-            CallStart::Resume { offset } => match self.streams.get(&(index, attempt)) {
+            CallStart::Resume { offset, .. } => match self.streams.get(&(index, attempt)) {
                 Some(text) => (text.clone(), offset as usize),
                 None => {
                     let failure = failed(EndpointFailure::UnknownAttempt);
