Tool for the cost of the path; the schedules' checker knows a freeze before a kill

Ruled out: the core. The gateway had been frozen past the deadline, answered when it woke, and was killed later; the checker looked at the new life, which had not been frozen. Change: the freeze is noted when the answer is given. The check is as strict.

--- a/testbed/src/deployment.rs
+++ b/testbed/src/deployment.rs
@@ -87,6 +87,18 @@
     Pipeline { name: name.to_owned(), deadline_ms, priority, stages }
 }
 
+/// A pipeline of stages given as name, service, whether it may be repeated, and expected time in ms.
+pub fn pipeline_of(
+    name: &str,
+    deadline_ms: u64,
+    priority: u8,
+    stages: &[(&str, &str, bool, u64)],
+) -> Pipeline {
+    let stages =
+        stages.iter().map(|(name, service, repeat, ms)| stage(name, service, *repeat, *ms));
+    pipeline(name, deadline_ms, priority, stages.collect())
+}
+
 fn four_stages(model: &str) -> Vec<Stage> {
     vec![
         stage("encode", "encoder", true, 10),
@@ -96,7 +108,8 @@
     ]
 }
 
-fn organisations(prefix: &str) -> Vec<Organisation> {
+/// The five organisations of a user, the first of them large.
+pub fn organisations(prefix: &str) -> Vec<Organisation> {
     (0..5)
         .map(|i| Organisation {
             name: format!("{prefix}-{i}"),
--- a/testbed/src/fleet.rs
+++ b/testbed/src/fleet.rs
@@ -148,6 +148,8 @@
     pub engine: Option<Arc<Engine>>,
     /// Between its agent and it.
     pub proxy: Proxy,
+    /// Where it listens itself.
+    pub address: SocketAddr,
     _server: Server,
 }
 
@@ -427,5 +429,5 @@
     };
     let server = server.context(IoSnafu { what })?;
     let proxy = Proxy::start(own, server.address).await.context(IoSnafu { what })?;
-    Ok(Running { faults, engine, proxy, _server: server })
+    Ok(Running { faults, engine, proxy, address: server.address, _server: server })
 }
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod engine;
 pub mod fleet;
 pub mod history;
+pub mod hop;
 pub mod load;
 pub mod options;
 pub mod platform;
--- a/testbed/src/options.rs
+++ b/testbed/src/options.rs
@@ -2,20 +2,61 @@
 
 use std::path::PathBuf;
 
+use getopts::{Matches, Options as Parser};
+use stackmast::options::exit;
+
 use crate::fleet::Program;
 
+const USAGE: &str = "Usage: stackmast-testbed COMMAND [OPTIONS]
+
+  demo                  both deployments on loopback, with explanations
+  hop                   the cost of the path itself, beside calling the endpoints directly
+  stackmastd ARGS       the daemon, as part of this program
+";
+
 /// Reads the arguments and runs what they name; returns the exit code.
 pub fn main(args: &[String]) -> u8 {
-    match args.split_first() {
-        Some((first, rest)) if first == "stackmastd" => stackmast::options::main(rest),
-        Some((first, _)) if first == "demo" => run(crate::demo::run(&this_program())),
+    if let Some((first, rest)) = args.split_first()
+        && first == "stackmastd"
+    {
+        return stackmast::options::main(rest);
+    }
+    let mut parser = Parser::new();
+    parser.optopt("r", "rate", "requests a second", "N");
+    parser.optopt("s", "seconds", "length of a round", "N");
+    parser.optopt("n", "rounds", "rounds", "N");
+    parser.optflag("h", "help", "print this help");
+    let matches = match parser.parse(args) {
+        Ok(matches) => matches,
+        Err(error) => {
+            eprintln!("stackmast-testbed: {error}");
+            return exit::USAGE;
+        }
+    };
+    if matches.opt_present("help") {
+        print!("{}", parser.usage(USAGE));
+        return exit::OK;
+    }
+    let words: Vec<&str> = matches.free.iter().map(String::as_str).collect();
+    match words.as_slice() {
+        ["demo"] => run(crate::demo::run(&this_program())),
+        ["hop"] => {
+            let (rate, seconds) =
+                (number(&matches, "rate", 100.0), number(&matches, "seconds", 5.0));
+            let rounds = number(&matches, "rounds", 5.0) as usize;
+            run(crate::hop::run(&this_program(), rate, seconds, rounds))
+        }
         _ => {
-            eprintln!("Usage: stackmast-testbed demo");
-            stackmast::options::exit::USAGE
+            eprint!("{}", parser.usage(USAGE));
+            exit::USAGE
         }
     }
 }
 
+fn number(matches: &Matches, option: &str, default: f64) -> f64 {
+    matches.opt_str(option).and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
 /// This executable, as the daemon.
 fn this_program() -> Program {
     let path = std::env::current_exe().unwrap_or_else(|_| PathBuf::from("stackmast-testbed"));
@@ -27,14 +68,14 @@
         Ok(runtime) => runtime,
         Err(error) => {
             eprintln!("stackmast-testbed: {error}");
-            return stackmast::options::exit::FAILED;
+            return exit::FAILED;
         }
     };
     match runtime.block_on(work) {
-        Ok(()) => stackmast::options::exit::OK,
+        Ok(()) => exit::OK,
         Err(error) => {
             eprintln!("stackmast-testbed: {error}");
-            stackmast::options::exit::FAILED
+            exit::FAILED
         }
     }
 }
--- a/tests/schedules/mod.rs
+++ b/tests/schedules/mod.rs
@@ -98,6 +98,8 @@
     submission: Submission,
     request: history::Request,
     answered_at: Option<Timestamp>,
+    /// Until when its gateway had been frozen when it answered.
+    frozen_until: Timestamp,
 }
 
 /// A revocation that an agent has not answered yet.
@@ -241,7 +243,15 @@
             let request = history::Request { key, may_repeat, stages, expected, seen: Vec::new() };
             let gateway = self.rng.random_range(0..GATEWAYS);
             let life = 0;
-            self.asked.push(Asked { gateway, life, at, submission, request, answered_at: None });
+            self.asked.push(Asked {
+                gateway,
+                life,
+                at,
+                submission,
+                request,
+                answered_at: None,
+                frozen_until: Duration::ZERO,
+            });
             self.at(at, Step::Submit(i));
         }
         for _ in 0..self.odds.faults {
@@ -631,6 +641,7 @@
         let asked = &mut self.asked[caller];
         asked.request.seen.push(seen);
         asked.answered_at.get_or_insert(self.now);
+        asked.frozen_until = self.gateways[asked.gateway].frozen_until;
     }
 
     fn breaches(&self) -> Vec<String> {
@@ -647,7 +658,7 @@
             if answers == 0 && gateway.life == asked.life {
                 found.push(format!("{key}: no final answer"));
             }
-            let latest = (asked.at + DEADLINE).max(gateway.frozen_until);
+            let latest = (asked.at + DEADLINE).max(asked.frozen_until);
             if asked.answered_at.is_some_and(|at| at > latest + Duration::from_millis(1)) {
                 found.push(format!("{key}: answered late, at {:?}", asked.answered_at));
             }
