A process that starts asks first and takes the highest configuration

Cause: a gateway that was killed and started anew while the platform served an old copy had version 1 in force for a moment, where the fleet was at 2: it took whichever answer came first. Ruled out: the keeper, which never goes back within a process. Change: the platform and the neighbours are asked for their manifests, the highest is adopted, and only then the core gets one.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -226,6 +226,7 @@
     spread: Arc<Spread>,
     settings: Arc<Settings>,
 ) {
+    spread.started().await;
     let mut configs = spread.keeper().subscribe();
     let mut hosts = spread.subscribe_hosts();
     let mut applied = 0;
@@ -312,6 +313,7 @@
     spread: Arc<Spread>,
     settings: Arc<Settings>,
 ) {
+    spread.started().await;
     let mut configs = spread.keeper().subscribe();
     let mut hosts = spread.subscribe_hosts();
     let mut was_leaving = None;
--- a/src/spread.rs
+++ b/src/spread.rs
@@ -97,6 +97,7 @@
     platform_answered: std::sync::Mutex<Option<Instant>>,
     channels: Arc<Channels>,
     audit: Audit,
+    started: watch::Sender<bool>,
     /// One pull at a time, so that neighbours' words of one version give one transfer.
     pulling: Mutex<()>,
 }
@@ -133,6 +134,7 @@
             platform_answered: std::sync::Mutex::new(None),
             channels: setup.channels,
             audit: setup.audit,
+            started: watch::Sender::new(false),
             pulling: Mutex::new(()),
         }
     }
@@ -192,16 +194,40 @@
         tokio::join!(self.poll_for_good(), self.exchange_for_good(), self.push_for_good());
     }
 
+    /// Learns who has which version before it takes any, so that an old copy is never served first.
     async fn bootstrap(self: &Arc<Self>) {
         let mut asked = JoinSet::new();
-        let this = self.clone();
-        asked.spawn(async move { this.poll().await.err().map(|_| ()) });
+        let platform = self.platform.clone();
+        asked.spawn(async move { Some((Source::Platform, platform.manifest().await.ok()??)) });
         for peer in self.neighbours() {
             let this = self.clone();
-            asked.spawn(async move { this.exchange(peer).await.err().map(|_| ()) });
+            asked.spawn(async move {
+                let manifest = this.fetch_manifest(peer, CONFIG).await.ok()?;
+                Some((Source::Peer(peer), serde_json::from_slice(&manifest).ok()?))
+            });
         }
-        let all = async { while asked.join_next().await.is_some() {} };
+        let mut offers: Vec<(Source, Manifest)> = Vec::new();
+        let all = async {
+            while let Some(answer) = asked.join_next().await {
+                offers.extend(answer.ok().flatten());
+            }
+        };
         tokio::time::timeout(BOOTSTRAP_TIMEOUT, all).await.ok();
+        offers.sort_by_key(|(_, manifest)| std::cmp::Reverse(manifest.version));
+        for (source, manifest) in offers {
+            if self.adopt(manifest, source).await.is_ok() && self.keeper.version() > 0 {
+                break;
+            }
+        }
+        if let Ok(hosts) = self.platform.hosts().await {
+            self.adopt_hosts(hosts);
+        }
+        self.started.send_replace(true);
+    }
+
+    /// Waits until those that can be asked have been asked for the highest version.
+    pub async fn started(&self) {
+        self.started.subscribe().wait_for(|started| *started).await.ok();
     }
 
     async fn poll_for_good(&self) {
--- a/testbed/src/fleet.rs
+++ b/testbed/src/fleet.rs
@@ -4,7 +4,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use hyper::Method;
@@ -129,6 +129,7 @@
 fn spawn(program: &Program, settings: &Path) -> Result<Child, FleetError> {
     let log = std::fs::File::create(settings.with_extension("log"));
     let log = log.context(IoSnafu { what: "create a log" })?;
+    let _alone = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
     Command::new(&program.path)
         .args(&program.before)
         .arg("--settings")
@@ -194,6 +195,10 @@
     SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, a.max(1), b, c.clamp(1, 254))), 0)
 }
 
+/// Held while a port is found and while a process is started: between fork and exec a child holds its
+/// parent's sockets, so that a port that was found free elsewhere would not be free.
+static STARTING: Mutex<()> = Mutex::new(());
+
 /// Addresses for processes: found free, and none given out twice.
 struct Addresses {
     own: SocketAddr,
@@ -203,6 +208,7 @@
 impl Addresses {
     fn take(&mut self) -> Result<SocketAddr, FleetError> {
         let what = "find a free port";
+        let _alone = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
         loop {
             let listener = TcpListener::bind(self.own).context(IoSnafu { what })?;
             let address = listener.local_addr().context(IoSnafu { what })?;
