--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -189,10 +189,31 @@
     pub adapters: Vec<Name>,
 }
 
+/// How a stage's endpoint is chosen; all but the first are baselines to measure against.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Default)]
+#[serde(rename_all = "kebab-case")]
+pub enum Routing {
+    /// The best predicted finish among a few.
+    #[default]
+    Predicted,
+    /// Any.
+    Random,
+    /// One after the other.
+    RoundRobin,
+    /// The one with the least own attempts in flight.
+    LeastInFlight,
+    /// The one with less own attempts in flight of two.
+    TwoChoices,
+}
+
 /// Weights and bounds of the decisions.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Policy {
+    /// How a stage's endpoint is chosen.
+    pub routing: Routing,
+    /// Whether a request that is predicted to be late is refused before its first stage.
+    pub admission: bool,
     /// Milliseconds of predicted finish that one unit of cost is worth; 0 looks at time alone.
     pub cost_weight_ms: f64,
     /// Candidates that are compared for each stage.
@@ -212,6 +233,8 @@
 impl Default for Policy {
     fn default() -> Self {
         Self {
+            routing: Routing::Predicted,
+            admission: true,
             cost_weight_ms: 0.0,
             compared: 3,
             subset: 20,
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -242,6 +242,7 @@
             rules: &request.rules,
             size: request.size(),
             tried: &request.tried,
+            turn: self.next_sequence,
             now,
         };
         let decision = choose(&question, &self.fleet, &mut self.rng);
--- a/src/policy/admit.rs
+++ b/src/policy/admit.rs
@@ -120,8 +120,15 @@
     let mut total = Duration::ZERO;
     let mut slowest = (Duration::ZERO, "");
     for stage in &candidate.pipeline.stages {
-        let question =
-            Question { view: candidate.view, stage, rules, size: candidate.size, tried: &[], now };
+        let question = Question {
+            view: candidate.view,
+            stage,
+            rules,
+            size: candidate.size,
+            tried: &[],
+            turn: 0,
+            now,
+        };
         let Some((predicted, _)) = best_predicted(&question, fleet) else {
             let (pool, _) = stage.pool_under(rules);
             let reason = Reason::NoEndpoint {
@@ -137,7 +144,7 @@
             slowest = (predicted, &stage.stage.name);
         }
     }
-    if total <= candidate.left {
+    if total <= candidate.left || !candidate.view.config.policy.admission {
         return Ok(total);
     }
     let reason = Reason::WouldBeLate {
--- a/src/policy/route.rs
+++ b/src/policy/route.rs
@@ -8,7 +8,7 @@
 
 use super::explain::{Alternative, Decision, Verdict};
 use super::predict::SizeClass;
-use crate::config::{Endpoint, Policy};
+use crate::config::{Endpoint, Policy, Routing};
 use crate::fleet::{EndpointState, Fleet};
 use crate::message::Timestamp;
 use crate::view::{Pool, StageView, View};
@@ -26,6 +26,8 @@
     pub size: SizeClass,
     /// Endpoints that this stage was sent to before.
     pub tried: &'a [String],
+    /// Counts the gateway's choices, for taking turns.
+    pub turn: u64,
     /// The time.
     pub now: Timestamp,
 }
@@ -87,12 +89,12 @@
     let mut open: Vec<usize> = (0..alternatives.len())
         .filter(|&i| alternatives[i].verdict == Verdict::NotCompared)
         .collect();
-    let (sample, _) = open.partial_shuffle(rng, policy.compared);
+    let sample = sample(policy, &mut open, question.turn, rng);
     let mut best: Option<(f64, usize)> = None;
-    for &mut i in sample {
+    for &i in sample {
         let endpoint = &alternatives[i].endpoint;
         let finish = predict(question, endpoint, fleet);
-        let score = score(finish, endpoint, question, policy) * rng.random_range(1.0..1.02);
+        let score = score(finish, endpoint, question, fleet) * rng.random_range(1.0..1.02);
         alternatives[i].verdict = Verdict::Slower { predicted: finish };
         if best.is_none_or(|(b, _)| score < b) {
             best = Some((score, i));
@@ -105,8 +107,34 @@
     Some(chosen)
 }
 
-/// Milliseconds until the finish, with the cost of the work added by the operator's weight.
-fn score(finish: Duration, endpoint: &Endpoint, question: &Question<'_>, policy: &Policy) -> f64 {
+/// Those of the open candidates that are compared.
+fn sample<'a>(
+    policy: &Policy,
+    open: &'a mut [usize],
+    turn: u64,
+    rng: &mut impl Rng,
+) -> &'a [usize] {
+    let count = match policy.routing {
+        Routing::Predicted => policy.compared,
+        Routing::Random => 1,
+        Routing::TwoChoices => 2,
+        Routing::LeastInFlight => open.len(),
+        Routing::RoundRobin if open.is_empty() => 0,
+        Routing::RoundRobin => {
+            let next = turn as usize % open.len();
+            return &open[next..=next];
+        }
+    };
+    open.partial_shuffle(rng, count).0
+}
+
+/// Milliseconds until the finish, with the cost of the work added by the operator's weight; for the
+/// baselines, the gateway's own attempts in flight.
+fn score(finish: Duration, endpoint: &Endpoint, question: &Question<'_>, fleet: &Fleet) -> f64 {
+    let policy = &question.view.config.policy;
+    if policy.routing != Routing::Predicted {
+        return f64::from(fleet.get(&endpoint.name).map_or(0, |s| s.in_flight)) + 1.0;
+    }
     let expected = question.stage.stage.expected_ms as f64 / 1_000.0;
     finish.as_secs_f64() * 1_000.0 + policy.cost_weight_ms * endpoint.cost * expected
 }
--- a/src/tool.rs
+++ b/src/tool.rs
@@ -351,6 +351,7 @@
             rules: &admitted.rules,
             size: candidate.size,
             tried: &[],
+            turn: 0,
             now,
         };
         choose(&question, &fleet, &mut rng)
--- /dev/null
+++ b/testbed/src/capacity.rs
@@ -0,0 +1,203 @@
+//! Slopes for docs/CAPACITY.md: memory, processor time and bytes of the real daemon, as sizes grow.
+
+use std::time::{Duration, Instant};
+
+use snafu::{OptionExt, ResultExt, Snafu};
+use stackmast::config::Config;
+use stackmast::config::parts::{PartsError, split};
+
+use crate::deployment::two_years;
+use crate::fleet::{Fleet, FleetError, Process, Program};
+
+/// Changes that are published one after the other.
+const CHANGES: u64 = 10;
+/// How long an idle fleet is watched.
+const IDLE: Duration = Duration::from_secs(10);
+/// Clock ticks a second in /proc (USER_HZ, fixed by the Linux ABI).
+const TICKS_PER_SECOND: f64 = 100.0;
+
+/// Why slopes could not be measured.
+#[derive(Debug, Snafu)]
+pub enum CapacityError {
+    /// The fleet could not be started.
+    #[snafu(display("{source}"), context(false))]
+    Start {
+        /// Why.
+        source: FleetError,
+    },
+    /// The configuration can't be split.
+    #[snafu(display("{source}"), context(false))]
+    Parts {
+        /// Why.
+        source: PartsError,
+    },
+    /// A process's figures can't be read.
+    #[snafu(display("{path}: {source}"))]
+    Proc {
+        /// Which file.
+        path: String,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// A process's figures are not as the kernel writes them.
+    #[snafu(display("{path} can't be read"))]
+    Format {
+        /// Which file.
+        path: String,
+    },
+}
+
+/// What a process has used.
+#[derive(Debug, Clone, Copy, Default)]
+struct Usage {
+    resident_mib: f64,
+    processor_s: f64,
+    bytes_in: f64,
+    bytes_out: f64,
+}
+
+async fn usage(fleet: &Fleet, process: &Process) -> Result<Usage, CapacityError> {
+    let status = read_proc(process, "status")?;
+    let path = "status";
+    let kib = status.lines().find_map(|l| l.strip_prefix("VmRSS:")?.split_whitespace().next());
+    let kib: f64 = kib.and_then(|k| k.parse().ok()).context(FormatSnafu { path })?;
+    let stat = read_proc(process, "stat")?;
+    let path = "stat";
+    // The name in parentheses may have spaces; times stand 12 and 13 fields behind it.
+    let (_, rest) = stat.rsplit_once(')').context(FormatSnafu { path })?;
+    let fields: Vec<f64> =
+        rest.split_whitespace().skip(11).take(2).filter_map(|f| f.parse().ok()).collect();
+    let bytes =
+        async |direction| fleet.metric(process, "stackmast_control_bytes_total", direction).await;
+    Ok(Usage {
+        resident_mib: kib / 1_024.0,
+        processor_s: fields.iter().sum::<f64>() / TICKS_PER_SECOND,
+        bytes_in: bytes("direction=\"in\"").await,
+        bytes_out: bytes("direction=\"out\"").await,
+    })
+}
+
+fn read_proc(process: &Process, file: &str) -> Result<String, CapacityError> {
+    let path = format!("/proc/{}/{file}", process.id());
+    std::fs::read_to_string(&path).context(ProcSnafu { path })
+}
+
+/// Sizes of a configuration's parts, and of what one change of an organisation sends.
+pub fn print_parts(endpoints: usize, organisations: usize) -> Result<(), CapacityError> {
+    let config = two_years(endpoints, organisations);
+    let before = split(&config)?;
+    let mut changed = config;
+    changed.version += 1;
+    changed.organisations[0].labels.insert("changed".to_owned(), "yes".to_owned());
+    let after = split(&changed)?;
+    let new = after.parts.iter().filter(|(digest, _)| !before.parts.contains_key(*digest));
+    let change: usize = new.map(|(_, part)| part.len()).sum();
+    let total: usize = before.parts.values().map(bytes::Bytes::len).sum();
+    let largest = before.parts.values().map(bytes::Bytes::len).max().unwrap_or(0);
+    let manifest = serde_json::to_vec(&before.manifest).map_or(0, |m| m.len());
+    println!(
+        "{endpoints:>9} {organisations:>13} {:>6} {total:>11} {largest:>12} {manifest:>9} {change:>8}",
+        before.parts.len()
+    );
+    Ok(())
+}
+
+/// Memory and processor time of a gateway and an agent with a configuration of these sizes.
+pub async fn print_memory(
+    program: &Program,
+    endpoints: usize,
+    organisations: usize,
+) -> Result<(), CapacityError> {
+    let mut fleet = Fleet::bare(program, two_years(endpoints, organisations), 1, 1).await?;
+    let agent = fleet.agents.keys().next().cloned().unwrap_or_default();
+    let start =
+        (usage(&fleet, &fleet.gateways[0]).await?, usage(&fleet, &fleet.agents[&agent]).await?);
+    for i in 0..CHANGES {
+        let version = fleet.publish(|config| touch(config, i))?;
+        fleet.wait_version(version).await?;
+    }
+    let end =
+        (usage(&fleet, &fleet.gateways[0]).await?, usage(&fleet, &fleet.agents[&agent]).await?);
+    for (role, start, end) in [("gateway", start.0, end.0), ("agent", start.1, end.1)] {
+        let each = |a: f64, b: f64| (b - a) / CHANGES as f64;
+        println!(
+            "{role:<8} {endpoints:>9} {organisations:>13} {:>10.1} {:>13.1} {:>13.1} {:>13.0}",
+            start.resident_mib,
+            end.resident_mib,
+            each(start.processor_s, end.processor_s) * 1_000.0,
+            each(start.bytes_in, end.bytes_in),
+        );
+    }
+    Ok(())
+}
+
+fn touch(config: &mut Config, i: u64) {
+    let organisation = &mut config.organisations[i as usize];
+    organisation.labels.insert("changed".to_owned(), i.to_string());
+}
+
+/// Time until a change is in force at `processes` agents, and what it costs each; then what idling costs.
+pub async fn print_spread(program: &Program, processes: usize) -> Result<(), CapacityError> {
+    let mut fleet = Fleet::bare(program, two_years(processes.max(24), 1_000), processes, 1).await?;
+    let before = totals(&fleet).await?;
+    let calls = fleet.platform.calls();
+    let mut times = Vec::new();
+    for i in 0..CHANGES {
+        let version = fleet.publish(|config| touch(config, i))?;
+        let start = Instant::now();
+        fleet.wait_version(version).await?;
+        times.push(start.elapsed().as_secs_f64());
+    }
+    times.sort_by(f64::total_cmp);
+    let after = totals(&fleet).await?;
+    let count = (processes + 1) as f64;
+    let each = |a: f64, b: f64| (b - a) / count / CHANGES as f64;
+    tokio::time::sleep(IDLE).await;
+    let idle = totals(&fleet).await?;
+    let idle_cpu = (idle.processor_s - after.processor_s) / count / IDLE.as_secs_f64();
+    println!(
+        "{processes:>9} {:>8.2} {:>8.2} {:>12.2} {:>10.0} {:>10.0} {:>11.3} {:>9.1} {:>7}",
+        times[times.len() / 2],
+        times[times.len() - 1],
+        each(before.processor_s, after.processor_s) * 1_000.0,
+        each(before.bytes_in, after.bytes_in),
+        each(before.bytes_out, after.bytes_out),
+        idle_cpu * 100.0,
+        idle.resident_mib / count,
+        fleet.platform.calls() - calls
+    );
+    Ok(())
+}
+
+async fn totals(fleet: &Fleet) -> Result<Usage, CapacityError> {
+    let mut total = Usage::default();
+    for process in fleet.processes() {
+        let one = usage(fleet, process).await?;
+        total.resident_mib += one.resident_mib;
+        total.processor_s += one.processor_s;
+        total.bytes_in += one.bytes_in;
+        total.bytes_out += one.bytes_out;
+    }
+    Ok(total)
+}
+
+/// Prints all slopes.
+pub async fn run(program: &Program, processes: &[usize]) -> Result<(), CapacityError> {
+    println!("endpoints organisations  parts total bytes largest part  manifest a change");
+    for (endpoints, organisations) in [(300, 2_500), (3_000, 2_500), (3_000, 25_000)] {
+        print_parts(endpoints, organisations)?;
+    }
+    println!(
+        "\nrole     endpoints organisations  start MiB after 10 MiB  ms a change  bytes a change"
+    );
+    for (endpoints, organisations) in [(300, 2_500), (3_000, 2_500), (3_000, 25_000)] {
+        print_memory(program, endpoints, organisations).await?;
+    }
+    println!(
+        "\nprocesses   median s   most s  ms a change   bytes in  bytes out  idle % core   MiB   calls"
+    );
+    for &count in processes {
+        print_spread(program, count).await?;
+    }
+    Ok(())
+}
--- a/testbed/src/deployment.rs
+++ b/testbed/src/deployment.rs
@@ -51,6 +51,8 @@
     pub config: Config,
     /// The endpoints.
     pub endpoints: Vec<EndpointSpec>,
+    /// Whether fault proxies stand before agents and endpoints.
+    pub proxied: bool,
 }
 
 /// Replicas of each service, and of the model.
@@ -190,7 +192,8 @@
         ..Config::default()
     };
     let services = ["encoder", "retriever", "reranker", "notifier"];
-    Deployment { config, endpoints: endpoints("llm", &services, sizes, times, speed) }
+    let endpoints = endpoints("llm", &services, sizes, times, speed);
+    Deployment { config, endpoints, proxied: true }
 }
 
 /// The guild of rendering studios: long briefs, material schedules, client notes.
@@ -211,5 +214,69 @@
         ..Config::default()
     };
     let services = ["encoder", "retriever", "reranker", "invoicer"];
-    Deployment { config, endpoints: endpoints("drafter", &services, sizes, times, speed) }
+    let endpoints = endpoints("drafter", &services, sizes, times, speed);
+    Deployment { config, endpoints, proxied: true }
+}
+
+/// Data centres in two years.
+const DATA_CENTRES: usize = 7;
+/// Pipelines in two years.
+const PIPELINES: usize = 24;
+/// Models in two years.
+const MODELS: usize = 21;
+
+/// A configuration of the size of two years from now.
+pub fn two_years(endpoints: usize, organisations: usize) -> Config {
+    let services = ["encoder", "retriever", "reranker"];
+    let kinds = MODELS + services.len();
+    let endpoint = |i: usize| {
+        let kind = i % kinds;
+        let is_model = kind < MODELS;
+        let service =
+            if is_model { format!("model-{kind}") } else { services[kind - MODELS].to_owned() };
+        let centre = format!("dc-{}", i / kinds % DATA_CENTRES);
+        stackmast::config::Endpoint {
+            name: format!("endpoint-{i}"),
+            kind: if is_model { EndpointKind::Engine } else { EndpointKind::Service },
+            agent: ([10, (i >> 16) as u8, (i >> 8) as u8, i as u8], 9_000).into(),
+            data_centre: centre.clone(),
+            labels: labels(&[("service", &service), ("data-centre", &centre), ("pool", "shared")]),
+            concurrency: 16,
+            cost: 1.0,
+            leaving: false,
+        }
+    };
+    let pipelines = (0..PIPELINES).map(|i| {
+        let model = format!("model-{}", i % MODELS);
+        pipeline(&format!("pipeline-{i}"), 2_000, (i % 4) as u8, four_stages(&model))
+    });
+    let rules = (0..50).map(|i| Rule {
+        name: format!("rule-{i}"),
+        organisations: selector(&format!("tier=tier-{}", i % 10)),
+        requests: selector(if i % 2 == 0 { "kind=plan" } else { "caller=guest" }),
+        effect: Effect::Priority((i % 8) as u8),
+    });
+    let limits = (0..10).map(|i| stackmast::config::Limit {
+        name: format!("limit-{i}"),
+        organisations: selector(&format!("tier=tier-{i}")),
+        requests: Selector::default(),
+        per_second: 1_000.0,
+        burst: 2_000.0,
+    });
+    let organisation = |i: usize| Organisation {
+        name: format!("organisation-{i}"),
+        labels: labels(&[
+            ("tier", &format!("tier-{}", i % 10)),
+            ("region", &format!("r-{}", i % 3)),
+        ]),
+    };
+    Config {
+        version: 1,
+        pipelines: pipelines.collect(),
+        endpoints: (0..endpoints).map(endpoint).collect(),
+        organisations: (0..organisations).map(organisation).collect(),
+        rules: rules.collect(),
+        limits: limits.collect(),
+        ..Config::default()
+    }
 }
--- a/testbed/src/fleet.rs
+++ b/testbed/src/fleet.rs
@@ -226,6 +226,21 @@
         deployment: Deployment,
         gateways: usize,
     ) -> Result<Self, FleetError> {
+        let mut fleet = Self::empty(deployment.config).await?;
+        for spec in &deployment.endpoints {
+            fleet.start_endpoint(program, spec, deployment.proxied).await?;
+        }
+        fleet.platform.publish(&fleet.config)?;
+        for i in 0..gateways {
+            fleet.start_gateway(program, &format!("gateway-{i}"))?;
+        }
+        fleet.list_hosts(&[]);
+        fleet.wait_ready().await?;
+        Ok(fleet)
+    }
+
+    /// The platform alone.
+    async fn empty(config: Config) -> Result<Self, FleetError> {
         let folder = std::env::temp_dir().join(format!("stackmast-{:016x}", rand::random::<u64>()));
         std::fs::create_dir_all(&folder).context(IoSnafu { what: "create a folder" })?;
         let platform = Arc::new(Platform::default());
@@ -233,7 +248,7 @@
         let server = serve(own, platform.clone()).await;
         let server = server.context(IoSnafu { what: "start the platform" })?;
         let proxy = Proxy::start(own, server.address).await;
-        let mut fleet = Self {
+        Ok(Self {
             own,
             addresses: Addresses { own: own_address(), given: HashSet::new() },
             platform,
@@ -243,13 +258,33 @@
             agents: HashMap::new(),
             agent_proxies: HashMap::new(),
             gateways: Vec::new(),
-            config: deployment.config,
+            config,
             client: Client::default(),
             folder,
             _platform_server: server,
-        };
-        for spec in &deployment.endpoints {
-            fleet.start_endpoint(program, spec).await?;
+        })
+    }
+
+    /// Starts processes alone: agents of the configuration's first endpoints, without stand-ins.
+    pub async fn bare(
+        program: &Program,
+        config: Config,
+        agents: usize,
+        gateways: usize,
+    ) -> Result<Self, FleetError> {
+        let mut fleet = Self::empty(config).await?;
+        for i in 0..agents {
+            let endpoint = fleet.config.endpoints[i].name.clone();
+            let settings = json!({
+                "role": "agent",
+                "endpoint": endpoint,
+                "endpoint_address": "127.0.0.1:9",
+                "data_centre": "dc-0",
+            });
+            let process =
+                fleet.start_process(program, &format!("{endpoint}-host"), settings, None)?;
+            fleet.config.endpoints[i].agent = process.internal;
+            fleet.agents.insert(endpoint, process);
         }
         fleet.platform.publish(&fleet.config)?;
         for i in 0..gateways {
@@ -264,12 +299,13 @@
         &mut self,
         program: &Program,
         spec: &EndpointSpec,
+        proxied: bool,
     ) -> Result<(), FleetError> {
         let running = start_stand_in(self.own, spec, &self.runs).await?;
         let settings = json!({
             "role": "agent",
             "endpoint": spec.name,
-            "endpoint_address": running.proxy.address,
+            "endpoint_address": if proxied { running.proxy.address } else { running.address },
             "data_centre": spec.data_centre,
         });
         let name = format!("{}-host", spec.name);
@@ -279,7 +315,7 @@
         self.config.endpoints.push(Endpoint {
             name: spec.name.clone(),
             kind: spec.kind(),
-            agent: proxy.address,
+            agent: if proxied { proxy.address } else { process.internal },
             data_centre: spec.data_centre.clone(),
             labels: spec.labels.clone(),
             concurrency: spec.concurrency,
--- a/testbed/src/hop.rs
+++ b/testbed/src/hop.rs
@@ -77,7 +77,7 @@
         concurrency: times.concurrency as u32,
     };
     let endpoints = STAGES.iter().flat_map(|s| (0..REPLICAS).map(move |i| replica(s, i))).collect();
-    Deployment { config, endpoints }
+    Deployment { config, endpoints, proxied: false }
 }
 
 async fn measure_through(fleet: &Fleet, rate: f64, seconds: f64, seed: u64) -> Cost {
@@ -88,6 +88,7 @@
         gateway: fleet.callers(0),
         ask: Ask::new("path", "o-0", &format!("{seed}-{i}")),
         deadline: Duration::from_secs(2),
+        ask_again: 0,
     });
     let outcomes = drive(planned.collect()).await;
     let measured = outcomes.iter().filter(|o| o.planned.at >= WARM_UP);
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Small: what the promises need, not more. No production code depends on it.
 
+pub mod capacity;
 pub mod client;
 pub mod demo;
 pub mod deployment;
@@ -14,5 +15,6 @@
 pub mod platform;
 pub mod proxy;
 pub mod runs;
+pub mod scenario;
 pub mod serve;
 pub mod service;
--- a/testbed/src/load.rs
+++ b/testbed/src/load.rs
@@ -30,6 +30,8 @@
     pub ask: Ask,
     /// When its caller stops waiting.
     pub deadline: Duration,
+    /// How often its caller asks again at once after a refusal.
+    pub ask_again: usize,
 }
 
 /// How a request ended.
@@ -95,7 +97,7 @@
         tokio::time::sleep_until(start + request.at).await;
         let (client, ended) = (client.clone(), ended.clone());
         tasks.spawn(async move {
-            let reply = client.ask(request.gateway, &request.ask).await;
+            let reply = ask(&client, &request).await;
             let took = (start.elapsed()).saturating_sub(request.at);
             let (ending, reason) = judge(&request, reply, took);
             let outcome = Outcome { planned: request, ending, reason, took };
@@ -110,6 +112,18 @@
     ended
 }
 
+/// Asks, and asks again at once where it was refused, which is what a retry storm is made of.
+async fn ask(client: &Client, request: &Planned) -> Result<Reply, ClientError> {
+    let mut reply = client.ask(request.gateway, &request.ask).await;
+    for _ in 0..request.ask_again {
+        if reply.as_ref().is_ok_and(|r| r.status == 200) {
+            break;
+        }
+        reply = client.ask(request.gateway, &request.ask).await;
+    }
+    reply
+}
+
 fn judge(request: &Planned, reply: Result<Reply, ClientError>, took: Duration) -> (Ending, String) {
     let Ok(reply) = reply else {
         return (Ending::Nothing, "no answer".to_owned());
--- a/testbed/src/options.rs
+++ b/testbed/src/options.rs
@@ -11,6 +11,8 @@
 
   demo                  both deployments on loopback, with explanations
   hop                   the cost of the path itself, beside calling the endpoints directly
+  capacity [N...]       slopes for docs/CAPACITY.md, with so many processes
+  load FILE [POLICY...] a scenario under several policies, paired
   stackmastd ARGS       the daemon, as part of this program
 ";
 
@@ -46,6 +48,14 @@
             let rounds = number(&matches, "rounds", 5.0) as usize;
             run(crate::hop::run(&this_program(), rate, seconds, rounds))
         }
+        ["capacity", counts @ ..] => {
+            let counts: Vec<_> = counts.iter().filter_map(|c| c.parse().ok()).collect();
+            run(crate::capacity::run(&this_program(), &counts))
+        }
+        ["load", file, policies @ ..] => {
+            let rounds = number(&matches, "rounds", 5.0) as u64;
+            run(crate::scenario::compare(&this_program(), file.as_ref(), policies, rounds))
+        }
         _ => {
             eprint!("{}", parser.usage(USAGE));
             exit::USAGE
