--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -94,8 +94,9 @@
     let config = Arc::new(config);
     let mut group = criterion.benchmark_group("a configuration of two years from now");
     group.sample_size(10);
-    group
-        .bench_function("put together from parts", |bench| bench.iter(|| black_box(join(&bundle))));
+    group.bench_function("put together from parts", |bench| {
+        bench.iter(|| black_box(join(&bundle, None)))
+    });
     group.bench_function("checked", |bench| bench.iter(|| black_box(check(&config))));
     group.bench_function("compiled", |bench| {
         bench.iter(|| black_box(View::new(config.clone(), String::new(), place())));
--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -101,10 +101,10 @@
         self.0.push(Finding { path, problem });
     }
 
-    fn name(&mut self, path: String, name: &str, seen: &mut HashSet<String>) {
+    fn name<'a>(&mut self, path: String, name: &'a str, seen: &mut HashSet<&'a str>) {
         if labels::check_label(name, "").is_err() || name.contains('/') {
             self.add(path, Problem::BadName { name: name.to_owned() });
-        } else if !seen.insert(name.to_owned()) {
+        } else if !seen.insert(name) {
             self.add(path, Problem::Duplicate { name: name.to_owned() });
         }
     }
--- a/src/config/diff.rs
+++ b/src/config/diff.rs
@@ -1,7 +1,8 @@
 //! What one configuration changes in another, for the audit trail and `stackmast diff`.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::fmt;
+use std::sync::Arc;
 
 use serde::Serialize;
 use serde_json::Value;
@@ -34,15 +35,60 @@
 /// All differences from `before` to `after`; members of lists are matched by name.
 pub fn diff(before: &Config, after: &Config) -> Vec<Change> {
     let mut changes = Vec::new();
-    compare("", &to_value(before), &to_value(after), &mut changes);
+    compare_members("endpoints", &before.endpoints, &after.endpoints, |e| &e.name, &mut changes);
+    let organisations = (&before.organisations, &after.organisations);
+    compare_members("organisations", organisations.0, organisations.1, |o| &o.name, &mut changes);
+    compare("", &rest(before), &rest(after), &mut changes);
     for change in &mut changes {
         change.path = change.path.trim_start_matches('.').to_owned();
     }
     changes
 }
 
-fn to_value(config: &Config) -> Value {
-    serde_json::to_value(config).unwrap_or(Value::Null)
+/// What is not in the two long lists.
+fn rest(config: &Config) -> Value {
+    let short = Config {
+        version: config.version,
+        pipelines: config.pipelines.clone(),
+        rules: config.rules.clone(),
+        limits: config.limits.clone(),
+        placements: config.placements.clone(),
+        policy: config.policy.clone(),
+        ..Config::default()
+    };
+    to_value(&short)
+}
+
+/// Only members that differ are looked into: two versions share nearly all of them.
+fn compare_members<T: Serialize + PartialEq>(
+    list: &str,
+    before: &[Arc<T>],
+    after: &[Arc<T>],
+    name: impl Fn(&T) -> &String,
+    changes: &mut Vec<Change>,
+) {
+    let old: HashMap<&str, &Arc<T>> = before.iter().map(|m| (name(m).as_str(), m)).collect();
+    let mut kept = HashSet::new();
+    for member in after {
+        let path = format!("{list}[{}]", name(member));
+        match old.get(name(member).as_str()) {
+            Some(other) => {
+                kept.insert(name(member).as_str());
+                if !Arc::ptr_eq(other, member) && other != &member {
+                    compare(&path, &to_value(other), &to_value(member), changes);
+                }
+            }
+            None => changes.push(Change { path, before: None, after: Some(to_value(member)) }),
+        }
+    }
+    for member in before.iter().filter(|m| !kept.contains(name(m).as_str())) {
+        let path = format!("{list}[{}]", name(member));
+        changes.push(Change { path, before: Some(to_value(member)), after: None });
+    }
+}
+
+fn to_value<T: Serialize>(value: &T) -> Value {
+    serde_json::to_value(value).unwrap_or(Value::Null)
 }
 
 fn compare(path: &str, before: &Value, after: &Value, changes: &mut Vec<Change>) {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -5,6 +5,8 @@
 pub mod labels;
 pub mod parts;
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 pub use labels::{Labels, Selector, SelectorError};
@@ -21,9 +23,9 @@
     /// The pipelines that callers may name.
     pub pipelines: Vec<Pipeline>,
     /// Every endpoint of the fleet.
-    pub endpoints: Vec<Endpoint>,
+    pub endpoints: Vec<Arc<Endpoint>>,
     /// Every organisation that may call.
-    pub organisations: Vec<Organisation>,
+    pub organisations: Vec<Arc<Organisation>>,
     /// Rules by selectors, in order; the first that matches decides, for each kind of effect.
     #[serde(default)]
     pub rules: Vec<Rule>,
--- a/src/config/parts.rs
+++ b/src/config/parts.rs
@@ -2,7 +2,8 @@
 //!
 //! A manifest names the version and the digest of every part, so that only changed parts travel.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
@@ -130,7 +131,7 @@
 }
 
 /// Everything that is neither an endpoint nor an organisation.
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Main {
     pipelines: Vec<Pipeline>,
@@ -173,9 +174,9 @@
 }
 
 /// Members go to shards by the hash of their names, so that one change touches one shard.
-fn shards<T: Serialize + Clone>(
+fn shards<T: Serialize>(
     prefix: &str,
-    members: &[T],
+    members: &[Arc<T>],
     name: impl Fn(&T) -> &String,
 ) -> Result<Vec<(String, Bytes)>, PartsError> {
     let count = members.len().div_ceil(SHARD_MEMBERS).next_power_of_two();
@@ -192,36 +193,70 @@
     encoded.collect()
 }
 
-/// Puts a configuration together; every part must be there and have its digest.
-pub fn join(bundle: &Bundle) -> Result<Config, PartsError> {
+/// The members of one part, as they are in the configuration.
+#[derive(Debug, Clone)]
+enum Members {
+    Main(Arc<Main>),
+    Endpoints(Vec<Arc<Endpoint>>),
+    Organisations(Vec<Arc<Organisation>>),
+}
+
+/// A configuration put together from parts; the next one shares what did not change.
+#[derive(Debug, Clone)]
+pub struct Assembled {
+    /// The configuration.
+    pub config: Arc<Config>,
+    members: HashMap<String, Members>,
+}
+
+/// Puts a configuration together; every part must be there and have its digest. Parts that `before`
+/// has are not read again, and their members are shared with it.
+pub fn join(bundle: &Bundle, before: Option<&Assembled>) -> Result<Assembled, PartsError> {
     bundle.manifest.verify()?;
     let mut config = Config { version: bundle.manifest.version, ..Config::default() };
+    let mut members = HashMap::with_capacity(bundle.manifest.parts.len());
     for entry in &bundle.manifest.parts {
-        let name = &entry.name;
-        let bytes = bundle.parts.get(&entry.digest).context(MissingSnafu { name })?;
-        let found = digest(bytes);
-        ensure!(found == entry.digest, DigestSnafu { name, found, expected: entry.digest.clone() });
-        add_part(&mut config, name, bytes)?;
+        let known = before.and_then(|b| b.members.get(&entry.digest)).cloned();
+        let part = match known {
+            Some(part) => part,
+            None => read_part(bundle, entry)?,
+        };
+        add_part(&mut config, &part);
+        members.insert(entry.digest.clone(), part);
     }
-    Ok(config)
+    Ok(Assembled { config: Arc::new(config), members })
 }
 
-fn add_part(config: &mut Config, name: &str, bytes: &[u8]) -> Result<(), PartsError> {
+fn read_part(bundle: &Bundle, entry: &PartEntry) -> Result<Members, PartsError> {
+    let name = &entry.name;
+    let bytes = bundle.parts.get(&entry.digest).context(MissingSnafu { name })?;
+    let found = digest(bytes);
+    ensure!(found == entry.digest, DigestSnafu { name, found, expected: entry.digest.clone() });
     if name == MAIN {
-        let main: Main = decode(name, bytes)?;
-        config.pipelines = main.pipelines;
-        config.rules = main.rules;
-        config.limits = main.limits;
-        config.placements = main.placements;
-        config.policy = main.policy;
+        Ok(Members::Main(decode(name, bytes)?))
     } else if name.starts_with(ENDPOINTS) {
-        config.endpoints.extend(decode::<Vec<Endpoint>>(name, bytes)?);
+        Ok(Members::Endpoints(decode(name, bytes)?))
     } else if name.starts_with(ORGANISATIONS) {
-        config.organisations.extend(decode::<Vec<Organisation>>(name, bytes)?);
+        Ok(Members::Organisations(decode(name, bytes)?))
     } else {
-        return UnknownKindSnafu { name }.fail();
+        UnknownKindSnafu { name }.fail()
+    }
+}
+
+fn add_part(config: &mut Config, part: &Members) {
+    match part {
+        Members::Main(main) => {
+            config.pipelines = main.pipelines.clone();
+            config.rules = main.rules.clone();
+            config.limits = main.limits.clone();
+            config.placements = main.placements.clone();
+            config.policy = main.policy.clone();
+        }
+        Members::Endpoints(endpoints) => config.endpoints.extend_from_slice(endpoints),
+        Members::Organisations(organisations) => {
+            config.organisations.extend_from_slice(organisations);
+        }
     }
-    Ok(())
 }
 
 fn decode<T: DeserializeOwned>(name: &str, bytes: &[u8]) -> Result<T, PartsError> {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,8 +1,9 @@
 //! What a gateway knows of the endpoints it uses: load, estimates, suspicion, incarnations.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
+use foldhash::HashMap;
+
 use crate::message::{Incarnation, Load, Timestamp};
 use crate::policy::predict::{Estimate, SizeClass};
 
--- a/src/keeper.rs
+++ b/src/keeper.rs
@@ -10,7 +10,7 @@
 use crate::config::Config;
 use crate::config::check::check;
 use crate::config::diff::diff;
-use crate::config::parts::{Bundle, PartsError, join};
+use crate::config::parts::{Assembled, Bundle, PartsError, join};
 use crate::invariant;
 use crate::invariant::Violation;
 use crate::metrics as m;
@@ -22,6 +22,7 @@
     pub config: Arc<Config>,
     /// Its manifest and parts, for peers.
     pub bundle: Bundle,
+    assembled: Assembled,
 }
 
 /// What became of a configuration that was offered.
@@ -133,29 +134,33 @@
         if version <= before {
             return Ok(if version == before { Outcome::Same } else { Outcome::Older });
         }
-        let checked = self.checked(&bundle);
-        let config = match checked {
-            Ok(config) => config,
+        let checked = self.checked(&bundle, current.as_deref());
+        let assembled = match checked {
+            Ok(assembled) => assembled,
             Err(rejection) => {
                 *rejected = Some(digest);
                 count("rejected");
                 return Err(rejection);
             }
         };
-        self.install(current.as_deref(), config, bundle, source);
+        self.install(current.as_deref(), assembled, bundle, source);
         Ok(Outcome::Accepted)
     }
 
-    fn checked(&self, bundle: &Bundle) -> Result<Config, Rejection> {
+    fn checked(
+        &self,
+        bundle: &Bundle,
+        current: Option<&Installed>,
+    ) -> Result<Assembled, Rejection> {
         let version = bundle.manifest.version;
-        let config = join(bundle).map_err(|source| {
+        let assembled = join(bundle, current.map(|c| &c.assembled)).map_err(|source| {
             let findings = vec![source.to_string()];
             self.audit.record(Change::ConfigRejected { version, findings });
             Rejection::Parts { source }
         })?;
-        let findings = check(&config);
+        let findings = check(&assembled.config);
         if findings.is_empty() {
-            return Ok(config);
+            return Ok(assembled);
         }
         let count = findings.len();
         let findings = findings.iter().map(ToString::to_string).collect();
@@ -163,7 +168,14 @@
         FindingsSnafu { version, count }.fail()
     }
 
-    fn install(&self, current: Option<&Installed>, config: Config, bundle: Bundle, source: &str) {
+    fn install(
+        &self,
+        current: Option<&Installed>,
+        assembled: Assembled,
+        bundle: Bundle,
+        source: &str,
+    ) {
+        let config = assembled.config.clone();
         let before = current.map_or(0, |c| c.config.version);
         let version = config.version;
         let violation = Violation::ConfigReverted { from: before, to: version };
@@ -180,7 +192,7 @@
         });
         count("accepted");
         metrics::gauge!(m::CONFIG_VERSION).set(version as f64);
-        self.installed.store(Some(Arc::new(Installed { config: Arc::new(config), bundle })));
+        self.installed.store(Some(Arc::new(Installed { config, bundle, assembled })));
         self.announced.send_replace(version);
     }
 }
--- a/src/view.rs
+++ b/src/view.rs
@@ -5,7 +5,9 @@
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::config::{Config, Effect, Endpoint, Labels, Name, Organisation, Pipeline, Rule, Stage};
+use crate::config::{
+    Config, Effect, Endpoint, Labels, Name, Organisation, Pipeline, Rule, Selector, Stage,
+};
 
 /// The share of a subset that is taken from the process's own data centre, where it has that many.
 const LOCAL_SHARE: f64 = 0.75;
@@ -64,22 +66,22 @@
     /// Who compiled it.
     pub place: Place,
     pipelines: HashMap<Name, Arc<PipelineView>>,
-    organisations: HashMap<Name, usize>,
+    /// Positions of the organisations, by their names.
+    organisations: Vec<u32>,
 }
 
 impl View {
     /// Compiles a checked configuration.
     pub fn new(config: Arc<Config>, digest: String, place: Place) -> Self {
         let mut pools = Pools { config: &config, place: &place, made: HashMap::new() };
-        let endpoints: Vec<Arc<Endpoint>> =
-            config.endpoints.iter().cloned().map(Arc::new).collect();
         let pipelines = config
             .pipelines
             .iter()
-            .map(|p| (p.name.clone(), Arc::new(compile(p, &config, &endpoints, &mut pools))))
+            .map(|p| (p.name.clone(), Arc::new(compile(p, &config, &mut pools))))
             .collect();
-        let organisations =
-            config.organisations.iter().enumerate().map(|(i, o)| (o.name.clone(), i)).collect();
+        let mut organisations: Vec<u32> = (0..config.organisations.len() as u32).collect();
+        let name = |i: &u32| config.organisations[*i as usize].name.as_str();
+        organisations.sort_unstable_by(|a, b| name(a).cmp(name(b)));
         Self { config, digest, place, pipelines, organisations }
     }
 
@@ -90,7 +92,9 @@
 
     /// The organisation of this name.
     pub fn organisation(&self, name: &str) -> Option<&Organisation> {
-        self.organisations.get(name).map(|&i| &self.config.organisations[i])
+        let at = |i: u32| &self.config.organisations[i as usize];
+        let found = self.organisations.binary_search_by(|i| at(*i).name.as_str().cmp(name)).ok()?;
+        Some(at(self.organisations[found]))
     }
 
     /// Every endpoint that is a member of some pool, once each.
@@ -126,16 +130,11 @@
     }
 }
 
-fn compile(
-    pipeline: &Pipeline,
-    config: &Config,
-    endpoints: &[Arc<Endpoint>],
-    pools: &mut Pools<'_>,
-) -> PipelineView {
+fn compile(pipeline: &Pipeline, config: &Config, pools: &mut Pools<'_>) -> PipelineView {
     let stages = pipeline.stages.iter().map(|stage| {
         let required = config.rules.iter().enumerate().filter_map(|(i, rule)| match &rule.effect {
             Effect::Require { stage: name, endpoints: only } if *name == stage.name => {
-                Some((i, pools.pool(stage, Some(only), endpoints)))
+                Some((i, pools.pool(stage, Some(only))))
             }
             _ => None,
         });
@@ -143,7 +142,7 @@
         StageView {
             stage: stage.clone(),
             key: xxh3_64(format!("{}/{}", pipeline.name, stage.name).as_bytes()),
-            pool: pools.pool(stage, None, endpoints),
+            pool: pools.pool(stage, None),
             required,
         }
     });
@@ -158,12 +157,7 @@
 }
 
 impl Pools<'_> {
-    fn pool(
-        &mut self,
-        stage: &Stage,
-        only: Option<&crate::config::Selector>,
-        endpoints: &[Arc<Endpoint>],
-    ) -> Arc<Pool> {
+    fn pool(&mut self, stage: &Stage, only: Option<&Selector>) -> Arc<Pool> {
         let selector = match only {
             Some(only) => format!("{},{only}", stage.endpoints),
             None => stage.endpoints.to_string(),
@@ -174,7 +168,7 @@
         let matches = |e: &&Arc<Endpoint>| {
             stage.endpoints.matches(&e.labels) && only.is_none_or(|s| s.matches(&e.labels))
         };
-        let matching: Vec<_> = endpoints.iter().filter(matches).collect();
+        let matching: Vec<_> = self.config.endpoints.iter().filter(matches).collect();
         let serving: Vec<_> = matching.iter().filter(|e| !e.leaving).copied().collect();
         let pool = Arc::new(Pool {
             selector: selector.clone(),
--- a/testbed/src/capacity.rs
+++ b/testbed/src/capacity.rs
@@ -1,5 +1,6 @@
 //! Slopes for docs/CAPACITY.md: memory, processor time and bytes of the real daemon, as sizes grow.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use snafu::{OptionExt, ResultExt, Snafu};
@@ -88,7 +89,9 @@
     let before = split(&config)?;
     let mut changed = config;
     changed.version += 1;
-    changed.organisations[0].labels.insert("changed".to_owned(), "yes".to_owned());
+    Arc::make_mut(&mut changed.organisations[0])
+        .labels
+        .insert("changed".to_owned(), "yes".to_owned());
     let after = split(&changed)?;
     let new = after.parts.iter().filter(|(digest, _)| !before.parts.contains_key(*digest));
     let change: usize = new.map(|(_, part)| part.len()).sum();
@@ -132,7 +135,7 @@
 }
 
 fn touch(config: &mut Config, i: u64) {
-    let organisation = &mut config.organisations[i as usize];
+    let organisation = Arc::make_mut(&mut config.organisations[i as usize]);
     organisation.labels.insert("changed".to_owned(), i.to_string());
 }
 
--- a/testbed/src/deployment.rs
+++ b/testbed/src/deployment.rs
@@ -1,5 +1,6 @@
 //! The two deployments of the brief, at their sizes or smaller, as configurations and stand-ins.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use stackmast::config::labels::Labels;
@@ -111,12 +112,13 @@
 }
 
 /// The five organisations of a user, the first of them large.
-pub fn organisations(prefix: &str) -> Vec<Organisation> {
+pub fn organisations(prefix: &str) -> Vec<Arc<Organisation>> {
     (0..5)
         .map(|i| Organisation {
             name: format!("{prefix}-{i}"),
             labels: labels(&[("size", if i == 0 { "large" } else { "small" })]),
         })
+        .map(Arc::new)
         .collect()
 }
 
@@ -273,8 +275,8 @@
     Config {
         version: 1,
         pipelines: pipelines.collect(),
-        endpoints: (0..endpoints).map(endpoint).collect(),
-        organisations: (0..organisations).map(organisation).collect(),
+        endpoints: (0..endpoints).map(endpoint).map(Arc::new).collect(),
+        organisations: (0..organisations).map(organisation).map(Arc::new).collect(),
         rules: rules.collect(),
         limits: limits.collect(),
         ..Config::default()
--- a/testbed/src/fleet.rs
+++ b/testbed/src/fleet.rs
@@ -283,7 +283,7 @@
             });
             let process =
                 fleet.start_process(program, &format!("{endpoint}-host"), settings, None)?;
-            fleet.config.endpoints[i].agent = process.internal;
+            Arc::make_mut(&mut fleet.config.endpoints[i]).agent = process.internal;
             fleet.agents.insert(endpoint, process);
         }
         fleet.platform.publish(&fleet.config)?;
@@ -312,7 +312,7 @@
         let process = self.start_process(program, &name, settings, None)?;
         let proxy = Proxy::start(self.own, process.internal).await;
         let proxy = proxy.context(IoSnafu { what: "start a proxy" })?;
-        self.config.endpoints.push(Endpoint {
+        self.config.endpoints.push(Arc::new(Endpoint {
             name: spec.name.clone(),
             kind: spec.kind(),
             agent: if proxied { proxy.address } else { process.internal },
@@ -321,7 +321,7 @@
             concurrency: spec.concurrency,
             cost: 1.0,
             leaving: false,
-        });
+        }));
         self.stand_ins.insert(spec.name.clone(), running);
         self.agents.insert(spec.name.clone(), process);
         self.agent_proxies.insert(spec.name.clone(), proxy);
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -79,7 +79,8 @@
     let config = many(10_000);
     let bundle = split(&config).expect("it is split");
     assert!(bundle.parts.values().all(|part| part.len() <= MAX_PART_LEN));
-    let mut joined = join(&bundle).expect("it is whole");
+    let joined = join(&bundle, None).expect("it is whole");
+    let mut joined = Config::clone(&joined.config);
     joined.organisations.sort_by(|a, b| a.name.cmp(&b.name));
     let mut expected = config;
     expected.organisations.sort_by(|a, b| a.name.cmp(&b.name));
@@ -90,25 +91,43 @@
 fn a_change_of_one_organisation_changes_one_part() {
     let before = split(&many(10_000)).expect("it is split");
     let mut config = many(10_000);
-    config.organisations[77].labels.insert("tier".to_owned(), "large".to_owned());
+    std::sync::Arc::make_mut(&mut config.organisations[77])
+        .labels
+        .insert("tier".to_owned(), "large".to_owned());
     let after = split(&config).expect("it is split");
     let new = after.parts.keys().filter(|digest| !before.parts.contains_key(*digest));
     assert_eq!(new.count(), 1);
 }
 
+#[test]
+fn members_of_unchanged_parts_are_shared_with_the_configuration_before() {
+    let mut config = many(1_000);
+    let first = join(&split(&config).expect("it is split"), None).expect("it is whole");
+    std::sync::Arc::make_mut(&mut config.organisations[7]).labels.clear();
+    let labels = [("tier".to_owned(), "large".to_owned())].into();
+    std::sync::Arc::make_mut(&mut config.organisations[7]).labels = labels;
+    config.version += 1;
+    let bundle = split(&config).expect("it is split");
+    let second = join(&bundle, Some(&first)).expect("it is whole");
+    let shared = second.config.organisations.iter().filter(|organisation| {
+        first.config.organisations.iter().any(|o| std::sync::Arc::ptr_eq(o, organisation))
+    });
+    assert!((800..1_000).contains(&shared.count()));
+}
+
 #[test]
 fn a_part_with_other_content_is_refused() {
     let mut bundle = split(&config(|_| ())).expect("it is split");
     let first = bundle.parts.keys().next().expect("a part").clone();
     bundle.parts.insert(first, Bytes::from_static(b"[]"));
-    assert!(join(&bundle).is_err());
+    assert!(join(&bundle, None).is_err());
 }
 
 #[test]
 fn a_missing_part_is_refused() {
     let mut bundle = split(&config(|_| ())).expect("it is split");
     bundle.parts.pop_first();
-    assert!(join(&bundle).is_err());
+    assert!(join(&bundle, None).is_err());
 }
 
 #[test]
@@ -155,7 +174,7 @@
         }
         if let Ok(config) = serde_json::from_value::<Config>(document) && check(&config).is_empty() {
             let bundle = split(&config).expect("a checked configuration is split");
-            join(&bundle).expect("and put together");
+            join(&bundle, None).expect("and put together");
         }
     }
 }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -259,7 +259,7 @@
             LeaveBy::Configuration => {
                 let leave = |config: &mut stackmast::config::Config| {
                     let llm = config.endpoints.iter_mut().find(|e| e.name == "llm-0");
-                    llm.expect("it is there").leaving = true;
+                    std::sync::Arc::make_mut(llm.expect("it is there")).leaving = true;
                 };
                 fleet.publish(leave).expect("published");
             }
--- a/tests/schedules/mod.rs
+++ b/tests/schedules/mod.rs
@@ -158,8 +158,8 @@
                 stage("generate", "model", true),
             ],
         }],
-        endpoints: endpoints.collect(),
-        organisations: vec![Organisation { name: "o".to_owned(), labels: labels(&[]) }],
+        endpoints: endpoints.map(Arc::new).collect(),
+        organisations: vec![Arc::new(Organisation { name: "o".to_owned(), labels: labels(&[]) })],
         ..Config::default()
     }
 }
