Admission looks at the whole pool; waiting attempts keep their place

Three causes, found in order by the reasons of the refusals: - Admission took the best single endpoint, which by an aged report always looked free, and did not see the requests still in earlier stages. - A waiting attempt was taken back after half of its time, also when all queues were as long, and then failed for want of a retry. - Predicted means met queues that differ between endpoints. Ruled out: a larger retry budget, which would only move the same work. Change: admission counts the gateway's admitted requests that still need a pool (times the gateways), takes 1.6 times the mean wait and 0.9 of the time; a waiting attempt is taken back only where another endpoint is predicted to be done in half of the time left, and that costs no retry; an agent does not begin what has less than half of the usual time left.

--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -12,6 +12,7 @@
 use stackmast::fleet::Fleet;
 use stackmast::message::{Incarnation, Load};
 use stackmast::policy::admit::{Candidate, admit};
+use stackmast::policy::demand::Demand;
 use stackmast::policy::limit::Limiter;
 use stackmast::policy::predict::SizeClass;
 use stackmast::policy::route::{Question, choose};
@@ -53,6 +54,7 @@
     let pipeline = view.pipeline("pipeline-0").expect("it is there");
     let labels: Labels = [("kind".to_owned(), "plan".to_owned())].into();
     let mut rng = rand::rngs::StdRng::seed_from_u64(1);
+    let demand = Demand::default();
     let mut limiter = Limiter::default();
     let mut number = 0;
 
@@ -69,7 +71,7 @@
                 left: Duration::from_secs(2),
                 gateways: 580,
             };
-            black_box(admit(&candidate, &fleet, &mut limiter, now, &mut rng))
+            black_box(admit(&candidate, &fleet, &demand, &mut limiter, now, &mut rng))
         });
     });
     criterion.bench_function("choose an endpoint among a subset of 20", |bench| {
--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -16,6 +16,11 @@
 use crate::policy::predict::Estimate;
 use crate::result::ResultBuffer;
 
+/// An attempt with less than this share of the usual time left is not begun.
+const HOPELESS_SHARE: f64 = 0.5;
+/// Results that must have been seen before that is judged.
+const HOPELESS_SAMPLES: u32 = 20;
+
 #[derive(Debug, Clone, PartialEq)]
 pub(super) enum Phase {
     Queued,
@@ -266,10 +271,21 @@
             let Some(ticket) = self.queue.pop() else {
                 return;
             };
+            if self.is_hopeless(ticket.deadline, now) {
+                let reason = AgentReason::DeadlinePassed;
+                self.end_refused(ticket.attempt, Ran::NotRun, reason, now);
+                continue;
+            }
             self.hand_over(ticket.attempt, now);
         }
     }
 
+    /// Whether an attempt would not be done by its deadline if it began now.
+    fn is_hopeless(&self, deadline: Timestamp, now: Timestamp) -> bool {
+        let needed = self.service.typical().mul_f64(HOPELESS_SHARE);
+        self.service.samples() >= HOPELESS_SAMPLES && deadline < now + needed
+    }
+
     /// From queued to handed over: after this, `not_run` is never said of the attempt again,
     /// unless its ticket's home refused it or no connection was made.
     fn hand_over(&mut self, id: AttemptId, now: Timestamp) {
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -25,6 +25,7 @@
 use crate::metrics as m;
 use crate::policy::admit::{Admitted, Candidate, admit, spread};
 use crate::policy::budget::RetryBudget;
+use crate::policy::demand::Demand;
 use crate::policy::explain::{Decision, Ledger, Record, Step};
 use crate::policy::limit::Limiter;
 use crate::policy::predict::SizeClass;
@@ -56,6 +57,7 @@
     pub(super) view: Option<Arc<View>>,
     pub(super) fleet: Fleet,
     pub(super) limiter: Limiter,
+    pub(super) demand: Demand,
     pub(super) budget: RetryBudget,
     pub(super) gateways: usize,
     pub(super) draining: bool,
@@ -79,6 +81,7 @@
             view: None,
             fleet: Fleet::default(),
             limiter: Limiter::default(),
+            demand: Demand::default(),
             budget: RetryBudget::default(),
             gateways: 1,
             draining: false,
@@ -117,6 +120,11 @@
         self.timers.first().map(|(at, _, _)| *at)
     }
 
+    /// What the requests in flight still need.
+    pub const fn demand(&self) -> &Demand {
+        &self.demand
+    }
+
     /// Requests in flight.
     pub fn in_flight(&self) -> usize {
         self.requests.len()
@@ -178,6 +186,7 @@
             Ok((view, admitted)) => {
                 let request = start(submission, view, admitted, record, now);
                 let deadline = request.deadline;
+                self.demand.add(&request.pools);
                 self.timers.insert((deadline, caller, Timer::Deadline));
                 self.requests.insert(caller, request);
                 self.dispatch(caller, now);
@@ -224,7 +233,8 @@
             left: time_allowed(submission, pipeline.pipeline.deadline_ms),
             gateways: self.gateways,
         };
-        let admitted = admit(&candidate, &self.fleet, &mut self.limiter, now, &mut self.rng)?;
+        let admitted =
+            admit(&candidate, &self.fleet, &self.demand, &mut self.limiter, now, &mut self.rng)?;
         Ok((view, admitted))
     }
 
@@ -310,6 +320,7 @@
         if request.is_last_stage() {
             return self.complete(caller, result, digest, now);
         }
+        self.demand.remove(&request.pools[request.stage..=request.stage]);
         request.stage += 1;
         request.input = result;
         request.tried.clear();
@@ -402,6 +413,7 @@
     fn remove(&mut self, caller: u64) -> Option<Request> {
         let request = self.requests.remove(&caller)?;
         self.timers.remove(&(request.deadline, caller, Timer::Deadline));
+        self.demand.remove(&request.pools[request.stage..]);
         let violation = Violation::AnsweredTwice { request: request.record.id.to_string() };
         invariant!(!request.record.is_ended(), violation);
         Some(request)
@@ -416,10 +428,10 @@
             match timer {
                 Timer::Deadline => self.give_up_late(caller, now),
                 Timer::Patience(id) if self.attempts.contains_key(&id) => {
-                    self.lose_patience(caller);
+                    self.lose_patience(caller, now);
                 }
                 Timer::Resume(id) if self.attempts.contains_key(&id) => self.resume(caller, now),
-                Timer::Silence(id) if self.is_unheard(id) => self.lose_patience(caller),
+                Timer::Silence(id) if self.is_unheard(id) => self.take_back(caller),
                 Timer::Stall(id) if self.attempts.contains_key(&id) => {
                     self.check_progress(caller, now);
                 }
--- a/src/gateway/recovery.rs
+++ b/src/gateway/recovery.rs
@@ -6,10 +6,11 @@
 
 use super::core::{GatewayCore, RETRY_AFTER, Timer};
 use super::event::{Action, EndpointChange};
-use super::request::{Progress, run_of};
+use super::request::{Progress, patience, run_of};
 use crate::message::{AgentReason, AttemptId, Incarnation, Revocation, Timestamp};
 use crate::metrics as m;
 use crate::policy::explain::Step;
+use crate::policy::route::{Question, choose};
 use crate::refusal::Reason;
 
 /// Calls resumed in vain before an attempt of a repeatable stage is left for another endpoint.
@@ -20,6 +21,10 @@
 const RESUME_LONGEST: Duration = Duration::from_millis(500);
 /// Stands for a call that is lost and not yet resumed.
 const NO_CALL: u64 = 0;
+/// A waiting attempt moves where another endpoint is predicted to need at most this share of the time left.
+const WELL_BEFORE: f64 = 0.5;
+/// A waiting attempt is not looked at again within this time.
+const SHORTEST_PATIENCE: Duration = Duration::from_millis(20);
 /// A begun attempt is stalled after this many times the time that such a stage usually takes.
 const STALL_FACTOR: u32 = 3;
 /// No attempt is stalled before this time.
@@ -68,8 +73,10 @@
         let Some(request) = self.requests.get(&caller) else {
             return;
         };
-        // A refusal for leaving is the fleet's doing and not an overload, so it costs no retry.
-        if reason != AgentReason::Leaving && !self.budget.spend() {
+        // What was taken back, or refused for leaving, was this fleet's own choice; no endpoint's
+        // time went into it, so it costs no retry.
+        let is_free = matches!(reason, AgentReason::Leaving | AgentReason::Revoked);
+        if !is_free && !self.budget.spend() {
             let stage = request.stage_view().stage.name.clone();
             return self.refuse(
                 caller,
@@ -173,8 +180,39 @@
         self.actions.push(Action::Run { endpoint, call, run });
     }
 
-    /// The attempt has waited its share of the time: it is taken back, to go elsewhere or nowhere.
-    pub(super) fn lose_patience(&mut self, caller: u64) {
+    /// The attempt has waited its share of the time: it is taken back where another endpoint is
+    /// predicted to be done well before the deadline; else it keeps its place in the queue.
+    pub(super) fn lose_patience(&mut self, caller: u64, now: Timestamp) {
+        let Some(request) = self.requests.get(&caller) else {
+            return;
+        };
+        let Some(attempt) = request.attempt.as_ref() else {
+            return;
+        };
+        let mut tried = request.tried.clone();
+        tried.push(attempt.endpoint.name.clone());
+        let question = Question {
+            view: &request.view,
+            stage: request.stage_view(),
+            rules: &request.rules,
+            size: request.size(),
+            tried: &tried,
+            turn: 0,
+            now,
+        };
+        let elsewhere = choose(&question, &self.fleet, &mut self.rng).predicted();
+        let left = request.deadline.saturating_sub(now);
+        if elsewhere.is_some_and(|time| time <= left.mul_f64(WELL_BEFORE)) {
+            return self.take_back(caller);
+        }
+        let again = patience(request, now);
+        if again > now + SHORTEST_PATIENCE {
+            self.timers.insert((again, caller, Timer::Patience(attempt.id)));
+        }
+    }
+
+    /// Asks the agent to give a waiting attempt back.
+    pub(super) fn take_back(&mut self, caller: u64) {
         let Some(attempt) = self.requests.get_mut(&caller).and_then(|r| r.attempt.as_mut()) else {
             return;
         };
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -85,6 +85,8 @@
     pub pipeline: Arc<PipelineView>,
     /// Positions of the rules that match it.
     pub rules: Vec<usize>,
+    /// The pools of its stages, by their keys.
+    pub pools: Vec<u64>,
     /// Its priority.
     pub priority: u8,
     /// When its caller stops waiting.
@@ -169,7 +171,9 @@
         left,
     };
     record.steps.push((now, step));
+    let pools = pipeline.stages.iter().map(|s| s.pool_under(&admitted.rules).0.key).collect();
     Request {
+        pools,
         input: submission.input.clone(),
         submission,
         view,
--- a/src/policy/admit.rs
+++ b/src/policy/admit.rs
@@ -4,9 +4,10 @@
 
 use rand::{Rng, RngExt};
 
+use super::demand::Demand;
 use super::limit::Limiter;
 use super::predict::SizeClass;
-use super::route::{Question, best_predicted};
+use super::route::{Question, predict_pool};
 use crate::config::{Effect, Labels, Organisation};
 use crate::fleet::Fleet;
 use crate::message::Timestamp;
@@ -20,6 +21,9 @@
 /// The shortest time to come back after a refusal for load.
 const RETRY_SHORTEST: Duration = Duration::from_millis(50);
 
+/// Predictions are means; this share of the time left makes room for what takes longer.
+const CONFIDENT_SHARE: f64 = 0.9;
+
 /// What admission looks at.
 #[derive(Debug, Clone, Copy)]
 pub struct Candidate<'a> {
@@ -56,12 +60,13 @@
 pub fn admit(
     candidate: &Candidate<'_>,
     fleet: &Fleet,
+    demand: &Demand,
     limiter: &mut Limiter,
     now: Timestamp,
     rng: &mut impl Rng,
 ) -> Result<Admitted, Refusal> {
     let mut admitted = apply_rules(candidate)?;
-    admitted.predicted = check_path(candidate, &admitted.rules, fleet, now, rng)?;
+    admitted.predicted = check_path(candidate, &admitted.rules, fleet, demand, now, rng)?;
     check_limits(candidate, limiter, now, rng)?;
     Ok(admitted)
 }
@@ -114,6 +119,7 @@
     candidate: &Candidate<'_>,
     rules: &[usize],
     fleet: &Fleet,
+    demand: &Demand,
     now: Timestamp,
     rng: &mut impl Rng,
 ) -> Result<Duration, Refusal> {
@@ -129,7 +135,8 @@
             turn: 0,
             now,
         };
-        let Some((predicted, _)) = best_predicted(&question, fleet) else {
+        let predicted = predict_pool(&question, fleet, demand, candidate.gateways);
+        let Some(predicted) = predicted else {
             let (pool, _) = stage.pool_under(rules);
             let reason = Reason::NoEndpoint {
                 stage: stage.stage.name.clone(),
@@ -144,7 +151,8 @@
             slowest = (predicted, &stage.stage.name);
         }
     }
-    if total <= candidate.left || !candidate.view.config.policy.admission {
+    let budget = candidate.left.mul_f64(CONFIDENT_SHARE);
+    if total <= budget || !candidate.view.config.policy.admission {
         return Ok(total);
     }
     let reason = Reason::WouldBeLate {
@@ -152,7 +160,7 @@
         left_ms: candidate.left.as_millis() as u64,
         slowest_stage: slowest.1.to_owned(),
     };
-    Err(Refusal::not_run(reason, spread(total - candidate.left, rng)))
+    Err(Refusal::not_run(reason, spread(total - budget, rng)))
 }
 
 /// Spreads the time to come back, so that callers refused together don't return together.
--- a/src/policy/explain.rs
+++ b/src/policy/explain.rs
@@ -65,6 +65,14 @@
     pub fn endpoint(&self) -> Option<&Arc<Endpoint>> {
         self.chosen.map(|i| &self.alternatives[i].endpoint)
     }
+
+    /// The predicted time to its result.
+    pub fn predicted(&self) -> Option<Duration> {
+        match self.chosen.map(|i| self.alternatives[i].verdict) {
+            Some(Verdict::Chosen { predicted }) => Some(predicted),
+            _ => None,
+        }
+    }
 }
 
 /// One thing that happened to a request.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admit;
 pub mod budget;
+pub mod demand;
 pub mod explain;
 pub mod limit;
 pub mod predict;
--- a/src/policy/route.rs
+++ b/src/policy/route.rs
@@ -1,17 +1,20 @@
 //! Chooses the endpoint of a stage: selectors give candidates, a few are compared by predicted finish.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use rand::seq::SliceRandom;
 use rand::{Rng, RngExt};
 
+use super::demand::Demand;
 use super::explain::{Alternative, Decision, Verdict};
 use super::predict::SizeClass;
 use crate::config::{Endpoint, Policy, Routing};
 use crate::fleet::{EndpointState, Fleet};
 use crate::message::Timestamp;
-use crate::view::{Pool, StageView, View};
+use crate::view::{StageView, View};
+
+/// Queues differ between the endpoints of a pool; admission takes this many times the mean wait.
+const WAITING_MARGIN: f64 = 1.6;
 
 /// What a choice depends on, besides the fleet.
 #[derive(Debug, Clone, Copy)]
@@ -169,14 +172,35 @@
     service + Duration::from_secs_f64(distance + waiting)
 }
 
-/// The smallest predicted time over a pool, for admission; `None` when nothing may run there.
-pub fn best_predicted(question: &Question<'_>, fleet: &Fleet) -> Option<(Duration, Arc<Pool>)> {
+/// The predicted time of a stage for a request that is admitted now, after all that were admitted
+/// before and `gateways` as many; `None` when nothing may run there.
+pub fn predict_pool(
+    question: &Question<'_>,
+    fleet: &Fleet,
+    demand: &Demand,
+    gateways: usize,
+) -> Option<Duration> {
     let (pool, _) = question.stage.pool_under(question.rules);
-    let best = pool
-        .members
-        .iter()
-        .filter(|e| !matches!(excluded(question, e, fleet), Some(Verdict::Leaving)))
-        .map(|e| predict(question, e, fleet))
-        .min()?;
-    Some((best, pool.clone()))
+    let mut best: Option<Duration> = None;
+    let mut slots = 0;
+    for endpoint in &pool.members {
+        let verdict = excluded(question, endpoint, fleet);
+        if verdict.is_some_and(|v| v == Verdict::Leaving) {
+            continue;
+        }
+        let predicted = predict(question, endpoint, fleet);
+        best = Some(best.map_or(predicted, |b| b.min(predicted)));
+        if verdict.is_none() {
+            slots += fleet
+                .get(&endpoint.name)
+                .map_or(endpoint.concurrency, |s| s.limit(endpoint.concurrency));
+        }
+    }
+    let best = best?;
+    let service = service_time(question, None, fleet).as_secs_f64();
+    let of_fleet = (pool.matching - pool.leaving) as f64 / pool.members.len() as f64;
+    let slots = f64::from(slots.max(1)) * of_fleet;
+    let before = f64::from(demand.of(pool.key)) * gateways as f64;
+    let waiting = (before + 1.0 - slots).max(0.0) / slots * service;
+    Some(best.max(Duration::from_secs_f64(service + waiting * WAITING_MARGIN)))
 }
--- a/src/tool.rs
+++ b/src/tool.rs
@@ -26,6 +26,7 @@
 use crate::fleet::Fleet;
 use crate::options::exit;
 use crate::policy::admit::{Admitted, Candidate, admit};
+use crate::policy::demand::Demand;
 use crate::policy::explain::{Decision, Explanation, Record, Step};
 use crate::policy::limit::Limiter;
 use crate::policy::predict::SizeClass;
@@ -339,7 +340,8 @@
     let mut rng = rand::rngs::StdRng::seed_from_u64(0);
     let fleet = Fleet::default();
     let now = Duration::ZERO;
-    let admitted = admit(candidate, &fleet, &mut Limiter::default(), now, &mut rng);
+    let mut limiter = Limiter::default();
+    let admitted = admit(candidate, &fleet, &Demand::default(), &mut limiter, now, &mut rng);
     let admitted: Admitted = match admitted {
         Ok(admitted) => admitted,
         Err(refusal) => return vec![Step::Refused(refusal)],
--- a/src/view.rs
+++ b/src/view.rs
@@ -24,6 +24,8 @@
 /// The endpoints that this process considers for a selector.
 #[derive(Debug)]
 pub struct Pool {
+    /// Identifies the pool: xxh3-64 of the selector.
+    pub key: u64,
     /// The selectors, as operators wrote them, joined.
     pub selector: String,
     /// The subset.
@@ -171,6 +173,7 @@
         let matching: Vec<_> = self.config.endpoints.iter().filter(matches).collect();
         let serving: Vec<_> = matching.iter().filter(|e| !e.leaving).copied().collect();
         let pool = Arc::new(Pool {
+            key: xxh3_64(selector.as_bytes()),
             selector: selector.clone(),
             matching: matching.len(),
             leaving: matching.len() - serving.len(),
--- a/tests/schedules/mod.rs
+++ b/tests/schedules/mod.rs
@@ -664,6 +664,9 @@
             }
         }
         for (i, node) in self.gateways.iter().enumerate() {
+            if !node.core.demand().is_empty() {
+                found.push(format!("gateway {i}: demand of no request"));
+            }
             if node.core.in_flight() > 0 {
                 found.push(format!("gateway {i}: {} still in flight", node.core.in_flight()));
             }
