A soak of real processes under random faults

Change: 'testbed soak' kills, freezes, cuts, slows, lists as leaving, and publishes from one seed under load, then checks the history and every process's count of violated invariants. The load tool keeps what callers saw.

--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod scenario;
 pub mod serve;
 pub mod service;
+pub mod soak;
--- a/testbed/src/load.rs
+++ b/testbed/src/load.rs
@@ -9,10 +9,12 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use tokio::time::Instant;
 
 use crate::client::{Ask, Client, ClientError, Reply};
-use crate::runs::expected_text;
+use crate::history::{SaidRan, Seen};
+use crate::runs::{Passed, expected_text};
 
 /// Most requests of one load; it stops by itself.
 pub const MAX_REQUESTS: usize = 200_000;
@@ -63,6 +65,10 @@
     pub ending: Ending,
     /// The reason of a refusal.
     pub reason: String,
+    /// What its caller saw.
+    pub seen: Seen,
+    /// The whole answer that it was to get.
+    pub expected: String,
     /// Time from when it was due to its last byte; waiting to be sent counts.
     pub took: Duration,
 }
@@ -99,8 +105,7 @@
         tasks.spawn(async move {
             let reply = ask(&client, &request).await;
             let took = (start.elapsed()).saturating_sub(request.at);
-            let (ending, reason) = judge(&request, reply, took);
-            let outcome = Outcome { planned: request, ending, reason, took };
+            let outcome = judge(request, reply, took);
             ended.lock().unwrap_or_else(PoisonError::into_inner).push(outcome);
         });
     }
@@ -124,30 +129,46 @@
     reply
 }
 
-fn judge(request: &Planned, reply: Result<Reply, ClientError>, took: Duration) -> (Ending, String) {
-    let Ok(reply) = reply else {
-        return (Ending::Nothing, "no answer".to_owned());
+fn judge(request: Planned, reply: Result<Reply, ClientError>, took: Duration) -> Outcome {
+    let expected = expected(&request.ask, reply.as_ref().ok());
+    let (ending, reason, seen) = match reply {
+        Err(_) => (Ending::Nothing, "no answer".to_owned(), Seen::Nothing),
+        Ok(reply) if reply.status == 200 => {
+            let text = reply.text();
+            let ending = match text == expected {
+                true if took <= request.deadline => Ending::InTime,
+                true => Ending::Late,
+                false => Ending::Wrong,
+            };
+            (ending, String::new(), Seen::Whole(text))
+        }
+        Ok(reply) => refused(&reply.json()),
     };
-    if reply.status != 200 {
-        let problem = reply.json();
-        let ending = match problem["ran"].as_str() {
-            Some("not_run") => Ending::NotRun,
-            Some("ran_in_part") => Ending::RanInPart,
-            _ => Ending::Unknown,
-        };
-        return (ending, problem["title"].as_str().unwrap_or_default().to_owned());
-    }
-    if !is_whole(&request.ask, &reply) {
-        return (Ending::Wrong, "wrong answer".to_owned());
-    }
-    let ending = if took <= request.deadline { Ending::InTime } else { Ending::Late };
-    (ending, String::new())
+    Outcome { planned: request, ending, reason, seen, expected, took }
 }
 
-/// Whether the answer is the whole one of its request, whichever kind its last stage is.
-fn is_whole(ask: &Ask, reply: &Reply) -> bool {
-    let text = reply.text();
-    text == expected_text(&ask.key, ask.tokens) || reply.json()["key"] == ask.key.as_str()
+fn refused(problem: &Value) -> (Ending, String, Seen) {
+    let (ending, ran) = match problem["ran"].as_str() {
+        Some("not_run") => (Ending::NotRun, SaidRan::NotRun),
+        Some("ran_in_part") => (Ending::RanInPart, SaidRan::InPart),
+        _ => (Ending::Unknown, SaidRan::Unknown),
+    };
+    let stages = problem["stages_run"].as_array().into_iter().flatten();
+    let stages_run = stages.filter_map(|s| s.as_str().map(str::to_owned)).collect();
+    let reason = problem["title"].as_str().unwrap_or_default().to_owned();
+    (ending, reason, Seen::Refused { ran, stages_run })
+}
+
+/// The whole answer: an engine's text, or what the last service makes of its input.
+fn expected(ask: &Ask, reply: Option<&Reply>) -> String {
+    let from_service = reply.is_some_and(|r| r.json().is_object());
+    if !from_service {
+        return expected_text(&ask.key, ask.tokens);
+    }
+    let stages = ["encode", "retrieve", "send"].map(str::to_owned).to_vec();
+    let passed =
+        Passed { key: ask.key.clone(), tokens: ask.tokens, stages, padding: String::new() };
+    serde_json::to_string(&passed).unwrap_or_default()
 }
 
 /// What a load came to.
--- a/testbed/src/options.rs
+++ b/testbed/src/options.rs
@@ -13,6 +13,7 @@
   hop                   the cost of the path itself, beside calling the endpoints directly
   capacity [N...]       slopes for docs/CAPACITY.md, with so many processes
   load FILE [POLICY...] a scenario under several policies, paired
+  soak                  real processes under random faults, and the check of the history
   stackmastd ARGS       the daemon, as part of this program
 ";
 
@@ -27,6 +28,7 @@
     parser.optopt("r", "rate", "requests a second", "N");
     parser.optopt("s", "seconds", "length of a round", "N");
     parser.optopt("n", "rounds", "rounds", "N");
+    parser.optopt("", "seed", "the seed of a soak", "N");
     parser.optflag("h", "help", "print this help");
     let matches = match parser.parse(args) {
         Ok(matches) => matches,
@@ -52,6 +54,11 @@
             let counts: Vec<_> = counts.iter().filter_map(|c| c.parse().ok()).collect();
             run(crate::capacity::run(&this_program(), &counts))
         }
+        ["soak"] => {
+            let (seconds, seed) =
+                (number(&matches, "seconds", 300.0), number(&matches, "seed", 1.0));
+            run(crate::soak::run(&this_program(), seconds, seed as u64))
+        }
         ["load", file, policies @ ..] => {
             let rounds = number(&matches, "rounds", 5.0) as u64;
             run(crate::scenario::compare(&this_program(), file.as_ref(), policies, rounds))
