A fleet that starts as a whole polls at its rate from the first moment

Every process waited half of its interval before its first poll, so for 7.5 s after a common start nobody polled. Ruled out by measurement: the neighbours. Change: the first poll comes after a random part of the interval.

--- a/src/spread.rs
+++ b/src/spread.rs
@@ -232,10 +232,13 @@
     }
 
     async fn poll_for_good(&self) {
+        // Also a fleet that starts as a whole polls at its rate from the first moment on.
+        let mut phases = 0.0..1.0;
         loop {
             let processes = self.peers().len() as f64 + 1.0;
             let every = CALLS_PER_POLL * processes / self.polls_per_second;
-            let phase = rand::rng().random_range(0.5..1.5);
+            let phase = rand::rng().random_range(phases);
+            phases = 0.5..1.5;
             tokio::time::sleep(Duration::from_secs_f64(every * phase)).await;
             // A failed poll shows in the counter of calls and in the platform's age.
             self.poll().await.ok();
--- a/testbed/src/capacity.rs
+++ b/testbed/src/capacity.rs
@@ -156,6 +156,7 @@
         fleet.wait_version(version).await?;
         times.push(start.elapsed().as_secs_f64());
     }
+    eprintln!("{processes} processes, seconds for each change in turn: {times:.2?}");
     times.sort_by(f64::total_cmp);
     let after = totals(&fleet).await?;
     let count = (processes + 1) as f64;
@@ -235,6 +236,12 @@
     for (endpoints, organisations) in [(300, 2_500), (3_000, 2_500), (3_000, 25_000)] {
         print_memory(program, endpoints, organisations).await?;
     }
+    println!(
+        "\n  rate  tokens  answered  gateway ms/request  all agents ms/request  MiB before    MiB after"
+    );
+    for (rate, tokens) in [(100.0, 4), (100.0, 64), (100.0, 128), (400.0, 4)] {
+        print_data_path(program, rate, tokens).await?;
+    }
     println!(
         "\nprocesses   median s   most s  ms a change   bytes in  bytes out  idle % core   MiB   calls"
     );
