--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use hyper::Method;
+use rand::{RngExt, SeedableRng};
 use stackmast_testbed::client::{Ask, Client};
 use stackmast_testbed::fleet::{ADMIN_TOKEN, Fleet};
 use test_case::test_case;
@@ -134,3 +135,28 @@
     let reply = fleet.admin(&fleet.gateways[0], Method::GET, "/v1/requests").await;
     assert!(reply.expect("a list").to_string().contains("caller_gone"));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn any_body_is_answered_in_kind_and_takes_nothing_from_others() {
+    let fleet = testenv::fleet(testenv::small()).await;
+    let client = Client::default();
+    let good =
+        br#"{"organisation":"keepers-0","input":{"key":"fuzz"},"labels":{},"deadline_ms":1}"#;
+    let mut rng = rand::rngs::StdRng::seed_from_u64(1);
+    for _ in 0..300 {
+        let mut body = good.to_vec();
+        for _ in 0..rng.random_range(1..6) {
+            let at = rng.random_range(0..body.len());
+            body[at] = rng.random();
+        }
+        body.truncate(rng.random_range(0..=body.len()));
+        let path = "/v1/pipelines/guest-reply";
+        let reply = client.call(Method::POST, fleet.callers(0), path, "", body).await;
+        let reply = reply.expect("an answer");
+        assert!(reply.status.is_client_error() || reply.status == 503, "{}", reply.text());
+        assert_eq!(reply.json()["ran"], "not_run");
+    }
+    assert!(fleet.runs.of_key("fuzz").is_empty());
+    let ask = Ask::new("guest-reply", "keepers-0", "guest");
+    testenv::assert_whole(&ask, &testenv::ask(&fleet, &ask).await);
+}
