--- a/src/admin.rs
+++ b/src/admin.rs
@@ -201,7 +201,7 @@
         data_centre: state.settings.data_centre.clone(),
         incarnation: state.incarnation.to_string(),
         uptime_s: state.started.elapsed().as_secs(),
-        config_version: state.spread.keeper().version(),
+        config_version: state.spread.store().version(),
         platform_age_s: state.spread.platform_age().map(|a| a.as_secs_f64()),
         peers: state.spread.peers().len(),
         in_flight: in_flight(&state.role).await.unwrap_or_default(),
@@ -313,7 +313,7 @@
 
 async fn config(ctx: &Context<'_>) -> WebResponse {
     let found = authorised(ctx).and_then(|state| {
-        let installed = state.spread.keeper().installed();
+        let installed = state.spread.store().installed();
         installed.ok_or_else(|| BadInput::Unknown { what: "a configuration".to_owned() })
     });
     respond(found.map(|installed| installed.config.clone()))
--- a/src/agent/orders.rs
+++ b/src/agent/orders.rs
@@ -12,7 +12,7 @@
 use super::endpoint::{EndpointClient, OrderAnswer};
 use crate::audit::{Audit, Change};
 use crate::config::{Config, Endpoint, EndpointKind};
-use crate::keeper::{Installed, Keeper};
+use crate::config_store::{ConfigStore, Installed};
 use crate::message::Incarnation;
 
 /// An order that can't be given is given again after this time; each further one after twice as long.
@@ -66,7 +66,7 @@
     /// Where orders go.
     pub client: EndpointClient,
     /// The configuration.
-    pub keeper: Arc<Keeper>,
+    pub store: Arc<ConfigStore>,
     /// The trail of changes.
     pub audit: Audit,
 }
@@ -74,7 +74,7 @@
 impl Orders {
     /// Gives an order whenever the configuration changes what is to be loaded.
     pub async fn run(self) {
-        let mut configs = self.keeper.subscribe();
+        let mut configs = self.store.subscribe();
         let mut loaded: Option<Vec<String>> = None;
         loop {
             configs.borrow_and_update();
@@ -101,7 +101,7 @@
     }
 
     fn wanted(&self) -> Option<(Arc<Installed>, Vec<String>)> {
-        let installed = self.keeper.installed()?;
+        let installed = self.store.installed()?;
         let load = desired(&installed.config, self.endpoint(&installed)?)?;
         Some((installed, load))
     }
@@ -122,7 +122,7 @@
         let mut wait = RETRY_FIRST;
         loop {
             // After a pause of this process, the order may be one of yesterday.
-            if self.keeper.version() > version {
+            if self.store.version() > version {
                 return false;
             }
             match self.client.order(&order).await {
--- a/src/keeper.rs
+++ b/src/config_store.rs
@@ -63,7 +63,7 @@
 
 /// The configuration of one process.
 #[derive(Debug)]
-pub struct Keeper {
+pub struct ConfigStore {
     installed: ArcSwapOption<Installed>,
     /// Serialises offers; holds the last rejected digest, so that it is recorded once.
     rejected: Mutex<Option<String>>,
@@ -71,8 +71,8 @@
     audit: Audit,
 }
 
-impl Keeper {
-    /// A keeper of nothing yet.
+impl ConfigStore {
+    /// A store of nothing yet.
     pub fn new(audit: Audit) -> Self {
         Self {
             installed: ArcSwapOption::empty(),
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -22,12 +22,12 @@
 use crate::audit::{Audit, Change};
 use crate::channels::Channels;
 use crate::config::{Config, EndpointKind};
+use crate::config_store::ConfigStore;
 use crate::gateway;
 use crate::gateway::core::GatewayCore;
 use crate::gateway::http::CallerState;
 use crate::gateway::shell::{Callers, GatewayShell};
 use crate::http::{ListenError, Listener};
-use crate::keeper::Keeper;
 use crate::logging;
 use crate::message::Incarnation;
 use crate::metrics as m;
@@ -101,12 +101,12 @@
         m::describe();
         let audit = Audit::new(logging::logger(&settings.host, role));
         let channels = Arc::<Channels>::default();
-        let keeper = Arc::new(Keeper::new(audit.clone()));
+        let store = Arc::new(ConfigStore::new(audit.clone()));
         let spread = Arc::new(Spread::new(spread::Setup {
             address: settings.internal,
             seeds: settings.peers.clone(),
             polls_per_second: settings.fleet_polls_per_second,
-            keeper,
+            store,
             platform: Platform::new(settings.platform),
             channels: channels.clone(),
             audit: audit.clone(),
@@ -228,11 +228,11 @@
     settings: Arc<Settings>,
 ) {
     spread.started().await;
-    let mut configs = spread.keeper().subscribe();
+    let mut configs = spread.store().subscribe();
     let mut hosts = spread.subscribe_hosts();
     let mut applied = 0;
     loop {
-        if let Some(installed) = spread.keeper().installed()
+        if let Some(installed) = spread.store().installed()
             && installed.config.version > applied
         {
             applied = installed.config.version;
@@ -266,7 +266,7 @@
         endpoint: endpoint.to_owned(),
         incarnation: base.incarnation,
         client: client.clone(),
-        keeper: base.spread.keeper().clone(),
+        store: base.spread.store().clone(),
         audit: base.audit.clone(),
     };
     let (shell, stages) = agent::shell::shell(
@@ -327,7 +327,7 @@
     settings: Arc<Settings>,
 ) {
     spread.started().await;
-    let mut configs = spread.keeper().subscribe();
+    let mut configs = spread.store().subscribe();
     let mut hosts = spread.subscribe_hosts();
     let mut was_leaving = None;
     loop {
@@ -336,7 +336,7 @@
             .hosts
             .iter()
             .any(|h| h.name == settings.host && h.state == HostState::Leaving);
-        if let Some(installed) = spread.keeper().installed() {
+        if let Some(installed) = spread.store().installed() {
             let leaving = configured.apply(&installed.config, listed_leaving).await;
             if was_leaving.replace(leaving) != Some(leaving) {
                 configured.note(leaving);
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -27,7 +27,7 @@
 use crate::policy::admit::{Admitted, Candidate, admit, spread};
 use crate::policy::budget::RetryBudget;
 use crate::policy::demand::Demand;
-use crate::policy::explain::{Decision, Ledger, Record, Step};
+use crate::policy::explain::{Decision, Record, RecordStore, Step};
 use crate::policy::limit::Limiter;
 use crate::policy::predict::SizeClass;
 use crate::policy::route::{Question, choose};
@@ -71,7 +71,7 @@
     pub(super) requests: HashMap<u64, Request>,
     pub(super) attempts: HashMap<AttemptId, u64>,
     pub(super) timers: BTreeSet<(Timestamp, u64, Timer)>,
-    pub(super) ledger: Ledger,
+    pub(super) records: RecordStore,
     pub(super) forget_at: Timestamp,
     pub(super) next_number: u64,
     pub(super) next_sequence: u64,
@@ -113,7 +113,7 @@
     pub fn new(setup: Setup) -> Self {
         Self {
             rng: StdRng::seed_from_u64(setup.seed),
-            ledger: Ledger::new(setup.records),
+            records: RecordStore::new(setup.records),
             setup,
             view: None,
             fleet: Fleet::default(),
@@ -165,7 +165,7 @@
 
     /// Ended requests that are still known, the newest first.
     pub fn recent(&self, count: usize) -> impl Iterator<Item = &Arc<Record>> {
-        self.ledger.recent(count)
+        self.records.recent(count)
     }
 
     /// The record of a request of this incarnation, in flight or ended.
@@ -176,7 +176,7 @@
         if let Some(request) = self.requests.values().find(|r| r.record.id == *id) {
             return Some(Arc::new(request.record.clone()));
         }
-        self.ledger.get(id.number).cloned()
+        self.records.get(id.number).cloned()
     }
 
     fn forget_unused(&mut self, now: Timestamp) {
@@ -214,7 +214,7 @@
             Err(refusal) => {
                 m::refused(&refusal);
                 record.steps.push((now, Step::Refused(refusal.clone())));
-                self.ledger.keep(record);
+                self.records.keep(record);
                 let answer = Answer::Refused { request: id, refusal };
                 self.actions.push(Action::Answer { caller, answer });
             }
@@ -368,7 +368,7 @@
         m::completed(now.saturating_sub(request.record.arrived), now <= request.deadline);
         request.record.steps.push((now, Step::Completed));
         let answer = Answer::Complete { request: request.record.id.clone(), result, digest };
-        self.ledger.keep(request.record);
+        self.records.keep(request.record);
         self.actions.push(Action::Answer { caller, answer });
     }
 
@@ -438,7 +438,7 @@
         m::refused(&refusal);
         request.record.steps.push((now, Step::Refused(refusal.clone())));
         let answer = Answer::Refused { request: request.record.id.clone(), refusal };
-        self.ledger.keep(request.record);
+        self.records.keep(request.record);
         self.actions.push(Action::Answer { caller, answer });
     }
 
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -59,7 +59,7 @@
     ) -> Result<Response<v1::ManifestReply>, Status> {
         let manifest = match request.into_inner().document.as_str() {
             CONFIG => {
-                let installed = self.spread.keeper().installed();
+                let installed = self.spread.store().installed();
                 installed.and_then(|i| serde_json::to_vec(&i.bundle.manifest).ok())
             }
             HOSTS => serde_json::to_vec(&*self.spread.hosts()).ok(),
@@ -74,7 +74,7 @@
         &self,
         request: Request<v1::PartsRequest>,
     ) -> Result<Response<Self::PartsStream>, Status> {
-        let installed = self.spread.keeper().installed();
+        let installed = self.spread.store().installed();
         let installed = installed.ok_or_else(|| Status::not_found("no configuration"))?;
         let (sender, receiver) = mpsc::channel(PARTS_BUFFERED);
         tokio::spawn(async move {
--- a/src/policy/explain.rs
+++ b/src/policy/explain.rs
@@ -154,13 +154,13 @@
 
 /// The bounded memory of requests; the oldest is let go of first.
 #[derive(Debug)]
-pub struct Ledger {
+pub struct RecordStore {
     records: HashMap<u64, Arc<Record>>,
     order: VecDeque<u64>,
     capacity: usize,
 }
 
-impl Ledger {
+impl RecordStore {
     /// A memory of `capacity` requests.
     pub fn new(capacity: usize) -> Self {
         Self { records: HashMap::new(), order: VecDeque::new(), capacity }
--- a/src/spread.rs
+++ b/src/spread.rs
@@ -19,7 +19,7 @@
 use crate::audit::{Audit, Change};
 use crate::channels::{Channels, ConnectError};
 use crate::config::parts::{Bundle, Manifest};
-use crate::keeper::{Keeper, Outcome, Rejection};
+use crate::config_store::{ConfigStore, Outcome, Rejection};
 use crate::metrics as m;
 use crate::platform::{HostList, HostState, Platform, PlatformError};
 use crate::wire::v1::peer_client::PeerClient;
@@ -90,7 +90,7 @@
     address: SocketAddr,
     seeds: Vec<SocketAddr>,
     polls_per_second: f64,
-    keeper: Arc<Keeper>,
+    store: Arc<ConfigStore>,
     hosts: ArcSwap<HostList>,
     hosts_announced: watch::Sender<u64>,
     platform: Platform,
@@ -111,7 +111,7 @@
     /// Calls a second of the whole fleet to the platform.
     pub polls_per_second: u32,
     /// The configuration.
-    pub keeper: Arc<Keeper>,
+    pub store: Arc<ConfigStore>,
     /// The platform.
     pub platform: Platform,
     /// Connections to peers.
@@ -127,7 +127,7 @@
             address: setup.address,
             seeds: setup.seeds,
             polls_per_second: f64::from(setup.polls_per_second),
-            keeper: setup.keeper,
+            store: setup.store,
             hosts: ArcSwap::from_pointee(HostList::default()),
             hosts_announced: watch::Sender::new(0),
             platform: setup.platform,
@@ -139,9 +139,9 @@
         }
     }
 
-    /// The configuration's keeper.
-    pub const fn keeper(&self) -> &Arc<Keeper> {
-        &self.keeper
+    /// The configuration's store.
+    pub const fn store(&self) -> &Arc<ConfigStore> {
+        &self.store
     }
 
     /// The newest host list that is known.
@@ -216,7 +216,7 @@
         offers.sort_by_key(|(_, manifest)| std::cmp::Reverse(manifest.version));
         for (source, manifest) in offers {
             let adopted = tokio::time::timeout(PEER_TIMEOUT, self.adopt(manifest, source)).await;
-            if adopted.is_ok_and(|a| a.is_ok()) && self.keeper.version() > 0 {
+            if adopted.is_ok_and(|a| a.is_ok()) && self.store.version() > 0 {
                 break;
             }
         }
@@ -257,7 +257,7 @@
     }
 
     async fn push_for_good(self: &Arc<Self>) {
-        let mut configs = self.keeper.subscribe();
+        let mut configs = self.store.subscribe();
         let mut hosts = self.subscribe_hosts();
         loop {
             tokio::select! {
@@ -312,17 +312,17 @@
         self.hosts_announced.send_replace(revision);
     }
 
-    /// Fetches the parts that a manifest changes and offers the whole to the keeper.
+    /// Fetches the parts that a manifest changes and offers the whole to the store.
     async fn adopt(&self, manifest: Manifest, source: Source) -> Result<(), PullError> {
-        if self.keeper.is_conflict(manifest.version, &manifest.digest) {
+        if self.store.is_conflict(manifest.version, &manifest.digest) {
             return Ok(());
         }
-        if !self.keeper.wants(manifest.version, &manifest.digest) {
+        if !self.store.wants(manifest.version, &manifest.digest) {
             return Ok(());
         }
         let parts = self.gather(&manifest, source).await?;
-        let outcome = self.keeper.offer(Bundle { manifest, parts }, &source.to_string())?;
-        debug_assert!(outcome != Outcome::Older || self.keeper.version() > 0);
+        let outcome = self.store.offer(Bundle { manifest, parts }, &source.to_string())?;
+        debug_assert!(outcome != Outcome::Older || self.store.version() > 0);
         Ok(())
     }
 
@@ -333,7 +333,7 @@
     ) -> Result<BTreeMap<String, Bytes>, PullError> {
         let mut parts = BTreeMap::new();
         let mut missing = Vec::new();
-        let installed = self.keeper.installed();
+        let installed = self.store.installed();
         for entry in &manifest.parts {
             let have = installed.as_ref().and_then(|i| i.bundle.parts.get(&entry.digest));
             match have {
@@ -405,7 +405,7 @@
 
     /// The versions of the documents in force here.
     pub fn versions(&self) -> Vec<v1::DocumentVersion> {
-        let config = self.keeper.installed();
+        let config = self.store.installed();
         let config = config.map(|i| v1::DocumentVersion {
             document: CONFIG.to_owned(),
             version: i.config.version,
@@ -452,11 +452,11 @@
         peer: SocketAddr,
         theirs: &v1::DocumentVersion,
     ) -> Result<(), PullError> {
-        if self.keeper.is_conflict(theirs.version, &theirs.digest) {
+        if self.store.is_conflict(theirs.version, &theirs.digest) {
             return Ok(());
         }
         let _one_at_a_time = self.pulling.lock().await;
-        if !self.keeper.wants(theirs.version, &theirs.digest) {
+        if !self.store.wants(theirs.version, &theirs.digest) {
             return Ok(());
         }
         let bytes = self.fetch_manifest(peer, CONFIG).await?;
