The retry budget's metric is set, as its page says

Ruled out: other such metrics; each of the rest is used (looked up by name). Change: it is set when the metrics are asked for, as the number in flight is. Before: no sample.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -153,6 +153,11 @@
     if let Ok(in_flight) = in_flight(&state.role).await {
         m::in_flight(in_flight);
     }
+    if let RoleHandle::Gateway(core) = &state.role
+        && let Ok(retries) = core.inspect(|core, _| core.retries_left()).await
+    {
+        m::retry_budget(retries);
+    }
     http::text(StatusCode::OK, state.metrics.render())
 }
 
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -121,6 +121,11 @@
     counter!(CONTROL_BYTES, "direction" => direction).increment(bytes as u64);
 }
 
+/// Retries that the budget holds.
+pub fn retry_budget(retries: f64) {
+    gauge!(RETRY_BUDGET).set(retries);
+}
+
 /// How many requests or attempts are in flight.
 pub fn in_flight(count: usize) {
     gauge!(IN_FLIGHT).set(count as f64);
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -72,6 +72,7 @@
 #[test_case("stackmast_requests_completed_total", "in_time=\"true\"", 1.0; "attainment")]
 #[test_case("stackmast_stage_cost_total", "stage=\"generate\"", 1.0; "cost by stage")]
 #[test_case("stackmast_requests_refused_total", "reason=\"unknown_organisation\"", 1.0; "refusals")]
+#[test_case("stackmast_retry_budget", "", 1.0; "what the retry budget holds")]
 #[test_case("stackmast_config_version", "", 1.0; "the configuration's version")]
 #[test_case("stackmast_platform_calls_total", "outcome=\"ok\"", 1.0; "calls to the platform")]
 fn a_gateway_counts(name: &str, labels: &str, least: f64) {
