--- /dev/null
+++ b/src/direct/client.rs
@@ -0,0 +1,81 @@
+//! What an adapter provides: calls to endpoints. What it gets: callers' messages, untouched.
+
+use std::future::Future;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::{HeaderMap, Method, StatusCode};
+
+use super::event::{BatchOutcome, CallFailure, CallOrder, PieceOrder, Proof};
+use super::message::Handle;
+use super::model::Endpoint;
+
+/// A caller's message as it is handed on.
+#[derive(Debug, Clone)]
+pub struct Forwarded {
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub target: String,
+    /// The head, without what belongs to one connection.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// The head of an endpoint's answer.
+#[derive(Debug, Clone)]
+pub struct AnswerHead {
+    /// The status.
+    pub status: StatusCode,
+    /// The head, without what belongs to one connection.
+    pub headers: HeaderMap,
+}
+
+/// An endpoint's answer broke off.
+pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
+
+/// What follows an answer's head.
+#[derive(Debug)]
+pub enum AnswerBody {
+    /// All of it.
+    Whole(Bytes),
+    /// It comes bit by bit.
+    Open(UnsyncBoxBody<Bytes, BodyError>),
+}
+
+/// An endpoint's answer.
+#[derive(Debug)]
+pub struct Answer {
+    /// What it proves.
+    pub proof: Proof,
+    /// Its head.
+    pub head: AnswerHead,
+    /// Its body.
+    pub body: AnswerBody,
+}
+
+/// Speaks to endpoints in their protocol.
+pub trait EndpointClient: Send + Sync + 'static {
+    /// Hands a request to an endpoint; dropping the future ends the connection.
+    fn call(
+        &self,
+        order: CallOrder,
+        request: Arc<Forwarded>,
+    ) -> impl Future<Output = Result<Answer, CallFailure>> + Send;
+
+    /// Has an endpoint make pieces.
+    fn batch(
+        &self,
+        endpoint: Arc<Endpoint>,
+        pieces: Vec<PieceOrder>,
+    ) -> impl Future<Output = BatchOutcome> + Send;
+
+    /// Tells an endpoint that results aren't needed any more.
+    fn free(
+        &self,
+        endpoint: Arc<Endpoint>,
+        handles: Vec<Handle>,
+    ) -> impl Future<Output = ()> + Send;
+}
--- /dev/null
+++ b/src/direct/core.rs
@@ -0,0 +1,373 @@
+//! The decisions of a gateway that calls endpoints directly, without I/O or clock.
+//!
+//! One core a process: what is published, who the other gateways are, callers' requests, and the
+//! pools of which this gateway is the owner.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use super::documents::{Documents, Merged, Revised};
+use super::event::{Action, Event};
+use super::members::{HEARTBEAT, MemberState, Members};
+use super::message::PeerMessage;
+use super::note::Note;
+use super::repeats::Bounds;
+use super::requests::Requests;
+use super::scheduler::Scheduler;
+use super::table::Table;
+use crate::actor::Core;
+use crate::message::Timestamp;
+
+/// A gateway that has seen less than another waits so long for its own publisher before it asks.
+const BEHIND: Duration = Duration::from_millis(100);
+/// After it was told to stop, a gateway takes requests on kept connections for so long.
+const STILL_TAKING: Duration = Duration::from_secs(3);
+
+/// What a gateway is made with.
+#[derive(Debug, Clone)]
+pub struct Setup {
+    /// Where its peers connect.
+    pub address: SocketAddr,
+    /// Its life; a later one is a larger number.
+    pub incarnation: u64,
+    /// Where it stands.
+    pub data_centre: super::model::Name,
+    /// Where it may meet others.
+    pub seeds: Vec<SocketAddr>,
+    /// The budget of repeats.
+    pub repeats: Bounds,
+    /// The seed of the random choices.
+    pub seed: u64,
+}
+
+/// What a gateway knows of a peer that has seen more.
+#[derive(Debug, Clone, Copy)]
+struct Behind {
+    peer: SocketAddr,
+    since: Timestamp,
+}
+
+/// One gateway.
+#[derive(Debug)]
+pub struct GatewayCore {
+    members: Members,
+    documents: Documents,
+    table: Table,
+    requests: Requests,
+    scheduler: Scheduler,
+    behind: Option<Behind>,
+    next_beat: Timestamp,
+    draining_since: Option<Timestamp>,
+    is_ready: bool,
+    rng: StdRng,
+    out: Vec<Action>,
+}
+
+impl GatewayCore {
+    /// A gateway that knows nothing yet.
+    pub fn new(setup: Setup) -> Self {
+        Self {
+            members: Members::new(setup.address, setup.incarnation, setup.seeds),
+            documents: Documents::default(),
+            table: Table::default(),
+            requests: Requests::new(
+                setup.address,
+                setup.incarnation,
+                setup.data_centre,
+                setup.repeats,
+            ),
+            scheduler: Scheduler::new(setup.repeats),
+            behind: None,
+            next_beat: Timestamp::ZERO,
+            draining_since: None,
+            is_ready: false,
+            rng: StdRng::seed_from_u64(setup.seed),
+            out: vec![Action::Note(Note::Started { incarnation: setup.incarnation })],
+        }
+    }
+
+    /// Requests and jobs that are not over.
+    pub fn in_flight(&self) -> usize {
+        self.requests.len() + self.scheduler.jobs()
+    }
+
+    /// Members that are taken for alive, besides this one.
+    pub fn peers(&self) -> usize {
+        self.members.alive().count()
+    }
+
+    /// What is known and compiled.
+    pub const fn table(&self) -> &Table {
+        &self.table
+    }
+
+    fn on_event(&mut self, event: Event, now: Timestamp) {
+        match event {
+            Event::Submit { caller, incoming } => {
+                let draining = self.draining_since.is_some_and(|s| now >= s + STILL_TAKING);
+                let known = self.documents.is_complete();
+                self.requests.submit(caller, incoming, &self.table, known, draining, now);
+            }
+            Event::CallerGone { caller } => self.requests.caller_gone(caller, now),
+            Event::Answered { caller, attempt, proof, is_open } => {
+                self.requests.answered(caller, attempt, proof, is_open, &self.table, now);
+            }
+            Event::CallFailed { caller, attempt, failure } => {
+                self.requests.call_failed(caller, attempt, failure, &self.table, now);
+            }
+            Event::FirstEvent { caller } => self.requests.first_event(caller),
+            Event::StreamEnded { caller, attempt, whole, last_event } => {
+                self.requests.stream_ended(caller, attempt, whole, last_event, &self.table, now);
+            }
+            Event::BatchEnded { call, outcome } => {
+                self.scheduler.batch_ended(call, outcome, &self.table, now);
+            }
+            Event::Peer { from, message } => self.on_peer(from, message, now),
+            Event::PeerBroke { address, incarnation } => {
+                if self.members.broke(address, incarnation, now) {
+                    self.peer_lost(address, incarnation, "connection broke", now);
+                }
+            }
+            Event::PeerUnreachable { address } => self.on_unreachable(address, now),
+            Event::Published { documents, whole_at } => {
+                let merged = match whole_at {
+                    Some(at) => self.documents.merge_list(documents, at, now),
+                    None => self.documents.merge(documents, now),
+                };
+                self.merged(&merged, "publisher", true);
+            }
+            Event::Publisher { answers } => self.note(Note::Publisher { answers }),
+            Event::Seeds(seeds) => self.members.set_seeds(seeds),
+            Event::Drain => self.drain(now),
+            Event::Tick => {}
+        }
+    }
+
+    fn note(&mut self, note: Note) {
+        self.out.push(Action::Note(note));
+    }
+
+    fn drain(&mut self, now: Timestamp) {
+        if self.draining_since.is_none() {
+            self.draining_since = Some(now);
+            self.note(Note::Stopping);
+            self.next_beat = now;
+        }
+    }
+
+    fn on_peer(&mut self, from: SocketAddr, message: PeerMessage, now: Timestamp) {
+        match message {
+            PeerMessage::Gossip { members, seen, complete } => {
+                for member in self.members.hear(&members, now) {
+                    self.note(Note::Peer {
+                        address: member.address,
+                        incarnation: member.incarnation,
+                        alive: true,
+                        cause: "heard",
+                    });
+                }
+                let lacks_list = complete && !self.documents.is_complete();
+                if lacks_list || self.documents.seen().is_behind(&seen) {
+                    let since = self.behind.map_or(now, |b| b.since);
+                    self.behind = Some(Behind { peer: from, since });
+                }
+            }
+            PeerMessage::Pull { seen } => {
+                let documents = self.documents.newer_than(seen);
+                let complete = self.documents.is_complete();
+                self.tell(from, PeerMessage::Documents { documents, complete });
+            }
+            PeerMessage::Documents { documents, complete } => {
+                self.on_documents(from, documents, complete, now);
+            }
+            PeerMessage::Submit(job) if self.members.own().state == MemberState::Serving => {
+                self.scheduler.submit(*job, &self.table, now);
+            }
+            PeerMessage::Submit(job) => {
+                let message = PeerMessage::GivenUp {
+                    job: job.id,
+                    reason: super::message::JobReason::NotOwner,
+                    untouched: true,
+                    retry_after: Duration::ZERO,
+                };
+                self.tell(from, message);
+            }
+            PeerMessage::Release(job) => self.scheduler.release(job, &self.table),
+            PeerMessage::Accepted(job) => self.requests.accepted(job, from),
+            PeerMessage::StageDone { job, stage, results } => {
+                self.requests.stage_done(job, from, stage, results);
+            }
+            PeerMessage::Ready(job) => self.requests.ready(job, from, &self.table, now),
+            PeerMessage::GivenUp { job, reason, untouched, retry_after } => {
+                self.requests.given_up(job, from, reason, untouched, retry_after, now);
+            }
+        }
+    }
+
+    fn on_documents(
+        &mut self,
+        from: SocketAddr,
+        documents: Vec<Revised>,
+        complete: bool,
+        now: Timestamp,
+    ) {
+        let merged = self.documents.merge(documents, now);
+        if complete {
+            self.documents.note_listed();
+        }
+        self.merged(&merged, &from.to_string(), false);
+    }
+
+    fn merged(&mut self, merged: &Merged, source: &str, spread: bool) {
+        if let Some(before) = merged.deployment {
+            let version = self.documents.deployment().version;
+            self.note(Note::Configured { version, before, source: source.to_owned() });
+            self.out.push(Action::Limits(self.documents.deployment().limits.clone()));
+        }
+        for id in &merged.endpoints {
+            let entry = self.documents.endpoints().find(|e| e.id == *id);
+            let state = entry.map_or("gone", |e| if e.leaving { "leaving" } else { "listed" });
+            let (endpoint, source) = (id.clone(), source.to_owned());
+            self.out.push(Action::Note(Note::Endpoint { endpoint, state, source }));
+        }
+        if merged.is_empty() {
+            return;
+        }
+        self.table = Table::new(self.documents.deployment().clone(), self.documents.endpoints());
+        self.requests.changed(&self.table);
+        self.scheduler.changed(&self.table);
+        if spread {
+            self.next_beat = Timestamp::ZERO;
+        }
+    }
+
+    fn on_unreachable(&mut self, address: SocketAddr, now: Timestamp) {
+        let alive = self.members.alive().find(|m| m.address == address);
+        if let Some(incarnation) = alive.map(|m| m.incarnation)
+            && self.members.broke(address, incarnation, now)
+        {
+            self.peer_lost(address, incarnation, "unreachable", now);
+        }
+    }
+
+    fn peer_lost(
+        &mut self,
+        address: SocketAddr,
+        incarnation: u64,
+        cause: &'static str,
+        now: Timestamp,
+    ) {
+        self.note(Note::Peer { address, incarnation, alive: false, cause });
+        let is_gone =
+            |job: &super::message::JobId| job.gateway == address && job.incarnation == incarnation;
+        self.scheduler.release_all_of(is_gone, &self.table);
+        self.requests.owner_lost(address, incarnation, &self.members, now);
+    }
+
+    fn tell(&mut self, to: SocketAddr, message: PeerMessage) {
+        self.out.push(Action::Tell { to, message });
+    }
+
+    fn housekeeping(&mut self, now: Timestamp) {
+        for member in self.members.expire(now) {
+            self.peer_lost(member.address, member.incarnation, "silent", now);
+        }
+        self.update_state();
+        if now >= self.next_beat {
+            self.next_beat = now + HEARTBEAT;
+            self.beat();
+        }
+        self.catch_up(now);
+        self.scheduler.set_processes(self.members.known());
+        self.scheduler.look(&self.table, now);
+        self.requests.look(&self.table, &self.members, now);
+    }
+
+    fn update_state(&mut self) {
+        let draining = self.draining_since.is_some();
+        let ready = self.documents.is_complete() && !draining;
+        let state = match (draining, ready) {
+            (true, _) => MemberState::Leaving,
+            (false, true) => MemberState::Serving,
+            (false, false) => MemberState::Starting,
+        };
+        if self.members.set_state(state) {
+            self.next_beat = Timestamp::ZERO;
+        }
+        if ready != self.is_ready {
+            self.is_ready = ready;
+            self.out.push(Action::Ready(ready));
+            self.note(Note::Ready { ready });
+        }
+    }
+
+    fn beat(&mut self) {
+        let to = self.members.beat(&mut self.rng);
+        let message = PeerMessage::Gossip {
+            members: self.members.digest(),
+            seen: self.documents.seen(),
+            complete: self.documents.is_complete(),
+        };
+        for address in to {
+            self.tell(address, message.clone());
+        }
+    }
+
+    /// Asks the peer that has seen more, unless the own publisher has caught up meanwhile.
+    fn catch_up(&mut self, now: Timestamp) {
+        let Some(behind) = self.behind else {
+            return;
+        };
+        let complete = self.documents.is_complete();
+        if complete && now < behind.since + BEHIND {
+            return;
+        }
+        self.behind = None;
+        let mut seen = self.documents.seen();
+        if !complete {
+            seen = super::documents::Seen::default();
+        }
+        self.tell(behind.peer, PeerMessage::Pull { seen });
+    }
+
+    /// Carries messages to the own scheduler or requests without the network.
+    fn collect(&mut self, now: Timestamp) -> Vec<Action> {
+        let own = self.members.own().address;
+        let mut actions = Vec::new();
+        loop {
+            let mut produced = std::mem::take(&mut self.out);
+            produced.extend(self.requests.actions(&self.members, &mut self.rng, now));
+            produced.extend(self.scheduler.actions(&self.table, now));
+            if produced.is_empty() {
+                return actions;
+            }
+            for action in produced {
+                match action {
+                    Action::Tell { to, message } if to == own => self.on_peer(own, message, now),
+                    action => actions.push(action),
+                }
+            }
+        }
+    }
+}
+
+impl Core for GatewayCore {
+    type Event = Event;
+    type Action = Action;
+    const TICK: Event = Event::Tick;
+
+    fn handle(&mut self, event: Event, now: Timestamp) -> Vec<Action> {
+        self.on_event(event, now);
+        self.housekeeping(now);
+        self.collect(now)
+    }
+
+    fn next_wakeup(&self) -> Option<Timestamp> {
+        let wakeups = [self.scheduler.next_wakeup(), self.requests.next_wakeup()];
+        let behind = self.behind.map(|b| b.since + BEHIND);
+        wakeups.into_iter().flatten().chain(behind).chain([self.next_beat]).min()
+    }
+}
--- /dev/null
+++ b/src/direct/documents.rs
@@ -0,0 +1,205 @@
+//! The published documents that one process has seen, by revision; revisions only grow.
+//!
+//! Documents come from the publisher's store and from other gateways, in any order and more than
+//! once; the highest revision of each wins, so both sources merge without agreement.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::model::{Deployment, Endpoint, Name};
+use crate::message::Timestamp;
+
+/// How long the mark of an endpoint that is gone is kept.
+const GONE_KEPT: Duration = Duration::from_secs(120);
+
+/// One document as it was written.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Document {
+    /// The configuration.
+    Deployment(Arc<Deployment>),
+    /// An endpoint's entry.
+    Endpoint(Arc<Endpoint>),
+    /// An endpoint's entry was taken away.
+    Gone(Name),
+}
+
+/// A document with the store's revision of it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Revised {
+    /// The revision of its last change.
+    pub revision: u64,
+    /// The document.
+    pub document: Document,
+}
+
+/// The highest revisions that a process has seen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Default)]
+pub struct Seen {
+    /// The configuration's version.
+    pub version: u64,
+    /// Of all entries of endpoints.
+    pub endpoints: u64,
+}
+
+impl Seen {
+    /// Whether `other` has something that this lacks.
+    pub const fn is_behind(&self, other: &Self) -> bool {
+        self.version < other.version || self.endpoints < other.endpoints
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Entry {
+    revision: u64,
+    endpoint: Option<Arc<Endpoint>>,
+    since: Timestamp,
+}
+
+/// What a merge changed.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Merged {
+    /// A newer configuration is in force; the version before.
+    pub deployment: Option<u64>,
+    /// Endpoints that are new, changed or gone.
+    pub endpoints: Vec<Name>,
+}
+
+impl Merged {
+    /// Whether nothing changed.
+    pub fn is_empty(&self) -> bool {
+        self.deployment.is_none() && self.endpoints.is_empty()
+    }
+}
+
+/// The documents of one process.
+#[derive(Debug, Default)]
+pub struct Documents {
+    deployment: Arc<Deployment>,
+    deployment_revision: u64,
+    endpoints: BTreeMap<Name, Entry>,
+    seen: Seen,
+    /// Whether the list of endpoints was ever read as a whole.
+    listed: bool,
+}
+
+impl Documents {
+    /// The configuration in force; version 0 where there is none.
+    pub const fn deployment(&self) -> &Arc<Deployment> {
+        &self.deployment
+    }
+
+    /// The endpoints that are listed.
+    pub fn endpoints(&self) -> impl Iterator<Item = &Arc<Endpoint>> + Clone {
+        self.endpoints.values().filter_map(|e| e.endpoint.as_ref())
+    }
+
+    /// The highest revisions seen.
+    pub const fn seen(&self) -> Seen {
+        self.seen
+    }
+
+    /// Whether a configuration and a whole list of endpoints were had.
+    pub const fn is_complete(&self) -> bool {
+        self.seen.version > 0 && self.listed
+    }
+
+    /// Takes documents in; older ones change nothing.
+    pub fn merge(&mut self, documents: Vec<Revised>, now: Timestamp) -> Merged {
+        let mut merged = Merged::default();
+        for Revised { revision, document } in documents {
+            match document {
+                Document::Deployment(deployment) => {
+                    merged.deployment = self.install(revision, deployment).or(merged.deployment);
+                }
+                Document::Endpoint(endpoint) => {
+                    let id = endpoint.id.clone();
+                    self.set(id, revision, Some(endpoint), now, &mut merged);
+                }
+                Document::Gone(id) => self.set(id, revision, None, now, &mut merged),
+            }
+        }
+        merged
+    }
+
+    /// Takes in the whole list as it stood at revision `at`: what it lacks is gone.
+    pub fn merge_list(&mut self, documents: Vec<Revised>, at: u64, now: Timestamp) -> Merged {
+        let listed: Vec<Name> = documents
+            .iter()
+            .filter_map(|d| match &d.document {
+                Document::Endpoint(endpoint) => Some(endpoint.id.clone()),
+                _ => None,
+            })
+            .collect();
+        let mut merged = self.merge(documents, now);
+        let missing: Vec<Name> = self
+            .endpoints
+            .iter()
+            .filter(|(id, e)| e.endpoint.is_some() && e.revision < at && !listed.contains(id))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in missing {
+            self.set(id, at, None, now, &mut merged);
+        }
+        self.listed = true;
+        merged
+    }
+
+    /// What a process that has seen `since` lacks.
+    pub fn newer_than(&self, since: Seen) -> Vec<Revised> {
+        let mut documents = Vec::new();
+        if self.seen.version > since.version {
+            let document = Document::Deployment(self.deployment.clone());
+            documents.push(Revised { revision: self.deployment_revision, document });
+        }
+        for (id, entry) in self.endpoints.iter().filter(|(_, e)| e.revision > since.endpoints) {
+            let document = match &entry.endpoint {
+                Some(endpoint) => Document::Endpoint(endpoint.clone()),
+                None => Document::Gone(id.clone()),
+            };
+            documents.push(Revised { revision: entry.revision, document });
+        }
+        documents
+    }
+
+    /// A peer sent what it has beyond what this process had seen.
+    pub const fn note_listed(&mut self) {
+        self.listed = true;
+    }
+
+    fn install(&mut self, revision: u64, deployment: Arc<Deployment>) -> Option<u64> {
+        let before = self.seen.version;
+        if deployment.version <= before {
+            return None;
+        }
+        self.seen.version = deployment.version;
+        self.deployment_revision = revision;
+        self.deployment = deployment;
+        Some(before)
+    }
+
+    fn set(
+        &mut self,
+        id: Name,
+        revision: u64,
+        endpoint: Option<Arc<Endpoint>>,
+        now: Timestamp,
+        merged: &mut Merged,
+    ) {
+        self.seen.endpoints = self.seen.endpoints.max(revision);
+        let known = self.endpoints.get(&id);
+        if known.is_some_and(|k| k.revision >= revision) {
+            return;
+        }
+        if known.is_none() && endpoint.is_none() {
+            return;
+        }
+        if known.is_none_or(|k| k.endpoint != endpoint) {
+            merged.endpoints.push(id.clone());
+        }
+        self.endpoints.insert(id, Entry { revision, endpoint, since: now });
+        self.endpoints.retain(|_, e| e.endpoint.is_some() || now < e.since + GONE_KEPT);
+    }
+}
--- /dev/null
+++ b/src/direct/endpoints.rs
@@ -0,0 +1,136 @@
+//! What one gateway has observed of the endpoints that it calls itself.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::model::{Endpoint, Name};
+use crate::message::Timestamp;
+use crate::policy::place::Place;
+
+/// The first time that an endpoint which failed is avoided; doubles with each failure in a row.
+const FIRST_AVOIDANCE: Duration = Duration::from_millis(500);
+/// The longest time that an endpoint is avoided.
+const LONGEST_AVOIDANCE: Duration = Duration::from_secs(4);
+/// An endpoint that said it was full is passed over for so long.
+const FULL_PAUSE: Duration = Duration::from_millis(60);
+/// A report of load is used for so long.
+const REPORT_KEPT: Duration = Duration::from_secs(1);
+/// The weight of a new measurement.
+const NEW_WEIGHT: f64 = 0.2;
+/// Failures of so large a share of the last calls make an endpoint avoided.
+const FAILING_SHARE: f64 = 0.25;
+
+/// One endpoint as seen from here.
+#[derive(Debug, Clone, Default)]
+struct Observed {
+    in_flight: u32,
+    reported: Option<(u32, Timestamp)>,
+    avoided_until: Timestamp,
+    failures: u32,
+    failing: f64,
+    answer_time: Option<f64>,
+}
+
+/// The endpoints that one gateway has called.
+#[derive(Debug, Default)]
+pub struct Observations {
+    observed: HashMap<Name, Observed>,
+}
+
+impl Observations {
+    fn entry(&mut self, endpoint: &Name) -> &mut Observed {
+        self.observed.entry(endpoint.clone()).or_default()
+    }
+
+    /// A call was sent.
+    pub fn sent(&mut self, endpoint: &Name) {
+        self.entry(endpoint).in_flight += 1;
+    }
+
+    /// A call ended.
+    pub fn ended(&mut self, endpoint: &Name) {
+        let observed = self.entry(endpoint);
+        observed.in_flight = observed.in_flight.saturating_sub(1);
+    }
+
+    /// An endpoint told its load: requests that run and wait.
+    pub fn reported(&mut self, endpoint: &Name, load: u32, now: Timestamp) {
+        self.entry(endpoint).reported = Some((load, now));
+    }
+
+    /// An endpoint answered well after this time.
+    pub fn answered(&mut self, endpoint: &Name, took: Duration) {
+        let observed = self.entry(endpoint);
+        observed.failures = 0;
+        observed.failing *= 1.0 - NEW_WEIGHT;
+        let took = took.as_secs_f64();
+        let before = observed.answer_time.unwrap_or(took);
+        observed.answer_time = Some(before + (took - before) * NEW_WEIGHT);
+    }
+
+    /// An endpoint is full: it is passed over for a moment.
+    pub fn full(&mut self, endpoint: &Name, now: Timestamp) {
+        let observed = self.entry(endpoint);
+        observed.avoided_until = observed.avoided_until.max(now + FULL_PAUSE);
+    }
+
+    /// An endpoint failed; says whether it is newly avoided.
+    pub fn failed(&mut self, endpoint: &Name, now: Timestamp) -> bool {
+        let observed = self.entry(endpoint);
+        observed.failures += 1;
+        observed.failing += (1.0 - observed.failing) * NEW_WEIGHT;
+        if observed.failures < 2 && observed.failing < FAILING_SHARE {
+            return false;
+        }
+        let was_avoided = observed.avoided_until > now;
+        let pause = FIRST_AVOIDANCE * 2u32.saturating_pow(observed.failures.min(6));
+        observed.avoided_until = now + pause.min(LONGEST_AVOIDANCE);
+        !was_avoided
+    }
+
+    /// An endpoint can't be reached at all; says whether it is newly avoided.
+    pub fn unreachable(&mut self, endpoint: &Name, now: Timestamp) -> bool {
+        let observed = self.entry(endpoint);
+        let was_avoided = observed.avoided_until > now;
+        observed.failures += 1;
+        observed.avoided_until = now + LONGEST_AVOIDANCE.min(FIRST_AVOIDANCE * observed.failures);
+        !was_avoided
+    }
+
+    /// How an endpoint looks to a choice; `median` is its pool's usual time of an answer in seconds.
+    pub fn place<'a>(
+        &self,
+        endpoint: &'a Endpoint,
+        data_centre: &str,
+        median: Option<f64>,
+        now: Timestamp,
+    ) -> Place<'a> {
+        let observed = self.observed.get(&endpoint.id).cloned().unwrap_or_default();
+        let reported = observed.reported.filter(|(_, at)| now < *at + REPORT_KEPT);
+        let load = observed.in_flight.max(reported.map_or(0, |(load, _)| load));
+        let slowness = match (observed.answer_time, median) {
+            (Some(own), Some(median)) if median > 0.0 => (own / median).clamp(1.0, 8.0),
+            _ => 1.0,
+        };
+        Place {
+            id: &endpoint.id,
+            load: f64::from(load),
+            slots: f64::from(endpoint.slots),
+            avoided: observed.avoided_until > now,
+            is_near: *endpoint.data_centre == *data_centre,
+            slowness,
+        }
+    }
+
+    /// The usual time of an answer among endpoints, in seconds.
+    pub fn median_answer<'a>(&self, pool: impl Iterator<Item = &'a Name>) -> Option<f64> {
+        let mut times: Vec<f64> = pool.filter_map(|e| self.observed.get(e)?.answer_time).collect();
+        times.sort_by(f64::total_cmp);
+        times.get(times.len() / 2).copied()
+    }
+
+    /// Forgets endpoints that are not listed any more.
+    pub fn retain(&mut self, listed: impl Fn(&str) -> bool) {
+        self.observed.retain(|id, o| listed(id) || o.in_flight > 0);
+    }
+}
--- /dev/null
+++ b/src/direct/event.rs
@@ -0,0 +1,346 @@
+//! What happens to a gateway that calls endpoints directly, and what it has its shell do.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::documents::Revised;
+use super::message::{Handle, PeerMessage};
+use super::model::{Endpoint, Name};
+
+/// What a caller asks, as far as decisions depend on it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Incoming {
+    /// The caller's id of the request.
+    pub id: Name,
+    /// The host that it names.
+    pub host: String,
+    /// Its path.
+    pub path: String,
+    /// The key that it shows.
+    pub key: Option<String>,
+    /// How long the caller waits.
+    pub allowed: Option<Duration>,
+    /// What is to be generated, where the request says so.
+    pub generation: Option<Generation>,
+    /// Pieces of each stage.
+    pub pieces: Vec<usize>,
+    /// The key of pieces that need no other.
+    pub piece_key: Option<Name>,
+    /// The last event that the caller has.
+    pub after_event: Option<String>,
+}
+
+/// The size of a generation and the parts of its prompt.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Generation {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Tokens that are made at most.
+    pub output_tokens: u64,
+    /// Parts of the prompt in order: id and tokens.
+    pub parts: Vec<(String, u64)>,
+}
+
+/// What an endpoint proved with its answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Proof {
+    /// The status of the answer.
+    pub status: u16,
+    /// The answer is signed by its maker.
+    pub signed: bool,
+    /// The answer names this very request.
+    pub own: bool,
+    /// The endpoint states that it has not run the request.
+    pub not_run: bool,
+    /// Another endpoint has this address.
+    pub other_endpoint: bool,
+    /// Requests running and waiting at the endpoint, and its slots.
+    pub load: Option<(u32, u32, u32)>,
+}
+
+/// How a call failed without an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallFailure {
+    /// No connection was made: nothing was sent.
+    NotSent,
+    /// It may have run.
+    Broken,
+    /// There was no answer in time; it may run.
+    Silent,
+}
+
+/// What became of one piece in a call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PieceOutcome {
+    /// Its result.
+    Made(Handle),
+    /// Its time was over at its turn.
+    Late,
+    /// An input is gone.
+    InputGone,
+    /// There was no room for the result.
+    NoRoom,
+    /// It failed.
+    Failed,
+}
+
+/// What became of a call with pieces.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum BatchOutcome {
+    /// An outcome for each piece, in order.
+    Pieces(Vec<PieceOutcome>),
+    /// Nothing ran: the endpoint is full.
+    Full,
+    /// Nothing ran: another endpoint has this address.
+    OtherEndpoint,
+    /// The call failed.
+    Failed(CallFailure),
+}
+
+/// What happens to a gateway.
+#[derive(Debug)]
+pub enum Event {
+    /// A caller asks.
+    Submit {
+        /// Chosen by the shell.
+        caller: u64,
+        /// What is asked.
+        incoming: Incoming,
+    },
+    /// The caller went away.
+    CallerGone {
+        /// Who.
+        caller: u64,
+    },
+    /// An endpoint answered a request, as a whole or with the head of a stream.
+    Answered {
+        /// Whose.
+        caller: u64,
+        /// In which attempt.
+        attempt: u64,
+        /// What it proves.
+        proof: Proof,
+        /// Whether more follows, as events.
+        is_open: bool,
+    },
+    /// A call for a request failed before its answer.
+    CallFailed {
+        /// Whose.
+        caller: u64,
+        /// In which attempt.
+        attempt: u64,
+        /// How.
+        failure: CallFailure,
+    },
+    /// The first event of a stream was passed on.
+    FirstEvent {
+        /// Whose.
+        caller: u64,
+    },
+    /// A stream that was passed on ended.
+    StreamEnded {
+        /// Whose.
+        caller: u64,
+        /// In which attempt.
+        attempt: u64,
+        /// Whether it is whole.
+        whole: bool,
+        /// The last event that was passed on.
+        last_event: Option<String>,
+    },
+    /// A call with pieces ended.
+    BatchEnded {
+        /// Which.
+        call: u64,
+        /// How.
+        outcome: BatchOutcome,
+    },
+    /// Another gateway speaks.
+    Peer {
+        /// Who, by where its peers connect.
+        from: SocketAddr,
+        /// What.
+        message: PeerMessage,
+    },
+    /// The connection from this life of a peer broke.
+    PeerBroke {
+        /// Who.
+        address: SocketAddr,
+        /// Its life.
+        incarnation: u64,
+    },
+    /// A peer could not be reached.
+    PeerUnreachable {
+        /// Who.
+        address: SocketAddr,
+    },
+    /// Documents of the publisher.
+    Published {
+        /// Some or all.
+        documents: Vec<Revised>,
+        /// The revision at which these are the whole list of endpoints.
+        whole_at: Option<u64>,
+    },
+    /// The publisher answers, or stopped to.
+    Publisher {
+        /// Whether it answers.
+        answers: bool,
+    },
+    /// The settings name other seeds.
+    Seeds(Vec<SocketAddr>),
+    /// The process was told to stop.
+    Drain,
+    /// Time has passed.
+    Tick,
+}
+
+/// How a request is handed to an endpoint.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CallOrder {
+    /// Where.
+    pub endpoint: Arc<Endpoint>,
+    /// How long the endpoint may work.
+    pub allowed: Duration,
+    /// The organisation that asks.
+    pub organisation: Option<Name>,
+    /// Results that it needs.
+    pub inputs: Vec<Handle>,
+    /// The last event that was passed on, in a stream that goes on.
+    pub after_event: Option<String>,
+    /// 0 is the most urgent.
+    pub priority: u8,
+    /// Whether the endpoint may be called over a connection that was used before.
+    pub reuse_connection: bool,
+    /// Whether the answer is a stream of events.
+    pub streams: bool,
+}
+
+/// One piece of a call.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PieceOrder {
+    /// The caller's id of the request.
+    pub request: Name,
+    /// The stage's position.
+    pub stage: usize,
+    /// The piece's position.
+    pub piece: usize,
+    /// Time that remains.
+    pub remaining: Duration,
+    /// The key, for a stage that needs no other.
+    pub key: Option<Name>,
+    /// The results that it needs, for a stage that does.
+    pub inputs: Vec<Handle>,
+}
+
+/// Why a request gets no answer of an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Refused {
+    /// This gateway knows too little.
+    NoConfiguration,
+    /// This gateway stops.
+    Draining,
+    /// Nothing stands there.
+    UnknownRoute,
+    /// The key is missing or nobody's.
+    UnknownKey,
+    /// The request lacks what its route needs.
+    BadRequest(&'static str),
+    /// Its stages or its run would come too late.
+    Overloaded,
+    /// No endpoint takes it.
+    NoEndpoint,
+    /// Its time is over; what runs is stopped.
+    TimedOut,
+    /// It may have run, and its answer can't be had.
+    OutcomeUnknown,
+    /// It failed, and the budget holds no repeat.
+    RepeatBudget,
+}
+
+/// A final answer without an endpoint's.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: Refused,
+    /// Whether it is certain that it has not run and never will.
+    pub not_run: bool,
+    /// When to come back.
+    pub retry_after: Duration,
+}
+
+/// What the shell must do.
+#[derive(Debug)]
+pub enum Action {
+    /// Hand a request to an endpoint.
+    Call {
+        /// Whose.
+        caller: u64,
+        /// The new attempt.
+        attempt: u64,
+        /// How.
+        order: CallOrder,
+    },
+    /// Let go of an attempt: its endpoint must stop.
+    Hangup {
+        /// Whose.
+        caller: u64,
+        /// Which.
+        attempt: u64,
+    },
+    /// Pass on the answer of an attempt, and what follows.
+    Deliver {
+        /// To whom.
+        caller: u64,
+        /// Of which attempt.
+        attempt: u64,
+    },
+    /// Refuse.
+    Refuse {
+        /// Whom.
+        caller: u64,
+        /// Why.
+        refusal: Refusal,
+    },
+    /// End a stream that is whole.
+    Finish {
+        /// To whom.
+        caller: u64,
+    },
+    /// Break a stream off so that it doesn't look whole.
+    Abort {
+        /// To whom.
+        caller: u64,
+    },
+    /// Call an endpoint with pieces.
+    Batch {
+        /// The new call.
+        call: u64,
+        /// Where.
+        endpoint: Arc<Endpoint>,
+        /// What.
+        pieces: Vec<PieceOrder>,
+        /// When the call is given up.
+        timeout: Duration,
+    },
+    /// Tell a maker that results aren't needed any more.
+    Free {
+        /// Where.
+        endpoint: Arc<Endpoint>,
+        /// Which.
+        handles: Vec<Handle>,
+    },
+    /// Tell another gateway.
+    Tell {
+        /// Whom.
+        to: SocketAddr,
+        /// What.
+        message: PeerMessage,
+    },
+    /// Whether the process calls itself ready.
+    Ready(bool),
+    /// What callers may send.
+    Limits(super::model::CallerLimits),
+    /// Write a line.
+    Note(super::note::Note),
+}
--- /dev/null
+++ b/src/direct/jobs.rs
@@ -0,0 +1,165 @@
+//! The state of one job at the owner of its pools: pieces that wait, run or are made.
+
+use std::time::Duration;
+
+use super::message::{Job, Made};
+use crate::message::Timestamp;
+
+/// One piece of a stage.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Piece {
+    /// It waits; so many times it was sent before.
+    Waiting {
+        /// Sends before.
+        tries: u32,
+    },
+    /// It is in this call.
+    Running {
+        /// The call.
+        call: u64,
+        /// Sends before this one.
+        tries: u32,
+    },
+    /// Its result is there.
+    Made(Made),
+    /// Its result was used and is freed.
+    Used,
+}
+
+/// One stage.
+#[derive(Debug, Clone, Default)]
+pub struct StageRun {
+    /// Its pieces.
+    pub pieces: Vec<Piece>,
+    /// Whether the gateway knows its results.
+    pub told: bool,
+    /// When its first piece was sent.
+    pub started: Option<Timestamp>,
+}
+
+impl StageRun {
+    /// Whether every piece is made.
+    pub fn is_done(&self) -> bool {
+        self.pieces.iter().all(|p| matches!(p, Piece::Made(_) | Piece::Used))
+    }
+
+    /// Pieces that wait.
+    pub fn waiting(&self) -> usize {
+        self.pieces.iter().filter(|p| matches!(p, Piece::Waiting { .. })).count()
+    }
+
+    /// Pieces that are not made.
+    pub fn open(&self) -> usize {
+        let made = |p: &&Piece| matches!(p, Piece::Made(_) | Piece::Used);
+        self.pieces.len() - self.pieces.iter().filter(made).count()
+    }
+
+    /// Pieces whose results fill or will fill room.
+    pub fn unused(&self) -> usize {
+        self.pieces.iter().filter(|p| !matches!(p, Piece::Used)).count()
+    }
+
+    /// The results, where the stage is done.
+    pub fn results(&self) -> Vec<Made> {
+        let made = |p: &Piece| match p {
+            Piece::Made(made) => Some(made.clone()),
+            _ => None,
+        };
+        self.pieces.iter().filter_map(made).collect()
+    }
+}
+
+/// A job that was begun.
+#[derive(Debug, Clone)]
+pub struct JobRun {
+    /// What was asked.
+    pub job: Job,
+    /// Until when the answer is in time.
+    pub objective: Timestamp,
+    /// Until when the caller waits.
+    pub deadline: Timestamp,
+    /// Its stages.
+    pub stages: Vec<StageRun>,
+    /// Whether the gateway was told that all is there.
+    pub ready: bool,
+}
+
+impl JobRun {
+    /// Begins a job; what another owner has made is taken over.
+    pub fn new(job: Job, now: Timestamp) -> Self {
+        let stages = job
+            .stages
+            .iter()
+            .map(|stage| {
+                let is_done = stage.pieces > 0 && stage.done.len() == stage.pieces;
+                let pieces = if is_done {
+                    stage.done.iter().cloned().map(Piece::Made).collect()
+                } else {
+                    vec![Piece::Waiting { tries: u32::from(job.resubmitted) }; stage.pieces]
+                };
+                StageRun { pieces, told: is_done, started: None }
+            })
+            .collect();
+        let objective = now + job.to_objective;
+        let deadline = now + job.to_deadline;
+        Self { job, objective, deadline, stages, ready: false }
+    }
+
+    /// Whether everything is made.
+    pub fn is_done(&self) -> bool {
+        self.stages.iter().all(StageRun::is_done)
+    }
+
+    /// Whether the stages before this one are done.
+    pub fn is_open(&self, stage: usize) -> bool {
+        self.job.stages[stage].after.iter().all(|&a| self.stages[a].is_done())
+    }
+
+    /// Whether a stage's results are needed by another stage that is not done.
+    pub fn is_needed(&self, stage: usize) -> bool {
+        let mut later = self.job.stages.iter().zip(&self.stages);
+        later.any(|(spec, run)| spec.after.contains(&stage) && !run.is_done())
+    }
+
+    /// Whether no other stage needs this one's results.
+    pub fn is_last(&self, stage: usize) -> bool {
+        !self.job.stages.iter().any(|s| s.after.contains(&stage))
+    }
+
+    /// The time from now until everything is made, as far as `call` tells for each stage; the
+    /// branch that ends in `without`, if any, is left out.
+    pub fn remaining(
+        &self,
+        without: Option<usize>,
+        now: Timestamp,
+        call: impl Fn(usize) -> Duration,
+    ) -> Duration {
+        let mut ends: Vec<Duration> = Vec::with_capacity(self.stages.len());
+        let mut longest = Duration::ZERO;
+        for (i, (spec, run)) in self.job.stages.iter().zip(&self.stages).enumerate() {
+            let start = spec.after.iter().map(|&a| ends[a]).max().unwrap_or_default();
+            let end = if run.is_done() {
+                start
+            } else {
+                let begun = run.started.map_or(Duration::ZERO, |s| now.saturating_sub(s));
+                start + call(i).saturating_sub(begun)
+            };
+            ends.push(end);
+            if without != Some(i) {
+                longest = longest.max(end);
+            }
+        }
+        longest
+    }
+
+    /// The time from the start of a stage until everything after it is made.
+    pub fn from_stage(&self, stage: usize, call: impl Fn(usize) -> Duration) -> Duration {
+        let mut tails: Vec<Duration> = vec![Duration::ZERO; self.stages.len()];
+        for i in (stage..self.stages.len()).rev() {
+            let later =
+                (i + 1..self.stages.len()).filter(|&l| self.job.stages[l].after.contains(&i));
+            tails[i] = call(i) + later.map(|l| tails[l]).max().unwrap_or_default();
+        }
+        tails[stage]
+    }
+}
--- /dev/null
+++ b/src/direct/members.rs
@@ -0,0 +1,195 @@
+//! Which gateways are there: heartbeats spread by gossip from a few seeds, and who owns what.
+//!
+//! Nothing is agreed: two gateways may take different members for alive for a while, and whatever
+//! follows from it (two owners of one pool) must be harmless.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::seq::IndexedRandom;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::message::Timestamp;
+
+/// Time between two heartbeats of a process.
+pub const HEARTBEAT: Duration = Duration::from_millis(200);
+/// A member whose heartbeat has not grown for so long is taken for dead.
+const SILENT: Duration = Duration::from_millis(1_000);
+/// A dead member is forgotten after so long.
+const FORGOTTEN: Duration = Duration::from_secs(60);
+/// Members to which one heartbeat goes.
+const FANOUT: usize = 8;
+
+/// What a member is ready for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MemberState {
+    /// It knows too little to serve.
+    Starting,
+    /// It serves and owns.
+    Serving,
+    /// It ends what it has begun, and owns nothing new.
+    Leaving,
+}
+
+/// What gossip says of a member.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Where its peers connect.
+    pub address: SocketAddr,
+    /// Its life; a later one is a larger number.
+    pub incarnation: u64,
+    /// Grows while it lives.
+    pub heartbeat: u64,
+    /// What it is ready for.
+    pub state: MemberState,
+}
+
+#[derive(Debug, Clone)]
+struct Known {
+    member: Member,
+    /// When its heartbeat last grew, or `None` while it is taken for dead.
+    heard: Option<Timestamp>,
+    since: Timestamp,
+}
+
+impl Known {
+    /// Incarnations come from clocks, which may have stepped back between two lives: any other life
+    /// is newer than one that is taken for dead.
+    const fn is_superseded_by(&self, told: &Member) -> bool {
+        if self.member.incarnation == told.incarnation {
+            return self.member.heartbeat < told.heartbeat;
+        }
+        self.heard.is_none() || self.member.incarnation < told.incarnation
+    }
+}
+
+/// The members that one gateway knows.
+#[derive(Debug)]
+pub struct Members {
+    own: Member,
+    others: BTreeMap<SocketAddr, Known>,
+    seeds: Vec<SocketAddr>,
+}
+
+impl Members {
+    /// A gateway alone, with the addresses where it may meet others.
+    pub fn new(address: SocketAddr, incarnation: u64, seeds: Vec<SocketAddr>) -> Self {
+        let own = Member { address, incarnation, heartbeat: 0, state: MemberState::Starting };
+        Self { own, others: BTreeMap::new(), seeds }
+    }
+
+    /// The process itself.
+    pub const fn own(&self) -> &Member {
+        &self.own
+    }
+
+    /// Takes over new seeds.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+    }
+
+    /// Sets what the process is ready for; says whether that changed.
+    pub fn set_state(&mut self, state: MemberState) -> bool {
+        let changed = self.own.state != state;
+        self.own.state = state;
+        changed
+    }
+
+    /// Counts a heartbeat and names where it goes.
+    pub fn beat(&mut self, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        self.own.heartbeat += 1;
+        let alive: Vec<SocketAddr> = self.alive().map(|m| m.address).collect();
+        let seeds = self.seeds.iter().copied().filter(|s| *s != self.own.address);
+        let mut unheard: Vec<SocketAddr> = seeds.chain(self.dead()).collect();
+        unheard.retain(|a| !alive.contains(a));
+        let mut to: Vec<SocketAddr> = alive.sample(rng, FANOUT).copied().collect();
+        to.extend(unheard.choose(rng));
+        to
+    }
+
+    /// What is told to others: all members that are taken for alive, and the process itself.
+    pub fn digest(&self) -> Vec<Member> {
+        let mut members: Vec<Member> = self.alive().cloned().collect();
+        members.push(self.own.clone());
+        members
+    }
+
+    /// Takes in what another tells; names the members that are alive since.
+    pub fn hear(&mut self, members: &[Member], now: Timestamp) -> Vec<Member> {
+        let mut back = Vec::new();
+        for member in members.iter().filter(|m| m.address != self.own.address) {
+            let known = self.others.get(&member.address);
+            if known.is_some_and(|k| !k.is_superseded_by(member)) {
+                continue;
+            }
+            let was_alive = known
+                .is_some_and(|k| k.heard.is_some() && k.member.incarnation == member.incarnation);
+            if !was_alive {
+                back.push(member.clone());
+            }
+            let known = Known { member: member.clone(), heard: Some(now), since: now };
+            self.others.insert(member.address, known);
+        }
+        back
+    }
+
+    /// A connection from this life of a member broke: it is taken for dead until it is heard again.
+    pub fn broke(&mut self, address: SocketAddr, incarnation: u64, now: Timestamp) -> bool {
+        let Some(known) = self.others.get_mut(&address) else {
+            return false;
+        };
+        if known.member.incarnation != incarnation || known.heard.is_none() {
+            return false;
+        }
+        known.heard = None;
+        known.since = now;
+        true
+    }
+
+    /// Takes the silent for dead; names them.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<Member> {
+        let mut lost = Vec::new();
+        for known in self.others.values_mut() {
+            if known.heard.is_some_and(|h| now >= h + SILENT) {
+                known.heard = None;
+                known.since = now;
+                lost.push(known.member.clone());
+            }
+        }
+        self.others.retain(|_, k| k.heard.is_some() || now < k.since + FORGOTTEN);
+        lost
+    }
+
+    /// The others that are taken for alive.
+    pub fn alive(&self) -> impl Iterator<Item = &Member> {
+        self.others.values().filter(|k| k.heard.is_some()).map(|k| &k.member)
+    }
+
+    fn dead(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.others.iter().filter(|(_, k)| k.heard.is_none()).map(|(a, _)| *a)
+    }
+
+    /// Whether this life of a member is taken for alive.
+    pub fn is_alive(&self, address: SocketAddr, incarnation: u64) -> bool {
+        address == self.own.address && incarnation == self.own.incarnation
+            || self.alive().any(|m| m.address == address && m.incarnation == incarnation)
+    }
+
+    /// Members that exist as far as is known, the process itself among them, dead ones too: the
+    /// share of a common budget must not grow because others can't be heard.
+    pub fn known(&self) -> usize {
+        1 + self.others.len().max(self.seeds.len().saturating_sub(1))
+    }
+
+    /// The owner of `what` by highest random weight among those that serve; `skip` are passed over.
+    pub fn owner(&self, what: &str, skip: &[SocketAddr]) -> Option<Member> {
+        let own = (self.own.state == MemberState::Serving).then_some(&self.own);
+        let serving = self.alive().filter(|m| m.state == MemberState::Serving).chain(own);
+        let seed = xxh3_64(what.as_bytes());
+        let weight = |m: &Member| xxh3_64_with_seed(m.address.to_string().as_bytes(), seed);
+        serving.filter(|m| !skip.contains(&m.address)).max_by_key(|m| weight(m)).cloned()
+    }
+}
--- /dev/null
+++ b/src/direct/message.rs
@@ -0,0 +1,148 @@
+//! What gateways say to each other.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::documents::{Revised, Seen};
+use super::members::Member;
+use super::model::Name;
+
+/// Names one request of one life of one gateway.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct JobId {
+    /// Where the gateway's peers connect.
+    pub gateway: SocketAddr,
+    /// The gateway's life.
+    pub incarnation: u64,
+    /// Counts the requests of that life.
+    pub number: u64,
+}
+
+/// The result of a piece, as its maker names it.
+pub type Handle = Name;
+
+/// A result and the endpoint that keeps it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Made {
+    /// The result.
+    pub handle: Handle,
+    /// The endpoint's id.
+    pub endpoint: Name,
+}
+
+/// The stages of one request, for the owner of their pools.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Job {
+    /// Which.
+    pub id: JobId,
+    /// The caller's id of the request.
+    pub request: Name,
+    /// The route, as the gateway's configuration has it.
+    pub route: Name,
+    /// The stages' graph.
+    pub stages: Vec<JobStage>,
+    /// What makers are told as the key of pieces that need no other.
+    pub key: Option<Name>,
+    /// Until the answer is in time.
+    pub to_objective: Duration,
+    /// Until the caller stops waiting.
+    pub to_deadline: Duration,
+    /// Expected time from the stages' end to the answer's start.
+    pub after: Duration,
+    /// 0 is the most urgent.
+    pub priority: u8,
+    /// Where the results will be fetched from, as far as is known.
+    pub data_centre: Name,
+    /// Whether another owner had begun it.
+    pub resubmitted: bool,
+}
+
+/// One stage of a job.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobStage {
+    /// The pool that makes its pieces.
+    pub pool: Name,
+    /// Positions of the stages whose results it needs.
+    pub after: Vec<usize>,
+    /// About how many bytes one result fills.
+    pub result_bytes: u64,
+    /// How many pieces.
+    pub pieces: usize,
+    /// Results that are there already, by piece; empty where the stage is not done.
+    pub done: Vec<Made>,
+}
+
+/// Why an owner gave a job up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobReason {
+    /// It would not end in time.
+    WouldBeLate,
+    /// Results would not find room.
+    NoRoom,
+    /// No endpoint of a pool takes work.
+    NoEndpoint,
+    /// The deadline passed.
+    DeadlinePassed,
+    /// Pieces failed, and no repeat is left in the budget.
+    RepeatBudget,
+    /// Pieces failed too often.
+    Failed,
+    /// The gateway that was asked owns nothing now.
+    NotOwner,
+}
+
+/// What one gateway tells another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// Who is there, and what the sender has seen of the documents.
+    Gossip {
+        /// Members that the sender takes for alive, itself among them.
+        members: Vec<Member>,
+        /// What it has seen.
+        seen: Seen,
+        /// Whether it has seen a configuration and a whole list.
+        complete: bool,
+    },
+    /// Asks for the documents that the sender lacks.
+    Pull {
+        /// What it has seen.
+        seen: Seen,
+    },
+    /// Documents.
+    Documents {
+        /// Some or all.
+        documents: Vec<Revised>,
+        /// Whether, with what was asked for, the receiver has the whole list.
+        complete: bool,
+    },
+    /// Run the stages of a request.
+    Submit(Box<Job>),
+    /// The job is begun and will be ended, one way or the other.
+    Accepted(JobId),
+    /// The job is not begun, or is ended without its results.
+    GivenUp {
+        /// Which.
+        job: JobId,
+        /// Why.
+        reason: JobReason,
+        /// Whether nothing of it was begun.
+        untouched: bool,
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// A stage is done.
+    StageDone {
+        /// Which job.
+        job: JobId,
+        /// Its position.
+        stage: usize,
+        /// The results by piece.
+        results: Vec<Made>,
+    },
+    /// Every stage is done; the results of the last ones stand in [`Self::StageDone`].
+    Ready(JobId),
+    /// The results of a job are not needed any more, or the job as a whole.
+    Release(JobId),
+}
--- /dev/null
+++ b/src/direct/note.rs
@@ -0,0 +1,212 @@
+//! The lines that on-call reads: one for each decision and each change of what a gateway believes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Serialize;
+
+use super::model::Name;
+
+/// One line.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum Note {
+    /// A request was taken in.
+    Arrived {
+        /// The caller's id.
+        request: Name,
+        /// Its route.
+        route: Name,
+        /// Who asks.
+        organisation: Option<Name>,
+        /// The configuration's version.
+        version: u64,
+        /// Milliseconds that remain.
+        left_ms: u64,
+    },
+    /// Its stages were handed to an owner.
+    StagesSubmitted {
+        /// The caller's id.
+        request: Name,
+        /// The owner.
+        owner: SocketAddr,
+        /// Whether another had begun them.
+        resubmitted: bool,
+    },
+    /// The owner admitted or refused a request's stages.
+    StagesDecided {
+        /// The caller's id.
+        request: Name,
+        /// Whether they are begun.
+        admitted: bool,
+        /// The part of the decision that was narrowest.
+        pool: Name,
+        /// Predicted milliseconds to the answer's start.
+        predicted_ms: u64,
+        /// Milliseconds to the objective.
+        objective_ms: u64,
+        /// Share of the narrowest pool's room that was promised before.
+        room_share: f64,
+    },
+    /// A call with pieces was sent.
+    BatchSent {
+        /// The call.
+        call: u64,
+        /// The endpoint.
+        endpoint: Name,
+        /// Its pieces: request, stage, piece.
+        pieces: Vec<(Name, usize, usize)>,
+        /// Pieces of the pool that wait besides.
+        waiting: usize,
+    },
+    /// A call with pieces ended.
+    BatchEnded {
+        /// The call.
+        call: u64,
+        /// The endpoint.
+        endpoint: Name,
+        /// How.
+        outcome: String,
+        /// Milliseconds that it took.
+        took_ms: u64,
+    },
+    /// A request was handed to an endpoint.
+    Sent {
+        /// The caller's id.
+        request: Name,
+        /// The attempt's number.
+        attempt: u64,
+        /// The selector of the pool.
+        selector: String,
+        /// The endpoint.
+        endpoint: Name,
+        /// Why this one.
+        because: String,
+        /// Candidates of the pool.
+        candidates: usize,
+        /// Milliseconds that remain.
+        left_ms: u64,
+    },
+    /// An attempt ended without an answer that is passed on.
+    AttemptFailed {
+        /// The caller's id.
+        request: Name,
+        /// The endpoint.
+        endpoint: Name,
+        /// How.
+        failure: String,
+        /// What follows.
+        next: &'static str,
+    },
+    /// A request is over.
+    Ended {
+        /// The caller's id.
+        request: Name,
+        /// How.
+        outcome: String,
+        /// The endpoint of the last attempt.
+        endpoint: Option<Name>,
+        /// Milliseconds since it came.
+        took_ms: u64,
+        /// When to come back, where it was refused.
+        retry_after_ms: Option<u64>,
+    },
+    /// The stages of a request were given up.
+    StagesGivenUp {
+        /// The caller's id.
+        request: Name,
+        /// Why.
+        reason: String,
+    },
+    /// A configuration is in force.
+    Configured {
+        /// Its version.
+        version: u64,
+        /// The version before.
+        before: u64,
+        /// Where it came from.
+        source: String,
+    },
+    /// An endpoint's entry changed.
+    Endpoint {
+        /// The endpoint.
+        endpoint: Name,
+        /// What it is since.
+        state: &'static str,
+        /// Where that came from.
+        source: String,
+    },
+    /// What is thought of an endpoint changed by own observation.
+    Suspicion {
+        /// The endpoint.
+        endpoint: Name,
+        /// Whether it is avoided.
+        avoided: bool,
+        /// By what.
+        cause: &'static str,
+    },
+    /// A peer is there, or is taken for dead.
+    Peer {
+        /// Who.
+        address: SocketAddr,
+        /// Its life.
+        incarnation: u64,
+        /// Whether it is there.
+        alive: bool,
+        /// By what.
+        cause: &'static str,
+    },
+    /// The publisher's store answers, or stopped to.
+    Publisher {
+        /// Whether it answers.
+        answers: bool,
+    },
+    /// The process calls itself ready, or no longer.
+    Ready {
+        /// Whether.
+        ready: bool,
+    },
+    /// The process started.
+    Started {
+        /// Its life.
+        incarnation: u64,
+    },
+    /// The process was told to stop.
+    Stopping,
+    /// The settings were read again.
+    Reloaded {
+        /// What became of it.
+        outcome: String,
+    },
+}
+
+/// Whole milliseconds.
+pub fn ms(time: Duration) -> u64 {
+    time.as_millis() as u64
+}
+
+impl Note {
+    /// The word for metrics, as in the line.
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Arrived { .. } => "arrived",
+            Self::StagesSubmitted { .. } => "stages_submitted",
+            Self::StagesDecided { .. } => "stages_decided",
+            Self::BatchSent { .. } => "batch_sent",
+            Self::BatchEnded { .. } => "batch_ended",
+            Self::Sent { .. } => "sent",
+            Self::AttemptFailed { .. } => "attempt_failed",
+            Self::Ended { .. } => "ended",
+            Self::StagesGivenUp { .. } => "stages_given_up",
+            Self::Configured { .. } => "configured",
+            Self::Endpoint { .. } => "endpoint",
+            Self::Suspicion { .. } => "suspicion",
+            Self::Peer { .. } => "peer",
+            Self::Publisher { .. } => "publisher",
+            Self::Ready { .. } => "ready",
+            Self::Started { .. } => "started",
+            Self::Stopping => "stopping",
+            Self::Reloaded { .. } => "reloaded",
+        }
+    }
+}
--- /dev/null
+++ b/src/direct/peers.rs
@@ -0,0 +1,159 @@
+//! Connections between gateways: one in each direction, length-prefixed JSON messages.
+//!
+//! `tonic` is not used here: a message is a few hundred bytes with no answer of its own, and HTTP/2's
+//! framing would cost more than the rest of the path.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use serde::{Deserialize, Serialize};
+use socket2::SockRef;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use super::core::GatewayCore;
+use super::event::Event;
+use super::message::PeerMessage;
+use crate::actor::Handle;
+
+/// A connection must come up within that.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// A peer that acknowledges nothing for so long is cut off.
+const SILENT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Messages that wait for one peer; what comes beyond that is dropped.
+const QUEUE: usize = 1_024;
+/// The longest message: a whole configuration and list.
+const MAX_FRAME: usize = 16 << 20;
+
+/// The first message on a connection.
+#[derive(Debug, Serialize, Deserialize)]
+struct Hello {
+    address: SocketAddr,
+    incarnation: u64,
+}
+
+type Queues = Arc<Mutex<HashMap<SocketAddr, mpsc::Sender<PeerMessage>>>>;
+
+/// The connections to other gateways.
+pub struct Peers {
+    own: SocketAddr,
+    incarnation: u64,
+    core: Handle<GatewayCore>,
+    queues: Queues,
+}
+
+impl Peers {
+    /// None yet.
+    pub fn new(own: SocketAddr, incarnation: u64, core: Handle<GatewayCore>) -> Self {
+        Self { own, incarnation, core, queues: Arc::default() }
+    }
+
+    /// Queues a message; a connection is made where there is none.
+    pub fn tell(&self, to: SocketAddr, message: PeerMessage) {
+        let mut queues = self.queues.lock().unwrap_or_else(PoisonError::into_inner);
+        let queue = queues.entry(to).or_insert_with(|| self.connect(to));
+        if queue.try_send(message).is_err() {
+            metrics::counter!(crate::metrics::PEER_DROPPED).increment(1);
+        }
+    }
+
+    fn connect(&self, to: SocketAddr) -> mpsc::Sender<PeerMessage> {
+        let (sender, receiver) = mpsc::channel(QUEUE);
+        let hello = Hello { address: self.own, incarnation: self.incarnation };
+        let (core, queues, own_queue) = (self.core.clone(), self.queues.clone(), sender.clone());
+        tokio::spawn(async move {
+            run(to, hello, receiver).await;
+            forget(&queues, to, &own_queue);
+            core.send(Event::PeerUnreachable { address: to }).await.ok();
+        });
+        sender
+    }
+}
+
+fn forget(queues: &Queues, to: SocketAddr, queue: &mpsc::Sender<PeerMessage>) {
+    let mut queues = queues.lock().unwrap_or_else(PoisonError::into_inner);
+    if queues.get(&to).is_some_and(|q| q.same_channel(queue)) {
+        queues.remove(&to);
+    }
+}
+
+fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+    stream.set_nodelay(true).ok();
+    SockRef::from(&stream).set_tcp_user_timeout(Some(SILENT_TIMEOUT)).ok();
+    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME).new_framed(stream)
+}
+
+fn encode<T: Serialize>(message: &T) -> Bytes {
+    Bytes::from(serde_json::to_vec(message).unwrap_or_default())
+}
+
+/// Sends what is queued until the connection breaks.
+async fn run(to: SocketAddr, hello: Hello, mut queue: mpsc::Receiver<PeerMessage>) {
+    let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await else {
+        return;
+    };
+    let mut connection = framed(stream);
+    if connection.send(encode(&hello)).await.is_err() {
+        return;
+    }
+    loop {
+        tokio::select! {
+            message = queue.recv() => {
+                let Some(message) = message else { return };
+                if connection.feed(encode(&message)).await.is_err() {
+                    return;
+                }
+                while let Ok(message) = queue.try_recv() {
+                    if connection.feed(encode(&message)).await.is_err() {
+                        return;
+                    }
+                }
+                if SinkExt::<Bytes>::flush(&mut connection).await.is_err() {
+                    return;
+                }
+            }
+            // Peers send nothing this way: whatever comes is the end.
+            _ = connection.next() => return,
+        }
+    }
+}
+
+/// Takes connections of other gateways.
+pub async fn accept(listener: TcpListener, core: Handle<GatewayCore>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(receive(stream, core.clone()));
+            }
+            Err(_) => tokio::time::sleep(CONNECT_TIMEOUT).await,
+        }
+    }
+}
+
+async fn receive(stream: TcpStream, core: Handle<GatewayCore>) {
+    let mut connection = framed(stream);
+    let Some(Ok(first)) = connection.next().await else {
+        return;
+    };
+    let Ok(hello) = serde_json::from_slice::<Hello>(&first) else {
+        return;
+    };
+    while let Some(Ok(frame)) = connection.next().await {
+        let Ok(message) = serde_json::from_slice::<PeerMessage>(&frame) else {
+            metrics::counter!(crate::metrics::PEER_BAD).increment(1);
+            break;
+        };
+        let event = Event::Peer { from: hello.address, message };
+        if core.send(event).await.is_err() {
+            return;
+        }
+    }
+    let Hello { address, incarnation } = hello;
+    core.send(Event::PeerBroke { address, incarnation }).await.ok();
+}
--- /dev/null
+++ b/src/direct/request.rs
@@ -0,0 +1,135 @@
+//! The state of one caller's request in a gateway.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::event::Incoming;
+use super::message::{JobId, Made};
+use super::model::{Endpoint, Name, Repeat, Route};
+use crate::message::Timestamp;
+
+/// Time to the first event besides reading the prompt, before any was measured.
+const START_TIME: Duration = Duration::from_millis(80);
+/// Time to read one token of a prompt at a busy engine.
+const TOKEN_TIME: Duration = Duration::from_micros(30);
+
+/// Where a request stands.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Phase {
+    /// Its stages are with an owner.
+    Stages {
+        /// The owner.
+        owner: SocketAddr,
+        /// The owner's life.
+        incarnation: u64,
+        /// When they were submitted.
+        submitted: Timestamp,
+        /// Whether the owner has begun them.
+        accepted: bool,
+    },
+    /// It runs, or is about to.
+    Running,
+    /// Its answer is a stream that is being passed on.
+    Streaming,
+}
+
+/// One call for a request.
+#[derive(Debug, Clone)]
+pub struct Attempt {
+    /// Counts all attempts of the gateway.
+    pub number: u64,
+    /// Where.
+    pub endpoint: Arc<Endpoint>,
+    /// When it was sent.
+    pub sent: Timestamp,
+}
+
+/// One request.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// What was asked.
+    pub incoming: Incoming,
+    /// Its route, as it stood when the request came.
+    pub route: Route,
+    /// The pool that runs it.
+    pub pool: Name,
+    /// Who asks.
+    pub organisation: Option<Name>,
+    /// 0 is the most urgent.
+    pub priority: u8,
+    /// When it came.
+    pub arrived: Timestamp,
+    /// When the caller or the operator stops waiting.
+    pub deadline: Timestamp,
+    /// Its stages at their owner.
+    pub job: JobId,
+    /// Where it stands.
+    pub phase: Phase,
+    /// Results by stage.
+    pub results: Vec<Vec<Made>>,
+    /// The owner of its stages, also after they are done.
+    pub owner: Option<SocketAddr>,
+    /// Owners that were asked and did not take it.
+    pub passed_over: Vec<SocketAddr>,
+    /// The open call.
+    pub attempt: Option<Attempt>,
+    /// Calls that were sent.
+    pub sends: u32,
+    /// Calls after which it may have run.
+    pub may_have_run: u32,
+    /// Endpoints that it was sent to.
+    pub tried: Vec<Name>,
+    /// The last event that was passed on.
+    pub last_event: Option<String>,
+    /// Whether its stages hold results at an owner.
+    pub holds_results: bool,
+}
+
+impl Request {
+    /// Whether it has stages with pieces.
+    pub fn has_stages(&self) -> bool {
+        !self.route.stages.is_empty() && self.incoming.pieces.iter().any(|&p| p > 0)
+    }
+
+    /// Whether it may run again after it may have run.
+    pub fn may_repeat(&self) -> bool {
+        self.route.repeat == Repeat::Idempotent || self.route.streams && self.route.resumable
+    }
+
+    /// The last part of the prompt that other requests share, or the whole of what is known.
+    pub fn shared_part(&self) -> Option<&str> {
+        let parts = &self.incoming.generation.as_ref()?.parts;
+        let shared = if parts.len() > 1 { &parts[parts.len() - 2] } else { parts.last()? };
+        Some(&shared.0)
+    }
+
+    /// Expected time from handing it to an engine to its first event.
+    pub fn expected_start(&self) -> Duration {
+        let generation = self.incoming.generation.as_ref();
+        let own = generation.and_then(|g| g.parts.last()).map_or(0, |p| p.1);
+        START_TIME + TOKEN_TIME * u32::try_from(own).unwrap_or(u32::MAX)
+    }
+
+    /// The results that its run needs, in order.
+    pub fn inputs(&self) -> Vec<Made> {
+        let last = self.route.last_stages();
+        last.flat_map(|s| self.results.get(s).cloned().unwrap_or_default()).collect()
+    }
+
+    /// When a silent call is given up, where it may be made again.
+    pub fn patience(&self) -> Duration {
+        if self.route.streams {
+            self.route.objective.mul_f64(1.2)
+        } else {
+            self.route.objective.mul_f64(0.6)
+        }
+    }
+
+    /// Gateways that may hold results for it: the owner of its stages, and those passed over.
+    pub fn owners(&self) -> Vec<SocketAddr> {
+        let mut owners = self.passed_over.clone();
+        owners.extend(self.owner);
+        owners
+    }
+}
--- /dev/null
+++ b/src/direct/scheduler.rs
@@ -0,0 +1,750 @@
+//! The owner of pools that work in batches: pieces of all gateways' requests meet here.
+//!
+//! A piece is bound to an endpoint only when that endpoint is free, most urgent first; room for
+//! results is counted before a piece is sent, and given back the moment nobody needs the result.
+//! Two owners at once are harmless: an endpoint that is full says so, and a piece may be made again.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::event::{Action, BatchOutcome, CallFailure, PieceOrder, PieceOutcome};
+use super::jobs::{JobRun, Piece};
+use super::makers::Makers;
+use super::message::{Handle, Job, JobId, JobReason, Made, PeerMessage};
+use super::model::{BatchSpec, Endpoint, Name, Work};
+use super::note::{Note, ms};
+use super::repeats::{Bounds, Repeats};
+use super::table::Table;
+use crate::message::Timestamp;
+use crate::policy::path::{PathRefusal, StageLoad, admit_path};
+
+/// Between two looks at jobs that hold a stage back, and at deadlines.
+const LOOK: Duration = Duration::from_millis(25);
+/// A call is given up after so many times its expected time, and [`PATIENCE`] more.
+const OVERDUE: f64 = 2.0;
+/// See [`OVERDUE`].
+const PATIENCE: Duration = Duration::from_millis(250);
+/// A piece that was sent so many times is given up.
+const MAX_TRIES: u32 = 4;
+/// A stage that is not needed before others is begun so much earlier than it must be.
+const HOLD_SLACK: Duration = Duration::from_millis(120);
+/// Full calls are not always to be had: capacity is counted with calls filled to this share.
+const USUAL_FILL: f64 = 0.6;
+/// Work that can't meet its objective any more comes after all that can.
+const MISSED_PENALTY_MS: i64 = 20_000;
+
+/// A piece: its job, its stage's position, its own position.
+type PieceId = (JobId, usize, usize);
+
+#[derive(Debug)]
+struct Call {
+    pool: Name,
+    endpoint: Arc<Endpoint>,
+    pieces: Vec<(JobId, usize, usize, u64)>,
+    sent: Timestamp,
+    expected: Duration,
+    overdue: Timestamp,
+    /// Given up: whatever comes is freed.
+    is_late: bool,
+}
+
+/// Stages of many gateways' requests.
+#[derive(Debug)]
+pub struct Scheduler {
+    jobs: BTreeMap<JobId, JobRun>,
+    calls: HashMap<u64, Call>,
+    makers: Makers,
+    repeats: Repeats,
+    next_call: u64,
+    /// Processes that share the repeat budget.
+    processes: usize,
+    to_free: BTreeMap<Name, (Arc<Endpoint>, Vec<Handle>)>,
+    dirty: HashSet<Name>,
+    last_look: Timestamp,
+    out: Vec<Action>,
+}
+
+impl Scheduler {
+    /// Owns nothing yet.
+    pub fn new(bounds: Bounds) -> Self {
+        Self {
+            jobs: BTreeMap::new(),
+            calls: HashMap::new(),
+            makers: Makers::default(),
+            repeats: Repeats::new(bounds),
+            next_call: 0,
+            processes: 1,
+            to_free: BTreeMap::new(),
+            dirty: HashSet::new(),
+            last_look: Timestamp::ZERO,
+            out: Vec::new(),
+        }
+    }
+
+    /// Jobs that were begun and are not over.
+    pub fn jobs(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Whether something is at work.
+    pub fn is_idle(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    /// When the next look is due.
+    pub fn next_wakeup(&self) -> Option<Timestamp> {
+        (!self.jobs.is_empty() || !self.calls.is_empty()).then_some(self.last_look + LOOK)
+    }
+
+    /// Sets how many processes share the repeat budget.
+    pub const fn set_processes(&mut self, processes: usize) {
+        self.processes = processes;
+    }
+
+    /// Takes what must be done, after filling calls with what waits.
+    pub fn actions(&mut self, table: &Table, now: Timestamp) -> Vec<Action> {
+        let dirty: Vec<Name> = self.dirty.drain().collect();
+        for pool in dirty {
+            self.fill(&pool, table, now);
+        }
+        let to_free = std::mem::take(&mut self.to_free);
+        self.out.extend(
+            to_free.into_values().map(|(endpoint, handles)| Action::Free { endpoint, handles }),
+        );
+        std::mem::take(&mut self.out)
+    }
+
+    /// A gateway submits a job: it is begun, or refused at once.
+    pub fn submit(&mut self, job: Job, table: &Table, now: Timestamp) {
+        let id = job.id;
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        let loads = self.loads(&job, table, now);
+        let decision = admit_path(&loads, job.after, job.to_objective, job.priority);
+        let refusal = decision.refusal.filter(|_| !job.resubmitted);
+        let narrowest = job.stages.get(decision.narrowest);
+        self.out.push(Action::Note(Note::StagesDecided {
+            request: job.request.clone(),
+            admitted: refusal.is_none(),
+            pool: narrowest.map_or_else(|| "".into(), |s| s.pool.clone()),
+            predicted_ms: ms(decision.predicted),
+            objective_ms: ms(job.to_objective),
+            room_share: (decision.room_share * 100.0).round() / 100.0,
+        }));
+        if let Some(refusal) = refusal {
+            let reason = match refusal {
+                PathRefusal::NoEndpoint => JobReason::NoEndpoint,
+                PathRefusal::WouldBeLate => JobReason::WouldBeLate,
+                PathRefusal::NoRoom => JobReason::NoRoom,
+            };
+            return self.tell_given_up(id, reason, true, decision.retry_after);
+        }
+        self.tell(id, PeerMessage::Accepted(id));
+        let run = JobRun::new(job, now);
+        for (spec, stage) in run.job.stages.iter().zip(&run.stages) {
+            for made in stage.results() {
+                self.makers.taken_over(&made.endpoint, spec.result_bytes);
+            }
+            self.dirty.insert(spec.pool.clone());
+        }
+        self.jobs.insert(id, run);
+        self.advance(id, table, now);
+    }
+
+    /// Nobody needs a job's results any more.
+    pub fn release(&mut self, id: JobId, table: &Table) {
+        let Some(run) = self.jobs.remove(&id) else {
+            return;
+        };
+        for (spec, stage) in run.job.stages.iter().zip(&run.stages) {
+            for made in stage.results() {
+                self.free(&made, spec.result_bytes, table);
+            }
+            self.dirty.insert(spec.pool.clone());
+        }
+    }
+
+    /// A gateway is gone, and its jobs with it.
+    pub fn release_all_of(&mut self, is_gone: impl Fn(&JobId) -> bool, table: &Table) {
+        let gone: Vec<JobId> = self.jobs.keys().filter(|id| is_gone(id)).copied().collect();
+        for id in gone {
+            self.release(id, table);
+        }
+    }
+
+    /// Endpoints or the configuration changed.
+    pub fn changed(&mut self, table: &Table) {
+        self.makers.retain(|id| table.endpoint(id).is_some());
+        self.dirty.extend(table.deployment.pools.iter().map(|p| p.name.clone()));
+    }
+
+    /// Looks at deadlines, overdue calls and stages that were held back.
+    pub fn look(&mut self, table: &Table, now: Timestamp) {
+        if now < self.last_look + LOOK {
+            return;
+        }
+        self.last_look = now;
+        let overdue: Vec<u64> = self
+            .calls
+            .iter()
+            .filter(|(_, c)| !c.is_late && now >= c.overdue)
+            .map(|(id, _)| *id)
+            .collect();
+        for call in overdue {
+            self.give_up_call(call, table, now);
+        }
+        let over: Vec<JobId> =
+            self.jobs.iter().filter(|(_, j)| now >= j.deadline).map(|(id, _)| *id).collect();
+        for id in over {
+            self.give_up(id, JobReason::DeadlinePassed, table);
+        }
+        let waiting = self.jobs.values().flat_map(|j| j.job.stages.iter().zip(&j.stages));
+        let waiting = waiting.filter(|(_, run)| run.waiting() > 0).map(|(spec, _)| &spec.pool);
+        self.dirty.extend(waiting.cloned());
+    }
+
+    /// A call ended.
+    pub fn batch_ended(&mut self, id: u64, outcome: BatchOutcome, table: &Table, now: Timestamp) {
+        let Some(call) = self.calls.remove(&id) else {
+            return;
+        };
+        let took = now.saturating_sub(call.sent);
+        self.makers.ended(&call.endpoint.id);
+        self.dirty.insert(call.pool.clone());
+        self.out.push(Action::Note(Note::BatchEnded {
+            call: id,
+            endpoint: call.endpoint.id.clone(),
+            outcome: describe(&outcome),
+            took_ms: ms(took),
+        }));
+        match outcome {
+            BatchOutcome::Pieces(outcomes) => {
+                self.judge_speed(&call, took, table, now);
+                self.pieces_ended(&call, id, outcomes, table, now);
+            }
+            BatchOutcome::Full => {
+                self.makers.full(&call.endpoint.id, now);
+                self.put_back(&call, id, false, table, now);
+            }
+            BatchOutcome::OtherEndpoint | BatchOutcome::Failed(CallFailure::NotSent) => {
+                self.avoid(&call.endpoint.id, "unreachable", now);
+                self.put_back(&call, id, false, table, now);
+            }
+            BatchOutcome::Failed(_) => {
+                self.avoid(&call.endpoint.id, "broken", now);
+                self.put_back(&call, id, true, table, now);
+            }
+        }
+    }
+
+    fn avoid(&mut self, endpoint: &Name, cause: &'static str, now: Timestamp) {
+        self.makers.failed(endpoint, now);
+        let endpoint = endpoint.clone();
+        self.out.push(Action::Note(Note::Suspicion { endpoint, avoided: true, cause }));
+    }
+
+    fn judge_speed(&mut self, call: &Call, took: Duration, table: &Table, now: Timestamp) {
+        let ratio = took.as_secs_f64() / call.expected.as_secs_f64().max(0.001);
+        self.makers.worked(&call.endpoint.id, ratio);
+        let pool: Vec<Name> = table.members(&call.pool).iter().map(|e| e.id.clone()).collect();
+        if self.makers.avoid_if_slow(&call.endpoint.id, &pool, now) {
+            let endpoint = call.endpoint.id.clone();
+            let note = Note::Suspicion { endpoint, avoided: true, cause: "slow" };
+            self.out.push(Action::Note(note));
+        }
+    }
+
+    fn pieces_ended(
+        &mut self,
+        call: &Call,
+        id: u64,
+        outcomes: Vec<PieceOutcome>,
+        table: &Table,
+        now: Timestamp,
+    ) {
+        let missing = call.pieces.len().saturating_sub(outcomes.len());
+        let outcomes = outcomes.into_iter().chain(vec![PieceOutcome::Failed; missing]);
+        for (&(job, stage, piece, bytes), outcome) in call.pieces.iter().zip(outcomes) {
+            if let PieceOutcome::Made(handle) = outcome {
+                let made = Made { handle, endpoint: call.endpoint.id.clone() };
+                self.made(job, stage, piece, bytes, made, table);
+                continue;
+            }
+            self.makers.freed(&call.endpoint.id, bytes);
+            if !self.is_running(job, stage, piece, id) {
+                continue;
+            }
+            match outcome {
+                PieceOutcome::NoRoom => {
+                    self.makers.no_room(&call.endpoint.id, now);
+                    self.wait_again(job, stage, piece, true, table, now);
+                }
+                PieceOutcome::Failed => self.wait_again(job, stage, piece, true, table, now),
+                PieceOutcome::InputGone => self.make_inputs_again(job, stage, table, now),
+                PieceOutcome::Late | PieceOutcome::Made(_) => {
+                    self.give_up(job, JobReason::DeadlinePassed, table);
+                }
+            }
+        }
+        let mut jobs: Vec<JobId> = call.pieces.iter().map(|p| p.0).collect();
+        jobs.dedup();
+        for job in jobs {
+            self.advance(job, table, now);
+        }
+    }
+
+    fn made(
+        &mut self,
+        job: JobId,
+        stage: usize,
+        piece: usize,
+        bytes: u64,
+        made: Made,
+        table: &Table,
+    ) {
+        let slot = self.jobs.get_mut(&job).map(|j| &mut j.stages[stage].pieces[piece]);
+        match slot {
+            // A piece that was given up and is made after all is as good as any.
+            Some(slot @ (Piece::Running { .. } | Piece::Waiting { .. })) => {
+                *slot = Piece::Made(made)
+            }
+            _ => self.free(&made, bytes, table),
+        }
+    }
+
+    fn is_running(&self, job: JobId, stage: usize, piece: usize, call: u64) -> bool {
+        let run = self.jobs.get(&job);
+        let piece = run.map(|r| &r.stages[stage].pieces[piece]);
+        matches!(piece, Some(Piece::Running { call: c, .. }) if *c == call)
+    }
+
+    /// Every piece of a call that did not end waits again.
+    fn put_back(
+        &mut self,
+        call: &Call,
+        id: u64,
+        may_have_run: bool,
+        table: &Table,
+        now: Timestamp,
+    ) {
+        for &(job, stage, piece, bytes) in &call.pieces {
+            self.makers.freed(&call.endpoint.id, bytes);
+            if self.is_running(job, stage, piece, id) {
+                self.wait_again(job, stage, piece, may_have_run, table, now);
+            }
+        }
+    }
+
+    /// A piece waits again, where the budget and its tries allow it; otherwise its job is given up.
+    fn wait_again(
+        &mut self,
+        job: JobId,
+        stage: usize,
+        piece: usize,
+        counts: bool,
+        table: &Table,
+        now: Timestamp,
+    ) {
+        let Some(run) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        let slot = &mut run.stages[stage].pieces[piece];
+        let Piece::Running { tries, .. } = *slot else {
+            return;
+        };
+        let tries = tries + u32::from(counts);
+        *slot = Piece::Waiting { tries };
+        let pool = run.job.stages[stage].pool.clone();
+        if tries >= MAX_TRIES {
+            return self.give_up(job, JobReason::Failed, table);
+        }
+        // Also a piece that was refused arrives twice.
+        if !self.repeats.take(&pool, self.processes, now) {
+            return self.give_up(job, JobReason::RepeatBudget, table);
+        }
+        self.dirty.insert(pool);
+    }
+
+    /// An input of a stage is gone: the stages before it are made again.
+    fn make_inputs_again(&mut self, job: JobId, stage: usize, table: &Table, now: Timestamp) {
+        let Some(run) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        let mut freed = Vec::new();
+        let mut again = 0;
+        let before = run.job.stages[stage].after.clone();
+        for index in before {
+            let pool = run.job.stages[index].pool.clone();
+            let bytes = run.job.stages[index].result_bytes;
+            for piece in &mut run.stages[index].pieces {
+                if let Piece::Made(made) = piece {
+                    freed.push((made.clone(), bytes));
+                }
+                *piece = Piece::Waiting { tries: MAX_TRIES - 1 };
+                again += 1;
+            }
+            run.stages[index].told = false;
+            self.dirty.insert(pool);
+        }
+        let pool = run.job.stages[stage].pool.clone();
+        for piece in &mut run.stages[stage].pieces {
+            if let Piece::Running { tries, .. } = *piece {
+                *piece = Piece::Waiting { tries: tries + 1 };
+            }
+        }
+        for (made, bytes) in freed {
+            self.free(&made, bytes, table);
+        }
+        if !(0..again).all(|_| self.repeats.take(&pool, self.processes, now)) {
+            self.give_up(job, JobReason::RepeatBudget, table);
+        }
+    }
+
+    fn give_up_call(&mut self, id: u64, table: &Table, now: Timestamp) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        call.is_late = true;
+        let (endpoint, pieces) = (call.endpoint.id.clone(), call.pieces.clone());
+        self.avoid(&endpoint, "overdue", now);
+        for (job, stage, piece, _) in pieces {
+            if self.is_running(job, stage, piece, id) {
+                self.wait_again(job, stage, piece, true, table, now);
+            }
+        }
+    }
+
+    fn give_up(&mut self, id: JobId, reason: JobReason, table: &Table) {
+        if !self.jobs.contains_key(&id) {
+            return;
+        }
+        self.release(id, table);
+        self.tell_given_up(id, reason, false, Duration::from_millis(300));
+    }
+
+    fn tell_given_up(
+        &mut self,
+        job: JobId,
+        reason: JobReason,
+        untouched: bool,
+        retry_after: Duration,
+    ) {
+        self.tell(job, PeerMessage::GivenUp { job, reason, untouched, retry_after });
+    }
+
+    fn tell(&mut self, job: JobId, message: PeerMessage) {
+        self.out.push(Action::Tell { to: job.gateway, message });
+    }
+
+    fn free(&mut self, made: &Made, bytes: u64, table: &Table) {
+        self.makers.freed(&made.endpoint, bytes);
+        if let Some(endpoint) = table.endpoint(&made.endpoint) {
+            let entry = self.to_free.entry(made.endpoint.clone());
+            entry.or_insert_with(|| (endpoint.clone(), Vec::new())).1.push(made.handle.clone());
+        }
+    }
+
+    /// Tells what is done, frees what was used, and opens what comes next.
+    fn advance(&mut self, id: JobId, table: &Table, _now: Timestamp) {
+        let Some(run) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let mut told = Vec::new();
+        let mut used = Vec::new();
+        for stage in 0..run.stages.len() {
+            let is_done = run.stages[stage].is_done();
+            if is_done && !run.stages[stage].told {
+                run.stages[stage].told = true;
+                told.push((stage, run.stages[stage].results()));
+            }
+            if is_done && !run.is_last(stage) && !run.is_needed(stage) {
+                let bytes = run.job.stages[stage].result_bytes;
+                for piece in &mut run.stages[stage].pieces {
+                    if let Piece::Made(made) = std::mem::replace(piece, Piece::Used) {
+                        used.push((made, bytes));
+                    }
+                }
+            }
+            if run.stages[stage].waiting() > 0 {
+                self.dirty.insert(run.job.stages[stage].pool.clone());
+            }
+        }
+        let becomes_ready = run.is_done() && !run.ready;
+        run.ready |= becomes_ready;
+        for (stage, results) in told {
+            self.tell(id, PeerMessage::StageDone { job: id, stage, results });
+        }
+        for (made, bytes) in used {
+            self.free(&made, bytes, table);
+        }
+        if becomes_ready {
+            self.tell(id, PeerMessage::Ready(id));
+        }
+    }
+
+    /// Fills calls of a pool's free endpoints with the most urgent pieces.
+    fn fill(&mut self, pool: &Name, table: &Table, now: Timestamp) {
+        let Some(Work::Batch(spec)) = table.pool(pool).map(|p| p.work.clone()) else {
+            return;
+        };
+        let mut waiting = self.waiting(pool, &spec, table, now);
+        while !waiting.is_empty() {
+            let Some((endpoint, batch)) = self.next_batch(pool, &spec, &mut waiting, table, now)
+            else {
+                return;
+            };
+            self.send(pool, &spec, endpoint, batch, waiting.len(), now);
+        }
+    }
+
+    /// Pieces of a pool that may be sent, most urgent first.
+    fn waiting(
+        &self,
+        pool: &Name,
+        spec: &BatchSpec,
+        table: &Table,
+        now: Timestamp,
+    ) -> Vec<PieceId> {
+        let mut waiting = Vec::new();
+        for (id, run) in &self.jobs {
+            for (stage, job_stage) in run.job.stages.iter().enumerate() {
+                if job_stage.pool != *pool
+                    || run.stages[stage].waiting() == 0
+                    || !run.is_open(stage)
+                {
+                    continue;
+                }
+                let call = |i: usize| expected_call(&run.job, i, table);
+                if is_held_back(run, stage, now, call) {
+                    continue;
+                }
+                let rest = run.from_stage(stage, call) + run.job.after;
+                let slack = ms(run.objective) as i64 - ms(now + rest) as i64;
+                let penalty = if slack < 0 { MISSED_PENALTY_MS } else { 0 };
+                let urgency = slack + penalty;
+                let pieces = run.stages[stage].pieces.iter().enumerate();
+                let open = pieces.filter(|(_, p)| matches!(p, Piece::Waiting { .. }));
+                waiting.extend(open.map(|(piece, _)| (urgency, *id, stage, piece)));
+            }
+        }
+        waiting.sort_unstable();
+        let _ = spec;
+        waiting.into_iter().map(|(_, id, stage, piece)| (id, stage, piece)).collect()
+    }
+
+    /// The endpoint for the most urgent piece that fits anywhere, and what goes with it.
+    fn next_batch(
+        &self,
+        pool: &Name,
+        spec: &BatchSpec,
+        waiting: &mut Vec<PieceId>,
+        table: &Table,
+        now: Timestamp,
+    ) -> Option<(Arc<Endpoint>, Vec<PieceId>)> {
+        let free = self.free_endpoints(pool, spec, table, now);
+        if free.is_empty() {
+            return None;
+        }
+        let first = waiting.iter().position(|p| self.choose(&free, spec, p).is_some())?;
+        let endpoint = self.choose(&free, spec, &waiting[first])?;
+        let mut room = spec.room_bytes.saturating_sub(self.makers.get(&endpoint.id).used);
+        let mut batch = Vec::new();
+        let mut rest = Vec::with_capacity(waiting.len());
+        for (index, piece) in std::mem::take(waiting).into_iter().enumerate() {
+            let bytes = self.jobs[&piece.0].job.stages[piece.1].result_bytes;
+            if index >= first && batch.len() < spec.pieces && bytes <= room {
+                room -= bytes;
+                batch.push(piece);
+            } else {
+                rest.push(piece);
+            }
+        }
+        *waiting = rest;
+        Some((endpoint, batch))
+    }
+
+    /// Endpoints that may get a call now; avoided ones only where nothing else is left.
+    fn free_endpoints(
+        &self,
+        pool: &Name,
+        spec: &BatchSpec,
+        table: &Table,
+        now: Timestamp,
+    ) -> Vec<Arc<Endpoint>> {
+        let members = table.members(pool).iter().filter(|e| !e.leaving);
+        let usable: Vec<&Arc<Endpoint>> =
+            members.clone().filter(|e| self.makers.get(&e.id).avoided_until <= now).collect();
+        let candidates: Vec<&Arc<Endpoint>> =
+            if usable.is_empty() { members.collect() } else { usable };
+        let is_free = |e: &&Arc<Endpoint>| {
+            let maker = self.makers.get(&e.id);
+            maker.running < spec.slots && maker.blocked_until <= now
+        };
+        candidates.into_iter().filter(is_free).cloned().collect()
+    }
+
+    /// Near the job's data centre first, then the one with the most room.
+    fn choose(
+        &self,
+        free: &[Arc<Endpoint>],
+        spec: &BatchSpec,
+        piece: &PieceId,
+    ) -> Option<Arc<Endpoint>> {
+        let job = &self.jobs[&piece.0].job;
+        let bytes = job.stages[piece.1].result_bytes;
+        let room = |e: &Arc<Endpoint>| spec.room_bytes.saturating_sub(self.makers.get(&e.id).used);
+        let fitting = free.iter().filter(|e| room(e) >= bytes);
+        fitting.max_by_key(|e| (e.data_centre == job.data_centre, room(e))).cloned()
+    }
+
+    fn send(
+        &mut self,
+        pool: &Name,
+        spec: &BatchSpec,
+        endpoint: Arc<Endpoint>,
+        batch: Vec<PieceId>,
+        waiting: usize,
+        now: Timestamp,
+    ) {
+        self.next_call += 1;
+        let call = self.next_call;
+        let mut pieces = Vec::with_capacity(batch.len());
+        let mut orders = Vec::with_capacity(batch.len());
+        let mut firsts = 0;
+        let mut total = 0;
+        for (id, stage, piece) in batch {
+            let Some(run) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            let bytes = run.job.stages[stage].result_bytes;
+            orders.push(piece_order(run, stage, piece, now));
+            let slot = &mut run.stages[stage].pieces[piece];
+            let tries = if let Piece::Waiting { tries } = *slot { tries } else { 0 };
+            firsts += u32::from(tries == 0);
+            *slot = Piece::Running { call, tries };
+            run.stages[stage].started.get_or_insert(now);
+            total += bytes;
+            pieces.push((id, stage, piece, bytes));
+        }
+        self.repeats.first(pool, firsts, now);
+        self.makers.sent(&endpoint.id, total);
+        let expected = spec.call + spec.piece * orders.len() as u32;
+        let patience = expected.mul_f64(OVERDUE) + PATIENCE;
+        self.out.push(Action::Note(Note::BatchSent {
+            call,
+            endpoint: endpoint.id.clone(),
+            pieces: orders.iter().map(|o| (o.request.clone(), o.stage, o.piece)).collect(),
+            waiting,
+        }));
+        self.calls.insert(
+            call,
+            Call {
+                pool: pool.clone(),
+                endpoint: endpoint.clone(),
+                pieces,
+                sent: now,
+                expected,
+                overdue: now + patience,
+                is_late: false,
+            },
+        );
+        let timeout = patience * 4;
+        self.out.push(Action::Batch { call, endpoint, pieces: orders, timeout });
+    }
+
+    /// How each pool of a job stands, for admission.
+    fn loads(&self, job: &Job, table: &Table, now: Timestamp) -> Vec<StageLoad> {
+        job.stages.iter().enumerate().map(|(i, _)| self.load(job, i, table, now)).collect()
+    }
+
+    fn load(&self, job: &Job, index: usize, table: &Table, now: Timestamp) -> StageLoad {
+        let stage = &job.stages[index];
+        let is_done = stage.pieces == 0 || stage.done.len() == stage.pieces;
+        let mut load = StageLoad {
+            after: stage.after.clone(),
+            is_done,
+            slots: 0.0,
+            backlog: Duration::ZERO,
+            call: expected_call(job, index, table),
+            room: 0.0,
+            promised: 0.0,
+            wanted: (stage.pieces as u64 * stage.result_bytes) as f64,
+        };
+        let Some(Work::Batch(spec)) = table.pool(&stage.pool).map(|p| &p.work) else {
+            return load;
+        };
+        let usable = table
+            .members(&stage.pool)
+            .iter()
+            .filter(|e| !e.leaving && self.makers.get(&e.id).avoided_until <= now);
+        let usable = usable.count() as f64;
+        load.slots = usable * f64::from(spec.slots);
+        load.room = usable * spec.room_bytes as f64;
+        let share = spec.call.div_f64(spec.pieces as f64 * USUAL_FILL) + spec.piece;
+        for run in self.jobs.values() {
+            for (other, state) in run.job.stages.iter().zip(&run.stages) {
+                if other.pool == stage.pool {
+                    load.backlog += share * state.open() as u32;
+                    load.promised += (state.unused() as u64 * other.result_bytes) as f64;
+                }
+            }
+        }
+        load
+    }
+}
+
+/// Whether a stage that others don't need is begun later, so that its results don't wait.
+fn is_held_back(
+    run: &JobRun,
+    stage: usize,
+    now: Timestamp,
+    call: impl Fn(usize) -> Duration + Copy,
+) -> bool {
+    if !run.is_last(stage) || !run.job.stages[stage].after.is_empty() {
+        return false;
+    }
+    let others = run.remaining(Some(stage), now, call);
+    others > call(stage) + HOLD_SLACK
+}
+
+/// The time of a call that holds a whole stage.
+fn expected_call(job: &Job, stage: usize, table: &Table) -> Duration {
+    let stage = &job.stages[stage];
+    let Some(Work::Batch(spec)) = table.pool(&stage.pool).map(|p| &p.work) else {
+        return Duration::ZERO;
+    };
+    spec.call + spec.piece * stage.pieces.min(spec.pieces) as u32
+}
+
+fn piece_order(run: &JobRun, stage: usize, piece: usize, now: Timestamp) -> PieceOrder {
+    let spec = &run.job.stages[stage];
+    let inputs = spec.after.iter().flat_map(|&a| run.stages[a].results());
+    PieceOrder {
+        request: run.job.request.clone(),
+        stage,
+        piece,
+        remaining: run.deadline.saturating_sub(now),
+        key: if spec.after.is_empty() { run.job.key.clone() } else { None },
+        inputs: inputs.map(|m| m.handle).collect(),
+    }
+}
+
+fn describe(outcome: &BatchOutcome) -> String {
+    let BatchOutcome::Pieces(pieces) = outcome else {
+        return format!("{outcome:?}");
+    };
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for piece in pieces {
+        let word = match piece {
+            PieceOutcome::Made(_) => "made",
+            PieceOutcome::Late => "late",
+            PieceOutcome::InputGone => "input_gone",
+            PieceOutcome::NoRoom => "no_room",
+            PieceOutcome::Failed => "failed",
+        };
+        *counts.entry(word).or_default() += 1;
+    }
+    counts.iter().map(|(word, count)| format!("{word}={count}")).collect::<Vec<_>>().join(" ")
+}
--- /dev/null
+++ b/src/direct/shell.rs
@@ -0,0 +1,351 @@
+//! Carries out what a gateway's core decides: calls, answers, messages, lines.
+
+use std::collections::HashMap;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame};
+use snafu::Snafu;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::AbortHandle;
+
+use super::client::{Answer, AnswerBody, AnswerHead, EndpointClient, Forwarded};
+use super::core::GatewayCore;
+use super::event::{
+    Action, BatchOutcome, CallFailure, CallOrder, Event, Incoming, PieceOrder, Refusal,
+};
+use super::model::{CallerLimits, Endpoint};
+use super::note::Note;
+use super::peers::Peers;
+use super::stream::EventSplitter;
+use crate::actor::{Handle, Shell};
+use crate::logging::Lines;
+
+/// Events of one stream that wait for a slow caller.
+const WAITING_EVENTS: usize = 64;
+
+/// A stream was broken off: its end must not look whole.
+#[derive(Debug, Snafu)]
+#[snafu(display("the stream was broken off"))]
+pub struct BrokenOff;
+
+/// What a caller gets.
+pub enum Reply {
+    /// An endpoint's answer.
+    Whole(AnswerHead, Bytes),
+    /// The head of an endpoint's stream, and its events.
+    Stream(AnswerHead, StreamBody),
+    /// A refusal.
+    Refused(Refusal),
+}
+
+struct Caller {
+    request: Arc<Forwarded>,
+    reply: Option<oneshot::Sender<Reply>>,
+    events: Option<mpsc::Sender<Bytes>>,
+    is_whole: Arc<AtomicBool>,
+    task: Option<(u64, AbortHandle)>,
+    parked: Option<(u64, Answer)>,
+}
+
+type Callers = Arc<Mutex<HashMap<u64, Caller>>>;
+
+fn lock(callers: &Callers) -> std::sync::MutexGuard<'_, HashMap<u64, Caller>> {
+    callers.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Tells the core when a caller goes away before its answer is whole.
+struct Guard {
+    caller: u64,
+    core: Option<Handle<GatewayCore>>,
+    runtime: tokio::runtime::Handle,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if let Some(core) = self.core.take() {
+            core.post(Event::CallerGone { caller: self.caller }, &self.runtime);
+        }
+    }
+}
+
+/// Takes callers' requests on behalf of a front end.
+#[derive(Clone)]
+pub struct Gateway {
+    core: Handle<GatewayCore>,
+    callers: Callers,
+    next: Arc<AtomicU64>,
+    state: watch::Receiver<State>,
+}
+
+/// What a front end goes by.
+#[derive(Debug, Clone, Default)]
+pub struct State {
+    /// Whether the process calls itself ready.
+    pub ready: bool,
+    /// What callers may send.
+    pub limits: CallerLimits,
+}
+
+impl Gateway {
+    /// The state that a front end goes by.
+    pub fn state(&self) -> State {
+        self.state.borrow().clone()
+    }
+
+    /// Callers that wait for an answer or whose stream is open.
+    pub fn callers(&self) -> usize {
+        lock(&self.callers).len()
+    }
+
+    /// Asks, and waits for the answer; dropping this ends the request.
+    pub async fn submit(&self, incoming: Incoming, request: Forwarded) -> Option<Reply> {
+        let caller = self.next.fetch_add(1, Ordering::Relaxed);
+        let (sender, receiver) = oneshot::channel();
+        let entry = Caller {
+            request: Arc::new(request),
+            reply: Some(sender),
+            events: None,
+            is_whole: Arc::default(),
+            task: None,
+            parked: None,
+        };
+        lock(&self.callers).insert(caller, entry);
+        let runtime = tokio::runtime::Handle::current();
+        let mut guard = Guard { caller, core: Some(self.core.clone()), runtime };
+        self.core.send(Event::Submit { caller, incoming }).await.ok()?;
+        let mut reply = receiver.await.ok()?;
+        if let Reply::Stream(_, body) = &mut reply {
+            body.guard = Some(guard);
+        } else {
+            guard.core = None;
+        }
+        Some(reply)
+    }
+}
+
+/// The events of a stream as a body.
+pub struct StreamBody {
+    events: mpsc::Receiver<Bytes>,
+    is_whole: Arc<AtomicBool>,
+    guard: Option<Guard>,
+}
+
+impl Body for StreamBody {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        match self.events.poll_recv(context) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Some(events)) => Poll::Ready(Some(Ok(Frame::data(events)))),
+            Poll::Ready(None) => {
+                if let Some(mut guard) = self.guard.take() {
+                    guard.core = None;
+                }
+                let is_whole = self.is_whole.load(Ordering::Acquire);
+                Poll::Ready(if is_whole { None } else { Some(Err(BrokenOff)) })
+            }
+        }
+    }
+}
+
+/// The shell of one gateway.
+pub struct GatewayShell<C> {
+    core: Handle<GatewayCore>,
+    client: Arc<C>,
+    peers: Peers,
+    callers: Callers,
+    state: watch::Sender<State>,
+    lines: Lines,
+}
+
+impl<C: EndpointClient> GatewayShell<C> {
+    /// A shell, and what front ends hold of it.
+    pub fn new(
+        core: Handle<GatewayCore>,
+        client: Arc<C>,
+        peers: Peers,
+        lines: Lines,
+    ) -> (Self, Gateway) {
+        let (state, receiver) = watch::channel(State::default());
+        let callers = Callers::default();
+        let gateway = Gateway {
+            core: core.clone(),
+            callers: callers.clone(),
+            next: Arc::new(AtomicU64::new(1)),
+            state: receiver,
+        };
+        (Self { core, client, peers, callers, state, lines }, gateway)
+    }
+
+    fn call(&self, caller: u64, attempt: u64, order: CallOrder) {
+        let mut callers = lock(&self.callers);
+        let Some(entry) = callers.get_mut(&caller) else {
+            return;
+        };
+        let request = entry.request.clone();
+        let (core, client, parked) = (self.core.clone(), self.client.clone(), self.callers.clone());
+        let allowed = order.allowed;
+        let task = tokio::spawn(async move {
+            let called = tokio::time::timeout(allowed, client.call(order, request)).await;
+            let event = match called.unwrap_or(Err(CallFailure::Silent)) {
+                Ok(answer) => {
+                    let proof = answer.proof;
+                    let is_open = matches!(answer.body, AnswerBody::Open(_));
+                    if let Some(entry) = lock(&parked).get_mut(&caller) {
+                        entry.parked = Some((attempt, answer));
+                    }
+                    Event::Answered { caller, attempt, proof, is_open }
+                }
+                Err(failure) => Event::CallFailed { caller, attempt, failure },
+            };
+            core.send(event).await.ok();
+        });
+        entry.task = Some((attempt, task.abort_handle()));
+    }
+
+    fn hang_up(&self, caller: u64, attempt: u64) {
+        if let Some(entry) = lock(&self.callers).get_mut(&caller) {
+            if let Some((_, task)) = entry.task.take_if(|(a, _)| *a == attempt) {
+                task.abort();
+            }
+            entry.parked.take_if(|(a, _)| *a == attempt);
+        }
+    }
+
+    fn deliver(&self, caller: u64, attempt: u64) {
+        let mut callers = lock(&self.callers);
+        let Some(entry) = callers.get_mut(&caller) else {
+            return;
+        };
+        let Some((_, answer)) = entry.parked.take_if(|(a, _)| *a == attempt) else {
+            return;
+        };
+        match answer.body {
+            AnswerBody::Whole(body) => {
+                if let Some(reply) = entry.reply.take() {
+                    reply.send(Reply::Whole(answer.head, body)).ok();
+                }
+                callers.remove(&caller);
+            }
+            AnswerBody::Open(body) => {
+                if let Some(reply) = entry.reply.take() {
+                    let (events, receiver) = mpsc::channel(WAITING_EVENTS);
+                    entry.events = Some(events);
+                    let is_whole = entry.is_whole.clone();
+                    let stream = StreamBody { events: receiver, is_whole, guard: None };
+                    reply.send(Reply::Stream(answer.head, stream)).ok();
+                }
+                let Some(events) = entry.events.clone() else {
+                    return;
+                };
+                let pump = pump(caller, attempt, body, events, self.core.clone());
+                entry.task = Some((attempt, tokio::spawn(pump).abort_handle()));
+            }
+        }
+    }
+
+    fn end(&self, caller: u64, reply: Option<Refusal>, is_whole: bool) {
+        let Some(entry) = lock(&self.callers).remove(&caller) else {
+            return;
+        };
+        entry.is_whole.store(is_whole, Ordering::Release);
+        if let (Some(sender), Some(refusal)) = (entry.reply, reply) {
+            sender.send(Reply::Refused(refusal)).ok();
+        }
+        if let Some((_, task)) = entry.task.filter(|_| !is_whole) {
+            task.abort();
+        }
+    }
+
+    fn batch(
+        &self,
+        call: u64,
+        endpoint: Arc<Endpoint>,
+        pieces: Vec<PieceOrder>,
+        patience: Duration,
+    ) {
+        let (core, client) = (self.core.clone(), self.client.clone());
+        tokio::spawn(async move {
+            let called = tokio::time::timeout(patience, client.batch(endpoint, pieces)).await;
+            let outcome = called.unwrap_or(BatchOutcome::Failed(CallFailure::Silent));
+            core.send(Event::BatchEnded { call, outcome }).await.ok();
+        });
+    }
+
+    fn write(&self, note: &Note) {
+        crate::metrics::noted(note);
+        self.lines.write(note);
+    }
+}
+
+/// Passes a stream's events on as they come, whole ones only.
+async fn pump(
+    caller: u64,
+    attempt: u64,
+    mut body: http_body_util::combinators::UnsyncBoxBody<Bytes, super::client::BodyError>,
+    events: mpsc::Sender<Bytes>,
+    core: Handle<GatewayCore>,
+) {
+    let mut splitter = EventSplitter::default();
+    let mut is_first = true;
+    let whole = loop {
+        match body.frame().await {
+            None => break splitter.is_at_boundary(),
+            Some(Err(_)) => break false,
+            Some(Ok(frame)) => {
+                let Ok(data) = frame.into_data() else {
+                    continue;
+                };
+                let Some(whole) = splitter.push(&data) else {
+                    if splitter.is_too_long() {
+                        break false;
+                    }
+                    continue;
+                };
+                if events.send(whole).await.is_err() {
+                    return;
+                }
+                if std::mem::take(&mut is_first) {
+                    core.send(Event::FirstEvent { caller }).await.ok();
+                }
+            }
+        }
+    };
+    drop(events);
+    let last_event = splitter.last_id().map(ToOwned::to_owned);
+    core.send(Event::StreamEnded { caller, attempt, whole, last_event }).await.ok();
+}
+
+impl<C: EndpointClient> Shell<GatewayCore> for GatewayShell<C> {
+    fn act(&mut self, action: Action, _core: &GatewayCore) {
+        match action {
+            Action::Call { caller, attempt, order } => self.call(caller, attempt, order),
+            Action::Hangup { caller, attempt } => self.hang_up(caller, attempt),
+            Action::Deliver { caller, attempt } => self.deliver(caller, attempt),
+            Action::Refuse { caller, refusal } => self.end(caller, Some(refusal), false),
+            Action::Finish { caller } => self.end(caller, None, true),
+            Action::Abort { caller } => self.end(caller, None, false),
+            Action::Batch { call, endpoint, pieces, timeout } => {
+                self.batch(call, endpoint, pieces, timeout);
+            }
+            Action::Free { endpoint, handles } => {
+                let client = self.client.clone();
+                tokio::spawn(async move { client.free(endpoint, handles).await });
+            }
+            Action::Tell { to, message } => self.peers.tell(to, message),
+            Action::Ready(ready) => self.state.send_modify(|s| s.ready = ready),
+            Action::Limits(limits) => self.state.send_modify(|s| s.limits = limits),
+            Action::Note(note) => self.write(&note),
+        }
+    }
+}
--- /dev/null
+++ b/src/direct/table.rs
@@ -0,0 +1,76 @@
+//! A configuration and the list of endpoints, compiled for lookups.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use super::model::{Deployment, Endpoint, Name, Organisation, Pool, Route};
+
+/// What a process knows, compiled; replaced as a whole.
+#[derive(Debug, Default)]
+pub struct Table {
+    /// The configuration.
+    pub deployment: Arc<Deployment>,
+    /// Routes of a host, the longest path prefix first.
+    by_host: HashMap<Name, Vec<usize>>,
+    by_key: HashMap<Name, usize>,
+    /// Members of each pool, also leaving ones.
+    members: HashMap<Name, Vec<Arc<Endpoint>>>,
+}
+
+impl Table {
+    /// Compiles.
+    pub fn new<'a>(
+        deployment: Arc<Deployment>,
+        endpoints: impl Iterator<Item = &'a Arc<Endpoint>> + Clone,
+    ) -> Self {
+        let mut by_host: HashMap<Name, Vec<usize>> = HashMap::new();
+        for (i, route) in deployment.routes.iter().enumerate() {
+            by_host.entry(route.host.clone()).or_default().push(i);
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|&i| std::cmp::Reverse(deployment.routes[i].path_prefix.len()));
+        }
+        let mut by_key = HashMap::new();
+        for (i, organisation) in deployment.organisations.iter().enumerate() {
+            by_key.extend(organisation.keys.iter().map(|k| (k.clone(), i)));
+        }
+        let members = deployment.pools.iter().map(|pool| {
+            let matching = endpoints.clone().filter(|e| pool.endpoints.matches(&e.labels));
+            (pool.name.clone(), matching.cloned().collect())
+        });
+        let members = members.collect();
+        Self { deployment, by_host, by_key, members }
+    }
+
+    /// Whether there is a configuration.
+    pub fn is_configured(&self) -> bool {
+        self.deployment.version > 0
+    }
+
+    /// The route of a request.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let routes = self.by_host.get(host)?;
+        let routes = routes.iter().map(|&i| &self.deployment.routes[i]);
+        routes.into_iter().find(|r| path.starts_with(&*r.path_prefix))
+    }
+
+    /// Whose key this is.
+    pub fn organisation(&self, key: &str) -> Option<&Organisation> {
+        self.by_key.get(key).map(|&i| &self.deployment.organisations[i])
+    }
+
+    /// The endpoints of a pool, also leaving ones.
+    pub fn members(&self, pool: &str) -> &[Arc<Endpoint>] {
+        self.members.get(pool).map_or(&[], Vec::as_slice)
+    }
+
+    /// The pool of this name.
+    pub fn pool(&self, name: &str) -> Option<&Pool> {
+        self.deployment.pool(name)
+    }
+
+    /// The endpoint of this id, in any pool.
+    pub fn endpoint(&self, id: &str) -> Option<&Arc<Endpoint>> {
+        self.members.values().flatten().find(|e| &*e.id == id)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod config_store;
 pub mod daemon;
+pub mod direct;
 pub mod fleet;
 pub mod gateway;
 pub mod http;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -4,6 +4,7 @@
 
 use metrics::{counter, describe_counter, describe_gauge, describe_histogram, gauge, histogram};
 
+use crate::direct::note::Note;
 use crate::message::Ran;
 use crate::refusal::Refusal;
 
@@ -44,6 +45,19 @@
 /// Bytes of documents sent to and received from peers and the platform.
 pub const CONTROL_BYTES: &str = "stackmast_control_bytes_total";
 
+/// Lines that were dropped because standard output did not keep up.
+pub const LINES_DROPPED: &str = "stackmast_log_lines_dropped_total";
+/// Messages to other gateways that were dropped because their queue was full.
+pub const PEER_DROPPED: &str = "stackmast_peer_messages_dropped_total";
+/// Messages of other gateways that could not be read.
+pub const PEER_BAD: &str = "stackmast_peer_messages_bad_total";
+/// Decisions and changes of belief, by kind.
+pub const DECISIONS: &str = "stackmast_decisions_total";
+/// Time of calls with pieces, in seconds.
+pub const BATCH_SECONDS: &str = "stackmast_batch_seconds";
+/// Pieces in a call.
+pub const BATCH_PIECES: &str = "stackmast_batch_pieces";
+
 /// Gives every metric its help text.
 pub fn describe() {
     describe_counter!(COMPLETED, "Requests answered in full, by in_time");
@@ -64,6 +78,12 @@
     describe_counter!(PLATFORM_CALLS, "Calls to the platform, by outcome");
     describe_counter!(CONFIG_CHANGES, "Configurations accepted, rejected or in conflict");
     describe_counter!(CONTROL_BYTES, "Bytes of documents, by direction");
+    describe_counter!(LINES_DROPPED, "Log lines dropped");
+    describe_counter!(PEER_DROPPED, "Messages to gateways dropped");
+    describe_counter!(PEER_BAD, "Messages of gateways that could not be read");
+    describe_counter!(DECISIONS, "Decisions and changes of belief, by kind");
+    describe_histogram!(BATCH_SECONDS, "Seconds of calls with pieces");
+    describe_histogram!(BATCH_PIECES, "Pieces in a call");
     counter!(INVARIANT_VIOLATIONS).absolute(0);
 }
 
@@ -130,3 +150,17 @@
 pub fn in_flight(count: usize) {
     gauge!(IN_FLIGHT).set(count as f64);
 }
+
+/// Counts a decision or change of belief, and what it measured.
+pub fn noted(note: &Note) {
+    counter!(DECISIONS, "kind" => note.kind()).increment(1);
+    match note {
+        Note::Ended { took_ms, .. } => histogram!(LATENCY).record(*took_ms as f64 / 1_000.0),
+        Note::BatchEnded { took_ms, .. } => {
+            histogram!(BATCH_SECONDS).record(*took_ms as f64 / 1_000.0);
+        }
+        Note::BatchSent { pieces, .. } => histogram!(BATCH_PIECES).record(pieces.len() as f64),
+        Note::Configured { version, .. } => gauge!(CONFIG_VERSION).set(*version as f64),
+        _ => {}
+    }
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,5 +5,7 @@
 pub mod demand;
 pub mod explain;
 pub mod limit;
+pub mod path;
+pub mod place;
 pub mod predict;
 pub mod route;
