Results that are gone are made again with their own inputs; admission counts full calls

Ruled out: a lost message between gateways (the piece's stage before was freed by this owner itself).

Change: stages are made again back to the first whose results are kept, and an invariant holds a piece with missing inputs back.

--- a/src/direct/jobs.rs
+++ b/src/direct/jobs.rs
@@ -1,5 +1,6 @@
 //! The state of one job at the owner of its pools: pieces that wait, run or are made.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::message::{Job, Made};
@@ -126,6 +127,25 @@
         !self.job.stages.iter().any(|s| s.after.contains(&stage))
     }
 
+    /// The results that a stage's pieces need.
+    pub fn inputs_of(&self, stage: usize) -> usize {
+        self.job.stages[stage].after.iter().map(|&a| self.stages[a].pieces.len()).sum()
+    }
+
+    /// The stages that must be made again so that `stage` gets inputs: those before it, and those
+    /// before them as far as their results are not kept any more.
+    pub fn to_make_again(&self, stage: usize) -> BTreeSet<usize> {
+        let mut again = BTreeSet::new();
+        let mut open = self.job.stages[stage].after.clone();
+        while let Some(index) = open.pop() {
+            if again.insert(index) {
+                let before = self.job.stages[index].after.iter().copied();
+                open.extend(before.filter(|&b| self.stages[b].pieces.contains(&Piece::Used)));
+            }
+        }
+        again
+    }
+
     /// The time from now until everything is made, as far as `call` tells for each stage; the
     /// branch that ends in `without`, if any, is left out.
     pub fn remaining(
--- a/src/direct/scheduler.rs
+++ b/src/direct/scheduler.rs
@@ -16,6 +16,8 @@
 use super::note::{Note, ms};
 use super::repeats::{Bounds, Repeats};
 use super::table::Table;
+use crate::invariant;
+use crate::invariant::Violation;
 use crate::message::Timestamp;
 use crate::policy::path::{PathRefusal, StageLoad, admit_path};
 
@@ -29,8 +31,11 @@
 const MAX_TRIES: u32 = 4;
 /// A stage that is not needed before others is begun so much earlier than it must be.
 const HOLD_SLACK: Duration = Duration::from_millis(120);
-/// Full calls are not always to be had: capacity is counted with calls filled to this share.
-const USUAL_FILL: f64 = 0.6;
+/// What is begun comes to its stages one after the other, and calls grow fuller under load: of the
+/// time that all of it needs at full calls, so much stands before a newcomer.
+const BEFORE_NEWCOMER: f64 = 0.3;
+/// A piece that is in a call needs so much of its time, on average.
+const RUNNING_REST: f64 = 0.5;
 /// Work that can't meet its objective any more comes after all that can.
 const MISSED_PENALTY_MS: i64 = 20_000;
 
@@ -367,37 +372,35 @@
         self.dirty.insert(pool);
     }
 
-    /// An input of a stage is gone: the stages before it are made again.
+    /// An input of a stage is gone: the stages before it are made again, and those before them
+    /// whose own results were used and freed.
     fn make_inputs_again(&mut self, job: JobId, stage: usize, table: &Table, now: Timestamp) {
         let Some(run) = self.jobs.get_mut(&job) else {
             return;
         };
+        for piece in &mut run.stages[stage].pieces {
+            if let Piece::Running { tries, .. } = *piece {
+                *piece = Piece::Waiting { tries: tries + 1 };
+            }
+        }
         let mut freed = Vec::new();
-        let mut again = 0;
-        let before = run.job.stages[stage].after.clone();
-        for index in before {
-            let pool = run.job.stages[index].pool.clone();
-            let bytes = run.job.stages[index].result_bytes;
+        let mut again = Vec::new();
+        for index in run.to_make_again(stage) {
+            let spec = &run.job.stages[index];
             for piece in &mut run.stages[index].pieces {
                 if let Piece::Made(made) = piece {
-                    freed.push((made.clone(), bytes));
+                    freed.push((made.clone(), spec.result_bytes));
                 }
                 *piece = Piece::Waiting { tries: MAX_TRIES - 1 };
-                again += 1;
+                again.push(spec.pool.clone());
             }
             run.stages[index].told = false;
-            self.dirty.insert(pool);
-        }
-        let pool = run.job.stages[stage].pool.clone();
-        for piece in &mut run.stages[stage].pieces {
-            if let Piece::Running { tries, .. } = *piece {
-                *piece = Piece::Waiting { tries: tries + 1 };
-            }
         }
         for (made, bytes) in freed {
             self.free(&made, bytes, table);
         }
-        if !(0..again).all(|_| self.repeats.take(&pool, self.processes, now)) {
+        self.dirty.extend(again.iter().cloned());
+        if !again.iter().all(|pool| self.repeats.take(pool, self.processes, now)) {
             self.give_up(job, JobReason::RepeatBudget, table);
         }
     }
@@ -619,7 +622,13 @@
                 continue;
             };
             let bytes = run.job.stages[stage].result_bytes;
-            orders.push(piece_order(run, stage, piece, now));
+            let order = piece_order(run, stage, piece, now);
+            let violation =
+                Violation::MissingInputs { request: run.job.request.to_string(), stage };
+            if !invariant!(order.inputs.len() == run.inputs_of(stage), violation) {
+                continue;
+            }
+            orders.push(order);
             let slot = &mut run.stages[stage].pieces[piece];
             let tries = if let Piece::Waiting { tries } = *slot { tries } else { 0 };
             firsts += u32::from(tries == 0);
@@ -682,11 +691,14 @@
         let usable = usable.count() as f64;
         load.slots = usable * f64::from(spec.slots);
         load.room = usable * spec.room_bytes as f64;
-        let share = spec.call.div_f64(spec.pieces as f64 * USUAL_FILL) + spec.piece;
+        let full_call = spec.call.div_f64(spec.pieces as f64) + spec.piece;
+        let share = full_call.mul_f64(BEFORE_NEWCOMER);
         for run in self.jobs.values() {
             for (other, state) in run.job.stages.iter().zip(&run.stages) {
                 if other.pool == stage.pool {
-                    load.backlog += share * state.open() as u32;
+                    let waiting = state.waiting() as f64;
+                    let running = state.open() as f64 - waiting;
+                    load.backlog += share.mul_f64(running.mul_add(RUNNING_REST, waiting));
                     load.promised += (state.unused() as u64 * other.result_bytes) as f64;
                 }
             }
--- a/src/invariant.rs
+++ b/src/invariant.rs
@@ -37,6 +37,14 @@
         /// The request.
         request: String,
     },
+    /// A piece was about to be sent without every result that it needs.
+    #[snafu(display("request {request} stage {stage}: a piece would lack inputs"))]
+    MissingInputs {
+        /// The request.
+        request: String,
+        /// The stage's position.
+        stage: usize,
+    },
     /// A configuration older than the one in force was about to be applied.
     #[snafu(display("configuration {from} would go back to {to}"))]
     ConfigReverted {
--- /dev/null
+++ b/tests/direct_scheduler.rs
@@ -0,0 +1,250 @@
+//! The owner of pools that work in batches: pieces, room, repeats.
+
+mod directenv;
+
+use std::time::Duration;
+
+use directenv::{endpoint, job, job_id, ms, route, table};
+use stackmast::direct::event::{Action, BatchOutcome, CallFailure, PieceOrder, PieceOutcome};
+use stackmast::direct::message::{JobReason, PeerMessage};
+use stackmast::direct::model::Repeat;
+use stackmast::direct::repeats::Bounds;
+use stackmast::direct::scheduler::Scheduler;
+use stackmast::direct::table::Table;
+
+fn scheduler() -> Scheduler {
+    Scheduler::new(Bounds { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) })
+}
+
+/// Calls among actions: id, endpoint, pieces.
+fn calls(actions: &[Action]) -> Vec<(u64, String, Vec<PieceOrder>)> {
+    let calls = actions.iter().filter_map(|a| match a {
+        Action::Batch { call, endpoint, pieces, .. } => {
+            Some((*call, endpoint.id.to_string(), pieces.clone()))
+        }
+        _ => None,
+    });
+    calls.collect()
+}
+
+fn told(actions: &[Action]) -> Vec<PeerMessage> {
+    let told = actions.iter().filter_map(|a| match a {
+        Action::Tell { message, .. } => Some(message.clone()),
+        _ => None,
+    });
+    told.collect()
+}
+
+fn freed(actions: &[Action]) -> Vec<String> {
+    let freed = actions.iter().filter_map(|a| match a {
+        Action::Free { handles, .. } => Some(handles.iter().map(ToString::to_string)),
+        _ => None,
+    });
+    freed.flatten().collect()
+}
+
+fn made(call: u64, count: usize) -> BatchOutcome {
+    let handles = (0..count).map(|i| PieceOutcome::Made(format!("{call}/{i}").into()));
+    BatchOutcome::Pieces(handles.collect())
+}
+
+/// Answers every call as made until none is left; returns all actions.
+fn run_to_the_end(scheduler: &mut Scheduler, table: &Table, mut now: Duration) -> Vec<Action> {
+    let mut all = Vec::new();
+    loop {
+        let actions = scheduler.actions(table, now);
+        let open = calls(&actions);
+        all.extend(actions);
+        if open.is_empty() {
+            return all;
+        }
+        now += ms(260);
+        for (call, _, pieces) in open {
+            scheduler.batch_ended(call, made(call, pieces.len()), table, now);
+        }
+    }
+}
+
+#[test]
+fn a_graph_of_stages_runs_in_order_and_ends_ready() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], 10), ("second", &[0], 10)]);
+    let table = table(vec![route.clone()]);
+    let mut scheduler = scheduler();
+    scheduler.submit(job(1, &route, 3), &table, ms(0));
+    let actions = run_to_the_end(&mut scheduler, &table, ms(0));
+    let calls = calls(&actions);
+    assert_eq!(calls.len(), 2, "all pieces of a stage fit one call");
+    assert!(calls[0].2.iter().all(|p| p.stage == 0 && p.key.is_some() && p.inputs.is_empty()));
+    assert!(calls[1].2.iter().all(|p| p.stage == 1 && p.key.is_none() && p.inputs.len() == 3));
+    assert!(told(&actions).contains(&PeerMessage::Ready(job_id(1))));
+    assert_eq!(freed(&actions).len(), 3, "the first stage's results are freed once they are used");
+    scheduler.release(job_id(1), &table);
+    assert_eq!(freed(&scheduler.actions(&table, ms(600))).len(), 3, "the rest on release");
+    assert!(scheduler.is_idle());
+}
+
+#[test]
+fn pieces_of_many_jobs_share_a_call() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], 10)]);
+    let table = table(vec![route.clone()]);
+    let mut scheduler = scheduler();
+    scheduler.submit(job(1, &route, 4), &table, ms(0));
+    scheduler.submit(job(2, &route, 4), &table, ms(0));
+    scheduler.submit(job(3, &route, 2), &table, ms(0));
+    scheduler.submit(job(4, &route, 2), &table, ms(0));
+    let first = calls(&scheduler.actions(&table, ms(0)));
+    assert_eq!(first.len(), 2, "two endpoints, one slot each");
+    scheduler.batch_ended(first[0].0, made(first[0].0, 4), &table, ms(280));
+    let second = calls(&scheduler.actions(&table, ms(280)));
+    assert_eq!(second.len(), 1);
+    let mut requests: Vec<&str> = second[0].2.iter().map(|p| &*p.request).collect();
+    requests.dedup();
+    assert_eq!(requests, ["request-3", "request-4"]);
+}
+
+#[test]
+fn results_that_are_gone_are_made_again_from_the_first_stage_that_was_freed() {
+    let stages: &[(&str, &[usize], u64)] =
+        &[("first", &[], 10), ("second", &[0], 10), ("third", &[1], 10)];
+    let route = route("r", Repeat::AtMostOnce, stages);
+    let table = table(vec![route.clone()]);
+    let mut scheduler = scheduler();
+    scheduler.submit(job(1, &route, 2), &table, ms(0));
+    let mut now = ms(0);
+    for _ in 0..2 {
+        let open = calls(&scheduler.actions(&table, now));
+        now += ms(260);
+        scheduler.batch_ended(open[0].0, made(open[0].0, 2), &table, now);
+    }
+    let third = calls(&scheduler.actions(&table, now));
+    assert_eq!(third[0].2[0].stage, 2);
+    let gone = BatchOutcome::Pieces(vec![PieceOutcome::InputGone, PieceOutcome::InputGone]);
+    scheduler.batch_ended(third[0].0, gone, &table, now + ms(10));
+    let again = run_to_the_end(&mut scheduler, &table, now + ms(10));
+    for (_, _, pieces) in calls(&again) {
+        for piece in pieces {
+            let expected = if piece.stage == 0 { 0 } else { 2 };
+            assert_eq!(piece.inputs.len(), expected, "stage {} with all inputs", piece.stage);
+        }
+    }
+    assert!(told(&again).contains(&PeerMessage::Ready(job_id(1))));
+}
+
+#[test]
+fn room_is_counted_and_given_back() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], 400)]);
+    let table = table(vec![route.clone()]);
+    let mut scheduler = scheduler();
+    scheduler.submit(job(1, &route, 4), &table, ms(0));
+    let open = calls(&scheduler.actions(&table, ms(0)));
+    let sizes: Vec<usize> = open.iter().map(|c| c.2.len()).collect();
+    assert_eq!(sizes, [2, 2], "room for two results at each endpoint");
+    for (call, _, pieces) in &open {
+        scheduler.batch_ended(*call, made(*call, pieces.len()), &table, ms(300));
+    }
+    let mut late = job(2, &route, 1);
+    late.resubmitted = true;
+    scheduler.submit(late, &table, ms(300));
+    assert!(calls(&scheduler.actions(&table, ms(300))).is_empty(), "no room");
+    scheduler.release(job_id(1), &table);
+    assert_eq!(calls(&scheduler.actions(&table, ms(310))).len(), 1, "room again");
+}
+
+#[test]
+fn what_would_not_find_room_is_refused_untouched_and_at_once() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], 500)]);
+    let table = table(vec![route.clone()]);
+    let mut scheduler = scheduler();
+    for number in 1..=3 {
+        scheduler.submit(job(number, &route, 3), &table, ms(0));
+    }
+    let refused = told(&scheduler.actions(&table, ms(0))).into_iter().find_map(|m| match m {
+        PeerMessage::GivenUp { job, reason, untouched, retry_after } => {
+            Some((job, reason, untouched, retry_after))
+        }
+        _ => None,
+    });
+    let (job, reason, untouched, retry_after) = refused.expect("one is refused");
+    assert_eq!((job, reason, untouched), (job_id(3), JobReason::NoRoom, true));
+    assert!(retry_after >= ms(100));
+}
+
+#[test]
+fn a_full_endpoint_is_asked_again_and_the_piece_goes_elsewhere_meanwhile() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], 10)]);
+    let table = table(vec![route.clone()]);
+    let mut scheduler = scheduler();
+    scheduler.submit(job(1, &route, 2), &table, ms(0));
+    let first = calls(&scheduler.actions(&table, ms(0)));
+    scheduler.batch_ended(first[0].0, BatchOutcome::Full, &table, ms(2));
+    let second = calls(&scheduler.actions(&table, ms(2)));
+    assert_eq!(second.len(), 1);
+    assert_ne!(second[0].1, first[0].1, "another endpoint");
+}
+
+#[test]
+fn a_call_that_is_overdue_is_made_elsewhere_and_its_late_results_are_freed() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], 10)]);
+    let table = table(vec![route.clone()]);
+    let mut scheduler = scheduler();
+    scheduler.submit(job(1, &route, 1), &table, ms(0));
+    let first = calls(&scheduler.actions(&table, ms(0)));
+    scheduler.look(&table, ms(1_500));
+    let second = calls(&scheduler.actions(&table, ms(1_500)));
+    assert_eq!(second.len(), 1, "made again");
+    assert_ne!(second[0].1, first[0].1);
+    scheduler.batch_ended(second[0].0, made(second[0].0, 1), &table, ms(1_700));
+    assert!(told(&scheduler.actions(&table, ms(1_700))).contains(&PeerMessage::Ready(job_id(1))));
+    scheduler.batch_ended(first[0].0, made(first[0].0, 1), &table, ms(3_000));
+    assert_eq!(freed(&scheduler.actions(&table, ms(3_000))), ["1/0"]);
+}
+
+#[test]
+fn repeats_end_with_the_budget() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], 10)]);
+    let table = table(vec![route.clone()]);
+    let bounds = Bounds { ratio: 0.0, slack: 2.0, window: Duration::from_secs(10) };
+    let mut scheduler = Scheduler::new(bounds);
+    scheduler.submit(job(1, &route, 4), &table, ms(0));
+    let first = calls(&scheduler.actions(&table, ms(0)));
+    let broken = BatchOutcome::Failed(CallFailure::Broken);
+    scheduler.batch_ended(first[0].0, broken, &table, ms(5));
+    let actions = scheduler.actions(&table, ms(5));
+    let given_up = told(&actions).iter().any(|m| {
+        matches!(m, PeerMessage::GivenUp { reason: JobReason::RepeatBudget, untouched: false, .. })
+    });
+    assert!(given_up, "four repeats where the budget holds one");
+}
+
+#[test]
+fn results_of_an_unfinished_job_are_freed_when_its_gateway_is_gone() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], 10), ("second", &[0], 10)]);
+    let table = table(vec![route.clone()]);
+    let mut scheduler = scheduler();
+    scheduler.submit(job(1, &route, 2), &table, ms(0));
+    let first = calls(&scheduler.actions(&table, ms(0)));
+    scheduler.batch_ended(first[0].0, made(first[0].0, 2), &table, ms(260));
+    scheduler.release_all_of(|id| id.incarnation == 1, &table);
+    let actions = scheduler.actions(&table, ms(260));
+    assert_eq!(freed(&actions).len(), 2);
+    assert!(calls(&actions).is_empty(), "nothing more is begun for it");
+}
+
+#[test]
+fn a_new_owner_goes_on_with_what_the_old_one_had_made() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], 10), ("second", &[0], 10)]);
+    let table = table(vec![route.clone()]);
+    let mut scheduler = scheduler();
+    let mut job = job(1, &route, 1);
+    job.resubmitted = true;
+    let handle = "old/0".into();
+    job.stages[0].done = vec![stackmast::direct::message::Made {
+        handle,
+        endpoint: endpoint("first", 1).id.clone(),
+    }];
+    scheduler.submit(job, &table, ms(0));
+    let open = calls(&scheduler.actions(&table, ms(0)));
+    assert_eq!(open.len(), 1);
+    assert_eq!(open[0].2[0].stage, 1);
+    assert_eq!(*open[0].2[0].inputs[0], *"old/0");
+}
