Calls in the place of their inputs, owners that tell what they use, an owner also among the leaving

Change: pieces that move 100 KB or more wait for a replica in their home while they have 600 ms to spare; owners tell each other what they keep, a lost owner's share runs out over 5 s, and what finds no room is taken for somebody else's; where no member serves, one that leaves may own; a stopping gateway takes requests for 1.5 s, or until 4.5 s before its end where nobody else serves.

--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -23,8 +23,11 @@
 
 /// A gateway that has seen less than another waits so long for its own publisher before it asks.
 const BEHIND: Duration = Duration::from_millis(100);
-/// After it was told to stop, a gateway takes requests on kept connections for so long.
-const STILL_TAKING: Duration = Duration::from_secs(3);
+/// After it was told to stop, a gateway takes requests on kept connections for so long, where
+/// others serve.
+const STILL_TAKING: Duration = Duration::from_millis(1_500);
+/// Where nobody else serves, it takes requests until so long before it is killed.
+const LAST_REQUEST: Duration = Duration::from_millis(4_500);
 
 /// What a gateway is made with.
 #[derive(Debug, Clone)]
@@ -39,6 +42,8 @@
     pub seeds: Vec<SocketAddr>,
     /// The budget of repeats.
     pub repeats: Bounds,
+    /// From the signal to stop until the process is killed.
+    pub grace: Duration,
     /// The seed of the random choices.
     pub seed: u64,
 }
@@ -61,6 +66,7 @@
     behind: Option<Behind>,
     next_beat: Timestamp,
     draining_since: Option<Timestamp>,
+    grace: Duration,
     is_ready: bool,
     rng: StdRng,
     out: Vec<Action>,
@@ -83,6 +89,7 @@
             behind: None,
             next_beat: Timestamp::ZERO,
             draining_since: None,
+            grace: setup.grace,
             is_ready: false,
             rng: StdRng::seed_from_u64(setup.seed),
             out: vec![Action::Note(Note::Started { incarnation: setup.incarnation })],
@@ -107,7 +114,7 @@
     fn on_event(&mut self, event: Event, now: Timestamp) {
         match event {
             Event::Submit { caller, incoming } => {
-                let draining = self.draining_since.is_some_and(|s| now >= s + STILL_TAKING);
+                let draining = !self.takes_requests(now);
                 let known = self.documents.is_complete();
                 self.requests.submit(caller, incoming, &self.table, known, draining, now);
             }
@@ -146,6 +153,15 @@
         }
     }
 
+    fn takes_requests(&self, now: Timestamp) -> bool {
+        let Some(since) = self.draining_since else {
+            return true;
+        };
+        let longest = self.grace.saturating_sub(LAST_REQUEST).max(STILL_TAKING);
+        let long = if self.members.is_served_elsewhere() { STILL_TAKING } else { longest };
+        now < since + long
+    }
+
     fn note(&mut self, note: Note) {
         self.out.push(Action::Note(note));
     }
@@ -160,7 +176,8 @@
 
     fn on_peer(&mut self, from: SocketAddr, message: PeerMessage, now: Timestamp) {
         match message {
-            PeerMessage::Gossip { members, seen, complete } => {
+            PeerMessage::Gossip { members, seen, complete, usage } => {
+                self.scheduler.told_usage(from, usage);
                 for member in self.members.hear(&members, now) {
                     self.note(Note::Peer {
                         address: member.address,
@@ -183,7 +200,9 @@
             PeerMessage::Documents { documents, complete } => {
                 self.on_documents(from, documents, complete, now);
             }
-            PeerMessage::Submit(job) if self.members.own().state == MemberState::Serving => {
+            PeerMessage::Submit(job)
+                if self.documents.is_complete() && self.takes_requests(now) =>
+            {
                 self.scheduler.submit(*job, &self.table, now);
             }
             PeerMessage::Submit(job) => {
@@ -264,6 +283,7 @@
         let is_gone =
             |job: &super::message::JobId| job.gateway == address && job.incarnation == incarnation;
         self.scheduler.release_all_of(is_gone, &self.table);
+        self.scheduler.owner_lost(address, now);
         self.requests.owner_lost(address, incarnation, &self.members, now);
     }
 
@@ -281,7 +301,6 @@
             self.beat();
         }
         self.catch_up(now);
-        self.scheduler.set_processes(self.members.known());
         self.scheduler.look(&self.table, now);
         self.requests.look(&self.table, &self.members, now);
     }
@@ -310,6 +329,7 @@
             members: self.members.digest(),
             seen: self.documents.seen(),
             complete: self.documents.is_complete(),
+            usage: self.scheduler.usage(),
         };
         for address in to {
             self.tell(address, message.clone());
@@ -339,7 +359,7 @@
         let mut actions = Vec::new();
         loop {
             let mut produced = std::mem::take(&mut self.out);
-            produced.extend(self.requests.actions(&self.members, &mut self.rng, now));
+            produced.extend(self.requests.actions(&self.members, &self.table, &mut self.rng, now));
             produced.extend(self.scheduler.actions(&self.table, now));
             if produced.is_empty() {
                 return actions;
--- a/src/direct/jobs.rs
+++ b/src/direct/jobs.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::message::{Job, Made};
+use super::model::Name;
 use crate::message::Timestamp;
 
 /// One piece of a stage.
@@ -83,6 +84,8 @@
     pub stages: Vec<StageRun>,
     /// Whether the gateway was told that all is there.
     pub ready: bool,
+    /// The data centre of the stages between which results are moved.
+    pub inner_home: Option<Name>,
 }
 
 impl JobRun {
@@ -103,7 +106,7 @@
             .collect();
         let objective = now + job.to_objective;
         let deadline = now + job.to_deadline;
-        Self { job, objective, deadline, stages, ready: false }
+        Self { job, objective, deadline, stages, ready: false, inner_home: None }
     }
 
     /// Whether everything is made.
@@ -127,6 +130,28 @@
         !self.job.stages.iter().any(|s| s.after.contains(&stage))
     }
 
+    /// Stages that hand results to one another.
+    pub fn inner_stages(&self) -> impl Iterator<Item = usize> + '_ {
+        let stages = 0..self.job.stages.len();
+        stages.filter(|&s| !self.is_last(s) || !self.job.stages[s].after.is_empty())
+    }
+
+    /// Where a stage's pieces are best made: with the stages that it hands results to or gets them
+    /// from, or else where the last results are needed.
+    pub fn home(&self, stage: usize) -> Option<&Name> {
+        let stands_alone = self.is_last(stage) && self.job.stages[stage].after.is_empty();
+        if stands_alone { Some(&self.job.data_centre) } else { self.inner_home.as_ref() }
+    }
+
+    /// Bytes that would cross between data centres for one piece that is made elsewhere.
+    pub fn moved_bytes(&self, stage: usize) -> u64 {
+        let stages = &self.job.stages;
+        let inputs =
+            stages[stage].after.iter().map(|&a| stages[a].result_bytes * stages[a].pieces as u64);
+        let users = stages.iter().filter(|s| s.after.contains(&stage)).map(|s| s.pieces as u64);
+        inputs.sum::<u64>() + stages[stage].result_bytes * users.sum::<u64>().max(1)
+    }
+
     /// The results that a stage's pieces need.
     pub fn inputs_of(&self, stage: usize) -> usize {
         self.job.stages[stage].after.iter().map(|&a| self.stages[a].pieces.len()).sum()
--- a/src/direct/makers.rs
+++ b/src/direct/makers.rs
@@ -1,8 +1,11 @@
 //! What the owner of a pool knows of its endpoints: calls at work, room for results, slowness.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use super::model::Name;
 use crate::message::Timestamp;
 
@@ -19,6 +22,15 @@
 /// An endpoint so many times slower than its pool is avoided.
 const SLOW: f64 = 1.8;
 
+/// Results that nobody frees have run out after so long.
+const RUNS_OUT: Duration = Duration::from_secs(5);
+
+/// What is left of results that run out since `at`.
+fn rest(bytes: u64, at: Timestamp, now: Timestamp) -> u64 {
+    let gone = now.saturating_sub(at).as_secs_f64() / RUNS_OUT.as_secs_f64();
+    (bytes as f64 * (1.0 - gone).max(0.0)) as u64
+}
+
 /// One endpoint.
 #[derive(Debug, Clone, Default)]
 pub struct Maker {
@@ -26,6 +38,8 @@
     pub running: u32,
     /// Bytes of results that it keeps or makes.
     pub used: u64,
+    /// Bytes that it must keep for somebody unknown, as of the time beside it: it had no room.
+    unknown: Option<(u64, Timestamp)>,
     /// No call before that.
     pub blocked_until: Timestamp,
     /// No call before that, unless nothing else is there.
@@ -35,10 +49,29 @@
     slowness: Option<f64>,
 }
 
+/// Bytes of results that another owner keeps at an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    /// The endpoint's id.
+    pub endpoint: Name,
+    /// Bytes.
+    pub bytes: u64,
+}
+
+/// What another owner said that it uses.
+#[derive(Debug)]
+struct Told {
+    usage: HashMap<Name, u64>,
+    /// When its owner was lost: from then on its results run out.
+    lost: Option<Timestamp>,
+}
+
 /// The endpoints of all pools that one gateway calls.
 #[derive(Debug, Default)]
 pub struct Makers {
     makers: HashMap<Name, Maker>,
+    /// What other owners use, by where their peers connect.
+    told: HashMap<SocketAddr, Told>,
 }
 
 impl Makers {
@@ -89,9 +122,48 @@
         self.entry(endpoint).blocked_until = now + FULL_PAUSE;
     }
 
-    /// The endpoint has no room.
-    pub fn no_room(&mut self, endpoint: &Name, now: Timestamp) {
-        self.entry(endpoint).blocked_until = now + ROOM_PAUSE;
+    /// The endpoint has no room for a result of `bytes`, though `left` were thought to be free:
+    /// somebody unknown uses the rest.
+    pub fn no_room(&mut self, endpoint: &Name, left: u64, now: Timestamp) {
+        let maker = self.entry(endpoint);
+        maker.blocked_until = now + ROOM_PAUSE;
+        let before = maker.unknown.map_or(0, |(bytes, at)| rest(bytes, at, now));
+        maker.unknown = Some((before + left, now));
+    }
+
+    /// Another owner tells what it uses.
+    pub fn told(&mut self, owner: SocketAddr, usage: Vec<Usage>) {
+        if usage.is_empty() {
+            self.told.remove(&owner);
+            return;
+        }
+        let usage = usage.into_iter().map(|u| (u.endpoint, u.bytes)).collect();
+        self.told.insert(owner, Told { usage, lost: None });
+    }
+
+    /// Another owner is gone: nobody frees what it had.
+    pub fn owner_lost(&mut self, owner: SocketAddr, now: Timestamp) {
+        if let Some(told) = self.told.get_mut(&owner) {
+            told.lost.get_or_insert(now);
+        }
+    }
+
+    /// What this owner uses, for others.
+    pub fn usage(&self) -> Vec<Usage> {
+        let used = self.makers.iter().filter(|(_, m)| m.used > 0);
+        used.map(|(endpoint, m)| Usage { endpoint: endpoint.clone(), bytes: m.used }).collect()
+    }
+
+    /// Bytes that are free at an endpoint with `room` in all.
+    pub fn left(&self, endpoint: &str, room: u64, now: Timestamp) -> u64 {
+        let maker = self.makers.get(endpoint);
+        let unknown = maker.and_then(|m| m.unknown).map_or(0, |(bytes, at)| rest(bytes, at, now));
+        let told = self.told.values().filter_map(|t| {
+            let bytes = *t.usage.get(endpoint)?;
+            Some(t.lost.map_or(bytes, |lost| rest(bytes, lost, now)))
+        });
+        let others = unknown.max(told.sum());
+        room.saturating_sub(others + maker.map_or(0, |m| m.used))
     }
 
     /// The endpoint failed; it is avoided for a while.
@@ -121,6 +193,11 @@
         true
     }
 
+    /// Forgets what lost owners used once it has run out.
+    pub fn tidy(&mut self, now: Timestamp) {
+        self.told.retain(|_, t| t.lost.is_none_or(|lost| now < lost + RUNS_OUT));
+    }
+
     /// Forgets endpoints that are not listed any more and keep nothing.
     pub fn retain(&mut self, listed: impl Fn(&str) -> bool) {
         self.makers.retain(|id, m| listed(id) || m.running > 0);
--- a/src/direct/members.rs
+++ b/src/direct/members.rs
@@ -184,12 +184,19 @@
         1 + self.others.len().max(self.seeds.len().saturating_sub(1))
     }
 
-    /// The owner of `what` by highest random weight among those that serve; `skip` are passed over.
+    /// The owner of `what` by highest random weight among those that serve, or, where none does,
+    /// among those that are leaving and still there; `skip` are passed over.
     pub fn owner(&self, what: &str, skip: &[SocketAddr]) -> Option<Member> {
-        let own = (self.own.state == MemberState::Serving).then_some(&self.own);
-        let serving = self.alive().filter(|m| m.state == MemberState::Serving).chain(own);
         let seed = xxh3_64(what.as_bytes());
         let weight = |m: &Member| xxh3_64_with_seed(m.address.to_string().as_bytes(), seed);
-        serving.filter(|m| !skip.contains(&m.address)).max_by_key(|m| weight(m)).cloned()
+        let members = self.alive().chain([&self.own]);
+        let able = members.filter(|m| m.state != MemberState::Starting);
+        let able = able.filter(|m| !skip.contains(&m.address));
+        able.max_by_key(|m| (m.state == MemberState::Serving, weight(m))).cloned()
+    }
+
+    /// Whether another member serves.
+    pub fn is_served_elsewhere(&self) -> bool {
+        self.alive().any(|m| m.state == MemberState::Serving)
     }
 }
--- a/src/direct/message.rs
+++ b/src/direct/message.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::documents::{Revised, Seen};
+use super::makers::Usage;
 use super::members::Member;
 use super::model::Name;
 
@@ -53,7 +54,7 @@
     pub after: Duration,
     /// 0 is the most urgent.
     pub priority: u8,
-    /// Where the results will be fetched from, as far as is known.
+    /// Where the last results will be fetched from, as far as is known.
     pub data_centre: Name,
     /// Whether another owner had begun it.
     pub resubmitted: bool,
@@ -104,6 +105,8 @@
         seen: Seen,
         /// Whether it has seen a configuration and a whole list.
         complete: bool,
+        /// What it uses at endpoints as an owner.
+        usage: Vec<Usage>,
     },
     /// Asks for the documents that the sender lacks.
     Pull {
--- a/src/direct/requests.rs
+++ b/src/direct/requests.rs
@@ -103,12 +103,13 @@
     pub fn actions(
         &mut self,
         members: &Members,
+        table: &Table,
         rng: &mut impl Rng,
         now: Timestamp,
     ) -> Vec<Action> {
         self.processes = members.known();
         for caller in std::mem::take(&mut self.to_submit) {
-            self.submit_stages(caller, members, now);
+            self.submit_stages(caller, members, table, now);
         }
         let mut actions = std::mem::take(&mut self.out);
         for action in &mut actions {
@@ -207,7 +208,13 @@
 
     // Stages.
 
-    fn submit_stages(&mut self, caller: u64, members: &Members, now: Timestamp) {
+    fn submit_stages(&mut self, caller: u64, members: &Members, table: &Table, now: Timestamp) {
+        let Some(request) = self.requests.get(&caller) else {
+            return;
+        };
+        // The results go where the run will be, as far as can be told now.
+        let place = self.choose(request, table, now);
+        let place = place.map_or_else(|| self.data_centre.clone(), |(e, ..)| e.data_centre.clone());
         let Some(request) = self.requests.get_mut(&caller) else {
             return;
         };
@@ -225,7 +232,7 @@
         };
         request.holds_results = true;
         request.owner = Some(owner.address);
-        let job = job_of(request, resubmitted, &self.data_centre, now);
+        let job = job_of(request, resubmitted, place, now);
         self.by_job.insert(request.job, caller);
         let timer = Timer::Owner(tried as u32);
         self.timers.insert((now + OWNER_PATIENCE, caller, timer));
@@ -807,7 +814,7 @@
     route.targets.first().map_or_else(|| "".into(), |t| t.pool.clone())
 }
 
-fn job_of(request: &Request, resubmitted: bool, data_centre: &Name, now: Timestamp) -> Job {
+fn job_of(request: &Request, resubmitted: bool, data_centre: Name, now: Timestamp) -> Job {
     let specs = request.route.stages.iter().enumerate();
     let stages = specs.map(|(i, spec)| JobStage {
         pool: spec.pool.clone(),
@@ -827,7 +834,7 @@
         to_deadline: request.deadline.saturating_sub(now),
         after: request.expected_start(),
         priority: request.priority,
-        data_centre: data_centre.clone(),
+        data_centre,
         resubmitted,
     }
 }
--- a/src/direct/scheduler.rs
+++ b/src/direct/scheduler.rs
@@ -5,14 +5,15 @@
 //! Two owners at once are harmless: an endpoint that is full says so, and a piece may be made again.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::event::{Action, BatchOutcome, CallFailure, PieceOrder, PieceOutcome};
 use super::jobs::{JobRun, Piece};
-use super::makers::Makers;
+use super::makers::{Makers, Usage};
 use super::message::{Handle, Job, JobId, JobReason, Made, PeerMessage};
-use super::model::{BatchSpec, Endpoint, Name, Work};
+use super::model::{BatchSpec, Endpoint, Name};
 use super::note::{Note, ms};
 use super::repeats::{Bounds, Repeats};
 use super::table::Table;
@@ -36,12 +37,37 @@
 const BEFORE_NEWCOMER: f64 = 0.3;
 /// A piece that is in a call needs so much of its time, on average.
 const RUNNING_REST: f64 = 0.5;
+/// Gateways that repeat calls with pieces at once: an owner, and the one before it.
+const OWNERS: usize = 2;
+/// Results of that many bytes would cross between data centres: their place is worth waiting for.
+const HEAVY: u64 = 100_000;
+/// A piece waits for an endpoint in its place only while it has so much time to spare.
+const TIME_FOR_PLACE: Duration = Duration::from_millis(600);
 /// Work that can't meet its objective any more comes after all that can.
 const MISSED_PENALTY_MS: i64 = 20_000;
 
 /// A piece: its job, its stage's position, its own position.
 type PieceId = (JobId, usize, usize);
 
+/// A piece that may be sent.
+#[derive(Debug)]
+struct Waiting {
+    piece: PieceId,
+    /// Time to spare; what is late already comes last.
+    urgency_ms: i64,
+    bytes: u64,
+    /// The data centre where its inputs are and its result is needed, where that matters.
+    home: Option<Name>,
+    waits_for_home: bool,
+}
+
+/// An endpoint that may get a call.
+#[derive(Debug)]
+struct Free {
+    endpoint: Arc<Endpoint>,
+    room: u64,
+}
+
 #[derive(Debug)]
 struct Call {
     pool: Name,
@@ -62,8 +88,6 @@
     makers: Makers,
     repeats: Repeats,
     next_call: u64,
-    /// Processes that share the repeat budget.
-    processes: usize,
     to_free: BTreeMap<Name, (Arc<Endpoint>, Vec<Handle>)>,
     dirty: HashSet<Name>,
     last_look: Timestamp,
@@ -79,7 +103,6 @@
             makers: Makers::default(),
             repeats: Repeats::new(bounds),
             next_call: 0,
-            processes: 1,
             to_free: BTreeMap::new(),
             dirty: HashSet::new(),
             last_look: Timestamp::ZERO,
@@ -102,9 +125,19 @@
         (!self.jobs.is_empty() || !self.calls.is_empty()).then_some(self.last_look + LOOK)
     }
 
-    /// Sets how many processes share the repeat budget.
-    pub const fn set_processes(&mut self, processes: usize) {
-        self.processes = processes;
+    /// What this owner uses at endpoints.
+    pub fn usage(&self) -> Vec<Usage> {
+        self.makers.usage()
+    }
+
+    /// Another owner tells what it uses.
+    pub fn told_usage(&mut self, owner: SocketAddr, usage: Vec<Usage>) {
+        self.makers.told(owner, usage);
+    }
+
+    /// Another owner is gone.
+    pub fn owner_lost(&mut self, owner: SocketAddr, now: Timestamp) {
+        self.makers.owner_lost(owner, now);
     }
 
     /// Takes what must be done, after filling calls with what waits.
@@ -147,7 +180,8 @@
             return self.tell_given_up(id, reason, true, decision.retry_after);
         }
         self.tell(id, PeerMessage::Accepted(id));
-        let run = JobRun::new(job, now);
+        let mut run = JobRun::new(job, now);
+        run.inner_home = self.least_loaded_home(&run, table, now);
         for (spec, stage) in run.job.stages.iter().zip(&run.stages) {
             for made in stage.results() {
                 self.makers.taken_over(&made.endpoint, spec.result_bytes);
@@ -158,6 +192,28 @@
         self.advance(id, table, now);
     }
 
+    /// The data centre for the stages between which much is moved: the one whose endpoints have
+    /// least to do among those that have all of the stages' pools; the callers' own among equals.
+    fn least_loaded_home(&self, run: &JobRun, table: &Table, now: Timestamp) -> Option<Name> {
+        let pools: Vec<&Name> = run.inner_stages().map(|s| &run.job.stages[s].pool).collect();
+        let (first, others) = pools.split_first()?;
+        let mut homes = self.usable_homes(first, table, now);
+        for pool in others {
+            let here = self.usable_homes(pool, table, now);
+            homes.retain(|h| here.contains(h));
+        }
+        let load = |home: &Name| {
+            let jobs = self.jobs.values().filter(|j| j.inner_home.as_ref() == Some(home));
+            let open: usize = jobs.flat_map(|j| j.inner_stages().map(|s| j.stages[s].open())).sum();
+            let members = pools.iter().map(|p| {
+                let here = table.members(p).iter().filter(|e| !e.leaving);
+                here.filter(|e| e.data_centre == *home).count()
+            });
+            (open * 1_000) / members.min().unwrap_or(1).max(1)
+        };
+        homes.into_iter().min_by_key(|h| (load(h), *h != run.job.data_centre, h.clone()))
+    }
+
     /// Nobody needs a job's results any more.
     pub fn release(&mut self, id: JobId, table: &Table) {
         let Some(run) = self.jobs.remove(&id) else {
@@ -191,6 +247,7 @@
             return;
         }
         self.last_look = now;
+        self.makers.tidy(now);
         let overdue: Vec<u64> = self
             .calls
             .iter()
@@ -283,7 +340,9 @@
             }
             match outcome {
                 PieceOutcome::NoRoom => {
-                    self.makers.no_room(&call.endpoint.id, now);
+                    let room = table.batch(&call.pool).map_or(0, |s| s.room_bytes);
+                    let left = self.makers.left(&call.endpoint.id, room, now);
+                    self.makers.no_room(&call.endpoint.id, left, now);
                     self.wait_again(job, stage, piece, true, table, now);
                 }
                 PieceOutcome::Failed => self.wait_again(job, stage, piece, true, table, now),
@@ -366,7 +425,7 @@
             return self.give_up(job, JobReason::Failed, table);
         }
         // Also a piece that was refused arrives twice.
-        if !self.repeats.take(&pool, self.processes, now) {
+        if !self.repeats.take(&pool, OWNERS, now) {
             return self.give_up(job, JobReason::RepeatBudget, table);
         }
         self.dirty.insert(pool);
@@ -400,7 +459,7 @@
             self.free(&made, bytes, table);
         }
         self.dirty.extend(again.iter().cloned());
-        if !again.iter().all(|pool| self.repeats.take(pool, self.processes, now)) {
+        if !again.iter().all(|pool| self.repeats.take(pool, OWNERS, now)) {
             self.give_up(job, JobReason::RepeatBudget, table);
         }
     }
@@ -489,12 +548,13 @@
 
     /// Fills calls of a pool's free endpoints with the most urgent pieces.
     fn fill(&mut self, pool: &Name, table: &Table, now: Timestamp) {
-        let Some(Work::Batch(spec)) = table.pool(pool).map(|p| p.work.clone()) else {
+        let Some(spec) = table.batch(pool).cloned() else {
             return;
         };
-        let mut waiting = self.waiting(pool, &spec, table, now);
+        let mut waiting = self.waiting(pool, table, now);
         while !waiting.is_empty() {
-            let Some((endpoint, batch)) = self.next_batch(pool, &spec, &mut waiting, table, now)
+            let free = self.free_endpoints(pool, &spec, table, now);
+            let Some((endpoint, batch)) = self.next_batch(&free, pool, &mut waiting, table, now)
             else {
                 return;
             };
@@ -503,20 +563,12 @@
     }
 
     /// Pieces of a pool that may be sent, most urgent first.
-    fn waiting(
-        &self,
-        pool: &Name,
-        spec: &BatchSpec,
-        table: &Table,
-        now: Timestamp,
-    ) -> Vec<PieceId> {
+    fn waiting(&self, pool: &Name, table: &Table, now: Timestamp) -> Vec<Waiting> {
         let mut waiting = Vec::new();
         for (id, run) in &self.jobs {
             for (stage, job_stage) in run.job.stages.iter().enumerate() {
-                if job_stage.pool != *pool
-                    || run.stages[stage].waiting() == 0
-                    || !run.is_open(stage)
-                {
+                let is_due = job_stage.pool == *pool && run.stages[stage].waiting() > 0;
+                if !is_due || !run.is_open(stage) {
                     continue;
                 }
                 let call = |i: usize| expected_call(&run.job, i, table);
@@ -524,82 +576,90 @@
                     continue;
                 }
                 let rest = run.from_stage(stage, call) + run.job.after;
-                let slack = ms(run.objective) as i64 - ms(now + rest) as i64;
-                let penalty = if slack < 0 { MISSED_PENALTY_MS } else { 0 };
-                let urgency = slack + penalty;
+                let slack_ms = ms(run.objective) as i64 - ms(now + rest) as i64;
+                let home = run.home(stage).filter(|_| run.moved_bytes(stage) >= HEAVY);
+                let waits = slack_ms > ms(TIME_FOR_PLACE) as i64;
                 let pieces = run.stages[stage].pieces.iter().enumerate();
                 let open = pieces.filter(|(_, p)| matches!(p, Piece::Waiting { .. }));
-                waiting.extend(open.map(|(piece, _)| (urgency, *id, stage, piece)));
+                waiting.extend(open.map(|(piece, _)| Waiting {
+                    piece: (*id, stage, piece),
+                    urgency_ms: slack_ms + if slack_ms < 0 { MISSED_PENALTY_MS } else { 0 },
+                    bytes: job_stage.result_bytes,
+                    home: home.cloned(),
+                    waits_for_home: waits,
+                }));
             }
         }
-        waiting.sort_unstable();
-        let _ = spec;
-        waiting.into_iter().map(|(_, id, stage, piece)| (id, stage, piece)).collect()
+        waiting.sort_unstable_by_key(|w| (w.urgency_ms, w.piece));
+        waiting
     }
 
     /// The endpoint for the most urgent piece that fits anywhere, and what goes with it.
     fn next_batch(
         &self,
+        free: &[Free],
         pool: &Name,
-        spec: &BatchSpec,
-        waiting: &mut Vec<PieceId>,
+        waiting: &mut Vec<Waiting>,
         table: &Table,
         now: Timestamp,
     ) -> Option<(Arc<Endpoint>, Vec<PieceId>)> {
-        let free = self.free_endpoints(pool, spec, table, now);
-        if free.is_empty() {
-            return None;
-        }
-        let first = waiting.iter().position(|p| self.choose(&free, spec, p).is_some())?;
-        let endpoint = self.choose(&free, spec, &waiting[first])?;
-        let mut room = spec.room_bytes.saturating_sub(self.makers.get(&endpoint.id).used);
+        let spec = table.batch(pool)?;
+        let homes = self.usable_homes(pool, table, now);
+        let suits = |w: &Waiting, place: &Free| {
+            let is_home = w.home.as_ref().is_none_or(|h| *h == place.endpoint.data_centre);
+            let can_wait = w.waits_for_home && w.home.as_ref().is_some_and(|h| homes.contains(h));
+            place.room >= w.bytes && (is_home || !can_wait)
+        };
+        let (first, place) = waiting.iter().enumerate().find_map(|(index, w)| {
+            let suiting = free.iter().filter(|place| suits(w, place));
+            let at_home = |p: &&Free| w.home.as_ref() == Some(&p.endpoint.data_centre);
+            Some((index, suiting.max_by_key(|p| (at_home(p), p.room))?))
+        })?;
+        let mut room = place.room;
         let mut batch = Vec::new();
         let mut rest = Vec::with_capacity(waiting.len());
-        for (index, piece) in std::mem::take(waiting).into_iter().enumerate() {
-            let bytes = self.jobs[&piece.0].job.stages[piece.1].result_bytes;
-            if index >= first && batch.len() < spec.pieces && bytes <= room {
-                room -= bytes;
-                batch.push(piece);
+        for (index, waiting) in std::mem::take(waiting).into_iter().enumerate() {
+            let fits = batch.len() < spec.pieces && waiting.bytes <= room;
+            if index >= first && fits && suits(&waiting, place) {
+                room -= waiting.bytes;
+                batch.push(waiting.piece);
             } else {
-                rest.push(piece);
+                rest.push(waiting);
             }
         }
         *waiting = rest;
-        Some((endpoint, batch))
+        Some((place.endpoint.clone(), batch))
+    }
+
+    /// Data centres with an endpoint of a pool that works.
+    fn usable_homes(&self, pool: &Name, table: &Table, now: Timestamp) -> HashSet<Name> {
+        let usable = self.usable(pool, table, now);
+        usable.into_iter().map(|e| e.data_centre.clone()).collect()
+    }
+
+    /// Endpoints that take work; avoided ones only where nothing else is left.
+    fn usable<'a>(&self, pool: &Name, table: &'a Table, now: Timestamp) -> Vec<&'a Arc<Endpoint>> {
+        let members = table.members(pool).iter().filter(|e| !e.leaving);
+        let usable: Vec<&Arc<Endpoint>> =
+            members.clone().filter(|e| self.makers.get(&e.id).avoided_until <= now).collect();
+        if usable.is_empty() { members.collect() } else { usable }
     }
 
-    /// Endpoints that may get a call now; avoided ones only where nothing else is left.
+    /// Endpoints that may get a call now, with the room that they have.
     fn free_endpoints(
         &self,
         pool: &Name,
         spec: &BatchSpec,
         table: &Table,
         now: Timestamp,
-    ) -> Vec<Arc<Endpoint>> {
-        let members = table.members(pool).iter().filter(|e| !e.leaving);
-        let usable: Vec<&Arc<Endpoint>> =
-            members.clone().filter(|e| self.makers.get(&e.id).avoided_until <= now).collect();
-        let candidates: Vec<&Arc<Endpoint>> =
-            if usable.is_empty() { members.collect() } else { usable };
+    ) -> Vec<Free> {
+        let usable = self.usable(pool, table, now).into_iter();
         let is_free = |e: &&Arc<Endpoint>| {
             let maker = self.makers.get(&e.id);
             maker.running < spec.slots && maker.blocked_until <= now
         };
-        candidates.into_iter().filter(is_free).cloned().collect()
-    }
-
-    /// Near the job's data centre first, then the one with the most room.
-    fn choose(
-        &self,
-        free: &[Arc<Endpoint>],
-        spec: &BatchSpec,
-        piece: &PieceId,
-    ) -> Option<Arc<Endpoint>> {
-        let job = &self.jobs[&piece.0].job;
-        let bytes = job.stages[piece.1].result_bytes;
-        let room = |e: &Arc<Endpoint>| spec.room_bytes.saturating_sub(self.makers.get(&e.id).used);
-        let fitting = free.iter().filter(|e| room(e) >= bytes);
-        fitting.max_by_key(|e| (e.data_centre == job.data_centre, room(e))).cloned()
+        let room = |e: &Arc<Endpoint>| self.makers.left(&e.id, spec.room_bytes, now);
+        usable.filter(is_free).map(|e| Free { endpoint: e.clone(), room: room(e) }).collect()
     }
 
     fn send(
@@ -681,14 +741,10 @@
             promised: 0.0,
             wanted: (stage.pieces as u64 * stage.result_bytes) as f64,
         };
-        let Some(Work::Batch(spec)) = table.pool(&stage.pool).map(|p| &p.work) else {
+        let Some(spec) = table.batch(&stage.pool) else {
             return load;
         };
-        let usable = table
-            .members(&stage.pool)
-            .iter()
-            .filter(|e| !e.leaving && self.makers.get(&e.id).avoided_until <= now);
-        let usable = usable.count() as f64;
+        let usable = self.usable(&stage.pool, table, now).len() as f64;
         load.slots = usable * f64::from(spec.slots);
         load.room = usable * spec.room_bytes as f64;
         let full_call = spec.call.div_f64(spec.pieces as f64) + spec.piece;
@@ -724,7 +780,7 @@
 /// The time of a call that holds a whole stage.
 fn expected_call(job: &Job, stage: usize, table: &Table) -> Duration {
     let stage = &job.stages[stage];
-    let Some(Work::Batch(spec)) = table.pool(&stage.pool).map(|p| &p.work) else {
+    let Some(spec) = table.batch(&stage.pool) else {
         return Duration::ZERO;
     };
     spec.call + spec.piece * stage.pieces.min(spec.pieces) as u32
--- a/src/direct/table.rs
+++ b/src/direct/table.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use super::model::{Deployment, Endpoint, Name, Organisation, Pool, Route};
+use super::model::{BatchSpec, Deployment, Endpoint, Name, Organisation, Pool, Route, Work};
 
 /// What a process knows, compiled; replaced as a whole.
 #[derive(Debug, Default)]
@@ -69,6 +69,14 @@
         self.deployment.pool(name)
     }
 
+    /// What the endpoints of a pool can do, where they work in batches.
+    pub fn batch(&self, pool: &str) -> Option<&BatchSpec> {
+        match &self.pool(pool)?.work {
+            Work::Batch(spec) => Some(spec),
+            Work::Plain | Work::Engine(_) => None,
+        }
+    }
+
     /// The endpoint of this id, in any pool.
     pub fn endpoint(&self, id: &str) -> Option<&Arc<Endpoint>> {
         self.members.values().flatten().find(|e| &*e.id == id)
