Tests of the direct cores; what is gone stays gone whatever comes after

Cause (found by the new test): the mark of an endpoint that is gone was dropped where the endpoint had not been seen, so that an older entry that came later, from a peer, listed it again.

Change: the mark is kept whether or not the endpoint was known.

Conclusion: merging is now the same in any order.

--- a/src/direct/documents.rs
+++ b/src/direct/documents.rs
@@ -193,10 +193,8 @@
         if known.is_some_and(|k| k.revision >= revision) {
             return;
         }
-        if known.is_none() && endpoint.is_none() {
-            return;
-        }
-        if known.is_none_or(|k| k.endpoint != endpoint) {
+        let before = known.and_then(|k| k.endpoint.as_ref());
+        if before != endpoint.as_ref() {
             merged.endpoints.push(id.clone());
         }
         self.endpoints.insert(id, Entry { revision, endpoint, since: now });
--- /dev/null
+++ b/tests/direct_members.rs
@@ -0,0 +1,186 @@
+//! Members, documents and the repeat budget: what gateways believe and share.
+
+mod directenv;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use directenv::{address, deployment, endpoint, ms};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use stackmast::direct::documents::{Document, Documents, Revised, Seen};
+use stackmast::direct::makers::{Makers, Usage};
+use stackmast::direct::members::{Member, MemberState, Members};
+use stackmast::direct::repeats::{Bounds, Repeats};
+use stackmast::direct::stream::EventSplitter;
+use test_case::test_case;
+
+fn member(port: u16, incarnation: u64, heartbeat: u64, state: MemberState) -> Member {
+    Member { address: address(port), incarnation, heartbeat, state }
+}
+
+fn three() -> Members {
+    let mut members = Members::new(address(1), 1, Vec::new());
+    members.set_state(MemberState::Serving);
+    let serving = MemberState::Serving;
+    members.hear(&[member(2, 5, 1, serving), member(3, 5, 1, serving)], ms(0));
+    members
+}
+
+#[test]
+fn all_agree_on_the_owner_and_a_lost_one_is_passed_over() {
+    let mut members = three();
+    let owner = members.owner("stages", &[]).expect("an owner");
+    let next = members.owner("stages", &[owner.address]).expect("another owner");
+    assert_ne!(owner.address, next.address);
+    if owner.address != address(1) {
+        assert!(members.broke(owner.address, owner.incarnation, ms(10)));
+        assert_eq!(members.owner("stages", &[]).expect("the next").address, next.address);
+    }
+}
+
+#[test]
+fn who_leaves_owns_only_where_nobody_serves() {
+    let mut members = three();
+    let leaving = MemberState::Leaving;
+    members.set_state(leaving);
+    members.hear(&[member(2, 5, 2, leaving)], ms(10));
+    assert_eq!(members.owner("stages", &[]).expect("the one that serves").address, address(3));
+    members.hear(&[member(3, 5, 2, leaving)], ms(20));
+    assert!(members.owner("stages", &[]).is_some(), "one of those that leave");
+    assert!(!members.is_served_elsewhere());
+}
+
+#[test]
+fn the_silent_are_taken_for_dead_and_come_back() {
+    let mut members = three();
+    assert!(members.expire(ms(900)).is_empty());
+    assert_eq!(members.expire(ms(1_000)).len(), 2);
+    assert_eq!(members.alive().count(), 0);
+    assert_eq!(members.known(), 3, "the budget's share does not grow by silence");
+    let back = members.hear(&[member(2, 5, 9, MemberState::Serving)], ms(1_100));
+    assert_eq!(back.len(), 1);
+}
+
+#[test]
+fn old_news_do_not_bring_a_member_back() {
+    let mut members = three();
+    members.hear(&[member(2, 5, 8, MemberState::Serving)], ms(100));
+    assert!(members.broke(address(2), 5, ms(200)));
+    assert!(members.hear(&[member(2, 5, 7, MemberState::Serving)], ms(300)).is_empty());
+    assert!(!members.is_alive(address(2), 5));
+    let next_life = member(2, 4, 1, MemberState::Starting);
+    assert_eq!(members.hear(&[next_life], ms(400)).len(), 1, "also where the clock stepped back");
+}
+
+#[test]
+fn seeds_are_asked_until_they_are_heard() {
+    let mut members = Members::new(address(1), 1, vec![address(1), address(2)]);
+    let mut rng = StdRng::seed_from_u64(1);
+    assert_eq!(members.beat(&mut rng), [address(2)]);
+    members.hear(&[member(2, 1, 1, MemberState::Starting)], ms(0));
+    assert_eq!(members.beat(&mut rng), [address(2)], "as a member now, once");
+}
+
+fn entry(number: u16, revision: u64) -> Revised {
+    Revised { revision, document: Document::Endpoint(endpoint("engine", number)) }
+}
+
+fn gone(number: u16, revision: u64) -> Revised {
+    Revised { revision, document: Document::Gone(format!("engine-{number}").into()) }
+}
+
+#[test]
+fn documents_merge_to_the_same_in_any_order() {
+    let all = [entry(1, 4), entry(2, 5), gone(1, 6), entry(3, 7)];
+    let mut forwards = Documents::default();
+    let mut backwards = Documents::default();
+    for document in &all {
+        forwards.merge(vec![document.clone()], ms(0));
+    }
+    for document in all.iter().rev() {
+        backwards.merge(vec![document.clone()], ms(0));
+    }
+    let ids = |d: &Documents| d.endpoints().map(|e| e.id.clone()).collect::<Vec<_>>();
+    assert_eq!(ids(&forwards), ["engine-2".into(), "engine-3".into()]);
+    assert_eq!(ids(&backwards), ids(&forwards), "also what is gone before it was ever seen");
+    assert_eq!(forwards.seen(), backwards.seen());
+}
+
+#[test]
+fn a_whole_list_takes_away_what_it_lacks_but_nothing_newer() {
+    let mut documents = Documents::default();
+    documents.merge(vec![entry(1, 3), entry(2, 9)], ms(0));
+    documents.merge_list(vec![entry(3, 4)], 5, ms(1));
+    let ids: Vec<_> = documents.endpoints().map(|e| e.id.clone()).collect();
+    assert_eq!(ids, ["engine-2".into(), "engine-3".into()]);
+}
+
+#[test]
+fn a_peer_gets_what_it_lacks() {
+    let mut documents = Documents::default();
+    let deployment = Document::Deployment(Arc::new(deployment(3, Vec::new())));
+    documents.merge(vec![Revised { revision: 2, document: deployment }], ms(0));
+    documents.merge_list(vec![entry(1, 3), entry(2, 4)], 4, ms(0));
+    let since = Seen { version: 3, endpoints: 3 };
+    assert!(since.is_behind(&documents.seen()));
+    assert_eq!(documents.newer_than(since), [entry(2, 4)]);
+    let mut other = Documents::default();
+    other.merge(documents.newer_than(Seen::default()), ms(0));
+    assert_eq!(other.seen(), documents.seen());
+}
+
+#[test]
+fn repeats_stay_within_the_share_in_every_window() {
+    let bounds = Bounds { ratio: 0.2, slack: 40.0, window: Duration::from_secs(10) };
+    let mut repeats = Repeats::new(bounds);
+    let pool = "p".into();
+    let mut taken = Vec::new();
+    for step in 0..4_000u64 {
+        let now = ms(step * 10);
+        repeats.first(&pool, 1, now);
+        if repeats.take(&pool, 4, now) {
+            taken.push(now);
+        }
+    }
+    let allowed = 0.2 * 1_000.0 + 40.0 / 4.0;
+    for start in &taken {
+        let window = taken.iter().filter(|t| *t >= start && **t < *start + ms(10_000)).count();
+        assert!(window as f64 <= allowed, "{window} in a window, {allowed} allowed");
+    }
+    assert!(taken.len() > 200, "the ratio is used");
+}
+
+#[test]
+fn what_a_lost_owner_kept_runs_out() {
+    let mut makers = Makers::default();
+    let usage = vec![Usage { endpoint: "m".into(), bytes: 800 }];
+    makers.told(address(2), usage);
+    assert_eq!(makers.left("m", 1_000, ms(0)), 200);
+    makers.owner_lost(address(2), ms(0));
+    assert_eq!(makers.left("m", 1_000, ms(2_500)), 600);
+    assert_eq!(makers.left("m", 1_000, ms(6_000)), 1_000);
+    makers.told(address(2), Vec::new());
+    assert_eq!(makers.left("m", 1_000, ms(0)), 1_000);
+}
+
+#[test]
+fn an_endpoint_without_room_is_taken_at_its_word() {
+    let mut makers = Makers::default();
+    assert_eq!(makers.left("m", 1_000, ms(0)), 1_000);
+    makers.no_room(&"m".into(), 1_000, ms(0));
+    assert_eq!(makers.left("m", 1_000, ms(0)), 0);
+    assert!(makers.left("m", 1_000, ms(2_500)) >= 400, "what others keep runs out");
+}
+
+#[test_case(&["id: 1\ndata: a\n\nid: 2\nda", "ta: b\n\n"], &["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"], Some("2"); "cut within an event")]
+#[test_case(&["data: a\n\ndata: b\n\n"], &["data: a\n\ndata: b\n\n"], None; "without ids")]
+#[test_case(&["id: 9\ndata: a\n\nid: 10\ndata"], &["id: 9\ndata: a\n\n"], Some("9"); "torn at the end")]
+#[test_case(&["id: 4\r\ndata: a\r\n\r\n"], &["id: 4\r\ndata: a\r\n\r\n"], Some("4"); "with returns")]
+fn only_whole_events_are_given_out(chunks: &[&str], expected: &[&str], last: Option<&str>) {
+    let mut splitter = EventSplitter::default();
+    let events: Vec<_> = chunks.iter().filter_map(|c| splitter.push(c.as_bytes())).collect();
+    assert_eq!(events, expected);
+    assert_eq!(splitter.last_id(), last);
+    assert_eq!(splitter.is_at_boundary(), chunks.concat() == expected.concat());
+}
--- /dev/null
+++ b/tests/direct_requests.rs
@@ -0,0 +1,300 @@
+//! Callers' requests in a gateway's core: one final answer each, and no run that wasn't proved away.
+
+mod directenv;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use directenv::{address, deployment, endpoint, endpoints, ms, route};
+use stackmast::actor::Core;
+use stackmast::direct::core::{GatewayCore, Setup};
+use stackmast::direct::documents::{Document, Revised};
+use stackmast::direct::event::{
+    Action, BatchOutcome, CallFailure, CallOrder, Event, Incoming, PieceOutcome, Proof, Refusal,
+    Refused,
+};
+use stackmast::direct::model::{Deployment, Endpoint, Repeat, Route};
+use stackmast::direct::repeats::Bounds;
+use test_case::test_case;
+
+fn new_core() -> GatewayCore {
+    GatewayCore::new(Setup {
+        address: address(1),
+        incarnation: 1,
+        data_centre: "hall-1".into(),
+        seeds: Vec::new(),
+        repeats: Bounds { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) },
+        grace: Duration::from_secs(8),
+        seed: 7,
+    })
+}
+
+fn listed(endpoints: &[Arc<Endpoint>], revision: u64) -> Vec<Revised> {
+    let document = |e: &Arc<Endpoint>| Document::Endpoint(e.clone());
+    endpoints.iter().map(|e| Revised { revision, document: document(e) }).collect()
+}
+
+fn publish(core: &mut GatewayCore, deployment: Deployment, now: Duration) -> Vec<Action> {
+    let document = Document::Deployment(Arc::new(deployment));
+    let documents = vec![Revised { revision: 1, document }];
+    let mut actions = core.handle(Event::Published { documents, whole_at: None }, now);
+    let documents = listed(&endpoints(), 2);
+    actions.extend(core.handle(Event::Published { documents, whole_at: Some(2) }, now));
+    actions
+}
+
+fn configured(routes: Vec<Route>) -> GatewayCore {
+    let mut core = new_core();
+    publish(&mut core, deployment(1, routes), ms(0));
+    core
+}
+
+fn incoming(route: &str, pieces: Vec<usize>) -> Incoming {
+    Incoming {
+        id: "id-1".into(),
+        host: "h.example".to_owned(),
+        path: format!("/{route}/x"),
+        key: Some("key".to_owned()),
+        allowed: Some(Duration::from_secs(5)),
+        generation: None,
+        pieces,
+        piece_key: Some("k".into()),
+        after_event: None,
+    }
+}
+
+fn submit(core: &mut GatewayCore, caller: u64, incoming: Incoming, now: Duration) -> Vec<Action> {
+    core.handle(Event::Submit { caller, incoming }, now)
+}
+
+fn calls(actions: &[Action]) -> Vec<(u64, CallOrder)> {
+    let calls = actions.iter().filter_map(|a| match a {
+        Action::Call { attempt, order, .. } => Some((*attempt, order.clone())),
+        _ => None,
+    });
+    calls.collect()
+}
+
+fn refusal(actions: &[Action]) -> Option<Refusal> {
+    actions.iter().find_map(|a| match a {
+        Action::Refuse { refusal, .. } => Some(refusal.clone()),
+        _ => None,
+    })
+}
+
+fn is_delivered(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Deliver { .. }))
+}
+
+fn good() -> Proof {
+    Proof { status: 200, signed: true, own: true, ..Proof::default() }
+}
+
+fn answered(attempt: u64, proof: Proof) -> Event {
+    Event::Answered { caller: 1, attempt, proof, is_open: false }
+}
+
+#[test]
+fn a_process_that_knows_nothing_is_not_ready_and_refuses_as_not_run() {
+    let mut core = new_core();
+    let actions = submit(&mut core, 1, incoming("r", Vec::new()), ms(0));
+    let refusal = refusal(&actions).expect("refused at once");
+    assert_eq!(refusal.reason, Refused::NoConfiguration);
+    assert!(refusal.not_run && refusal.retry_after > Duration::ZERO);
+    let actions =
+        publish(&mut core, deployment(1, vec![route("r", Repeat::AtMostOnce, &[])]), ms(5));
+    assert!(actions.iter().any(|a| matches!(a, Action::Ready(true))));
+}
+
+#[test_case("other", "key", &Refused::UnknownRoute; "no route")]
+#[test_case("r", "nobody's", &Refused::UnknownKey; "no such key")]
+fn what_the_configuration_does_not_allow_is_refused(path: &str, key: &str, expected: &Refused) {
+    let mut core = configured(vec![route("r", Repeat::AtMostOnce, &[])]);
+    let request = Incoming { key: Some(key.to_owned()), ..incoming(path, Vec::new()) };
+    let actions = submit(&mut core, 1, request, ms(0));
+    assert_eq!(&refusal(&actions).expect("refused").reason, expected);
+    assert!(calls(&actions).is_empty());
+}
+
+#[test]
+fn the_longest_prefix_decides() {
+    let mut long = route("r", Repeat::AtMostOnce, &[]);
+    long.path_prefix = "/r/x/".into();
+    long.name = "long".into();
+    long.timeout = ms(77);
+    let mut core = configured(vec![route("r", Repeat::AtMostOnce, &[]), long]);
+    let request = Incoming { path: "/r/x/y".to_owned(), ..incoming("r", Vec::new()) };
+    let actions = submit(&mut core, 1, request, ms(0));
+    assert_eq!(calls(&actions)[0].1.allowed, ms(77), "the time-out of the longer prefix");
+}
+
+#[test]
+fn an_answer_is_passed_on_once_it_is_proved() {
+    let mut core = configured(vec![route("r", Repeat::AtMostOnce, &[])]);
+    let actions = submit(&mut core, 1, incoming("r", Vec::new()), ms(0));
+    let (attempt, order) = calls(&actions)[0].clone();
+    assert_eq!(order.organisation.as_deref(), Some("org"));
+    assert!(!order.reuse_connection, "what may not be repeated gets a fresh connection");
+    assert!(is_delivered(&core.handle(answered(attempt, good()), ms(20))));
+    assert_eq!(core.in_flight(), 0);
+    assert!(!is_delivered(&core.handle(answered(attempt, good()), ms(21))), "once");
+}
+
+#[test_case(Proof { signed: false, ..good() }; "without signature")]
+#[test_case(Proof { own: false, ..good() }; "another request's")]
+fn a_success_that_is_not_proved_is_no_answer(proof: Proof) {
+    let mut core = configured(vec![route("r", Repeat::AtMostOnce, &[])]);
+    let attempt = calls(&submit(&mut core, 1, incoming("r", Vec::new()), ms(0)))[0].0;
+    let actions = core.handle(answered(attempt, proof), ms(20));
+    assert!(!is_delivered(&actions));
+    let refusal = refusal(&actions).expect("given up at once");
+    assert!(!refusal.not_run, "it may have run");
+    assert!(calls(&actions).is_empty(), "and is not run again");
+}
+
+#[test_case(CallFailure::Broken; "broken")]
+#[test_case(CallFailure::Silent; "silent")]
+fn what_may_have_run_is_not_run_again(failure: CallFailure) {
+    let mut core = configured(vec![route("r", Repeat::AtMostOnce, &[])]);
+    let attempt = calls(&submit(&mut core, 1, incoming("r", Vec::new()), ms(0)))[0].0;
+    let actions = core.handle(Event::CallFailed { caller: 1, attempt, failure }, ms(20));
+    assert!(calls(&actions).is_empty());
+    assert!(!refusal(&actions).expect("given up").not_run);
+}
+
+#[test]
+fn what_may_be_repeated_goes_elsewhere_within_its_attempts() {
+    let mut core = configured(vec![route("r", Repeat::Idempotent, &[])]);
+    let (attempt, first) =
+        calls(&submit(&mut core, 1, incoming("r", Vec::new()), ms(0)))[0].clone();
+    let failure = CallFailure::Broken;
+    let actions = core.handle(Event::CallFailed { caller: 1, attempt, failure }, ms(20));
+    let (attempt, second) = calls(&actions)[0].clone();
+    assert_ne!(first.endpoint.id, second.endpoint.id);
+    let actions = core.handle(Event::CallFailed { caller: 1, attempt, failure }, ms(40));
+    assert!(calls(&actions).is_empty(), "two attempts are all that the route allows");
+    assert_eq!(refusal(&actions).expect("given up").reason, Refused::OutcomeUnknown);
+}
+
+#[test_case(Proof { status: 503, not_run: true, ..Proof::default() }; "full")]
+#[test_case(Proof { status: 421, other_endpoint: true, ..Proof::default() }; "another life")]
+fn a_proof_that_it_did_not_run_lets_it_go_elsewhere(proof: Proof) {
+    let mut core = configured(vec![route("r", Repeat::AtMostOnce, &[])]);
+    let (attempt, first) =
+        calls(&submit(&mut core, 1, incoming("r", Vec::new()), ms(0)))[0].clone();
+    let actions = core.handle(answered(attempt, proof), ms(5));
+    let (attempt, second) = calls(&actions)[0].clone();
+    assert_ne!(first.endpoint.id, second.endpoint.id);
+    let actions = core.handle(answered(attempt, proof), ms(10));
+    assert!(refusal(&actions).expect("nowhere left").not_run, "503 may be said");
+}
+
+#[test]
+fn a_caller_that_goes_away_stops_its_call() {
+    let mut core = configured(vec![route("r", Repeat::AtMostOnce, &[])]);
+    let attempt = calls(&submit(&mut core, 1, incoming("r", Vec::new()), ms(0)))[0].0;
+    let actions = core.handle(Event::CallerGone { caller: 1 }, ms(10));
+    let hung_up = |a: &Action| matches!(a, Action::Hangup { attempt: a, .. } if *a == attempt);
+    assert!(actions.iter().any(hung_up));
+    assert_eq!(core.in_flight(), 0);
+}
+
+#[test]
+fn a_time_out_is_answered_at_once_and_ends_the_call() {
+    let mut slow = route("r", Repeat::AtMostOnce, &[]);
+    slow.timeout = ms(300);
+    let mut core = configured(vec![slow]);
+    submit(&mut core, 1, incoming("r", Vec::new()), ms(0));
+    let actions = core.handle(Event::Tick, ms(300));
+    assert_eq!(refusal(&actions).expect("answered").reason, Refused::TimedOut);
+    assert!(actions.iter().any(|a| matches!(a, Action::Hangup { .. })));
+}
+
+#[test]
+fn a_leaving_endpoint_gets_nothing_new_and_one_that_is_gone_neither() {
+    let mut core = configured(vec![route("r", Repeat::AtMostOnce, &[])]);
+    let mut leaving = (*endpoint("engine", 1)).clone();
+    leaving.leaving = true;
+    let documents = listed(&[Arc::new(leaving)], 3);
+    core.handle(Event::Published { documents, whole_at: None }, ms(1));
+    for caller in 1..=4 {
+        let actions = submit(&mut core, caller, incoming("r", Vec::new()), ms(2));
+        assert_eq!(&*calls(&actions)[0].1.endpoint.id, "engine-2");
+    }
+    let document = Document::Gone("engine-2".into());
+    let documents = vec![Revised { revision: 4, document }];
+    core.handle(Event::Published { documents, whole_at: None }, ms(3));
+    let actions = submit(&mut core, 9, incoming("r", Vec::new()), ms(4));
+    assert_eq!(refusal(&actions).expect("nowhere").reason, Refused::NoEndpoint);
+}
+
+#[test]
+fn stages_are_run_by_the_owner_and_their_results_freed_at_the_first_event() {
+    let mut staged = route("r", Repeat::AtMostOnce, &[("first", &[], 10), ("second", &[0], 10)]);
+    staged.streams = true;
+    let mut core = configured(vec![staged]);
+    let mut actions = submit(&mut core, 1, incoming("r", vec![2, 1]), ms(0));
+    assert!(calls(&actions).is_empty(), "not before its stages are done");
+    let mut now = ms(0);
+    for stage in 0..2 {
+        let (call, count) = actions
+            .iter()
+            .find_map(|a| match a {
+                Action::Batch { call, pieces, .. } => Some((*call, pieces.len())),
+                _ => None,
+            })
+            .expect("a call");
+        now += ms(250);
+        let made = (0..count).map(|i| PieceOutcome::Made(format!("{stage}/{i}").into()));
+        let outcome = BatchOutcome::Pieces(made.collect());
+        actions = core.handle(Event::BatchEnded { call, outcome }, now);
+    }
+    let (attempt, order) = calls(&actions)[0].clone();
+    assert_eq!(order.inputs, ["1/0".into()], "the last stage's results");
+    let proof = good();
+    core.handle(Event::Answered { caller: 1, attempt, proof, is_open: true }, now + ms(50));
+    let actions = core.handle(Event::FirstEvent { caller: 1 }, now + ms(51));
+    assert!(actions.iter().any(|a| matches!(a, Action::Free { .. })));
+    let ended = Event::StreamEnded { caller: 1, attempt, whole: true, last_event: None };
+    let actions = core.handle(ended, now + ms(300));
+    assert!(actions.iter().any(|a| matches!(a, Action::Finish { .. })));
+    assert_eq!(core.in_flight(), 0);
+}
+
+#[test_case(true, true; "resumed where the route allows it")]
+#[test_case(false, false; "broken off otherwise")]
+fn a_stream_that_breaks(resumable: bool, goes_on: bool) {
+    let mut streaming = route("r", Repeat::AtMostOnce, &[]);
+    streaming.streams = true;
+    streaming.resumable = resumable;
+    let mut core = configured(vec![streaming]);
+    let attempt = calls(&submit(&mut core, 1, incoming("r", Vec::new()), ms(0)))[0].0;
+    core.handle(Event::Answered { caller: 1, attempt, proof: good(), is_open: true }, ms(50));
+    let last_event = Some("7".to_owned());
+    let ended = Event::StreamEnded { caller: 1, attempt, whole: false, last_event };
+    let actions = core.handle(ended, ms(90));
+    assert_eq!(actions.iter().any(|a| matches!(a, Action::Abort { .. })), !goes_on);
+    let resumed: Vec<_> = calls(&actions).into_iter().map(|(_, o)| o.after_event).collect();
+    assert_eq!(resumed, if goes_on { vec![Some("7".to_owned())] } else { Vec::new() });
+}
+
+#[test]
+fn a_stopping_gateway_is_not_ready_and_refuses_after_a_while_as_not_run() {
+    let mut core = configured(vec![route("r", Repeat::AtMostOnce, &[])]);
+    let actions = core.handle(Event::Drain, ms(100));
+    assert!(actions.iter().any(|a| matches!(a, Action::Ready(false))));
+    assert_eq!(calls(&submit(&mut core, 1, incoming("r", Vec::new()), ms(500))).len(), 1);
+    let actions = submit(&mut core, 2, incoming("r", Vec::new()), ms(6_000));
+    let refusal = refusal(&actions).expect("refused");
+    assert_eq!((refusal.reason, refusal.not_run), (Refused::Draining, true));
+}
+
+#[test]
+fn a_configuration_never_goes_back() {
+    let mut core = configured(vec![route("r", Repeat::AtMostOnce, &[])]);
+    publish(&mut core, deployment(5, vec![route("new", Repeat::AtMostOnce, &[])]), ms(10));
+    publish(&mut core, deployment(4, vec![route("r", Repeat::AtMostOnce, &[])]), ms(20));
+    assert_eq!(core.table().deployment.version, 5);
+    let actions = submit(&mut core, 1, incoming("r", Vec::new()), ms(30));
+    assert_eq!(refusal(&actions).expect("dropped").reason, Refused::UnknownRoute);
+}
