Speed is judged once an owner has settled; admission a little wider in time, tighter in room

Ruled out: slow replicas (the same ones answered in the usual time from the second call on).

Change: calls of the first 1.5 s of an owner are not judged; predicted time up to 1.1 of what is left; room promised 1.4 times (was 1.6).

--- a/src/direct/scheduler.rs
+++ b/src/direct/scheduler.rs
@@ -37,6 +37,8 @@
 const BEFORE_NEWCOMER: f64 = 0.3;
 /// A piece that is in a call needs so much of its time, on average.
 const RUNNING_REST: f64 = 0.5;
+/// Calls of an owner before this one are over after so long.
+const SETTLING: Duration = Duration::from_millis(1_500);
 /// Gateways that repeat calls with pieces at once: an owner, and the one before it.
 const OWNERS: usize = 2;
 /// Results of that many bytes would cross between data centres: their place is worth waiting for.
@@ -91,6 +93,9 @@
     to_free: BTreeMap<Name, (Arc<Endpoint>, Vec<Handle>)>,
     dirty: HashSet<Name>,
     last_look: Timestamp,
+    last_submit: Timestamp,
+    /// When jobs began to come, after none had for a while.
+    owner_since: Timestamp,
     out: Vec<Action>,
 }
 
@@ -106,6 +111,8 @@
             to_free: BTreeMap::new(),
             dirty: HashSet::new(),
             last_look: Timestamp::ZERO,
+            last_submit: Timestamp::ZERO,
+            owner_since: Timestamp::ZERO,
             out: Vec::new(),
         }
     }
@@ -159,6 +166,10 @@
         if self.jobs.contains_key(&id) {
             return;
         }
+        if now >= self.last_submit + SETTLING {
+            self.owner_since = now;
+        }
+        self.last_submit = now;
         let loads = self.loads(&job, table, now);
         let decision = admit_path(&loads, job.after, job.to_objective, job.priority);
         let refusal = decision.refusal.filter(|_| !job.resubmitted);
@@ -308,6 +319,10 @@
     }
 
     fn judge_speed(&mut self, call: &Call, took: Duration, table: &Table, now: Timestamp) {
+        // Early calls may have waited behind those of an owner that is gone.
+        if call.sent < self.owner_since + SETTLING {
+            return;
+        }
         let ratio = took.as_secs_f64() / call.expected.as_secs_f64().max(0.001);
         self.makers.worked(&call.endpoint.id, ratio);
         let pool: Vec<Name> = table.members(&call.pool).iter().map(|e| e.id.clone()).collect();
--- a/src/policy/path.rs
+++ b/src/policy/path.rs
@@ -6,10 +6,11 @@
 
 use std::time::Duration;
 
-/// Predictions are means; this share of the time to the objective makes room for what takes longer.
-const CONFIDENT_SHARE: f64 = 0.95;
+/// Predictions lie high where calls fill up under load: so much of the time to the objective may be
+/// predicted.
+const CONFIDENT_SHARE: f64 = 1.1;
 /// Results are not all held at once: so much of a pool's room may be promised.
-const ROOM_PROMISED: f64 = 1.6;
+const ROOM_PROMISED: f64 = 1.4;
 /// Each step down in priority leaves so much of time and room to the more urgent.
 const LEFT_TO_MORE_URGENT: f64 = 0.12;
 /// At least this share is open to every priority.
