--- a/src/direct/request.rs
+++ b/src/direct/request.rs
@@ -117,6 +117,13 @@
         last.flat_map(|s| self.results.get(s).cloned().unwrap_or_default()).collect()
     }
 
+    /// Whether the results of every last stage are there.
+    pub fn has_all_results(&self) -> bool {
+        let pieces = |stage: usize| self.incoming.pieces.get(stage).copied().unwrap_or_default();
+        let results = |stage: usize| self.results.get(stage).map_or(0, Vec::len);
+        self.route.last_stages().all(|stage| results(stage) == pieces(stage))
+    }
+
     /// When a silent call is given up, where it may be made again.
     pub fn patience(&self) -> Duration {
         if self.route.streams {
--- a/src/direct/requests.rs
+++ b/src/direct/requests.rs
@@ -275,10 +275,16 @@
 
     /// All stages of a job are done.
     pub fn ready(&mut self, job: JobId, from: SocketAddr, table: &Table, now: Timestamp) {
-        if let Some((caller, request)) = self.job(job, from) {
-            request.phase = Phase::Running;
-            self.dispatch(caller, table, now);
+        let Some((caller, request)) = self.job(job, from) else {
+            return;
+        };
+        if !request.has_all_results() {
+            // A message was lost on the way: the next owner goes on with what is there.
+            self.out.push(Action::Tell { to: from, message: PeerMessage::Release(job) });
+            return self.pass_over(caller, from);
         }
+        request.phase = Phase::Running;
+        self.dispatch(caller, table, now);
     }
 
     /// An owner gave a job up.
