A ticket's home knows the answer before its caller does

A repeat right behind the answer could reach the home first and heard 409 ticket_used, ran unknown.

Nothing of a refusal's way changed but that it waits, too.

--- a/src/gateway/http.rs
+++ b/src/gateway/http.rs
@@ -269,7 +269,8 @@
         match next {
             Some(CallerMessage::Answer(answer)) => {
                 if let Some(claim) = claim {
-                    finish_ticket(state, claim, &answer);
+                    // A repeat may come right behind the answer: its home must know by then.
+                    finish_ticket(state, claim, &answer).await.ok();
                 }
                 return final_answer(answer);
             }
@@ -282,8 +283,12 @@
     }
 }
 
-/// Tells a ticket's home how the run ended.
-pub(super) fn finish_ticket(state: &CallerState, claim: Claim, answer: &Answer) {
+/// Tells a ticket's home how the run ended; ends once the home knows, or can't be told in time.
+pub(super) fn finish_ticket(
+    state: &CallerState,
+    claim: Claim,
+    answer: &Answer,
+) -> tokio::task::JoinHandle<()> {
     let (id, begun, result) = match answer {
         Answer::Complete { request, result, .. } => (request, true, Some(result.to_vec())),
         Answer::Refused { request, refusal } => (request, refusal.ran != Ran::NotRun, None),
@@ -291,7 +296,7 @@
     let run = RunId { gateway: id.incarnation, number: id.number };
     let ended = Ended { run, request: id.to_string(), begun, answer: result };
     let channels = state.channels.clone();
-    state.runtime.spawn(async move { tickets::finish(&channels, &claim, ended).await });
+    state.runtime.spawn(async move { tickets::finish(&channels, &claim, ended).await })
 }
 
 fn final_answer(answer: Answer) -> WebResponse {
--- a/src/gateway/sse.rs
+++ b/src/gateway/sse.rs
@@ -2,11 +2,12 @@
 
 use std::convert::Infallible;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use bytes::{Bytes, BytesMut};
 use serde::Serialize;
 use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
 use xitca_web::body::{Body, Frame, SizeHint};
 
 use super::event::Answer;
@@ -39,6 +40,8 @@
     messages: mpsc::UnboundedReceiver<CallerMessage>,
     guard: Option<CallerGuard>,
     ticket: Option<(Claim, CallerState)>,
+    /// The final answer, while its ticket's home is being told.
+    telling: Option<(JoinHandle<()>, Answer)>,
     /// The start of a character whose rest has not come, and where it stands.
     tail: BytesMut,
     sent: u64,
@@ -53,7 +56,18 @@
         ticket: Option<(Claim, CallerState)>,
     ) -> Self {
         let tail = BytesMut::new();
-        Self { first, messages, guard: Some(guard), ticket, tail, sent: 0 }
+        Self { first, messages, guard: Some(guard), ticket, telling: None, tail, sent: 0 }
+    }
+
+    fn poll_message(&mut self, cx: &mut Context<'_>) -> Poll<Option<CallerMessage>> {
+        if let Some((task, _)) = &mut self.telling {
+            ready!(Pin::new(task).poll(cx)).ok();
+            return Poll::Ready(self.telling.take().map(|(_, a)| CallerMessage::Answer(a)));
+        }
+        match self.first.take() {
+            Some(first) => Poll::Ready(Some(first)),
+            None => self.messages.poll_recv(cx),
+        }
     }
 
     fn event(&mut self, message: CallerMessage) -> Bytes {
@@ -88,9 +102,6 @@
     }
 
     fn last(&mut self, answer: &Answer) -> Bytes {
-        if let Some((claim, state)) = self.ticket.take() {
-            finish_ticket(&state, claim, answer);
-        }
         self.guard = None;
         match answer {
             Answer::Complete { request, result, digest } => {
@@ -130,12 +141,14 @@
         if self.guard.is_none() {
             return Poll::Ready(None);
         }
-        let message = match self.first.take() {
-            Some(first) => Some(first),
-            None => match self.messages.poll_recv(cx) {
-                Poll::Ready(message) => message,
-                Poll::Pending => return Poll::Pending,
-            },
+        let message = match ready!(self.poll_message(cx)) {
+            // A repeat may come right behind the answer: its home must know by then.
+            Some(CallerMessage::Answer(answer)) if self.ticket.is_some() => {
+                let told = self.ticket.take().map(|(c, s)| finish_ticket(&s, c, &answer));
+                self.telling = told.map(|task| (task, answer));
+                return self.poll_frame(cx);
+            }
+            message => message,
         };
         let event = message.map(|m| Ok(Frame::Data(self.event(m))));
         Poll::Ready(event)
--- a/tests/direct_schedules.rs
+++ b/tests/direct_schedules.rs
@@ -34,7 +34,7 @@
 
 /// Something that happens at a time.
 enum Happening {
-    Event(usize, u64, Event),
+    Event(usize, u64, Box<Event>),
     Arrival(usize, u64),
     Kill(usize),
     Restart(usize),
@@ -222,7 +222,7 @@
         let life = self.lives[number];
         let delay = self.time_in(ms(1), ms(80));
         let event = Event::Published { documents, whole_at };
-        self.at(self.now + delay, Happening::Event(number, life, event));
+        self.at(self.now + delay, Happening::Event(number, life, Box::new(event)));
     }
 
     fn run(&mut self) {
@@ -240,7 +240,7 @@
     fn happen(&mut self, happening: Happening) {
         match happening {
             Happening::Event(number, life, event) if self.lives[number] == life => {
-                self.handle(number, event);
+                self.handle(number, *event);
             }
             Happening::Wake(number, life) if self.lives[number] == life => {
                 self.handle(number, Event::Tick);
@@ -288,7 +288,7 @@
         for other in (0..usize::from(GATEWAYS)).filter(|o| *o != number) {
             let event = Event::PeerBroke { address: lost, incarnation };
             let delay = self.time_in(ms(1), ms(5));
-            self.at(self.now + delay, Happening::Event(other, self.lives[other], event));
+            self.at(self.now + delay, Happening::Event(other, self.lives[other], Box::new(event)));
         }
     }
 
@@ -328,7 +328,7 @@
             let at = self.now + self.time_in(ms(10), ms(900));
             let event = Event::CallerGone { caller };
             self.callers.get_mut(&caller).expect("the caller").gone = true;
-            self.at(at, Happening::Event(number, self.lives[number], event));
+            self.at(at, Happening::Event(number, self.lives[number], Box::new(event)));
         }
     }
 
@@ -399,7 +399,10 @@
         let is_cut = self.cut.contains(&number) || self.cut.contains(&other);
         if self.gateways[other].is_none() {
             let event = Event::PeerUnreachable { address: to };
-            return self.at(self.now + ms(1), Happening::Event(number, self.lives[number], event));
+            return self.at(
+                self.now + ms(1),
+                Happening::Event(number, self.lives[number], Box::new(event)),
+            );
         }
         if is_cut || self.is_troubled() && self.chance(0.1) {
             return;
@@ -409,7 +412,7 @@
         let before = self.last_message.get(&(number, other)).copied().unwrap_or_default();
         let at = (self.now + delay).max(before);
         self.last_message.insert((number, other), at);
-        self.at(at, Happening::Event(other, self.lives[other], event));
+        self.at(at, Happening::Event(other, self.lives[other], Box::new(event)));
     }
 
     /// An endpoint is called with a request: it may refuse, fail before or after its run, or answer.
@@ -454,10 +457,10 @@
             assert!(*runs <= most as usize, "{id}: run {runs} times, {most} allowed");
         }
         let is_stream = spec.streams && matches!(&event, Event::Answered { is_open: true, .. });
-        self.at(self.now + delay, Happening::Event(number, life, event));
+        self.at(self.now + delay, Happening::Event(number, life, Box::new(event)));
         if is_stream {
             let first = self.now + delay + ms(1);
-            self.at(first, Happening::Event(number, life, Event::FirstEvent { caller }));
+            self.at(first, Happening::Event(number, life, Box::new(Event::FirstEvent { caller })));
             let whole = fate == 0;
             let last_event = Some("3".to_owned());
             let ended = Event::StreamEnded { caller, attempt, whole, last_event };
@@ -503,7 +506,7 @@
         }
         let life = self.lives[number];
         let event = Event::BatchEnded { call, outcome };
-        self.at(self.now + delay, Happening::Event(number, life, event));
+        self.at(self.now + delay, Happening::Event(number, life, Box::new(event)));
     }
 
     /// A maker checks what it is given and makes a piece, or says why not.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -310,6 +310,20 @@
     });
 }
 
+#[test]
+fn a_repeat_right_behind_an_answer_gets_that_answer() {
+    run(async {
+        let fleet = testenv::fleet(testenv::small()).await;
+        for round in 0..100 {
+            let ask = with_ticket(&fleet, &format!("behind-{round}")).await;
+            let first = send(&fleet, 0, &ask).await.expect("no panic");
+            assert_eq!(first.status, 200, "{}", first.text());
+            let again = send(&fleet, 1, &ask).await.expect("no panic");
+            assert_eq!(again.status, 200, "round {round}: {}", again.text());
+        }
+    });
+}
+
 async fn with_ticket(fleet: &Fleet, key: &str) -> Ask {
     let client = Client::default();
     let call = client.call(hyper::Method::POST, fleet.callers(0), "/v1/tickets", "", "").await;
