--- /dev/null
+++ b/src/direct/attempts.rs
@@ -0,0 +1,339 @@
+//! Calls for a request: where it is sent, what an answer proves, and whether it may be sent again.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::event::{Action, CallFailure, CallOrder, Proof, Refused};
+use super::model::{Endpoint, Name};
+use super::note::{Note, ms};
+use super::request::{Attempt, Phase, Request};
+use super::requests::{RETRY_SOON, Requests, Timer};
+use super::table::Table;
+use crate::invariant;
+use crate::invariant::Violation;
+use crate::message::Timestamp;
+use crate::policy::place::place;
+
+/// Calls for one request at most, also refused ones.
+const MAX_SENDS: u32 = 4;
+/// A request with less time left than that is not sent any more.
+const TOO_LATE: Duration = Duration::from_millis(5);
+
+impl Requests {
+    /// Hands a request to an endpoint, or gives it up.
+    pub(super) fn dispatch(&mut self, caller: u64, table: &Table, now: Timestamp) {
+        let Some(request) = self.requests.get(&caller) else {
+            return;
+        };
+        if now + TOO_LATE >= request.deadline {
+            return self.refuse(caller, Refused::TimedOut, RETRY_SOON, now);
+        }
+        let Some((endpoint, because, candidates)) = self.choose(request, table, now) else {
+            return self.refuse(caller, Refused::NoEndpoint, RETRY_SOON, now);
+        };
+        let selector = table.pool(&request.pool).map(|p| p.endpoints.to_string());
+        self.out.push(Action::Note(Note::Sent {
+            request: request.incoming.id.clone(),
+            attempt: self.next_attempt + 1,
+            selector: selector.unwrap_or_default(),
+            endpoint: endpoint.id.clone(),
+            because: because.to_owned(),
+            candidates,
+            left_ms: ms(request.deadline.saturating_sub(now)),
+        }));
+        self.call(caller, endpoint, now);
+    }
+
+    pub(super) fn choose(
+        &self,
+        request: &Request,
+        table: &Table,
+        now: Timestamp,
+    ) -> Option<(Arc<Endpoint>, &'static str, usize)> {
+        let members = table.members(&request.pool);
+        let open: Vec<&Arc<Endpoint>> =
+            members.iter().filter(|e| !e.leaving && !request.tried.contains(&e.id)).collect();
+        let median = self.observations.median_answer(members.iter().map(|e| &e.id));
+        let places: Vec<_> = open
+            .iter()
+            .map(|e| self.observations.place(e, &self.data_centre, median, now))
+            .collect();
+        let (chosen, because) = place(&places, request.shared_part())?;
+        Some((open[chosen].clone(), because.as_str(), open.len()))
+    }
+
+    pub(super) fn call(&mut self, caller: u64, endpoint: Arc<Endpoint>, now: Timestamp) {
+        let Some(request) = self.requests.get_mut(&caller) else {
+            return;
+        };
+        let violation = Violation::DispatchWithoutProof {
+            request: request.incoming.id.to_string(),
+            stage: request.route.stages.len(),
+        };
+        if !invariant!(request.may_have_run == 0 || request.may_repeat(), violation) {
+            return;
+        }
+        self.next_attempt += 1;
+        let number = self.next_attempt;
+        if request.sends == 0 {
+            self.repeats.first(&request.pool, 1, now);
+        }
+        request.sends += 1;
+        request.tried.push(endpoint.id.clone());
+        request.attempt = Some(Attempt { number, endpoint: endpoint.clone(), sent: now });
+        if request.may_repeat() && request.may_have_run + 1 < request.route.max_attempts {
+            let silence = now + request.patience();
+            self.timers.insert((silence, caller, Timer::Silence(number)));
+        }
+        self.observations.sent(&endpoint.id);
+        let order = CallOrder {
+            endpoint,
+            allowed: request.deadline.saturating_sub(now),
+            organisation: request.organisation.clone(),
+            inputs: request.inputs().into_iter().map(|m| m.handle).collect(),
+            after_event: request.last_event.clone(),
+            priority: request.priority,
+            reuse_connection: request.may_repeat(),
+            streams: request.route.streams,
+        };
+        self.out.push(Action::Call { caller, attempt: number, order });
+    }
+
+    pub(super) fn is_open(&self, caller: u64, attempt: u64) -> bool {
+        let open = self.requests.get(&caller).and_then(|r| r.attempt.as_ref());
+        open.is_some_and(|a| a.number == attempt)
+    }
+
+    /// Takes the open attempt out.
+    pub(super) fn close_attempt(&mut self, caller: u64) -> Option<Attempt> {
+        let attempt = self.requests.get_mut(&caller)?.attempt.take()?;
+        self.observations.ended(&attempt.endpoint.id);
+        Some(attempt)
+    }
+
+    /// An endpoint answered.
+    pub fn answered(
+        &mut self,
+        caller: u64,
+        attempt: u64,
+        proof: Proof,
+        is_open: bool,
+        table: &Table,
+        now: Timestamp,
+    ) {
+        if !self.is_open(caller, attempt) {
+            return;
+        }
+        let Some(request) = self.requests.get_mut(&caller) else {
+            return;
+        };
+        let Some(open) = request.attempt.clone() else {
+            return;
+        };
+        let endpoint = open.endpoint.id.clone();
+        if let Some((running, waiting, _)) = proof.load {
+            self.observations.reported(&endpoint, running + waiting, now);
+        }
+        if proof.not_run || proof.other_endpoint {
+            return self.not_run(caller, proof, table, now);
+        }
+        let is_success = (200..300).contains(&proof.status);
+        let is_whole = proof.own && (proof.signed || !is_success);
+        if !is_whole {
+            return self.may_have_run(caller, "wrong answer", table, now);
+        }
+        if proof.status >= 500 && self.may_try_again(caller, now) {
+            return self.may_have_run(caller, "server error", table, now);
+        }
+        self.observations.answered(&endpoint, now.saturating_sub(open.sent));
+        self.out.push(Action::Deliver { caller, attempt });
+        if is_open {
+            if let Some(request) = self.requests.get_mut(&caller) {
+                request.phase = Phase::Streaming;
+            }
+        } else {
+            self.close_attempt(caller);
+            self.end(caller, &format!("answered {}", proof.status), None, now);
+        }
+    }
+
+    /// The first event of a stream was passed on: its endpoint has fetched what it needs.
+    pub fn first_event(&mut self, caller: u64) {
+        self.release(caller);
+    }
+
+    pub(super) fn may_try_again(&self, caller: u64, now: Timestamp) -> bool {
+        self.requests.get(&caller).is_some_and(|r| {
+            r.may_repeat()
+                && r.may_have_run + 1 < r.route.max_attempts
+                && r.sends < MAX_SENDS
+                && now + TOO_LATE < r.deadline
+        })
+    }
+
+    /// The open attempt is proved not to have run.
+    pub(super) fn not_run(&mut self, caller: u64, proof: Proof, table: &Table, now: Timestamp) {
+        let Some(attempt) = self.close_attempt(caller) else {
+            return;
+        };
+        let endpoint = &attempt.endpoint.id;
+        if proof.other_endpoint {
+            self.avoid(endpoint, "other endpoint", now);
+        } else {
+            self.observations.full(endpoint, now);
+        }
+        let Some(request) = self.requests.get(&caller) else {
+            return;
+        };
+        let (pool, sends) = (request.pool.clone(), request.sends);
+        // Results that an endpoint can't fetch won't be there for another one either.
+        let can_go_on = proof.status != 409 && proof.status != 400 && sends < MAX_SENDS;
+        let goes_on = can_go_on && self.repeats.take(&pool, self.processes, now);
+        let failure = format!("not run: {}", proof.status);
+        self.note_failure(caller, &attempt, failure, if goes_on { "again" } else { "refused" });
+        if goes_on {
+            self.dispatch(caller, table, now);
+        } else {
+            self.refuse(caller, Refused::Overloaded, RETRY_SOON, now);
+        }
+    }
+
+    /// The open attempt failed and may have run.
+    pub(super) fn may_have_run(
+        &mut self,
+        caller: u64,
+        failure: &str,
+        table: &Table,
+        now: Timestamp,
+    ) {
+        let may_try = self.may_try_again(caller, now);
+        let Some(attempt) = self.close_attempt(caller) else {
+            return;
+        };
+        self.out.push(Action::Hangup { caller, attempt: attempt.number });
+        if self.observations.failed(&attempt.endpoint.id, now) {
+            self.note_avoided(&attempt.endpoint.id, "failures");
+        }
+        let Some(request) = self.requests.get_mut(&caller) else {
+            return;
+        };
+        request.may_have_run += 1;
+        let pool = request.pool.clone();
+        let goes_on = may_try && self.repeats.take(&pool, self.processes, now);
+        let next = if goes_on { "again" } else { "given up" };
+        self.note_failure(caller, &attempt, failure.to_owned(), next);
+        if goes_on {
+            self.dispatch(caller, table, now);
+        } else {
+            self.refuse(caller, Refused::OutcomeUnknown, RETRY_SOON, now);
+        }
+    }
+
+    /// A call failed before its answer.
+    pub fn call_failed(
+        &mut self,
+        caller: u64,
+        attempt: u64,
+        failure: CallFailure,
+        table: &Table,
+        now: Timestamp,
+    ) {
+        if !self.is_open(caller, attempt) {
+            return;
+        }
+        if failure != CallFailure::NotSent {
+            return self.may_have_run(caller, "broken", table, now);
+        }
+        let Some(closed) = self.close_attempt(caller) else {
+            return;
+        };
+        self.avoid(&closed.endpoint.id, "unreachable", now);
+        let sends = self.requests.get(&caller).map_or(MAX_SENDS, |r| r.sends);
+        let goes_on = sends < MAX_SENDS;
+        let next = if goes_on { "again" } else { "refused" };
+        self.note_failure(caller, &closed, "not sent".to_owned(), next);
+        if goes_on {
+            self.dispatch(caller, table, now);
+        } else {
+            self.refuse(caller, Refused::NoEndpoint, RETRY_SOON, now);
+        }
+    }
+
+    /// A stream that was passed on ended.
+    pub fn stream_ended(
+        &mut self,
+        caller: u64,
+        attempt: u64,
+        whole: bool,
+        last_event: Option<String>,
+        table: &Table,
+        now: Timestamp,
+    ) {
+        if !self.is_open(caller, attempt) {
+            return;
+        }
+        let Some(closed) = self.close_attempt(caller) else {
+            return;
+        };
+        if whole {
+            self.out.push(Action::Finish { caller });
+            return self.end(caller, "streamed", Some(&closed.endpoint.id), now);
+        }
+        if self.observations.failed(&closed.endpoint.id, now) {
+            self.note_avoided(&closed.endpoint.id, "broken streams");
+        }
+        let may_try = self.may_try_again(caller, now);
+        let Some(request) = self.requests.get_mut(&caller) else {
+            return;
+        };
+        request.may_have_run += 1;
+        request.last_event = last_event.or_else(|| request.last_event.take());
+        let pool = request.pool.clone();
+        let goes_on = may_try
+            && request.route.resumable
+            && !request.has_stages()
+            && self.repeats.take(&pool, self.processes, now);
+        let next = if goes_on { "resumed" } else { "broken off" };
+        self.note_failure(caller, &closed, "stream broke".to_owned(), next);
+        if goes_on {
+            self.dispatch(caller, table, now);
+        } else {
+            self.abort(caller, "stream broke", now);
+        }
+    }
+
+    pub(super) fn silent(&mut self, caller: u64, attempt: u64, table: &Table, now: Timestamp) {
+        let is_running = self.requests.get(&caller).is_some_and(|r| r.phase == Phase::Running);
+        if is_running && self.is_open(caller, attempt) {
+            self.may_have_run(caller, "silent", table, now);
+        }
+    }
+
+    pub(super) fn avoid(&mut self, endpoint: &Name, cause: &'static str, now: Timestamp) {
+        if self.observations.unreachable(endpoint, now) {
+            self.note_avoided(endpoint, cause);
+        }
+    }
+
+    pub(super) fn note_avoided(&mut self, endpoint: &Name, cause: &'static str) {
+        let endpoint = endpoint.clone();
+        self.out.push(Action::Note(Note::Suspicion { endpoint, avoided: true, cause }));
+    }
+
+    pub(super) fn note_failure(
+        &mut self,
+        caller: u64,
+        attempt: &Attempt,
+        failure: String,
+        next: &'static str,
+    ) {
+        if let Some(request) = self.requests.get(&caller) {
+            self.out.push(Action::Note(Note::AttemptFailed {
+                request: request.incoming.id.clone(),
+                endpoint: attempt.endpoint.id.clone(),
+                failure,
+                next,
+            }));
+        }
+    }
+}
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -4,22 +4,26 @@
 //! gateways. What is published, how callers ask and how endpoints are spoken to is translated by an
 //! adapter (see `client`).
 
+mod attempts;
 pub mod client;
 pub mod core;
 pub mod documents;
 pub mod endpoints;
 pub mod event;
+mod filling;
 pub mod jobs;
 pub mod makers;
 pub mod members;
 pub mod message;
 pub mod model;
 pub mod note;
+mod outcomes;
 pub mod peers;
 pub mod repeats;
 pub mod request;
 pub mod requests;
 pub mod scheduler;
 pub mod shell;
+mod stages;
 pub mod stream;
 pub mod table;
--- /dev/null
+++ b/src/direct/outcomes.rs
@@ -0,0 +1,267 @@
+//! What becomes of pieces when a call with them ends, fails or is overdue.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::event::{Action, BatchOutcome, CallFailure, PieceOutcome};
+use super::jobs::Piece;
+use super::message::{JobId, JobReason, Made};
+use super::model::Name;
+use super::note::{Note, ms};
+use super::scheduler::{Call, Scheduler};
+use super::table::Table;
+use crate::message::Timestamp;
+
+/// A piece that was sent so many times is given up.
+const MAX_TRIES: u32 = 4;
+/// Calls of an owner before this one are over after so long.
+pub(super) const SETTLING: Duration = Duration::from_millis(1_500);
+/// Gateways that repeat calls with pieces at once: an owner, and the one before it.
+const OWNERS: usize = 2;
+
+impl Scheduler {
+    /// A call ended.
+    pub fn batch_ended(&mut self, id: u64, outcome: BatchOutcome, table: &Table, now: Timestamp) {
+        let Some(call) = self.calls.remove(&id) else {
+            return;
+        };
+        let took = now.saturating_sub(call.sent);
+        self.makers.ended(&call.endpoint.id);
+        self.dirty.insert(call.pool.clone());
+        self.out.push(Action::Note(Note::BatchEnded {
+            call: id,
+            endpoint: call.endpoint.id.clone(),
+            outcome: describe(&outcome),
+            took_ms: ms(took),
+        }));
+        match outcome {
+            BatchOutcome::Pieces(outcomes) => {
+                self.judge_speed(&call, took, table, now);
+                self.pieces_ended(&call, id, outcomes, table, now);
+            }
+            BatchOutcome::Full => {
+                self.makers.full(&call.endpoint.id, now);
+                self.put_back(&call, id, false, table, now);
+            }
+            BatchOutcome::OtherEndpoint | BatchOutcome::Failed(CallFailure::NotSent) => {
+                self.avoid(&call.endpoint.id, "unreachable", now);
+                self.put_back(&call, id, false, table, now);
+            }
+            BatchOutcome::Failed(_) => {
+                self.avoid(&call.endpoint.id, "broken", now);
+                self.put_back(&call, id, true, table, now);
+            }
+        }
+    }
+
+    pub(super) fn avoid(&mut self, endpoint: &Name, cause: &'static str, now: Timestamp) {
+        self.makers.failed(endpoint, now);
+        let endpoint = endpoint.clone();
+        self.out.push(Action::Note(Note::Suspicion { endpoint, avoided: true, cause }));
+    }
+
+    pub(super) fn judge_speed(
+        &mut self,
+        call: &Call,
+        took: Duration,
+        table: &Table,
+        now: Timestamp,
+    ) {
+        // Early calls may have waited behind those of an owner that is gone.
+        if call.sent < self.owner_since + SETTLING {
+            return;
+        }
+        let ratio = took.as_secs_f64() / call.expected.as_secs_f64().max(0.001);
+        self.makers.worked(&call.endpoint.id, ratio);
+        let pool: Vec<Name> = table.members(&call.pool).iter().map(|e| e.id.clone()).collect();
+        if self.makers.avoid_if_slow(&call.endpoint.id, &pool, now) {
+            let endpoint = call.endpoint.id.clone();
+            let note = Note::Suspicion { endpoint, avoided: true, cause: "slow" };
+            self.out.push(Action::Note(note));
+        }
+    }
+
+    pub(super) fn pieces_ended(
+        &mut self,
+        call: &Call,
+        id: u64,
+        outcomes: Vec<PieceOutcome>,
+        table: &Table,
+        now: Timestamp,
+    ) {
+        let missing = call.pieces.len().saturating_sub(outcomes.len());
+        let outcomes = outcomes.into_iter().chain(vec![PieceOutcome::Failed; missing]);
+        for (&(job, stage, piece, bytes), outcome) in call.pieces.iter().zip(outcomes) {
+            if let PieceOutcome::Made(handle) = outcome {
+                let made = Made { handle, endpoint: call.endpoint.id.clone() };
+                self.made(job, stage, piece, bytes, made, table);
+                continue;
+            }
+            self.makers.freed(&call.endpoint.id, bytes);
+            if !self.is_running(job, stage, piece, id) {
+                continue;
+            }
+            match outcome {
+                PieceOutcome::NoRoom => {
+                    let room = table.batch(&call.pool).map_or(0, |s| s.room_bytes);
+                    let left = self.makers.left(&call.endpoint.id, room, now);
+                    self.makers.no_room(&call.endpoint.id, left, now);
+                    self.wait_again(job, stage, piece, true, table, now);
+                }
+                PieceOutcome::Failed => self.wait_again(job, stage, piece, true, table, now),
+                PieceOutcome::InputGone => self.make_inputs_again(job, stage, table, now),
+                PieceOutcome::Late | PieceOutcome::Made(_) => {
+                    self.give_up(job, JobReason::DeadlinePassed, table);
+                }
+            }
+        }
+        let mut jobs: Vec<JobId> = call.pieces.iter().map(|p| p.0).collect();
+        jobs.dedup();
+        for job in jobs {
+            self.advance(job, table, now);
+        }
+    }
+
+    pub(super) fn made(
+        &mut self,
+        job: JobId,
+        stage: usize,
+        piece: usize,
+        bytes: u64,
+        made: Made,
+        table: &Table,
+    ) {
+        let slot = self.jobs.get_mut(&job).map(|j| &mut j.stages[stage].pieces[piece]);
+        match slot {
+            // A piece that was given up and is made after all is as good as any.
+            Some(slot @ (Piece::Running { .. } | Piece::Waiting { .. })) => {
+                *slot = Piece::Made(made)
+            }
+            _ => self.free(&made, bytes, table),
+        }
+    }
+
+    pub(super) fn is_running(&self, job: JobId, stage: usize, piece: usize, call: u64) -> bool {
+        let run = self.jobs.get(&job);
+        let piece = run.map(|r| &r.stages[stage].pieces[piece]);
+        matches!(piece, Some(Piece::Running { call: c, .. }) if *c == call)
+    }
+
+    /// Every piece of a call that did not end waits again.
+    pub(super) fn put_back(
+        &mut self,
+        call: &Call,
+        id: u64,
+        may_have_run: bool,
+        table: &Table,
+        now: Timestamp,
+    ) {
+        for &(job, stage, piece, bytes) in &call.pieces {
+            self.makers.freed(&call.endpoint.id, bytes);
+            if self.is_running(job, stage, piece, id) {
+                self.wait_again(job, stage, piece, may_have_run, table, now);
+            }
+        }
+    }
+
+    /// A piece waits again, where the budget and its tries allow it; otherwise its job is given up.
+    pub(super) fn wait_again(
+        &mut self,
+        job: JobId,
+        stage: usize,
+        piece: usize,
+        counts: bool,
+        table: &Table,
+        now: Timestamp,
+    ) {
+        let Some(run) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        let slot = &mut run.stages[stage].pieces[piece];
+        let Piece::Running { tries, .. } = *slot else {
+            return;
+        };
+        let tries = tries + u32::from(counts);
+        *slot = Piece::Waiting { tries };
+        let pool = run.job.stages[stage].pool.clone();
+        if tries >= MAX_TRIES {
+            return self.give_up(job, JobReason::Failed, table);
+        }
+        // Also a piece that was refused arrives twice.
+        if !self.repeats.take(&pool, OWNERS, now) {
+            return self.give_up(job, JobReason::RepeatBudget, table);
+        }
+        self.dirty.insert(pool);
+    }
+
+    /// An input of a stage is gone: the stages before it are made again, and those before them
+    /// whose own results were used and freed.
+    pub(super) fn make_inputs_again(
+        &mut self,
+        job: JobId,
+        stage: usize,
+        table: &Table,
+        now: Timestamp,
+    ) {
+        let Some(run) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        for piece in &mut run.stages[stage].pieces {
+            if let Piece::Running { tries, .. } = *piece {
+                *piece = Piece::Waiting { tries: tries + 1 };
+            }
+        }
+        let mut freed = Vec::new();
+        let mut again = Vec::new();
+        for index in run.to_make_again(stage) {
+            let spec = &run.job.stages[index];
+            for piece in &mut run.stages[index].pieces {
+                if let Piece::Made(made) = piece {
+                    freed.push((made.clone(), spec.result_bytes));
+                }
+                *piece = Piece::Waiting { tries: MAX_TRIES - 1 };
+                again.push(spec.pool.clone());
+            }
+            run.stages[index].told = false;
+        }
+        for (made, bytes) in freed {
+            self.free(&made, bytes, table);
+        }
+        self.dirty.extend(again.iter().cloned());
+        if !again.iter().all(|pool| self.repeats.take(pool, OWNERS, now)) {
+            self.give_up(job, JobReason::RepeatBudget, table);
+        }
+    }
+
+    pub(super) fn give_up_call(&mut self, id: u64, table: &Table, now: Timestamp) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        call.is_late = true;
+        let (endpoint, pieces) = (call.endpoint.id.clone(), call.pieces.clone());
+        self.avoid(&endpoint, "overdue", now);
+        for (job, stage, piece, _) in pieces {
+            if self.is_running(job, stage, piece, id) {
+                self.wait_again(job, stage, piece, true, table, now);
+            }
+        }
+    }
+}
+
+fn describe(outcome: &BatchOutcome) -> String {
+    let BatchOutcome::Pieces(pieces) = outcome else {
+        return format!("{outcome:?}");
+    };
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for piece in pieces {
+        let word = match piece {
+            PieceOutcome::Made(_) => "made",
+            PieceOutcome::Late => "late",
+            PieceOutcome::InputGone => "input_gone",
+            PieceOutcome::NoRoom => "no_room",
+            PieceOutcome::Failed => "failed",
+        };
+        *counts.entry(word).or_default() += 1;
+    }
+    counts.iter().map(|(word, count)| format!("{word}={count}")).collect::<Vec<_>>().join(" ")
+}
--- /dev/null
+++ b/src/direct/stages.rs
@@ -0,0 +1,204 @@
+//! A request's stages at their owner: submitted, followed, and handed to the next owner if one is lost.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::event::{Action, Refused};
+use super::members::Members;
+use super::message::{Job, JobId, JobReason, JobStage, Made, PeerMessage};
+use super::model::Name;
+use super::note::Note;
+use super::request::{Phase, Request};
+use super::requests::{RETRY_SOON, Requests, Timer};
+use super::table::Table;
+use crate::message::Timestamp;
+
+/// An owner that has not decided on stages after so long is passed over.
+const OWNER_PATIENCE: Duration = Duration::from_millis(120);
+/// Owners that are asked at most.
+const MAX_OWNERS: usize = 3;
+/// The pools that work in batches have one owner together.
+const STAGES: &str = "stages";
+
+impl Requests {
+    pub(super) fn submit_stages(
+        &mut self,
+        caller: u64,
+        members: &Members,
+        table: &Table,
+        now: Timestamp,
+    ) {
+        let Some(request) = self.requests.get(&caller) else {
+            return;
+        };
+        // The results go where the run will be, as far as can be told now.
+        let place = self.choose(request, table, now);
+        let place = place.map_or_else(|| self.data_centre.clone(), |(e, ..)| e.data_centre.clone());
+        let Some(request) = self.requests.get_mut(&caller) else {
+            return;
+        };
+        let owner = members.owner(STAGES, &request.passed_over);
+        let tried = request.passed_over.len();
+        let Some(owner) = owner.filter(|_| tried < MAX_OWNERS) else {
+            return self.refuse(caller, Refused::NoEndpoint, RETRY_SOON, now);
+        };
+        let resubmitted = request.holds_results;
+        request.phase = Phase::Stages {
+            owner: owner.address,
+            incarnation: owner.incarnation,
+            submitted: now,
+            accepted: false,
+        };
+        request.holds_results = true;
+        request.owner = Some(owner.address);
+        let job = job_of(request, resubmitted, place, now);
+        self.by_job.insert(request.job, caller);
+        let timer = Timer::Owner(tried as u32);
+        self.timers.insert((now + OWNER_PATIENCE, caller, timer));
+        self.out.push(Action::Note(Note::StagesSubmitted {
+            request: request.incoming.id.clone(),
+            owner: owner.address,
+            resubmitted,
+        }));
+        let message = PeerMessage::Submit(Box::new(job));
+        self.out.push(Action::Tell { to: owner.address, message });
+    }
+
+    /// The request of a job, if this owner is the one that has it now.
+    pub(super) fn job(&mut self, job: JobId, from: SocketAddr) -> Option<(u64, &mut Request)> {
+        let caller = *self.by_job.get(&job)?;
+        let request = self.requests.get_mut(&caller)?;
+        let is_owner = matches!(request.phase, Phase::Stages { owner, .. } if owner == from);
+        is_owner.then_some((caller, request))
+    }
+
+    /// An owner has begun a job.
+    pub fn accepted(&mut self, job: JobId, from: SocketAddr) {
+        if let Some((_, request)) = self.job(job, from) {
+            if let Phase::Stages { accepted, .. } = &mut request.phase {
+                *accepted = true;
+            }
+        } else {
+            self.out.push(Action::Tell { to: from, message: PeerMessage::Release(job) });
+        }
+    }
+
+    /// A stage of a job is done.
+    pub fn stage_done(&mut self, job: JobId, from: SocketAddr, stage: usize, results: Vec<Made>) {
+        if let Some((_, request)) = self.job(job, from)
+            && let Some(slot) = request.results.get_mut(stage)
+        {
+            *slot = results;
+        }
+    }
+
+    /// All stages of a job are done.
+    pub fn ready(&mut self, job: JobId, from: SocketAddr, table: &Table, now: Timestamp) {
+        let Some((caller, request)) = self.job(job, from) else {
+            return;
+        };
+        if !request.has_all_results() {
+            // A message was lost on the way: the next owner goes on with what is there.
+            self.out.push(Action::Tell { to: from, message: PeerMessage::Release(job) });
+            return self.pass_over(caller, from);
+        }
+        request.phase = Phase::Running;
+        self.dispatch(caller, table, now);
+    }
+
+    /// An owner gave a job up.
+    pub fn given_up(
+        &mut self,
+        job: JobId,
+        from: SocketAddr,
+        reason: JobReason,
+        untouched: bool,
+        retry_after: Duration,
+        now: Timestamp,
+    ) {
+        let Some((caller, request)) = self.job(job, from) else {
+            return;
+        };
+        let id = request.incoming.id.clone();
+        if untouched && request.results.iter().all(Vec::is_empty) {
+            request.holds_results = false;
+        }
+        self.out
+            .push(Action::Note(Note::StagesGivenUp { request: id, reason: format!("{reason:?}") }));
+        match reason {
+            JobReason::NotOwner => self.pass_over(caller, from),
+            JobReason::DeadlinePassed => self.refuse(caller, Refused::TimedOut, RETRY_SOON, now),
+            _ => self.refuse(caller, Refused::Overloaded, retry_after, now),
+        }
+    }
+
+    pub(super) fn pass_over(&mut self, caller: u64, owner: SocketAddr) {
+        if let Some(request) = self.requests.get_mut(&caller) {
+            request.passed_over.push(owner);
+            self.to_submit.push(caller);
+        }
+    }
+
+    /// An owner is gone: what it had goes to another one.
+    pub fn owner_lost(
+        &mut self,
+        address: SocketAddr,
+        lost: u64,
+        _members: &Members,
+        _now: Timestamp,
+    ) {
+        let with_owner: Vec<u64> = self
+            .requests
+            .iter()
+            .filter(|(_, r)| {
+                matches!(r.phase, Phase::Stages { owner, incarnation, .. }
+                    if owner == address && incarnation == lost)
+            })
+            .map(|(caller, _)| *caller)
+            .collect();
+        for caller in with_owner {
+            self.pass_over(caller, address);
+        }
+    }
+
+    pub(super) fn owner_silent(&mut self, caller: u64, asked: u32, now: Timestamp) {
+        let Some(request) = self.requests.get(&caller) else {
+            return;
+        };
+        let Phase::Stages { owner, accepted: false, .. } = request.phase else {
+            return;
+        };
+        if request.passed_over.len() as u32 != asked {
+            return;
+        }
+        let _ = now;
+        let message = PeerMessage::Release(request.job);
+        self.out.push(Action::Tell { to: owner, message });
+        self.pass_over(caller, owner);
+    }
+}
+
+fn job_of(request: &Request, resubmitted: bool, data_centre: Name, now: Timestamp) -> Job {
+    let specs = request.route.stages.iter().enumerate();
+    let stages = specs.map(|(i, spec)| JobStage {
+        pool: spec.pool.clone(),
+        after: spec.after.clone(),
+        result_bytes: spec.result_bytes,
+        pieces: request.incoming.pieces.get(i).copied().unwrap_or_default(),
+        done: request.results[i].clone(),
+    });
+    let objective = request.arrived + request.route.objective;
+    Job {
+        id: request.job,
+        request: request.incoming.id.clone(),
+        route: request.route.name.clone(),
+        stages: stages.collect(),
+        key: request.incoming.piece_key.clone(),
+        to_objective: objective.saturating_sub(now),
+        to_deadline: request.deadline.saturating_sub(now),
+        after: request.expected_start(),
+        priority: request.priority,
+        data_centre,
+        resubmitted,
+    }
+}
--- a/src/gateway/http.rs
+++ b/src/gateway/http.rs
@@ -269,8 +269,12 @@
         match next {
             Some(CallerMessage::Answer(answer)) => {
                 if let Some(claim) = claim {
-                    // A repeat may come right behind the answer: its home must know by then.
-                    finish_ticket(state, claim, &answer).await.ok();
+                    let told = finish_ticket(state, claim, &answer);
+                    // A repeat may come right behind an answer: its home must know by then. A
+                    // refusal waits for nothing.
+                    if matches!(answer, Answer::Complete { .. }) {
+                        told.await.ok();
+                    }
                 }
                 return final_answer(answer);
             }
--- a/src/gateway/sse.rs
+++ b/src/gateway/sse.rs
@@ -142,10 +142,14 @@
             return Poll::Ready(None);
         }
         let message = match ready!(self.poll_message(cx)) {
-            // A repeat may come right behind the answer: its home must know by then.
+            // A repeat may come right behind an answer: its home must know by then. A refusal
+            // waits for nothing.
             Some(CallerMessage::Answer(answer)) if self.ticket.is_some() => {
                 let told = self.ticket.take().map(|(c, s)| finish_ticket(&s, c, &answer));
-                self.telling = told.map(|task| (task, answer));
+                let Some(task) = told.filter(|_| matches!(answer, Answer::Complete { .. })) else {
+                    return Poll::Ready(Some(Ok(Frame::Data(self.last(&answer)))));
+                };
+                self.telling = Some((task, answer));
                 return self.poll_frame(cx);
             }
             message => message,
--- /dev/null
+++ b/tests/directenv/world.rs
@@ -0,0 +1,557 @@
+//! A world of several gateways in virtual time; every promise is checked at every step.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{address, deployment, endpoints, ms, route};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use stackmast::actor::Core;
+use stackmast::direct::core::{GatewayCore, Setup};
+use stackmast::direct::documents::{Document, Revised};
+use stackmast::direct::event::{
+    Action, BatchOutcome, CallFailure, CallOrder, Event, Incoming, PieceOrder, PieceOutcome, Proof,
+};
+use stackmast::direct::message::PeerMessage;
+use stackmast::direct::model::{Endpoint, Repeat, Route};
+use stackmast::direct::repeats::Bounds;
+
+pub const GATEWAYS: u16 = 3;
+const CALLERS: u64 = 24;
+/// Callers come within that; after it nothing fails any more.
+const BUSY: Duration = Duration::from_secs(4);
+const END: Duration = Duration::from_secs(20);
+
+/// Something that happens at a time.
+pub enum Happening {
+    Event(usize, u64, Box<Event>),
+    Arrival(usize, u64),
+    Kill(usize),
+    Restart(usize),
+    Drain(usize),
+    Cut(usize, bool),
+    Publish,
+    Wake(usize, u64),
+}
+
+/// One request as its caller sees it.
+pub struct Caller {
+    gateway: usize,
+    life: u64,
+    pub route: usize,
+    pub id: String,
+    gone: bool,
+    pub answers: usize,
+    refused_not_run: bool,
+    deadline: Duration,
+}
+
+/// Gateways, callers and endpoints in virtual time.
+pub struct World {
+    rng: StdRng,
+    now: Duration,
+    pub queue: BinaryHeap<Reverse<(Duration, u64)>>,
+    pub happenings: HashMap<u64, Happening>,
+    next: u64,
+    gateways: Vec<Option<GatewayCore>>,
+    lives: Vec<u64>,
+    cut: HashSet<usize>,
+    /// The next wake that is planned for each gateway's life.
+    pub wakes: HashMap<usize, (Duration, u64)>,
+    /// When the last message between two gateways arrives: a connection keeps the order.
+    last_message: HashMap<(usize, usize), Duration>,
+    routes: Vec<Route>,
+    revision: u64,
+    version: u64,
+    versions_seen: Vec<u64>,
+    leaving: BTreeSet<String>,
+    pub callers: BTreeMap<u64, Caller>,
+    /// Runs by the caller's id.
+    pub runs: HashMap<String, usize>,
+    /// What each result was made for: request, stage, piece.
+    results: HashMap<String, (String, usize, usize)>,
+    /// Results that were made and not freed.
+    pub kept: HashMap<String, Duration>,
+    pub trouble: f64,
+}
+
+impl World {
+    pub fn new(seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let graph: &[(&str, &[usize], u64)] =
+            &[("first", &[], 10), ("second", &[0], 10), ("third", &[1], 10), ("first", &[], 50)];
+        let mut staged = route("staged", Repeat::AtMostOnce, graph);
+        staged.streams = true;
+        let mut again = route("again", Repeat::AtMostOnce, &[]);
+        (again.streams, again.resumable) = (true, true);
+        let routes = vec![
+            route("once", Repeat::AtMostOnce, &[]),
+            route("twice", Repeat::Idempotent, &[]),
+            staged,
+            again,
+        ];
+        let trouble = rng.random_range(0.0..0.25);
+        let mut world = Self {
+            rng,
+            now: Duration::ZERO,
+            queue: BinaryHeap::new(),
+            happenings: HashMap::new(),
+            next: 0,
+            gateways: Vec::new(),
+            lives: Vec::new(),
+            cut: HashSet::new(),
+            wakes: HashMap::new(),
+            last_message: HashMap::new(),
+            routes,
+            revision: 10,
+            version: 1,
+            versions_seen: vec![0; usize::from(GATEWAYS)],
+            leaving: BTreeSet::new(),
+            callers: BTreeMap::new(),
+            runs: HashMap::new(),
+            results: HashMap::new(),
+            kept: HashMap::new(),
+            trouble,
+        };
+        for _ in 0..GATEWAYS {
+            world.gateways.push(None);
+            world.lives.push(0);
+        }
+        for number in 0..usize::from(GATEWAYS) {
+            world.start(number);
+        }
+        world.plan();
+        world
+    }
+
+    fn plan(&mut self) {
+        for number in 0..CALLERS {
+            let at = self.time_in(ms(300), BUSY);
+            let gateway = self.rng.random_range(0..usize::from(GATEWAYS));
+            self.at(at, Happening::Arrival(gateway, number + 1));
+        }
+        for _ in 0..self.rng.random_range(0..4) {
+            let gateway = self.rng.random_range(0..usize::from(GATEWAYS));
+            let at = self.time_in(ms(300), BUSY);
+            let back = at + self.time_in(ms(50), ms(1_500));
+            let (bad, good) = match self.rng.random_range(0..3) {
+                0 => (Happening::Kill(gateway), Happening::Restart(gateway)),
+                1 => (Happening::Cut(gateway, true), Happening::Cut(gateway, false)),
+                _ => (Happening::Drain(gateway), Happening::Kill(gateway)),
+            };
+            let restarts = matches!(good, Happening::Kill(_));
+            self.at(at, bad);
+            self.at(back + if restarts { ms(4_000) } else { ms(0) }, good);
+            if restarts {
+                self.at(back + ms(4_200), Happening::Restart(gateway));
+            }
+        }
+        for _ in 0..self.rng.random_range(0..4) {
+            let at = self.time_in(ms(300), BUSY);
+            self.at(at, Happening::Publish);
+        }
+    }
+
+    fn time_in(&mut self, from: Duration, to: Duration) -> Duration {
+        Duration::from_micros(self.rng.random_range(from.as_micros() as u64..to.as_micros() as u64))
+    }
+
+    pub fn at(&mut self, at: Duration, happening: Happening) {
+        self.next += 1;
+        self.queue.push(Reverse((at, self.next)));
+        self.happenings.insert(self.next, happening);
+    }
+
+    fn chance(&mut self, share: f64) -> bool {
+        self.rng.random_bool(share)
+    }
+
+    fn is_troubled(&mut self) -> bool {
+        self.now < BUSY && self.chance(self.trouble)
+    }
+
+    fn start(&mut self, number: usize) {
+        if self.gateways[number].is_some() {
+            return;
+        }
+        self.lives[number] += 1;
+        let seeds = (0..GATEWAYS).map(|n| address(n + 1)).collect();
+        self.gateways[number] = Some(GatewayCore::new(Setup {
+            address: address(number as u16 + 1),
+            incarnation: self.lives[number],
+            data_centre: format!("hall-{}", number % 2).into(),
+            seeds,
+            repeats: Bounds { ratio: 0.2, slack: 60.0, window: Duration::from_secs(10) },
+            grace: Duration::from_secs(8),
+            seed: self.rng.random(),
+        }));
+        self.versions_seen[number] = 0;
+        // Some start while the publisher is away and must learn from their peers.
+        if self.lives[number] == 1 || self.chance(0.7) {
+            self.publish_to(number);
+        }
+        self.handle(number, Event::Tick);
+    }
+
+    fn documents(&self) -> Vec<Revised> {
+        let entry = |e: &Arc<Endpoint>| {
+            let mut endpoint = (**e).clone();
+            endpoint.leaving = self.leaving.contains(&*e.id);
+            let revision = if endpoint.leaving { self.revision } else { 10 };
+            Revised { revision, document: Document::Endpoint(Arc::new(endpoint)) }
+        };
+        let mut documents: Vec<Revised> = endpoints().iter().map(entry).collect();
+        let deployment = Arc::new(deployment(self.version, self.routes.clone()));
+        documents
+            .push(Revised { revision: self.revision, document: Document::Deployment(deployment) });
+        documents
+    }
+
+    pub fn publish_to(&mut self, number: usize) {
+        let documents = self.documents();
+        let whole_at = Some(self.revision);
+        let life = self.lives[number];
+        let delay = self.time_in(ms(1), ms(80));
+        let event = Event::Published { documents, whole_at };
+        self.at(self.now + delay, Happening::Event(number, life, Box::new(event)));
+    }
+
+    pub fn run(&mut self) {
+        while let Some(Reverse((at, id))) = self.queue.pop() {
+            if at > END {
+                break;
+            }
+            self.now = self.now.max(at);
+            let happening = self.happenings.remove(&id).expect("what was planned");
+            self.happen(happening);
+        }
+        self.check_end();
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Event(number, life, event) if self.lives[number] == life => {
+                self.handle(number, *event);
+            }
+            Happening::Wake(number, life) if self.lives[number] == life => {
+                self.handle(number, Event::Tick);
+            }
+            Happening::Event(..) | Happening::Wake(..) => {}
+            Happening::Arrival(number, caller) => self.arrive(number, caller),
+            Happening::Kill(number) => self.kill(number),
+            Happening::Restart(number) => self.start(number),
+            Happening::Drain(number) => self.handle(number, Event::Drain),
+            Happening::Cut(number, true) => {
+                self.cut.insert(number);
+            }
+            Happening::Cut(number, false) => {
+                self.cut.remove(&number);
+            }
+            Happening::Publish => self.publish(),
+        }
+    }
+
+    fn publish(&mut self) {
+        self.revision += 1;
+        if self.chance(0.5) {
+            self.version += 2;
+        } else {
+            let endpoints = endpoints();
+            let number = self.rng.random_range(0..endpoints.len());
+            self.leaving.insert(endpoints[number].id.to_string());
+        }
+        for number in 0..usize::from(GATEWAYS) {
+            if self.chance(0.8) {
+                self.publish_to(number);
+            }
+        }
+    }
+
+    fn kill(&mut self, number: usize) {
+        if self.gateways[number].take().is_none() {
+            return;
+        }
+        let incarnation = self.lives[number];
+        for caller in self.callers.values_mut().filter(|c| c.gateway == number) {
+            caller.gone |= caller.life == incarnation;
+        }
+        let lost = address(number as u16 + 1);
+        for other in (0..usize::from(GATEWAYS)).filter(|o| *o != number) {
+            let event = Event::PeerBroke { address: lost, incarnation };
+            let delay = self.time_in(ms(1), ms(5));
+            self.at(self.now + delay, Happening::Event(other, self.lives[other], Box::new(event)));
+        }
+    }
+
+    fn arrive(&mut self, number: usize, caller: u64) {
+        if self.gateways[number].is_none() {
+            return;
+        }
+        let route = self.rng.random_range(0..self.routes.len());
+        let spec = &self.routes[route];
+        let id = format!("request-{caller}");
+        let incoming = Incoming {
+            id: id.as_str().into(),
+            host: "h.example".to_owned(),
+            path: format!("/{}/x", spec.name),
+            key: Some("key".to_owned()),
+            allowed: Some(Duration::from_secs(5)),
+            generation: None,
+            pieces: spec.stages.iter().map(|_| self.rng.random_range(1..4)).collect(),
+            piece_key: Some("k".into()),
+            after_event: None,
+        };
+        self.callers.insert(
+            caller,
+            Caller {
+                gateway: number,
+                life: self.lives[number],
+                route,
+                id,
+                gone: false,
+                answers: 0,
+                refused_not_run: false,
+                deadline: self.now + Duration::from_secs(5),
+            },
+        );
+        self.handle(number, Event::Submit { caller, incoming });
+        if self.trouble > 0.0 && self.chance(0.1) {
+            let at = self.now + self.time_in(ms(10), ms(900));
+            let event = Event::CallerGone { caller };
+            self.callers.get_mut(&caller).expect("the caller").gone = true;
+            self.at(at, Happening::Event(number, self.lives[number], Box::new(event)));
+        }
+    }
+
+    fn handle(&mut self, number: usize, event: Event) {
+        let now = self.now;
+        let Some(core) = self.gateways[number].as_mut() else {
+            return;
+        };
+        let actions = core.handle(event, now);
+        let version = core.table().deployment.version;
+        let wake = core.next_wakeup().map_or(now + ms(1_000), |at| at.max(now + ms(1)));
+        assert!(version >= self.versions_seen[number], "a configuration went back");
+        self.versions_seen[number] = version;
+        let life = self.lives[number];
+        let planned = self.wakes.get(&number).filter(|(at, l)| *at > now && *l == life);
+        if planned.is_none_or(|(at, _)| wake < *at) {
+            self.wakes.insert(number, (wake, life));
+            self.at(wake, Happening::Wake(number, life));
+        }
+        for action in actions {
+            self.act(number, action);
+        }
+    }
+
+    fn act(&mut self, number: usize, action: Action) {
+        match action {
+            Action::Call { caller, attempt, order } => self.call(number, caller, attempt, &order),
+            Action::Batch { call, endpoint, pieces, .. } => {
+                self.batch(number, call, &endpoint, &pieces);
+            }
+            Action::Free { handles, .. } => {
+                for handle in handles {
+                    self.kept.remove(&*handle);
+                }
+            }
+            Action::Tell { to, message } => self.tell(number, to, message),
+            Action::Deliver { caller, .. } => {
+                let is_stream = self.routes[self.callers[&caller].route].streams;
+                if !is_stream {
+                    self.answer(caller, "answered");
+                }
+            }
+            Action::Finish { caller } => self.answer(caller, "streamed"),
+            Action::Abort { caller } if !self.callers[&caller].gone => {
+                self.answer(caller, "broken off");
+            }
+            Action::Refuse { caller, refusal } => {
+                self.answer(caller, "refused");
+                let seen = self.callers.get_mut(&caller).expect("a caller");
+                seen.refused_not_run = refusal.not_run;
+                let ran = self.runs.get(&seen.id).copied().unwrap_or(0);
+                assert!(!refusal.not_run || ran == 0, "{}: \"not run\" after a run", seen.id);
+            }
+            _ => {}
+        }
+    }
+
+    fn answer(&mut self, caller: u64, how: &str) {
+        let seen = self.callers.get_mut(&caller).expect("a caller");
+        seen.answers += 1;
+        assert_eq!(seen.answers, 1, "{}: a second final answer ({how})", seen.id);
+        let late = self.now.saturating_sub(seen.deadline);
+        assert!(late < ms(50), "{}: {how} {late:?} after its deadline", seen.id);
+    }
+
+    fn tell(&mut self, number: usize, to: SocketAddr, message: PeerMessage) {
+        let other = usize::from(to.port() - 1);
+        let is_cut = self.cut.contains(&number) || self.cut.contains(&other);
+        if self.gateways[other].is_none() {
+            let event = Event::PeerUnreachable { address: to };
+            return self.at(
+                self.now + ms(1),
+                Happening::Event(number, self.lives[number], Box::new(event)),
+            );
+        }
+        if is_cut || self.is_troubled() && self.chance(0.1) {
+            return;
+        }
+        let event = Event::Peer { from: address(number as u16 + 1), message };
+        let delay = self.time_in(ms(1), ms(4));
+        let before = self.last_message.get(&(number, other)).copied().unwrap_or_default();
+        let at = (self.now + delay).max(before);
+        self.last_message.insert((number, other), at);
+        self.at(at, Happening::Event(other, self.lives[other], Box::new(event)));
+    }
+
+    /// An endpoint is called with a request: it may refuse, fail before or after its run, or answer.
+    fn call(&mut self, number: usize, caller: u64, attempt: u64, order: &CallOrder) {
+        let life = self.lives[number];
+        let seen = &self.callers[&caller];
+        let (id, route) = (seen.id.clone(), seen.route);
+        assert!(!seen.refused_not_run, "{id}: called after it was refused as not run");
+        let spec = self.routes[route].clone();
+        self.check_inputs(&id, &spec, order);
+        let failed = |failure| Event::CallFailed { caller, attempt, failure };
+        let refused = |status, other_endpoint| {
+            let proof = Proof { status, not_run: true, other_endpoint, ..Proof::default() };
+            Event::Answered { caller, attempt, proof, is_open: false }
+        };
+        let good = Proof { status: 200, signed: true, own: true, ..Proof::default() };
+        let fate = if self.is_troubled() { self.rng.random_range(1..8) } else { 0 };
+        let delay = self.time_in(ms(2), ms(40));
+        let (runs, event) = match fate {
+            1 => (false, failed(CallFailure::NotSent)),
+            2 => (false, refused(503, false)),
+            3 => (false, refused(421, true)),
+            4 => (true, failed(CallFailure::Broken)),
+            5 => (true, failed(CallFailure::Silent)),
+            6 => {
+                let proof = Proof { signed: false, ..good };
+                (true, Event::Answered { caller, attempt, proof, is_open: false })
+            }
+            _ => {
+                let is_open = spec.streams;
+                (true, Event::Answered { caller, attempt, proof: good, is_open })
+            }
+        };
+        if runs {
+            let runs = self.runs.entry(id.clone()).or_default();
+            *runs += 1;
+            let most = if spec.repeat == Repeat::Idempotent || spec.resumable {
+                spec.max_attempts
+            } else {
+                1
+            };
+            assert!(*runs <= most as usize, "{id}: run {runs} times, {most} allowed");
+        }
+        let is_stream = spec.streams && matches!(&event, Event::Answered { is_open: true, .. });
+        self.at(self.now + delay, Happening::Event(number, life, Box::new(event)));
+        if is_stream {
+            let first = self.now + delay + ms(1);
+            self.at(first, Happening::Event(number, life, Box::new(Event::FirstEvent { caller })));
+            let whole = fate == 0;
+            let last_event = Some("3".to_owned());
+            let ended = Event::StreamEnded { caller, attempt, whole, last_event };
+            self.at(first + ms(60), Happening::Event(number, life, Box::new(ended)));
+        }
+    }
+
+    /// The run gets every result of its last stages, each made for this request, once and in order.
+    fn check_inputs(&self, id: &str, spec: &Route, order: &CallOrder) {
+        let last: Vec<usize> = spec.last_stages().collect();
+        let mut expected_stages = Vec::new();
+        for handle in &order.inputs {
+            let (request, stage, piece) = &self.results[&**handle];
+            assert_eq!(request, id, "another request's result");
+            assert!(last.contains(stage), "{id}: a result of a stage that others come after");
+            expected_stages.push((*stage, *piece));
+        }
+        let mut sorted = expected_stages.clone();
+        sorted.sort_unstable();
+        sorted.dedup();
+        assert_eq!(sorted, expected_stages, "{id}: each result once, in order");
+        if !spec.stages.is_empty() {
+            let stages: BTreeSet<usize> = sorted.iter().map(|s| s.0).collect();
+            assert_eq!(stages.len(), last.len(), "{id}: every last stage");
+        }
+    }
+
+    fn batch(&mut self, number: usize, call: u64, endpoint: &Endpoint, pieces: &[PieceOrder]) {
+        let fate = if self.is_troubled() { self.rng.random_range(1..7) } else { 0 };
+        let mut delay = self.time_in(ms(240), ms(300));
+        let outcome = match fate {
+            1 => BatchOutcome::Full,
+            2 => BatchOutcome::OtherEndpoint,
+            3 => BatchOutcome::Failed(CallFailure::Broken),
+            4 => {
+                delay = ms(4_000);
+                BatchOutcome::Pieces(pieces.iter().map(|p| self.make(endpoint, p)).collect())
+            }
+            _ => BatchOutcome::Pieces(pieces.iter().map(|p| self.make(endpoint, p)).collect()),
+        };
+        if matches!(outcome, BatchOutcome::Full | BatchOutcome::OtherEndpoint) {
+            delay = ms(2);
+        }
+        let life = self.lives[number];
+        let event = Event::BatchEnded { call, outcome };
+        self.at(self.now + delay, Happening::Event(number, life, Box::new(event)));
+    }
+
+    /// A maker checks what it is given and makes a piece, or says why not.
+    fn make(&mut self, endpoint: &Endpoint, order: &PieceOrder) -> PieceOutcome {
+        let caller =
+            self.callers.values().find(|c| c.id == *order.request).expect("a client's request");
+        let spec = &self.routes[caller.route].stages[order.stage];
+        assert_eq!(order.key.is_some(), spec.after.is_empty());
+        assert_eq!(order.inputs.is_empty(), spec.after.is_empty(), "{}: inputs", order.request);
+        let mut seen = HashSet::new();
+        for handle in &order.inputs {
+            let made = &self.results[&**handle];
+            assert_eq!(made.0, *order.request, "another request's result");
+            assert!(spec.after.contains(&made.1), "a result of another stage");
+            assert!(seen.insert((made.1, made.2)), "one input twice");
+        }
+        if order.inputs.iter().any(|h| !self.kept.contains_key(&**h)) {
+            return PieceOutcome::InputGone;
+        }
+        if self.is_troubled() {
+            match self.rng.random_range(0..6) {
+                0 => return PieceOutcome::NoRoom,
+                1 => return PieceOutcome::Failed,
+                2 => {
+                    // What a maker loses is gone for all.
+                    for handle in &order.inputs {
+                        self.kept.remove(&**handle);
+                    }
+                    return PieceOutcome::InputGone;
+                }
+                _ => {}
+            }
+        }
+        self.next += 1;
+        let handle = format!("{}/{}", endpoint.id, self.next);
+        let made = (order.request.to_string(), order.stage, order.piece);
+        self.results.insert(handle.clone(), made);
+        self.kept.insert(handle.clone(), self.now);
+        PieceOutcome::Made(handle.into())
+    }
+
+    fn check_end(&self) {
+        for caller in self.callers.values().filter(|c| !c.gone) {
+            assert_eq!(caller.answers, 1, "{}: no final answer", caller.id);
+        }
+        for core in self.gateways.iter().flatten() {
+            assert_eq!(core.in_flight(), 0, "something was never ended");
+        }
+        let killed = self.lives.iter().any(|l| *l > 1);
+        if !killed && self.trouble < 0.001 {
+            assert!(self.kept.is_empty(), "results that nobody freed");
+        }
+    }
+}
