--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,8 @@
 pub mod result;
 pub mod settings;
 pub mod spread;
+pub mod story;
+mod tables;
 pub mod tool;
 pub mod view;
 pub mod wire;
--- a/src/tool.rs
+++ b/src/tool.rs
@@ -1,5 +1,7 @@
 //! The operators' tool: checks and compares configurations, tries requests, asks running processes.
 
+use std::fs::File;
+use std::io::{BufReader, Read};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
@@ -31,6 +33,8 @@
 use crate::policy::limit::Limiter;
 use crate::policy::predict::SizeClass;
 use crate::policy::route::{Question, choose};
+use crate::story::story;
+use crate::tables::{endpoints_table, explanation_text, requests_table, status_table};
 use crate::view::{Place, View};
 
 /// How long a process may take to answer.
@@ -46,6 +50,8 @@
   check FILE              everything that is wrong with a configuration
   diff BEFORE AFTER       what a configuration changes
   parts FILE FOLDER       split a configuration into the platform's values
+  story REQUEST [FILE ...]
+                          a request's story from log lines, of files or standard input
   try FILE PIPELINE ORGANISATION [KEY=VALUE ...]
                           where a request with these labels would go, and why
 
@@ -79,6 +85,14 @@
         /// Why.
         source: std::io::Error,
     },
+    /// No line concerns the request.
+    #[snafu(display("no line concerns {request}; {unread} lines could not be read"))]
+    UnknownRequest {
+        /// The request.
+        request: String,
+        /// Lines that are none of the log's.
+        unread: usize,
+    },
     /// A file is longer than any configuration.
     #[snafu(display("{path}: {len} bytes are more than {MAX_CONFIG_LEN}"))]
     FileTooLong {
@@ -201,6 +215,7 @@
         ["try", file, pipeline, organisation, labels @ ..] => {
             try_request(Path::new(file), pipeline, organisation, labels, &matches)
         }
+        ["story", request, files @ ..] => tell_story(request, files),
         ["status"] => show::<Status>(&matches, "/v1/status", status_table),
         ["endpoints"] => {
             show::<Vec<EndpointStatus>>(&matches, "/v1/endpoints", |e| endpoints_table(e))
@@ -228,6 +243,24 @@
     }
 }
 
+fn tell_story(request: &str, files: &[&str]) -> Result<String, ToolError> {
+    let mut lines: Box<dyn Read> = Box::new(std::io::empty());
+    for path in files {
+        let file = File::open(path).context(FileSnafu { path: *path })?;
+        // A file may end within a line.
+        lines = Box::new(lines.chain(file).chain(&b"\n"[..]));
+    }
+    if files.is_empty() {
+        lines = Box::new(std::io::stdin());
+    }
+    let path = files.join(" ");
+    let story = story(request, BufReader::new(lines)).context(FileSnafu { path })?;
+    if story.chapters.is_empty() {
+        return UnknownRequestSnafu { request, unread: story.unread }.fail();
+    }
+    Ok(story.to_string())
+}
+
 fn read_config(path: &Path) -> Result<Config, ToolError> {
     let shown = path.display().to_string();
     let len = std::fs::metadata(path).context(FileSnafu { path: &shown })?.len();
@@ -429,68 +462,3 @@
     let body = Limited::new(response.into_body(), MAX_ANSWER_LEN).collect().await.ok()?;
     Some((status, body.to_bytes()))
 }
-
-fn status_table(status: &Status) -> String {
-    let age = status.platform_age_s.map_or("never".to_owned(), |a| format!("{a:.1} s ago"));
-    let state = if status.draining { "draining" } else { "serving" };
-    format!(
-        "{} {} in {}: {state}\n\
-         incarnation       {}\n\
-         up                {} s\n\
-         configuration     {}\n\
-         platform answered {age}\n\
-         peers             {}\n\
-         in flight         {}\n",
-        status.role,
-        status.host,
-        status.data_centre,
-        status.incarnation,
-        status.uptime_s,
-        status.config_version,
-        status.peers,
-        status.in_flight
-    )
-}
-
-fn endpoints_table(endpoints: &[EndpointStatus]) -> String {
-    let mut table = format!(
-        "{:<24} {:<10} {:>9} {:>7} {:>8} {:>6} {:>11}\n",
-        "ENDPOINT", "STATE", "IN FLIGHT", "QUEUED", "RUNNING", "LIMIT", "REPORT AGE"
-    );
-    for e in endpoints {
-        let age = e.report_age_ms.map_or("-".to_owned(), |ms| format!("{ms} ms"));
-        table.push_str(&format!(
-            "{:<24} {:<10} {:>9} {:>7} {:>8} {:>6} {age:>11}\n",
-            e.endpoint, e.state, e.in_flight, e.queued, e.running, e.limit
-        ));
-    }
-    table
-}
-
-fn requests_table(requests: &[RequestStatus]) -> String {
-    let lines = requests.iter().map(|r| {
-        format!("{:<44} {:<16} {:<16} {}\n", r.request, r.pipeline, r.organisation, r.last)
-    });
-    lines.collect()
-}
-
-fn explanation_text(explanation: &Explanation) -> String {
-    let Explanation { request, pipeline, organisation, ended, steps } = explanation;
-    let state = if *ended { "ended" } else { "not ended" };
-    let mut text = format!("request {request} ({state}): {pipeline} for {organisation}\n");
-    for step in steps {
-        text.push_str(&format!("{:>10.2} ms  {}\n", step.at_ms, step.what));
-        for alternative in &step.alternatives {
-            let labels = alternative.labels.iter().map(|(k, v)| format!("{k}={v}"));
-            let labels: Vec<_> = labels.collect();
-            text.push_str(&format!(
-                "{:14} {:<20} {} [{}]\n",
-                "",
-                alternative.endpoint,
-                alternative.verdict,
-                labels.join(",")
-            ));
-        }
-    }
-    text
-}
