A story ends with its calls; the tool builds again

And call numbers begin anew with a process: a later life's call of the same number was told as the request's.

Change: the exit code; a call is forgotten with its end, or when its number comes again.

--- a/src/story.rs
+++ b/src/story.rs
@@ -44,7 +44,11 @@
         if let Some(call) = call.filter(|_| holds_pieces) {
             calls.push((host.clone(), call));
         }
-        let ends_call = call.is_some_and(|c| calls.contains(&(host.clone(), c)));
+        // A process that started anew counts its calls anew.
+        let ends_call = call.filter(|_| !holds_pieces).is_some_and(|call| {
+            let known = calls.iter().position(|c| *c == (host.clone(), call));
+            known.map(|index| calls.remove(index)).is_some() && note.get("pieces").is_none()
+        });
         if text(&note, "request") == request || holds_pieces || ends_call {
             story.chapters.push(chapter(host, &note, request));
         }
--- a/src/tool.rs
+++ b/src/tool.rs
@@ -173,7 +173,7 @@
                     exit::FAILED
                 }
             }
-            Self::Answer { .. } => exit::FAILED,
+            Self::Answer { .. } | Self::UnknownRequest { .. } => exit::FAILED,
         }
     }
 }
--- a/tests/story.rs
+++ b/tests/story.rs
@@ -8,6 +8,8 @@
 {"at_unix_ms":101,"host":"front-2","event":"batch_sent","call":7,"endpoint":"m","pieces":[["b",0,0],["a",0,1]]}
 {"at_unix_ms":103,"host":"front-2","event":"batch_ended","call":7,"outcome":"made=2"}
 {"at_unix_ms":103,"host":"front-1","event":"batch_ended","call":7,"outcome":"made=9"}
+{"at_unix_ms":900,"host":"front-2","event":"batch_sent","call":7,"endpoint":"m","pieces":[["c",0,0]]}
+{"at_unix_ms":901,"host":"front-2","event":"batch_ended","call":7,"outcome":"made=1"}
 {"at_unix_ms":102,"host":"front-1","event":"arrived","request":"b","route":"r"}
 half a line {"at_unix
 "#;
