--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -101,11 +101,6 @@
         self.requests.len() + self.scheduler.jobs()
     }
 
-    /// Members that are taken for alive, besides this one.
-    pub fn peers(&self) -> usize {
-        self.members.alive().count()
-    }
-
     /// What is known and compiled.
     pub const fn table(&self) -> &Table {
         &self.table
@@ -284,7 +279,7 @@
             |job: &super::message::JobId| job.gateway == address && job.incarnation == incarnation;
         self.scheduler.release_all_of(is_gone, &self.table);
         self.scheduler.owner_lost(address, now);
-        self.requests.owner_lost(address, incarnation, &self.members, now);
+        self.requests.owner_lost(address, incarnation);
     }
 
     fn tell(&mut self, to: SocketAddr, message: PeerMessage) {
@@ -302,7 +297,7 @@
         }
         self.catch_up(now);
         self.scheduler.look(&self.table, now);
-        self.requests.look(&self.table, &self.members, now);
+        self.requests.look(&self.table, now);
     }
 
     fn update_state(&mut self) {
--- a/src/direct/outcomes.rs
+++ b/src/direct/outcomes.rs
@@ -118,7 +118,7 @@
         let mut jobs: Vec<JobId> = call.pieces.iter().map(|p| p.0).collect();
         jobs.dedup();
         for job in jobs {
-            self.advance(job, table, now);
+            self.advance(job, table);
         }
     }
 
--- a/src/direct/requests.rs
+++ b/src/direct/requests.rs
@@ -205,7 +205,7 @@
     }
 
     /// Looks at what is due.
-    pub fn look(&mut self, table: &Table, _members: &Members, now: Timestamp) {
+    pub fn look(&mut self, table: &Table, now: Timestamp) {
         while let Some((at, caller, timer)) = self.timers.first().copied() {
             if at > now {
                 return;
@@ -213,7 +213,7 @@
             self.timers.remove(&(at, caller, timer));
             match timer {
                 Timer::Deadline => self.time_out(caller, now),
-                Timer::Owner(asked) => self.owner_silent(caller, asked, now),
+                Timer::Owner(asked) => self.owner_silent(caller, asked),
                 Timer::Silence(attempt) => self.silent(caller, attempt, table, now),
             }
         }
--- a/src/direct/scheduler.rs
+++ b/src/direct/scheduler.rs
@@ -163,7 +163,7 @@
             self.dirty.insert(spec.pool.clone());
         }
         self.jobs.insert(id, run);
-        self.advance(id, table, now);
+        self.advance(id, table);
     }
 
     /// The data centre for the stages between which much is moved: the one whose endpoints have
@@ -277,7 +277,7 @@
     }
 
     /// Tells what is done, frees what was used, and opens what comes next.
-    pub(super) fn advance(&mut self, id: JobId, table: &Table, _now: Timestamp) {
+    pub(super) fn advance(&mut self, id: JobId, table: &Table) {
         let Some(run) = self.jobs.get_mut(&id) else {
             return;
         };
--- a/src/direct/stages.rs
+++ b/src/direct/stages.rs
@@ -140,13 +140,7 @@
     }
 
     /// An owner is gone: what it had goes to another one.
-    pub fn owner_lost(
-        &mut self,
-        address: SocketAddr,
-        lost: u64,
-        _members: &Members,
-        _now: Timestamp,
-    ) {
+    pub fn owner_lost(&mut self, address: SocketAddr, lost: u64) {
         let with_owner: Vec<u64> = self
             .requests
             .iter()
@@ -161,7 +155,7 @@
         }
     }
 
-    pub(super) fn owner_silent(&mut self, caller: u64, asked: u32, now: Timestamp) {
+    pub(super) fn owner_silent(&mut self, caller: u64, asked: u32) {
         let Some(request) = self.requests.get(&caller) else {
             return;
         };
@@ -171,7 +165,6 @@
         if request.passed_over.len() as u32 != asked {
             return;
         }
-        let _ = now;
         let message = PeerMessage::Release(request.job);
         self.out.push(Action::Tell { to: owner, message });
         self.pass_over(caller, owner);
--- a/tests/direct_requests.rs
+++ b/tests/direct_requests.rs
@@ -8,11 +8,13 @@
 use directenv::{address, deployment, endpoint, endpoints, ms, route};
 use stackmast::actor::Core;
 use stackmast::direct::core::{GatewayCore, Setup};
-use stackmast::direct::documents::{Document, Revised};
+use stackmast::direct::documents::{Document, Revised, Seen};
 use stackmast::direct::event::{
     Action, BatchOutcome, CallFailure, CallOrder, Event, Incoming, PieceOutcome, Proof, Refusal,
     Refused,
 };
+use stackmast::direct::members::{Member, MemberState};
+use stackmast::direct::message::{JobId, Made, PeerMessage};
 use stackmast::direct::model::{Deployment, Endpoint, Repeat, Route};
 use stackmast::direct::repeats::Bounds;
 use test_case::test_case;
@@ -298,3 +300,63 @@
     let actions = submit(&mut core, 1, incoming("r", Vec::new()), ms(30));
     assert_eq!(refusal(&actions).expect("dropped").reason, Refused::UnknownRoute);
 }
+
+/// A gateway beside another one that owns the stages: its address and incarnation.
+fn beside_an_owner(route: &Route) -> (GatewayCore, u16) {
+    for port in 2..20 {
+        let mut core = configured(vec![route.clone()]);
+        let member = Member {
+            address: address(port),
+            incarnation: 5,
+            heartbeat: 1,
+            state: MemberState::Serving,
+        };
+        let message = PeerMessage::Gossip {
+            members: vec![member],
+            seen: Seen::default(),
+            complete: true,
+            usage: Vec::new(),
+        };
+        core.handle(Event::Peer { from: address(port), message }, ms(1));
+        let actions = submit(&mut core, 1, incoming("r", vec![1, 1]), ms(2));
+        let is_submitted = |a: &Action| matches!(a, Action::Tell { to, message: PeerMessage::Submit(_) } if *to == address(port));
+        if actions.iter().any(is_submitted) {
+            return (core, port);
+        }
+    }
+    panic!("no peer is the owner");
+}
+
+fn pieces_sent(actions: &[Action]) -> Vec<(usize, usize)> {
+    let calls = actions.iter().filter_map(|a| match a {
+        Action::Batch { pieces, .. } => Some(pieces.iter().map(|p| (p.stage, p.inputs.len()))),
+        _ => None,
+    });
+    calls.flatten().collect()
+}
+
+#[test]
+fn what_a_lost_owner_had_goes_on_at_once_with_what_was_made() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], 10), ("second", &[0], 10)]);
+    let (mut core, port) = beside_an_owner(&route);
+    let job = JobId { gateway: address(1), incarnation: 1, number: 1 };
+    let from = address(port);
+    let accepted = PeerMessage::Accepted(job);
+    core.handle(Event::Peer { from, message: accepted }, ms(3));
+    let made = Made { handle: "h".into(), endpoint: "first-1".into() };
+    let done = PeerMessage::StageDone { job, stage: 0, results: vec![made] };
+    core.handle(Event::Peer { from, message: done }, ms(300));
+    let lost = Event::PeerBroke { address: from, incarnation: 5 };
+    let actions = core.handle(lost, ms(400));
+    assert_eq!(pieces_sent(&actions), [(1, 1)], "the second stage, with the first one's result");
+}
+
+#[test]
+fn an_owner_that_does_not_decide_is_passed_over() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], 10), ("second", &[0], 10)]);
+    let (mut core, port) = beside_an_owner(&route);
+    let actions = core.handle(Event::Tick, ms(200));
+    let is_released = |a: &Action| matches!(a, Action::Tell { to, message: PeerMessage::Release(_) } if *to == address(port));
+    assert!(actions.iter().any(is_released), "the silent one is told that it need not");
+    assert_eq!(pieces_sent(&actions), [(0, 0)], "and the next one begins");
+}
--- /dev/null
+++ b/tests/directenv/fakes.rs
@@ -0,0 +1,147 @@
+//! Endpoints of the world: engines, plain services and makers, each of which checks what it is given.
+
+use std::collections::{BTreeSet, HashSet};
+
+use rand::RngExt;
+use stackmast::direct::event::{
+    BatchOutcome, CallFailure, CallOrder, Event, PieceOrder, PieceOutcome, Proof,
+};
+use stackmast::direct::model::{Endpoint, Repeat, Route};
+
+use super::ms;
+use super::world::{Happening, World};
+
+impl World {
+    /// An endpoint is called with a request: it may refuse, fail before or after its run, or answer.
+    pub fn call(&mut self, number: usize, caller: u64, attempt: u64, order: &CallOrder) {
+        let life = self.lives[number];
+        let seen = &self.callers[&caller];
+        let (id, route) = (seen.id.clone(), seen.route);
+        assert!(!seen.refused_not_run, "{id}: called after it was refused as not run");
+        let spec = self.routes[route].clone();
+        self.check_inputs(&id, &spec, order);
+        let failed = |failure| Event::CallFailed { caller, attempt, failure };
+        let refused = |status, other_endpoint| {
+            let proof = Proof { status, not_run: true, other_endpoint, ..Proof::default() };
+            Event::Answered { caller, attempt, proof, is_open: false }
+        };
+        let good = Proof { status: 200, signed: true, own: true, ..Proof::default() };
+        let fate = if self.is_troubled() { self.rng.random_range(1..8) } else { 0 };
+        let delay = self.time_in(ms(2), ms(40));
+        let (runs, event) = match fate {
+            1 => (false, failed(CallFailure::NotSent)),
+            2 => (false, refused(503, false)),
+            3 => (false, refused(421, true)),
+            4 => (true, failed(CallFailure::Broken)),
+            5 => (true, failed(CallFailure::Silent)),
+            6 => {
+                let proof = Proof { signed: false, ..good };
+                (true, Event::Answered { caller, attempt, proof, is_open: false })
+            }
+            _ => {
+                let is_open = spec.streams;
+                (true, Event::Answered { caller, attempt, proof: good, is_open })
+            }
+        };
+        if runs {
+            let runs = self.runs.entry(id.clone()).or_default();
+            *runs += 1;
+            let most = if spec.repeat == Repeat::Idempotent || spec.resumable {
+                spec.max_attempts
+            } else {
+                1
+            };
+            assert!(*runs <= most as usize, "{id}: run {runs} times, {most} allowed");
+        }
+        let is_stream = spec.streams && matches!(&event, Event::Answered { is_open: true, .. });
+        self.at(self.now + delay, Happening::Event(number, life, Box::new(event)));
+        if is_stream {
+            let first = self.now + delay + ms(1);
+            self.at(first, Happening::Event(number, life, Box::new(Event::FirstEvent { caller })));
+            let whole = fate == 0;
+            let last_event = Some("3".to_owned());
+            let ended = Event::StreamEnded { caller, attempt, whole, last_event };
+            self.at(first + ms(60), Happening::Event(number, life, Box::new(ended)));
+        }
+    }
+
+    /// The run gets every result of its last stages, each made for this request, once and in order.
+    fn check_inputs(&self, id: &str, spec: &Route, order: &CallOrder) {
+        let last: Vec<usize> = spec.last_stages().collect();
+        let mut expected_stages = Vec::new();
+        for handle in &order.inputs {
+            let (request, stage, piece) = &self.results[&**handle];
+            assert_eq!(request, id, "another request's result");
+            assert!(last.contains(stage), "{id}: a result of a stage that others come after");
+            expected_stages.push((*stage, *piece));
+        }
+        let mut sorted = expected_stages.clone();
+        sorted.sort_unstable();
+        sorted.dedup();
+        assert_eq!(sorted, expected_stages, "{id}: each result once, in order");
+        if !spec.stages.is_empty() {
+            let stages: BTreeSet<usize> = sorted.iter().map(|s| s.0).collect();
+            assert_eq!(stages.len(), last.len(), "{id}: every last stage");
+        }
+    }
+
+    pub fn batch(&mut self, number: usize, call: u64, endpoint: &Endpoint, pieces: &[PieceOrder]) {
+        let fate = if self.is_troubled() { self.rng.random_range(1..7) } else { 0 };
+        let mut delay = self.time_in(ms(240), ms(300));
+        let outcome = match fate {
+            1 => BatchOutcome::Full,
+            2 => BatchOutcome::OtherEndpoint,
+            3 => BatchOutcome::Failed(CallFailure::Broken),
+            4 => {
+                delay = ms(4_000);
+                BatchOutcome::Pieces(pieces.iter().map(|p| self.make(endpoint, p)).collect())
+            }
+            _ => BatchOutcome::Pieces(pieces.iter().map(|p| self.make(endpoint, p)).collect()),
+        };
+        if matches!(outcome, BatchOutcome::Full | BatchOutcome::OtherEndpoint) {
+            delay = ms(2);
+        }
+        let life = self.lives[number];
+        let event = Event::BatchEnded { call, outcome };
+        self.at(self.now + delay, Happening::Event(number, life, Box::new(event)));
+    }
+
+    /// A maker checks what it is given and makes a piece, or says why not.
+    fn make(&mut self, endpoint: &Endpoint, order: &PieceOrder) -> PieceOutcome {
+        let caller =
+            self.callers.values().find(|c| c.id == *order.request).expect("a client's request");
+        let spec = &self.routes[caller.route].stages[order.stage];
+        assert_eq!(order.key.is_some(), spec.after.is_empty());
+        assert_eq!(order.inputs.is_empty(), spec.after.is_empty(), "{}: inputs", order.request);
+        let mut seen = HashSet::new();
+        for handle in &order.inputs {
+            let made = &self.results[&**handle];
+            assert_eq!(made.0, *order.request, "another request's result");
+            assert!(spec.after.contains(&made.1), "a result of another stage");
+            assert!(seen.insert((made.1, made.2)), "one input twice");
+        }
+        if order.inputs.iter().any(|h| !self.kept.contains_key(&**h)) {
+            return PieceOutcome::InputGone;
+        }
+        if self.is_troubled() {
+            match self.rng.random_range(0..6) {
+                0 => return PieceOutcome::NoRoom,
+                1 => return PieceOutcome::Failed,
+                2 => {
+                    // What a maker loses is gone for all.
+                    for handle in &order.inputs {
+                        self.kept.remove(&**handle);
+                    }
+                    return PieceOutcome::InputGone;
+                }
+                _ => {}
+            }
+        }
+        self.next += 1;
+        let handle = format!("{}/{}", endpoint.id, self.next);
+        let made = (order.request.to_string(), order.stage, order.piece);
+        self.results.insert(handle.clone(), made);
+        self.kept.insert(handle.clone(), self.now);
+        PieceOutcome::Made(handle.into())
+    }
+}
--- a/tests/directenv/mod.rs
+++ b/tests/directenv/mod.rs
@@ -1,6 +1,7 @@
 //! Small deployments and jobs for tests of the cores that call endpoints directly.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod fakes;
 pub mod world;
 
 use std::net::SocketAddr;
