--- a/tests/directenv/world.rs
+++ b/tests/directenv/world.rs
@@ -12,7 +12,7 @@
 use stackmast::actor::Core;
 use stackmast::direct::core::{GatewayCore, Setup};
 use stackmast::direct::documents::{Document, Revised};
-use stackmast::direct::event::{Action, Event, Incoming};
+use stackmast::direct::event::{Action, Event, Generation, Incoming};
 use stackmast::direct::message::PeerMessage;
 use stackmast::direct::model::{Endpoint, Repeat, Route};
 use stackmast::direct::repeats::Bounds;
@@ -297,7 +297,7 @@
             path: format!("/{}/x", spec.name),
             key: Some("key".to_owned()),
             allowed: Some(Duration::from_secs(5)),
-            generation: None,
+            generation: spec.streams.then(|| generation(caller)),
             pieces: spec.stages.iter().map(|_| self.rng.random_range(1..4)).collect(),
             piece_key: Some("k".into()),
             after_event: None,
@@ -420,3 +420,9 @@
         }
     }
 }
+
+/// A prompt with one of three shared parts, so that requests are routed by prefix.
+fn generation(caller: u64) -> Generation {
+    let parts = vec![(format!("shared-{}", caller % 3), 500), (format!("own-{caller}"), 100)];
+    Generation { prompt_tokens: 600, output_tokens: 50, parts }
+}
