The owner of pools is a strong host

Cause: with 28 gateways of 0.09 and 0.5 cores the owner was chosen by hash alone. Change: members tell their capacity; the owner comes from the strongest class (factors of two). The amplification by repeats of submissions is still there and comes next.

--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -36,6 +36,8 @@
     pub address: SocketAddr,
     /// Its life; a later one is a larger number.
     pub incarnation: u64,
+    /// The processor time that its host has, in thousandths of a core.
+    pub capacity: u32,
     /// Where it stands.
     pub data_centre: super::model::Name,
     /// Where it may meet others.
@@ -76,7 +78,7 @@
     /// A gateway that knows nothing yet.
     pub fn new(setup: Setup) -> Self {
         Self {
-            members: Members::new(setup.address, setup.incarnation, setup.seeds),
+            members: Members::new(setup.address, setup.incarnation, setup.capacity, setup.seeds),
             documents: Documents::default(),
             table: Table::default(),
             requests: Requests::new(
--- a/src/direct/members.rs
+++ b/src/direct/members.rs
@@ -45,6 +45,15 @@
     pub heartbeat: u64,
     /// What it is ready for.
     pub state: MemberState,
+    /// The processor time that its host has, in thousandths of a core.
+    pub capacity: u32,
+}
+
+impl Member {
+    /// Hosts whose capacities lie within a factor of two are taken for equal.
+    const fn capacity_class(&self) -> u32 {
+        u32::BITS - self.capacity.leading_zeros()
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -76,8 +85,14 @@
 
 impl Members {
     /// A gateway alone, with the addresses where it may meet others.
-    pub fn new(address: SocketAddr, incarnation: u64, seeds: Vec<SocketAddr>) -> Self {
-        let own = Member { address, incarnation, heartbeat: 0, state: MemberState::Starting };
+    pub fn new(
+        address: SocketAddr,
+        incarnation: u64,
+        capacity: u32,
+        seeds: Vec<SocketAddr>,
+    ) -> Self {
+        let state = MemberState::Starting;
+        let own = Member { address, incarnation, heartbeat: 0, state, capacity };
         Self { own, others: BTreeMap::new(), seeds }
     }
 
@@ -184,15 +199,17 @@
         1 + self.others.len().max(self.seeds.len().saturating_sub(1))
     }
 
-    /// The owner of `what` by highest random weight among those that serve, or, where none does,
-    /// among those that are leaving and still there; `skip` are passed over.
+    /// The owner of `what`: among those that serve, or, where none does, among those that are
+    /// leaving and still there, the strongest hosts, and of these the one with the highest random
+    /// weight; `skip` are passed over.
     pub fn owner(&self, what: &str, skip: &[SocketAddr]) -> Option<Member> {
         let seed = xxh3_64(what.as_bytes());
         let weight = |m: &Member| xxh3_64_with_seed(m.address.to_string().as_bytes(), seed);
         let members = self.alive().chain([&self.own]);
         let able = members.filter(|m| m.state != MemberState::Starting);
         let able = able.filter(|m| !skip.contains(&m.address));
-        able.max_by_key(|m| (m.state == MemberState::Serving, weight(m))).cloned()
+        able.max_by_key(|m| (m.state == MemberState::Serving, m.capacity_class(), weight(m)))
+            .cloned()
     }
 
     /// Whether another member serves.
--- a/tests/direct_members.rs
+++ b/tests/direct_members.rs
@@ -16,11 +16,11 @@
 use test_case::test_case;
 
 fn member(port: u16, incarnation: u64, heartbeat: u64, state: MemberState) -> Member {
-    Member { address: address(port), incarnation, heartbeat, state }
+    Member { address: address(port), incarnation, heartbeat, state, capacity: 1_000 }
 }
 
 fn three() -> Members {
-    let mut members = Members::new(address(1), 1, Vec::new());
+    let mut members = Members::new(address(1), 1, 1_000, Vec::new());
     members.set_state(MemberState::Serving);
     let serving = MemberState::Serving;
     members.hear(&[member(2, 5, 1, serving), member(3, 5, 1, serving)], ms(0));
@@ -39,6 +39,21 @@
     }
 }
 
+#[test]
+fn the_strongest_hosts_own_and_small_differences_count_for_nothing() {
+    let strong = |port, capacity| Member { capacity, ..member(port, 5, 2, MemberState::Serving) };
+    for (others, expected) in [([1_000, 4_000], vec![3]), ([1_010, 990], vec![1, 2, 3])] {
+        let mut seen = std::collections::BTreeSet::new();
+        for what in 0..50 {
+            let mut members = three();
+            members.hear(&[strong(2, others[0]), strong(3, others[1])], ms(10));
+            let owner = members.owner(&format!("pool-{what}"), &[]).expect("an owner");
+            seen.insert(owner.address.port());
+        }
+        assert_eq!(seen.into_iter().collect::<Vec<_>>(), expected);
+    }
+}
+
 #[test]
 fn who_leaves_owns_only_where_nobody_serves() {
     let mut members = three();
@@ -75,7 +90,7 @@
 
 #[test]
 fn seeds_are_asked_until_they_are_heard() {
-    let mut members = Members::new(address(1), 1, vec![address(1), address(2)]);
+    let mut members = Members::new(address(1), 1, 1_000, vec![address(1), address(2)]);
     let mut rng = StdRng::seed_from_u64(1);
     assert_eq!(members.beat(&mut rng), [address(2)]);
     members.hear(&[member(2, 1, 1, MemberState::Starting)], ms(0));
--- a/tests/direct_requests.rs
+++ b/tests/direct_requests.rs
@@ -23,6 +23,7 @@
     GatewayCore::new(Setup {
         address: address(1),
         incarnation: 1,
+        capacity: 1_000,
         data_centre: "hall-1".into(),
         seeds: Vec::new(),
         repeats: Bounds { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) },
@@ -310,6 +311,7 @@
             incarnation: 5,
             heartbeat: 1,
             state: MemberState::Serving,
+            capacity: 1_000,
         };
         let message = PeerMessage::Gossip {
             members: vec![member],
--- a/tests/directenv/world.rs
+++ b/tests/directenv/world.rs
@@ -180,6 +180,7 @@
         self.gateways[number] = Some(GatewayCore::new(Setup {
             address: address(number as u16 + 1),
             incarnation: self.lives[number],
+            capacity: 1_000,
             data_centre: format!("hall-{}", number % 2).into(),
             seeds,
             repeats: Bounds { ratio: 0.2, slack: 60.0, window: Duration::from_secs(10) },
