Inputs of a stage are freed once the call that needs them has fetched them

Results of a middle stage were held until the whole next call had ended, 0.3 to 0.45 s longer than its endpoint needed them: an endpoint fetches the inputs at a call's turn, and a call is only sent to a free endpoint. Change: a call at work for 100 ms has fetched; results that no other piece needs are freed then. Not where another owner uses endpoints, nor in an owner's first 1.5 s. A piece that fails after that has its inputs made again. Ruled out: freeing at the send (a call may wait behind one of another owner). The three new tests fail without the change.

--- a/src/direct/filling.rs
+++ b/src/direct/filling.rs
@@ -223,6 +223,7 @@
                 expected,
                 overdue: now + patience,
                 is_late: false,
+                has_fetched: false,
             },
         );
         let timeout = patience * 4;
--- a/src/direct/jobs.rs
+++ b/src/direct/jobs.rs
@@ -45,6 +45,15 @@
         self.pieces.iter().all(|p| matches!(p, Piece::Made(_) | Piece::Used))
     }
 
+    /// Whether a piece still has to fetch its inputs.
+    pub fn needs_inputs(&self, has_fetched: impl Fn(u64) -> bool) -> bool {
+        self.pieces.iter().any(|p| match p {
+            Piece::Waiting { .. } => true,
+            Piece::Running { call, .. } => !has_fetched(*call),
+            Piece::Made(_) | Piece::Used => false,
+        })
+    }
+
     /// Pieces that wait.
     pub fn waiting(&self) -> usize {
         self.pieces.iter().filter(|p| matches!(p, Piece::Waiting { .. })).count()
@@ -119,10 +128,17 @@
         self.job.stages[stage].after.iter().all(|&a| self.stages[a].is_done())
     }
 
-    /// Whether a stage's results are needed by another stage that is not done.
-    pub fn is_needed(&self, stage: usize) -> bool {
+    /// Whether a stage's results are needed by another stage that is not done, leaving out pieces
+    /// whose call `has_fetched` its inputs.
+    pub fn is_needed(&self, stage: usize, has_fetched: impl Fn(u64) -> bool + Copy) -> bool {
         let mut later = self.job.stages.iter().zip(&self.stages);
-        later.any(|(spec, run)| spec.after.contains(&stage) && !run.is_done())
+        later.any(|(spec, run)| spec.after.contains(&stage) && run.needs_inputs(has_fetched))
+    }
+
+    /// Whether results that this stage needs were freed.
+    pub fn lacks_inputs(&self, stage: usize) -> bool {
+        let mut before = self.job.stages[stage].after.iter();
+        before.any(|&b| self.stages[b].pieces.contains(&Piece::Used))
     }
 
     /// Whether no other stage needs this one's results.
--- a/src/direct/makers.rs
+++ b/src/direct/makers.rs
@@ -141,6 +141,11 @@
         self.told.insert(owner, Told { usage, lost: None });
     }
 
+    /// Whether another owner uses endpoints, or did until lately.
+    pub fn is_shared(&self) -> bool {
+        !self.told.is_empty()
+    }
+
     /// Another owner is gone: nobody frees what it had.
     pub fn owner_lost(&mut self, owner: SocketAddr, now: Timestamp) {
         if let Some(told) = self.told.get_mut(&owner) {
--- a/src/direct/outcomes.rs
+++ b/src/direct/outcomes.rs
@@ -183,6 +183,7 @@
         };
         let tries = tries + u32::from(counts);
         *slot = Piece::Waiting { tries };
+        let lacks_inputs = run.lacks_inputs(stage);
         let pool = run.job.stages[stage].pool.clone();
         if tries >= MAX_TRIES {
             return self.give_up(job, JobReason::Failed, table);
@@ -192,6 +193,9 @@
             return self.give_up(job, JobReason::RepeatBudget, table);
         }
         self.dirty.insert(pool);
+        if lacks_inputs {
+            self.make_inputs_again(job, stage, table, now);
+        }
     }
 
     /// An input of a stage is gone: the stages before it are made again, and those before them
--- a/src/direct/scheduler.rs
+++ b/src/direct/scheduler.rs
@@ -4,7 +4,7 @@
 //! results is counted before a piece is sent, and given back the moment nobody needs the result.
 //! Two owners at once are harmless: an endpoint that is full says so, and a piece may be made again.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,6 +28,8 @@
 const BEFORE_NEWCOMER: f64 = 0.3;
 /// A piece that is in a call needs so much of its time, on average.
 const RUNNING_REST: f64 = 0.5;
+/// A free endpoint begins a call at once and fetches its inputs first: after so long it has them.
+const FETCHING: Duration = Duration::from_millis(100);
 
 /// A piece: its job, its stage's position, its own position.
 pub(super) type PieceId = (JobId, usize, usize);
@@ -43,6 +45,8 @@
     pub(super) overdue: Timestamp,
     /// Given up: whatever comes is freed.
     pub(super) is_late: bool,
+    /// Its endpoint is taken to have fetched the inputs of its pieces.
+    pub(super) has_fetched: bool,
 }
 
 /// Stages of many gateways' requests.
@@ -236,6 +240,7 @@
         for call in overdue {
             self.give_up_call(call, table, now);
         }
+        self.free_fetched(table, now);
         let over: Vec<JobId> =
             self.jobs.iter().filter(|(_, j)| now >= j.deadline).map(|(id, _)| *id).collect();
         for id in over {
@@ -246,6 +251,25 @@
         self.dirty.extend(waiting.cloned());
     }
 
+    /// Frees the inputs of calls that have fetched them. Where another owner may call the same
+    /// endpoints, a call may wait for its turn, and nothing is known.
+    fn free_fetched(&mut self, table: &Table, now: Timestamp) {
+        if now < self.owner_since + SETTLING || self.makers.is_shared() {
+            return;
+        }
+        let mut jobs = BTreeSet::new();
+        for call in self.calls.values_mut() {
+            let is_due = !call.has_fetched && !call.is_late && now >= call.sent + FETCHING;
+            if is_due {
+                call.has_fetched = true;
+                jobs.extend(call.pieces.iter().map(|p| p.0));
+            }
+        }
+        for job in jobs {
+            self.advance(job, table);
+        }
+    }
+
     pub(super) fn give_up(&mut self, id: JobId, reason: JobReason, table: &Table) {
         if !self.jobs.contains_key(&id) {
             return;
@@ -278,6 +302,8 @@
 
     /// Tells what is done, frees what was used, and opens what comes next.
     pub(super) fn advance(&mut self, id: JobId, table: &Table) {
+        let calls = &self.calls;
+        let has_fetched = |call: u64| calls.get(&call).is_some_and(|c| c.has_fetched);
         let Some(run) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -289,7 +315,7 @@
                 run.stages[stage].told = true;
                 told.push((stage, run.stages[stage].results()));
             }
-            if is_done && !run.is_last(stage) && !run.is_needed(stage) {
+            if is_done && !run.is_last(stage) && !run.is_needed(stage, has_fetched) {
                 let bytes = run.job.stages[stage].result_bytes;
                 for piece in &mut run.stages[stage].pieces {
                     if let Piece::Made(made) = std::mem::replace(piece, Piece::Used) {
--- a/tests/direct_scheduler.rs
+++ b/tests/direct_scheduler.rs
@@ -4,9 +4,10 @@
 
 use std::time::Duration;
 
-use directenv::{endpoint, job, job_id, ms, route, table};
+use directenv::{address, endpoint, job, job_id, ms, route, table};
 use stackmast::direct::event::{Action, BatchOutcome, CallFailure, PieceOrder, PieceOutcome};
-use stackmast::direct::message::{JobReason, PeerMessage};
+use stackmast::direct::makers::Usage;
+use stackmast::direct::message::{Job, JobReason, PeerMessage};
 use stackmast::direct::model::Repeat;
 use stackmast::direct::repeats::Bounds;
 use stackmast::direct::scheduler::Scheduler;
@@ -199,6 +200,71 @@
     assert_eq!(freed(&scheduler.actions(&table, ms(3_000))), ["1/0"]);
 }
 
+/// A settled owner whose second stage has been at work for 110 ms: its call, and the time.
+fn owner_with_fetched_inputs(
+    scheduler: &mut Scheduler,
+    table: &Table,
+    job: Job,
+) -> (u64, Duration) {
+    for (number, at) in [(90, 0), (91, 1_000)] {
+        let mut earlier = job.clone();
+        earlier.id = job_id(number);
+        scheduler.submit(earlier, table, ms(at));
+        scheduler.release(job_id(number), table);
+    }
+    let mut now = ms(2_000);
+    scheduler.submit(job, table, now);
+    let first = calls(&scheduler.actions(table, now));
+    now += ms(260);
+    scheduler.batch_ended(first[0].0, made(first[0].0, 2), table, now);
+    let second = calls(&scheduler.actions(table, now));
+    assert_eq!(second[0].2[0].stage, 1);
+    scheduler.look(table, now + ms(60));
+    assert!(freed(&scheduler.actions(table, now + ms(60))).is_empty(), "may not be fetched yet");
+    (second[0].0, now + ms(110))
+}
+
+#[test]
+fn inputs_are_freed_once_the_call_that_needs_them_has_fetched_them() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], 10), ("second", &[0], 10)]);
+    let table = table(vec![route.clone()]);
+    let mut scheduler = scheduler();
+    let (call, now) = owner_with_fetched_inputs(&mut scheduler, &table, job(1, &route, 2));
+    scheduler.look(&table, now);
+    assert_eq!(freed(&scheduler.actions(&table, now)).len(), 2, "while the call is at work");
+    scheduler.batch_ended(call, made(call, 2), &table, now + ms(200));
+    let actions = scheduler.actions(&table, now + ms(200));
+    assert!(told(&actions).contains(&PeerMessage::Ready(job_id(1))));
+    assert!(freed(&actions).is_empty(), "once");
+}
+
+#[test]
+fn a_call_that_fails_after_its_inputs_were_freed_has_them_made_again() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], 10), ("second", &[0], 10)]);
+    let table = table(vec![route.clone()]);
+    let mut scheduler = scheduler();
+    let (call, now) = owner_with_fetched_inputs(&mut scheduler, &table, job(1, &route, 2));
+    scheduler.look(&table, now);
+    scheduler.actions(&table, now);
+    scheduler.batch_ended(call, BatchOutcome::Failed(CallFailure::Broken), &table, now + ms(50));
+    let again = run_to_the_end(&mut scheduler, &table, now + ms(50));
+    let stages: Vec<usize> = calls(&again).iter().map(|c| c.2[0].stage).collect();
+    assert_eq!(stages, [0, 1], "the first stage, then the second");
+    assert!(told(&again).contains(&PeerMessage::Ready(job_id(1))));
+}
+
+#[test]
+fn inputs_are_kept_where_another_owner_may_call_the_same_endpoints() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], 10), ("second", &[0], 10)]);
+    let table = table(vec![route.clone()]);
+    let mut scheduler = scheduler();
+    let usage = vec![Usage { endpoint: "second-1".into(), bytes: 10 }];
+    scheduler.told_usage(address(7), usage);
+    let (_, now) = owner_with_fetched_inputs(&mut scheduler, &table, job(1, &route, 2));
+    scheduler.look(&table, now);
+    assert!(freed(&scheduler.actions(&table, now)).is_empty(), "its call may wait for its turn");
+}
+
 #[test]
 fn repeats_end_with_the_budget() {
     let route = route("r", Repeat::AtMostOnce, &[("first", &[], 10)]);
