Admission plans when results find room, not whether all fit at once

Change: policy::timeline holds the expected use of a pool's room in steps of 50 ms; direct::forecast fills it from where each begun job stands and from how the pool has worked lately; policy::path plans each stage and refuses what finds no room within 100 ms of its turn. Inputs are freed 40 ms after a call began.

--- a/src/direct/filling.rs
+++ b/src/direct/filling.rs
@@ -64,9 +64,9 @@
     }
 
     /// Pieces of a pool that may be sent, most urgent first.
-    fn waiting(&self, pool: &Name, table: &Table, now: Timestamp) -> Vec<Waiting> {
+    fn waiting(&mut self, pool: &Name, table: &Table, now: Timestamp) -> Vec<Waiting> {
         let mut waiting = Vec::new();
-        for (id, run) in &self.jobs {
+        for (id, run) in &mut self.jobs {
             for (stage, job_stage) in run.job.stages.iter().enumerate() {
                 let is_due = job_stage.pool == *pool && run.stages[stage].waiting() > 0;
                 if !is_due || !run.is_open(stage) {
@@ -76,6 +76,7 @@
                 if is_held_back(run, stage, now, call) {
                     continue;
                 }
+                run.stages[stage].opened.get_or_insert(now);
                 let rest = run.from_stage(stage, call) + run.job.after;
                 let slack_ms = ms(run.objective) as i64 - ms(now + rest) as i64;
                 let home = run.home(stage).filter(|_| run.moved_bytes(stage) >= HEAVY);
@@ -181,6 +182,7 @@
         let call = self.next_call;
         let mut pieces = Vec::with_capacity(batch.len());
         let mut orders = Vec::with_capacity(batch.len());
+        let mut waited = Vec::new();
         let mut firsts = 0;
         let mut total = 0;
         for (id, stage, piece) in batch {
@@ -199,10 +201,16 @@
             let tries = if let Piece::Waiting { tries } = *slot { tries } else { 0 };
             firsts += u32::from(tries == 0);
             *slot = Piece::Running { call, tries };
-            run.stages[stage].started.get_or_insert(now);
+            if run.stages[stage].started.is_none() {
+                run.stages[stage].started = Some(now);
+                waited.extend(run.stages[stage].opened.map(|at| now.saturating_sub(at)));
+            }
             total += bytes;
             pieces.push((id, stage, piece, bytes));
         }
+        for waited in waited {
+            self.waited(pool, spec, waited);
+        }
         self.repeats.first(pool, firsts, now);
         self.makers.sent(&endpoint.id, total);
         let expected = spec.call + spec.piece * orders.len() as u32;
--- a/src/direct/jobs.rs
+++ b/src/direct/jobs.rs
@@ -37,6 +37,8 @@
     pub told: bool,
     /// When its first piece was sent.
     pub started: Option<Timestamp>,
+    /// When its pieces could first be made.
+    pub opened: Option<Timestamp>,
 }
 
 impl StageRun {
@@ -110,7 +112,7 @@
                 } else {
                     vec![Piece::Waiting { tries: u32::from(job.resubmitted) }; stage.pieces]
                 };
-                StageRun { pieces, told: is_done, started: None }
+                StageRun { pieces, told: is_done, started: None, opened: None }
             })
             .collect();
         let objective = now + job.to_objective;
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -11,6 +11,7 @@
 pub mod endpoints;
 pub mod event;
 mod filling;
+mod forecast;
 pub mod jobs;
 pub mod makers;
 pub mod members;
--- a/src/direct/note.rs
+++ b/src/direct/note.rs
@@ -45,7 +45,7 @@
         predicted_ms: u64,
         /// Milliseconds to the objective.
         objective_ms: u64,
-        /// Share of the narrowest pool's room that was promised before.
+        /// Share of the narrowest pool's room that is taken when this request needs it, with it.
         room_share: f64,
     },
     /// A call with pieces was sent.
--- a/src/direct/outcomes.rs
+++ b/src/direct/outcomes.rs
@@ -36,6 +36,9 @@
         }));
         match outcome {
             BatchOutcome::Pieces(outcomes) => {
+                if let Some(spec) = table.batch(&call.pool) {
+                    self.called(&call.pool, spec, took);
+                }
                 self.judge_speed(&call, took, table, now);
                 self.pieces_ended(&call, id, outcomes, table, now);
             }
--- a/src/direct/scheduler.rs
+++ b/src/direct/scheduler.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use super::event::Action;
+use super::forecast::Pace;
 use super::jobs::{JobRun, Piece};
 use super::makers::{Makers, Usage};
 use super::message::{Handle, Job, JobId, JobReason, Made, PeerMessage};
@@ -19,18 +20,10 @@
 use super::repeats::{Bounds, Repeats};
 use super::table::Table;
 use crate::message::Timestamp;
-use crate::policy::path::{PathRefusal, StageLoad, admit_path};
+use crate::policy::path::{FETCHING, PathRefusal, admit_path};
 
 /// Between two looks at jobs that hold a stage back, and at deadlines.
 const LOOK: Duration = Duration::from_millis(25);
-/// What is begun comes to its stages one after the other, and calls grow fuller under load: of the
-/// time that all of it needs at full calls, so much stands before a newcomer.
-const BEFORE_NEWCOMER: f64 = 0.3;
-/// A piece that is in a call needs so much of its time, on average.
-const RUNNING_REST: f64 = 0.5;
-/// A free endpoint begins a call at once and fetches its inputs first: after so long it has them.
-const FETCHING: Duration = Duration::from_millis(100);
-
 /// A piece: its job, its stage's position, its own position.
 pub(super) type PieceId = (JobId, usize, usize);
 
@@ -57,6 +50,7 @@
     pub(super) makers: Makers,
     pub(super) repeats: Repeats,
     pub(super) next_call: u64,
+    pub(super) paces: HashMap<Name, Pace>,
     pub(super) to_free: BTreeMap<Name, (Arc<Endpoint>, Vec<Handle>)>,
     pub(super) dirty: HashSet<Name>,
     pub(super) last_look: Timestamp,
@@ -75,6 +69,7 @@
             makers: Makers::default(),
             repeats: Repeats::new(bounds),
             next_call: 0,
+            paces: HashMap::new(),
             to_free: BTreeMap::new(),
             dirty: HashSet::new(),
             last_look: Timestamp::ZERO,
@@ -339,45 +334,6 @@
             self.tell(id, PeerMessage::Ready(id));
         }
     }
-
-    /// How each pool of a job stands, for admission.
-    pub(super) fn loads(&self, job: &Job, table: &Table, now: Timestamp) -> Vec<StageLoad> {
-        job.stages.iter().enumerate().map(|(i, _)| self.load(job, i, table, now)).collect()
-    }
-
-    pub(super) fn load(&self, job: &Job, index: usize, table: &Table, now: Timestamp) -> StageLoad {
-        let stage = &job.stages[index];
-        let is_done = stage.pieces == 0 || stage.done.len() == stage.pieces;
-        let mut load = StageLoad {
-            after: stage.after.clone(),
-            is_done,
-            slots: 0.0,
-            backlog: Duration::ZERO,
-            call: expected_call(job, index, table),
-            room: 0.0,
-            promised: 0.0,
-            wanted: (stage.pieces as u64 * stage.result_bytes) as f64,
-        };
-        let Some(spec) = table.batch(&stage.pool) else {
-            return load;
-        };
-        let usable = self.usable(&stage.pool, table, now).len() as f64;
-        load.slots = usable * f64::from(spec.slots);
-        load.room = usable * spec.room_bytes as f64;
-        let full_call = spec.call.div_f64(spec.pieces as f64) + spec.piece;
-        let share = full_call.mul_f64(BEFORE_NEWCOMER);
-        for run in self.jobs.values() {
-            for (other, state) in run.job.stages.iter().zip(&run.stages) {
-                if other.pool == stage.pool {
-                    let waiting = state.waiting() as f64;
-                    let running = state.open() as f64 - waiting;
-                    load.backlog += share.mul_f64(running.mul_add(RUNNING_REST, waiting));
-                    load.promised += (state.unused() as u64 * other.result_bytes) as f64;
-                }
-            }
-        }
-        load
-    }
 }
 
 /// The time of a call that holds a whole stage.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -9,3 +9,4 @@
 pub mod place;
 pub mod predict;
 pub mod route;
+pub mod timeline;
--- a/src/policy/path.rs
+++ b/src/policy/path.rs
@@ -2,21 +2,33 @@
 //!
 //! What is begun holds results at their makers while it waits for its next stage. To begin more than
 //! can end in time is worse than to refuse: so a request is admitted only if its predicted end meets
-//! its objective and its results find room, and is refused at once otherwise.
+//! its objective and its results find room at the time when each stage is planned to run, and is
+//! refused at once otherwise.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use super::timeline::Timeline;
+
 /// Predictions lie high where calls fill up under load: so much of the time to the objective may be
 /// predicted.
 const CONFIDENT_SHARE: f64 = 1.1;
-/// Results are not all held at once: so much of a pool's room may be promised.
-const ROOM_PROMISED: f64 = 1.4;
+/// Of a pool's room, so much may be planned for: endpoints fill unevenly, and plans miss.
+const ROOM_PLANNED: f64 = 0.7;
+/// A stage is planned to wait for room so long at most.
+const ROOM_WAIT: Duration = Duration::from_millis(100);
+/// When to come back where no room is planned soon.
+const NO_ROOM_RETRY: Duration = Duration::from_millis(400);
+/// A call has fetched its inputs so long after it began.
+pub const FETCHING: Duration = Duration::from_millis(40);
 /// Each step down in priority leaves so much of time and room to the more urgent.
 const LEFT_TO_MORE_URGENT: f64 = 0.12;
 /// At least this share is open to every priority.
 const OPEN_TO_ALL: f64 = 0.6;
 /// The shortest time to come back.
 const SHORTEST_RETRY: Duration = Duration::from_millis(150);
+/// Work is never predicted to wait longer.
+const LONGEST_WAIT: Duration = Duration::from_secs(60);
 /// The longest time to come back.
 const LONGEST_RETRY: Duration = Duration::from_secs(3);
 
@@ -35,8 +47,8 @@
     pub call: Duration,
     /// Bytes for results in the pool.
     pub room: f64,
-    /// Bytes that are promised or taken.
-    pub promised: f64,
+    /// Bytes that are expected to be taken, over time.
+    pub taken: Arc<Timeline>,
     /// Bytes that this stage needs.
     pub wanted: f64,
 }
@@ -61,7 +73,7 @@
     pub narrowest: usize,
     /// Predicted time to the answer's start.
     pub predicted: Duration,
-    /// The share of the narrowest pool's room that is promised, with this request.
+    /// The share of the narrowest pool's room that is taken when this request needs it, with it.
     pub room_share: f64,
     /// When to come back.
     pub retry_after: Duration,
@@ -72,19 +84,57 @@
     (1.0 - LEFT_TO_MORE_URGENT * f64::from(priority)).max(OPEN_TO_ALL)
 }
 
-/// When each stage is predicted to end, from now.
-pub fn finishes(stages: &[StageLoad]) -> Vec<Duration> {
-    let mut ends: Vec<Duration> = Vec::with_capacity(stages.len());
-    for stage in stages {
-        let start = stage.after.iter().map(|&a| ends[a]).max().unwrap_or_default();
+/// When a stage is predicted to run.
+#[derive(Debug, Clone, Copy, Default)]
+struct Run {
+    end: Duration,
+    /// How much of the wait before it is for room.
+    for_room: Duration,
+    /// The share of the room that is taken then, with this stage.
+    room_share: f64,
+}
+
+/// Plans each stage after those that it needs; `None` where its results find no room in time.
+fn plan(stages: &[StageLoad], after: Duration, open: f64) -> Option<Vec<Run>> {
+    let mut runs: Vec<Run> = Vec::with_capacity(stages.len());
+    for (index, stage) in stages.iter().enumerate() {
+        let ready = stage.after.iter().map(|&a| runs[a].end).max().unwrap_or_default();
         if stage.is_done {
-            ends.push(start);
+            runs.push(Run { end: ready, ..Run::default() });
             continue;
         }
-        let waiting = stage.backlog.div_f64(stage.slots.max(0.01));
-        ends.push(start + waiting.min(Duration::from_secs(60)) + stage.call);
+        let wanted_at = ready + stage.waiting();
+        // Results are kept until the next stage has fetched them, or the answer begins.
+        let next = stages.iter().filter(|s| s.after.contains(&index)).map(StageLoad::waiting).max();
+        let length = stage.call + next.map_or(after, |waiting| waiting + FETCHING);
+        let bound = stage.room * ROOM_PLANNED * open;
+        let start =
+            stage.taken.earliest(wanted_at, length, stage.wanted, bound.max(stage.wanted))?;
+        let share = (stage.taken.peak(start, length) + stage.wanted) / stage.room.max(1.0);
+        let for_room = start.saturating_sub(wanted_at);
+        if for_room > ROOM_WAIT {
+            return None;
+        }
+        runs.push(Run { end: start + stage.call, for_room, room_share: share });
     }
-    ends
+    Some(runs)
+}
+
+impl StageLoad {
+    /// The time that work for it waits for an endpoint.
+    fn waiting(&self) -> Duration {
+        self.backlog.div_f64(self.slots.max(0.01)).min(LONGEST_WAIT)
+    }
+}
+
+/// When each stage is predicted to end, from now, where nothing waits.
+fn work(stages: &[StageLoad]) -> Duration {
+    let mut ends: Vec<Duration> = Vec::with_capacity(stages.len());
+    for stage in stages {
+        let ready = stage.after.iter().map(|&a| ends[a]).max().unwrap_or_default();
+        ends.push(if stage.is_done { ready } else { ready + stage.call });
+    }
+    ends.into_iter().max().unwrap_or_default()
 }
 
 /// Decides whether a request's stages are begun; `after` is the time from their end to the answer.
@@ -94,38 +144,35 @@
     to_objective: Duration,
     priority: u8,
 ) -> PathDecision {
-    let ends = finishes(stages);
-    let predicted = ends.iter().max().copied().unwrap_or_default() + after;
     let open = open_share(priority);
-    let share = |s: &StageLoad| (s.promised + s.wanted) / s.room.max(1.0);
+    let runs = plan(stages, after, open);
     let needed = || (0..stages.len()).filter(|&i| !stages[i].is_done);
-    let narrowest = needed().max_by(|&a, &b| share(&stages[a]).total_cmp(&share(&stages[b])));
-    let narrowest = narrowest.unwrap_or_default();
-    let room_share = stages.get(narrowest).map_or(0.0, share);
-    let budget = to_objective.mul_f64(CONFIDENT_SHARE);
+    let has_room = runs.is_some();
+    let runs = runs.unwrap_or_else(|| vec![Run::default(); stages.len()]);
+    let by_share = |&a: &usize, &b: &usize| runs[a].room_share.total_cmp(&runs[b].room_share);
+    let narrowest = needed().max_by(by_share).unwrap_or_default();
+    let room_share = runs.get(narrowest).map_or(0.0, |r| r.room_share);
+    let predicted = runs.iter().map(|r| r.end).max().unwrap_or_default() + after;
+    let for_room = runs.iter().map(|r| r.for_room).sum();
     // Waiting, not work, is what the less urgent must leave.
-    let work = finishes(&unloaded(stages)).into_iter().max().unwrap_or_default() + after;
+    let budget = to_objective.mul_f64(CONFIDENT_SHARE);
+    let work = work(stages) + after;
     let allowed = work + budget.saturating_sub(work).mul_f64(open);
     let refusal = if needed().any(|i| stages[i].slots <= 0.0) {
         Some(PathRefusal::NoEndpoint)
-    } else if predicted > allowed {
-        Some(PathRefusal::WouldBeLate)
-    } else if room_share > ROOM_PROMISED * open {
+    } else if !has_room {
         Some(PathRefusal::NoRoom)
+    } else if predicted > allowed {
+        let is_late = predicted.saturating_sub(for_room) > allowed;
+        Some(if is_late { PathRefusal::WouldBeLate } else { PathRefusal::NoRoom })
     } else {
         None
     };
     let excess = match refusal {
-        Some(PathRefusal::WouldBeLate) => predicted.saturating_sub(allowed),
-        Some(PathRefusal::NoRoom) => {
-            predicted.mul_f64((room_share - ROOM_PROMISED * open).max(0.0))
-        }
-        _ => Duration::from_secs(1),
+        Some(PathRefusal::NoEndpoint) => Duration::from_secs(1),
+        _ if has_room => predicted.saturating_sub(allowed),
+        _ => NO_ROOM_RETRY,
     };
     let retry_after = excess.clamp(SHORTEST_RETRY, LONGEST_RETRY);
     PathDecision { refusal, narrowest, predicted, room_share, retry_after }
 }
-
-fn unloaded(stages: &[StageLoad]) -> Vec<StageLoad> {
-    stages.iter().map(|s| StageLoad { backlog: Duration::ZERO, ..s.clone() }).collect()
-}
--- /dev/null
+++ b/tests/path.rs
@@ -0,0 +1,107 @@
+//! Admission over a graph of stages: time, room over time, priorities.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use stackmast::policy::path::{PathRefusal, StageLoad, admit_path};
+use stackmast::policy::timeline::Timeline;
+use test_case::test_case;
+
+const OBJECTIVE: Duration = Duration::from_secs(2);
+const AFTER: Duration = Duration::from_millis(100);
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// A stage of 300 ms in an idle pool of 100 bytes, of which it needs 10.
+fn stage(after: &[usize]) -> StageLoad {
+    StageLoad {
+        after: after.to_vec(),
+        is_done: false,
+        slots: 2.0,
+        backlog: Duration::ZERO,
+        call: ms(300),
+        room: 100.0,
+        taken: Arc::default(),
+        wanted: 10.0,
+    }
+}
+
+fn taken(from: u64, until: u64, amount: f64) -> Arc<Timeline> {
+    let mut timeline = Timeline::default();
+    timeline.add(ms(from), ms(until), amount);
+    Arc::new(timeline)
+}
+
+#[test]
+fn a_chain_takes_the_time_of_its_stages_one_after_the_other() {
+    let stages = [stage(&[]), stage(&[0]), stage(&[])];
+    let decision = admit_path(&stages, AFTER, OBJECTIVE, 0);
+    assert_eq!((decision.refusal, decision.predicted), (None, ms(700)));
+}
+
+#[test]
+fn what_would_end_too_late_is_refused_with_the_excess_as_time_to_come_back() {
+    let mut late = stage(&[]);
+    late.backlog = ms(5_000);
+    let decision = admit_path(&[late], AFTER, OBJECTIVE, 0);
+    assert_eq!(decision.refusal, Some(PathRefusal::WouldBeLate));
+    assert_eq!(decision.retry_after, decision.predicted - ms(2_200));
+}
+
+#[test_case(0, 400, None; "freed before the second stage begins")]
+#[test_case(0, 900, Some(PathRefusal::NoRoom); "still taken when it begins")]
+#[test_case(350, 900, Some(PathRefusal::NoRoom); "taken meanwhile")]
+#[test_case(1_500, 2_500, None; "taken after it has ended")]
+fn room_counts_at_the_time_when_a_stage_needs_it(
+    from: u64,
+    until: u64,
+    refusal: Option<PathRefusal>,
+) {
+    let mut second = stage(&[0]);
+    second.taken = taken(from, until, 65.0);
+    let decision = admit_path(&[stage(&[]), second], AFTER, OBJECTIVE, 0);
+    assert_eq!(decision.refusal, refusal);
+    assert!(decision.retry_after >= ms(100));
+}
+
+#[test]
+fn what_is_larger_than_the_planned_room_still_fits_an_empty_pool() {
+    let mut large = stage(&[]);
+    large.wanted = 95.0;
+    assert_eq!(admit_path(&[large], AFTER, OBJECTIVE, 2).refusal, None);
+}
+
+#[test]
+fn the_less_urgent_leave_room_and_time_to_the_more_urgent() {
+    let mut filled = stage(&[]);
+    filled.taken = taken(0, 2_000, 50.0);
+    let mut busy = stage(&[]);
+    busy.backlog = ms(2_900);
+    for load in [filled, busy] {
+        let refusals = [0, 1, 2].map(|p| admit_path(&[load.clone()], AFTER, OBJECTIVE, p).refusal);
+        assert_eq!(refusals[0], None);
+        assert!(refusals[2].is_some(), "{refusals:?}");
+    }
+}
+
+#[test]
+fn a_pool_without_endpoints_takes_nothing() {
+    let mut empty = stage(&[]);
+    empty.slots = 0.0;
+    let refusal = admit_path(&[empty], AFTER, OBJECTIVE, 0).refusal;
+    assert_eq!(refusal, Some(PathRefusal::NoEndpoint));
+}
+
+#[test]
+fn the_earliest_time_lies_in_the_first_gap_that_is_long_enough() {
+    let mut timeline = Timeline::default();
+    timeline.add(ms(0), ms(200), 8.0);
+    timeline.add(ms(300), ms(1_000), 8.0);
+    assert_eq!(timeline.earliest(ms(0), ms(100), 5.0, 10.0), Some(ms(200)));
+    assert_eq!(timeline.earliest(ms(0), ms(200), 5.0, 10.0), Some(ms(1_000)));
+    assert_eq!(timeline.earliest(ms(0), ms(200), 2.0, 10.0), Some(ms(0)));
+    assert_eq!(timeline.earliest(ms(0), ms(200), 11.0, 10.0), None);
+    assert!((timeline.peak(ms(200), ms(100)) - 0.0).abs() < f64::EPSILON);
+}
