Entries that lapsed with their publisher are used until they are back

Change: direct::lapse: entries that go within two seconds after an absence of two seconds or more, or most of a list at once (silent absences are not noticed), are used on for two seconds, unless they were leaving. Ruled out: holding after every failure of a read (a leaving endpoint may go in the gap of a compaction). Tests: five of documents, and lapses in the random schedules.

--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -137,13 +137,17 @@
             }
             Event::PeerUnreachable { address } => self.on_unreachable(address, now),
             Event::Published { documents, whole_at } => {
+                self.documents.publisher(true, now);
                 let merged = match whole_at {
                     Some(at) => self.documents.merge_list(documents, at, now),
                     None => self.documents.merge(documents, now),
                 };
                 self.merged(&merged, "publisher", true);
             }
-            Event::Publisher { answers } => self.note(Note::Publisher { answers }),
+            Event::Publisher { answers } => {
+                self.documents.publisher(answers, now);
+                self.note(Note::Publisher { answers });
+            }
             Event::Seeds(seeds) => self.members.set_seeds(seeds),
             Event::Drain => self.drain(now),
             Event::Tick => {}
@@ -244,8 +248,7 @@
             self.out.push(Action::Limits(self.documents.deployment().limits.clone()));
         }
         for id in &merged.endpoints {
-            let entry = self.documents.endpoints().find(|e| e.id == *id);
-            let state = entry.map_or("gone", |e| if e.leaving { "leaving" } else { "listed" });
+            let state = self.documents.state(id).as_str();
             let (endpoint, source) = (id.clone(), source.to_owned());
             self.out.push(Action::Note(Note::Endpoint { endpoint, state, source }));
         }
@@ -292,6 +295,8 @@
         for member in self.members.expire(now) {
             self.peer_lost(member.address, member.incarnation, "silent", now);
         }
+        let expired = self.documents.expire(now);
+        self.merged(&expired, "not back", false);
         self.update_state();
         if now >= self.next_beat {
             self.next_beat = now + HEARTBEAT;
@@ -384,7 +389,8 @@
 
     fn next_wakeup(&self) -> Option<Timestamp> {
         let wakeups = [self.scheduler.next_wakeup(), self.requests.next_wakeup()];
-        let behind = self.behind.map(|b| b.since + BEHIND);
+        let behind = self.behind.map(|b| b.since + BEHIND).into_iter();
+        let behind = behind.chain(self.documents.next_expiry());
         wakeups.into_iter().flatten().chain(behind).chain([self.next_beat]).min()
     }
 }
--- a/src/direct/documents.rs
+++ b/src/direct/documents.rs
@@ -9,6 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::lapse::Absence;
 use super::model::{Deployment, Endpoint, Name};
 use crate::message::Timestamp;
 
@@ -55,9 +56,36 @@
 struct Entry {
     revision: u64,
     endpoint: Option<Arc<Endpoint>>,
+    /// What the entry was before it lapsed, and until when it is used on.
+    lapsed: Option<(Arc<Endpoint>, Timestamp)>,
     since: Timestamp,
 }
 
+/// Where an endpoint's entry stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EntryState {
+    /// It is listed.
+    Listed,
+    /// It takes no new work.
+    Leaving,
+    /// Its entry went with its publisher; it is used on for a moment.
+    Lapsed,
+    /// It is gone.
+    Gone,
+}
+
+impl EntryState {
+    /// The word for logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Listed => "listed",
+            Self::Leaving => "leaving",
+            Self::Lapsed => "lapsed",
+            Self::Gone => "gone",
+        }
+    }
+}
+
 /// What a merge changed.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct Merged {
@@ -83,6 +111,7 @@
     seen: Seen,
     /// Whether the list of endpoints was ever read as a whole.
     listed: bool,
+    absence: Absence,
 }
 
 impl Documents {
@@ -91,9 +120,43 @@
         &self.deployment
     }
 
-    /// The endpoints that are listed.
+    /// The endpoints that are listed, or whose entries lapsed a moment ago.
     pub fn endpoints(&self) -> impl Iterator<Item = &Arc<Endpoint>> + Clone {
-        self.endpoints.values().filter_map(|e| e.endpoint.as_ref())
+        let used = |e: &'_ Entry| e.endpoint.is_some() || e.lapsed.is_some();
+        let entries = self.endpoints.values().filter(move |e| used(e));
+        entries.filter_map(|e| e.endpoint.as_ref().or(e.lapsed.as_ref().map(|l| &l.0)))
+    }
+
+    /// Where an endpoint's entry stands.
+    pub fn state(&self, id: &str) -> EntryState {
+        let entry = self.endpoints.get(id);
+        match entry.map(|e| (&e.endpoint, &e.lapsed)) {
+            Some((Some(endpoint), _)) if endpoint.leaving => EntryState::Leaving,
+            Some((Some(_), _)) => EntryState::Listed,
+            Some((None, Some(_))) => EntryState::Lapsed,
+            Some((None, None)) | None => EntryState::Gone,
+        }
+    }
+
+    /// The publisher answers, or stopped to.
+    pub fn publisher(&mut self, answers: bool, now: Timestamp) {
+        self.absence.publisher(answers, now);
+    }
+
+    /// When [`Self::expire`] is due.
+    pub fn next_expiry(&self) -> Option<Timestamp> {
+        self.endpoints.values().filter_map(|e| e.lapsed.as_ref().map(|l| l.1)).min()
+    }
+
+    /// Takes lapsed entries for gone that are not back by now.
+    pub fn expire(&mut self, now: Timestamp) -> Merged {
+        let mut merged = Merged::default();
+        for (id, entry) in &mut self.endpoints {
+            if entry.lapsed.take_if(|l| now >= l.1).is_some() {
+                merged.endpoints.push(id.clone());
+            }
+        }
+        merged
     }
 
     /// The highest revisions seen.
@@ -108,6 +171,8 @@
 
     /// Takes documents in; older ones change nothing.
     pub fn merge(&mut self, documents: Vec<Revised>, now: Timestamp) -> Merged {
+        let gone = documents.iter().filter(|d| self.takes_away(d)).count();
+        let held_until = self.held_until(gone, now);
         let mut merged = Merged::default();
         for Revised { revision, document } in documents {
             match document {
@@ -116,9 +181,9 @@
                 }
                 Document::Endpoint(endpoint) => {
                     let id = endpoint.id.clone();
-                    self.set(id, revision, Some(endpoint), now, &mut merged);
+                    self.set(id, revision, Some(endpoint), None, now, &mut merged);
                 }
-                Document::Gone(id) => self.set(id, revision, None, now, &mut merged),
+                Document::Gone(id) => self.set(id, revision, None, held_until, now, &mut merged),
             }
         }
         merged
@@ -140,8 +205,9 @@
             .filter(|(id, e)| e.endpoint.is_some() && e.revision < at && !listed.contains(id))
             .map(|(id, _)| id.clone())
             .collect();
+        let held_until = self.held_until(missing.len(), now);
         for id in missing {
-            self.set(id, at, None, now, &mut merged);
+            self.set(id, at, None, held_until, now, &mut merged);
         }
         self.listed = true;
         merged
@@ -180,11 +246,26 @@
         Some(before)
     }
 
+    /// Whether a document says that an endpoint is gone which is listed and not leaving.
+    fn takes_away(&self, document: &Revised) -> bool {
+        let Document::Gone(id) = &document.document else {
+            return false;
+        };
+        let known = self.endpoints.get(id).filter(|e| e.revision < document.revision);
+        known.and_then(|e| e.endpoint.as_ref()).is_some_and(|e| !e.leaving)
+    }
+
+    fn held_until(&self, gone: usize, now: Timestamp) -> Option<Timestamp> {
+        let listed = self.endpoints.values().filter(|e| e.endpoint.is_some()).count();
+        self.absence.held_until(gone, listed, now)
+    }
+
     fn set(
         &mut self,
         id: Name,
         revision: u64,
         endpoint: Option<Arc<Endpoint>>,
+        held_until: Option<Timestamp>,
         now: Timestamp,
         merged: &mut Merged,
     ) {
@@ -197,7 +278,9 @@
         if before != endpoint.as_ref() {
             merged.endpoints.push(id.clone());
         }
-        self.endpoints.insert(id, Entry { revision, endpoint, since: now });
+        let lapsed = before.filter(|e| endpoint.is_none() && !e.leaving).cloned();
+        let lapsed = lapsed.zip(held_until);
+        self.endpoints.insert(id, Entry { revision, endpoint, lapsed, since: now });
         self.endpoints.retain(|_, e| e.endpoint.is_some() || now < e.since + GONE_KEPT);
     }
 }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -13,6 +13,7 @@
 mod filling;
 mod forecast;
 pub mod jobs;
+pub mod lapse;
 pub mod makers;
 pub mod members;
 pub mod message;
--- a/tests/direct_members.rs
+++ b/tests/direct_members.rs
@@ -8,7 +8,7 @@
 use directenv::{address, deployment, endpoint, ms};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use stackmast::direct::documents::{Document, Documents, Revised, Seen};
+use stackmast::direct::documents::{Document, Documents, EntryState, Revised, Seen};
 use stackmast::direct::makers::{Makers, Usage};
 use stackmast::direct::members::{Member, MemberState, Members};
 use stackmast::direct::repeats::{Bounds, Repeats};
@@ -131,6 +131,68 @@
     assert_eq!(ids, ["engine-2".into(), "engine-3".into()]);
 }
 
+/// Six listed endpoints; the publisher is away from one second on, for so long, and then lists
+/// only the first and the last.
+fn lapsed_after(absence: u64) -> Documents {
+    let mut documents = Documents::default();
+    documents.merge_list((1..=6).map(|n| entry(n, u64::from(n))).collect(), 6, ms(0));
+    documents.publisher(false, ms(1_000));
+    documents.publisher(true, ms(1_000 + absence));
+    documents.merge_list(vec![entry(1, 1), entry(6, 6)], 10, ms(1_000 + absence));
+    documents
+}
+
+fn ids(documents: &Documents) -> Vec<String> {
+    documents.endpoints().map(|e| e.id.to_string()).collect()
+}
+
+#[test]
+fn entries_that_lapsed_while_the_publisher_was_away_are_used_until_they_are_back() {
+    let mut documents = lapsed_after(4_000);
+    assert_eq!(documents.endpoints().count(), 6);
+    assert_eq!(documents.state("engine-2"), EntryState::Lapsed);
+    let back = documents.merge(vec![entry(2, 11)], ms(5_800));
+    assert!(!back.is_empty());
+    assert_eq!(documents.next_expiry(), Some(ms(7_000)));
+    assert!(documents.expire(ms(6_999)).is_empty());
+    assert_eq!(documents.expire(ms(7_000)).endpoints.len(), 3, "what is not back is gone");
+    assert_eq!(ids(&documents), ["engine-1", "engine-2", "engine-6"]);
+}
+
+#[test]
+fn an_endpoint_that_was_leaving_does_not_lapse() {
+    let mut documents = lapsed_after(0);
+    let mut leaving = (*endpoint("engine", 1)).clone();
+    leaving.leaving = true;
+    let leaving = Document::Endpoint(Arc::new(leaving));
+    documents.merge(vec![Revised { revision: 12, document: leaving }], ms(1_100));
+    documents.publisher(false, ms(2_000));
+    documents.publisher(true, ms(6_000));
+    documents.merge(vec![gone(1, 13)], ms(6_000));
+    assert_eq!(documents.state("engine-1"), EntryState::Gone);
+}
+
+#[test_case(0, &[2]; "the publisher was never away")]
+#[test_case(500, &[2]; "it was away for less than an entry lasts")]
+fn one_entry_that_goes_is_gone_at_once(absence: u64, numbers: &[u16]) {
+    let mut documents = Documents::default();
+    documents.merge_list((1..=6).map(|n| entry(n, u64::from(n))).collect(), 6, ms(0));
+    documents.publisher(false, ms(1_000));
+    documents.publisher(true, ms(1_000 + absence));
+    documents.merge(numbers.iter().map(|n| gone(*n, 20)).collect(), ms(1_000 + absence));
+    assert_eq!(documents.endpoints().count(), 5);
+}
+
+#[test]
+fn most_entries_that_go_at_once_lapsed_though_no_absence_was_noticed() {
+    let mut documents = Documents::default();
+    documents.merge_list((1..=6).map(|n| entry(n, u64::from(n))).collect(), 6, ms(0));
+    documents.merge((1..=5).map(|n| gone(n, 20)).collect(), ms(500));
+    assert_eq!(documents.endpoints().count(), 6);
+    documents.expire(ms(2_500));
+    assert_eq!(ids(&documents), ["engine-6"]);
+}
+
 #[test]
 fn a_peer_gets_what_it_lacks() {
     let mut documents = Documents::default();
--- a/tests/directenv/world.rs
+++ b/tests/directenv/world.rs
@@ -32,6 +32,10 @@
     Drain(usize),
     Cut(usize, bool),
     Publish,
+    /// The publisher goes away for this gateway.
+    Away(usize),
+    /// The publisher is back, and most entries have lapsed.
+    Lapse,
     Wake(usize, u64),
 }
 
@@ -66,6 +70,8 @@
     pub version: u64,
     pub versions_seen: Vec<u64>,
     pub leaving: BTreeSet<String>,
+    /// The revision from which entries are that were written again.
+    pub listed_at: u64,
     pub callers: BTreeMap<u64, Caller>,
     /// Runs by the caller's id.
     pub runs: HashMap<String, usize>,
@@ -108,6 +114,7 @@
             version: 1,
             versions_seen: vec![0; usize::from(GATEWAYS)],
             leaving: BTreeSet::new(),
+            listed_at: 10,
             callers: BTreeMap::new(),
             runs: HashMap::new(),
             results: HashMap::new(),
@@ -151,6 +158,16 @@
             let at = self.time_in(ms(300), BUSY);
             self.at(at, Happening::Publish);
         }
+        if self.chance(0.3) {
+            let at = self.time_in(ms(300), ms(1_500));
+            for number in 0..usize::from(GATEWAYS) {
+                self.at(at, Happening::Away(number));
+            }
+            let back = at + self.time_in(ms(1_500), ms(3_000));
+            self.at(back, Happening::Lapse);
+            let listed = back + self.time_in(ms(100), ms(2_500));
+            self.at(listed, Happening::Publish);
+        }
     }
 
     pub fn time_in(&mut self, from: Duration, to: Duration) -> Duration {
@@ -199,7 +216,7 @@
         let entry = |e: &Arc<Endpoint>| {
             let mut endpoint = (**e).clone();
             endpoint.leaving = self.leaving.contains(&*e.id);
-            let revision = if endpoint.leaving { self.revision } else { 10 };
+            let revision = if endpoint.leaving { self.revision } else { self.listed_at };
             Revised { revision, document: Document::Endpoint(Arc::new(endpoint)) }
         };
         let mut documents: Vec<Revised> = endpoints().iter().map(entry).collect();
@@ -250,6 +267,8 @@
                 self.cut.remove(&number);
             }
             Happening::Publish => self.publish(),
+            Happening::Away(number) => self.handle(number, Event::Publisher { answers: false }),
+            Happening::Lapse => self.lapse(),
         }
     }
 
@@ -269,6 +288,19 @@
         }
     }
 
+    /// A list with a third of the entries; the rest is written again later.
+    fn lapse(&mut self) {
+        self.revision += 2;
+        self.listed_at = self.revision;
+        let whole_at = Some(self.revision - 1);
+        let listed = self.documents().into_iter().enumerate().filter(|(i, _)| i % 3 == 0);
+        let documents: Vec<Revised> = listed.map(|(_, document)| document).collect();
+        for number in 0..usize::from(GATEWAYS) {
+            let documents = documents.clone();
+            self.handle(number, Event::Published { documents, whole_at });
+        }
+    }
+
     fn kill(&mut self, number: usize) {
         if self.gateways[number].take().is_none() {
             return;
