--- a/src/direct/attempts.rs
+++ b/src/direct/attempts.rs
@@ -41,7 +41,7 @@
             candidates,
             left_ms: ms(request.deadline.saturating_sub(now)),
         }));
-        self.call(caller, endpoint, now);
+        self.call(caller, endpoint, table, now);
     }
 
     pub(super) fn choose(
@@ -54,15 +54,32 @@
         let open: Vec<&Arc<Endpoint>> =
             members.iter().filter(|e| !e.leaving && !request.tried.contains(&e.id)).collect();
         let median = self.observations.median_answer(members.iter().map(|e| &e.id));
+        let share = self.connection_share(&request.pool, table);
         let places: Vec<_> = open
             .iter()
-            .map(|e| self.observations.place(e, &self.data_centre, median, now))
+            .map(|e| self.observations.place(e, &self.data_centre, median, share, now))
             .collect();
         let (chosen, because) = place(&places, request.shared_part())?;
         Some((open[chosen].clone(), because.as_str(), open.len()))
     }
 
-    pub(super) fn call(&mut self, caller: u64, endpoint: Arc<Endpoint>, now: Timestamp) {
+    /// Connections to one endpoint of a pool that this gateway may hold: all gateways share its bound.
+    fn connection_share(&self, pool: &Name, table: &Table) -> usize {
+        let bound = table.pool(pool).map_or(u32::MAX, |p| p.max_connections) as usize;
+        (bound / self.processes.max(1)).max(1)
+    }
+
+    pub(super) fn call(
+        &mut self,
+        caller: u64,
+        endpoint: Arc<Endpoint>,
+        table: &Table,
+        now: Timestamp,
+    ) {
+        let Some(request) = self.requests.get(&caller) else {
+            return;
+        };
+        let connections = self.connection_share(&request.pool, table);
         let Some(request) = self.requests.get_mut(&caller) else {
             return;
         };
@@ -95,6 +112,7 @@
             priority: request.priority,
             reuse_connection: request.may_repeat(),
             streams: request.route.streams,
+            connections,
         };
         self.out.push(Action::Call { caller, attempt: number, order });
     }
@@ -241,17 +259,21 @@
         if !self.is_open(caller, attempt) {
             return;
         }
-        if failure != CallFailure::NotSent {
+        if matches!(failure, CallFailure::Broken | CallFailure::Silent) {
             return self.may_have_run(caller, "broken", table, now);
         }
         let Some(closed) = self.close_attempt(caller) else {
             return;
         };
-        self.avoid(&closed.endpoint.id, "unreachable", now);
+        if failure == CallFailure::TurnedAway {
+            self.observations.full(&closed.endpoint.id, now);
+        } else {
+            self.avoid(&closed.endpoint.id, "unreachable", now);
+        }
         let sends = self.requests.get(&caller).map_or(MAX_SENDS, |r| r.sends);
         let goes_on = sends < MAX_SENDS;
         let next = if goes_on { "again" } else { "refused" };
-        self.note_failure(caller, &closed, "not sent".to_owned(), next);
+        self.note_failure(caller, &closed, format!("not sent: {failure:?}"), next);
         if goes_on {
             self.dispatch(caller, table, now);
         } else {
--- a/src/direct/endpoints.rs
+++ b/src/direct/endpoints.rs
@@ -97,12 +97,14 @@
         !was_avoided
     }
 
-    /// How an endpoint looks to a choice; `median` is its pool's usual time of an answer in seconds.
+    /// How an endpoint looks to a choice; `median` is its pool's usual time of an answer in seconds,
+    /// `connections` what this gateway may hold to it.
     pub fn place<'a>(
         &self,
         endpoint: &'a Endpoint,
         data_centre: &str,
         median: Option<f64>,
+        connections: usize,
         now: Timestamp,
     ) -> Place<'a> {
         let observed = self.observed.get(&endpoint.id).cloned().unwrap_or_default();
@@ -116,7 +118,7 @@
             id: &endpoint.id,
             load: f64::from(load),
             slots: f64::from(endpoint.slots),
-            avoided: observed.avoided_until > now,
+            avoided: observed.avoided_until > now || observed.in_flight as usize >= connections,
             is_near: *endpoint.data_centre == *data_centre,
             slowness,
         }
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -64,6 +64,8 @@
 pub enum CallFailure {
     /// No connection was made: nothing was sent.
     NotSent,
+    /// The endpoint closed a new connection before anything was sent: it has too many.
+    TurnedAway,
     /// It may have run.
     Broken,
     /// There was no answer in time; it may run.
@@ -214,6 +216,8 @@
     pub reuse_connection: bool,
     /// Whether the answer is a stream of events.
     pub streams: bool,
+    /// Connections to the endpoint that this gateway may hold.
+    pub connections: usize,
 }
 
 /// One piece of a call.
--- a/src/direct/outcomes.rs
+++ b/src/direct/outcomes.rs
@@ -42,7 +42,7 @@
                 self.judge_speed(&call, took, table, now);
                 self.pieces_ended(&call, id, outcomes, table, now);
             }
-            BatchOutcome::Full => {
+            BatchOutcome::Full | BatchOutcome::Failed(CallFailure::TurnedAway) => {
                 self.makers.full(&call.endpoint.id, now);
                 self.put_back(&call, id, false, table, now);
             }
--- a/tests/direct_requests.rs
+++ b/tests/direct_requests.rs
@@ -10,8 +10,8 @@
 use stackmast::direct::core::{GatewayCore, Setup};
 use stackmast::direct::documents::{Document, Revised, Seen};
 use stackmast::direct::event::{
-    Action, BatchOutcome, CallFailure, CallOrder, Event, Incoming, PieceOutcome, Proof, Refusal,
-    Refused,
+    Action, BatchOutcome, CallFailure, CallOrder, Event, Generation, Incoming, PieceOutcome, Proof,
+    Refusal, Refused,
 };
 use stackmast::direct::members::{Member, MemberState};
 use stackmast::direct::message::{JobId, Made, PeerMessage};
@@ -165,6 +165,38 @@
     assert!(!refusal(&actions).expect("given up").not_run);
 }
 
+#[test]
+fn an_endpoint_that_takes_no_more_connections_has_not_run_and_another_one_is_asked() {
+    let mut core = configured(vec![route("r", Repeat::AtMostOnce, &[])]);
+    let first = calls(&submit(&mut core, 1, incoming("r", Vec::new()), ms(0)))[0].clone();
+    let failure = CallFailure::TurnedAway;
+    let event = Event::CallFailed { caller: 1, attempt: first.0, failure };
+    let second = calls(&core.handle(event, ms(4)))[0].clone();
+    assert_ne!(second.1.endpoint.id, first.1.endpoint.id);
+    assert!(is_delivered(&core.handle(answered(second.0, good()), ms(20))));
+    assert_eq!(first.1.connections, 100, "one gateway has all of the bound");
+}
+
+#[test]
+fn gateways_share_an_endpoints_connections_and_go_elsewhere_at_their_share() {
+    let mut spread = route("r", Repeat::AtMostOnce, &[]);
+    spread.streams = true;
+    let mut core = configured(vec![spread]);
+    hear_of(&mut core, (2..=50).map(serving).collect());
+    let mut counts = std::collections::BTreeMap::new();
+    for caller in 1..=4 {
+        let prompt = Generation {
+            parts: vec![("shared".into(), 9), ("own".into(), 1)],
+            ..Generation::default()
+        };
+        let request = Incoming { generation: Some(prompt), ..incoming("r", Vec::new()) };
+        let (_, order) = calls(&submit(&mut core, caller, request, ms(10)))[0].clone();
+        assert_eq!(order.connections, 2);
+        *counts.entry(order.endpoint.id.clone()).or_insert(0) += 1;
+    }
+    assert_eq!(counts.into_values().collect::<Vec<_>>(), [2, 2], "also against the prefix");
+}
+
 #[test]
 fn what_may_be_repeated_goes_elsewhere_within_its_attempts() {
     let mut core = configured(vec![route("r", Repeat::Idempotent, &[])]);
@@ -302,24 +334,24 @@
     assert_eq!(refusal(&actions).expect("dropped").reason, Refused::UnknownRoute);
 }
 
+fn serving(port: u16) -> Member {
+    let state = MemberState::Serving;
+    Member { address: address(port), incarnation: 5, heartbeat: 1, state, capacity: 1_000 }
+}
+
+/// Gossip of the first of some members.
+fn hear_of(core: &mut GatewayCore, members: Vec<Member>) {
+    let from = members[0].address;
+    let seen = Seen::default();
+    let message = PeerMessage::Gossip { members, seen, complete: true, usage: Vec::new() };
+    core.handle(Event::Peer { from, message }, ms(1));
+}
+
 /// A gateway beside another one that owns the stages: its address and incarnation.
 fn beside_an_owner(route: &Route) -> (GatewayCore, u16) {
     for port in 2..20 {
         let mut core = configured(vec![route.clone()]);
-        let member = Member {
-            address: address(port),
-            incarnation: 5,
-            heartbeat: 1,
-            state: MemberState::Serving,
-            capacity: 1_000,
-        };
-        let message = PeerMessage::Gossip {
-            members: vec![member],
-            seen: Seen::default(),
-            complete: true,
-            usage: Vec::new(),
-        };
-        core.handle(Event::Peer { from: address(port), message }, ms(1));
+        hear_of(&mut core, vec![serving(port)]);
         let actions = submit(&mut core, 1, incoming("r", vec![1, 1]), ms(2));
         let is_submitted = |a: &Action| matches!(a, Action::Tell { to, message: PeerMessage::Submit(_) } if *to == address(port));
         if actions.iter().any(is_submitted) {
