A peer whose connection breaks is probed, and what was on the way is asked for again

Cause: a connection that breaks was taken for the end of the peer. When connections between gateways were reset, the owner's jobs went to a second owner while the first one worked on them, and an owner released the jobs of a gateway that lived. Change: a member whose connection broke is suspected: it is told at once (a dead process refuses that, and is dead then), its heartbeat has 600 ms to grow, and jobs that it has are submitted again; an owner that knows a job answers how it stands. A member that is heard of in another life has lost the one before. Ruled out: only a longer wait (messages that were lost on the way would never be noticed). A test changed: the loss of an owner is now shown by a refused connection, not by a broken one; three more tests cover the broken one, two the members, one the owner.

--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -131,8 +131,15 @@
             }
             Event::Peer { from, message } => self.on_peer(from, message, now),
             Event::PeerBroke { address, incarnation } => {
-                if self.members.broke(address, incarnation, now) {
-                    self.peer_lost(address, incarnation, "connection broke", now);
+                if self.members.suspect(address, incarnation, now) {
+                    self.probe(address);
+                }
+            }
+            Event::PeerReset { address } => {
+                let alive = self.members.alive().find(|m| m.address == address);
+                let incarnation = alive.map(|m| m.incarnation);
+                if incarnation.is_some_and(|i| self.members.suspect(address, i, now)) {
+                    self.probe(address);
                 }
             }
             Event::PeerUnreachable { address } => self.on_unreachable(address, now),
@@ -179,7 +186,11 @@
         match message {
             PeerMessage::Gossip { members, seen, complete, usage } => {
                 self.scheduler.told_usage(from, usage);
-                for member in self.members.hear(&members, now) {
+                let heard = self.members.hear(&members, now);
+                for member in heard.ended {
+                    self.peer_lost(member.address, member.incarnation, "restarted", now);
+                }
+                for member in heard.alive {
                     self.note(Note::Peer {
                         address: member.address,
                         incarnation: member.incarnation,
@@ -325,19 +336,31 @@
         }
     }
 
-    fn beat(&mut self) {
-        let to = self.members.beat(&mut self.rng);
-        let message = PeerMessage::Gossip {
+    fn gossip(&self) -> PeerMessage {
+        PeerMessage::Gossip {
             members: self.members.digest(),
             seen: self.documents.seen(),
             complete: self.documents.is_complete(),
             usage: self.scheduler.usage(),
-        };
+        }
+    }
+
+    fn beat(&mut self) {
+        let to = self.members.beat(&mut self.rng);
+        let message = self.gossip();
         for address in to {
             self.tell(address, message.clone());
         }
     }
 
+    /// A peer's connection broke. If it is gone, it can't be reached; if it lives, what was on the
+    /// way may be lost: its owner is told again what it has of this gateway.
+    fn probe(&mut self, address: SocketAddr) {
+        let message = self.gossip();
+        self.tell(address, message);
+        self.requests.submit_again(address);
+    }
+
     /// Asks the peer that has seen more, unless the own publisher has caught up meanwhile.
     fn catch_up(&mut self, now: Timestamp) {
         let Some(behind) = self.behind else {
@@ -390,7 +413,8 @@
     fn next_wakeup(&self) -> Option<Timestamp> {
         let wakeups = [self.scheduler.next_wakeup(), self.requests.next_wakeup()];
         let behind = self.behind.map(|b| b.since + BEHIND).into_iter();
-        let behind = behind.chain(self.documents.next_expiry());
+        let behind =
+            behind.chain(self.documents.next_expiry()).chain(self.members.next_suspicion());
         wakeups.into_iter().flatten().chain(behind).chain([self.next_beat]).min()
     }
 }
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -172,7 +172,12 @@
         /// Its life.
         incarnation: u64,
     },
-    /// A peer could not be reached.
+    /// The connection to a peer broke.
+    PeerReset {
+        /// Who.
+        address: SocketAddr,
+    },
+    /// No connection to a peer could be made.
     PeerUnreachable {
         /// Who.
         address: SocketAddr,
--- a/src/direct/members.rs
+++ b/src/direct/members.rs
@@ -18,6 +18,8 @@
 pub const HEARTBEAT: Duration = Duration::from_millis(200);
 /// A member whose heartbeat has not grown for so long is taken for dead.
 const SILENT: Duration = Duration::from_millis(1_000);
+/// A member whose connection broke is taken for dead if its heartbeat does not grow within that.
+const SUSPECTED: Duration = Duration::from_millis(600);
 /// A dead member is forgotten after so long.
 const FORGOTTEN: Duration = Duration::from_secs(60);
 /// Members to which one heartbeat goes.
@@ -61,9 +63,20 @@
     member: Member,
     /// When its heartbeat last grew, or `None` while it is taken for dead.
     heard: Option<Timestamp>,
+    /// When its connection broke, if its heartbeat has not grown since.
+    suspected: Option<Timestamp>,
     since: Timestamp,
 }
 
+/// What was heard of other members.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Heard {
+    /// Members that were not known, or taken for dead.
+    pub alive: Vec<Member>,
+    /// Lives that were taken for alive, of members that are in another life now.
+    pub ended: Vec<Member>,
+}
+
 impl Known {
     /// Incarnations come from clocks, which may have stepped back between two lives: any other life
     /// is newer than one that is taken for dead.
@@ -132,9 +145,10 @@
         members
     }
 
-    /// Takes in what another tells; names the members that are alive since.
-    pub fn hear(&mut self, members: &[Member], now: Timestamp) -> Vec<Member> {
-        let mut back = Vec::new();
+    /// Takes in what another tells; names the members that are alive since, and the lives that ended
+    /// unnoticed because their members are in another one.
+    pub fn hear(&mut self, members: &[Member], now: Timestamp) -> Heard {
+        let mut heard = Heard::default();
         for member in members.iter().filter(|m| m.address != self.own.address) {
             let known = self.others.get(&member.address);
             if known.is_some_and(|k| !k.is_superseded_by(member)) {
@@ -143,15 +157,35 @@
             let was_alive = known
                 .is_some_and(|k| k.heard.is_some() && k.member.incarnation == member.incarnation);
             if !was_alive {
-                back.push(member.clone());
+                heard.alive.push(member.clone());
+                let before = known.filter(|k| k.heard.is_some()).map(|k| k.member.clone());
+                heard.ended.extend(before);
             }
-            let known = Known { member: member.clone(), heard: Some(now), since: now };
+            let known =
+                Known { member: member.clone(), heard: Some(now), suspected: None, since: now };
             self.others.insert(member.address, known);
         }
-        back
+        heard
+    }
+
+    /// A connection from this life of a member broke: it may live on, since connections are reset;
+    /// says whether it was taken for alive until now.
+    pub fn suspect(&mut self, address: SocketAddr, incarnation: u64, now: Timestamp) -> bool {
+        let known = self.others.get_mut(&address).filter(|k| k.heard.is_some());
+        let Some(known) = known.filter(|k| k.member.incarnation == incarnation) else {
+            return false;
+        };
+        known.suspected.get_or_insert(now);
+        true
+    }
+
+    /// When [`Self::expire`] is due for a member that is suspected.
+    pub fn next_suspicion(&self) -> Option<Timestamp> {
+        let suspected = self.others.values().filter(|k| k.heard.is_some());
+        suspected.filter_map(|k| k.suspected).min().map(|at| at + SUSPECTED)
     }
 
-    /// A connection from this life of a member broke: it is taken for dead until it is heard again.
+    /// This life of a member can't be reached: it is taken for dead until it is heard again.
     pub fn broke(&mut self, address: SocketAddr, incarnation: u64, now: Timestamp) -> bool {
         let Some(known) = self.others.get_mut(&address) else {
             return false;
@@ -168,7 +202,9 @@
     pub fn expire(&mut self, now: Timestamp) -> Vec<Member> {
         let mut lost = Vec::new();
         for known in self.others.values_mut() {
-            if known.heard.is_some_and(|h| now >= h + SILENT) {
+            let is_silent = known.heard.is_some_and(|h| now >= h + SILENT);
+            let is_suspected = known.suspected.is_some_and(|s| now >= s + SUSPECTED);
+            if known.heard.is_some() && (is_silent || is_suspected) {
                 known.heard = None;
                 known.since = now;
                 lost.push(known.member.clone());
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -68,9 +68,14 @@
         let hello = Hello { address: self.own, incarnation: self.incarnation };
         let (core, queues, own_queue) = (self.core.clone(), self.queues.clone(), sender.clone());
         tokio::spawn(async move {
-            run(to, hello, receiver).await;
+            let was_connected = run(to, hello, receiver).await;
             forget(&queues, to, &own_queue);
-            core.send(Event::PeerUnreachable { address: to }).await.ok();
+            let event = if was_connected {
+                Event::PeerReset { address: to }
+            } else {
+                Event::PeerUnreachable { address: to }
+            };
+            core.send(event).await.ok();
         });
         sender
     }
@@ -93,15 +98,22 @@
     Bytes::from(serde_json::to_vec(message).unwrap_or_default())
 }
 
-/// Sends what is queued until the connection breaks.
-async fn run(to: SocketAddr, hello: Hello, mut queue: mpsc::Receiver<PeerMessage>) {
+/// Sends what is queued until the connection breaks; says whether there was one.
+async fn run(to: SocketAddr, hello: Hello, queue: mpsc::Receiver<PeerMessage>) -> bool {
     let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await else {
-        return;
+        return false;
     };
     let mut connection = framed(stream);
-    if connection.send(encode(&hello)).await.is_err() {
-        return;
+    if connection.send(encode(&hello)).await.is_ok() {
+        send_all(connection, queue).await;
     }
+    true
+}
+
+async fn send_all(
+    mut connection: Framed<TcpStream, LengthDelimitedCodec>,
+    mut queue: mpsc::Receiver<PeerMessage>,
+) {
     loop {
         tokio::select! {
             message = queue.recv() => {
--- a/src/direct/request.rs
+++ b/src/direct/request.rs
@@ -92,6 +92,11 @@
         !self.route.stages.is_empty() && self.incoming.pieces.iter().any(|&p| p > 0)
     }
 
+    /// Whether its stages are with this owner now.
+    pub fn is_with(&self, address: SocketAddr) -> bool {
+        matches!(self.phase, Phase::Stages { owner, .. } if owner == address)
+    }
+
     /// Whether it may run again after it may have run.
     pub fn may_repeat(&self) -> bool {
         self.route.repeat == Repeat::Idempotent || self.route.streams && self.route.resumable
--- a/src/direct/requests.rs
+++ b/src/direct/requests.rs
@@ -51,6 +51,8 @@
     pub(super) next_attempt: u64,
     /// Jobs to be submitted once the members are at hand.
     pub(super) to_submit: Vec<u64>,
+    /// Jobs to be submitted once more to the owner that has them.
+    pub(super) to_submit_again: Vec<u64>,
     pub(super) out: Vec<Action>,
 }
 
@@ -69,6 +71,7 @@
             processes: 1,
             next_attempt: 0,
             to_submit: Vec::new(),
+            to_submit_again: Vec::new(),
             out: Vec::new(),
         }
     }
@@ -100,6 +103,9 @@
         for caller in std::mem::take(&mut self.to_submit) {
             self.submit_stages(caller, members, table, now);
         }
+        for caller in std::mem::take(&mut self.to_submit_again) {
+            self.resubmit(caller, now);
+        }
         let mut actions = std::mem::take(&mut self.out);
         for action in &mut actions {
             if let Action::Refuse { refusal, .. } = action {
--- a/src/direct/scheduler.rs
+++ b/src/direct/scheduler.rs
@@ -126,7 +126,7 @@
     pub fn submit(&mut self, job: Job, table: &Table, now: Timestamp) {
         let id = job.id;
         if self.jobs.contains_key(&id) {
-            return;
+            return self.tell_again(id);
         }
         if now >= self.last_submit + SETTLING {
             self.owner_since = now;
@@ -165,6 +165,24 @@
         self.advance(id, table);
     }
 
+    /// Tells a job's gateway how it stands: what was told before may be lost.
+    fn tell_again(&mut self, id: JobId) {
+        let Some(run) = self.jobs.get(&id) else {
+            return;
+        };
+        let stages = run.stages.iter().enumerate();
+        let done = stages.filter(|(_, s)| s.told && !s.pieces.contains(&Piece::Used));
+        let done: Vec<_> = done.map(|(stage, s)| (stage, s.results())).collect();
+        let is_ready = run.ready;
+        self.tell(id, PeerMessage::Accepted(id));
+        for (stage, results) in done {
+            self.tell(id, PeerMessage::StageDone { job: id, stage, results });
+        }
+        if is_ready {
+            self.tell(id, PeerMessage::Ready(id));
+        }
+    }
+
     /// The data centre for the stages between which much is moved: the one whose endpoints have
     /// least to do among those that have all of the stages' pools; the callers' own among equals.
     pub(super) fn least_loaded_home(
--- a/src/direct/stages.rs
+++ b/src/direct/stages.rs
@@ -64,6 +64,27 @@
         self.out.push(Action::Tell { to: owner.address, message });
     }
 
+    /// What was on the way to or from this owner may be lost: the jobs that it has are submitted
+    /// again, and it tells how they stand.
+    pub fn submit_again(&mut self, owner: SocketAddr) {
+        let with_owner = self.requests.iter().filter(|(_, r)| r.is_with(owner));
+        self.to_submit_again.extend(with_owner.map(|(caller, _)| *caller));
+    }
+
+    /// Submits a job once more to the owner that has it.
+    pub(super) fn resubmit(&mut self, caller: u64, now: Timestamp) {
+        let data_centre = self.data_centre.clone();
+        let Some(request) = self.requests.get(&caller) else {
+            return;
+        };
+        let Phase::Stages { owner, .. } = request.phase else {
+            return;
+        };
+        let job = job_of(request, true, data_centre, now);
+        let message = PeerMessage::Submit(Box::new(job));
+        self.out.push(Action::Tell { to: owner, message });
+    }
+
     /// The request of a job, if this owner is the one that has it now.
     pub(super) fn job(&mut self, job: JobId, from: SocketAddr) -> Option<(u64, &mut Request)> {
         let caller = *self.by_job.get(&job)?;
@@ -145,8 +166,11 @@
             .requests
             .iter()
             .filter(|(_, r)| {
-                matches!(r.phase, Phase::Stages { owner, incarnation, .. }
-                    if owner == address && incarnation == lost)
+                let life = match r.phase {
+                    Phase::Stages { incarnation, .. } => Some(incarnation),
+                    _ => None,
+                };
+                r.is_with(address) && life == Some(lost)
             })
             .map(|(caller, _)| *caller)
             .collect();
--- a/tests/direct_members.rs
+++ b/tests/direct_members.rs
@@ -10,7 +10,7 @@
 use rand::rngs::StdRng;
 use stackmast::direct::documents::{Document, Documents, EntryState, Revised, Seen};
 use stackmast::direct::makers::{Makers, Usage};
-use stackmast::direct::members::{Member, MemberState, Members};
+use stackmast::direct::members::{Heard, Member, MemberState, Members};
 use stackmast::direct::repeats::{Bounds, Repeats};
 use stackmast::direct::stream::EventSplitter;
 use test_case::test_case;
@@ -74,7 +74,7 @@
     assert_eq!(members.alive().count(), 0);
     assert_eq!(members.known(), 3, "the budget's share does not grow by silence");
     let back = members.hear(&[member(2, 5, 9, MemberState::Serving)], ms(1_100));
-    assert_eq!(back.len(), 1);
+    assert_eq!(back.alive.len(), 1);
 }
 
 #[test]
@@ -82,10 +82,36 @@
     let mut members = three();
     members.hear(&[member(2, 5, 8, MemberState::Serving)], ms(100));
     assert!(members.broke(address(2), 5, ms(200)));
-    assert!(members.hear(&[member(2, 5, 7, MemberState::Serving)], ms(300)).is_empty());
+    assert_eq!(members.hear(&[member(2, 5, 7, MemberState::Serving)], ms(300)), Heard::default());
     assert!(!members.is_alive(address(2), 5));
     let next_life = member(2, 4, 1, MemberState::Starting);
-    assert_eq!(members.hear(&[next_life], ms(400)).len(), 1, "also where the clock stepped back");
+    assert_eq!(
+        members.hear(&[next_life], ms(400)).alive.len(),
+        1,
+        "also where the clock stepped back"
+    );
+}
+
+#[test]
+fn a_member_whose_connection_broke_is_dead_only_if_its_heartbeat_does_not_grow() {
+    let mut members = three();
+    assert!(members.suspect(address(2), 5, ms(100)));
+    assert!(members.suspect(address(3), 5, ms(100)));
+    assert!(!members.suspect(address(3), 4, ms(100)), "another life's connection");
+    members.hear(&[member(2, 5, 2, MemberState::Serving)], ms(300));
+    assert_eq!(members.next_suspicion(), Some(ms(700)));
+    assert!(members.expire(ms(699)).is_empty());
+    let lost = members.expire(ms(700));
+    assert_eq!(lost.iter().map(|m| m.address).collect::<Vec<_>>(), [address(3)]);
+    assert!(members.is_alive(address(2), 5));
+}
+
+#[test]
+fn a_member_that_was_restarted_has_lost_its_life_before() {
+    let mut members = three();
+    let heard = members.hear(&[member(2, 6, 1, MemberState::Starting)], ms(100));
+    assert_eq!(heard.ended, [member(2, 5, 1, MemberState::Serving)]);
+    assert_eq!(heard.alive.len(), 1);
 }
 
 #[test]
--- a/tests/direct_requests.rs
+++ b/tests/direct_requests.rs
@@ -182,7 +182,7 @@
     let mut spread = route("r", Repeat::AtMostOnce, &[]);
     spread.streams = true;
     let mut core = configured(vec![spread]);
-    hear_of(&mut core, (2..=50).map(serving).collect());
+    hear_of(&mut core, (2..=50).map(serving).collect(), ms(1));
     let mut counts = std::collections::BTreeMap::new();
     for caller in 1..=4 {
         let prompt = Generation {
@@ -340,18 +340,18 @@
 }
 
 /// Gossip of the first of some members.
-fn hear_of(core: &mut GatewayCore, members: Vec<Member>) {
+fn hear_of(core: &mut GatewayCore, members: Vec<Member>, now: Duration) {
     let from = members[0].address;
     let seen = Seen::default();
     let message = PeerMessage::Gossip { members, seen, complete: true, usage: Vec::new() };
-    core.handle(Event::Peer { from, message }, ms(1));
+    core.handle(Event::Peer { from, message }, now);
 }
 
 /// A gateway beside another one that owns the stages: its address and incarnation.
 fn beside_an_owner(route: &Route) -> (GatewayCore, u16) {
     for port in 2..20 {
         let mut core = configured(vec![route.clone()]);
-        hear_of(&mut core, vec![serving(port)]);
+        hear_of(&mut core, vec![serving(port)], ms(1));
         let actions = submit(&mut core, 1, incoming("r", vec![1, 1]), ms(2));
         let is_submitted = |a: &Action| matches!(a, Action::Tell { to, message: PeerMessage::Submit(_) } if *to == address(port));
         if actions.iter().any(is_submitted) {
@@ -369,22 +369,69 @@
     calls.flatten().collect()
 }
 
-#[test]
-fn what_a_lost_owner_had_goes_on_at_once_with_what_was_made() {
+const JOB: u64 = 1;
+
+fn job_of_one() -> JobId {
+    JobId { gateway: address(1), incarnation: 1, number: JOB }
+}
+
+/// A gateway whose owner has made the first of two stages: it, and the owner's address.
+fn with_one_stage_made() -> (GatewayCore, std::net::SocketAddr) {
     let route = route("r", Repeat::AtMostOnce, &[("first", &[], 10), ("second", &[0], 10)]);
     let (mut core, port) = beside_an_owner(&route);
-    let job = JobId { gateway: address(1), incarnation: 1, number: 1 };
-    let from = address(port);
+    let (job, from) = (job_of_one(), address(port));
     let accepted = PeerMessage::Accepted(job);
     core.handle(Event::Peer { from, message: accepted }, ms(3));
     let made = Made { handle: "h".into(), endpoint: "first-1".into() };
     let done = PeerMessage::StageDone { job, stage: 0, results: vec![made] };
     core.handle(Event::Peer { from, message: done }, ms(300));
-    let lost = Event::PeerBroke { address: from, incarnation: 5 };
-    let actions = core.handle(lost, ms(400));
+    (core, from)
+}
+
+#[test]
+fn what_a_lost_owner_had_goes_on_at_once_with_what_was_made() {
+    let (mut core, owner) = with_one_stage_made();
+    let broke = Event::PeerBroke { address: owner, incarnation: 5 };
+    core.handle(broke, ms(400));
+    let actions = core.handle(Event::PeerUnreachable { address: owner }, ms(401));
     assert_eq!(pieces_sent(&actions), [(1, 1)], "the second stage, with the first one's result");
 }
 
+#[test]
+fn an_owner_that_was_restarted_has_lost_what_it_had() {
+    let (mut core, owner) = with_one_stage_made();
+    let mut restarted = serving(owner.port());
+    (restarted.incarnation, restarted.state) = (6, MemberState::Starting);
+    let seen = Seen::default();
+    let members = vec![restarted];
+    let message = PeerMessage::Gossip { members, seen, complete: false, usage: Vec::new() };
+    let actions = core.handle(Event::Peer { from: owner, message }, ms(400));
+    assert_eq!(pieces_sent(&actions), [(1, 1)]);
+}
+
+#[test_case(Event::PeerReset { address: address(0) }; "the connection to it")]
+#[test_case(Event::PeerBroke { address: address(0), incarnation: 5 }; "the connection from it")]
+fn an_owner_whose_connection_was_reset_keeps_what_it_has_and_tells_it_again(event: Event) {
+    let (mut core, owner) = with_one_stage_made();
+    let event = match event {
+        Event::PeerBroke { incarnation, .. } => Event::PeerBroke { address: owner, incarnation },
+        _ => Event::PeerReset { address: owner },
+    };
+    let actions = core.handle(event, ms(400));
+    assert!(pieces_sent(&actions).is_empty(), "nobody else begins it");
+    let submitted = actions.iter().any(|a| match a {
+        Action::Tell { to, message: PeerMessage::Submit(job) } => {
+            *to == owner && job.id == job_of_one() && job.stages[0].done.len() == 1
+        }
+        _ => false,
+    });
+    assert!(submitted, "what was on the way is asked for again");
+    let mut alive = serving(owner.port());
+    alive.heartbeat = 2;
+    hear_of(&mut core, vec![alive], ms(600));
+    assert!(pieces_sent(&core.handle(Event::Tick, ms(1_050))).is_empty());
+}
+
 #[test]
 fn an_owner_that_does_not_decide_is_passed_over() {
     let route = route("r", Repeat::AtMostOnce, &[("first", &[], 10), ("second", &[0], 10)]);
--- a/tests/direct_scheduler.rs
+++ b/tests/direct_scheduler.rs
@@ -265,6 +265,24 @@
     assert!(freed(&scheduler.actions(&table, now)).is_empty(), "its call may wait for its turn");
 }
 
+#[test]
+fn a_job_that_is_submitted_again_is_told_how_it_stands_and_runs_once() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], 10)]);
+    let table = table(vec![route.clone()]);
+    let mut scheduler = scheduler();
+    scheduler.submit(job(1, &route, 2), &table, ms(0));
+    run_to_the_end(&mut scheduler, &table, ms(0));
+    scheduler.submit(job(1, &route, 2), &table, ms(400));
+    let actions = scheduler.actions(&table, ms(400));
+    assert!(calls(&actions).is_empty());
+    let told = told(&actions);
+    assert_eq!(told.first(), Some(&PeerMessage::Accepted(job_id(1))));
+    assert!(
+        matches!(&told[1], PeerMessage::StageDone { stage: 0, results, .. } if results.len() == 2)
+    );
+    assert_eq!(told.last(), Some(&PeerMessage::Ready(job_id(1))));
+}
+
 #[test]
 fn repeats_end_with_the_budget() {
     let route = route("r", Repeat::AtMostOnce, &[("first", &[], 10)]);
