--- a/src/direct/documents.rs
+++ b/src/direct/documents.rs
@@ -61,6 +61,13 @@
     since: Timestamp,
 }
 
+impl Entry {
+    /// The endpoint, if it may be used.
+    fn in_use(&self) -> Option<&Arc<Endpoint>> {
+        self.endpoint.as_ref().or(self.lapsed.as_ref().map(|(endpoint, _)| endpoint))
+    }
+}
+
 /// Where an endpoint's entry stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EntryState {
@@ -122,9 +129,7 @@
 
     /// The endpoints that are listed, or whose entries lapsed a moment ago.
     pub fn endpoints(&self) -> impl Iterator<Item = &Arc<Endpoint>> + Clone {
-        let used = |e: &'_ Entry| e.endpoint.is_some() || e.lapsed.is_some();
-        let entries = self.endpoints.values().filter(move |e| used(e));
-        entries.filter_map(|e| e.endpoint.as_ref().or(e.lapsed.as_ref().map(|l| &l.0)))
+        self.endpoints.values().filter_map(Entry::in_use)
     }
 
     /// Where an endpoint's entry stands.
--- a/src/direct/forecast.rs
+++ b/src/direct/forecast.rs
@@ -78,9 +78,8 @@
 
     /// How each pool of a job stands, for admission.
     pub(super) fn loads(&self, job: &Job, table: &Table, now: Timestamp) -> Vec<StageLoad> {
-        let mut taken = self.rooms_taken(table, now);
-        let taken: HashMap<Name, Arc<Timeline>> =
-            taken.drain().map(|(pool, timeline)| (pool, Arc::new(timeline))).collect();
+        let taken = self.rooms_taken(table, now).into_iter();
+        let taken = taken.map(|(pool, timeline)| (pool, Arc::new(timeline))).collect();
         let stages = 0..job.stages.len();
         stages.map(|i| self.load(job, i, &taken, table, now)).collect()
     }
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -80,7 +80,8 @@
     let mut busy = stage(&[]);
     busy.backlog = ms(2_900);
     for load in [filled, busy] {
-        let refusals = [0, 1, 2].map(|p| admit_path(&[load.clone()], AFTER, OBJECTIVE, p).refusal);
+        let refusals =
+            [0, 1, 2].map(|p| admit_path(std::slice::from_ref(&load), AFTER, OBJECTIVE, p).refusal);
         assert_eq!(refusals[0], None);
         assert!(refusals[2].is_some(), "{refusals:?}");
     }
