--- a/tests/directenv/world.rs
+++ b/tests/directenv/world.rs
@@ -291,10 +291,11 @@
     /// A list with a third of the entries; the rest is written again later.
     fn lapse(&mut self) {
         self.revision += 2;
-        self.listed_at = self.revision;
         let whole_at = Some(self.revision - 1);
         let listed = self.documents().into_iter().enumerate().filter(|(i, _)| i % 3 == 0);
         let documents: Vec<Revised> = listed.map(|(_, document)| document).collect();
+        // What is written again is newer than all that was seen of the list.
+        self.listed_at = self.revision;
         for number in 0..usize::from(GATEWAYS) {
             let documents = documents.clone();
             self.handle(number, Event::Published { documents, whole_at });
