--- a/src/direct/scheduler.rs
+++ b/src/direct/scheduler.rs
@@ -24,6 +24,7 @@
 
 /// Between two looks at jobs that hold a stage back, and at deadlines.
 const LOOK: Duration = Duration::from_millis(25);
+
 /// A piece: its job, its stage's position, its own position.
 pub(super) type PieceId = (JobId, usize, usize);
 
