Stops: lines for what is taken while stopping and what the end leaves

stop_decided: one a request at the door of a stopping process; stopped: one when the process ends; stopping says the grace and whether others serve. Two counters. No decision changes.

--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -13,7 +13,7 @@
 use super::event::{Action, Event};
 use super::members::{HEARTBEAT, MemberState, Members};
 use super::message::PeerMessage;
-use super::note::Note;
+use super::note::{Note, ms};
 use super::repeats::Bounds;
 use super::requests::Requests;
 use super::scheduler::Scheduler;
@@ -29,6 +29,9 @@
 /// Where nobody else serves, it takes requests until so long before it is killed.
 const LAST_REQUEST: Duration = Duration::from_millis(4_500);
 
+/// A process ends so long before it would be killed.
+pub const BEFORE_KILL: Duration = Duration::from_millis(300);
+
 /// What a gateway is made with.
 #[derive(Debug, Clone)]
 pub struct Setup {
@@ -103,6 +106,17 @@
         self.requests.len() + self.scheduler.jobs()
     }
 
+    /// What a process that ends now leaves undone, as a line.
+    pub fn stopped(&self, now: Timestamp) -> Note {
+        let streams = self.requests.streams();
+        Note::Stopped {
+            stopping_ms: ms(now.saturating_sub(self.draining_since.unwrap_or(now))),
+            unanswered: self.requests.len() - streams,
+            streams,
+            jobs: self.scheduler.jobs(),
+        }
+    }
+
     /// What is known and compiled.
     pub const fn table(&self) -> &Table {
         &self.table
@@ -113,6 +127,7 @@
             Event::Submit { caller, incoming } => {
                 let draining = !self.takes_requests(now);
                 let known = self.documents.is_complete();
+                self.note_taken_in_stop(&incoming.id, !draining, now);
                 self.requests.submit(caller, incoming, &self.table, known, draining, now);
             }
             Event::CallerGone { caller } => self.requests.caller_gone(caller, now),
@@ -170,6 +185,22 @@
         now < since + long
     }
 
+    fn note_taken_in_stop(&mut self, request: &super::model::Name, taken: bool, now: Timestamp) {
+        let Some(since) = self.draining_since else {
+            return;
+        };
+        let stopping = now.saturating_sub(since);
+        self.note(Note::StopDecided {
+            request: request.clone(),
+            at: "door",
+            taken,
+            stopping_ms: ms(stopping),
+            left_ms: ms(self.grace.saturating_sub(BEFORE_KILL + stopping)),
+            expected_ms: None,
+            served_elsewhere: self.members.is_served_elsewhere(),
+        });
+    }
+
     fn note(&mut self, note: Note) {
         self.out.push(Action::Note(note));
     }
@@ -177,7 +208,8 @@
     fn drain(&mut self, now: Timestamp) {
         if self.draining_since.is_none() {
             self.draining_since = Some(now);
-            self.note(Note::Stopping);
+            let served_elsewhere = self.members.is_served_elsewhere();
+            self.note(Note::Stopping { grace_ms: ms(self.grace), served_elsewhere });
             self.next_beat = now;
         }
     }
--- a/src/direct/note.rs
+++ b/src/direct/note.rs
@@ -172,7 +172,40 @@
         incarnation: u64,
     },
     /// The process was told to stop.
-    Stopping,
+    Stopping {
+        /// Milliseconds from the signal to the kill.
+        grace_ms: u64,
+        /// Whether another gateway was known to serve.
+        served_elsewhere: bool,
+    },
+    /// A stopping process took a request, or did not because it stops.
+    StopDecided {
+        /// The caller's id.
+        request: Name,
+        /// Where it stood: at the door, in its stages, or on its way to an endpoint.
+        at: &'static str,
+        /// Whether it goes on.
+        taken: bool,
+        /// Milliseconds since the signal.
+        stopping_ms: u64,
+        /// Milliseconds until the process ends by itself.
+        left_ms: u64,
+        /// Milliseconds until its answer would be whole, by its deadline or by experience.
+        expected_ms: Option<u64>,
+        /// Whether another gateway was known to serve.
+        served_elsewhere: bool,
+    },
+    /// The process ends.
+    Stopped {
+        /// Milliseconds since the signal.
+        stopping_ms: u64,
+        /// Requests without the head of an answer.
+        unanswered: usize,
+        /// Streams that were open.
+        streams: usize,
+        /// Jobs that were not over.
+        jobs: usize,
+    },
     /// The settings were read again.
     Reloaded {
         /// What became of it.
@@ -205,7 +238,9 @@
             Self::Publisher { .. } => "publisher",
             Self::Ready { .. } => "ready",
             Self::Started { .. } => "started",
-            Self::Stopping => "stopping",
+            Self::Stopping { .. } => "stopping",
+            Self::StopDecided { .. } => "stop_decided",
+            Self::Stopped { .. } => "stopped",
             Self::Reloaded { .. } => "reloaded",
         }
     }
--- a/src/direct/requests.rs
+++ b/src/direct/requests.rs
@@ -81,6 +81,11 @@
         self.requests.len()
     }
 
+    /// Streams that are being passed on.
+    pub fn streams(&self) -> usize {
+        self.requests.values().filter(|r| r.phase == Phase::Streaming).count()
+    }
+
     /// Whether there are none.
     pub fn is_empty(&self) -> bool {
         self.requests.is_empty()
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -58,6 +58,11 @@
 /// Pieces in a call.
 pub const BATCH_PIECES: &str = "stackmast_batch_pieces";
 
+/// Requests that a process took after the signal to stop, or turned away because of it, by where.
+pub const STOP_DECIDED: &str = "stackmast_stop_decided_total";
+/// Requests that the end of a process cut, by what they were.
+pub const CUT_BY_STOP: &str = "stackmast_cut_by_stop_total";
+
 /// Gives every metric its help text.
 pub fn describe() {
     describe_counter!(COMPLETED, "Requests answered in full, by in_time");
@@ -84,6 +89,11 @@
     describe_counter!(DECISIONS, "Decisions and changes of belief, by kind");
     describe_histogram!(BATCH_SECONDS, "Seconds of calls with pieces");
     describe_histogram!(BATCH_PIECES, "Pieces in a call");
+    describe_counter!(
+        STOP_DECIDED,
+        "Requests taken or turned away while stopping, by at and taken"
+    );
+    describe_counter!(CUT_BY_STOP, "Requests cut by the end of the process, by what");
     counter!(INVARIANT_VIOLATIONS).absolute(0);
 }
 
@@ -160,6 +170,14 @@
             histogram!(BATCH_SECONDS).record(*took_ms as f64 / 1_000.0);
         }
         Note::BatchSent { pieces, .. } => histogram!(BATCH_PIECES).record(pieces.len() as f64),
+        Note::StopDecided { at, taken, .. } => {
+            let taken = if *taken { "true" } else { "false" };
+            counter!(STOP_DECIDED, "at" => *at, "taken" => taken).increment(1);
+        }
+        Note::Stopped { unanswered, streams, .. } => {
+            counter!(CUT_BY_STOP, "what" => "unanswered").increment(*unanswered as u64);
+            counter!(CUT_BY_STOP, "what" => "stream").increment(*streams as u64);
+        }
         Note::Configured { version, .. } => gauge!(CONFIG_VERSION).set(*version as f64),
         _ => {}
     }
