--- a/tests/direct_requests.rs
+++ b/tests/direct_requests.rs
@@ -5,98 +5,22 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use directenv::{address, deployment, endpoint, endpoints, ms, route};
+use directenv::gateway::{
+    answered, calls, configured, good, hear_of, incoming, is_delivered, listed, new_core, publish,
+    refusal, serving, submit,
+};
+use directenv::{address, deployment, endpoint, ms, route};
 use stackmast::actor::Core;
-use stackmast::direct::core::{GatewayCore, Setup};
+use stackmast::direct::core::GatewayCore;
 use stackmast::direct::documents::{Document, Revised, Seen};
 use stackmast::direct::event::{
-    Action, BatchOutcome, CallFailure, CallOrder, Event, Generation, Incoming, PieceOutcome, Proof,
-    Refusal, Refused,
+    Action, BatchOutcome, CallFailure, Event, Generation, Incoming, PieceOutcome, Proof, Refused,
 };
-use stackmast::direct::members::{Member, MemberState};
+use stackmast::direct::members::MemberState;
 use stackmast::direct::message::{JobId, Made, PeerMessage};
-use stackmast::direct::model::{Deployment, Endpoint, Repeat, Route};
-use stackmast::direct::repeats::Bounds;
+use stackmast::direct::model::{Repeat, Route};
 use test_case::test_case;
 
-fn new_core() -> GatewayCore {
-    GatewayCore::new(Setup {
-        address: address(1),
-        incarnation: 1,
-        capacity: 1_000,
-        data_centre: "hall-1".into(),
-        seeds: Vec::new(),
-        repeats: Bounds { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) },
-        grace: Duration::from_secs(8),
-        seed: 7,
-    })
-}
-
-fn listed(endpoints: &[Arc<Endpoint>], revision: u64) -> Vec<Revised> {
-    let document = |e: &Arc<Endpoint>| Document::Endpoint(e.clone());
-    endpoints.iter().map(|e| Revised { revision, document: document(e) }).collect()
-}
-
-fn publish(core: &mut GatewayCore, deployment: Deployment, now: Duration) -> Vec<Action> {
-    let document = Document::Deployment(Arc::new(deployment));
-    let documents = vec![Revised { revision: 1, document }];
-    let mut actions = core.handle(Event::Published { documents, whole_at: None }, now);
-    let documents = listed(&endpoints(), 2);
-    actions.extend(core.handle(Event::Published { documents, whole_at: Some(2) }, now));
-    actions
-}
-
-fn configured(routes: Vec<Route>) -> GatewayCore {
-    let mut core = new_core();
-    publish(&mut core, deployment(1, routes), ms(0));
-    core
-}
-
-fn incoming(route: &str, pieces: Vec<usize>) -> Incoming {
-    Incoming {
-        id: "id-1".into(),
-        host: "h.example".to_owned(),
-        path: format!("/{route}/x"),
-        key: Some("key".to_owned()),
-        allowed: Some(Duration::from_secs(5)),
-        generation: None,
-        pieces,
-        piece_key: Some("k".into()),
-        after_event: None,
-    }
-}
-
-fn submit(core: &mut GatewayCore, caller: u64, incoming: Incoming, now: Duration) -> Vec<Action> {
-    core.handle(Event::Submit { caller, incoming }, now)
-}
-
-fn calls(actions: &[Action]) -> Vec<(u64, CallOrder)> {
-    let calls = actions.iter().filter_map(|a| match a {
-        Action::Call { attempt, order, .. } => Some((*attempt, order.clone())),
-        _ => None,
-    });
-    calls.collect()
-}
-
-fn refusal(actions: &[Action]) -> Option<Refusal> {
-    actions.iter().find_map(|a| match a {
-        Action::Refuse { refusal, .. } => Some(refusal.clone()),
-        _ => None,
-    })
-}
-
-fn is_delivered(actions: &[Action]) -> bool {
-    actions.iter().any(|a| matches!(a, Action::Deliver { .. }))
-}
-
-fn good() -> Proof {
-    Proof { status: 200, signed: true, own: true, ..Proof::default() }
-}
-
-fn answered(attempt: u64, proof: Proof) -> Event {
-    Event::Answered { caller: 1, attempt, proof, is_open: false }
-}
-
 #[test]
 fn a_process_that_knows_nothing_is_not_ready_and_refuses_as_not_run() {
     let mut core = new_core();
@@ -334,19 +258,6 @@
     assert_eq!(refusal(&actions).expect("dropped").reason, Refused::UnknownRoute);
 }
 
-fn serving(port: u16) -> Member {
-    let state = MemberState::Serving;
-    Member { address: address(port), incarnation: 5, heartbeat: 1, state, capacity: 1_000 }
-}
-
-/// Gossip of the first of some members.
-fn hear_of(core: &mut GatewayCore, members: Vec<Member>, now: Duration) {
-    let from = members[0].address;
-    let seen = Seen::default();
-    let message = PeerMessage::Gossip { members, seen, complete: true, usage: Vec::new() };
-    core.handle(Event::Peer { from, message }, now);
-}
-
 /// A gateway beside another one that owns the stages: its address and incarnation.
 fn beside_an_owner(route: &Route) -> (GatewayCore, u16) {
     for port in 2..20 {
--- /dev/null
+++ b/tests/directenv/gateway.rs
@@ -0,0 +1,115 @@
+//! One gateway's core: published documents, callers' requests, and what it decides.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use stackmast::actor::Core;
+use stackmast::direct::core::{GatewayCore, Setup};
+use stackmast::direct::documents::{Document, Revised, Seen};
+use stackmast::direct::event::{Action, CallOrder, Event, Incoming, Proof, Refusal};
+use stackmast::direct::members::{Member, MemberState};
+use stackmast::direct::message::PeerMessage;
+use stackmast::direct::model::{Deployment, Endpoint, Route};
+use stackmast::direct::repeats::Bounds;
+
+use super::{address, deployment, endpoints, ms};
+
+pub fn new_core() -> GatewayCore {
+    GatewayCore::new(Setup {
+        address: address(1),
+        incarnation: 1,
+        capacity: 1_000,
+        data_centre: "hall-1".into(),
+        seeds: Vec::new(),
+        repeats: Bounds { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) },
+        grace: Duration::from_secs(8),
+        seed: 7,
+    })
+}
+
+pub fn listed(endpoints: &[Arc<Endpoint>], revision: u64) -> Vec<Revised> {
+    let document = |e: &Arc<Endpoint>| Document::Endpoint(e.clone());
+    endpoints.iter().map(|e| Revised { revision, document: document(e) }).collect()
+}
+
+pub fn publish(core: &mut GatewayCore, deployment: Deployment, now: Duration) -> Vec<Action> {
+    let document = Document::Deployment(Arc::new(deployment));
+    let documents = vec![Revised { revision: 1, document }];
+    let mut actions = core.handle(Event::Published { documents, whole_at: None }, now);
+    let documents = listed(&endpoints(), 2);
+    actions.extend(core.handle(Event::Published { documents, whole_at: Some(2) }, now));
+    actions
+}
+
+pub fn configured(routes: Vec<Route>) -> GatewayCore {
+    let mut core = new_core();
+    publish(&mut core, deployment(1, routes), ms(0));
+    core
+}
+
+pub fn incoming(route: &str, pieces: Vec<usize>) -> Incoming {
+    Incoming {
+        id: "id-1".into(),
+        host: "h.example".to_owned(),
+        path: format!("/{route}/x"),
+        key: Some("key".to_owned()),
+        allowed: Some(Duration::from_secs(5)),
+        generation: None,
+        pieces,
+        piece_key: Some("k".into()),
+        after_event: None,
+    }
+}
+
+pub fn submit(
+    core: &mut GatewayCore,
+    caller: u64,
+    incoming: Incoming,
+    now: Duration,
+) -> Vec<Action> {
+    core.handle(Event::Submit { caller, incoming }, now)
+}
+
+pub fn calls(actions: &[Action]) -> Vec<(u64, CallOrder)> {
+    let calls = actions.iter().filter_map(|a| match a {
+        Action::Call { attempt, order, .. } => Some((*attempt, order.clone())),
+        _ => None,
+    });
+    calls.collect()
+}
+
+pub fn refusal(actions: &[Action]) -> Option<Refusal> {
+    actions.iter().find_map(|a| match a {
+        Action::Refuse { refusal, .. } => Some(refusal.clone()),
+        _ => None,
+    })
+}
+
+pub fn is_delivered(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Deliver { .. }))
+}
+
+pub fn good() -> Proof {
+    Proof { status: 200, signed: true, own: true, ..Proof::default() }
+}
+
+pub fn answered(attempt: u64, proof: Proof) -> Event {
+    Event::Answered { caller: 1, attempt, proof, is_open: false }
+}
+
+pub fn serving(port: u16) -> Member {
+    let state = MemberState::Serving;
+    Member { address: address(port), incarnation: 5, heartbeat: 1, state, capacity: 1_000 }
+}
+
+pub fn gossip(members: Vec<Member>) -> PeerMessage {
+    let seen = Seen::default();
+    PeerMessage::Gossip { members, seen, complete: true, usage: Vec::new() }
+}
+
+/// Gossip of the first of some members.
+pub fn hear_of(core: &mut GatewayCore, members: Vec<Member>, now: Duration) {
+    let from = members[0].address;
+    let message = gossip(members);
+    core.handle(Event::Peer { from, message }, now);
+}
--- a/tests/directenv/mod.rs
+++ b/tests/directenv/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub mod fakes;
+pub mod gateway;
 pub mod world;
 
 use std::net::SocketAddr;
