Sight: reads of the store, pulls between gateways, and a late core

Four hypotheses of the configuration that is late on small hosts could not be told apart: logs had 'configured' with its source and nothing else. No logic changes here.

- 'configured' tells since when a peer had told of a newer version, and which peer.
- 'pull' and 'pulled': documents asked of a peer, had from it, given to one.
- 'core_late' and two histograms: how long events wait for the core and how long it takes.

--- a/src/actor.rs
+++ b/src/actor.rs
@@ -32,12 +32,16 @@
 pub trait Shell<C: Core>: Send + 'static {
     /// Carries out one action.
     fn act(&mut self, action: C::Action, core: &C);
+
+    /// An event waited so long for the core, which took so long to handle it.
+    fn handled(&mut self, _waited: Duration, _took: Duration) {}
 }
 
 type Inspection<C> = Box<dyn FnOnce(&C, Timestamp) + Send>;
 
 enum Message<C: Core> {
-    Event(C::Event),
+    /// An event, and since when it waits.
+    Event(C::Event, Instant),
     Inspect(Inspection<C>),
 }
 
@@ -60,13 +64,13 @@
 impl<C: Core> Handle<C> {
     /// Sends an event, waiting while the mailbox is full.
     pub async fn send(&self, event: C::Event) -> Result<(), Stopped> {
-        self.mailbox.send(Message::Event(event)).await.map_err(|_| Stopped)
+        self.mailbox.send(Message::Event(event, Instant::now())).await.map_err(|_| Stopped)
     }
 
     /// Sends an event from where nothing can wait, such as a destructor.
     pub fn post(&self, event: C::Event, runtime: &tokio::runtime::Handle) {
         if let Err(mpsc::error::TrySendError::Full(message)) =
-            self.mailbox.try_send(Message::Event(event))
+            self.mailbox.try_send(Message::Event(event, Instant::now()))
         {
             let mailbox = self.mailbox.clone();
             runtime.spawn(async move { mailbox.send(message).await.ok() });
@@ -107,14 +111,17 @@
         let wakeup = start + core.next_wakeup().map_or(idle, |at| at.min(idle));
         let message = tokio::select! {
             biased;
-            () = tokio::time::sleep_until(wakeup) => Some(Message::Event(C::TICK)),
+            () = tokio::time::sleep_until(wakeup) => Some(Message::Event(C::TICK, wakeup)),
             message = mailbox.receiver.recv() => message,
         };
         match message {
             None => return,
             Some(Message::Inspect(ask)) => ask(&core, start.elapsed()),
-            Some(Message::Event(event)) => {
-                for action in core.handle(event, start.elapsed()) {
+            Some(Message::Event(event, since)) => {
+                let begun = Instant::now();
+                let actions = core.handle(event, begun - start);
+                shell.handled(begun.saturating_duration_since(since), begun.elapsed());
+                for action in actions {
                     shell.act(action, &core);
                 }
             }
--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -9,11 +9,11 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-use super::documents::{Documents, Merged, Revised};
+use super::documents::{Document, Documents, Merged, Revised, Seen};
 use super::event::{Action, Event};
 use super::members::{HEARTBEAT, MemberState, Members};
 use super::message::PeerMessage;
-use super::note::Note;
+use super::note::{Note, ms};
 use super::repeats::Bounds;
 use super::requests::Requests;
 use super::scheduler::Scheduler;
@@ -57,6 +57,14 @@
     since: Timestamp,
 }
 
+/// Who told first of a newer configuration, and when.
+#[derive(Debug, Clone, Copy)]
+struct Told {
+    peer: SocketAddr,
+    version: u64,
+    at: Timestamp,
+}
+
 /// One gateway.
 #[derive(Debug)]
 pub struct GatewayCore {
@@ -66,6 +74,8 @@
     requests: Requests,
     scheduler: Scheduler,
     behind: Option<Behind>,
+    /// A newer configuration that a peer told of first, until it is in force.
+    told_newer: Option<Told>,
     next_beat: Timestamp,
     draining_since: Option<Timestamp>,
     grace: Duration,
@@ -89,6 +99,7 @@
             ),
             scheduler: Scheduler::new(setup.repeats),
             behind: None,
+            told_newer: None,
             next_beat: Timestamp::ZERO,
             draining_since: None,
             grace: setup.grace,
@@ -149,12 +160,13 @@
                     Some(at) => self.documents.merge_list(documents, at, now),
                     None => self.documents.merge(documents, now),
                 };
-                self.merged(&merged, "publisher", true);
+                self.merged(&merged, "publisher", true, now);
             }
             Event::Publisher { answers } => {
                 self.documents.publisher(answers, now);
                 self.note(Note::Publisher { answers });
             }
+            Event::StoreRead(read) => self.note(Note::store_read(&read)),
             Event::Seeds(seeds) => self.members.set_seeds(seeds),
             Event::Drain => self.drain(now),
             Event::Tick => {}
@@ -198,6 +210,7 @@
                         cause: "heard",
                     });
                 }
+                self.told_of(from, seen.version, now);
                 let lacks_list = complete && !self.documents.is_complete();
                 if lacks_list || self.documents.seen().is_behind(&seen) {
                     let since = self.behind.map_or(now, |b| b.since);
@@ -207,6 +220,10 @@
             PeerMessage::Pull { seen } => {
                 let documents = self.documents.newer_than(seen);
                 let complete = self.documents.is_complete();
+                let is_deployment = |d: &Revised| matches!(d.document, Document::Deployment(_));
+                let deployment = documents.iter().any(is_deployment);
+                let endpoints = documents.len() - usize::from(deployment);
+                self.note(Note::Pulled { peer: from, deployment, endpoints });
                 self.tell(from, PeerMessage::Documents { documents, complete });
             }
             PeerMessage::Documents { documents, complete } => {
@@ -249,13 +266,37 @@
         if complete {
             self.documents.note_listed();
         }
-        self.merged(&merged, &from.to_string(), false);
+        self.note_pull(from, "answered");
+        self.merged(&merged, &from.to_string(), false, now);
+    }
+
+    fn note_pull(&mut self, peer: SocketAddr, outcome: &'static str) {
+        let Seen { version, endpoints } = self.documents.seen();
+        self.note(Note::Pull { peer, outcome, version, endpoints });
+    }
+
+    fn told_of(&mut self, peer: SocketAddr, version: u64, now: Timestamp) {
+        if version > self.documents.seen().version {
+            self.told_newer.get_or_insert(Told { peer, version, at: now });
+        }
+    }
+
+    fn note_configured(&mut self, before: u64, source: &str, now: Timestamp) {
+        let version = self.documents.deployment().version;
+        let told = self.told_newer;
+        self.told_newer = told.filter(|t| t.version > version);
+        self.note(Note::Configured {
+            version,
+            before,
+            source: source.to_owned(),
+            known_ms: told.map_or(0, |t| ms(now.saturating_sub(t.at))),
+            known_from: told.map(|t| t.peer),
+        });
     }
 
-    fn merged(&mut self, merged: &Merged, source: &str, spread: bool) {
+    fn merged(&mut self, merged: &Merged, source: &str, spread: bool, now: Timestamp) {
         if let Some(before) = merged.deployment {
-            let version = self.documents.deployment().version;
-            self.note(Note::Configured { version, before, source: source.to_owned() });
+            self.note_configured(before, source, now);
             self.out.push(Action::Limits(self.documents.deployment().limits.clone()));
         }
         for id in &merged.endpoints {
@@ -307,7 +348,7 @@
             self.peer_lost(member.address, member.incarnation, "silent", now);
         }
         let expired = self.documents.expire(now);
-        self.merged(&expired, "not back", false);
+        self.merged(&expired, "not back", false, now);
         self.update_state();
         if now >= self.next_beat {
             self.next_beat = now + HEARTBEAT;
@@ -373,8 +414,9 @@
         self.behind = None;
         let mut seen = self.documents.seen();
         if !complete {
-            seen = super::documents::Seen::default();
+            seen = Seen::default();
         }
+        self.note_pull(behind.peer, "asked");
         self.tell(behind.peer, PeerMessage::Pull { seen });
     }
 
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -100,6 +100,25 @@
     Failed(CallFailure),
 }
 
+/// How reading the publisher's store went.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StoreRead {
+    /// What was read.
+    pub subject: &'static str,
+    /// Whether it was a watch.
+    pub watch: bool,
+    /// `whole`, or how it failed.
+    pub outcome: &'static str,
+    /// Bytes that came.
+    pub bytes: usize,
+    /// Bytes that were stated.
+    pub expected: Option<u64>,
+    /// From the answer's head to its end.
+    pub took: Duration,
+    /// Time of decoding.
+    pub decoding: Duration,
+}
+
 /// What happens to a gateway.
 #[derive(Debug)]
 pub enum Event {
@@ -194,6 +213,8 @@
         /// Whether it answers.
         answers: bool,
     },
+    /// A long answer of the publisher ended, or one failed.
+    StoreRead(StoreRead),
     /// The settings name other seeds.
     Seeds(Vec<SocketAddr>),
     /// The process was told to stop.
--- a/src/direct/note.rs
+++ b/src/direct/note.rs
@@ -5,6 +5,7 @@
 
 use serde::Serialize;
 
+use super::event::StoreRead;
 use super::model::Name;
 
 /// One line.
@@ -126,6 +127,54 @@
         before: u64,
         /// Where it came from.
         source: String,
+        /// Milliseconds since a peer first told of a newer version; 0 where none had.
+        known_ms: u64,
+        /// The peer that told.
+        known_from: Option<SocketAddr>,
+    },
+    /// A long answer of the publisher's store, or one that failed.
+    StoreRead {
+        /// What was read.
+        subject: &'static str,
+        /// Whether it was a watch.
+        watch: bool,
+        /// `whole`, or how it failed.
+        outcome: &'static str,
+        /// Bytes that came.
+        bytes: usize,
+        /// Bytes that were stated.
+        expected: Option<u64>,
+        /// Milliseconds from the answer's head to its end.
+        took_ms: u64,
+        /// Milliseconds of decoding.
+        decode_ms: u64,
+    },
+    /// Documents are asked of a peer, came from it, or are waited for no longer.
+    Pull {
+        /// The peer.
+        peer: SocketAddr,
+        /// What became of it.
+        outcome: &'static str,
+        /// The configuration's version that the process has.
+        version: u64,
+        /// The revision of endpoints that the process has.
+        endpoints: u64,
+    },
+    /// A peer asked for documents.
+    Pulled {
+        /// The peer.
+        peer: SocketAddr,
+        /// Whether the configuration is among them.
+        deployment: bool,
+        /// How many entries of endpoints are.
+        endpoints: usize,
+    },
+    /// The core is late: an event waited long for it, or took it long.
+    CoreLate {
+        /// Milliseconds that the event waited.
+        waited_ms: u64,
+        /// Milliseconds that handling it took.
+        took_ms: u64,
     },
     /// An endpoint's entry changed.
     Endpoint {
@@ -186,6 +235,13 @@
 }
 
 impl Note {
+    /// The line of a read of the publisher's store.
+    pub fn store_read(read: &StoreRead) -> Self {
+        let StoreRead { subject, watch, outcome, bytes, expected, took, decoding } = *read;
+        let (took_ms, decode_ms) = (ms(took), ms(decoding));
+        Self::StoreRead { subject, watch, outcome, bytes, expected, took_ms, decode_ms }
+    }
+
     /// The word for metrics, as in the line.
     pub const fn kind(&self) -> &'static str {
         match self {
@@ -199,6 +255,10 @@
             Self::Ended { .. } => "ended",
             Self::StagesGivenUp { .. } => "stages_given_up",
             Self::Configured { .. } => "configured",
+            Self::StoreRead { .. } => "store_read",
+            Self::Pull { .. } => "pull",
+            Self::Pulled { .. } => "pulled",
+            Self::CoreLate { .. } => "core_late",
             Self::Endpoint { .. } => "endpoint",
             Self::Suspicion { .. } => "suspicion",
             Self::Peer { .. } => "peer",
--- a/src/direct/shell.rs
+++ b/src/direct/shell.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -20,7 +20,7 @@
     Action, BatchOutcome, CallFailure, CallOrder, Event, Incoming, PieceOrder, Refusal,
 };
 use super::model::{CallerLimits, Endpoint};
-use super::note::Note;
+use super::note::{Note, ms};
 use super::peers::Peers;
 use super::stream::EventSplitter;
 use crate::actor::{Handle, Shell};
@@ -29,6 +29,11 @@
 /// Events of one stream that wait for a slow caller.
 const WAITING_EVENTS: usize = 64;
 
+/// An event that waits or takes longer for the core makes it late.
+const LATE: Duration = Duration::from_millis(200);
+/// That the core is late is told this often at most.
+const LATE_TOLD: Duration = Duration::from_secs(1);
+
 /// A stream was broken off: its end must not look whole.
 #[derive(Debug, Snafu)]
 #[snafu(display("the stream was broken off"))]
@@ -166,6 +171,7 @@
     callers: Callers,
     state: watch::Sender<State>,
     lines: Lines,
+    late_told: Option<Instant>,
 }
 
 impl<C: EndpointClient> GatewayShell<C> {
@@ -184,7 +190,7 @@
             next: Arc::new(AtomicU64::new(1)),
             state: receiver,
         };
-        (Self { core, client, peers, callers, state, lines }, gateway)
+        (Self { core, client, peers, callers, state, lines, late_told: None }, gateway)
     }
 
     fn call(&self, caller: u64, attempt: u64, order: CallOrder) {
@@ -348,4 +354,13 @@
             Action::Note(note) => self.write(&note),
         }
     }
+
+    fn handled(&mut self, waited: Duration, took: Duration) {
+        crate::metrics::core_handled(waited, took);
+        if waited.max(took) < LATE || self.late_told.is_some_and(|at| at.elapsed() < LATE_TOLD) {
+            return;
+        }
+        self.late_told = Some(Instant::now());
+        self.write(&Note::CoreLate { waited_ms: ms(waited), took_ms: ms(took) });
+    }
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -58,6 +58,11 @@
 /// Pieces in a call.
 pub const BATCH_PIECES: &str = "stackmast_batch_pieces";
 
+/// Time that events wait for the core, in seconds.
+pub const CORE_WAIT: &str = "stackmast_core_wait_seconds";
+/// Time that the core takes for an event, in seconds.
+pub const CORE_TOOK: &str = "stackmast_core_event_seconds";
+
 /// Gives every metric its help text.
 pub fn describe() {
     describe_counter!(COMPLETED, "Requests answered in full, by in_time");
@@ -84,6 +89,8 @@
     describe_counter!(DECISIONS, "Decisions and changes of belief, by kind");
     describe_histogram!(BATCH_SECONDS, "Seconds of calls with pieces");
     describe_histogram!(BATCH_PIECES, "Pieces in a call");
+    describe_histogram!(CORE_WAIT, "Seconds that events wait for the core");
+    describe_histogram!(CORE_TOOK, "Seconds that the core takes for an event");
     counter!(INVARIANT_VIOLATIONS).absolute(0);
 }
 
@@ -151,6 +158,12 @@
     gauge!(IN_FLIGHT).set(count as f64);
 }
 
+/// The core handled an event.
+pub fn core_handled(waited: Duration, took: Duration) {
+    histogram!(CORE_WAIT).record(waited.as_secs_f64());
+    histogram!(CORE_TOOK).record(took.as_secs_f64());
+}
+
 /// Counts a decision or change of belief, and what it measured.
 pub fn noted(note: &Note) {
     counter!(DECISIONS, "kind" => note.kind()).increment(1);
