One copy of a configuration at a time, bounded by its silence and not by its length

- pulls: a configuration is asked of one peer at a time, of the strongest that have the newest, another after silence, refusal or a break; of none while the own read moves.
Entries are asked for apart.
- bulk: it comes in chunks over a connection of its own, two at once a sender.
- table: routes and keys are compiled with the configuration only; endpoints are found by id.
- documents: marks of endpoints that are gone are tidied once a merge; a list is compared by a set.

--- /dev/null
+++ b/src/direct/bulk.rs
@@ -0,0 +1,117 @@
+//! A configuration on its way between gateways: over a connection of its own, in chunks, each of which
+//! is progress to the receiver; a few at once, so that one's narrow link is not shared by many.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::{SinkExt, StreamExt};
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
+
+use super::core::GatewayCore;
+use super::event::Event;
+use super::message::PeerMessage;
+use super::peers::{CONNECT_TIMEOUT, Connection, Hello, MAX_FRAME, encode, framed};
+use crate::actor::Handle;
+
+/// Configurations that a process sends at once; more share its link and are late together.
+const AT_ONCE: usize = 2;
+/// Bytes of a chunk: 13 ms of a link of 10 Mbit/s.
+const CHUNK: usize = 16 << 10;
+/// A connection must come up within that; bulk is not in a hurry, and its link may be full.
+const CONNECTED_WITHIN: Duration = CONNECT_TIMEOUT.saturating_mul(2);
+/// A receiver that has not taken all within that is given up.
+const LONGEST: Duration = Duration::from_secs(10);
+
+/// A revision and version of the configuration, encoded once for all who ask.
+type Encoded = Option<((u64, u64), Bytes)>;
+
+/// Sends configurations.
+#[derive(Debug)]
+pub(super) struct Bulk {
+    hello: Hello,
+    room: Arc<Semaphore>,
+    encoded: Mutex<Encoded>,
+}
+
+impl Bulk {
+    /// Nothing is sent yet.
+    pub fn new(hello: Hello) -> Self {
+        Self { hello, room: Arc::new(Semaphore::new(AT_ONCE)), encoded: Mutex::default() }
+    }
+
+    /// Begins to send; `false` if too many are sent already.
+    pub fn send(&self, to: SocketAddr, which: (u64, u64), message: &PeerMessage) -> bool {
+        let Ok(permit) = self.room.clone().try_acquire_owned() else {
+            return false;
+        };
+        let (hello, message) = (self.hello, self.encoded(which, message));
+        tokio::spawn(async move {
+            let outcome = match timeout(LONGEST, send(to, hello, message)).await {
+                Ok(true) => "sent",
+                Ok(false) => "broken",
+                Err(_) => "too long",
+            };
+            metrics::counter!(crate::metrics::BULK, "outcome" => outcome).increment(1);
+            drop(permit);
+        });
+        true
+    }
+
+    fn encoded(&self, which: (u64, u64), message: &PeerMessage) -> Bytes {
+        let mut encoded = self.encoded.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((_, bytes)) = encoded.as_ref().filter(|(of, _)| *of == which) {
+            return bytes.clone();
+        }
+        let bytes = encode(message);
+        *encoded = Some((which, bytes.clone()));
+        bytes
+    }
+}
+
+/// Sends a message in chunks, an empty one last, and waits until the receiver has it; says whether it
+/// has.
+async fn send(to: SocketAddr, hello: Hello, mut message: Bytes) -> bool {
+    let Ok(Ok(stream)) = timeout(CONNECTED_WITHIN, TcpStream::connect(to)).await else {
+        return false;
+    };
+    crate::metrics::control_bytes("out", message.len());
+    let mut connection = framed(stream);
+    let mut sent = connection.send(encode(&hello)).await.is_ok();
+    while sent && !message.is_empty() {
+        let chunk = message.split_to(message.len().min(CHUNK));
+        sent = connection.send(chunk).await.is_ok();
+    }
+    sent = sent && connection.send(Bytes::new()).await.is_ok();
+    // The receiver closes once it has all: an answer of no bytes.
+    sent && connection.next().await.is_none()
+}
+
+/// Takes a configuration in; each chunk is told as progress.
+pub(super) async fn receive(mut connection: Connection, hello: Hello, core: &Handle<GatewayCore>) {
+    let from = hello.address;
+    let mut whole = BytesMut::new();
+    while let Some(Ok(chunk)) = connection.next().await {
+        if whole.len() + chunk.len() > MAX_FRAME {
+            break;
+        }
+        if !chunk.is_empty() {
+            whole.extend_from_slice(&chunk);
+            core.send(Event::PeerSends { from }).await.ok();
+            continue;
+        }
+        crate::metrics::control_bytes("in", whole.len());
+        match serde_json::from_slice::<PeerMessage>(&whole) {
+            Ok(message) => {
+                core.send(Event::Peer { from, message }).await.ok();
+                return;
+            }
+            Err(_) => metrics::counter!(crate::metrics::PEER_BAD).increment(1),
+        }
+        break;
+    }
+    core.send(Event::PeerBrokeOff { from }).await.ok();
+}
--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -10,10 +10,11 @@
 use rand::rngs::StdRng;
 
 use super::documents::{Document, Documents, Merged, Revised, Seen};
-use super::event::{Action, Event};
+use super::event::{Action, Event, StoreRead};
 use super::members::{HEARTBEAT, MemberState, Members};
 use super::message::PeerMessage;
 use super::note::{Note, ms};
+use super::pulls::{Own, Pulls};
 use super::repeats::Bounds;
 use super::requests::Requests;
 use super::scheduler::Scheduler;
@@ -21,8 +22,6 @@
 use crate::actor::Core;
 use crate::message::Timestamp;
 
-/// A gateway that has seen less than another waits so long for its own publisher before it asks.
-const BEHIND: Duration = Duration::from_millis(100);
 /// After it was told to stop, a gateway takes requests on kept connections for so long, where
 /// others serve.
 const STILL_TAKING: Duration = Duration::from_millis(1_500);
@@ -50,21 +49,6 @@
     pub seed: u64,
 }
 
-/// What a gateway knows of a peer that has seen more.
-#[derive(Debug, Clone, Copy)]
-struct Behind {
-    peer: SocketAddr,
-    since: Timestamp,
-}
-
-/// Who told first of a newer configuration, and when.
-#[derive(Debug, Clone, Copy)]
-struct Told {
-    peer: SocketAddr,
-    version: u64,
-    at: Timestamp,
-}
-
 /// One gateway.
 #[derive(Debug)]
 pub struct GatewayCore {
@@ -73,9 +57,7 @@
     table: Table,
     requests: Requests,
     scheduler: Scheduler,
-    behind: Option<Behind>,
-    /// A newer configuration that a peer told of first, until it is in force.
-    told_newer: Option<Told>,
+    pulls: Pulls,
     next_beat: Timestamp,
     draining_since: Option<Timestamp>,
     grace: Duration,
@@ -98,8 +80,7 @@
                 setup.repeats,
             ),
             scheduler: Scheduler::new(setup.repeats),
-            behind: None,
-            told_newer: None,
+            pulls: Pulls::default(),
             next_beat: Timestamp::ZERO,
             draining_since: None,
             grace: setup.grace,
@@ -160,13 +141,24 @@
                     Some(at) => self.documents.merge_list(documents, at, now),
                     None => self.documents.merge(documents, now),
                 };
+                if merged.deployment.is_some() {
+                    self.pulls.read_ended();
+                }
                 self.merged(&merged, "publisher", true, now);
             }
             Event::Publisher { answers } => {
                 self.documents.publisher(answers, now);
                 self.note(Note::Publisher { answers });
             }
-            Event::StoreRead(read) => self.note(Note::store_read(&read)),
+            Event::Reading => self.pulls.reading(now),
+            Event::PeerSends { from } => self.pulls.progressed(from, now),
+            Event::PeerBrokeOff { from } => self.pull_failed(from, "broken off", now),
+            Event::StoreRead(read) => {
+                if read.subject == StoreRead::CONFIGURATION {
+                    self.pulls.read_ended();
+                }
+                self.note(Note::store_read(&read));
+            }
             Event::Seeds(seeds) => self.members.set_seeds(seeds),
             Event::Drain => self.drain(now),
             Event::Tick => {}
@@ -210,22 +202,17 @@
                         cause: "heard",
                     });
                 }
-                self.told_of(from, seen.version, now);
-                let lacks_list = complete && !self.documents.is_complete();
-                if lacks_list || self.documents.seen().is_behind(&seen) {
-                    let since = self.behind.map_or(now, |b| b.since);
-                    self.behind = Some(Behind { peer: from, since });
-                }
+                self.pulls.told(from, seen, complete, self.own(), now);
             }
-            PeerMessage::Pull { seen } => {
-                let documents = self.documents.newer_than(seen);
-                let complete = self.documents.is_complete();
-                let is_deployment = |d: &Revised| matches!(d.document, Document::Deployment(_));
-                let deployment = documents.iter().any(is_deployment);
-                let endpoints = documents.len() - usize::from(deployment);
-                self.note(Note::Pulled { peer: from, deployment, endpoints });
-                self.tell(from, PeerMessage::Documents { documents, complete });
+            PeerMessage::Pull { seen, configuration } => self.on_pull(from, seen, configuration),
+            PeerMessage::Configuration { revision, deployment } => {
+                self.pulls.answered(from);
+                let document = Document::Deployment(deployment);
+                let merged = self.documents.merge(vec![Revised { revision, document }], now);
+                self.note_pull(from, "answered");
+                self.merged(&merged, &from.to_string(), false, now);
             }
+            PeerMessage::NoConfiguration => self.pull_failed(from, "refused", now),
             PeerMessage::Documents { documents, complete } => {
                 self.on_documents(from, documents, complete, now);
             }
@@ -266,7 +253,7 @@
         if complete {
             self.documents.note_listed();
         }
-        self.note_pull(from, "answered");
+        self.pulls.list_came();
         self.merged(&merged, &from.to_string(), false, now);
     }
 
@@ -275,16 +262,35 @@
         self.note(Note::Pull { peer, outcome, version, endpoints });
     }
 
-    fn told_of(&mut self, peer: SocketAddr, version: u64, now: Timestamp) {
-        if version > self.documents.seen().version {
-            self.told_newer.get_or_insert(Told { peer, version, at: now });
+    fn own(&self) -> Own {
+        Own { seen: self.documents.seen(), complete: self.documents.is_complete() }
+    }
+
+    fn on_pull(&mut self, from: SocketAddr, seen: Seen, configuration: bool) {
+        let documents = self.documents.endpoints_after(seen.endpoints);
+        let complete = self.documents.is_complete();
+        let newer = self.documents.deployment_after(seen.version).filter(|_| configuration);
+        let (deployment, endpoints) = (newer.is_some(), documents.len());
+        self.note(Note::Pulled { peer: from, deployment, endpoints });
+        self.tell(from, PeerMessage::Documents { documents, complete });
+        match newer {
+            Some((revision, deployment)) => {
+                self.tell(from, PeerMessage::Configuration { revision, deployment });
+            }
+            None if configuration => self.tell(from, PeerMessage::NoConfiguration),
+            None => {}
+        }
+    }
+
+    fn pull_failed(&mut self, peer: SocketAddr, outcome: &'static str, now: Timestamp) {
+        if self.pulls.failed(peer, now) {
+            self.note_pull(peer, outcome);
         }
     }
 
     fn note_configured(&mut self, before: u64, source: &str, now: Timestamp) {
         let version = self.documents.deployment().version;
-        let told = self.told_newer;
-        self.told_newer = told.filter(|t| t.version > version);
+        let told = self.pulls.configured(version, now);
         self.note(Note::Configured {
             version,
             before,
@@ -307,7 +313,14 @@
         if merged.is_empty() {
             return;
         }
-        self.table = Table::new(self.documents.deployment().clone(), self.documents.endpoints());
+        if merged.deployment.is_some() {
+            let deployment = self.documents.deployment().clone();
+            self.table = Table::new(deployment, self.documents.endpoints());
+        } else {
+            for id in &merged.endpoints {
+                self.table.replace(id, self.documents.endpoint(id));
+            }
+        }
         self.requests.changed(&self.table);
         self.scheduler.changed(&self.table);
         if spread {
@@ -332,6 +345,7 @@
         now: Timestamp,
     ) {
         self.note(Note::Peer { address, incarnation, alive: false, cause });
+        self.pulls.lost(address);
         let is_gone =
             |job: &super::message::JobId| job.gateway == address && job.incarnation == incarnation;
         self.scheduler.release_all_of(is_gone, &self.table);
@@ -402,22 +416,21 @@
         self.requests.submit_again(address);
     }
 
-    /// Asks the peer that has seen more, unless the own publisher has caught up meanwhile.
+    /// Asks peers for what they have seen and this gateway has not.
     fn catch_up(&mut self, now: Timestamp) {
-        let Some(behind) = self.behind else {
-            return;
-        };
-        let complete = self.documents.is_complete();
-        if complete && now < behind.since + BEHIND {
-            return;
+        let own = self.own();
+        let due = self.pulls.due(own, &self.members, &mut self.rng, now);
+        if let Some(peer) = due.silent {
+            self.note_pull(peer, "silent");
+        }
+        let seen = if own.complete { own.seen } else { Seen::default() };
+        if let Some(peer) = due.list {
+            self.tell(peer, PeerMessage::Pull { seen, configuration: false });
         }
-        self.behind = None;
-        let mut seen = self.documents.seen();
-        if !complete {
-            seen = Seen::default();
+        if let Some(peer) = due.configuration {
+            self.note_pull(peer, "asked");
+            self.tell(peer, PeerMessage::Pull { seen: own.seen, configuration: true });
         }
-        self.note_pull(behind.peer, "asked");
-        self.tell(behind.peer, PeerMessage::Pull { seen });
     }
 
     /// Carries messages to the own scheduler or requests without the network.
@@ -454,9 +467,8 @@
 
     fn next_wakeup(&self) -> Option<Timestamp> {
         let wakeups = [self.scheduler.next_wakeup(), self.requests.next_wakeup()];
-        let behind = self.behind.map(|b| b.since + BEHIND).into_iter();
-        let behind =
-            behind.chain(self.documents.next_expiry()).chain(self.members.next_suspicion());
+        let pulls = self.pulls.next_wakeup(self.documents.is_complete()).into_iter();
+        let behind = pulls.chain(self.documents.next_expiry()).chain(self.members.next_suspicion());
         wakeups.into_iter().flatten().chain(behind).chain([self.next_beat]).min()
     }
 }
--- a/src/direct/documents.rs
+++ b/src/direct/documents.rs
@@ -3,7 +3,7 @@
 //! Documents come from the publisher's store and from other gateways, in any order and more than
 //! once; the highest revision of each wins, so both sources merge without agreement.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -132,6 +132,11 @@
         self.endpoints.values().filter_map(Entry::in_use)
     }
 
+    /// The endpoint of this id, if it may be used.
+    pub fn endpoint(&self, id: &str) -> Option<&Arc<Endpoint>> {
+        self.endpoints.get(id).and_then(Entry::in_use)
+    }
+
     /// Where an endpoint's entry stands.
     pub fn state(&self, id: &str) -> EntryState {
         let entry = self.endpoints.get(id);
@@ -191,12 +196,13 @@
                 Document::Gone(id) => self.set(id, revision, None, held_until, now, &mut merged),
             }
         }
+        self.forget(now);
         merged
     }
 
     /// Takes in the whole list as it stood at revision `at`: what it lacks is gone.
     pub fn merge_list(&mut self, documents: Vec<Revised>, at: u64, now: Timestamp) -> Merged {
-        let listed: Vec<Name> = documents
+        let listed: HashSet<Name> = documents
             .iter()
             .filter_map(|d| match &d.document {
                 Document::Endpoint(endpoint) => Some(endpoint.id.clone()),
@@ -207,7 +213,7 @@
         let missing: Vec<Name> = self
             .endpoints
             .iter()
-            .filter(|(id, e)| e.endpoint.is_some() && e.revision < at && !listed.contains(id))
+            .filter(|(id, e)| e.endpoint.is_some() && e.revision < at && !listed.contains(*id))
             .map(|(id, _)| id.clone())
             .collect();
         let held_until = self.held_until(missing.len(), now);
@@ -218,21 +224,30 @@
         merged
     }
 
-    /// What a process that has seen `since` lacks.
-    pub fn newer_than(&self, since: Seen) -> Vec<Revised> {
-        let mut documents = Vec::new();
-        if self.seen.version > since.version {
-            let document = Document::Deployment(self.deployment.clone());
-            documents.push(Revised { revision: self.deployment_revision, document });
-        }
-        for (id, entry) in self.endpoints.iter().filter(|(_, e)| e.revision > since.endpoints) {
+    /// The configuration and its revision, if it is newer than `version`.
+    pub fn deployment_after(&self, version: u64) -> Option<(u64, Arc<Deployment>)> {
+        (self.seen.version > version).then(|| (self.deployment_revision, self.deployment.clone()))
+    }
+
+    /// The entries of endpoints that a process which has seen them up to `revision` lacks.
+    pub fn endpoints_after(&self, revision: u64) -> Vec<Revised> {
+        let newer = self.endpoints.iter().filter(|(_, e)| e.revision > revision);
+        let revised = newer.map(|(id, entry)| {
             let document = match &entry.endpoint {
                 Some(endpoint) => Document::Endpoint(endpoint.clone()),
                 None => Document::Gone(id.clone()),
             };
-            documents.push(Revised { revision: entry.revision, document });
-        }
-        documents
+            Revised { revision: entry.revision, document }
+        });
+        revised.collect()
+    }
+
+    /// What a process that has seen `since` lacks.
+    pub fn newer_than(&self, since: Seen) -> Vec<Revised> {
+        let deployment = self.deployment_after(since.version).map(|(revision, deployment)| {
+            Revised { revision, document: Document::Deployment(deployment) }
+        });
+        deployment.into_iter().chain(self.endpoints_after(since.endpoints)).collect()
     }
 
     /// A peer sent what it has beyond what this process had seen.
@@ -286,6 +301,10 @@
         let lapsed = before.filter(|e| endpoint.is_none() && !e.leaving).cloned();
         let lapsed = lapsed.zip(held_until);
         self.endpoints.insert(id, Entry { revision, endpoint, lapsed, since: now });
+    }
+
+    /// Forgets endpoints that are gone for long.
+    fn forget(&mut self, now: Timestamp) {
         self.endpoints.retain(|_, e| e.endpoint.is_some() || now < e.since + GONE_KEPT);
     }
 }
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -119,6 +119,11 @@
     pub decoding: Duration,
 }
 
+impl StoreRead {
+    /// The subject of reads of the configuration.
+    pub const CONFIGURATION: &'static str = "configuration";
+}
+
 /// What happens to a gateway.
 #[derive(Debug)]
 pub enum Event {
@@ -213,6 +218,18 @@
         /// Whether it answers.
         answers: bool,
     },
+    /// Something came of a configuration that is read from the publisher.
+    Reading,
+    /// Something came of a configuration that a peer sends.
+    PeerSends {
+        /// Who.
+        from: SocketAddr,
+    },
+    /// A peer broke off while it sent a configuration.
+    PeerBrokeOff {
+        /// Who.
+        from: SocketAddr,
+    },
     /// A long answer of the publisher ended, or one failed.
     StoreRead(StoreRead),
     /// The settings name other seeds.
--- a/src/direct/members.rs
+++ b/src/direct/members.rs
@@ -223,6 +223,11 @@
         self.others.iter().filter(|(_, k)| k.heard.is_none()).map(|(a, _)| *a)
     }
 
+    /// How strong a member's host is, against others; 0 where nothing is known of it.
+    pub fn strength(&self, address: SocketAddr) -> u32 {
+        self.others.get(&address).map_or(0, |k| k.member.capacity_class())
+    }
+
     /// Whether this life of a member is taken for alive.
     pub fn is_alive(&self, address: SocketAddr, incarnation: u64) -> bool {
         address == self.own.address && incarnation == self.own.incarnation
--- a/src/direct/message.rs
+++ b/src/direct/message.rs
@@ -1,6 +1,7 @@
 //! What gateways say to each other.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -8,7 +9,7 @@
 use super::documents::{Revised, Seen};
 use super::makers::Usage;
 use super::members::Member;
-use super::model::Name;
+use super::model::{Deployment, Name};
 
 /// Names one request of one life of one gateway.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -112,10 +113,21 @@
     Pull {
         /// What it has seen.
         seen: Seen,
+        /// Whether a newer configuration is wanted, besides entries of endpoints.
+        configuration: bool,
     },
-    /// Documents.
+    /// The configuration that was asked for. It is long, and travels apart from all other messages.
+    Configuration {
+        /// The revision of its last change.
+        revision: u64,
+        /// The configuration.
+        deployment: Arc<Deployment>,
+    },
+    /// The sender has no newer configuration, or sends it to too many others now.
+    NoConfiguration,
+    /// Entries of endpoints.
     Documents {
-        /// Some or all.
+        /// What the receiver had not seen.
         documents: Vec<Revised>,
         /// Whether, with what was asked for, the receiver has the whole list.
         complete: bool,
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -5,6 +5,7 @@
 //! adapter (see `client`).
 
 mod attempts;
+pub mod bulk;
 pub mod client;
 pub mod core;
 pub mod documents;
@@ -21,6 +22,7 @@
 pub mod note;
 mod outcomes;
 pub mod peers;
+pub mod pulls;
 pub mod repeats;
 pub mod request;
 pub mod requests;
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -1,4 +1,5 @@
-//! Connections between gateways: one in each direction, length-prefixed JSON messages.
+//! Connections between gateways: one in each direction, length-prefixed JSON messages; a configuration
+//! goes over one of its own ([`super::bulk`]), so that nothing waits behind it.
 //!
 //! `tonic` is not used here: a message is a few hundred bytes with no answer of its own, and HTTP/2's
 //! framing would cost more than the rest of the path.
@@ -17,25 +18,31 @@
 use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
+use super::bulk::{self, Bulk};
 use super::core::GatewayCore;
 use super::event::Event;
 use super::message::PeerMessage;
 use crate::actor::Handle;
 
 /// A connection must come up within that.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// A peer that acknowledges nothing for so long is cut off.
 const SILENT_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Messages that wait for one peer; what comes beyond that is dropped.
 const QUEUE: usize = 1_024;
 /// The longest message: a whole configuration and list.
-const MAX_FRAME: usize = 16 << 20;
+pub(super) const MAX_FRAME: usize = 16 << 20;
 
 /// The first message on a connection.
-#[derive(Debug, Serialize, Deserialize)]
-struct Hello {
-    address: SocketAddr,
-    incarnation: u64,
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(super) struct Hello {
+    /// Where the sender's peers connect.
+    pub address: SocketAddr,
+    /// The sender's life.
+    pub incarnation: u64,
+    /// Whether the connection carries one configuration and nothing else.
+    #[serde(default)]
+    pub bulk: bool,
 }
 
 type Queues = Arc<Mutex<HashMap<SocketAddr, mpsc::Sender<PeerMessage>>>>;
@@ -46,16 +53,29 @@
     incarnation: u64,
     core: Handle<GatewayCore>,
     queues: Queues,
+    bulk: Bulk,
 }
 
 impl Peers {
     /// None yet.
     pub fn new(own: SocketAddr, incarnation: u64, core: Handle<GatewayCore>) -> Self {
-        Self { own, incarnation, core, queues: Arc::default() }
+        let hello = Hello { address: own, incarnation, bulk: true };
+        Self { own, incarnation, core, queues: Arc::default(), bulk: Bulk::new(hello) }
     }
 
     /// Queues a message; a connection is made where there is none.
     pub fn tell(&self, to: SocketAddr, message: PeerMessage) {
+        match message {
+            PeerMessage::Configuration { revision, ref deployment } => {
+                if !self.bulk.send(to, (revision, deployment.version), &message) {
+                    self.queue(to, PeerMessage::NoConfiguration);
+                }
+            }
+            message => self.queue(to, message),
+        }
+    }
+
+    fn queue(&self, to: SocketAddr, message: PeerMessage) {
         let mut queues = self.queues.lock().unwrap_or_else(PoisonError::into_inner);
         let queue = queues.entry(to).or_insert_with(|| self.connect(to));
         if queue.try_send(message).is_err() {
@@ -65,7 +85,7 @@
 
     fn connect(&self, to: SocketAddr) -> mpsc::Sender<PeerMessage> {
         let (sender, receiver) = mpsc::channel(QUEUE);
-        let hello = Hello { address: self.own, incarnation: self.incarnation };
+        let hello = Hello { address: self.own, incarnation: self.incarnation, bulk: false };
         let (core, queues, own_queue) = (self.core.clone(), self.queues.clone(), sender.clone());
         tokio::spawn(async move {
             let was_connected = run(to, hello, receiver).await;
@@ -88,13 +108,15 @@
     }
 }
 
-fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+pub(super) type Connection = Framed<TcpStream, LengthDelimitedCodec>;
+
+pub(super) fn framed(stream: TcpStream) -> Connection {
     stream.set_nodelay(true).ok();
     SockRef::from(&stream).set_tcp_user_timeout(Some(SILENT_TIMEOUT)).ok();
     LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME).new_framed(stream)
 }
 
-fn encode<T: Serialize>(message: &T) -> Bytes {
+pub(super) fn encode<T: Serialize>(message: &T) -> Bytes {
     Bytes::from(serde_json::to_vec(message).unwrap_or_default())
 }
 
@@ -110,10 +132,7 @@
     true
 }
 
-async fn send_all(
-    mut connection: Framed<TcpStream, LengthDelimitedCodec>,
-    mut queue: mpsc::Receiver<PeerMessage>,
-) {
+async fn send_all(mut connection: Connection, mut queue: mpsc::Receiver<PeerMessage>) {
     loop {
         tokio::select! {
             message = queue.recv() => {
@@ -156,6 +175,9 @@
     let Ok(hello) = serde_json::from_slice::<Hello>(&first) else {
         return;
     };
+    if hello.bulk {
+        return bulk::receive(connection, hello, &core).await;
+    }
     while let Some(Ok(frame)) = connection.next().await {
         let Ok(message) = serde_json::from_slice::<PeerMessage>(&frame) else {
             metrics::counter!(crate::metrics::PEER_BAD).increment(1);
@@ -166,6 +188,6 @@
             return;
         }
     }
-    let Hello { address, incarnation } = hello;
+    let Hello { address, incarnation, .. } = hello;
     core.send(Event::PeerBroke { address, incarnation }).await.ok();
 }
--- a/src/direct/table.rs
+++ b/src/direct/table.rs
@@ -5,7 +5,7 @@
 
 use super::model::{BatchSpec, Deployment, Endpoint, Name, Organisation, Pool, Route, Work};
 
-/// What a process knows, compiled; replaced as a whole.
+/// What a process knows, compiled; replaced as a whole with the configuration, and by endpoint.
 #[derive(Debug, Default)]
 pub struct Table {
     /// The configuration.
@@ -13,15 +13,17 @@
     /// Routes of a host, the longest path prefix first.
     by_host: HashMap<Name, Vec<usize>>,
     by_key: HashMap<Name, usize>,
-    /// Members of each pool, also leaving ones.
+    /// Members of each pool by their ids, also leaving ones.
     members: HashMap<Name, Vec<Arc<Endpoint>>>,
+    /// Members of any pool.
+    by_id: HashMap<Name, Arc<Endpoint>>,
 }
 
 impl Table {
     /// Compiles.
     pub fn new<'a>(
         deployment: Arc<Deployment>,
-        endpoints: impl Iterator<Item = &'a Arc<Endpoint>> + Clone,
+        endpoints: impl Iterator<Item = &'a Arc<Endpoint>>,
     ) -> Self {
         let mut by_host: HashMap<Name, Vec<usize>> = HashMap::new();
         for (i, route) in deployment.routes.iter().enumerate() {
@@ -34,12 +36,30 @@
         for (i, organisation) in deployment.organisations.iter().enumerate() {
             by_key.extend(organisation.keys.iter().map(|k| (k.clone(), i)));
         }
-        let members = deployment.pools.iter().map(|pool| {
-            let matching = endpoints.clone().filter(|e| pool.endpoints.matches(&e.labels));
-            (pool.name.clone(), matching.cloned().collect())
-        });
-        let members = members.collect();
-        Self { deployment, by_host, by_key, members }
+        let (members, by_id) = (HashMap::new(), HashMap::new());
+        let mut table = Self { deployment, by_host, by_key, members, by_id };
+        for endpoint in endpoints {
+            table.replace(&endpoint.id, Some(endpoint));
+        }
+        table
+    }
+
+    /// An endpoint is new, changed or, where there is none now, gone; routes and keys stay as they are.
+    pub fn replace(&mut self, id: &Name, endpoint: Option<&Arc<Endpoint>>) {
+        self.by_id.remove(id);
+        for pool in &self.deployment.pools {
+            let members = self.members.entry(pool.name.clone()).or_default();
+            let place = members.binary_search_by(|m| m.id.cmp(id));
+            if let Ok(at) = place {
+                members.remove(at);
+            }
+            let member = endpoint.filter(|e| pool.endpoints.matches(&e.labels));
+            if let Some(member) = member {
+                let (Ok(at) | Err(at)) = place;
+                members.insert(at, member.clone());
+                self.by_id.insert(id.clone(), member.clone());
+            }
+        }
     }
 
     /// Whether there is a configuration.
@@ -79,6 +99,6 @@
 
     /// The endpoint of this id, in any pool.
     pub fn endpoint(&self, id: &str) -> Option<&Arc<Endpoint>> {
-        self.members.values().flatten().find(|e| &*e.id == id)
+        self.by_id.get(id)
     }
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -58,6 +58,8 @@
 /// Pieces in a call.
 pub const BATCH_PIECES: &str = "stackmast_batch_pieces";
 
+/// Configurations sent to peers, by outcome.
+pub const BULK: &str = "stackmast_bulk_sent_total";
 /// Time that events wait for the core, in seconds.
 pub const CORE_WAIT: &str = "stackmast_core_wait_seconds";
 /// Time that the core takes for an event, in seconds.
@@ -89,6 +91,7 @@
     describe_counter!(DECISIONS, "Decisions and changes of belief, by kind");
     describe_histogram!(BATCH_SECONDS, "Seconds of calls with pieces");
     describe_histogram!(BATCH_PIECES, "Pieces in a call");
+    describe_counter!(BULK, "Configurations sent to peers, by outcome");
     describe_histogram!(CORE_WAIT, "Seconds that events wait for the core");
     describe_histogram!(CORE_TOOK, "Seconds that the core takes for an event");
     counter!(INVARIANT_VIOLATIONS).absolute(0);
--- a/tests/direct_pulls.rs
+++ b/tests/direct_pulls.rs
@@ -3,16 +3,20 @@
 mod directenv;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
-use directenv::{address, deployment, endpoint, ms};
+use directenv::{address, deployment, endpoint, ms, route};
 use stackmast::actor::Core;
 use stackmast::direct::core::{GatewayCore, Setup};
 use stackmast::direct::documents::{Document, Revised, Seen};
 use stackmast::direct::event::{Action, Event};
 use stackmast::direct::members::{Member, MemberState};
 use stackmast::direct::message::PeerMessage;
+use stackmast::direct::model::Repeat;
 use stackmast::direct::repeats::Bounds;
+use stackmast::direct::table::Table;
 use stackmast::message::Timestamp;
+use test_case::test_case;
 
 /// A gateway that knows a configuration of version 1 and one endpoint.
 fn gateway() -> GatewayCore {
@@ -67,9 +71,123 @@
     asked
 }
 
+const NEWER: Seen = Seen { version: 2, endpoints: 2 };
+
 #[test]
 fn a_configuration_is_asked_of_one_peer_while_its_answer_is_on_the_way() {
     let mut core = gateway();
-    let asked = asked(&mut core, Seen { version: 2, endpoints: 2 }, 10, 700);
+    let asked = asked(&mut core, NEWER, 2_010, 2_700);
     assert_eq!(asked.len(), 1, "{asked:?}");
+    assert_eq!(asked[0].1, address(4), "the strongest host");
+}
+
+#[test]
+fn an_answer_that_moves_is_waited_for() {
+    let mut core = gateway();
+    assert_eq!(asked(&mut core, NEWER, 2_000, 2_200).len(), 1);
+    for at in (2_200..8_000).step_by(200) {
+        core.handle(Event::PeerSends { from: address(4) }, ms(at));
+        assert!(asked(&mut core, NEWER, at, at + 200).is_empty(), "{at}");
+    }
+}
+
+#[test]
+fn a_peer_of_which_nothing_comes_is_passed_over() {
+    let mut core = gateway();
+    let asked = asked(&mut core, NEWER, 2_000, 3_300);
+    let peers: Vec<_> = asked.iter().map(|(_, peer)| *peer).collect();
+    assert_eq!(peers.len(), 2, "{asked:?}");
+    assert_eq!(peers[0], address(4));
+    assert_ne!(peers[1], address(4));
+}
+
+#[test_case(&|| Event::Peer { from: address(4), message: PeerMessage::NoConfiguration }; "that refuses")]
+#[test_case(&|| Event::PeerBrokeOff { from: address(4) }; "that breaks off")]
+fn another_is_asked_after_a_peer(event: &dyn Fn() -> Event) {
+    let mut core = gateway();
+    assert_eq!(asked(&mut core, NEWER, 2_000, 2_300).len(), 1);
+    let actions = core.handle(event(), ms(2_300));
+    let next = pulls(&actions);
+    assert_eq!(next.len(), 1);
+    assert_ne!(next[0], address(4));
+}
+
+#[test]
+fn nothing_is_asked_of_peers_while_the_own_read_brings_it() {
+    let mut core = gateway();
+    for at in (2_000..3_400).step_by(200) {
+        core.handle(Event::Reading, ms(at));
+        assert!(asked(&mut core, NEWER, at, at + 200).is_empty(), "{at}");
+    }
+    assert_eq!(asked(&mut core, NEWER, 3_400, 4_000).len(), 1, "but not for ever");
+}
+
+#[test]
+fn entries_of_endpoints_do_not_wait_for_a_configuration() {
+    let mut core = gateway();
+    assert_eq!(asked(&mut core, NEWER, 2_000, 2_300).len(), 1);
+    let more = Seen { version: 2, endpoints: 3 };
+    let mut found = None;
+    for at in (2_300..2_600).step_by(5) {
+        let actions = core.handle(beat(5, at, more), ms(at));
+        found = found.or(actions.into_iter().find_map(|a| match a {
+            Action::Tell { message: PeerMessage::Pull { seen, configuration }, .. } => {
+                Some((at, seen.endpoints, configuration))
+            }
+            _ => None,
+        }));
+    }
+    let (at, endpoints, configuration) = found.expect("a pull of entries");
+    assert!(at <= 2_405 && endpoints == 2 && !configuration);
+}
+
+#[test]
+fn versions_that_follow_each_other_leave_the_link_to_requests_meanwhile() {
+    let mut core = gateway();
+    let mut times = Vec::new();
+    for at in (2_000..6_000).step_by(5) {
+        let seen = Seen { version: 2 + (at - 2_000) / 200, endpoints: 2 };
+        let actions = core.handle(beat(4, at, seen), ms(at));
+        if pulls(&actions).is_empty() {
+            continue;
+        }
+        times.push(at);
+        let deployment = deployment(seen.version, Vec::new()).into();
+        let message = PeerMessage::Configuration { revision: at, deployment };
+        core.handle(Event::Peer { from: address(4), message }, ms(at));
+        assert_eq!(core.table().deployment.version, seen.version, "the newest");
+    }
+    assert!(times.windows(2).all(|w| w[1] - w[0] >= 700), "{times:?}");
+    assert!(times.len() >= 4, "{times:?}");
+}
+
+#[test]
+fn an_endpoint_that_changes_leaves_the_table_as_if_it_were_compiled_anew() {
+    let routes = vec![route("plain", Repeat::Idempotent, &[])];
+    let deployment = Arc::new(deployment(1, routes));
+    let mut table = Table::new(deployment.clone(), [].into_iter());
+    let mut listed = std::collections::BTreeMap::new();
+    for step in 0..200_u16 {
+        let (pool, number) = (["first", "engine"][usize::from(step % 2)], step * 7 % 13);
+        let mut endpoint = (*endpoint(pool, number)).clone();
+        endpoint.leaving = step % 5 == 0;
+        let id = endpoint.id.clone();
+        if step % 3 == 0 {
+            listed.remove(&id);
+            table.replace(&id, None);
+        } else {
+            table.replace(&id, Some(&Arc::new(endpoint.clone())));
+            listed.insert(id, Arc::new(endpoint));
+        }
+        let anew = Table::new(deployment.clone(), listed.values());
+        for pool in ["first", "second", "engine"] {
+            assert_eq!(table.members(pool), anew.members(pool), "step {step}");
+        }
+        for number in 0..13 {
+            for pool in ["first", "engine"] {
+                let id = format!("{pool}-{number}");
+                assert_eq!(table.endpoint(&id), anew.endpoint(&id), "step {step}");
+            }
+        }
+    }
 }
