--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -137,13 +137,13 @@
             Event::PeerUnreachable { address } => self.on_unreachable(address, now),
             Event::Published { documents, whole_at } => {
                 self.documents.publisher(true, now);
+                if documents.iter().any(Revised::is_deployment) {
+                    self.pulls.read_ended();
+                }
                 let merged = match whole_at {
                     Some(at) => self.documents.merge_list(documents, at, now),
                     None => self.documents.merge(documents, now),
                 };
-                if merged.deployment.is_some() {
-                    self.pulls.read_ended();
-                }
                 self.merged(&merged, "publisher", true, now);
             }
             Event::Publisher { answers } => {
@@ -154,7 +154,8 @@
             Event::PeerSends { from } => self.pulls.progressed(from, now),
             Event::PeerBrokeOff { from } => self.pull_failed(from, "broken off", now),
             Event::StoreRead(read) => {
-                if read.subject == StoreRead::CONFIGURATION {
+                // What a whole one gave follows as published; until then it is on its way.
+                if read.subject == StoreRead::CONFIGURATION && read.outcome != StoreRead::WHOLE {
                     self.pulls.read_ended();
                 }
                 self.note(Note::store_read(&read));
--- a/src/direct/documents.rs
+++ b/src/direct/documents.rs
@@ -36,6 +36,13 @@
     pub document: Document,
 }
 
+impl Revised {
+    /// Whether it is a configuration.
+    pub const fn is_deployment(&self) -> bool {
+        matches!(self.document, Document::Deployment(_))
+    }
+}
+
 /// The highest revisions that a process has seen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Default)]
 pub struct Seen {
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -122,6 +122,8 @@
 impl StoreRead {
     /// The subject of reads of the configuration.
     pub const CONFIGURATION: &'static str = "configuration";
+    /// The outcome of a read whose answer came whole.
+    pub const WHOLE: &'static str = "whole";
 }
 
 /// What happens to a gateway.
--- a/tests/direct_pulls.rs
+++ b/tests/direct_pulls.rs
@@ -9,7 +9,7 @@
 use stackmast::actor::Core;
 use stackmast::direct::core::{GatewayCore, Setup};
 use stackmast::direct::documents::{Document, Revised, Seen};
-use stackmast::direct::event::{Action, Event};
+use stackmast::direct::event::{Action, Event, StoreRead};
 use stackmast::direct::members::{Member, MemberState};
 use stackmast::direct::message::PeerMessage;
 use stackmast::direct::model::Repeat;
@@ -122,6 +122,32 @@
     assert_eq!(asked(&mut core, NEWER, 3_400, 4_000).len(), 1, "but not for ever");
 }
 
+#[test]
+fn what_was_read_whole_is_not_asked_of_peers_before_it_is_handed_over() {
+    let mut core = gateway();
+    core.handle(Event::Reading, ms(2_000));
+    assert!(asked(&mut core, NEWER, 2_000, 2_300).is_empty());
+    let read = StoreRead {
+        subject: StoreRead::CONFIGURATION,
+        watch: true,
+        outcome: StoreRead::WHOLE,
+        bytes: 400_000,
+        expected: Some(400_000),
+        took: ms(300),
+        decoding: ms(10),
+    };
+    assert!(pulls(&core.handle(Event::StoreRead(read), ms(2_300))).is_empty());
+    let document = Document::Deployment(deployment(2, Vec::new()).into());
+    let documents = vec![Revised { revision: 3, document }];
+    core.handle(Event::Published { documents, whole_at: None }, ms(2_301));
+    assert!(asked(&mut core, NEWER, 2_305, 4_000).is_empty());
+    let lost = StoreRead { outcome: "torn", ..read };
+    core.handle(Event::Reading, ms(4_000));
+    let newer = Seen { version: 3, endpoints: 2 };
+    assert!(asked(&mut core, newer, 4_000, 4_200).is_empty());
+    assert_eq!(pulls(&core.handle(Event::StoreRead(lost), ms(4_200))).len(), 1, "at once");
+}
+
 #[test]
 fn entries_of_endpoints_do_not_wait_for_a_configuration() {
     let mut core = gateway();
