--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -100,6 +100,32 @@
     Failed(CallFailure),
 }
 
+/// How reading the publisher's store went.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StoreRead {
+    /// What was read.
+    pub subject: &'static str,
+    /// Whether it was a watch.
+    pub watch: bool,
+    /// `whole`, or how it failed.
+    pub outcome: &'static str,
+    /// Bytes that came.
+    pub bytes: usize,
+    /// Bytes that were stated.
+    pub expected: Option<u64>,
+    /// From the answer's head to its end.
+    pub took: Duration,
+    /// Time of decoding.
+    pub decoding: Duration,
+}
+
+impl StoreRead {
+    /// The subject of reads of the configuration.
+    pub const CONFIGURATION: &'static str = "configuration";
+    /// The outcome of a read whose answer came whole.
+    pub const WHOLE: &'static str = "whole";
+}
+
 /// What happens to a gateway.
 #[derive(Debug)]
 pub enum Event {
@@ -194,6 +220,20 @@
         /// Whether it answers.
         answers: bool,
     },
+    /// Something came of a configuration that is read from the publisher.
+    Reading,
+    /// Something came of a configuration that a peer sends.
+    PeerSends {
+        /// Who.
+        from: SocketAddr,
+    },
+    /// A peer broke off while it sent a configuration.
+    PeerBrokeOff {
+        /// Who.
+        from: SocketAddr,
+    },
+    /// A long answer of the publisher ended, or one failed.
+    StoreRead(StoreRead),
     /// The settings name other seeds.
     Seeds(Vec<SocketAddr>),
     /// The process was told to stop.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -62,6 +62,12 @@
 pub const STOP_DECIDED: &str = "stackmast_stop_decided_total";
 /// Requests that the end of a process cut, by what they were.
 pub const CUT_BY_STOP: &str = "stackmast_cut_by_stop_total";
+/// Configurations sent to peers, by outcome.
+pub const BULK: &str = "stackmast_bulk_sent_total";
+/// Time that events wait for the core, in seconds.
+pub const CORE_WAIT: &str = "stackmast_core_wait_seconds";
+/// Time that the core takes for an event, in seconds.
+pub const CORE_TOOK: &str = "stackmast_core_event_seconds";
 
 /// Gives every metric its help text.
 pub fn describe() {
@@ -94,6 +100,9 @@
         "Requests taken or turned away while stopping, by at and taken"
     );
     describe_counter!(CUT_BY_STOP, "Requests cut by the end of the process, by what");
+    describe_counter!(BULK, "Configurations sent to peers, by outcome");
+    describe_histogram!(CORE_WAIT, "Seconds that events wait for the core");
+    describe_histogram!(CORE_TOOK, "Seconds that the core takes for an event");
     counter!(INVARIANT_VIOLATIONS).absolute(0);
 }
 
@@ -161,6 +170,12 @@
     gauge!(IN_FLIGHT).set(count as f64);
 }
 
+/// The core handled an event.
+pub fn core_handled(waited: Duration, took: Duration) {
+    histogram!(CORE_WAIT).record(waited.as_secs_f64());
+    histogram!(CORE_TOOK).record(took.as_secs_f64());
+}
+
 /// Counts a decision or change of belief, and what it measured.
 pub fn noted(note: &Note) {
     counter!(DECISIONS, "kind" => note.kind()).increment(1);
