--- a/src/direct/attempts.rs
+++ b/src/direct/attempts.rs
@@ -28,6 +28,12 @@
         if now + TOO_LATE >= request.deadline {
             return self.refuse(caller, Refused::TimedOut, RETRY_SOON, now);
         }
+        if !self.may_be_sent(caller, now) {
+            return;
+        }
+        let Some(request) = self.requests.get(&caller) else {
+            return;
+        };
         let Some((endpoint, because, candidates)) = self.choose(request, table, now) else {
             return self.refuse(caller, Refused::NoEndpoint, RETRY_SOON, now);
         };
@@ -117,7 +123,7 @@
         self.out.push(Action::Call { caller, attempt: number, order });
     }
 
-    pub(super) fn is_open(&self, caller: u64, attempt: u64) -> bool {
+    pub(super) fn is_current(&self, caller: u64, attempt: u64) -> bool {
         let open = self.requests.get(&caller).and_then(|r| r.attempt.as_ref());
         open.is_some_and(|a| a.number == attempt)
     }
@@ -139,7 +145,7 @@
         table: &Table,
         now: Timestamp,
     ) {
-        if !self.is_open(caller, attempt) {
+        if !self.is_current(caller, attempt) {
             return;
         }
         let Some(request) = self.requests.get_mut(&caller) else {
@@ -170,6 +176,7 @@
                 request.phase = Phase::Streaming;
             }
         } else {
+            self.learn(caller, true, now);
             self.close_attempt(caller);
             self.end(caller, &format!("answered {}", proof.status), None, now);
         }
@@ -256,7 +263,7 @@
         table: &Table,
         now: Timestamp,
     ) {
-        if !self.is_open(caller, attempt) {
+        if !self.is_current(caller, attempt) {
             return;
         }
         if matches!(failure, CallFailure::Broken | CallFailure::Silent) {
@@ -291,9 +298,12 @@
         table: &Table,
         now: Timestamp,
     ) {
-        if !self.is_open(caller, attempt) {
+        if !self.is_current(caller, attempt) {
             return;
         }
+        if whole {
+            self.learn(caller, true, now);
+        }
         let Some(closed) = self.close_attempt(caller) else {
             return;
         };
@@ -326,7 +336,7 @@
 
     pub(super) fn silent(&mut self, caller: u64, attempt: u64, table: &Table, now: Timestamp) {
         let is_running = self.requests.get(&caller).is_some_and(|r| r.phase == Phase::Running);
-        if is_running && self.is_open(caller, attempt) {
+        if is_running && self.is_current(caller, attempt) {
             self.may_have_run(caller, "silent", table, now);
         }
     }
--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -12,26 +12,19 @@
 use super::documents::{Documents, Merged, Revised};
 use super::event::{Action, Event};
 use super::members::{HEARTBEAT, MemberState, Members};
-use super::message::PeerMessage;
+use super::message::{Job, PeerMessage};
 use super::note::{Note, ms};
 use super::repeats::Bounds;
 use super::requests::Requests;
 use super::scheduler::Scheduler;
+use super::stop::{self, Stop};
+use super::stopping::Stopping;
 use super::table::Table;
 use crate::actor::Core;
 use crate::message::Timestamp;
 
 /// A gateway that has seen less than another waits so long for its own publisher before it asks.
 const BEHIND: Duration = Duration::from_millis(100);
-/// After it was told to stop, a gateway takes requests on kept connections for so long, where
-/// others serve.
-const STILL_TAKING: Duration = Duration::from_millis(1_500);
-/// Where nobody else serves, it takes requests until so long before it is killed.
-const LAST_REQUEST: Duration = Duration::from_millis(4_500);
-
-/// A process ends so long before it would be killed.
-pub const BEFORE_KILL: Duration = Duration::from_millis(300);
-
 /// What a gateway is made with.
 #[derive(Debug, Clone)]
 pub struct Setup {
@@ -70,7 +63,7 @@
     scheduler: Scheduler,
     behind: Option<Behind>,
     next_beat: Timestamp,
-    draining_since: Option<Timestamp>,
+    stop: Option<Stop>,
     grace: Duration,
     is_ready: bool,
     rng: StdRng,
@@ -93,7 +86,7 @@
             scheduler: Scheduler::new(setup.repeats),
             behind: None,
             next_beat: Timestamp::ZERO,
-            draining_since: None,
+            stop: None,
             grace: setup.grace,
             is_ready: false,
             rng: StdRng::seed_from_u64(setup.seed),
@@ -106,17 +99,6 @@
         self.requests.len() + self.scheduler.jobs()
     }
 
-    /// What a process that ends now leaves undone, as a line.
-    pub fn stopped(&self, now: Timestamp) -> Note {
-        let streams = self.requests.streams();
-        Note::Stopped {
-            stopping_ms: ms(now.saturating_sub(self.draining_since.unwrap_or(now))),
-            unanswered: self.requests.len() - streams,
-            streams,
-            jobs: self.scheduler.jobs(),
-        }
-    }
-
     /// What is known and compiled.
     pub const fn table(&self) -> &Table {
         &self.table
@@ -125,10 +107,8 @@
     fn on_event(&mut self, event: Event, now: Timestamp) {
         match event {
             Event::Submit { caller, incoming } => {
-                let draining = !self.takes_requests(now);
                 let known = self.documents.is_complete();
-                self.note_taken_in_stop(&incoming.id, !draining, now);
-                self.requests.submit(caller, incoming, &self.table, known, draining, now);
+                self.requests.submit(caller, incoming, &self.table, known, now);
             }
             Event::CallerGone { caller } => self.requests.caller_gone(caller, now),
             Event::Answered { caller, attempt, proof, is_open } => {
@@ -172,46 +152,61 @@
             }
             Event::Seeds(seeds) => self.members.set_seeds(seeds),
             Event::Drain => self.drain(now),
+            Event::End => self.end(now),
             Event::Tick => {}
         }
     }
 
-    fn takes_requests(&self, now: Timestamp) -> bool {
-        let Some(since) = self.draining_since else {
-            return true;
-        };
-        let longest = self.grace.saturating_sub(LAST_REQUEST).max(STILL_TAKING);
-        let long = if self.members.is_served_elsewhere() { STILL_TAKING } else { longest };
-        now < since + long
-    }
-
-    fn note_taken_in_stop(&mut self, request: &super::model::Name, taken: bool, now: Timestamp) {
-        let Some(since) = self.draining_since else {
-            return;
-        };
-        let stopping = now.saturating_sub(since);
-        self.note(Note::StopDecided {
-            request: request.clone(),
-            at: "door",
-            taken,
-            stopping_ms: ms(stopping),
-            left_ms: ms(self.grace.saturating_sub(BEFORE_KILL + stopping)),
-            expected_ms: None,
-            served_elsewhere: self.members.is_served_elsewhere(),
-        });
-    }
-
     fn note(&mut self, note: Note) {
         self.out.push(Action::Note(note));
     }
 
     fn drain(&mut self, now: Timestamp) {
-        if self.draining_since.is_none() {
-            self.draining_since = Some(now);
-            let served_elsewhere = self.members.is_served_elsewhere();
-            self.note(Note::Stopping { grace_ms: ms(self.grace), served_elsewhere });
+        if self.stop.is_none() {
+            self.stop = Some(Stop::new(now, self.grace));
+            let others_serve = stop::others_serve(&self.members, now);
+            self.note(Note::Stopping { grace_ms: ms(self.grace), others_serve });
             self.next_beat = now;
+            self.look_at_stop(now);
+        }
+    }
+
+    /// Tells the requests how the stop stands.
+    fn look_at_stop(&mut self, now: Timestamp) {
+        if let Some(stop) = self.stop {
+            self.requests.stopping(Stopping {
+                stop,
+                others_serve: stop::others_serve(&self.members, now),
+                come_back_after: stop::come_back_after(&stop, &self.members, now),
+            });
+        }
+    }
+
+    /// Nothing can be done any more: whoever waits is told so.
+    fn end(&mut self, now: Timestamp) {
+        self.drain(now);
+        if let Some(stop) = &mut self.stop {
+            stop.end(now);
+        }
+        self.look_at_stop(now);
+        let (unanswered, streams) = self.requests.end_all(now);
+        self.note(Note::Stopped {
+            stopping_ms: self.stop.map_or(0, |s| ms(s.age(now))),
+            unanswered,
+            streams,
+            jobs: self.scheduler.jobs(),
+        });
+    }
+
+    /// Whether this gateway ends a job that another one or itself submits: what it has, it ends; new
+    /// ones only where they are made before the process ends.
+    fn takes_job(&self, job: &Job, from: SocketAddr, now: Timestamp) -> bool {
+        if self.scheduler.has(&job.id) {
+            return true;
         }
+        let is_own = from == self.members.own().address;
+        let can_end = || self.requests.stages_can_end(&job.route, job.to_deadline, now);
+        self.documents.is_complete() && (is_own || self.requests.is_open(now) && can_end())
     }
 
     fn on_peer(&mut self, from: SocketAddr, message: PeerMessage, now: Timestamp) {
@@ -244,9 +239,7 @@
             PeerMessage::Documents { documents, complete } => {
                 self.on_documents(from, documents, complete, now);
             }
-            PeerMessage::Submit(job)
-                if self.documents.is_complete() && self.takes_requests(now) =>
-            {
+            PeerMessage::Submit(job) if self.takes_job(&job, from, now) => {
                 self.scheduler.submit(*job, &self.table, now);
             }
             PeerMessage::Submit(job) => {
@@ -351,7 +344,7 @@
     }
 
     fn update_state(&mut self) {
-        let draining = self.draining_since.is_some();
+        let draining = self.stop.is_some();
         let ready = self.documents.is_complete() && !draining;
         let state = match (draining, ready) {
             (true, _) => MemberState::Leaving,
@@ -437,6 +430,7 @@
     const TICK: Event = Event::Tick;
 
     fn handle(&mut self, event: Event, now: Timestamp) -> Vec<Action> {
+        self.look_at_stop(now);
         self.on_event(event, now);
         self.housekeeping(now);
         self.collect(now)
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -198,6 +198,8 @@
     Seeds(Vec<SocketAddr>),
     /// The process was told to stop.
     Drain,
+    /// The process ends now.
+    End,
     /// Time has passed.
     Tick,
 }
--- a/src/direct/members.rs
+++ b/src/direct/members.rs
@@ -66,6 +66,8 @@
     /// When its connection broke, if its heartbeat has not grown since.
     suspected: Option<Timestamp>,
     since: Timestamp,
+    /// Since when it is in its state, in this life.
+    state_since: Timestamp,
 }
 
 /// What was heard of other members.
@@ -161,9 +163,14 @@
                 let before = known.filter(|k| k.heard.is_some()).map(|k| k.member.clone());
                 heard.ended.extend(before);
             }
+            let is_same = |k: &&Known| {
+                k.member.incarnation == member.incarnation && k.member.state == member.state
+            };
+            let state_since = known.filter(is_same).map_or(now, |k| k.state_since);
+            let member = member.clone();
             let known =
-                Known { member: member.clone(), heard: Some(now), suspected: None, since: now };
-            self.others.insert(member.address, known);
+                Known { member, heard: Some(now), suspected: None, since: now, state_since };
+            self.others.insert(known.member.address, known);
         }
         heard
     }
@@ -248,8 +255,11 @@
             .cloned()
     }
 
-    /// Whether another member serves.
-    pub fn is_served_elsewhere(&self) -> bool {
-        self.alive().any(|m| m.state == MemberState::Serving)
+    /// The others: since when each is in its state, or dead, and whether it is taken for alive.
+    pub fn others(&self) -> impl Iterator<Item = (&Member, Timestamp, bool)> {
+        self.others.values().map(|k| match k.heard {
+            Some(_) => (&k.member, k.state_since, true),
+            None => (&k.member, k.since, false),
+        })
     }
 }
--- a/src/direct/note.rs
+++ b/src/direct/note.rs
@@ -176,7 +176,7 @@
         /// Milliseconds from the signal to the kill.
         grace_ms: u64,
         /// Whether another gateway was known to serve.
-        served_elsewhere: bool,
+        others_serve: bool,
     },
     /// A stopping process took a request, or did not because it stops.
     StopDecided {
@@ -190,10 +190,11 @@
         stopping_ms: u64,
         /// Milliseconds until the process ends by itself.
         left_ms: u64,
-        /// Milliseconds until its answer would be whole, by its deadline or by experience.
+        /// Milliseconds until its answer would be whole, by its deadline or by experience; none where
+        /// it was not looked at.
         expected_ms: Option<u64>,
         /// Whether another gateway was known to serve.
-        served_elsewhere: bool,
+        others_serve: bool,
     },
     /// The process ends.
     Stopped {
--- a/src/direct/request.rs
+++ b/src/direct/request.rs
@@ -116,6 +116,11 @@
         START_TIME + TOKEN_TIME * u32::try_from(own).unwrap_or(u32::MAX)
     }
 
+    /// What the length of its run goes by: the tokens that it may make.
+    pub fn size(&self) -> u64 {
+        self.incoming.generation.as_ref().map_or(1, |g| g.output_tokens.max(1))
+    }
+
     /// The results that its run needs, in order.
     pub fn inputs(&self) -> Vec<Made> {
         let last = self.route.last_stages();
--- a/src/direct/requests.rs
+++ b/src/direct/requests.rs
@@ -12,19 +12,21 @@
 
 use super::endpoints::Observations;
 use super::event::{Action, Incoming, Refusal, Refused};
+use super::experience::Experience;
 use super::members::Members;
 use super::message::{JobId, PeerMessage};
 use super::model::{Name, Route};
 use super::note::{Note, ms};
 use super::repeats::{Bounds, Repeats};
 use super::request::{Phase, Request};
+use super::stopping::Stopping;
 use super::table::Table;
 use crate::message::Timestamp;
 
 /// When to come back where nothing better is known.
 pub(super) const RETRY_SOON: Duration = Duration::from_millis(250);
-/// When to come back to a process that knows too little or stops.
-const RETRY_ELSEWHERE: Duration = Duration::from_millis(100);
+/// When to come back to a process that knows too little.
+pub(super) const RETRY_ELSEWHERE: Duration = Duration::from_millis(100);
 /// A request without a deadline of its own.
 const DEFAULT_ALLOWED: Duration = Duration::from_secs(60);
 
@@ -46,6 +48,8 @@
     pub(super) by_job: HashMap<JobId, u64>,
     pub(super) timers: BTreeSet<(Timestamp, u64, Timer)>,
     pub(super) observations: Observations,
+    pub(super) experience: Experience,
+    pub(super) stopping: Option<Stopping>,
     pub(super) repeats: Repeats,
     pub(super) processes: usize,
     pub(super) next_attempt: u64,
@@ -67,6 +71,8 @@
             by_job: HashMap::new(),
             timers: BTreeSet::new(),
             observations: Observations::default(),
+            experience: Experience::default(),
+            stopping: None,
             repeats: Repeats::new(bounds),
             processes: 1,
             next_attempt: 0,
@@ -123,6 +129,7 @@
     /// Endpoints or the configuration changed.
     pub fn changed(&mut self, table: &Table) {
         self.observations.retain(|id| table.endpoint(id).is_some());
+        self.experience.retain(table.deployment.routes.iter().map(|r| &r.name));
     }
 
     /// A caller asks.
@@ -132,14 +139,20 @@
         incoming: Incoming,
         table: &Table,
         known: bool,
-        draining: bool,
         now: Timestamp,
     ) {
         let id = incoming.id.clone();
-        let request = match admissible(&incoming, table, known, draining) {
+        if !self.is_open(now) {
+            self.note_closed(&id, now);
+            return self.refuse_at_door(caller, &id, Refused::Draining);
+        }
+        let request = match admissible(&incoming, table, known) {
             Ok((route, organisation)) => self.begin(caller, incoming, route, organisation, now),
             Err(reason) => return self.refuse_at_door(caller, &id, reason),
         };
+        if !self.is_taken(&request, now) {
+            return self.refuse_at_door(caller, &id, Refused::Draining);
+        }
         self.out.push(Action::Note(Note::Arrived {
             request: id,
             route: request.route.name.clone(),
@@ -192,7 +205,8 @@
 
     pub(super) fn refuse_at_door(&mut self, caller: u64, id: &Name, reason: Refused) {
         let retry_after = match reason {
-            Refused::NoConfiguration | Refused::Draining => RETRY_ELSEWHERE,
+            Refused::NoConfiguration => RETRY_ELSEWHERE,
+            Refused::Draining => self.elsewhere(),
             _ => Duration::ZERO,
         };
         self.out.push(Action::Note(Note::Ended {
@@ -208,6 +222,7 @@
 
     /// The caller went away: everything of its request stops.
     pub fn caller_gone(&mut self, caller: u64, now: Timestamp) {
+        self.learn(caller, false, now);
         if let Some(attempt) = self.close_attempt(caller) {
             self.out.push(Action::Hangup { caller, attempt: attempt.number });
         }
@@ -217,6 +232,7 @@
 
     /// Looks at what is due.
     pub fn look(&mut self, table: &Table, now: Timestamp) {
+        self.give_up_in_stages(now);
         while let Some((at, caller, timer)) = self.timers.first().copied() {
             if at > now {
                 return;
@@ -234,7 +250,9 @@
         let Some(request) = self.requests.get(&caller) else {
             return;
         };
-        if request.phase == Phase::Streaming {
+        let is_streaming = request.phase == Phase::Streaming;
+        self.learn(caller, false, now);
+        if is_streaming {
             return self.abort(caller, "timed out", now);
         }
         self.refuse(caller, Refused::TimedOut, RETRY_SOON, now);
@@ -325,15 +343,7 @@
 type Admissible = (Route, Option<(Name, Option<u8>)>);
 
 /// Checks a request against what is published; nothing of a refused one has run.
-fn admissible(
-    incoming: &Incoming,
-    table: &Table,
-    known: bool,
-    draining: bool,
-) -> Result<Admissible, Refused> {
-    if draining {
-        return Err(Refused::Draining);
-    }
+fn admissible(incoming: &Incoming, table: &Table, known: bool) -> Result<Admissible, Refused> {
     if !known {
         return Err(Refused::NoConfiguration);
     }
--- a/src/direct/scheduler.rs
+++ b/src/direct/scheduler.rs
@@ -85,6 +85,11 @@
         self.jobs.len()
     }
 
+    /// Whether a job is begun here and not over.
+    pub fn has(&self, job: &JobId) -> bool {
+        self.jobs.contains_key(job)
+    }
+
     /// Whether something is at work.
     pub fn is_idle(&self) -> bool {
         self.jobs.is_empty()
--- a/src/direct/stages.rs
+++ b/src/direct/stages.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::event::{Action, Refused};
+use super::experience::Part;
 use super::members::Members;
 use super::message::{Job, JobId, JobReason, JobStage, Made, PeerMessage};
 use super::model::Name;
@@ -42,7 +43,11 @@
         let owner = members.owner(STAGES, &request.passed_over);
         let tried = request.passed_over.len();
         let Some(owner) = owner.filter(|_| tried < MAX_OWNERS) else {
-            return self.refuse(caller, Refused::NoEndpoint, RETRY_SOON, now);
+            let (reason, retry_after) = match self.stopping {
+                Some(_) => (Refused::Draining, self.elsewhere()),
+                None => (Refused::NoEndpoint, RETRY_SOON),
+            };
+            return self.refuse(caller, reason, retry_after, now);
         };
         let resubmitted = request.holds_results;
         request.phase = Phase::Stages {
@@ -126,6 +131,8 @@
             return self.pass_over(caller, from);
         }
         request.phase = Phase::Running;
+        let (route, took) = (request.route.name.clone(), now.saturating_sub(request.arrived));
+        self.experience.took(&route, Part::Stages, 1, took);
         self.dispatch(caller, table, now);
     }
 
--- /dev/null
+++ b/src/direct/stopping.rs
@@ -0,0 +1,195 @@
+//! Requests of a process that was told to stop: nothing is begun that can't end before it does.
+
+use std::time::Duration;
+
+use super::event::{Action, Refused};
+use super::experience::{Part, Sure, must_be};
+use super::model::Name;
+use super::note::{Note, ms};
+use super::request::{Phase, Request};
+use super::requests::Requests;
+use super::stop::Stop;
+use crate::message::Timestamp;
+
+/// What requests go by while the process stops.
+#[derive(Debug, Clone, Copy)]
+pub struct Stopping {
+    /// When it ends.
+    pub stop: Stop,
+    /// Whether others serve.
+    pub others_serve: bool,
+    /// When refused callers should come back.
+    pub come_back_after: Duration,
+}
+
+/// Where a request stands when it is decided whether it can end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum At {
+    Door,
+    Stages,
+    Dispatch,
+}
+
+impl At {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Door => "door",
+            Self::Stages => "stages",
+            Self::Dispatch => "dispatch",
+        }
+    }
+
+    /// What lies before a request there.
+    const fn rest(self) -> Part {
+        match self {
+            Self::Door => Part::Whole,
+            Self::Stages | Self::Dispatch => Part::Run,
+        }
+    }
+}
+
+impl Requests {
+    /// The process stops; told again whenever something happens.
+    pub const fn stopping(&mut self, stopping: Stopping) {
+        self.stopping = Some(stopping);
+    }
+
+    /// When to come back to a process that knows too little or stops.
+    pub(super) fn elsewhere(&self) -> Duration {
+        self.stopping.map_or(super::requests::RETRY_ELSEWHERE, |s| s.come_back_after)
+    }
+
+    /// Whether new requests are looked at.
+    pub fn is_open(&self, now: Timestamp) -> bool {
+        self.stopping.is_none_or(|s| {
+            let is_older = |r: &Request| r.arrived < s.stop.may_end();
+            let is_held_up = self.requests.values().any(is_older);
+            s.stop.is_open(s.others_serve, is_held_up, now)
+        })
+    }
+
+    /// Whether the answer of a request will be whole before the process ends: its time is over by
+    /// then, or by all experience it takes less. Where there is no experience, it will not.
+    fn can_end(&self, request: &Request, at: At, now: Timestamp) -> (bool, Option<Note>) {
+        let Some(Stopping { stop, others_serve, .. }) = self.stopping else {
+            return (true, None);
+        };
+        let sure = must_be(stop.age(now), at == At::Door, others_serve);
+        let waits = request.deadline.saturating_sub(now);
+        let expected =
+            self.experience.expected(&request.route.name, at.rest(), request.size(), sure);
+        let expected = expected.map_or(waits, |e| e.min(waits));
+        let taken = stop.is_before_end(now + expected);
+        let is_told = at == At::Door || !taken;
+        let note =
+            is_told.then(|| self.decided(&request.incoming.id, at, taken, Some(expected), now));
+        (taken, note.flatten())
+    }
+
+    fn decided(
+        &self,
+        request: &Name,
+        at: At,
+        taken: bool,
+        expected: Option<Duration>,
+        now: Timestamp,
+    ) -> Option<Note> {
+        let Stopping { stop, others_serve, .. } = self.stopping?;
+        Some(Note::StopDecided {
+            request: request.clone(),
+            at: at.as_str(),
+            taken,
+            stopping_ms: ms(stop.age(now)),
+            left_ms: ms(stop.left(now)),
+            expected_ms: expected.map(ms),
+            others_serve,
+        })
+    }
+
+    /// Whether a new request is taken, as far as the process's own end goes.
+    pub(super) fn is_taken(&mut self, request: &Request, now: Timestamp) -> bool {
+        let (taken, note) = self.can_end(request, At::Door, now);
+        self.out.extend(note.map(Action::Note));
+        taken
+    }
+
+    /// Whether a request may be sent to an endpoint, as far as the process's own end goes; otherwise
+    /// it is given up as not run.
+    ///
+    /// A stream that has begun goes on as far as it gets: its caller has what came, and a break now
+    /// serves nobody better than one when the process ends.
+    pub(super) fn may_be_sent(&mut self, caller: u64, now: Timestamp) -> bool {
+        let Some(request) = self.requests.get(&caller) else {
+            return false;
+        };
+        if request.phase == Phase::Streaming {
+            return true;
+        }
+        let (taken, note) = self.can_end(request, At::Dispatch, now);
+        self.out.extend(note.map(Action::Note));
+        if !taken {
+            self.refuse(caller, Refused::Draining, self.elsewhere(), now);
+        }
+        taken
+    }
+
+    /// A request that is turned away unseen.
+    pub(super) fn note_closed(&mut self, request: &Name, now: Timestamp) {
+        let note = self.decided(request, At::Door, false, None, now);
+        self.out.extend(note.map(Action::Note));
+    }
+
+    /// Whether the stages of a route are made before the process ends, by all experience.
+    pub fn stages_can_end(&self, route: &Name, longest: Duration, now: Timestamp) -> bool {
+        self.stopping.is_none_or(|s| {
+            let expected = self.experience.expected(route, Part::Stages, 1, Sure::Surely);
+            s.stop.is_before_end(now + expected.map_or(longest, |e| e.min(longest)))
+        })
+    }
+
+    /// Gives up at once what waits for its stages and whose run could not end any more: it has not
+    /// run, and its caller has time to go elsewhere.
+    pub(super) fn give_up_in_stages(&mut self, now: Timestamp) {
+        if self.stopping.is_none() {
+            return;
+        }
+        let waiting = self.requests.iter().filter(|(_, r)| matches!(r.phase, Phase::Stages { .. }));
+        let decided = waiting.map(|(caller, r)| (*caller, self.can_end(r, At::Stages, now)));
+        let too_late: Vec<_> = decided.filter(|(_, (can_end, _))| !can_end).collect();
+        for (caller, (_, note)) in too_late {
+            self.out.extend(note.map(Action::Note));
+            self.refuse(caller, Refused::Draining, self.elsewhere(), now);
+        }
+    }
+
+    /// The process ends: whatever has no answer gets its refusal, open streams are broken off.
+    /// Returns how many there were of each.
+    pub fn end_all(&mut self, now: Timestamp) -> (usize, usize) {
+        let streams = self.streams();
+        let callers: Vec<u64> = self.requests.keys().copied().collect();
+        let unanswered = callers.len() - streams;
+        for caller in callers {
+            self.refuse(caller, Refused::Draining, self.elsewhere(), now);
+        }
+        (unanswered, streams)
+    }
+
+    /// A request's answer is whole, or its endpoint's time was over: that is experience.
+    pub(super) fn learn(&mut self, caller: u64, is_whole: bool, now: Timestamp) {
+        let Some(request) = self.requests.get(&caller) else {
+            return;
+        };
+        let Some(sent) = request.attempt.as_ref().map(|a| a.sent) else {
+            return;
+        };
+        let (route, size) = (&request.route.name, request.size());
+        for (part, since) in [(Part::Whole, request.arrived), (Part::Run, sent)] {
+            let took = now.saturating_sub(since);
+            if is_whole {
+                self.experience.took(route, part, size, took);
+            } else {
+                self.experience.took_more(route, part, size, took);
+            }
+        }
+    }
+}
--- a/tests/direct_members.rs
+++ b/tests/direct_members.rs
@@ -12,6 +12,7 @@
 use stackmast::direct::makers::{Makers, Usage};
 use stackmast::direct::members::{Heard, Member, MemberState, Members};
 use stackmast::direct::repeats::{Bounds, Repeats};
+use stackmast::direct::stop::others_serve;
 use stackmast::direct::stream::EventSplitter;
 use test_case::test_case;
 
@@ -63,7 +64,7 @@
     assert_eq!(members.owner("stages", &[]).expect("the one that serves").address, address(3));
     members.hear(&[member(3, 5, 2, leaving)], ms(20));
     assert!(members.owner("stages", &[]).is_some(), "one of those that leave");
-    assert!(!members.is_served_elsewhere());
+    assert!(!others_serve(&members, ms(5_000)), "nobody serves");
 }
 
 #[test]
--- a/tests/direct_stops.rs
+++ b/tests/direct_stops.rs
@@ -125,3 +125,14 @@
     assert_eq!(calls(&actions).len(), usize::from(runs));
     assert_eq!(refused_as_not_run(&actions), !runs);
 }
+
+#[test]
+fn before_the_process_ends_what_has_no_answer_gets_one() {
+    let mut core = configured(vec![stream("long"), staged()]);
+    submit(&mut core, 1, patient("long", Vec::new()), SIGNAL - ms(500));
+    core.handle(Event::Drain, SIGNAL);
+    assert!(refusal(&core.handle(Event::Tick, SIGNAL + ms(7_000))).is_none(), "it may still end");
+    let actions = core.handle(Event::End, SIGNAL + ms(7_700));
+    assert!(!refusal(&actions).expect("answered").not_run, "it was sent");
+    assert_eq!(core.in_flight(), 0);
+}
