--- /dev/null
+++ b/tests/direct_experience.rs
@@ -0,0 +1,70 @@
+//! What requests took, and what may be expected of the next one.
+
+use std::time::Duration;
+
+use stackmast::direct::experience::{Experience, Part, Sure, must_be};
+use stackmast::direct::model::Name;
+use test_case::test_case;
+
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn route() -> Name {
+    "r".into()
+}
+
+/// Twenty requests of size 100 that took 1 s, one of them 3 s; twenty of size 1,000 that took 5 s.
+fn experience() -> Experience {
+    let mut experience = Experience::default();
+    for number in 0..20 {
+        let small = if number == 3 { ms(3_000) } else { ms(1_000) };
+        experience.took(&route(), Part::Run, 100, small);
+        experience.took(&route(), Part::Run, 1_000, ms(5_000));
+    }
+    experience
+}
+
+#[test]
+fn nothing_is_expected_without_experience() {
+    let experience = experience();
+    assert_eq!(experience.expected(&"other".into(), Part::Run, 100, Sure::Surely), None);
+    assert_eq!(experience.expected(&route(), Part::Whole, 100, Sure::Surely), None);
+}
+
+#[test_case(100, Sure::Surely, 3_600; "small, the worst and a fifth")]
+#[test_case(1_000, Sure::Surely, 6_000; "large, the worst and a fifth")]
+#[test_case(1_000, Sure::Usually, 5_000; "large, as usual")]
+#[test_case(100_000, Sure::Usually, 5_000; "a size that was never seen, as the whole route")]
+fn sizes_are_told_apart(size: u64, sure: Sure, expected: u64) {
+    assert_eq!(experience().expected(&route(), Part::Run, size, sure), Some(ms(expected)));
+}
+
+#[test]
+fn what_did_not_end_counts_only_beyond_the_worst() {
+    let mut experience = experience();
+    experience.took_more(&route(), Part::Run, 100, ms(2_000));
+    assert_eq!(experience.expected(&route(), Part::Run, 100, Sure::Surely), Some(ms(3_600)));
+    experience.took_more(&route(), Part::Run, 100, ms(10_000));
+    assert_eq!(experience.expected(&route(), Part::Run, 100, Sure::Surely), Some(ms(12_000)));
+}
+
+#[test]
+fn the_newest_count_and_routes_that_are_gone_are_forgotten() {
+    let mut experience = experience();
+    for _ in 0..200 {
+        experience.took(&route(), Part::Run, 100, ms(500));
+    }
+    assert_eq!(experience.expected(&route(), Part::Run, 100, Sure::Surely), Some(ms(600)));
+    experience.retain([&"other".into()].into_iter());
+    assert_eq!(experience.expected(&route(), Part::Run, 100, Sure::Surely), None);
+}
+
+#[test_case(500, true, true, Sure::Surely; "others take a new one at once")]
+#[test_case(500, true, false, Sure::Usually; "nobody else serves")]
+#[test_case(500, false, true, Sure::Usually; "half made already")]
+#[test_case(2_000, true, false, Sure::Surely; "callers who could know")]
+#[test_case(2_000, false, false, Sure::Surely; "late for its run")]
+fn the_later_the_surer(age: u64, is_new: bool, others_serve: bool, expected: Sure) {
+    assert_eq!(must_be(ms(age), is_new, others_serve), expected);
+}
