Stops: an early restart before late short requests; a young process is not held to experience

While held up, only what ends within 0.5 s is taken now; in the first 2.6 s, before the balancer has noticed, a lack of experience refuses nothing unless others serve.

--- a/src/direct/experience.rs
+++ b/src/direct/experience.rs
@@ -16,7 +16,7 @@
 const SAFETY: f64 = 1.2;
 
 /// A balancer that asks every second has missed two answers by then.
-const NOTICED: Duration = Duration::from_millis(2_000);
+pub const NOTICED: Duration = Duration::from_millis(2_600);
 
 /// A part of a request's way.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
--- a/src/direct/stop.rs
+++ b/src/direct/stop.rs
@@ -15,6 +15,9 @@
 const STILL_TAKING: Duration = Duration::from_millis(1_500);
 /// An answer is on its way to its caller for so long at most.
 const ON_THE_WAY: Duration = Duration::from_millis(200);
+/// What is taken while a process is held up by what came before ends within that: its restart, which
+/// serves all, must not wait for it.
+const HELD_UP: Duration = Duration::from_millis(500);
 /// From the end of a process until it serves again.
 const RESTART: Duration = Duration::from_millis(1_200);
 /// A balancer asks every second: it sends nobody to a member that has served for less.
@@ -55,6 +58,11 @@
         at + ON_THE_WAY <= self.ends
     }
 
+    /// Whether a new request that is answered after `expected` is taken, as far as the end goes.
+    pub fn takes(&self, expected: Duration, now: Timestamp) -> bool {
+        self.is_before_end(now + expected) && (now < self.may_end() || expected <= HELD_UP)
+    }
+
     /// Until when callers may come who know nothing better.
     pub fn may_end(&self) -> Timestamp {
         self.since + AT_LEAST
--- a/src/direct/stopping.rs
+++ b/src/direct/stopping.rs
@@ -69,7 +69,7 @@
     }
 
     /// Whether the answer of a request will be whole before the process ends: its time is over by
-    /// then, or by all experience it takes less. Where there is no experience, it will not.
+    /// then, or by experience it takes less.
     fn can_end(&self, request: &Request, at: At, now: Timestamp) -> (bool, Option<Note>) {
         let Some(Stopping { stop, others_serve, .. }) = self.stopping else {
             return (true, None);
@@ -78,8 +78,13 @@
         let waits = request.deadline.saturating_sub(now);
         let expected =
             self.experience.expected(&request.route.name, at.rest(), request.size(), sure);
-        let expected = expected.map_or(waits, |e| e.min(waits));
-        let taken = stop.is_before_end(now + expected);
+        // What is usual is not known yet in a young process: what a refusal costs is.
+        let unknown = if sure == Sure::Usually { Duration::ZERO } else { waits };
+        let expected = expected.unwrap_or(unknown).min(waits);
+        let taken = match at {
+            At::Door => stop.takes(expected, now),
+            At::Stages | At::Dispatch => stop.is_before_end(now + expected),
+        };
         let is_told = at == At::Door || !taken;
         let note =
             is_told.then(|| self.decided(&request.incoming.id, at, taken, Some(expected), now));
