--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -9,28 +9,21 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-use super::documents::{Document, Documents, Merged, Revised, Seen};
-use super::event::{Action, Event, StoreRead};
+use super::documents::Documents;
+use super::event::{Action, Event};
 use super::members::{HEARTBEAT, MemberState, Members};
-use super::message::PeerMessage;
+use super::message::{Job, PeerMessage};
 use super::note::{Note, ms};
-use super::pulls::{Own, Pulls};
+use super::pulls::Pulls;
 use super::repeats::Bounds;
 use super::requests::Requests;
 use super::scheduler::Scheduler;
+use super::stop::{self, Stop};
+use super::stopping::Stopping;
 use super::table::Table;
 use crate::actor::Core;
 use crate::message::Timestamp;
 
-/// After it was told to stop, a gateway takes requests on kept connections for so long, where
-/// others serve.
-const STILL_TAKING: Duration = Duration::from_millis(1_500);
-/// Where nobody else serves, it takes requests until so long before it is killed.
-const LAST_REQUEST: Duration = Duration::from_millis(4_500);
-
-/// A process ends so long before it would be killed.
-pub const BEFORE_KILL: Duration = Duration::from_millis(300);
-
 /// What a gateway is made with.
 #[derive(Debug, Clone)]
 pub struct Setup {
@@ -55,18 +48,18 @@
 /// One gateway.
 #[derive(Debug)]
 pub struct GatewayCore {
-    members: Members,
-    documents: Documents,
-    table: Table,
-    requests: Requests,
-    scheduler: Scheduler,
-    pulls: Pulls,
-    next_beat: Timestamp,
-    draining_since: Option<Timestamp>,
+    pub(super) members: Members,
+    pub(super) documents: Documents,
+    pub(super) table: Table,
+    pub(super) requests: Requests,
+    pub(super) scheduler: Scheduler,
+    pub(super) pulls: Pulls,
+    pub(super) next_beat: Timestamp,
+    stop: Option<Stop>,
     grace: Duration,
     is_ready: bool,
-    rng: StdRng,
-    out: Vec<Action>,
+    pub(super) rng: StdRng,
+    pub(super) out: Vec<Action>,
 }
 
 impl GatewayCore {
@@ -85,7 +78,7 @@
             scheduler: Scheduler::new(setup.repeats),
             pulls: Pulls::default(),
             next_beat: Timestamp::ZERO,
-            draining_since: None,
+            stop: None,
             grace: setup.grace,
             is_ready: false,
             rng: StdRng::seed_from_u64(setup.seed),
@@ -98,17 +91,6 @@
         self.requests.len() + self.scheduler.jobs()
     }
 
-    /// What a process that ends now leaves undone, as a line.
-    pub fn stopped(&self, now: Timestamp) -> Note {
-        let streams = self.requests.streams();
-        Note::Stopped {
-            stopping_ms: ms(now.saturating_sub(self.draining_since.unwrap_or(now))),
-            unanswered: self.requests.len() - streams,
-            streams,
-            jobs: self.scheduler.jobs(),
-        }
-    }
-
     /// What is known and compiled.
     pub const fn table(&self) -> &Table {
         &self.table
@@ -117,10 +99,8 @@
     fn on_event(&mut self, event: Event, now: Timestamp) {
         match event {
             Event::Submit { caller, incoming } => {
-                let draining = !self.takes_requests(now);
                 let known = self.documents.is_complete();
-                self.note_taken_in_stop(&incoming.id, !draining, now);
-                self.requests.submit(caller, incoming, &self.table, known, draining, now);
+                self.requests.submit(caller, incoming, &self.table, known, now);
             }
             Event::CallerGone { caller } => self.requests.caller_gone(caller, now),
             Event::Answered { caller, attempt, proof, is_open } => {
@@ -150,17 +130,7 @@
                 }
             }
             Event::PeerUnreachable { address } => self.on_unreachable(address, now),
-            Event::Published { documents, whole_at } => {
-                self.documents.publisher(true, now);
-                if documents.iter().any(Revised::is_deployment) {
-                    self.pulls.read_ended();
-                }
-                let merged = match whole_at {
-                    Some(at) => self.documents.merge_list(documents, at, now),
-                    None => self.documents.merge(documents, now),
-                };
-                self.merged(&merged, "publisher", true, now);
-            }
+            Event::Published { documents, whole_at } => self.published(documents, whole_at, now),
             Event::Publisher { answers } => {
                 self.documents.publisher(answers, now);
                 self.note(Note::Publisher { answers });
@@ -168,55 +138,64 @@
             Event::Reading => self.pulls.reading(now),
             Event::PeerSends { from } => self.pulls.progressed(from, now),
             Event::PeerBrokeOff { from } => self.pull_failed(from, "broken off", now),
-            Event::StoreRead(read) => {
-                // What a whole one gave follows as published; until then it is on its way.
-                if read.subject == StoreRead::CONFIGURATION && read.outcome != StoreRead::WHOLE {
-                    self.pulls.read_ended();
-                }
-                self.note(Note::store_read(&read));
-            }
+            Event::StoreRead(read) => self.store_read(&read),
             Event::Seeds(seeds) => self.members.set_seeds(seeds),
             Event::Drain => self.drain(now),
+            Event::End => self.end(now),
             Event::Tick => {}
         }
     }
 
-    fn takes_requests(&self, now: Timestamp) -> bool {
-        let Some(since) = self.draining_since else {
-            return true;
-        };
-        let longest = self.grace.saturating_sub(LAST_REQUEST).max(STILL_TAKING);
-        let long = if self.members.is_served_elsewhere() { STILL_TAKING } else { longest };
-        now < since + long
+    pub(super) fn note(&mut self, note: Note) {
+        self.out.push(Action::Note(note));
     }
 
-    fn note_taken_in_stop(&mut self, request: &super::model::Name, taken: bool, now: Timestamp) {
-        let Some(since) = self.draining_since else {
-            return;
-        };
-        let stopping = now.saturating_sub(since);
-        self.note(Note::StopDecided {
-            request: request.clone(),
-            at: "door",
-            taken,
-            stopping_ms: ms(stopping),
-            left_ms: ms(self.grace.saturating_sub(BEFORE_KILL + stopping)),
-            expected_ms: None,
-            served_elsewhere: self.members.is_served_elsewhere(),
-        });
+    fn drain(&mut self, now: Timestamp) {
+        if self.stop.is_none() {
+            self.stop = Some(Stop::new(now, self.grace));
+            let others_serve = stop::others_serve(&self.members, now);
+            self.note(Note::Stopping { grace_ms: ms(self.grace), others_serve });
+            self.next_beat = now;
+            self.look_at_stop(now);
+        }
     }
 
-    fn note(&mut self, note: Note) {
-        self.out.push(Action::Note(note));
+    /// Tells the requests how the stop stands.
+    fn look_at_stop(&mut self, now: Timestamp) {
+        if let Some(stop) = self.stop {
+            self.requests.stopping(Stopping {
+                stop,
+                others_serve: stop::others_serve(&self.members, now),
+                come_back_after: stop::come_back_after(&stop, &self.members, now),
+            });
+        }
     }
 
-    fn drain(&mut self, now: Timestamp) {
-        if self.draining_since.is_none() {
-            self.draining_since = Some(now);
-            let served_elsewhere = self.members.is_served_elsewhere();
-            self.note(Note::Stopping { grace_ms: ms(self.grace), served_elsewhere });
-            self.next_beat = now;
+    /// Nothing can be done any more: whoever waits is told so.
+    fn end(&mut self, now: Timestamp) {
+        self.drain(now);
+        if let Some(stop) = &mut self.stop {
+            stop.end(now);
+        }
+        self.look_at_stop(now);
+        let (unanswered, streams) = self.requests.end_all(now);
+        self.note(Note::Stopped {
+            stopping_ms: self.stop.map_or(0, |s| ms(s.age(now))),
+            unanswered,
+            streams,
+            jobs: self.scheduler.jobs(),
+        });
+    }
+
+    /// Whether this gateway ends a job that another one or itself submits: what it has, it ends; new
+    /// ones only where they are made before the process ends.
+    fn takes_job(&self, job: &Job, from: SocketAddr, now: Timestamp) -> bool {
+        if self.scheduler.has(&job.id) {
+            return true;
         }
+        let is_own = from == self.members.own().address;
+        let can_end = || self.requests.stages_can_end(&job.route, job.to_deadline, now);
+        self.documents.is_complete() && (is_own || self.requests.is_open(now) && can_end())
     }
 
     fn on_peer(&mut self, from: SocketAddr, message: PeerMessage, now: Timestamp) {
@@ -239,19 +218,13 @@
             }
             PeerMessage::Pull { seen, configuration } => self.on_pull(from, seen, configuration),
             PeerMessage::Configuration { revision, deployment } => {
-                self.pulls.answered(from);
-                let document = Document::Deployment(deployment);
-                let merged = self.documents.merge(vec![Revised { revision, document }], now);
-                self.note_pull(from, "answered");
-                self.merged(&merged, &from.to_string(), false, now);
+                self.on_configuration(from, revision, deployment, now);
             }
             PeerMessage::NoConfiguration => self.pull_failed(from, "refused", now),
             PeerMessage::Documents { documents, complete } => {
                 self.on_documents(from, documents, complete, now);
             }
-            PeerMessage::Submit(job)
-                if self.documents.is_complete() && self.takes_requests(now) =>
-            {
+            PeerMessage::Submit(job) if self.takes_job(&job, from, now) => {
                 self.scheduler.submit(*job, &self.table, now);
             }
             PeerMessage::Submit(job) => {
@@ -275,92 +248,6 @@
         }
     }
 
-    fn on_documents(
-        &mut self,
-        from: SocketAddr,
-        documents: Vec<Revised>,
-        complete: bool,
-        now: Timestamp,
-    ) {
-        let merged = self.documents.merge(documents, now);
-        if complete {
-            self.documents.note_listed();
-        }
-        self.pulls.list_came();
-        self.merged(&merged, &from.to_string(), false, now);
-    }
-
-    fn note_pull(&mut self, peer: SocketAddr, outcome: &'static str) {
-        let Seen { version, endpoints } = self.documents.seen();
-        self.note(Note::Pull { peer, outcome, version, endpoints });
-    }
-
-    fn own(&self) -> Own {
-        Own { seen: self.documents.seen(), complete: self.documents.is_complete() }
-    }
-
-    fn on_pull(&mut self, from: SocketAddr, seen: Seen, configuration: bool) {
-        let documents = self.documents.endpoints_after(seen.endpoints);
-        let complete = self.documents.is_complete();
-        let newer = self.documents.deployment_after(seen.version).filter(|_| configuration);
-        let (deployment, endpoints) = (newer.is_some(), documents.len());
-        self.note(Note::Pulled { peer: from, deployment, endpoints });
-        self.tell(from, PeerMessage::Documents { documents, complete });
-        match newer {
-            Some((revision, deployment)) => {
-                self.tell(from, PeerMessage::Configuration { revision, deployment });
-            }
-            None if configuration => self.tell(from, PeerMessage::NoConfiguration),
-            None => {}
-        }
-    }
-
-    fn pull_failed(&mut self, peer: SocketAddr, outcome: &'static str, now: Timestamp) {
-        if self.pulls.failed(peer, now) {
-            self.note_pull(peer, outcome);
-        }
-    }
-
-    fn note_configured(&mut self, before: u64, source: &str, now: Timestamp) {
-        let version = self.documents.deployment().version;
-        let told = self.pulls.configured(version, now);
-        self.note(Note::Configured {
-            version,
-            before,
-            source: source.to_owned(),
-            known_ms: told.map_or(0, |t| ms(now.saturating_sub(t.at))),
-            known_from: told.map(|t| t.peer),
-        });
-    }
-
-    fn merged(&mut self, merged: &Merged, source: &str, spread: bool, now: Timestamp) {
-        if let Some(before) = merged.deployment {
-            self.note_configured(before, source, now);
-            self.out.push(Action::Limits(self.documents.deployment().limits.clone()));
-        }
-        for id in &merged.endpoints {
-            let state = self.documents.state(id).as_str();
-            let (endpoint, source) = (id.clone(), source.to_owned());
-            self.out.push(Action::Note(Note::Endpoint { endpoint, state, source }));
-        }
-        if merged.is_empty() {
-            return;
-        }
-        if merged.deployment.is_some() {
-            let deployment = self.documents.deployment().clone();
-            self.table = Table::new(deployment, self.documents.endpoints());
-        } else {
-            for id in &merged.endpoints {
-                self.table.replace(id, self.documents.endpoint(id));
-            }
-        }
-        self.requests.changed(&self.table);
-        self.scheduler.changed(&self.table);
-        if spread {
-            self.next_beat = Timestamp::ZERO;
-        }
-    }
-
     fn on_unreachable(&mut self, address: SocketAddr, now: Timestamp) {
         let alive = self.members.alive().find(|m| m.address == address);
         if let Some(incarnation) = alive.map(|m| m.incarnation)
@@ -386,7 +273,7 @@
         self.requests.owner_lost(address, incarnation);
     }
 
-    fn tell(&mut self, to: SocketAddr, message: PeerMessage) {
+    pub(super) fn tell(&mut self, to: SocketAddr, message: PeerMessage) {
         self.out.push(Action::Tell { to, message });
     }
 
@@ -407,7 +294,7 @@
     }
 
     fn update_state(&mut self) {
-        let draining = self.draining_since.is_some();
+        let draining = self.stop.is_some();
         let ready = self.documents.is_complete() && !draining;
         let state = match (draining, ready) {
             (true, _) => MemberState::Leaving,
@@ -449,23 +336,6 @@
         self.requests.submit_again(address);
     }
 
-    /// Asks peers for what they have seen and this gateway has not.
-    fn catch_up(&mut self, now: Timestamp) {
-        let own = self.own();
-        let due = self.pulls.due(own, &self.members, &mut self.rng, now);
-        if let Some(peer) = due.silent {
-            self.note_pull(peer, "silent");
-        }
-        let seen = if own.complete { own.seen } else { Seen::default() };
-        if let Some(peer) = due.list {
-            self.tell(peer, PeerMessage::Pull { seen, configuration: false });
-        }
-        if let Some(peer) = due.configuration {
-            self.note_pull(peer, "asked");
-            self.tell(peer, PeerMessage::Pull { seen: own.seen, configuration: true });
-        }
-    }
-
     /// Carries messages to the own scheduler or requests without the network.
     fn collect(&mut self, now: Timestamp) -> Vec<Action> {
         let own = self.members.own().address;
@@ -493,6 +363,7 @@
     const TICK: Event = Event::Tick;
 
     fn handle(&mut self, event: Event, now: Timestamp) -> Vec<Action> {
+        self.look_at_stop(now);
         self.on_event(event, now);
         self.housekeeping(now);
         self.collect(now)
--- /dev/null
+++ b/src/direct/following.rs
@@ -0,0 +1,162 @@
+//! How a gateway follows what is published: it merges what comes from the publisher's store and from
+//! peers, asks peers for what it lacks, and gives them what they ask for.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::core::GatewayCore;
+use super::documents::{Document, Merged, Revised, Seen};
+use super::event::{Action, StoreRead};
+use super::message::PeerMessage;
+use super::model::Deployment;
+use super::note::{Note, ms};
+use super::pulls::Own;
+use super::table::Table;
+use crate::message::Timestamp;
+
+impl GatewayCore {
+    /// The publisher's store gave documents, or the whole list as it stood at revision `whole_at`.
+    pub(super) fn published(
+        &mut self,
+        documents: Vec<Revised>,
+        whole_at: Option<u64>,
+        now: Timestamp,
+    ) {
+        self.documents.publisher(true, now);
+        if documents.iter().any(Revised::is_deployment) {
+            self.pulls.read_ended();
+        }
+        let merged = match whole_at {
+            Some(at) => self.documents.merge_list(documents, at, now),
+            None => self.documents.merge(documents, now),
+        };
+        self.merged(&merged, "publisher", true, now);
+    }
+
+    /// A read of the publisher's store was long, or failed.
+    pub(super) fn store_read(&mut self, read: &StoreRead) {
+        // What a whole one gave follows as published; until then it is on its way.
+        if read.subject == StoreRead::CONFIGURATION && read.outcome != StoreRead::WHOLE {
+            self.pulls.read_ended();
+        }
+        self.note(Note::store_read(read));
+    }
+
+    /// A peer sent its configuration.
+    pub(super) fn on_configuration(
+        &mut self,
+        from: SocketAddr,
+        revision: u64,
+        deployment: Arc<Deployment>,
+        now: Timestamp,
+    ) {
+        self.pulls.answered(from);
+        let document = Document::Deployment(deployment);
+        let merged = self.documents.merge(vec![Revised { revision, document }], now);
+        self.note_pull(from, "answered");
+        self.merged(&merged, &from.to_string(), false, now);
+    }
+
+    pub(super) fn on_documents(
+        &mut self,
+        from: SocketAddr,
+        documents: Vec<Revised>,
+        complete: bool,
+        now: Timestamp,
+    ) {
+        let merged = self.documents.merge(documents, now);
+        if complete {
+            self.documents.note_listed();
+        }
+        self.pulls.list_came();
+        self.merged(&merged, &from.to_string(), false, now);
+    }
+
+    pub(super) fn note_pull(&mut self, peer: SocketAddr, outcome: &'static str) {
+        let Seen { version, endpoints } = self.documents.seen();
+        self.note(Note::Pull { peer, outcome, version, endpoints });
+    }
+
+    pub(super) fn own(&self) -> Own {
+        Own { seen: self.documents.seen(), complete: self.documents.is_complete() }
+    }
+
+    pub(super) fn on_pull(&mut self, from: SocketAddr, seen: Seen, configuration: bool) {
+        let documents = self.documents.endpoints_after(seen.endpoints);
+        let complete = self.documents.is_complete();
+        let newer = self.documents.deployment_after(seen.version).filter(|_| configuration);
+        let (deployment, endpoints) = (newer.is_some(), documents.len());
+        self.note(Note::Pulled { peer: from, deployment, endpoints });
+        self.tell(from, PeerMessage::Documents { documents, complete });
+        match newer {
+            Some((revision, deployment)) => {
+                self.tell(from, PeerMessage::Configuration { revision, deployment });
+            }
+            None if configuration => self.tell(from, PeerMessage::NoConfiguration),
+            None => {}
+        }
+    }
+
+    pub(super) fn pull_failed(&mut self, peer: SocketAddr, outcome: &'static str, now: Timestamp) {
+        if self.pulls.failed(peer, now) {
+            self.note_pull(peer, outcome);
+        }
+    }
+
+    pub(super) fn note_configured(&mut self, before: u64, source: &str, now: Timestamp) {
+        let version = self.documents.deployment().version;
+        let told = self.pulls.configured(version, now);
+        self.note(Note::Configured {
+            version,
+            before,
+            source: source.to_owned(),
+            known_ms: told.map_or(0, |t| ms(now.saturating_sub(t.at))),
+            known_from: told.map(|t| t.peer),
+        });
+    }
+
+    pub(super) fn merged(&mut self, merged: &Merged, source: &str, spread: bool, now: Timestamp) {
+        if let Some(before) = merged.deployment {
+            self.note_configured(before, source, now);
+            self.out.push(Action::Limits(self.documents.deployment().limits.clone()));
+        }
+        for id in &merged.endpoints {
+            let state = self.documents.state(id).as_str();
+            let (endpoint, source) = (id.clone(), source.to_owned());
+            self.out.push(Action::Note(Note::Endpoint { endpoint, state, source }));
+        }
+        if merged.is_empty() {
+            return;
+        }
+        if merged.deployment.is_some() {
+            let deployment = self.documents.deployment().clone();
+            self.table = Table::new(deployment, self.documents.endpoints());
+        } else {
+            for id in &merged.endpoints {
+                self.table.replace(id, self.documents.endpoint(id));
+            }
+        }
+        self.requests.changed(&self.table, merged.deployment.is_some());
+        self.scheduler.changed(&self.table);
+        if spread {
+            self.next_beat = Timestamp::ZERO;
+        }
+    }
+
+    /// Asks peers for what they have seen and this gateway has not.
+    pub(super) fn catch_up(&mut self, now: Timestamp) {
+        let own = self.own();
+        let due = self.pulls.due(own, &self.members, &mut self.rng, now);
+        if let Some(peer) = due.silent {
+            self.note_pull(peer, "silent");
+        }
+        let seen = if own.complete { own.seen } else { Seen::default() };
+        if let Some(peer) = due.list {
+            self.tell(peer, PeerMessage::Pull { seen, configuration: false });
+        }
+        if let Some(peer) = due.configuration {
+            self.note_pull(peer, "asked");
+            self.tell(peer, PeerMessage::Pull { seen: own.seen, configuration: true });
+        }
+    }
+}
