Stops: sure is only what was seen alike, and the end counts from the signal

A stream of 4,000 tokens was sent 3.06 s after the signal on the word of streams of 50.

Change: experience is kept by class of sizes; sure is what eight or more alike (a quarter of the size to twice) took at worst, scaled up to the size and a fifth more, otherwise the deadline rules; only successes teach; a prompt counts as size. Drain carries when the signal came. What waits for its stages counts what these usually still take. An owner hands jobs of others back at its end.

--- a/src/direct/attempts.rs
+++ b/src/direct/attempts.rs
@@ -176,7 +176,9 @@
                 request.phase = Phase::Streaming;
             }
         } else {
-            self.learn(caller, true, now);
+            if is_success {
+                self.learn(caller, true, now);
+            }
             self.close_attempt(caller);
             self.end(caller, &format!("answered {}", proof.status), None, now);
         }
--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -140,7 +140,7 @@
             Event::PeerBrokeOff { from } => self.pull_failed(from, "broken off", now),
             Event::StoreRead(read) => self.store_read(&read),
             Event::Seeds(seeds) => self.members.set_seeds(seeds),
-            Event::Drain => self.drain(now),
+            Event::Drain { at } => self.drain(at.min(now), now),
             Event::End => self.end(now),
             Event::Tick => {}
         }
@@ -150,9 +150,9 @@
         self.out.push(Action::Note(note));
     }
 
-    fn drain(&mut self, now: Timestamp) {
+    fn drain(&mut self, at: Timestamp, now: Timestamp) {
         if self.stop.is_none() {
-            self.stop = Some(Stop::new(now, self.grace));
+            self.stop = Some(Stop::new(at, self.grace));
             let others_serve = stop::others_serve(&self.members, now);
             self.note(Note::Stopping { grace_ms: ms(self.grace), others_serve });
             self.next_beat = now;
@@ -173,12 +173,14 @@
 
     /// Nothing can be done any more: whoever waits is told so.
     fn end(&mut self, now: Timestamp) {
-        self.drain(now);
+        self.drain(now, now);
         if let Some(stop) = &mut self.stop {
             stop.end(now);
         }
         self.look_at_stop(now);
         let (unanswered, streams) = self.requests.end_all(now);
+        let own = self.members.own().address;
+        self.scheduler.end_all(own);
         self.note(Note::Stopped {
             stopping_ms: self.stop.map_or(0, |s| ms(s.age(now))),
             unanswered,
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -7,6 +7,7 @@
 use super::documents::Revised;
 use super::message::{Handle, PeerMessage};
 use super::model::{Endpoint, Name};
+use crate::message::Timestamp;
 
 /// What a caller asks, as far as decisions depend on it.
 #[derive(Debug, Clone, PartialEq)]
@@ -237,7 +238,10 @@
     /// The settings name other seeds.
     Seeds(Vec<SocketAddr>),
     /// The process was told to stop.
-    Drain,
+    Drain {
+        /// When; the core may hear of it later.
+        at: Timestamp,
+    },
     /// The process ends now.
     End,
     /// Time has passed.
--- a/src/direct/experience.rs
+++ b/src/direct/experience.rs
@@ -1,15 +1,17 @@
 //! How long requests took here, by route and size: what a stopping process goes by when it decides
 //! what it can still end.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
 use super::model::Name;
 
-/// So many of the last requests of a route count.
-const KEPT: usize = 128;
-/// So many of one size say enough; with fewer, all of the route count.
+/// So many of the last requests of a route and a class of sizes count.
+const KEPT: usize = 64;
+/// So many alike say enough.
 const FEW: usize = 8;
+/// Classes of smaller sizes that are alike, their times scaled up: sizes of a quarter and more.
+const SMALLER_CLASSES: u32 = 2;
 /// The share of requests that take no longer than is usual.
 const USUAL: f64 = 0.95;
 /// What surely ends may take so much of the worst that was seen.
@@ -34,23 +36,34 @@
 pub enum Sure {
     /// Nearly all such requests took no longer.
     Usually,
-    /// No such request took as long.
+    /// No request alike took as long, and there were some.
     Surely,
 }
 
 #[derive(Debug, Clone, Copy)]
 struct Took {
-    /// Sizes within a factor of two are a class.
-    class: u32,
+    size: u64,
     time: Duration,
 }
 
+impl Took {
+    /// The time that a request of this size would take: a longer run takes longer in proportion.
+    fn scaled_to(self, size: u64) -> Duration {
+        let factor = size as f64 / self.size.max(1) as f64;
+        self.time.mul_f64(factor.max(1.0))
+    }
+}
+
+/// What requests of one route took for one part of their way, by class of sizes.
+type Classes = BTreeMap<u32, VecDeque<Took>>;
+
 /// The times that requests took lately.
 #[derive(Debug, Default)]
 pub struct Experience {
-    took: HashMap<(Name, Part), VecDeque<Took>>,
+    took: HashMap<Name, HashMap<Part, Classes>>,
 }
 
+/// Sizes within a factor of two are a class.
 const fn class(size: u64) -> u32 {
     u64::BITS - size.leading_zeros()
 }
@@ -58,18 +71,20 @@
 impl Experience {
     /// A request of this size took so long for a part of its way.
     pub fn took(&mut self, route: &Name, part: Part, size: u64, time: Duration) {
-        let took = self.took.entry((route.clone(), part)).or_default();
+        let parts = self.took.entry(route.clone()).or_default();
+        let took = parts.entry(part).or_default().entry(class(size)).or_default();
         if took.len() == KEPT {
             took.pop_front();
         }
-        took.push_back(Took { class: class(size), time });
+        took.push_back(Took { size, time });
     }
 
     /// A request did not end within this time: that tells something only where it is more than others
-    /// took.
+    /// of its class took.
     pub fn took_more(&mut self, route: &Name, part: Part, size: u64, than: Duration) {
-        let took = self.took.get(&(route.clone(), part)).into_iter().flatten();
-        if took.map(|t| t.time).max().is_some_and(|worst| than > worst) {
+        let of_class = self.classes(route, part).and_then(|c| c.get(&class(size)));
+        let worst = of_class.and_then(|took| took.iter().map(|t| t.time).max());
+        if worst.is_some_and(|worst| than > worst) {
             self.took(route, part, size, than);
         }
     }
@@ -77,28 +92,44 @@
     /// Forgets routes that are not published any more.
     pub fn retain<'a>(&mut self, published: impl Iterator<Item = &'a Name>) {
         let published: HashSet<&Name> = published.collect();
-        self.took.retain(|(route, _), _| published.contains(route));
+        self.took.retain(|route, _| published.contains(route));
     }
 
     /// How long a request takes by experience; `None` where there is none.
     pub fn expected(&self, route: &Name, part: Part, size: u64, sure: Sure) -> Option<Duration> {
-        let took = self.took.get(&(route.clone(), part))?;
-        let own = class(size);
-        // What is a little larger shows what may happen to this one, too.
-        let is_like = |t: &&Took| match sure {
-            Sure::Usually => t.class == own,
-            Sure::Surely => t.class <= own + 1,
-        };
-        let mut times: Vec<Duration> = took.iter().filter(is_like).map(|t| t.time).collect();
-        if times.len() < FEW {
-            times = took.iter().map(|t| t.time).collect();
-        }
-        times.sort_unstable();
+        let classes = self.classes(route, part)?;
         match sure {
-            Sure::Usually => times.get((times.len() as f64 * USUAL) as usize).copied(),
-            Sure::Surely => times.last().map(|worst| worst.mul_f64(SAFETY)),
+            Sure::Usually => usual(classes, class(size)),
+            Sure::Surely => worst(classes, size).map(|worst| worst.mul_f64(SAFETY)),
         }
     }
+
+    fn classes(&self, route: &Name, part: Part) -> Option<&Classes> {
+        self.took.get(route)?.get(&part)
+    }
+}
+
+/// What is usual for a class of sizes, or for all where too few of the class were seen.
+fn usual(classes: &Classes, class: u32) -> Option<Duration> {
+    let own = classes.get(&class).filter(|took| took.len() >= FEW);
+    let mut times: Vec<Duration> = match own {
+        Some(took) => took.iter().map(|t| t.time).collect(),
+        None => classes.values().flatten().map(|t| t.time).collect(),
+    };
+    times.sort_unstable();
+    times.get((times.len() as f64 * USUAL) as usize).copied()
+}
+
+/// The worst that a request of this size may take, by those alike; `None` if there are too few: what
+/// is much smaller, or was seen once, says nothing of it.
+fn worst(classes: &Classes, size: u64) -> Option<Duration> {
+    let own = class(size);
+    let alike = classes.range(own.saturating_sub(SMALLER_CLASSES)..=own + 1);
+    let times: Vec<Duration> = alike.flat_map(|(_, t)| t).map(|t| t.scaled_to(size)).collect();
+    if times.len() < FEW {
+        return None;
+    }
+    times.into_iter().max()
 }
 
 /// How sure it must be that what is taken on ends before the process does.
--- a/src/direct/request.rs
+++ b/src/direct/request.rs
@@ -14,6 +14,9 @@
 /// Time to read one token of a prompt at a busy engine.
 const TOKEN_TIME: Duration = Duration::from_micros(30);
 
+/// Tokens of a prompt that take as long to read as one token to make.
+const PROMPT_TOKENS: u64 = 200;
+
 /// Where a request stands.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Phase {
@@ -116,9 +119,10 @@
         START_TIME + TOKEN_TIME * u32::try_from(own).unwrap_or(u32::MAX)
     }
 
-    /// What the length of its run goes by: the tokens that it may make.
+    /// What the length of its run goes by: the tokens that it may make, and the prompt in such.
     pub fn size(&self) -> u64 {
-        self.incoming.generation.as_ref().map_or(1, |g| g.output_tokens.max(1))
+        let generation = self.incoming.generation.as_ref();
+        generation.map_or(1, |g| g.output_tokens.max(1) + g.prompt_tokens / PROMPT_TOKENS)
     }
 
     /// The results that its run needs, in order.
--- a/src/direct/scheduler.rs
+++ b/src/direct/scheduler.rs
@@ -229,6 +229,14 @@
         }
     }
 
+    /// The process ends: other gateways are told that their jobs go on elsewhere or nowhere.
+    pub fn end_all(&mut self, own: SocketAddr) {
+        let others = self.jobs.keys().filter(|id| id.gateway != own).copied();
+        for id in others.collect::<Vec<_>>() {
+            self.tell_given_up(id, JobReason::NotOwner, false, Duration::ZERO);
+        }
+    }
+
     /// A gateway is gone, and its jobs with it.
     pub fn release_all_of(&mut self, is_gone: impl Fn(&JobId) -> bool, table: &Table) {
         let gone: Vec<JobId> = self.jobs.keys().filter(|id| is_gone(id)).copied().collect();
--- a/src/direct/stop.rs
+++ b/src/direct/stop.rs
@@ -99,11 +99,12 @@
     if others_serve(members, now) {
         return ELSEWHERE;
     }
-    let back = members.others().map(|(member, since, is_alive)| match member.state {
-        MemberState::Serving if is_alive => since + SEEN_READY,
-        MemberState::Starting if is_alive => now + SEEN_READY,
-        MemberState::Leaving if is_alive => now.max(since + AT_LEAST) + RESTART,
-        _ => now.max(since + RESTART),
+    let back = members.others().filter_map(|(member, since, is_alive)| match member.state {
+        MemberState::Serving if is_alive => Some(since + SEEN_READY),
+        MemberState::Starting if is_alive => Some(now + SEEN_READY),
+        MemberState::Leaving if is_alive => Some(now.max(since + AT_LEAST) + RESTART),
+        // One that is dead for longer does not come back soon, if ever.
+        _ => Some(since + RESTART).filter(|back| now <= *back),
     });
     let own = now.max(stop.may_end()) + RESTART;
     back.fold(own, Timestamp::min).saturating_sub(now).max(ELSEWHERE)
--- a/src/direct/stopping.rs
+++ b/src/direct/stopping.rs
@@ -79,11 +79,12 @@
         };
         let sure = must_be(stop.age(now), at == At::Door, others_serve);
         let waits = request.deadline.saturating_sub(now);
-        let expected =
-            self.experience.expected(&request.route.name, at.rest(), request.size(), sure);
+        let (route, size) = (&request.route.name, request.size());
+        let expected = self.experience.expected(route, at.rest(), size, sure);
         // What is usual is not known yet in a young process: what a refusal costs is.
         let unknown = if sure == Sure::Usually { Duration::ZERO } else { waits };
-        let expected = expected.unwrap_or(unknown).min(waits);
+        let expected = expected.unwrap_or(unknown) + self.stages_left(request, at, now);
+        let expected = expected.min(waits);
         let taken = match at {
             At::Door => stop.takes(expected, now),
             At::Stages | At::Dispatch => stop.is_before_end(now + expected),
@@ -94,6 +95,15 @@
         (taken, note.flatten())
     }
 
+    /// What the stages of a request that waits for them usually still take.
+    fn stages_left(&self, request: &Request, at: At, now: Timestamp) -> Duration {
+        if at != At::Stages {
+            return Duration::ZERO;
+        }
+        let usual = self.experience.expected(&request.route.name, Part::Stages, 1, Sure::Usually);
+        usual.unwrap_or_default().saturating_sub(now.saturating_sub(request.arrived))
+    }
+
     fn decided(
         &self,
         request: &Name,
@@ -124,15 +134,11 @@
     /// Whether a request may be sent to an endpoint, as far as the process's own end goes; otherwise
     /// it is given up as not run.
     ///
-    /// A stream that has begun goes on as far as it gets: its caller has what came, and a break now
-    /// serves nobody better than one when the process ends.
+    /// That holds for a stream that is to be resumed, too: its caller may resume it elsewhere.
     pub(super) fn may_be_sent(&mut self, caller: u64, now: Timestamp) -> bool {
         let Some(request) = self.requests.get(&caller) else {
             return false;
         };
-        if request.phase == Phase::Streaming {
-            return true;
-        }
         let (taken, note) = self.can_end(request, At::Dispatch, now);
         self.out.extend(note.map(Action::Note));
         if !taken {
--- a/tests/direct_experience.rs
+++ b/tests/direct_experience.rs
@@ -36,10 +36,37 @@
 #[test_case(1_000, Sure::Surely, 6_000; "large, the worst and a fifth")]
 #[test_case(1_000, Sure::Usually, 5_000; "large, as usual")]
 #[test_case(100_000, Sure::Usually, 5_000; "a size that was never seen, as the whole route")]
+#[test_case(2_000, Sure::Surely, 12_000; "larger than any that was seen, in proportion")]
 fn sizes_are_told_apart(size: u64, sure: Sure, expected: u64) {
     assert_eq!(experience().expected(&route(), Part::Run, size, sure), Some(ms(expected)));
 }
 
+// A cold review of issue 18's mend: much smaller ones, or a single one, were taken for all experience.
+#[test_case(100_000; "much larger than any that was seen")]
+#[test_case(1; "much smaller")]
+fn nothing_is_sure_of_a_size_that_was_not_seen(size: u64) {
+    assert_eq!(experience().expected(&route(), Part::Run, size, Sure::Surely), None);
+}
+
+#[test_case(7, false; "too few")]
+#[test_case(8, true; "enough")]
+fn a_few_are_needed_to_be_sure(seen: u64, is_sure: bool) {
+    let mut experience = Experience::default();
+    for _ in 0..seen {
+        experience.took(&route(), Part::Run, 100, ms(60));
+    }
+    assert_eq!(experience.expected(&route(), Part::Run, 100, Sure::Surely).is_some(), is_sure);
+}
+
+#[test]
+fn many_of_another_size_push_nothing_out() {
+    let mut experience = experience();
+    for _ in 0..200 {
+        experience.took(&route(), Part::Run, 10, ms(5));
+    }
+    assert_eq!(experience.expected(&route(), Part::Run, 1_000, Sure::Surely), Some(ms(6_000)));
+}
+
 #[test]
 fn what_did_not_end_counts_only_beyond_the_worst() {
     let mut experience = experience();
--- a/tests/direct_requests.rs
+++ b/tests/direct_requests.rs
@@ -240,7 +240,7 @@
 #[test]
 fn a_stopping_gateway_is_not_ready_and_refuses_after_a_while_as_not_run() {
     let mut core = configured(vec![route("r", Repeat::AtMostOnce, &[])]);
-    let actions = core.handle(Event::Drain, ms(100));
+    let actions = core.handle(Event::Drain { at: ms(100) }, ms(100));
     assert!(actions.iter().any(|a| matches!(a, Action::Ready(false))));
     assert_eq!(calls(&submit(&mut core, 1, incoming("r", Vec::new()), ms(500))).len(), 1);
     let actions = submit(&mut core, 2, incoming("r", Vec::new()), ms(6_000));
--- a/tests/directenv/world.rs
+++ b/tests/directenv/world.rs
@@ -259,7 +259,10 @@
             Happening::Arrival(number, caller) => self.arrive(number, caller),
             Happening::Kill(number) => self.kill(number),
             Happening::Restart(number) => self.start(number),
-            Happening::Drain(number) => self.handle(number, Event::Drain),
+            Happening::Drain(number) => {
+                let at = self.now;
+                self.handle(number, Event::Drain { at });
+            }
             Happening::Cut(number, true) => {
                 self.cut.insert(number);
             }
