Pulls: neither a peer that drips nor versions between hold up the newest

Cause: a pull was waited for as long as something came of it (1 s, 10 s in all), and each configuration that came into force began the wait for the next one anew. So one squeezed peer, or an own read that is always a version behind, kept a gateway from peers that had the newest.

Change: a second pull, never a third, beside one that is a second old and won't end within 500 ms at its rate; the sender tells the length and echoes the number of the pull, so that what comes late of an abandoned one counts for nothing.

--- a/src/direct/bulk.rs
+++ b/src/direct/bulk.rs
@@ -15,6 +15,7 @@
 use super::event::Event;
 use super::message::PeerMessage;
 use super::peers::{CONNECT_TIMEOUT, Connection, Hello, MAX_FRAME, encode, framed};
+use super::pulls::Progress;
 use crate::actor::Handle;
 
 /// Configurations that a process sends at once; more share its link and are late together.
@@ -44,11 +45,19 @@
     }
 
     /// Begins to send; `false` if too many are sent already.
-    pub fn send(&self, to: SocketAddr, which: (u64, u64), message: &PeerMessage) -> bool {
+    pub fn send(
+        &self,
+        to: SocketAddr,
+        pull: u64,
+        which: (u64, u64),
+        message: &PeerMessage,
+    ) -> bool {
         let Ok(permit) = self.room.clone().try_acquire_owned() else {
             return false;
         };
-        let (hello, message) = (self.hello, self.encoded(which, message));
+        let message = self.encoded(which, message);
+        let bytes = Some(message.len() as u64);
+        let hello = Hello { bulk: true, pull, bytes, ..self.hello };
         tokio::spawn(async move {
             let outcome = match timeout(LONGEST, send(to, hello, message)).await {
                 Ok(true) => "sent",
@@ -92,7 +101,7 @@
 
 /// Takes a configuration in; each chunk is told as progress.
 pub(super) async fn receive(mut connection: Connection, hello: Hello, core: &Handle<GatewayCore>) {
-    let from = hello.address;
+    let Hello { address: from, pull, bytes: expected, .. } = hello;
     let mut whole = BytesMut::new();
     while let Some(Ok(chunk)) = connection.next().await {
         if whole.len() + chunk.len() > MAX_FRAME {
@@ -100,7 +109,8 @@
         }
         if !chunk.is_empty() {
             whole.extend_from_slice(&chunk);
-            core.send(Event::PeerSends { from }).await.ok();
+            let progress = Progress { pull, bytes: whole.len() as u64, expected };
+            core.send(Event::PeerSends { from, progress }).await.ok();
             continue;
         }
         crate::metrics::control_bytes("in", whole.len());
@@ -113,5 +123,5 @@
         }
         break;
     }
-    core.send(Event::PeerBrokeOff { from }).await.ok();
+    core.send(Event::PeerBrokeOff { from, pull }).await.ok();
 }
--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -136,8 +136,8 @@
                 self.note(Note::Publisher { answers });
             }
             Event::Reading => self.pulls.reading(now),
-            Event::PeerSends { from } => self.pulls.progressed(from, now),
-            Event::PeerBrokeOff { from } => self.pull_failed(from, "broken off", now),
+            Event::PeerSends { from, progress } => self.pulls.progressed(from, progress, now),
+            Event::PeerBrokeOff { from, pull } => self.pull_failed(from, pull, "broken off", now),
             Event::StoreRead(read) => self.store_read(&read),
             Event::Seeds(seeds) => self.members.set_seeds(seeds),
             Event::Drain => self.drain(now),
@@ -216,11 +216,13 @@
                 }
                 self.pulls.told(from, seen, complete, self.own(), now);
             }
-            PeerMessage::Pull { seen, configuration } => self.on_pull(from, seen, configuration),
-            PeerMessage::Configuration { revision, deployment } => {
+            PeerMessage::Pull { seen, configuration, number } => {
+                self.on_pull(from, seen, configuration.then_some(number));
+            }
+            PeerMessage::Configuration { revision, deployment, .. } => {
                 self.on_configuration(from, revision, deployment, now);
             }
-            PeerMessage::NoConfiguration => self.pull_failed(from, "refused", now),
+            PeerMessage::NoConfiguration => self.pull_failed(from, 0, "refused", now),
             PeerMessage::Documents { documents, complete } => {
                 self.on_documents(from, documents, complete, now);
             }
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -7,6 +7,7 @@
 use super::documents::Revised;
 use super::message::{Handle, PeerMessage};
 use super::model::{Endpoint, Name};
+use super::pulls::Progress;
 
 /// What a caller asks, as far as decisions depend on it.
 #[derive(Debug, Clone, PartialEq)]
@@ -226,11 +227,15 @@
     PeerSends {
         /// Who.
         from: SocketAddr,
+        /// What came so far.
+        progress: Progress,
     },
     /// A peer broke off while it sent a configuration.
     PeerBrokeOff {
         /// Who.
         from: SocketAddr,
+        /// The number of the pull that it answered; 0 if it didn't tell.
+        pull: u64,
     },
     /// A long answer of the publisher ended, or one failed.
     StoreRead(StoreRead),
--- a/src/direct/following.rs
+++ b/src/direct/following.rs
@@ -81,24 +81,32 @@
         Own { seen: self.documents.seen(), complete: self.documents.is_complete() }
     }
 
-    pub(super) fn on_pull(&mut self, from: SocketAddr, seen: Seen, configuration: bool) {
+    pub(super) fn on_pull(&mut self, from: SocketAddr, seen: Seen, configuration: Option<u64>) {
         let documents = self.documents.endpoints_after(seen.endpoints);
         let complete = self.documents.is_complete();
-        let newer = self.documents.deployment_after(seen.version).filter(|_| configuration);
+        let newer =
+            self.documents.deployment_after(seen.version).filter(|_| configuration.is_some());
         let (deployment, endpoints) = (newer.is_some(), documents.len());
         self.note(Note::Pulled { peer: from, deployment, endpoints });
         self.tell(from, PeerMessage::Documents { documents, complete });
         match newer {
             Some((revision, deployment)) => {
-                self.tell(from, PeerMessage::Configuration { revision, deployment });
+                let pull = configuration.unwrap_or_default();
+                self.tell(from, PeerMessage::Configuration { revision, deployment, pull });
             }
-            None if configuration => self.tell(from, PeerMessage::NoConfiguration),
+            None if configuration.is_some() => self.tell(from, PeerMessage::NoConfiguration),
             None => {}
         }
     }
 
-    pub(super) fn pull_failed(&mut self, peer: SocketAddr, outcome: &'static str, now: Timestamp) {
-        if self.pulls.failed(peer, now) {
+    pub(super) fn pull_failed(
+        &mut self,
+        peer: SocketAddr,
+        pull: u64,
+        outcome: &'static str,
+        now: Timestamp,
+    ) {
+        if self.pulls.failed(peer, pull, now) {
             self.note_pull(peer, outcome);
         }
     }
@@ -147,16 +155,17 @@
     pub(super) fn catch_up(&mut self, now: Timestamp) {
         let own = self.own();
         let due = self.pulls.due(own, &self.members, &mut self.rng, now);
-        if let Some(peer) = due.silent {
+        for peer in due.silent {
             self.note_pull(peer, "silent");
         }
         let seen = if own.complete { own.seen } else { Seen::default() };
         if let Some(peer) = due.list {
-            self.tell(peer, PeerMessage::Pull { seen, configuration: false });
+            self.tell(peer, PeerMessage::Pull { seen, configuration: false, number: 0 });
         }
-        if let Some(peer) = due.configuration {
+        if let Some((peer, number)) = due.configuration {
             self.note_pull(peer, "asked");
-            self.tell(peer, PeerMessage::Pull { seen: own.seen, configuration: true });
+            let (seen, configuration) = (own.seen, true);
+            self.tell(peer, PeerMessage::Pull { seen, configuration, number });
         }
     }
 }
--- a/src/direct/message.rs
+++ b/src/direct/message.rs
@@ -115,6 +115,9 @@
         seen: Seen,
         /// Whether a newer configuration is wanted, besides entries of endpoints.
         configuration: bool,
+        /// Counts the sender's pulls of configurations; 0 if it doesn't tell.
+        #[serde(default)]
+        number: u64,
     },
     /// The configuration that was asked for. It is long, and travels apart from all other messages.
     Configuration {
@@ -122,6 +125,9 @@
         revision: u64,
         /// The configuration.
         deployment: Arc<Deployment>,
+        /// The number of the pull that it answers; it travels ahead of the message.
+        #[serde(skip)]
+        pull: u64,
     },
     /// The sender has no newer configuration, or sends it to too many others now.
     NoConfiguration,
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -43,6 +43,19 @@
     /// Whether the connection carries one configuration and nothing else.
     #[serde(default)]
     pub bulk: bool,
+    /// The number of the pull that it answers.
+    #[serde(default)]
+    pub pull: u64,
+    /// How many bytes the configuration has.
+    #[serde(default)]
+    pub bytes: Option<u64>,
+}
+
+impl Hello {
+    /// On the connection for all messages but configurations.
+    const fn new(address: SocketAddr, incarnation: u64) -> Self {
+        Self { address, incarnation, bulk: false, pull: 0, bytes: None }
+    }
 }
 
 type Queues = Arc<Mutex<HashMap<SocketAddr, mpsc::Sender<PeerMessage>>>>;
@@ -59,15 +72,15 @@
 impl Peers {
     /// None yet.
     pub fn new(own: SocketAddr, incarnation: u64, core: Handle<GatewayCore>) -> Self {
-        let hello = Hello { address: own, incarnation, bulk: true };
+        let hello = Hello::new(own, incarnation);
         Self { own, incarnation, core, queues: Arc::default(), bulk: Bulk::new(hello) }
     }
 
     /// Queues a message; a connection is made where there is none.
     pub fn tell(&self, to: SocketAddr, message: PeerMessage) {
         match message {
-            PeerMessage::Configuration { revision, ref deployment } => {
-                if !self.bulk.send(to, (revision, deployment.version), &message) {
+            PeerMessage::Configuration { revision, ref deployment, pull } => {
+                if !self.bulk.send(to, pull, (revision, deployment.version), &message) {
                     self.queue(to, PeerMessage::NoConfiguration);
                 }
             }
@@ -85,7 +98,7 @@
 
     fn connect(&self, to: SocketAddr) -> mpsc::Sender<PeerMessage> {
         let (sender, receiver) = mpsc::channel(QUEUE);
-        let hello = Hello { address: self.own, incarnation: self.incarnation, bulk: false };
+        let hello = Hello::new(self.own, self.incarnation);
         let (core, queues, own_queue) = (self.core.clone(), self.queues.clone(), sender.clone());
         tokio::spawn(async move {
             let was_connected = run(to, hello, receiver).await;
