Documents of a peer carry what it has seen: no pulls without end after a removal

Cause: a gateway that read the list after an entry was taken away, and its peers forgot the mark of it (120 s), has a lower highest revision than they have seen.

Change: the answer tells the sender's highest revision, which is taken over when the answer is complete. That claims no more than an entry of that revision in the answer would.

Ruled out: that a whole read raises it to the revision of its first page. It would be true (all changes up to there are in the pages, or are watched from there), but that revision counts other keys too: each repeated read of one gateway would make all others ask it for nothing.

--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -223,8 +223,8 @@
                 self.on_configuration(from, revision, deployment, now);
             }
             PeerMessage::NoConfiguration => self.pull_failed(from, 0, "refused", now),
-            PeerMessage::Documents { documents, complete } => {
-                self.on_documents(from, documents, complete, now);
+            PeerMessage::Documents { documents, complete, seen } => {
+                self.on_documents(from, documents, complete.then_some(seen), now);
             }
             PeerMessage::Submit(job) if self.takes_job(&job, from, now) => {
                 self.scheduler.submit(*job, &self.table, now);
--- a/src/direct/documents.rs
+++ b/src/direct/documents.rs
@@ -257,9 +257,10 @@
         deployment.into_iter().chain(self.endpoints_after(since.endpoints)).collect()
     }
 
-    /// A peer sent what it has beyond what this process had seen.
-    pub const fn note_listed(&mut self) {
+    /// A peer that had seen entries up to `seen` sent all that it has beyond what this process had seen.
+    pub fn note_listed(&mut self, seen: u64) {
         self.listed = true;
+        self.seen.endpoints = self.seen.endpoints.max(seen);
     }
 
     fn install(&mut self, revision: u64, deployment: Arc<Deployment>) -> Option<u64> {
--- a/src/direct/following.rs
+++ b/src/direct/following.rs
@@ -61,12 +61,12 @@
         &mut self,
         from: SocketAddr,
         documents: Vec<Revised>,
-        complete: bool,
+        listed_at: Option<u64>,
         now: Timestamp,
     ) {
         let merged = self.documents.merge(documents, now);
-        if complete {
-            self.documents.note_listed();
+        if let Some(seen) = listed_at {
+            self.documents.note_listed(seen);
         }
         self.pulls.list_came();
         self.merged(&merged, &from.to_string(), false, now);
@@ -88,7 +88,8 @@
             self.documents.deployment_after(seen.version).filter(|_| configuration.is_some());
         let (deployment, endpoints) = (newer.is_some(), documents.len());
         self.note(Note::Pulled { peer: from, deployment, endpoints });
-        self.tell(from, PeerMessage::Documents { documents, complete });
+        let seen = self.documents.seen().endpoints;
+        self.tell(from, PeerMessage::Documents { documents, complete, seen });
         match newer {
             Some((revision, deployment)) => {
                 let pull = configuration.unwrap_or_default();
--- a/src/direct/message.rs
+++ b/src/direct/message.rs
@@ -137,6 +137,10 @@
         documents: Vec<Revised>,
         /// Whether, with what was asked for, the receiver has the whole list.
         complete: bool,
+        /// The highest revision that the sender has seen; entries that are gone for long are forgotten,
+        /// and it alone is left of them.
+        #[serde(default)]
+        seen: u64,
     },
     /// Run the stages of a request.
     Submit(Box<Job>),
--- a/tests/direct_pulls.rs
+++ b/tests/direct_pulls.rs
@@ -230,6 +230,23 @@
     assert!(at <= 2_405 && endpoints == 2 && !configuration);
 }
 
+/// Of an endpoint that is gone for long, only the revision is left.
+#[test]
+fn a_list_that_is_behind_by_forgotten_entries_is_not_asked_for_for_ever() {
+    let mut core = gateway();
+    let ahead = Seen { version: 1, endpoints: 9 };
+    let mut count = 0;
+    for at in (2_000..12_000).step_by(5) {
+        let port = 2 + (at / 5 % 4) as u16;
+        for to in pulls(&core.handle(beat(port, at, ahead), ms(at))) {
+            count += 1;
+            let message = PeerMessage::Documents { documents: Vec::new(), complete: true, seen: 9 };
+            core.handle(Event::Peer { from: to, message }, ms(at));
+        }
+    }
+    assert_eq!(count, 1, "pulls in 10 s");
+}
+
 #[test]
 fn versions_that_follow_each_other_leave_the_link_to_requests_meanwhile() {
     let mut core = gateway();
