Bulk: chunks have a time-out, and a peer one transfer; unreadable messages are passed over

Cause: neither side of a transfer bounded a chunk, so a frozen receiver held one of two permits for 10 s, and a frozen sender held the receiver's task for ever; several transfers of one peer ran at once. A message of another version of the program ended the connection and made its sender suspected.

A frame that can't be read is counted (stackmast_peer_messages_bad_total) and skipped; added fields have defaults.

Tests: direct_bulk, over real connections.

--- a/src/direct/bulk.rs
+++ b/src/direct/bulk.rs
@@ -1,6 +1,7 @@
 //! A configuration on its way between gateways: over a connection of its own, in chunks, each of which
 //! is progress to the receiver; a few at once, so that one's narrow link is not shared by many.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -9,6 +10,7 @@
 use futures_util::{SinkExt, StreamExt};
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
+use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
 use super::core::GatewayCore;
@@ -24,6 +26,8 @@
 const CHUNK: usize = 16 << 10;
 /// A connection must come up within that; bulk is not in a hurry, and its link may be full.
 const CONNECTED_WITHIN: Duration = CONNECT_TIMEOUT.saturating_mul(2);
+/// A chunk is sent, or comes, within that: a frozen peer holds up nobody for longer.
+const CHUNK_WITHIN: Duration = Duration::from_secs(2);
 /// A receiver that has not taken all within that is given up.
 const LONGEST: Duration = Duration::from_secs(10);
 
@@ -89,21 +93,43 @@
     };
     crate::metrics::control_bytes("out", message.len());
     let mut connection = framed(stream);
-    let mut sent = connection.send(encode(&hello)).await.is_ok();
+    let mut sent = send_frame(&mut connection, encode(&hello)).await;
     while sent && !message.is_empty() {
         let chunk = message.split_to(message.len().min(CHUNK));
-        sent = connection.send(chunk).await.is_ok();
+        sent = send_frame(&mut connection, chunk).await;
     }
-    sent = sent && connection.send(Bytes::new()).await.is_ok();
+    sent = sent && send_frame(&mut connection, Bytes::new()).await;
     // The receiver closes once it has all: an answer of no bytes.
-    sent && connection.next().await.is_none()
+    sent && timeout(CHUNK_WITHIN, connection.next()).await.is_ok_and(|end| end.is_none())
+}
+
+async fn send_frame(connection: &mut Connection, frame: Bytes) -> bool {
+    timeout(CHUNK_WITHIN, connection.send(frame)).await.is_ok_and(|sent| sent.is_ok())
+}
+
+/// Configurations that are being received, at most one of each peer.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Receives {
+    running: Arc<Mutex<HashMap<SocketAddr, AbortHandle>>>,
+}
+
+impl Receives {
+    /// Receives a configuration; an older one of the same peer is waited for no longer.
+    pub fn start(&self, connection: Connection, hello: Hello, core: Handle<GatewayCore>) {
+        let mut running = self.running.lock().unwrap_or_else(PoisonError::into_inner);
+        running.retain(|_, task| !task.is_finished());
+        let task = tokio::spawn(async move { receive(connection, hello, &core).await });
+        if let Some(older) = running.insert(hello.address, task.abort_handle()) {
+            older.abort();
+        }
+    }
 }
 
 /// Takes a configuration in; each chunk is told as progress.
-pub(super) async fn receive(mut connection: Connection, hello: Hello, core: &Handle<GatewayCore>) {
+async fn receive(mut connection: Connection, hello: Hello, core: &Handle<GatewayCore>) {
     let Hello { address: from, pull, bytes: expected, .. } = hello;
     let mut whole = BytesMut::new();
-    while let Some(Ok(chunk)) = connection.next().await {
+    while let Ok(Some(Ok(chunk))) = timeout(CHUNK_WITHIN, connection.next()).await {
         if whole.len() + chunk.len() > MAX_FRAME {
             break;
         }
--- a/src/direct/message.rs
+++ b/src/direct/message.rs
@@ -114,6 +114,7 @@
         /// What it has seen.
         seen: Seen,
         /// Whether a newer configuration is wanted, besides entries of endpoints.
+        #[serde(default)]
         configuration: bool,
         /// Counts the sender's pulls of configurations; 0 if it doesn't tell.
         #[serde(default)]
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -18,7 +18,7 @@
 use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use super::bulk::{self, Bulk};
+use super::bulk::{Bulk, Receives};
 use super::core::GatewayCore;
 use super::event::Event;
 use super::message::PeerMessage;
@@ -170,17 +170,18 @@
 
 /// Takes connections of other gateways.
 pub async fn accept(listener: TcpListener, core: Handle<GatewayCore>) {
+    let receives = Receives::default();
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(receive(stream, core.clone()));
+                tokio::spawn(receive(stream, receives.clone(), core.clone()));
             }
             Err(_) => tokio::time::sleep(CONNECT_TIMEOUT).await,
         }
     }
 }
 
-async fn receive(stream: TcpStream, core: Handle<GatewayCore>) {
+async fn receive(stream: TcpStream, receives: Receives, core: Handle<GatewayCore>) {
     let mut connection = framed(stream);
     let Some(Ok(first)) = connection.next().await else {
         return;
@@ -189,12 +190,14 @@
         return;
     };
     if hello.bulk {
-        return bulk::receive(connection, hello, &core).await;
+        receives.start(connection, hello, core);
+        return;
     }
     while let Some(Ok(frame)) = connection.next().await {
         let Ok(message) = serde_json::from_slice::<PeerMessage>(&frame) else {
+            // Of another version of the program, as while a new one is rolled out; the next can be read.
             metrics::counter!(crate::metrics::PEER_BAD).increment(1);
-            break;
+            continue;
         };
         let event = Event::Peer { from: hello.address, message };
         if core.send(event).await.is_err() {
--- /dev/null
+++ b/tests/direct_bulk.rs
@@ -0,0 +1,156 @@
+//! Configurations between gateways over real connections: whole, refused, stalled, replaced.
+
+mod directenv;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use directenv::gateway::new_core;
+use directenv::{address, deployment};
+use stackmast::actor::{Handle, Shell, mailbox, run};
+use stackmast::direct::core::GatewayCore;
+use stackmast::direct::event::Action;
+use stackmast::direct::message::PeerMessage;
+use stackmast::direct::peers::{Peers, accept};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, sleep, timeout};
+
+/// Does nothing of what a core decides.
+struct Idle;
+
+impl Shell<GatewayCore> for Idle {
+    fn act(&mut self, _action: Action, _core: &GatewayCore) {}
+}
+
+/// A gateway that takes connections, and where.
+async fn gateway() -> (Handle<GatewayCore>, SocketAddr) {
+    let listener = TcpListener::bind(address(0)).await.expect("a port");
+    let at = listener.local_addr().expect("its address");
+    let (core, waiting) = mailbox();
+    tokio::spawn(run(new_core(), Idle, waiting));
+    tokio::spawn(accept(listener, core.clone()));
+    (core, at)
+}
+
+/// What sends to other gateways.
+fn sender() -> Peers {
+    let (core, waiting) = mailbox();
+    tokio::spawn(run(new_core(), Idle, waiting));
+    Peers::new(address(9), 1, core)
+}
+
+fn configuration(version: u64) -> PeerMessage {
+    let deployment = deployment(version, Vec::new()).into();
+    PeerMessage::Configuration { revision: version, deployment, pull: version }
+}
+
+/// Whether a version is in force within two seconds.
+async fn has(core: &Handle<GatewayCore>, version: u64) -> bool {
+    for _ in 0..100 {
+        let found = core.inspect(|core, _| core.table().deployment.version).await;
+        if found.is_ok_and(|found| found == version) {
+            return true;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    false
+}
+
+async fn write(stream: &mut TcpStream, frame: &[u8]) {
+    stream.write_u32(frame.len() as u32).await.expect("a length");
+    stream.write_all(frame).await.expect("a frame");
+}
+
+async fn read(stream: &mut TcpStream) -> String {
+    let length = stream.read_u32().await.expect("a length");
+    let mut frame = vec![0; length as usize];
+    stream.read_exact(&mut frame).await.expect("a frame");
+    String::from_utf8(frame).expect("text")
+}
+
+/// A connection to a gateway, on which a hello was sent.
+async fn hello(to: SocketAddr, bulk: bool) -> TcpStream {
+    let mut stream = TcpStream::connect(to).await.expect("a connection");
+    let hello = format!(r#"{{"address":"127.0.0.1:9","incarnation":1,"bulk":{bulk}}}"#);
+    write(&mut stream, hello.as_bytes()).await;
+    stream
+}
+
+/// How long it takes until the other end closes a connection; `None` if longer than `within`.
+async fn closed(stream: &mut TcpStream, within: Duration) -> Option<Duration> {
+    let begun = Instant::now();
+    let mut rest = Vec::new();
+    timeout(within, stream.read_to_end(&mut rest)).await.ok().map(|_| begun.elapsed())
+}
+
+#[tokio::test]
+async fn a_configuration_comes_whole() {
+    let (core, at) = gateway().await;
+    sender().tell(at, configuration(2));
+    assert!(has(&core, 2).await);
+}
+
+#[tokio::test]
+async fn a_receiver_that_takes_nothing_keeps_others_waiting_for_a_moment_only() {
+    let peers = sender();
+    let mut frozen = Vec::new();
+    for _ in 0..2 {
+        let listener = TcpListener::bind(address(0)).await.expect("a port");
+        peers.tell(listener.local_addr().expect("its address"), configuration(2));
+        frozen.push(listener.accept().await.expect("a connection"));
+    }
+    let third = TcpListener::bind(address(0)).await.expect("a port");
+    peers.tell(third.local_addr().expect("its address"), configuration(2));
+    let (mut refused, _) = third.accept().await.expect("a connection");
+    assert!(read(&mut refused).await.contains(r#""bulk":false"#));
+    assert!(read(&mut refused).await.contains("NoConfiguration"));
+    sleep(Duration::from_millis(2_500)).await;
+    peers.tell(third.local_addr().expect("its address"), configuration(2));
+    let (mut served, _) =
+        timeout(Duration::from_secs(1), third.accept()).await.expect("in time").expect("accepted");
+    assert!(read(&mut served).await.contains(r#""bulk":true"#));
+}
+
+#[tokio::test]
+async fn a_chunk_that_stalls_or_is_torn_ends_its_transfer_and_no_other() {
+    let (core, at) = gateway().await;
+    let mut torn = hello(at, true).await;
+    torn.write_u32(16_000).await.expect("a length");
+    drop(torn);
+    sleep(Duration::from_millis(100)).await;
+    let mut stalled = hello(at, true).await;
+    stalled.write_u32(16_000).await.expect("a length");
+    stalled.write_all(b"{").await.expect("a part of a chunk");
+    assert!(closed(&mut stalled, Duration::from_secs(3)).await.is_some(), "stalled for ever");
+    sender().tell(at, configuration(2));
+    assert!(has(&core, 2).await);
+}
+
+#[tokio::test]
+async fn a_newer_transfer_of_a_peer_replaces_the_older() {
+    let (core, at) = gateway().await;
+    let mut older = hello(at, true).await;
+    write(&mut older, b"{").await;
+    sleep(Duration::from_millis(100)).await;
+    sender().tell(at, configuration(2));
+    assert!(has(&core, 2).await);
+    let took = closed(&mut older, Duration::from_secs(1)).await;
+    assert!(took.is_some(), "the older goes on");
+}
+
+#[tokio::test]
+async fn a_message_of_another_version_of_the_program_is_passed_over() {
+    let (core, at) = gateway().await;
+    let mut stream = hello(at, false).await;
+    write(&mut stream, br#"{"Tomorrow":{"more":1}}"#).await;
+    write(&mut stream, &serde_json::to_vec(&configuration(2)).expect("a message")).await;
+    assert!(has(&core, 2).await);
+}
+
+#[test]
+fn a_pull_of_an_older_program_is_read() {
+    let pull = r#"{"Pull":{"seen":{"version":1,"endpoints":2}}}"#;
+    let read: Result<PeerMessage, _> = serde_json::from_str(pull);
+    assert!(matches!(read, Ok(PeerMessage::Pull { configuration: false, .. })), "{read:?}");
+}
