--- a/src/direct/message.rs
+++ b/src/direct/message.rs
@@ -114,7 +114,11 @@
         /// What it has seen.
         seen: Seen,
         /// Whether a newer configuration is wanted, besides entries of endpoints.
+        #[serde(default)]
         configuration: bool,
+        /// Counts the sender's pulls of configurations; 0 if it doesn't tell.
+        #[serde(default)]
+        number: u64,
     },
     /// The configuration that was asked for. It is long, and travels apart from all other messages.
     Configuration {
@@ -122,6 +126,9 @@
         revision: u64,
         /// The configuration.
         deployment: Arc<Deployment>,
+        /// The number of the pull that it answers; it travels ahead of the message.
+        #[serde(skip)]
+        pull: u64,
     },
     /// The sender has no newer configuration, or sends it to too many others now.
     NoConfiguration,
@@ -131,6 +138,10 @@
         documents: Vec<Revised>,
         /// Whether, with what was asked for, the receiver has the whole list.
         complete: bool,
+        /// The highest revision that the sender has seen; entries that are gone for long are forgotten,
+        /// and it alone is left of them.
+        #[serde(default)]
+        seen: u64,
     },
     /// Run the stages of a request.
     Submit(Box<Job>),
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -18,7 +18,7 @@
 use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use super::bulk::{self, Bulk};
+use super::bulk::{Bulk, Receives};
 use super::core::GatewayCore;
 use super::event::Event;
 use super::message::PeerMessage;
@@ -43,6 +43,19 @@
     /// Whether the connection carries one configuration and nothing else.
     #[serde(default)]
     pub bulk: bool,
+    /// The number of the pull that it answers.
+    #[serde(default)]
+    pub pull: u64,
+    /// How many bytes the configuration has.
+    #[serde(default)]
+    pub bytes: Option<u64>,
+}
+
+impl Hello {
+    /// On the connection for all messages but configurations.
+    const fn new(address: SocketAddr, incarnation: u64) -> Self {
+        Self { address, incarnation, bulk: false, pull: 0, bytes: None }
+    }
 }
 
 type Queues = Arc<Mutex<HashMap<SocketAddr, mpsc::Sender<PeerMessage>>>>;
@@ -59,15 +72,15 @@
 impl Peers {
     /// None yet.
     pub fn new(own: SocketAddr, incarnation: u64, core: Handle<GatewayCore>) -> Self {
-        let hello = Hello { address: own, incarnation, bulk: true };
+        let hello = Hello::new(own, incarnation);
         Self { own, incarnation, core, queues: Arc::default(), bulk: Bulk::new(hello) }
     }
 
     /// Queues a message; a connection is made where there is none.
     pub fn tell(&self, to: SocketAddr, message: PeerMessage) {
         match message {
-            PeerMessage::Configuration { revision, ref deployment } => {
-                if !self.bulk.send(to, (revision, deployment.version), &message) {
+            PeerMessage::Configuration { revision, ref deployment, pull } => {
+                if !self.bulk.send(to, pull, (revision, deployment.version), &message) {
                     self.queue(to, PeerMessage::NoConfiguration);
                 }
             }
@@ -85,7 +98,7 @@
 
     fn connect(&self, to: SocketAddr) -> mpsc::Sender<PeerMessage> {
         let (sender, receiver) = mpsc::channel(QUEUE);
-        let hello = Hello { address: self.own, incarnation: self.incarnation, bulk: false };
+        let hello = Hello::new(self.own, self.incarnation);
         let (core, queues, own_queue) = (self.core.clone(), self.queues.clone(), sender.clone());
         tokio::spawn(async move {
             let was_connected = run(to, hello, receiver).await;
@@ -157,17 +170,18 @@
 
 /// Takes connections of other gateways.
 pub async fn accept(listener: TcpListener, core: Handle<GatewayCore>) {
+    let receives = Receives::default();
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(receive(stream, core.clone()));
+                tokio::spawn(receive(stream, receives.clone(), core.clone()));
             }
             Err(_) => tokio::time::sleep(CONNECT_TIMEOUT).await,
         }
     }
 }
 
-async fn receive(stream: TcpStream, core: Handle<GatewayCore>) {
+async fn receive(stream: TcpStream, receives: Receives, core: Handle<GatewayCore>) {
     let mut connection = framed(stream);
     let Some(Ok(first)) = connection.next().await else {
         return;
@@ -176,12 +190,14 @@
         return;
     };
     if hello.bulk {
-        return bulk::receive(connection, hello, &core).await;
+        receives.start(connection, hello, core);
+        return;
     }
     while let Some(Ok(frame)) = connection.next().await {
         let Ok(message) = serde_json::from_slice::<PeerMessage>(&frame) else {
+            // Of another version of the program, as while a new one is rolled out; the next can be read.
             metrics::counter!(crate::metrics::PEER_BAD).increment(1);
-            break;
+            continue;
         };
         let event = Event::Peer { from: hello.address, message };
         if core.send(event).await.is_err() {
