--- /dev/null
+++ b/tests/direct_come_back.rs
@@ -0,0 +1,107 @@
+//! When callers should come back who are refused because the process stops.
+
+mod directenv;
+
+use std::time::Duration;
+
+use directenv::{address, ms};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use stackmast::direct::members::{Member, MemberState, Members};
+use stackmast::direct::stop::{AT_LEAST, Stop, come_back_after};
+use test_case::test_case;
+
+/// When the signal of these tests comes, and how long after it the process is killed.
+const SIGNAL: Duration = Duration::from_secs(20);
+const GRACE: Duration = Duration::from_secs(8);
+/// From the end of a process until it serves again.
+const RESTART: Duration = Duration::from_millis(1_200);
+/// The least that callers wait.
+const LEAST: Duration = Duration::from_millis(100);
+
+/// What is known of another gateway, and since when from the signal on, in milliseconds.
+#[derive(Debug, Clone, Copy)]
+enum Other {
+    Serving(i64),
+    Starting(i64),
+    Leaving(i64),
+    /// It served and is gone.
+    Dead(i64),
+}
+
+fn at(from_signal: i64) -> Duration {
+    ms((SIGNAL.as_millis() as i64 + from_signal) as u64)
+}
+
+fn members(others: &[Other]) -> Members {
+    let mut members = Members::new(address(1), 1, 1_000, Vec::new());
+    for (number, other) in others.iter().enumerate() {
+        let (state, since) = match other {
+            Other::Serving(since) | Other::Dead(since) => (MemberState::Serving, *since),
+            Other::Starting(since) => (MemberState::Starting, *since),
+            Other::Leaving(since) => (MemberState::Leaving, *since),
+        };
+        let address = address(2 + number as u16);
+        let member = Member { address, incarnation: 5, heartbeat: 1, state, capacity: 1_000 };
+        members.hear(&[member], at(since));
+        if matches!(other, Other::Dead(_)) {
+            assert!(members.broke(address, 5, at(since)));
+        }
+    }
+    members
+}
+
+fn come_back(others: &[Other], now: i64) -> Duration {
+    come_back_after(&Stop::new(SIGNAL, GRACE), &members(others), at(now))
+}
+
+#[test_case(&[], 0, 4_600; "alone: when it is back itself")]
+#[test_case(&[], 1_000, 3_600; "alone, a second later")]
+#[test_case(&[], 6_000, 1_200; "alone, and held up")]
+#[test_case(&[Other::Serving(-5_000)], 1_000, 100; "another one serves")]
+#[test_case(&[Other::Serving(700)], 1_000, 700; "another one serves, which no balancer has seen")]
+#[test_case(&[Other::Starting(500)], 1_000, 1_000; "another one starts")]
+#[test_case(&[Other::Leaving(500)], 1_000, 3_600; "another one was told later")]
+#[test_case(&[Other::Leaving(-1_000)], 1_000, 2_600; "another one was told before")]
+#[test_case(&[Other::Leaving(-1_000), Other::Leaving(-2_000), Other::Leaving(800)], 1_000, 1_600; "all leave: the first that is back")]
+#[test_case(&[Other::Leaving(-6_000)], 1_000, 1_200; "another one is held up and may end now")]
+#[test_case(&[Other::Dead(500)], 1_000, 700; "another one has just ended")]
+#[test_case(&[Other::Leaving(-1_000), Other::Dead(900)], 1_000, 1_100; "one ended and one leaves")]
+#[test_case(&[Other::Leaving(-1_000), Other::Serving(-5_000)], 1_000, 100; "one leaves and one serves")]
+fn callers_come_back_when_a_gateway_is_expected(others: &[Other], now: i64, expected: u64) {
+    assert_eq!(come_back(others, now), ms(expected));
+}
+
+fn any_other(rng: &mut StdRng) -> Other {
+    let since = rng.random_range(-9_000..8_000);
+    match rng.random_range(0..4) {
+        0 => Other::Serving(since),
+        1 => Other::Starting(since),
+        2 => Other::Leaving(since),
+        _ => Other::Dead(since),
+    }
+}
+
+#[test]
+fn nobody_is_told_to_wait_for_longer_than_the_process_itself_needs() {
+    let mut rng = StdRng::seed_from_u64(1);
+    for _ in 0..5_000 {
+        let others: Vec<Other> = (0..rng.random_range(0..6)).map(|_| any_other(&mut rng)).collect();
+        let now = rng.random_range(0..8_000);
+        let after = come_back(&others, now);
+        let own = AT_LEAST.saturating_sub(ms(now as u64)) + RESTART;
+        assert!((LEAST..=own).contains(&after), "{after:?} at {now} with {others:?}");
+        assert!(come_back(&[], now) >= after, "one more gateway makes nobody wait for longer");
+    }
+}
+
+#[test]
+fn where_all_leave_nobody_comes_back_before_one_can_have_started_again() {
+    let mut rng = StdRng::seed_from_u64(2);
+    for _ in 0..2_000 {
+        let now = rng.random_range(0..8_000);
+        let leaving = |_| Other::Leaving(rng.random_range(-8_000..=now));
+        let others: Vec<Other> = (0..4).map(leaving).collect();
+        assert!(come_back(&others, now) >= RESTART, "at {now} with {others:?}");
+    }
+}
--- a/tests/direct_stops.rs
+++ b/tests/direct_stops.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use directenv::gateway::{calls, configured, good, hear_of, incoming, refusal, serving, submit};
-use directenv::{address, ms, route};
+use directenv::{address, job, ms, route};
 use stackmast::actor::Core;
 use stackmast::direct::core::GatewayCore;
-use stackmast::direct::event::{Action, Event, Incoming, Refused};
+use stackmast::direct::event::{Action, BatchOutcome, Event, Incoming, PieceOutcome, Refused};
 use stackmast::direct::members::MemberState;
-use stackmast::direct::message::{JobId, Made, PeerMessage};
+use stackmast::direct::message::{Job, JobId, JobReason, Made, PeerMessage};
 use stackmast::direct::model::{Repeat, Route};
 use test_case::test_case;
 
@@ -84,17 +84,24 @@
     panic!("no peer is the owner");
 }
 
+/// The call that makes a piece.
+fn batch_call(actions: &[Action]) -> Option<u64> {
+    actions.iter().find_map(|a| match a {
+        Action::Batch { call, .. } => Some(*call),
+        _ => None,
+    })
+}
+
+/// The call with one piece that was made of these actions ends well.
+fn made(actions: &[Action]) -> Event {
+    let outcome = BatchOutcome::Pieces(vec![PieceOutcome::Made("p".into())]);
+    Event::BatchEnded { call: batch_call(actions).expect("a call"), outcome }
+}
+
 /// Serves a request whose stage takes 0.3 s and whose run takes 2 s.
 fn serve_staged(core: &mut GatewayCore) {
     let actions = submit(core, 2, patient("s", vec![1]), ms(8_000));
-    let call = actions.iter().find_map(|a| match a {
-        Action::Batch { call, .. } => Some(*call),
-        _ => None,
-    });
-    let made = stackmast::direct::event::PieceOutcome::Made("p".into());
-    let outcome = stackmast::direct::event::BatchOutcome::Pieces(vec![made]);
-    let event = Event::BatchEnded { call: call.expect("a call"), outcome };
-    let attempt = calls(&core.handle(event, ms(8_300)))[0].0;
+    let attempt = calls(&core.handle(made(&actions), ms(8_300)))[0].0;
     let head = Event::Answered { caller: 2, attempt, proof: good(), is_open: true };
     core.handle(head, ms(8_400));
     let ended = Event::StreamEnded { caller: 2, attempt, whole: true, last_event: None };
@@ -136,3 +143,106 @@
     assert!(!refusal(&actions).expect("answered").not_run, "it was sent");
     assert_eq!(core.in_flight(), 0);
 }
+
+/// A job of the gateway at this port, which waits for its answer for so long.
+fn job_of(port: u16, to_deadline: Duration) -> Job {
+    let mut job = job(1, &staged(), 1);
+    (job.id.gateway, job.to_deadline) = (address(port), to_deadline);
+    job
+}
+
+fn submit_job(core: &mut GatewayCore, job: &Job, now: Duration) -> Vec<Action> {
+    let message = PeerMessage::Submit(Box::new(job.clone()));
+    core.handle(Event::Peer { from: job.id.gateway, message }, now)
+}
+
+/// What the gateway at this port is told of its jobs.
+fn told(actions: &[Action], port: u16) -> Vec<&PeerMessage> {
+    let told = actions.iter().filter_map(|a| match a {
+        Action::Tell { to, message } if *to == address(port) => Some(message),
+        _ => None,
+    });
+    told.filter(|m| !matches!(m, PeerMessage::Gossip { .. })).collect()
+}
+
+fn is_refused_as_not_owned(told: &[&PeerMessage], job: JobId) -> bool {
+    let is_refused = |m: &&PeerMessage| matches!(m, PeerMessage::GivenUp { job: j, reason: JobReason::NotOwner, untouched: true, .. } if *j == job);
+    told.len() == 1 && told.iter().all(is_refused)
+}
+
+// Seven and a half seconds are left after the signal.
+#[test_case(0, 7_400, true; "ends before the process")]
+#[test_case(0, 7_600, false; "may end after the process")]
+#[test_case(3_300, 4_100, true; "late, and ends before the process")]
+#[test_case(3_300, 4_300, false; "late, and may end after the process")]
+#[test_case(3_500, 100, false; "too late for anything new")]
+fn a_stopping_owner_takes_new_jobs_of_others_only_if_they_end(after: u64, lasts: u64, takes: bool) {
+    let mut core = configured(vec![staged()]);
+    core.handle(Event::Drain, SIGNAL);
+    let job = job_of(3, ms(lasts));
+    let actions = submit_job(&mut core, &job, SIGNAL + ms(after));
+    let told = told(&actions, 3);
+    assert_eq!(told.contains(&&PeerMessage::Accepted(job.id)), takes, "{told:?}");
+    assert_eq!(is_refused_as_not_owned(&told, job.id), !takes, "{told:?}");
+    assert_eq!(batch_call(&actions).is_some(), takes, "nothing of a refused job is made");
+}
+
+#[test]
+fn a_stopping_owner_goes_on_with_a_job_that_it_has_and_tells_again_how_it_stands() {
+    let mut core = configured(vec![staged()]);
+    let job = job_of(3, ms(20_000));
+    let begun = submit_job(&mut core, &job, SIGNAL - ms(100));
+    core.handle(Event::Drain, SIGNAL);
+    let late = SIGNAL + ms(3_600);
+    let new = Job { id: JobId { number: 2, ..job.id }, ..job.clone() };
+    let refused = submit_job(&mut core, &new, late);
+    assert!(is_refused_as_not_owned(&told(&refused, 3), new.id));
+    let again = submit_job(&mut core, &job, late);
+    assert_eq!(told(&again, 3), [&PeerMessage::Accepted(job.id)], "it has that one");
+    assert!(batch_call(&again).is_none(), "its piece is on the way already");
+    let ended = core.handle(made(&begun), late + ms(100));
+
+    let is_done = |told: &[&PeerMessage]| match told {
+        [PeerMessage::StageDone { job: of, stage: 0, results: r }, PeerMessage::Ready(ready)] => {
+            *of == job.id && *ready == job.id && &*r[0].handle == "p"
+        }
+        _ => false,
+    };
+    assert!(is_done(&told(&ended, 3)), "{:?}", told(&ended, 3));
+    let again = submit_job(&mut core, &job, late + ms(200));
+    let told = told(&again, 3);
+    assert_eq!(told[0], &PeerMessage::Accepted(job.id));
+    assert!(is_done(&told[1..]), "what was told may be lost: {told:?}");
+}
+
+// The owner that serves has just refused; the one that stops takes its own request's job, and nobody
+// else's.
+#[test]
+fn a_stopping_owner_takes_the_jobs_of_its_own_requests() {
+    let mut core = configured(vec![staged(), stream("long")]);
+    serve(&mut core, 1, "long", ms(100));
+    serve_staged(&mut core);
+    hear_of(&mut core, vec![serving(3)], SIGNAL - ms(2_000));
+    core.handle(Event::Drain, SIGNAL);
+    let mut beat = serving(3);
+    for number in 0..15 {
+        beat.heartbeat += 1;
+        hear_of(&mut core, vec![beat.clone()], SIGNAL - ms(1_500) + ms(200) * number);
+    }
+    let actions = submit(&mut core, 3, patient("s", vec![1]), SIGNAL + ms(1_400));
+    let is_submitted = |m: &&PeerMessage| matches!(m, PeerMessage::Submit(_));
+    assert!(told(&actions, 3).iter().any(is_submitted), "{actions:?}");
+    let job = JobId { gateway: address(1), incarnation: 1, number: 3 };
+    let message = PeerMessage::GivenUp {
+        job,
+        reason: JobReason::NotOwner,
+        untouched: true,
+        retry_after: Duration::ZERO,
+    };
+    let now = SIGNAL + ms(1_600);
+    let actions = core.handle(Event::Peer { from: address(3), message }, now);
+    assert!(batch_call(&actions).is_some(), "{actions:?}");
+    let other = job_of(3, ms(500));
+    let actions = submit_job(&mut core, &other, now);
+    assert!(is_refused_as_not_owned(&told(&actions, 3), other.id), "others serve");
+}
