Schedules with planned stops and streams that last as long as one

The random schedules held nothing that lasts longer than 60 ms. In the new ones streams last up to 6.5 s, one to three gateways are stopped up to 2 s apart, end as the program does, and start again. Must hold: no caller of an ended process is without an answer, and no stream that was taken later than 3 s after the signal is cut by the end. The schedules from before draw the same numbers.

--- a/tests/direct_schedules.rs
+++ b/tests/direct_schedules.rs
@@ -10,6 +10,8 @@
 use directenv::world::{GATEWAYS, Happening, World};
 
 const SCHEDULES: u64 = 400;
+/// Of those with planned stops, which hold more callers.
+const STOP_SCHEDULES: u64 = 60;
 
 fn number(name: &str, default: u64) -> u64 {
     std::env::var(name).ok().and_then(|v| v.parse().ok()).unwrap_or(default)
@@ -35,6 +37,36 @@
     assert!(answered > 0);
 }
 
+// Streams last up to 6.5 s and gateways are stopped, several at once: what a gateway takes later than
+// three seconds after its signal is whole before its process ends.
+#[test]
+fn random_schedules_with_planned_stops_cut_nothing_that_was_taken_late() {
+    let first = number("STACKMAST_SEED", 1);
+    let count = number("STACKMAST_SCHEDULES", STOP_SCHEDULES);
+    let (mut ended, mut served_late, mut cut, mut jobs_left) = (0, 0, 0, 0);
+    for seed in first..first + count {
+        let outcome = std::panic::catch_unwind(|| {
+            let mut world = World::with_stops(seed);
+            world.run();
+            world.stops
+        });
+        match outcome {
+            Ok(stops) => {
+                ended += stops.ended;
+                served_late += stops.served_late;
+                cut += stops.cut;
+                jobs_left += stops.jobs_left;
+            }
+            Err(_) => panic!("seed {seed}: STACKMAST_SEED={seed} STACKMAST_SCHEDULES=1"),
+        }
+    }
+    println!(
+        "{count} schedules from seed {first}: {ended} processes stopped, {served_late} streams taken \
+         after the signal whole, {cut} others cut at the end, {jobs_left} jobs left, 0 breaches"
+    );
+    assert!(ended > 0 && (served_late > 0 || count < STOP_SCHEDULES));
+}
+
 // Without trouble, everything that can be served is, and nothing is left at the makers.
 #[test]
 fn a_calm_schedule_serves_all_and_frees_all() {
--- a/tests/directenv/fakes.rs
+++ b/tests/directenv/fakes.rs
@@ -61,7 +61,8 @@
             let whole = fate == 0;
             let last_event = Some("3".to_owned());
             let ended = Event::StreamEnded { caller, attempt, whole, last_event };
-            self.at(first + ms(60), Happening::Event(number, life, Box::new(ended)));
+            let length = self.stream_length(route);
+            self.at(first + length, Happening::Event(number, life, Box::new(ended)));
         }
     }
 
--- a/tests/directenv/world.rs
+++ b/tests/directenv/world.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::stops::Stops;
 use super::{address, deployment, endpoints, ms, route};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -20,7 +21,7 @@
 pub const GATEWAYS: u16 = 3;
 const CALLERS: u64 = 24;
 /// Callers come within that; after it nothing fails any more.
-const BUSY: Duration = Duration::from_secs(4);
+pub const BUSY: Duration = Duration::from_secs(4);
 const END: Duration = Duration::from_secs(20);
 
 /// Something that happens at a time.
@@ -30,6 +31,9 @@
     Kill(usize),
     Restart(usize),
     Drain(usize),
+    /// SIGTERM, with the process's own end some time after it.
+    Stop(usize),
+    LookAtStop(usize, u64),
     Cut(usize, bool),
     Publish,
     /// The publisher goes away for this gateway.
@@ -48,6 +52,7 @@
     pub gone: bool,
     pub answers: usize,
     pub refused_not_run: bool,
+    pub arrived: Duration,
     pub deadline: Duration,
 }
 
@@ -80,10 +85,24 @@
     /// Results that were made and not freed.
     pub kept: HashMap<String, Duration>,
     pub trouble: f64,
+    /// How long streams of each route last at most.
+    pub lengths: Vec<Duration>,
+    /// How long callers wait.
+    pub allowed: Duration,
+    pub end: Duration,
+    pub stops: Stops,
 }
 
 impl World {
     pub fn new(seed: u64) -> Self {
+        let mut world = Self::empty(seed);
+        world.open();
+        world.plan();
+        world
+    }
+
+    /// A world before anything happens.
+    pub(super) fn empty(seed: u64) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let graph: &[(&str, &[usize], u64)] =
             &[("first", &[], 10), ("second", &[0], 10), ("third", &[1], 10), ("first", &[], 50)];
@@ -98,7 +117,8 @@
             again,
         ];
         let trouble = rng.random_range(0.0..0.25);
-        let mut world = Self {
+        let lengths = vec![ms(60); routes.len()];
+        Self {
             rng,
             now: Duration::ZERO,
             queue: BinaryHeap::new(),
@@ -120,16 +140,22 @@
             results: HashMap::new(),
             kept: HashMap::new(),
             trouble,
-        };
+            lengths,
+            allowed: Duration::from_secs(5),
+            end: END,
+            stops: Stops::default(),
+        }
+    }
+
+    /// Starts the gateways.
+    pub(super) fn open(&mut self) {
         for _ in 0..GATEWAYS {
-            world.gateways.push(None);
-            world.lives.push(0);
+            self.gateways.push(None);
+            self.lives.push(0);
         }
         for number in 0..usize::from(GATEWAYS) {
-            world.start(number);
+            self.start(number);
         }
-        world.plan();
-        world
     }
 
     fn plan(&mut self) {
@@ -138,6 +164,10 @@
             let gateway = self.rng.random_range(0..usize::from(GATEWAYS));
             self.at(at, Happening::Arrival(gateway, number + 1));
         }
+        self.plan_troubles();
+    }
+
+    pub(super) fn plan_troubles(&mut self) {
         for _ in 0..self.rng.random_range(0..4) {
             let gateway = self.rng.random_range(0..usize::from(GATEWAYS));
             let at = self.time_in(ms(300), BUSY);
@@ -237,7 +267,7 @@
 
     pub fn run(&mut self) {
         while let Some(Reverse((at, id))) = self.queue.pop() {
-            if at > END {
+            if at > self.end {
                 break;
             }
             self.now = self.now.max(at);
@@ -260,6 +290,8 @@
             Happening::Kill(number) => self.kill(number),
             Happening::Restart(number) => self.start(number),
             Happening::Drain(number) => self.handle(number, Event::Drain),
+            Happening::Stop(number) => self.stop(number),
+            Happening::LookAtStop(number, life) => self.look_at_stop(number, life),
             Happening::Cut(number, true) => {
                 self.cut.insert(number);
             }
@@ -302,7 +334,7 @@
         }
     }
 
-    fn kill(&mut self, number: usize) {
+    pub(super) fn kill(&mut self, number: usize) {
         if self.gateways[number].take().is_none() {
             return;
         }
@@ -330,7 +362,7 @@
             host: "h.example".to_owned(),
             path: format!("/{}/x", spec.name),
             key: Some("key".to_owned()),
-            allowed: Some(Duration::from_secs(5)),
+            allowed: Some(self.allowed),
             generation: spec.streams.then(|| generation(caller)),
             pieces: spec.stages.iter().map(|_| self.rng.random_range(1..4)).collect(),
             piece_key: Some("k".into()),
@@ -346,7 +378,8 @@
                 gone: false,
                 answers: 0,
                 refused_not_run: false,
-                deadline: self.now + Duration::from_secs(5),
+                arrived: self.now,
+                deadline: self.now + self.allowed,
             },
         );
         self.handle(number, Event::Submit { caller, incoming });
@@ -358,7 +391,7 @@
         }
     }
 
-    fn handle(&mut self, number: usize, event: Event) {
+    pub(super) fn handle(&mut self, number: usize, event: Event) {
         let now = self.now;
         let Some(core) = self.gateways[number].as_mut() else {
             return;
@@ -418,6 +451,7 @@
         assert_eq!(seen.answers, 1, "{}: a second final answer ({how})", seen.id);
         let late = self.now.saturating_sub(seen.deadline);
         assert!(late < ms(50), "{}: {how} {late:?} after its deadline", seen.id);
+        self.answered_in_stop(caller, how);
     }
 
     fn tell(&mut self, number: usize, to: SocketAddr, message: PeerMessage) {
