A failing test: a gateway that was lost long ago is taken for one that serves now

come_back_after counts a dead member as back 1.2 s after its loss, whatever has been heard of it since. Where one was lost ten or fifty seconds ago (members are forgotten after sixty) and the last one that serves is told to stop, callers are told to come back after 0.1 s, though nobody serves for 3.6 s. They return a few times only.

--- a/tests/direct_come_back.rs
+++ b/tests/direct_come_back.rs
@@ -72,6 +72,22 @@
     assert_eq!(come_back(others, now), ms(expected));
 }
 
+// A host that was lost long before the stop is no sign that anybody serves at once.
+#[test_case(10_000; "ten seconds ago")]
+#[test_case(50_000; "fifty seconds ago")]
+fn a_gateway_that_is_long_dead_is_not_expected_back_at_once(ago: i64) {
+    let signal = Duration::from_secs(100);
+    let mut members = Members::new(address(1), 1, 1_000, Vec::new());
+    let lost = signal - ms(ago as u64);
+    let state = MemberState::Serving;
+    let member =
+        Member { address: address(2), incarnation: 5, heartbeat: 1, state, capacity: 1_000 };
+    members.hear(&[member], lost);
+    members.broke(address(2), 5, lost);
+    let after = come_back_after(&Stop::new(signal, GRACE), &members, signal + ms(1_000));
+    assert!(after >= RESTART, "{after:?}, where nobody serves for the next {:?}", ms(3_600));
+}
+
 fn any_other(rng: &mut StdRng) -> Other {
     let since = rng.random_range(-9_000..8_000);
     match rng.random_range(0..4) {
