Stops: new streams go by their deadline, and what still runs is experience

Experience holds only what has ended, and the long ones of a route end last; a few that ended say little of the next one. Ruled out: the delivery at the end (the cut came with the process's last line).

Change: once the balancer has noticed, a new stream is taken only if its deadline lies before the end; what still runs at the signal and each second after it is experience, too. A process that ends waits for nothing that is left in its runtime (one was gone 8.045 s after its signal, once, not traced).

--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -163,11 +163,12 @@
     /// Tells the requests how the stop stands.
     fn look_at_stop(&mut self, now: Timestamp) {
         if let Some(stop) = self.stop {
-            self.requests.stopping(Stopping {
+            let stopping = Stopping {
                 stop,
                 others_serve: stop::others_serve(&self.members, now),
                 come_back_after: stop::come_back_after(&stop, &self.members, now),
-            });
+            };
+            self.requests.stopping(stopping, now);
         }
     }
 
--- a/src/direct/experience.rs
+++ b/src/direct/experience.rs
@@ -38,6 +38,8 @@
     Usually,
     /// No request alike took as long, and there were some.
     Surely,
+    /// Whatever it takes: its time is over by then.
+    ByDeadline,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -101,6 +103,7 @@
         match sure {
             Sure::Usually => usual(classes, class(size)),
             Sure::Surely => worst(classes, size).map(|worst| worst.mul_f64(SAFETY)),
+            Sure::ByDeadline => None,
         }
     }
 
@@ -136,8 +139,13 @@
 ///
 /// Until the balancer has seen that the process is not ready, callers come who could not know, and
 /// what waits for its stages is half made: what usually ends is worth its small risk, unless others
-/// serve, who take a new request at once. After that, only what surely ends.
-pub fn must_be(stop_age: Duration, is_new: bool, others_serve: bool) -> Sure {
+/// serve, who take a new request at once. After that, only what surely ends. A new stream then has to be
+/// over by its own deadline: streams of one route differ by far, the long ones end last, and a refusal
+/// costs its caller no more than the process's restart.
+pub fn must_be(stop_age: Duration, is_new: bool, is_stream: bool, others_serve: bool) -> Sure {
     let is_noticed = stop_age >= NOTICED;
+    if is_noticed && is_new && is_stream {
+        return Sure::ByDeadline;
+    }
     if is_noticed || is_new && others_serve { Sure::Surely } else { Sure::Usually }
 }
--- a/src/direct/requests.rs
+++ b/src/direct/requests.rs
@@ -52,6 +52,8 @@
     pub(super) stopping: Option<Stopping>,
     /// When a stopping process last looked at what waits for its stages.
     pub(super) stages_looked_at: Timestamp,
+    /// When a stopping process last learnt from what still runs.
+    pub(super) running_learnt_at: Timestamp,
     pub(super) repeats: Repeats,
     pub(super) processes: usize,
     pub(super) next_attempt: u64,
@@ -76,6 +78,7 @@
             experience: Experience::default(),
             stopping: None,
             stages_looked_at: Timestamp::ZERO,
+            running_learnt_at: Timestamp::ZERO,
             repeats: Repeats::new(bounds),
             processes: 1,
             next_attempt: 0,
--- a/src/direct/stopping.rs
+++ b/src/direct/stopping.rs
@@ -14,6 +14,9 @@
 /// Between two looks at all requests that wait for their stages.
 const LOOK: Duration = Duration::from_millis(50);
 
+/// A stopping process learns this often from what still runs.
+const LEARN: Duration = Duration::from_secs(1);
+
 /// What requests go by while the process stops.
 #[derive(Debug, Clone, Copy)]
 pub struct Stopping {
@@ -53,8 +56,21 @@
 
 impl Requests {
     /// The process stops; told again whenever something happens.
-    pub const fn stopping(&mut self, stopping: Stopping) {
+    pub fn stopping(&mut self, stopping: Stopping, now: Timestamp) {
         self.stopping = Some(stopping);
+        if now >= self.running_learnt_at + LEARN {
+            self.running_learnt_at = now;
+            self.learn_from_running(now);
+        }
+    }
+
+    /// What still runs takes longer than until now: long ones end last, so without this the short ones
+    /// would be all experience.
+    fn learn_from_running(&mut self, now: Timestamp) {
+        let callers: Vec<u64> = self.requests.keys().copied().collect();
+        for caller in callers {
+            self.learn(caller, false, now);
+        }
     }
 
     /// When to come back to a process that knows too little or stops.
@@ -77,7 +93,7 @@
         let Some(Stopping { stop, others_serve, .. }) = self.stopping else {
             return (true, None);
         };
-        let sure = must_be(stop.age(now), at == At::Door, others_serve);
+        let sure = must_be(stop.age(now), at == At::Door, request.route.streams, others_serve);
         let waits = request.deadline.saturating_sub(now);
         let (route, size) = (&request.route.name, request.size());
         let expected = self.experience.expected(route, at.rest(), size, sure);
