--- a/src/direct/following.rs
+++ b/src/direct/following.rs
@@ -57,6 +57,8 @@
         self.merged(&merged, &from.to_string(), false, now);
     }
 
+    /// A peer sent entries of endpoints: the whole list with `listed_at`, the revision up to which it has
+    /// seen them.
     pub(super) fn on_documents(
         &mut self,
         from: SocketAddr,
@@ -72,15 +74,19 @@
         self.merged(&merged, &from.to_string(), false, now);
     }
 
+    /// Tells what became of a pull.
     pub(super) fn note_pull(&mut self, peer: SocketAddr, outcome: &'static str) {
         let Seen { version, endpoints } = self.documents.seen();
         self.note(Note::Pull { peer, outcome, version, endpoints });
     }
 
+    /// What this gateway has.
     pub(super) fn own(&self) -> Own {
         Own { seen: self.documents.seen(), complete: self.documents.is_complete() }
     }
 
+    /// A peer asks for what it lacks: entries of endpoints, and with `configuration`, the number of its
+    /// pull, also a newer configuration.
     pub(super) fn on_pull(&mut self, from: SocketAddr, seen: Seen, configuration: Option<u64>) {
         let documents = self.documents.endpoints_after(seen.endpoints);
         let complete = self.documents.is_complete();
@@ -100,6 +106,7 @@
         }
     }
 
+    /// A peer gives no configuration to this pull.
     pub(super) fn pull_failed(
         &mut self,
         peer: SocketAddr,
@@ -112,6 +119,7 @@
         }
     }
 
+    /// Tells that a newer configuration is in force, and since when it was known of.
     pub(super) fn note_configured(&mut self, before: u64, source: &str, now: Timestamp) {
         let version = self.documents.deployment().version;
         let told = self.pulls.configured(version, now);
@@ -124,6 +132,8 @@
         });
     }
 
+    /// What follows from a merge: lines, the table, and with `spread` a heartbeat at once, so that peers hear
+    /// of what the publisher gave.
     pub(super) fn merged(&mut self, merged: &Merged, source: &str, spread: bool, now: Timestamp) {
         if let Some(before) = merged.deployment {
             self.note_configured(before, source, now);
--- a/src/direct/stopping.rs
+++ b/src/direct/stopping.rs
@@ -13,7 +13,6 @@
 
 /// Between two looks at all requests that wait for their stages.
 const LOOK: Duration = Duration::from_millis(50);
-
 /// A stopping process learns this often from what still runs.
 const LEARN: Duration = Duration::from_secs(1);
 
@@ -205,7 +204,7 @@
         (unanswered, streams)
     }
 
-    /// A request's answer is whole, or its endpoint's time was over: that is experience.
+    /// A request's answer is whole, or it takes longer than until now: both are experience.
     pub(super) fn learn(&mut self, caller: u64, is_whole: bool, now: Timestamp) {
         let Some(request) = self.requests.get(&caller) else {
             return;
