--- a/tests/direct_pulls.rs
+++ b/tests/direct_pulls.rs
@@ -175,6 +175,16 @@
     assert_ne!(next[0], address(4));
 }
 
+// The end of a transfer that was given up says nothing of a later one from the same peer.
+#[test_case(1, true; "the pull that is on its way")]
+#[test_case(7, false; "another pull")]
+fn only_the_end_of_the_own_pull_makes_another_peer_asked(pull: u64, is_asked: bool) {
+    let mut core = gateway();
+    assert_eq!(asked(&mut core, NEWER, 2_000, 2_300).len(), 1);
+    let actions = core.handle(Event::PeerBrokeOff { from: address(4), pull }, ms(2_300));
+    assert_eq!(pulls(&actions).len(), usize::from(is_asked));
+}
+
 #[test]
 fn nothing_is_asked_of_peers_while_the_own_read_brings_it() {
     let mut core = gateway();
