Admission: room is forecast as it is taken, and little fits beside much

Two errors: results of a stage that is held back until the others end were counted from the start on; and requests that need 8 KB of a pool were refused because large results had taken the share that is planned. Ruled out: time of calls (fill 4 of 8, 13 of 24, 22 of 40), priority's share alone. Also: a refusal for want of room names the stage that finds none (it named the last one).

--- a/src/direct/filling.rs
+++ b/src/direct/filling.rs
@@ -13,13 +13,12 @@
 use crate::invariant;
 use crate::invariant::Violation;
 use crate::message::Timestamp;
+use crate::policy::path::HOLD_SLACK;
 
 /// A call is given up after so many times its expected time, and [`PATIENCE`] more.
 const OVERDUE: f64 = 2.0;
 /// See [`OVERDUE`].
 const PATIENCE: Duration = Duration::from_millis(250);
-/// A stage that is not needed before others is begun so much earlier than it must be.
-const HOLD_SLACK: Duration = Duration::from_millis(120);
 /// Results of that many bytes would cross between data centres: their place is worth waiting for.
 const HEAVY: u64 = 100_000;
 /// A piece waits for an endpoint in its place only while it has so much time to spare.
@@ -246,7 +245,7 @@
     now: Timestamp,
     call: impl Fn(usize) -> Duration + Copy,
 ) -> bool {
-    if !run.is_last(stage) || !run.job.stages[stage].after.is_empty() {
+    if !run.stands_alone(stage) {
         return false;
     }
     let others = run.remaining(Some(stage), now, call);
--- a/src/direct/forecast.rs
+++ b/src/direct/forecast.rs
@@ -10,7 +10,7 @@
 use super::scheduler::{Scheduler, expected_call};
 use super::table::Table;
 use crate::message::Timestamp;
-use crate::policy::path::{FETCHING, StageLoad};
+use crate::policy::path::{FETCHING, HOLD_SLACK, StageLoad};
 use crate::policy::timeline::Timeline;
 
 /// What is begun comes to its stages one after the other, and calls grow fuller under load: of the
@@ -59,6 +59,22 @@
     end: Duration,
 }
 
+/// Moves stages that are held back and not begun to where the others end.
+fn hold_back(run: &JobRun, runs: &mut [Run]) {
+    let others = (0..runs.len()).filter(|&s| !run.stands_alone(s)).map(|s| runs[s].end).max();
+    let Some(others) = others else {
+        return;
+    };
+    for stage in (0..runs.len()).filter(|&s| run.stands_alone(s)) {
+        if run.stages[stage].started.is_some() || run.stages[stage].is_done() {
+            continue;
+        }
+        let length = runs[stage].end.saturating_sub(runs[stage].start);
+        let start = others.saturating_sub(length + HOLD_SLACK).max(runs[stage].start);
+        runs[stage] = Run { start, end: start + length };
+    }
+}
+
 impl Scheduler {
     fn pace(&self, pool: &Name, spec: &BatchSpec) -> Pace {
         self.paces.get(pool).copied().unwrap_or_else(|| Pace::unknown(spec))
@@ -165,6 +181,7 @@
                 None => Run { start: ready + pace.wait(), end: waiting },
             });
         }
+        hold_back(run, &mut runs);
         runs
     }
 
--- a/src/direct/jobs.rs
+++ b/src/direct/jobs.rs
@@ -148,17 +148,26 @@
         !self.job.stages.iter().any(|s| s.after.contains(&stage))
     }
 
+    /// Whether a stage neither needs another one nor is needed by one: it is held back, so that its
+    /// results don't wait for the others.
+    pub fn stands_alone(&self, stage: usize) -> bool {
+        self.is_last(stage) && self.job.stages[stage].after.is_empty()
+    }
+
     /// Stages that hand results to one another.
     pub fn inner_stages(&self) -> impl Iterator<Item = usize> + '_ {
         let stages = 0..self.job.stages.len();
-        stages.filter(|&s| !self.is_last(s) || !self.job.stages[s].after.is_empty())
+        stages.filter(|&s| !self.stands_alone(s))
     }
 
     /// Where a stage's pieces are best made: with the stages that it hands results to or gets them
     /// from, or else where the last results are needed.
     pub fn home(&self, stage: usize) -> Option<&Name> {
-        let stands_alone = self.is_last(stage) && self.job.stages[stage].after.is_empty();
-        if stands_alone { Some(&self.job.data_centre) } else { self.inner_home.as_ref() }
+        if self.stands_alone(stage) {
+            Some(&self.job.data_centre)
+        } else {
+            self.inner_home.as_ref()
+        }
     }
 
     /// Bytes that would cross between data centres for one piece that is made elsewhere.
--- a/src/policy/path.rs
+++ b/src/policy/path.rs
@@ -15,12 +15,20 @@
 const CONFIDENT_SHARE: f64 = 1.1;
 /// Of a pool's room, so much may be planned for: endpoints fill unevenly, and plans miss.
 const ROOM_PLANNED: f64 = 0.7;
+/// What wants less than that share of a pool's room is little: it fits beside the large results that
+/// the rest of the room is left for, and takes nothing from the more urgent.
+const LITTLE: f64 = 0.01;
+/// Of a pool's room, so much may be taken where a stage wants little of it.
+const ROOM_FOR_LITTLE: f64 = 0.95;
 /// A stage is planned to wait for room so long at most.
 const ROOM_WAIT: Duration = Duration::from_millis(100);
 /// When to come back where no room is planned soon.
 const NO_ROOM_RETRY: Duration = Duration::from_millis(400);
 /// A call has fetched its inputs so long after it began.
 pub const FETCHING: Duration = Duration::from_millis(40);
+/// A stage that stands alone is begun so much earlier than it must be to end with the others: its
+/// results only wait for them.
+pub const HOLD_SLACK: Duration = Duration::from_millis(120);
 /// Each step down in priority leaves so much of time and room to the more urgent.
 const LEFT_TO_MORE_URGENT: f64 = 0.12;
 /// At least this share is open to every priority.
@@ -94,33 +102,56 @@
     room_share: f64,
 }
 
-/// Plans each stage after those that it needs; `None` where its results find no room in time.
-fn plan(stages: &[StageLoad], after: Duration, open: f64) -> Option<Vec<Run>> {
-    let mut runs: Vec<Run> = Vec::with_capacity(stages.len());
-    for (index, stage) in stages.iter().enumerate() {
+/// Plans each stage after those that it needs, those that are held back last; names the stage whose
+/// results find no room in time.
+fn plan(stages: &[StageLoad], after: Duration, open: f64) -> Result<Vec<Run>, usize> {
+    let mut runs = vec![Run::default(); stages.len()];
+    let (held_back, others): (Vec<usize>, Vec<usize>) =
+        (0..stages.len()).partition(|&index| stands_alone(stages, index));
+    for &index in others.iter().chain(&held_back) {
+        let stage = &stages[index];
         let ready = stage.after.iter().map(|&a| runs[a].end).max().unwrap_or_default();
         if stage.is_done {
-            runs.push(Run { end: ready, ..Run::default() });
+            runs[index] = Run { end: ready, ..Run::default() };
             continue;
         }
-        let wanted_at = ready + stage.waiting();
+        let earliest = if held_back.contains(&index) {
+            let others = others.iter().map(|&o| runs[o].end).max().unwrap_or_default();
+            others.saturating_sub(stage.call + HOLD_SLACK)
+        } else {
+            ready
+        };
+        let wanted_at = earliest.max(ready + stage.waiting());
         // Results are kept until the next stage has fetched them, or the answer begins.
         let next = stages.iter().filter(|s| s.after.contains(&index)).map(StageLoad::waiting).max();
         let length = stage.call + next.map_or(after, |waiting| waiting + FETCHING);
-        let bound = stage.room * ROOM_PLANNED * open;
-        let start =
-            stage.taken.earliest(wanted_at, length, stage.wanted, bound.max(stage.wanted))?;
+        let bound = stage.room_open(open).max(stage.wanted);
+        let start = stage.taken.earliest(wanted_at, length, stage.wanted, bound).ok_or(index)?;
         let share = (stage.taken.peak(start, length) + stage.wanted) / stage.room.max(1.0);
         let for_room = start.saturating_sub(wanted_at);
         if for_room > ROOM_WAIT {
-            return None;
+            return Err(index);
         }
-        runs.push(Run { end: start + stage.call, for_room, room_share: share });
+        runs[index] = Run { end: start + stage.call, for_room, room_share: share };
     }
-    Some(runs)
+    Ok(runs)
+}
+
+/// Whether a stage neither needs another one nor is needed by one.
+fn stands_alone(stages: &[StageLoad], index: usize) -> bool {
+    stages[index].after.is_empty() && !stages.iter().any(|s| s.after.contains(&index))
 }
 
 impl StageLoad {
+    /// The bytes of its pool's room that may be planned for it; `open` is its priority's share.
+    fn room_open(&self, open: f64) -> f64 {
+        if self.wanted < self.room * LITTLE {
+            self.room * ROOM_FOR_LITTLE
+        } else {
+            self.room * ROOM_PLANNED * open
+        }
+    }
+
     /// The time that work for it waits for an endpoint.
     fn waiting(&self) -> Duration {
         self.backlog.div_f64(self.slots.max(0.01)).min(LONGEST_WAIT)
@@ -147,10 +178,13 @@
     let open = open_share(priority);
     let runs = plan(stages, after, open);
     let needed = || (0..stages.len()).filter(|&i| !stages[i].is_done);
-    let has_room = runs.is_some();
-    let runs = runs.unwrap_or_else(|| vec![Run::default(); stages.len()]);
-    let by_share = |&a: &usize, &b: &usize| runs[a].room_share.total_cmp(&runs[b].room_share);
-    let narrowest = needed().max_by(by_share).unwrap_or_default();
+    let has_room = runs.is_ok();
+    let by_share = |runs: &[Run]| {
+        let share = |&a: &usize, &b: &usize| runs[a].room_share.total_cmp(&runs[b].room_share);
+        needed().max_by(share).unwrap_or_default()
+    };
+    let narrowest = runs.as_deref().map_or_else(|full| *full, by_share);
+    let runs = runs.unwrap_or_else(|_| vec![Run::default(); stages.len()]);
     let room_share = runs.get(narrowest).map_or(0.0, |r| r.room_share);
     let predicted = runs.iter().map(|r| r.end).max().unwrap_or_default() + after;
     let for_room = runs.iter().map(|r| r.for_room).sum();
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -73,6 +73,36 @@
     assert_eq!(admit_path(&[large], AFTER, OBJECTIVE, 2).refusal, None);
 }
 
+#[test_case(0.5, None; "little")]
+#[test_case(10.0, Some(PathRefusal::NoRoom); "more")]
+fn little_fits_beside_large_results_whatever_its_priority(
+    wanted: f64,
+    refusal: Option<PathRefusal>,
+) {
+    let mut filled = stage(&[]);
+    filled.taken = taken(0, 5_000, 90.0);
+    filled.wanted = wanted;
+    assert_eq!(admit_path(&[filled], AFTER, OBJECTIVE, 2).refusal, refusal);
+}
+
+#[test]
+fn a_stage_that_stands_alone_needs_its_room_only_when_the_others_end() {
+    let mut alone = stage(&[]);
+    alone.taken = taken(0, 180, 95.0);
+    let decision = admit_path(&[stage(&[]), stage(&[0]), alone.clone()], AFTER, OBJECTIVE, 0);
+    assert_eq!((decision.refusal, decision.predicted), (None, ms(700)));
+    let decision = admit_path(&[alone], AFTER, OBJECTIVE, 0);
+    assert_eq!(decision.refusal, Some(PathRefusal::NoRoom), "with nothing to wait for, it begins");
+}
+
+#[test]
+fn a_refusal_for_want_of_room_names_the_stage_that_finds_none() {
+    let mut full = stage(&[0]);
+    full.taken = taken(0, 5_000, 95.0);
+    let decision = admit_path(&[stage(&[]), full, stage(&[1])], AFTER, OBJECTIVE, 0);
+    assert_eq!((decision.refusal, decision.narrowest), (Some(PathRefusal::NoRoom), 1));
+}
+
 #[test]
 fn the_less_urgent_leave_room_and_time_to_the_more_urgent() {
     let mut filled = stage(&[]);
