Homes of stages are balanced by each heavy pool's own endpoints

Cause: the data centre of a path's stages was chosen by the smallest of its pools there, also of pools whose results are too small to matter; with 2, 1, 1 and 2, 2, 1 endpoints one data centre got half of the work, its calls were full with 300 pieces waiting, and two endpoints elsewhere made calls of one to ten. Ruled out: room at the endpoints (0.5 full).

--- a/src/direct/filling.rs
+++ b/src/direct/filling.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::event::{Action, PieceOrder};
-use super::jobs::{JobRun, Piece};
+use super::jobs::{HEAVY, JobRun, Piece};
 use super::model::{BatchSpec, Endpoint, Name};
 use super::note::{Note, ms};
 use super::scheduler::{Call, PieceId, Scheduler, expected_call};
@@ -19,8 +19,6 @@
 const OVERDUE: f64 = 2.0;
 /// See [`OVERDUE`].
 const PATIENCE: Duration = Duration::from_millis(250);
-/// Results of that many bytes would cross between data centres: their place is worth waiting for.
-const HEAVY: u64 = 100_000;
 /// A piece waits for an endpoint in its place only while it has so much time to spare.
 const TIME_FOR_PLACE: Duration = Duration::from_millis(600);
 /// Work that can't meet its objective any more comes after all that can.
--- a/src/direct/jobs.rs
+++ b/src/direct/jobs.rs
@@ -7,6 +7,9 @@
 use super::model::Name;
 use crate::message::Timestamp;
 
+/// Results of that many bytes would cross between data centres: their place is worth waiting for.
+pub(super) const HEAVY: u64 = 100_000;
+
 /// One piece of a stage.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Piece {
@@ -154,10 +157,10 @@
         self.is_last(stage) && self.job.stages[stage].after.is_empty()
     }
 
-    /// Stages that hand results to one another.
-    pub fn inner_stages(&self) -> impl Iterator<Item = usize> + '_ {
+    /// Stages that hand results to one another, so much that their place matters.
+    pub fn heavy_stages(&self) -> impl Iterator<Item = usize> + '_ {
         let stages = 0..self.job.stages.len();
-        stages.filter(|&s| !self.stands_alone(s))
+        stages.filter(|&s| !self.stands_alone(s) && self.moved_bytes(s) >= HEAVY)
     }
 
     /// Where a stage's pieces are best made: with the stages that it hands results to or gets them
--- a/src/direct/scheduler.rs
+++ b/src/direct/scheduler.rs
@@ -197,7 +197,7 @@
         table: &Table,
         now: Timestamp,
     ) -> Option<Name> {
-        let pools: Vec<&Name> = run.inner_stages().map(|s| &run.job.stages[s].pool).collect();
+        let pools: Vec<&Name> = run.heavy_stages().map(|s| &run.job.stages[s].pool).collect();
         let (first, others) = pools.split_first()?;
         let mut homes = self.usable_homes(first, table, now);
         for pool in others {
@@ -205,17 +205,23 @@
             homes.retain(|h| here.contains(h));
         }
         let load = |home: &Name| {
-            let jobs = self.jobs.values().filter(|j| j.inner_home.as_ref() == Some(home));
-            let open: usize = jobs.flat_map(|j| j.inner_stages().map(|s| j.stages[s].open())).sum();
-            let members = pools.iter().map(|p| {
-                let here = table.members(p).iter().filter(|e| !e.leaving);
-                here.filter(|e| e.data_centre == *home).count()
-            });
-            (open * 1_000) / members.min().unwrap_or(1).max(1)
+            let loads = pools.iter().map(|pool| self.load_at_home(pool, home, table));
+            loads.max().unwrap_or_default()
         };
         homes.into_iter().min_by_key(|h| (load(h), *h != run.job.data_centre, h.clone()))
     }
 
+    /// Pieces of a pool that are to be made in a data centre, for each thousandth of an endpoint there.
+    fn load_at_home(&self, pool: &Name, home: &Name, table: &Table) -> usize {
+        let jobs = self.jobs.values().filter(|j| j.inner_home.as_ref() == Some(home));
+        let stages = jobs.flat_map(|j| j.heavy_stages().map(|s| (&j.job.stages[s], &j.stages[s])));
+        let open: usize =
+            stages.filter(|(spec, _)| spec.pool == *pool).map(|(_, s)| s.open()).sum();
+        let members = table.members(pool).iter().filter(|e| !e.leaving);
+        let here = members.filter(|e| e.data_centre == *home).count();
+        (open * 1_000) / here.max(1)
+    }
+
     /// Nobody needs a job's results any more.
     pub fn release(&mut self, id: JobId, table: &Table) {
         let Some(run) = self.jobs.remove(&id) else {
--- a/tests/direct_scheduler.rs
+++ b/tests/direct_scheduler.rs
@@ -2,13 +2,14 @@
 
 mod directenv;
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use directenv::{address, endpoint, job, job_id, ms, route, table};
+use directenv::{address, batch, deployment, endpoint, endpoints, job, job_id, ms, route, table};
 use stackmast::direct::event::{Action, BatchOutcome, CallFailure, PieceOrder, PieceOutcome};
 use stackmast::direct::makers::Usage;
 use stackmast::direct::message::{Job, JobReason, PeerMessage};
-use stackmast::direct::model::Repeat;
+use stackmast::direct::model::{Pool, Repeat, Route};
 use stackmast::direct::repeats::Bounds;
 use stackmast::direct::scheduler::Scheduler;
 use stackmast::direct::table::Table;
@@ -332,3 +333,35 @@
     assert_eq!(open[0].2[0].stage, 1);
     assert_eq!(*open[0].2[0].inputs[0], *"old/0");
 }
+
+/// A table whose pools have room for results that are worth a place.
+fn roomy(routes: Vec<Route>, without: &str) -> Table {
+    let mut deployment = deployment(1, routes);
+    let pools = deployment.pools.into_iter().map(|pool| match &*pool.name {
+        "engine" => pool,
+        _ => Pool { work: batch(4, 50_000_000), ..pool },
+    });
+    deployment.pools = pools.collect();
+    let endpoints = endpoints().into_iter().filter(|e| *e.id != *without);
+    let endpoints: Vec<_> = endpoints.collect();
+    Table::new(Arc::new(deployment), endpoints.iter())
+}
+
+#[test]
+fn a_stage_of_small_results_binds_no_other_to_its_data_centre() {
+    let stages: &[(&str, &[usize], u64)] =
+        &[("first", &[], 10), ("second", &[0], 400_000), ("third", &[1], 10)];
+    let route = route("r", Repeat::AtMostOnce, stages);
+    // The first stage can be made in one data centre only, the others in both.
+    let table = roomy(vec![route.clone()], "first-2");
+    let mut scheduler = scheduler();
+    for number in 1..=2 {
+        scheduler.submit(job(number, &route, 2), &table, ms(0));
+    }
+    let first = calls(&scheduler.actions(&table, ms(0)));
+    assert_eq!(first.len(), 1, "{first:?}");
+    scheduler.batch_ended(first[0].0, made(first[0].0, 4), &table, ms(300));
+    let second = calls(&scheduler.actions(&table, ms(300)));
+    let endpoints: Vec<&str> = second.iter().map(|c| c.1.as_str()).collect();
+    assert_eq!(second.len(), 2, "one in each data centre: {endpoints:?}");
+}
