Pieces wait for their data centre only as far as its next calls hold them

Cause: a piece with time to spare waited for an endpoint at its home however many waited before it, while endpoints elsewhere were idle or made calls of a few pieces, at the price of a full one.

--- a/src/direct/filling.rs
+++ b/src/direct/filling.rs
@@ -1,6 +1,6 @@
 //! Fills calls of free endpoints with the pieces that wait, most urgent first.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -90,9 +90,28 @@
             }
         }
         waiting.sort_unstable_by_key(|w| (w.urgency_ms, w.piece));
+        self.let_overflow_go(pool, &mut waiting, table, now);
         waiting
     }
 
+    /// What the next calls at its home can't hold does not wait for them.
+    fn let_overflow_go(&self, pool: &Name, waiting: &mut [Waiting], table: &Table, now: Timestamp) {
+        let Some(spec) = table.batch(pool) else {
+            return;
+        };
+        let mut left: HashMap<Name, usize> = HashMap::new();
+        for endpoint in self.usable(pool, table, now) {
+            *left.entry(endpoint.data_centre.clone()).or_default() += spec.pieces;
+        }
+        for piece in waiting {
+            let left = piece.home.as_ref().and_then(|home| left.get_mut(home));
+            match left {
+                Some(0) | None => piece.waits_for_home = false,
+                Some(left) => *left -= 1,
+            }
+        }
+    }
+
     /// The endpoint for the most urgent piece that fits anywhere, and what goes with it.
     fn next_batch(
         &self,
--- a/tests/direct_scheduler.rs
+++ b/tests/direct_scheduler.rs
@@ -365,3 +365,17 @@
     let endpoints: Vec<&str> = second.iter().map(|c| c.1.as_str()).collect();
     assert_eq!(second.len(), 2, "one in each data centre: {endpoints:?}");
 }
+
+#[test]
+fn pieces_wait_for_their_data_centre_as_long_as_its_next_calls_hold_them() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], 400_000)]);
+    let table = roomy(vec![route.clone()], "");
+    let mut scheduler = scheduler();
+    let mut submit = |number: u64| {
+        scheduler.submit(job(number, &route, 4), &table, ms(0));
+        calls(&scheduler.actions(&table, ms(0))).into_iter().map(|c| c.1).collect::<Vec<_>>()
+    };
+    assert_eq!(submit(1), ["first-1"], "at home");
+    assert!(submit(2).is_empty(), "the next call at home holds these four");
+    assert_eq!(submit(3), ["first-2"], "and no more: these go elsewhere");
+}
