A gateway that starts hears its peers and its endpoints before it plans

Change: requests wait for the first configuration, at most 150 ms and an eighth of their time; stages are begun 25 ms after it; a member that is heard for the first time is answered at once, not with the next heartbeat; an owner that begins, or finds no room, asks endpoints how much is free.

--- a/src/direct/client.rs
+++ b/src/direct/client.rs
@@ -7,7 +7,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::{HeaderMap, Method, StatusCode};
 
-use super::event::{BatchOutcome, CallFailure, CallOrder, PieceOrder, Proof};
+use super::event::{BatchOutcome, BatchReport, CallFailure, CallOrder, PieceOrder, Proof};
 use super::message::Handle;
 use super::model::Endpoint;
 
@@ -72,6 +72,9 @@
         pieces: Vec<PieceOrder>,
     ) -> impl Future<Output = BatchOutcome> + Send;
 
+    /// Asks an endpoint that works in batches how it stands; `None` where it does not tell.
+    fn report(&self, endpoint: Arc<Endpoint>) -> impl Future<Output = Option<BatchReport>> + Send;
+
     /// Tells an endpoint that results aren't needed any more.
     fn free(
         &self,
--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -10,7 +10,8 @@
 use rand::rngs::StdRng;
 
 use super::documents::Documents;
-use super::event::{Action, Event};
+use super::early::Waiting;
+use super::event::{Action, Event, Incoming};
 use super::members::{HEARTBEAT, MemberState, Members};
 use super::message::{Job, PeerMessage};
 use super::note::{Note, ms};
@@ -18,6 +19,7 @@
 use super::repeats::Bounds;
 use super::requests::Requests;
 use super::scheduler::Scheduler;
+use super::stages::STAGES;
 use super::stop::{self, Stop};
 use super::stopping::Stopping;
 use super::table::Table;
@@ -41,6 +43,8 @@
     pub repeats: Bounds,
     /// From the signal to stop until the process is killed.
     pub grace: Duration,
+    /// From the first configuration until stages are begun; see [`super::early::SETTLING`].
+    pub settling: Duration,
     /// The seed of the random choices.
     pub seed: u64,
 }
@@ -54,9 +58,13 @@
     pub(super) requests: Requests,
     pub(super) scheduler: Scheduler,
     pub(super) pulls: Pulls,
+    early: Waiting,
+    /// When the first whole configuration came.
+    complete_since: Option<Timestamp>,
     pub(super) next_beat: Timestamp,
     stop: Option<Stop>,
     grace: Duration,
+    settling: Duration,
     is_ready: bool,
     pub(super) rng: StdRng,
     pub(super) out: Vec<Action>,
@@ -77,9 +85,12 @@
             ),
             scheduler: Scheduler::new(setup.repeats),
             pulls: Pulls::default(),
+            early: Waiting::default(),
+            complete_since: None,
             next_beat: Timestamp::ZERO,
             stop: None,
             grace: setup.grace,
+            settling: setup.settling,
             is_ready: false,
             rng: StdRng::seed_from_u64(setup.seed),
             out: vec![Action::Note(Note::Started { incarnation: setup.incarnation })],
@@ -98,11 +109,11 @@
 
     fn on_event(&mut self, event: Event, now: Timestamp) {
         match event {
-            Event::Submit { caller, incoming } => {
-                let known = self.documents.is_complete();
-                self.requests.submit(caller, incoming, &self.table, known, now);
+            Event::Submit { caller, incoming } => self.submit(caller, incoming, now),
+            Event::CallerGone { caller } => {
+                self.early.caller_gone(caller);
+                self.requests.caller_gone(caller, now);
             }
-            Event::CallerGone { caller } => self.requests.caller_gone(caller, now),
             Event::Answered { caller, attempt, proof, is_open } => {
                 self.requests.answered(caller, attempt, proof, is_open, &self.table, now);
             }
@@ -116,6 +127,9 @@
             Event::BatchEnded { call, outcome } => {
                 self.scheduler.batch_ended(call, outcome, &self.table, now);
             }
+            Event::Reported { endpoint, report } => {
+                self.scheduler.reported(&endpoint, report, &self.table, now);
+            }
             Event::Peer { from, message } => self.on_peer(from, message, now),
             Event::PeerBroke { address, incarnation } => {
                 if self.members.suspect(address, incarnation, now) {
@@ -150,6 +164,37 @@
         self.out.push(Action::Note(note));
     }
 
+    /// A caller asks: its request waits while what it needs to be decided is about to come.
+    fn submit(&mut self, caller: u64, incoming: Incoming, now: Timestamp) {
+        if self.early.is_open() && !self.knows_enough(&incoming, now) {
+            return self.early.add(caller, incoming, now);
+        }
+        let known = self.documents.is_complete();
+        self.requests.submit(caller, incoming, &self.table, known, now, now);
+    }
+
+    /// Whether a request can be decided: with a configuration, and with stages once the peers and the
+    /// endpoints were heard. A process that stops waits for nothing.
+    fn knows_enough(&self, incoming: &Incoming, now: Timestamp) -> bool {
+        let is_settled = |since: Timestamp| !incoming.has_pieces() || now >= since + self.settling;
+        self.stop.is_some() || self.complete_since.is_some_and(is_settled)
+    }
+
+    /// Requests that waited go on once enough is known, or their wait is over.
+    fn look_at_early(&mut self, now: Timestamp) {
+        if self.early.is_empty() {
+            return;
+        }
+        let mut early = std::mem::take(&mut self.early);
+        let due = early.take_due(|incoming| self.knows_enough(incoming, now), now);
+        self.early = early;
+        let known = self.documents.is_complete();
+        for early in due {
+            let (caller, incoming) = (early.caller, early.incoming);
+            self.requests.submit(caller, incoming, &self.table, known, early.arrived, now);
+        }
+    }
+
     fn drain(&mut self, at: Timestamp, now: Timestamp) {
         if self.stop.is_none() {
             self.stop = Some(Stop::new(at, self.grace));
@@ -179,6 +224,7 @@
             stop.end(now);
         }
         self.look_at_stop(now);
+        self.look_at_early(now);
         let (unanswered, streams) = self.requests.end_all(now);
         let own = self.members.own().address;
         self.scheduler.end_all(own);
@@ -209,6 +255,8 @@
                 for member in heard.ended {
                     self.peer_lost(member.address, member.incarnation, "restarted", now);
                 }
+                // Who starts learns at once who is there, not with the next heartbeat.
+                let newly_heard = heard.alive.iter().any(|m| m.address == from);
                 for member in heard.alive {
                     self.note(Note::Peer {
                         address: member.address,
@@ -217,6 +265,10 @@
                         cause: "heard",
                     });
                 }
+                if newly_heard {
+                    let message = self.gossip();
+                    self.tell(from, message);
+                }
                 self.pulls.told(from, seen, complete, self.own(), now);
             }
             PeerMessage::Pull { seen, configuration, number } => {
@@ -288,7 +340,8 @@
         }
         let expired = self.documents.expire(now);
         self.merged(&expired, "not back", false, now);
-        self.update_state();
+        self.update_state(now);
+        self.look_at_early(now);
         if now >= self.next_beat {
             self.next_beat = now + HEARTBEAT;
             self.beat();
@@ -298,9 +351,13 @@
         self.requests.look(&self.table, now);
     }
 
-    fn update_state(&mut self) {
+    fn update_state(&mut self, now: Timestamp) {
         let draining = self.stop.is_some();
-        let ready = self.documents.is_complete() && !draining;
+        let complete = self.documents.is_complete();
+        if complete && self.complete_since.is_none() {
+            self.complete_since = Some(now);
+        }
+        let ready = complete && !draining;
         let state = match (draining, ready) {
             (true, _) => MemberState::Leaving,
             (false, true) => MemberState::Serving,
@@ -311,11 +368,18 @@
         }
         if ready != self.is_ready {
             self.is_ready = ready;
+            if ready && self.owns_stages() {
+                self.scheduler.ask_reports(&self.table, now);
+            }
             self.out.push(Action::Ready(ready));
             self.note(Note::Ready { ready });
         }
     }
 
+    fn owns_stages(&self) -> bool {
+        self.members.owner(STAGES, &[]).is_some_and(|m| m.address == self.members.own().address)
+    }
+
     fn gossip(&self) -> PeerMessage {
         PeerMessage::Gossip {
             members: self.members.digest(),
@@ -378,6 +442,9 @@
         let wakeups = [self.scheduler.next_wakeup(), self.requests.next_wakeup()];
         let pulls = self.pulls.next_wakeup(self.documents.is_complete()).into_iter();
         let behind = pulls.chain(self.documents.next_expiry()).chain(self.members.next_suspicion());
-        wakeups.into_iter().flatten().chain(behind).chain([self.next_beat]).min()
+        let settled =
+            self.complete_since.filter(|_| !self.early.is_empty()).map(|s| s + self.settling);
+        let early = self.early.next_wakeup().into_iter().chain(settled);
+        wakeups.into_iter().flatten().chain(behind).chain(early).chain([self.next_beat]).min()
     }
 }
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -33,6 +33,13 @@
     pub after_event: Option<String>,
 }
 
+impl Incoming {
+    /// Whether any piece of a stage is to be made for it.
+    pub fn has_pieces(&self) -> bool {
+        self.pieces.iter().any(|&pieces| pieces > 0)
+    }
+}
+
 /// The size of a generation and the parts of its prompt.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Generation {
@@ -128,6 +135,15 @@
     pub const WHOLE: &'static str = "whole";
 }
 
+/// How an endpoint that works in batches says that it stands, a moment ago.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BatchReport {
+    /// Bytes of its room for results that are free.
+    pub free_bytes: u64,
+    /// Calls that wait there.
+    pub waiting: u32,
+}
+
 /// What happens to a gateway.
 #[derive(Debug)]
 pub enum Event {
@@ -186,6 +202,13 @@
         /// How.
         outcome: BatchOutcome,
     },
+    /// An endpoint that works in batches told how it stands.
+    Reported {
+        /// Which.
+        endpoint: Name,
+        /// What it told.
+        report: BatchReport,
+    },
     /// Another gateway speaks.
     Peer {
         /// Who, by where its peers connect.
@@ -383,6 +406,8 @@
         /// When the call is given up.
         timeout: Duration,
     },
+    /// Ask an endpoint that works in batches how it stands.
+    AskReport(Arc<Endpoint>),
     /// Tell a maker that results aren't needed any more.
     Free {
         /// Where.
--- a/src/direct/forecast.rs
+++ b/src/direct/forecast.rs
@@ -6,7 +6,7 @@
 
 use super::jobs::{JobRun, Piece, StageRun};
 use super::message::Job;
-use super::model::{BatchSpec, Name};
+use super::model::{BatchSpec, Endpoint, Name};
 use super::scheduler::{Scheduler, expected_call};
 use super::table::Table;
 use crate::message::Timestamp;
@@ -123,13 +123,18 @@
         let Some(spec) = table.batch(&stage.pool) else {
             return load;
         };
-        let usable = self.usable(&stage.pool, table, now).len() as f64;
-        load.slots = usable * f64::from(spec.slots);
-        load.room = usable * spec.room_bytes as f64;
+        let usable = self.usable(&stage.pool, table, now);
+        load.slots = usable.len() as f64 * f64::from(spec.slots);
+        load.room = usable.iter().map(|e| self.room_of(e, spec, now) as f64).sum();
         load.backlog = self.backlog(&stage.pool, spec);
         load
     }
 
+    /// The room of an endpoint that others leave to this owner.
+    fn room_of(&self, endpoint: &Endpoint, spec: &BatchSpec, now: Timestamp) -> u64 {
+        spec.room_bytes.saturating_sub(self.makers.of_others(&endpoint.id, now))
+    }
+
     /// The time of slots that stands before a newcomer.
     fn backlog(&self, pool: &Name, spec: &BatchSpec) -> Duration {
         let full_call = spec.call.div_f64(spec.pieces as f64) + spec.piece;
--- a/src/direct/makers.rs
+++ b/src/direct/makers.rs
@@ -131,6 +131,14 @@
         maker.unknown = Some((before + left, now));
     }
 
+    /// The endpoint told that `free` bytes of its `room` are free: what this owner does not use of
+    /// the rest is somebody else's.
+    pub fn reported(&mut self, endpoint: &Name, room: u64, free: u64, now: Timestamp) {
+        let maker = self.entry(endpoint);
+        let others = room.saturating_sub(free).saturating_sub(maker.used);
+        maker.unknown = (others > 0).then_some((others, now));
+    }
+
     /// Another owner tells what it uses.
     pub fn told(&mut self, owner: SocketAddr, usage: Vec<Usage>) {
         if usage.is_empty() {
@@ -161,14 +169,19 @@
 
     /// Bytes that are free at an endpoint with `room` in all.
     pub fn left(&self, endpoint: &str, room: u64, now: Timestamp) -> u64 {
+        let used = self.makers.get(endpoint).map_or(0, |m| m.used);
+        room.saturating_sub(self.of_others(endpoint, now) + used)
+    }
+
+    /// Bytes at an endpoint that others use.
+    pub fn of_others(&self, endpoint: &str, now: Timestamp) -> u64 {
         let maker = self.makers.get(endpoint);
         let unknown = maker.and_then(|m| m.unknown).map_or(0, |(bytes, at)| rest(bytes, at, now));
         let told = self.told.values().filter_map(|t| {
             let bytes = *t.usage.get(endpoint)?;
             Some(t.lost.map_or(bytes, |lost| rest(bytes, lost, now)))
         });
-        let others = unknown.max(told.sum());
-        room.saturating_sub(others + maker.map_or(0, |m| m.used))
+        unknown.max(told.sum())
     }
 
     /// The endpoint failed; it is avoided for a while.
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -9,6 +9,7 @@
 pub mod client;
 pub mod core;
 pub mod documents;
+pub mod early;
 pub mod endpoints;
 pub mod event;
 pub mod experience;
--- a/src/direct/note.rs
+++ b/src/direct/note.rs
@@ -49,6 +49,17 @@
         /// Share of the narrowest pool's room that is taken when this request needs it, with it.
         room_share: f64,
     },
+    /// An endpoint that works in batches told how it stands.
+    Reported {
+        /// The endpoint.
+        endpoint: Name,
+        /// Bytes of its room that are free.
+        free_bytes: u64,
+        /// Bytes that others than this owner are taken to use.
+        of_others: u64,
+        /// Calls that wait there.
+        waiting: u32,
+    },
     /// A call with pieces was sent.
     BatchSent {
         /// The call.
@@ -282,6 +293,7 @@
             Self::Arrived { .. } => "arrived",
             Self::StagesSubmitted { .. } => "stages_submitted",
             Self::StagesDecided { .. } => "stages_decided",
+            Self::Reported { .. } => "reported",
             Self::BatchSent { .. } => "batch_sent",
             Self::BatchEnded { .. } => "batch_ended",
             Self::Sent { .. } => "sent",
--- a/src/direct/outcomes.rs
+++ b/src/direct/outcomes.rs
@@ -94,6 +94,7 @@
     ) {
         let missing = call.pieces.len().saturating_sub(outcomes.len());
         let outcomes = outcomes.into_iter().chain(vec![PieceOutcome::Failed; missing]);
+        let mut no_room = false;
         for (&(job, stage, piece, bytes), outcome) in call.pieces.iter().zip(outcomes) {
             if let PieceOutcome::Made(handle) = outcome {
                 let made = Made { handle, endpoint: call.endpoint.id.clone() };
@@ -109,6 +110,7 @@
                     let room = table.batch(&call.pool).map_or(0, |s| s.room_bytes);
                     let left = self.makers.left(&call.endpoint.id, room, now);
                     self.makers.no_room(&call.endpoint.id, left, now);
+                    no_room = true;
                     self.wait_again(job, stage, piece, true, table, now);
                 }
                 PieceOutcome::Failed => self.wait_again(job, stage, piece, true, table, now),
@@ -118,6 +120,9 @@
                 }
             }
         }
+        if no_room {
+            self.out.push(Action::AskReport(call.endpoint.clone()));
+        }
         let mut jobs: Vec<JobId> = call.pieces.iter().map(|p| p.0).collect();
         jobs.dedup();
         for job in jobs {
--- a/src/direct/request.rs
+++ b/src/direct/request.rs
@@ -92,7 +92,7 @@
 impl Request {
     /// Whether it has stages with pieces.
     pub fn has_stages(&self) -> bool {
-        !self.route.stages.is_empty() && self.incoming.pieces.iter().any(|&p| p > 0)
+        !self.route.stages.is_empty() && self.incoming.has_pieces()
     }
 
     /// Whether its stages are with this owner now.
--- a/src/direct/requests.rs
+++ b/src/direct/requests.rs
@@ -140,13 +140,14 @@
         }
     }
 
-    /// A caller asks.
+    /// A caller asks; its request `arrived` now or, where it waited for a configuration, before.
     pub fn submit(
         &mut self,
         caller: u64,
         incoming: Incoming,
         table: &Table,
         known: bool,
+        arrived: Timestamp,
         now: Timestamp,
     ) {
         let id = incoming.id.clone();
@@ -155,7 +156,7 @@
             return self.refuse_at_door(caller, &id, Refused::Draining);
         }
         let request = match admissible(&incoming, table, known) {
-            Ok((route, organisation)) => self.begin(caller, incoming, route, organisation, now),
+            Ok((route, organisation)) => self.begin(caller, incoming, route, organisation, arrived),
             Err(reason) => return self.refuse_at_door(caller, &id, reason),
         };
         if !self.is_taken(&request, now) {
@@ -184,7 +185,7 @@
         incoming: Incoming,
         route: Route,
         organisation: Option<(Name, Option<u8>)>,
-        now: Timestamp,
+        arrived: Timestamp,
     ) -> Request {
         let allowed = incoming.allowed.unwrap_or(DEFAULT_ALLOWED).min(route.timeout);
         let stages = route.stages.len();
@@ -193,8 +194,8 @@
             pool: target(&route, &incoming.id),
             organisation: organisation.map(|o| o.0),
             priority,
-            arrived: now,
-            deadline: now + allowed,
+            arrived,
+            deadline: arrived + allowed,
             job: JobId { gateway: self.own, incarnation: self.incarnation, number: caller },
             phase: Phase::Running,
             results: vec![Vec::new(); stages],
--- a/src/direct/scheduler.rs
+++ b/src/direct/scheduler.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::event::Action;
+use super::event::{Action, BatchReport};
 use super::forecast::Pace;
 use super::jobs::{JobRun, Piece};
 use super::makers::{Makers, Usage};
@@ -25,6 +25,9 @@
 /// Between two looks at jobs that hold a stage back, and at deadlines.
 const LOOK: Duration = Duration::from_millis(25);
 
+/// Endpoints are asked for reports of all that they hold no more often than that.
+const REPORTS_KEPT: Duration = Duration::from_secs(1);
+
 /// A piece: its job, its stage's position, its own position.
 pub(super) type PieceId = (JobId, usize, usize);
 
@@ -55,7 +58,9 @@
     pub(super) to_free: BTreeMap<Name, (Arc<Endpoint>, Vec<Handle>)>,
     pub(super) dirty: HashSet<Name>,
     pub(super) last_look: Timestamp,
-    pub(super) last_submit: Timestamp,
+    /// When all endpoints were last asked how they stand.
+    reports_asked: Option<Timestamp>,
+    pub(super) last_submit: Option<Timestamp>,
     /// When jobs began to come, after none had for a while.
     pub(super) owner_since: Timestamp,
     pub(super) out: Vec<Action>,
@@ -74,7 +79,8 @@
             to_free: BTreeMap::new(),
             dirty: HashSet::new(),
             last_look: Timestamp::ZERO,
-            last_submit: Timestamp::ZERO,
+            reports_asked: None,
+            last_submit: None,
             owner_since: Timestamp::ZERO,
             out: Vec::new(),
         }
@@ -134,10 +140,11 @@
         if self.jobs.contains_key(&id) {
             return self.tell_again(id);
         }
-        if now >= self.last_submit + SETTLING {
+        if self.last_submit.is_none_or(|last| now >= last + SETTLING) {
             self.owner_since = now;
+            self.ask_reports(table, now);
         }
-        self.last_submit = now;
+        self.last_submit = Some(now);
         let loads = self.loads(&job, table, now);
         let decision = admit_path(&loads, job.after, job.to_objective, job.priority);
         let refusal = decision.refusal.filter(|_| !job.resubmitted);
@@ -171,6 +178,38 @@
         self.advance(id, table);
     }
 
+    /// Asks all endpoints how they stand: an owner that begins does not know what those before it left
+    /// there.
+    pub fn ask_reports(&mut self, table: &Table, now: Timestamp) {
+        if self.reports_asked.is_some_and(|at| now < at + REPORTS_KEPT) {
+            return;
+        }
+        self.reports_asked = Some(now);
+        let pools = table.deployment.pools.iter().filter(|p| table.batch(&p.name).is_some());
+        let endpoints = pools.flat_map(|p| table.members(&p.name)).filter(|e| !e.leaving);
+        self.out.extend(endpoints.map(|e| Action::AskReport(e.clone())));
+    }
+
+    /// An endpoint told how it stands.
+    pub fn reported(
+        &mut self,
+        endpoint: &Name,
+        report: BatchReport,
+        table: &Table,
+        now: Timestamp,
+    ) {
+        let Some(spec) = table.batch_of(endpoint) else {
+            return;
+        };
+        self.makers.reported(endpoint, spec.room_bytes, report.free_bytes, now);
+        self.out.push(Action::Note(Note::Reported {
+            endpoint: endpoint.clone(),
+            free_bytes: report.free_bytes,
+            of_others: self.makers.of_others(endpoint, now),
+            waiting: report.waiting,
+        }));
+    }
+
     /// Tells a job's gateway how it stands: what was told before may be lost.
     fn tell_again(&mut self, id: JobId) {
         let Some(run) = self.jobs.get(&id) else {
--- a/src/direct/shell.rs
+++ b/src/direct/shell.rs
@@ -288,6 +288,16 @@
         });
     }
 
+    fn ask_report(&self, endpoint: Arc<Endpoint>) {
+        let (core, client) = (self.core.clone(), self.client.clone());
+        tokio::spawn(async move {
+            let id = endpoint.id.clone();
+            if let Some(report) = client.report(endpoint).await {
+                core.send(Event::Reported { endpoint: id, report }).await.ok();
+            }
+        });
+    }
+
     fn write(&self, note: &Note) {
         crate::metrics::noted(note);
         self.lines.write(note);
@@ -348,6 +358,7 @@
                 let client = self.client.clone();
                 tokio::spawn(async move { client.free(endpoint, handles).await });
             }
+            Action::AskReport(endpoint) => self.ask_report(endpoint),
             Action::Tell { to, message } => self.peers.tell(to, message),
             Action::Ready(ready) => self.state.send_modify(|s| s.ready = ready),
             Action::Limits(limits) => self.state.send_modify(|s| s.limits = limits),
--- a/src/direct/stages.rs
+++ b/src/direct/stages.rs
@@ -21,7 +21,7 @@
 /// Owners that are asked at most.
 const MAX_OWNERS: usize = 3;
 /// The pools that work in batches have one owner together.
-const STAGES: &str = "stages";
+pub(super) const STAGES: &str = "stages";
 
 impl Requests {
     pub(super) fn submit_stages(
--- a/src/direct/table.rs
+++ b/src/direct/table.rs
@@ -97,6 +97,13 @@
         }
     }
 
+    /// What an endpoint can do, where it works in batches.
+    pub fn batch_of(&self, id: &str) -> Option<&BatchSpec> {
+        let is_member = |pool: &&Pool| self.members(&pool.name).iter().any(|e| *e.id == *id);
+        let pool = self.deployment.pools.iter().find(is_member)?;
+        self.batch(&pool.name)
+    }
+
     /// The endpoint of this id, in any pool.
     pub fn endpoint(&self, id: &str) -> Option<&Arc<Endpoint>> {
         self.by_id.get(id)
--- a/tests/direct_pulls.rs
+++ b/tests/direct_pulls.rs
@@ -29,6 +29,7 @@
         seeds: Vec::new(),
         repeats: Bounds { ratio: 0.2, slack: 20.0, window: ms(10_000) },
         grace: ms(8_000),
+        settling: ms(0),
         seed: 1,
     });
     let documents = vec![
--- a/tests/direct_scheduler.rs
+++ b/tests/direct_scheduler.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use directenv::{address, batch, deployment, endpoint, endpoints, job, job_id, ms, route, table};
-use stackmast::direct::event::{Action, BatchOutcome, CallFailure, PieceOrder, PieceOutcome};
+use stackmast::direct::event::{
+    Action, BatchOutcome, BatchReport, CallFailure, PieceOrder, PieceOutcome,
+};
 use stackmast::direct::makers::Usage;
 use stackmast::direct::message::{Job, JobReason, PeerMessage};
 use stackmast::direct::model::{Pool, Repeat, Route};
@@ -334,6 +336,56 @@
     assert_eq!(*open[0].2[0].inputs[0], *"old/0");
 }
 
+/// Endpoints that were asked how they stand.
+fn asked(actions: &[Action]) -> Vec<String> {
+    let asked = actions.iter().filter_map(|a| match a {
+        Action::AskReport(endpoint) => Some(endpoint.id.to_string()),
+        _ => None,
+    });
+    asked.collect()
+}
+
+#[test]
+fn an_owner_that_begins_asks_what_its_endpoints_hold_and_plans_with_the_rest() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], 100)]);
+    let table = table(vec![route.clone()]);
+    let mut scheduler = scheduler();
+    scheduler.submit(job(1, &route, 2), &table, ms(0));
+    let actions = scheduler.actions(&table, ms(0));
+    assert_eq!(asked(&actions).len(), 6, "all endpoints that work in batches");
+    scheduler.submit(job(2, &route, 2), &table, ms(1));
+    assert!(asked(&scheduler.actions(&table, ms(1))).is_empty(), "once");
+    let full = BatchReport { free_bytes: 0, waiting: 0 };
+    for endpoint in ["first-1", "first-2"] {
+        scheduler.reported(&endpoint.into(), full, &table, ms(5));
+    }
+    scheduler.submit(job(3, &route, 2), &table, ms(6));
+    let refused = |actions: &[Action]| {
+        told(actions).iter().any(|m| {
+            matches!(m, PeerMessage::GivenUp { reason: JobReason::NoRoom, untouched: true, .. })
+        })
+    };
+    assert!(refused(&scheduler.actions(&table, ms(6))), "what others hold is not there");
+    let free = BatchReport { free_bytes: 900, waiting: 0 };
+    for endpoint in ["first-1", "first-2"] {
+        scheduler.reported(&endpoint.into(), free, &table, ms(50));
+    }
+    scheduler.submit(job(4, &route, 2), &table, ms(51));
+    assert!(!refused(&scheduler.actions(&table, ms(51))));
+}
+
+#[test]
+fn an_endpoint_without_room_is_asked_what_it_holds() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], 10)]);
+    let table = table(vec![route.clone()]);
+    let mut scheduler = scheduler();
+    scheduler.submit(job(1, &route, 2), &table, ms(0));
+    let (call, endpoint, _) = calls(&scheduler.actions(&table, ms(0)))[0].clone();
+    let outcome = BatchOutcome::Pieces(vec![PieceOutcome::NoRoom, PieceOutcome::NoRoom]);
+    scheduler.batch_ended(call, outcome, &table, ms(20));
+    assert_eq!(asked(&scheduler.actions(&table, ms(20))), [endpoint]);
+}
+
 /// A table whose pools have room for results that are worth a place.
 fn roomy(routes: Vec<Route>, without: &str) -> Table {
     let mut deployment = deployment(1, routes);
--- a/tests/directenv/world.rs
+++ b/tests/directenv/world.rs
@@ -13,7 +13,8 @@
 use stackmast::actor::Core;
 use stackmast::direct::core::{GatewayCore, Setup};
 use stackmast::direct::documents::{Document, Revised};
-use stackmast::direct::event::{Action, Event, Generation, Incoming};
+use stackmast::direct::early::SETTLING;
+use stackmast::direct::event::{Action, BatchReport, Event, Generation, Incoming};
 use stackmast::direct::message::PeerMessage;
 use stackmast::direct::model::{Endpoint, Repeat, Route};
 use stackmast::direct::repeats::Bounds;
@@ -232,6 +233,7 @@
             seeds,
             repeats: Bounds { ratio: 0.2, slack: 60.0, window: Duration::from_secs(10) },
             grace: Duration::from_secs(8),
+            settling: SETTLING,
             seed: self.rng.random(),
         }));
         self.versions_seen[number] = 0;
@@ -426,6 +428,7 @@
                     self.kept.remove(&*handle);
                 }
             }
+            Action::AskReport(endpoint) => self.report(number, &endpoint),
             Action::Tell { to, message } => self.tell(number, to, message),
             Action::Deliver { caller, .. } => {
                 let is_stream = self.routes[self.callers[&caller].route].streams;
@@ -448,6 +451,18 @@
         }
     }
 
+    /// An endpoint tells how it stands, if it is not silent; what it tells may be wrong by now.
+    fn report(&mut self, number: usize, endpoint: &Endpoint) {
+        if self.is_troubled() && self.chance(0.2) {
+            return;
+        }
+        let free_bytes = self.rng.random_range(0..=1_000);
+        let report = BatchReport { free_bytes, waiting: 0 };
+        let event = Event::Reported { endpoint: endpoint.id.clone(), report };
+        let at = self.now + self.time_in(ms(1), ms(8));
+        self.at(at, Happening::Event(number, self.lives[number], Box::new(event)));
+    }
+
     fn answer(&mut self, caller: u64, how: &str) {
         let seen = self.callers.get_mut(&caller).expect("a caller");
         seen.answers += 1;
