--- a/src/policy/path.rs
+++ b/src/policy/path.rs
@@ -15,11 +15,6 @@
 const CONFIDENT_SHARE: f64 = 1.1;
 /// Of a pool's room, so much may be planned for: endpoints fill unevenly, and plans miss.
 const ROOM_PLANNED: f64 = 0.7;
-/// What wants less than that share of a pool's room is little: it fits beside the large results that
-/// the rest of the room is left for, and takes nothing from the more urgent.
-const LITTLE: f64 = 0.01;
-/// Of a pool's room, so much may be taken where a stage wants little of it.
-const ROOM_FOR_LITTLE: f64 = 0.95;
 /// A stage is planned to wait for room so long at most.
 const ROOM_WAIT: Duration = Duration::from_millis(100);
 /// When to come back where no room is planned soon.
@@ -128,7 +123,7 @@
         // Results are kept until the next stage has fetched them, or the answer begins.
         let next = stages.iter().filter(|s| s.after.contains(&index)).map(StageLoad::waiting).max();
         let length = stage.call + next.map_or(after.min(HANDED_ON), |waiting| waiting + FETCHING);
-        let bound = stage.room_open(open).max(stage.wanted);
+        let bound = (stage.room * ROOM_PLANNED * open).max(stage.wanted);
         let start = stage.taken.earliest(wanted_at, length, stage.wanted, bound).ok_or(index)?;
         let share = (stage.taken.peak(start, length) + stage.wanted) / stage.room.max(1.0);
         let for_room = start.saturating_sub(wanted_at);
@@ -146,15 +141,6 @@
 }
 
 impl StageLoad {
-    /// The bytes of its pool's room that may be planned for it; `open` is its priority's share.
-    fn room_open(&self, open: f64) -> f64 {
-        if self.wanted < self.room * LITTLE {
-            self.room * ROOM_FOR_LITTLE
-        } else {
-            self.room * ROOM_PLANNED * open
-        }
-    }
-
     /// The time that work for it waits for an endpoint.
     fn waiting(&self) -> Duration {
         self.backlog.div_f64(self.slots.max(0.01)).min(LONGEST_WAIT)
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -73,18 +73,6 @@
     assert_eq!(admit_path(&[large], AFTER, OBJECTIVE, 2).refusal, None);
 }
 
-#[test_case(0.5, None; "little")]
-#[test_case(10.0, Some(PathRefusal::NoRoom); "more")]
-fn little_fits_beside_large_results_whatever_its_priority(
-    wanted: f64,
-    refusal: Option<PathRefusal>,
-) {
-    let mut filled = stage(&[]);
-    filled.taken = taken(0, 5_000, 90.0);
-    filled.wanted = wanted;
-    assert_eq!(admit_path(&[filled], AFTER, OBJECTIVE, 2).refusal, refusal);
-}
-
 #[test]
 fn a_stage_that_stands_alone_needs_its_room_only_when_the_others_end() {
     let mut alone = stage(&[]);
