src/direct by job: what is published, the peers, callers' requests, the owner of batch pools

32 files lay in one folder. Moved, not changed: published/ (5 files), peers/ (6), requests/ (8), owner/ (7) and eight beside core; each folder has a first page that says who calls it and what it may not do. Paths in use lines follow.

--- a/src/direct/client.rs
+++ b/src/direct/client.rs
@@ -7,9 +7,9 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::{HeaderMap, Method, StatusCode};
 
-use super::event::{BatchOutcome, BatchReport, CallFailure, CallOrder, PieceOrder, Proof};
-use super::message::Handle;
-use super::model::Endpoint;
+use crate::direct::event::{BatchOutcome, BatchReport, CallFailure, CallOrder, PieceOrder, Proof};
+use crate::direct::peers::message::Handle;
+use crate::direct::published::model::Endpoint;
 
 /// A caller's message as it is handed on.
 #[derive(Debug, Clone)]
--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -9,21 +9,21 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-use super::documents::Documents;
-use super::early::Waiting;
-use super::event::{Action, Event, Incoming};
-use super::members::{HEARTBEAT, MemberState, Members};
-use super::message::{Job, PeerMessage};
-use super::note::{Note, ms};
-use super::pulls::Pulls;
-use super::repeats::Bounds;
-use super::requests::Requests;
-use super::scheduler::Scheduler;
-use super::stages::STAGES;
-use super::stop::{self, Stop};
-use super::stopping::Stopping;
-use super::table::Table;
 use crate::actor::Core;
+use crate::direct::event::{Action, Event, Incoming};
+use crate::direct::note::{Note, ms};
+use crate::direct::owner::scheduler::Scheduler;
+use crate::direct::peers::members::{HEARTBEAT, MemberState, Members};
+use crate::direct::peers::message::{Job, PeerMessage};
+use crate::direct::peers::pulls::Pulls;
+use crate::direct::published::documents::Documents;
+use crate::direct::published::table::Table;
+use crate::direct::repeats::Bounds;
+use crate::direct::requests::Requests;
+use crate::direct::requests::early::Waiting;
+use crate::direct::requests::stages::STAGES;
+use crate::direct::requests::stopping::Stopping;
+use crate::direct::stop::{self, Stop};
 use crate::message::Timestamp;
 
 /// What a gateway is made with.
@@ -36,14 +36,14 @@
     /// The processor time that its host has, in thousandths of a core.
     pub capacity: u32,
     /// Where it stands.
-    pub data_centre: super::model::Name,
+    pub data_centre: crate::direct::published::model::Name,
     /// Where it may meet others.
     pub seeds: Vec<SocketAddr>,
     /// The budget of repeats.
     pub repeats: Bounds,
     /// From the signal to stop until the process is killed.
     pub grace: Duration,
-    /// From the first configuration until stages are begun; see [`super::early::SETTLING`].
+    /// From the first configuration until stages are begun; see [`crate::direct::requests::early::SETTLING`].
     pub settling: Duration,
     /// The seed of the random choices.
     pub seed: u64,
@@ -287,7 +287,7 @@
             PeerMessage::Submit(job) => {
                 let message = PeerMessage::GivenUp {
                     job: job.id,
-                    reason: super::message::JobReason::NotOwner,
+                    reason: crate::direct::peers::message::JobReason::NotOwner,
                     untouched: true,
                     retry_after: Duration::ZERO,
                 };
@@ -323,8 +323,9 @@
     ) {
         self.note(Note::Peer { address, incarnation, alive: false, cause });
         self.pulls.lost(address);
-        let is_gone =
-            |job: &super::message::JobId| job.gateway == address && job.incarnation == incarnation;
+        let is_gone = |job: &crate::direct::peers::message::JobId| {
+            job.gateway == address && job.incarnation == incarnation
+        };
         self.scheduler.release_all_of(is_gone, &self.table);
         self.scheduler.owner_lost(address, now);
         self.requests.owner_lost(address, incarnation);
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::documents::Revised;
-use super::message::{Handle, PeerMessage};
-use super::model::{Endpoint, Name};
-use super::pulls::Progress;
+use crate::direct::peers::message::{Handle, PeerMessage};
+use crate::direct::peers::pulls::Progress;
+use crate::direct::published::documents::Revised;
+use crate::direct::published::model::{Endpoint, Name};
 use crate::message::Timestamp;
 
 /// What a caller asks, as far as decisions depend on it.
@@ -425,7 +425,7 @@
     /// Whether the process calls itself ready.
     Ready(bool),
     /// What callers may send.
-    Limits(super::model::CallerLimits),
+    Limits(crate::direct::published::model::CallerLimits),
     /// Write a line.
-    Note(super::note::Note),
+    Note(crate::direct::note::Note),
 }
--- a/src/direct/following.rs
+++ b/src/direct/following.rs
@@ -4,14 +4,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::core::GatewayCore;
-use super::documents::{Document, Merged, Revised, Seen};
-use super::event::{Action, StoreRead};
-use super::message::PeerMessage;
-use super::model::Deployment;
-use super::note::{Note, ms};
-use super::pulls::Own;
-use super::table::Table;
+use crate::direct::core::GatewayCore;
+use crate::direct::event::{Action, StoreRead};
+use crate::direct::note::{Note, ms};
+use crate::direct::peers::message::PeerMessage;
+use crate::direct::peers::pulls::Own;
+use crate::direct::published::documents::{Document, Merged, Revised, Seen};
+use crate::direct::published::model::Deployment;
+use crate::direct::published::table::Table;
 use crate::message::Timestamp;
 
 impl GatewayCore {
--- a/src/direct/note.rs
+++ b/src/direct/note.rs
@@ -5,8 +5,8 @@
 
 use serde::Serialize;
 
-use super::event::StoreRead;
-use super::model::Name;
+use crate::direct::event::StoreRead;
+use crate::direct::published::model::Name;
 
 /// One line.
 #[derive(Debug, Clone, PartialEq, Serialize)]
--- a/src/direct/filling.rs
+++ b/src/direct/owner/filling.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::event::{Action, PieceOrder};
-use super::jobs::{HEAVY, JobRun, Piece};
-use super::model::{BatchSpec, Endpoint, Name};
-use super::note::{Note, ms};
-use super::scheduler::{Call, PieceId, Scheduler, expected_call};
-use super::table::Table;
+use crate::direct::event::{Action, PieceOrder};
+use crate::direct::note::{Note, ms};
+use crate::direct::owner::jobs::{HEAVY, JobRun, Piece};
+use crate::direct::owner::scheduler::{Call, PieceId, Scheduler, expected_call};
+use crate::direct::published::model::{BatchSpec, Endpoint, Name};
+use crate::direct::published::table::Table;
 use crate::invariant;
 use crate::invariant::Violation;
 use crate::message::Timestamp;
--- a/src/direct/forecast.rs
+++ b/src/direct/owner/forecast.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::jobs::{JobRun, Piece, StageRun};
-use super::message::Job;
-use super::model::{BatchSpec, Endpoint, Name};
-use super::scheduler::{Scheduler, expected_call};
-use super::table::Table;
+use crate::direct::owner::jobs::{JobRun, Piece, StageRun};
+use crate::direct::owner::scheduler::{Scheduler, expected_call};
+use crate::direct::peers::message::Job;
+use crate::direct::published::model::{BatchSpec, Endpoint, Name};
+use crate::direct::published::table::Table;
 use crate::message::Timestamp;
 use crate::policy::path::{FETCHING, HANDED_ON, HOLD_SLACK, StageLoad};
 use crate::policy::timeline::Timeline;
--- a/src/direct/jobs.rs
+++ b/src/direct/owner/jobs.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::message::{Job, Made};
-use super::model::Name;
+use crate::direct::peers::message::{Job, Made};
+use crate::direct::published::model::Name;
 use crate::message::Timestamp;
 
 /// Results of that many bytes would cross between data centres: their place is worth waiting for.
--- a/src/direct/makers.rs
+++ b/src/direct/owner/makers.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::model::Name;
+use crate::direct::published::model::Name;
 use crate::message::Timestamp;
 
 /// An endpoint that said it was full is asked again after so long.
--- a/src/direct/outcomes.rs
+++ b/src/direct/owner/outcomes.rs
@@ -3,13 +3,13 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::event::{Action, BatchOutcome, CallFailure, PieceOutcome};
-use super::jobs::Piece;
-use super::message::{JobId, JobReason, Made};
-use super::model::Name;
-use super::note::{Note, ms};
-use super::scheduler::{Call, Scheduler};
-use super::table::Table;
+use crate::direct::event::{Action, BatchOutcome, CallFailure, PieceOutcome};
+use crate::direct::note::{Note, ms};
+use crate::direct::owner::jobs::Piece;
+use crate::direct::owner::scheduler::{Call, Scheduler};
+use crate::direct::peers::message::{JobId, JobReason, Made};
+use crate::direct::published::model::Name;
+use crate::direct::published::table::Table;
 use crate::message::Timestamp;
 
 /// A piece that was sent so many times is given up.
--- a/src/direct/scheduler.rs
+++ b/src/direct/owner/scheduler.rs
@@ -9,16 +9,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::event::{Action, BatchReport};
-use super::forecast::Pace;
-use super::jobs::{JobRun, Piece};
-use super::makers::{Makers, Usage};
-use super::message::{Handle, Job, JobId, JobReason, Made, PeerMessage};
-use super::model::{Endpoint, Name};
-use super::note::{Note, ms};
-use super::outcomes::SETTLING;
-use super::repeats::{Bounds, Repeats};
-use super::table::Table;
+use crate::direct::event::{Action, BatchReport};
+use crate::direct::note::{Note, ms};
+use crate::direct::owner::forecast::Pace;
+use crate::direct::owner::jobs::{JobRun, Piece};
+use crate::direct::owner::makers::{Makers, Usage};
+use crate::direct::owner::outcomes::SETTLING;
+use crate::direct::peers::message::{Handle, Job, JobId, JobReason, Made, PeerMessage};
+use crate::direct::published::model::{Endpoint, Name};
+use crate::direct::published::table::Table;
+use crate::direct::repeats::{Bounds, Repeats};
 use crate::message::Timestamp;
 use crate::policy::path::{FETCHING, PathRefusal, admit_path};
 
--- a/src/direct/bulk.rs
+++ b/src/direct/peers/bulk.rs
@@ -13,12 +13,12 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
-use super::core::GatewayCore;
-use super::event::Event;
-use super::message::PeerMessage;
-use super::peers::{CONNECT_TIMEOUT, Connection, Hello, MAX_FRAME, encode, framed};
-use super::pulls::Progress;
 use crate::actor::Handle;
+use crate::direct::core::GatewayCore;
+use crate::direct::event::Event;
+use crate::direct::peers::links::{CONNECT_TIMEOUT, Connection, Hello, MAX_FRAME, encode, framed};
+use crate::direct::peers::message::PeerMessage;
+use crate::direct::peers::pulls::Progress;
 
 /// Configurations that a process sends at once; more share its link and are late together.
 const AT_ONCE: usize = 2;
--- a/src/direct/peers.rs
+++ b/src/direct/peers/links.rs
@@ -1,5 +1,5 @@
 //! Connections between gateways: one in each direction, length-prefixed JSON messages; a configuration
-//! goes over one of its own ([`super::bulk`]), so that nothing waits behind it.
+//! goes over one of its own ([`crate::direct::peers::bulk`]), so that nothing waits behind it.
 //!
 //! `tonic` is not used here: a message is a few hundred bytes with no answer of its own, and HTTP/2's
 //! framing would cost more than the rest of the path.
@@ -18,11 +18,11 @@
 use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use super::bulk::{Bulk, Receives};
-use super::core::GatewayCore;
-use super::event::Event;
-use super::message::PeerMessage;
 use crate::actor::Handle;
+use crate::direct::core::GatewayCore;
+use crate::direct::event::Event;
+use crate::direct::peers::bulk::{Bulk, Receives};
+use crate::direct::peers::message::PeerMessage;
 
 /// A connection must come up within that.
 pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
--- a/src/direct/message.rs
+++ b/src/direct/peers/message.rs
@@ -6,10 +6,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::documents::{Revised, Seen};
-use super::makers::Usage;
-use super::members::Member;
-use super::model::{Deployment, Name};
+use crate::direct::owner::makers::Usage;
+use crate::direct::peers::members::Member;
+use crate::direct::published::documents::{Revised, Seen};
+use crate::direct::published::model::{Deployment, Name};
 
 /// Names one request of one life of one gateway.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
--- a/src/direct/pulls.rs
+++ b/src/direct/peers/pulls.rs
@@ -12,8 +12,8 @@
 use rand::Rng;
 use rand::seq::IndexedRandom;
 
-use super::documents::Seen;
-use super::members::Members;
+use crate::direct::peers::members::Members;
+use crate::direct::published::documents::Seen;
 use crate::message::Timestamp;
 
 /// A gateway that has seen less than another waits so long for its own publisher before it asks.
--- a/src/direct/documents.rs
+++ b/src/direct/published/documents.rs
@@ -9,8 +9,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::lapse::Absence;
-use super::model::{Deployment, Endpoint, Name};
+use crate::direct::published::lapse::Absence;
+use crate::direct::published::model::{Deployment, Endpoint, Name};
 use crate::message::Timestamp;
 
 /// How long the mark of an endpoint that is gone is kept.
--- a/src/direct/table.rs
+++ b/src/direct/published/table.rs
@@ -3,7 +3,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use super::model::{BatchSpec, Deployment, Endpoint, Name, Organisation, Pool, Route, Work};
+use crate::direct::published::model::{
+    BatchSpec, Deployment, Endpoint, Name, Organisation, Pool, Route, Work,
+};
 
 /// What a process knows, compiled; replaced as a whole with the configuration, and by endpoint.
 #[derive(Debug, Default)]
--- a/src/direct/repeats.rs
+++ b/src/direct/repeats.rs
@@ -6,7 +6,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-use super::model::Name;
+use crate::direct::published::model::Name;
 use crate::message::Timestamp;
 
 /// Of what the budget allows, so much is used; the rest is for windows that lie otherwise.
--- a/src/direct/attempts.rs
+++ b/src/direct/requests/attempts.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::event::{Action, CallFailure, CallOrder, Proof, Refused};
-use super::model::{Endpoint, Name};
-use super::note::{Note, ms};
-use super::request::{Attempt, Phase, Request};
-use super::requests::{RETRY_SOON, Requests, Timer};
-use super::table::Table;
+use crate::direct::event::{Action, CallFailure, CallOrder, Proof, Refused};
+use crate::direct::note::{Note, ms};
+use crate::direct::published::model::{Endpoint, Name};
+use crate::direct::published::table::Table;
+use crate::direct::requests::request::{Attempt, Phase, Request};
+use crate::direct::requests::{RETRY_SOON, Requests, Timer};
 use crate::invariant;
 use crate::invariant::Violation;
 use crate::message::Timestamp;
--- a/src/direct/early.rs
+++ b/src/direct/requests/early.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use super::event::Incoming;
+use crate::direct::event::Incoming;
 use crate::message::Timestamp;
 
 /// The longest wait for a configuration. Of 150 requests that came in the 30 ms before one, all were
--- a/src/direct/endpoints.rs
+++ b/src/direct/requests/endpoints.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::model::{Endpoint, Name};
+use crate::direct::published::model::{Endpoint, Name};
 use crate::message::Timestamp;
 use crate::policy::place::Place;
 
--- a/src/direct/experience.rs
+++ b/src/direct/requests/experience.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
-use super::model::Name;
+use crate::direct::published::model::Name;
 
 /// So many of the last requests of a route and a class of sizes count.
 const KEPT: usize = 64;
--- a/src/direct/requests.rs
+++ b/src/direct/requests/mod.rs
@@ -2,6 +2,18 @@
 //!
 //! A second call needs a proof that the first did not run, or a request that may run again, and a
 //! repeat out of the shared budget.
+//!
+//! `core` hands in what callers, endpoints and owners do; `stages` follows the stages at their owner,
+//! `attempts` the calls, `stopping` what can still end in a process that stops, `early` what comes
+//! before the first configuration. Which endpoint is chosen is `policy::place`'s.
+
+mod attempts;
+pub mod early;
+pub mod endpoints;
+pub mod experience;
+pub mod request;
+pub(super) mod stages;
+pub(super) mod stopping;
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -10,17 +22,17 @@
 use rand::{Rng, RngExt};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::endpoints::Observations;
-use super::event::{Action, Incoming, Refusal, Refused};
-use super::experience::Experience;
-use super::members::Members;
-use super::message::{JobId, PeerMessage};
-use super::model::{Name, Route};
-use super::note::{Note, ms};
-use super::repeats::{Bounds, Repeats};
-use super::request::{Phase, Request};
-use super::stopping::Stopping;
-use super::table::Table;
+use crate::direct::event::{Action, Incoming, Refusal, Refused};
+use crate::direct::note::{Note, ms};
+use crate::direct::peers::members::Members;
+use crate::direct::peers::message::{JobId, PeerMessage};
+use crate::direct::published::model::{Name, Route};
+use crate::direct::published::table::Table;
+use crate::direct::repeats::{Bounds, Repeats};
+use crate::direct::requests::endpoints::Observations;
+use crate::direct::requests::experience::Experience;
+use crate::direct::requests::request::{Phase, Request};
+use crate::direct::requests::stopping::Stopping;
 use crate::message::Timestamp;
 
 /// When to come back where nothing better is known.
--- a/src/direct/request.rs
+++ b/src/direct/requests/request.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::event::Incoming;
-use super::message::{JobId, Made};
-use super::model::{Endpoint, Name, Repeat, Route};
+use crate::direct::event::Incoming;
+use crate::direct::peers::message::{JobId, Made};
+use crate::direct::published::model::{Endpoint, Name, Repeat, Route};
 use crate::message::Timestamp;
 
 /// Time to the first event besides reading the prompt, before any was measured.
--- a/src/direct/stages.rs
+++ b/src/direct/requests/stages.rs
@@ -3,15 +3,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::event::{Action, Refused};
-use super::experience::Part;
-use super::members::Members;
-use super::message::{Job, JobId, JobReason, JobStage, Made, PeerMessage};
-use super::model::Name;
-use super::note::Note;
-use super::request::{Phase, Request};
-use super::requests::{RETRY_SOON, Requests, Timer};
-use super::table::Table;
+use crate::direct::event::{Action, Refused};
+use crate::direct::note::Note;
+use crate::direct::peers::members::Members;
+use crate::direct::peers::message::{Job, JobId, JobReason, JobStage, Made, PeerMessage};
+use crate::direct::published::model::Name;
+use crate::direct::published::table::Table;
+use crate::direct::requests::experience::Part;
+use crate::direct::requests::request::{Phase, Request};
+use crate::direct::requests::{RETRY_SOON, Requests, Timer};
 use crate::message::Timestamp;
 
 /// An owner that has not decided on stages after so long is passed over.
@@ -21,7 +21,7 @@
 /// Owners that are asked at most.
 const MAX_OWNERS: usize = 3;
 /// The pools that work in batches have one owner together.
-pub(super) const STAGES: &str = "stages";
+pub(in crate::direct) const STAGES: &str = "stages";
 
 impl Requests {
     pub(super) fn submit_stages(
--- a/src/direct/stopping.rs
+++ b/src/direct/requests/stopping.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-use super::event::{Action, Refused};
-use super::experience::{Part, Sure, must_be};
-use super::model::Name;
-use super::note::{Note, ms};
-use super::request::{Phase, Request};
-use super::requests::Requests;
-use super::stop::Stop;
+use crate::direct::event::{Action, Refused};
+use crate::direct::note::{Note, ms};
+use crate::direct::published::model::Name;
+use crate::direct::requests::Requests;
+use crate::direct::requests::experience::{Part, Sure, must_be};
+use crate::direct::requests::request::{Phase, Request};
+use crate::direct::stop::Stop;
 use crate::message::Timestamp;
 
 /// Between two looks at all requests that wait for their stages.
@@ -74,7 +74,7 @@
 
     /// When to come back to a process that knows too little or stops.
     pub(super) fn elsewhere(&self) -> Duration {
-        self.stopping.map_or(super::requests::RETRY_ELSEWHERE, |s| s.come_back_after)
+        self.stopping.map_or(crate::direct::requests::RETRY_ELSEWHERE, |s| s.come_back_after)
     }
 
     /// Whether new requests are looked at.
--- a/src/direct/shell.rs
+++ b/src/direct/shell.rs
@@ -14,16 +14,16 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::AbortHandle;
 
-use super::client::{Answer, AnswerBody, AnswerHead, EndpointClient, Forwarded};
-use super::core::GatewayCore;
-use super::event::{
+use crate::actor::{Handle, Shell};
+use crate::direct::client::{Answer, AnswerBody, AnswerHead, EndpointClient, Forwarded};
+use crate::direct::core::GatewayCore;
+use crate::direct::event::{
     Action, BatchOutcome, CallFailure, CallOrder, Event, Incoming, PieceOrder, Refusal,
 };
-use super::model::{CallerLimits, Endpoint};
-use super::note::{Note, ms};
-use super::peers::Peers;
-use super::stream::EventSplitter;
-use crate::actor::{Handle, Shell};
+use crate::direct::note::{Note, ms};
+use crate::direct::peers::links::Peers;
+use crate::direct::published::model::{CallerLimits, Endpoint};
+use crate::direct::stream::EventSplitter;
 use crate::logging::Lines;
 
 /// Events of one stream that wait for a slow caller.
@@ -308,7 +308,7 @@
 async fn pump(
     caller: u64,
     attempt: u64,
-    mut body: http_body_util::combinators::UnsyncBoxBody<Bytes, super::client::BodyError>,
+    mut body: http_body_util::combinators::UnsyncBoxBody<Bytes, crate::direct::client::BodyError>,
     events: mpsc::Sender<Bytes>,
     core: Handle<GatewayCore>,
 ) {
--- a/src/direct/stop.rs
+++ b/src/direct/stop.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use super::members::{MemberState, Members};
+use crate::direct::peers::members::{MemberState, Members};
 use crate::message::Timestamp;
 
 /// No process ends earlier after the signal: callers may still come, until the balancer has seen that
--- a/tests/direct_come_back.rs
+++ b/tests/direct_come_back.rs
@@ -7,7 +7,7 @@
 use directenv::{address, ms};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use stackmast::direct::members::{Member, MemberState, Members};
+use stackmast::direct::peers::members::{Member, MemberState, Members};
 use stackmast::direct::stop::{AT_LEAST, Stop, come_back_after};
 use test_case::test_case;
 
--- a/tests/direct_experience.rs
+++ b/tests/direct_experience.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use stackmast::direct::experience::{Experience, Part, Sure, must_be};
-use stackmast::direct::model::Name;
+use stackmast::direct::published::model::Name;
+use stackmast::direct::requests::experience::{Experience, Part, Sure, must_be};
 use test_case::test_case;
 
 const fn ms(n: u64) -> Duration {
--- a/tests/direct_requests.rs
+++ b/tests/direct_requests.rs
@@ -12,13 +12,13 @@
 use directenv::{address, deployment, endpoint, ms, route};
 use stackmast::actor::Core;
 use stackmast::direct::core::{GatewayCore, Setup};
-use stackmast::direct::documents::{Document, Revised, Seen};
 use stackmast::direct::event::{
     Action, BatchOutcome, CallFailure, Event, Generation, Incoming, PieceOutcome, Proof, Refused,
 };
-use stackmast::direct::members::MemberState;
-use stackmast::direct::message::{JobId, Made, PeerMessage};
-use stackmast::direct::model::{Repeat, Route};
+use stackmast::direct::peers::members::MemberState;
+use stackmast::direct::peers::message::{JobId, Made, PeerMessage};
+use stackmast::direct::published::documents::{Document, Revised, Seen};
+use stackmast::direct::published::model::{Repeat, Route};
 use test_case::test_case;
 
 #[test]
--- a/tests/direct_scheduler.rs
+++ b/tests/direct_scheduler.rs
@@ -9,12 +9,12 @@
 use stackmast::direct::event::{
     Action, BatchOutcome, BatchReport, CallFailure, PieceOrder, PieceOutcome,
 };
-use stackmast::direct::makers::Usage;
-use stackmast::direct::message::{Job, JobReason, PeerMessage};
-use stackmast::direct::model::{Pool, Repeat, Route};
+use stackmast::direct::owner::makers::Usage;
+use stackmast::direct::owner::scheduler::Scheduler;
+use stackmast::direct::peers::message::{Job, JobReason, PeerMessage};
+use stackmast::direct::published::model::{Pool, Repeat, Route};
+use stackmast::direct::published::table::Table;
 use stackmast::direct::repeats::Bounds;
-use stackmast::direct::scheduler::Scheduler;
-use stackmast::direct::table::Table;
 
 fn scheduler() -> Scheduler {
     Scheduler::new(Bounds { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) })
@@ -325,7 +325,7 @@
     let mut job = job(1, &route, 1);
     job.resubmitted = true;
     let handle = "old/0".into();
-    job.stages[0].done = vec![stackmast::direct::message::Made {
+    job.stages[0].done = vec![stackmast::direct::peers::message::Made {
         handle,
         endpoint: endpoint("first", 1).id.clone(),
     }];
--- a/tests/direct_stops.rs
+++ b/tests/direct_stops.rs
@@ -11,9 +11,9 @@
 use stackmast::direct::event::{
     Action, BatchOutcome, Event, Incoming, PieceOutcome, Proof, Refused,
 };
-use stackmast::direct::members::{Member, MemberState};
-use stackmast::direct::message::{Job, JobId, JobReason, Made, PeerMessage};
-use stackmast::direct::model::{Repeat, Route};
+use stackmast::direct::peers::members::{Member, MemberState};
+use stackmast::direct::peers::message::{Job, JobId, JobReason, Made, PeerMessage};
+use stackmast::direct::published::model::{Repeat, Route};
 use test_case::test_case;
 
 /// When the signals of these tests come.
--- a/tests/directenv/fakes.rs
+++ b/tests/directenv/fakes.rs
@@ -6,7 +6,7 @@
 use stackmast::direct::event::{
     BatchOutcome, CallFailure, CallOrder, Event, PieceOrder, PieceOutcome, Proof,
 };
-use stackmast::direct::model::{Endpoint, Repeat, Route};
+use stackmast::direct::published::model::{Endpoint, Repeat, Route};
 
 use super::ms;
 use super::world::{Happening, World};
--- a/tests/directenv/gateway.rs
+++ b/tests/directenv/gateway.rs
@@ -5,11 +5,11 @@
 
 use stackmast::actor::Core;
 use stackmast::direct::core::{GatewayCore, Setup};
-use stackmast::direct::documents::{Document, Revised, Seen};
 use stackmast::direct::event::{Action, CallOrder, Event, Incoming, Proof, Refusal};
-use stackmast::direct::members::{Member, MemberState};
-use stackmast::direct::message::PeerMessage;
-use stackmast::direct::model::{Deployment, Endpoint, Route};
+use stackmast::direct::peers::members::{Member, MemberState};
+use stackmast::direct::peers::message::PeerMessage;
+use stackmast::direct::published::documents::{Document, Revised, Seen};
+use stackmast::direct::published::model::{Deployment, Endpoint, Route};
 use stackmast::direct::repeats::Bounds;
 
 use super::{address, deployment, endpoints, ms};
--- a/tests/directenv/mod.rs
+++ b/tests/directenv/mod.rs
@@ -11,12 +11,12 @@
 use std::time::Duration;
 
 use stackmast::config::Selector;
-use stackmast::direct::message::{Job, JobId, JobStage};
-use stackmast::direct::model::{
+use stackmast::direct::peers::message::{Job, JobId, JobStage};
+use stackmast::direct::published::model::{
     BatchSpec, CallerLimits, Deployment, Endpoint, EngineSpec, Name, Organisation, Pool, Repeat,
     Route, StageSpec, Target, Work,
 };
-use stackmast::direct::table::Table;
+use stackmast::direct::published::table::Table;
 
 pub const CALL: Duration = Duration::from_millis(240);
 pub const PIECE: Duration = Duration::from_millis(10);
--- a/tests/directenv/world.rs
+++ b/tests/directenv/world.rs
@@ -12,12 +12,12 @@
 use rand::{RngExt, SeedableRng};
 use stackmast::actor::Core;
 use stackmast::direct::core::{GatewayCore, Setup};
-use stackmast::direct::documents::{Document, Revised};
-use stackmast::direct::early::SETTLING;
 use stackmast::direct::event::{Action, BatchReport, Event, Generation, Incoming};
-use stackmast::direct::message::PeerMessage;
-use stackmast::direct::model::{Endpoint, Repeat, Route};
+use stackmast::direct::peers::message::PeerMessage;
+use stackmast::direct::published::documents::{Document, Revised};
+use stackmast::direct::published::model::{Endpoint, Repeat, Route};
 use stackmast::direct::repeats::Bounds;
+use stackmast::direct::requests::early::SETTLING;
 
 pub const GATEWAYS: u16 = 3;
 const CALLERS: u64 = 24;
