A refusal for want of room says when there will be some

Cause: where a stage found no room in the plan its caller was told 400 ms, though the plan knows when there is room, mostly in 150 to 300 ms; a caller with an objective of 1.1 s came back too late for it. Change: the wait that the plan found; 400 ms only where it found none within its view.

--- a/src/policy/path.rs
+++ b/src/policy/path.rs
@@ -100,9 +100,16 @@
     room_share: f64,
 }
 
-/// Plans each stage after those that it needs, those that are held back last; names the stage whose
-/// results find no room in time.
-fn plan(stages: &[StageLoad], after: Duration, open: f64) -> Result<Vec<Run>, usize> {
+/// A stage whose results find no room in time.
+#[derive(Debug, Clone, Copy)]
+struct NoRoom {
+    stage: usize,
+    /// How long after it wants it there will be room, where that can be told.
+    wait: Option<Duration>,
+}
+
+/// Plans each stage after those that it needs, those that are held back last.
+fn plan(stages: &[StageLoad], after: Duration, open: f64) -> Result<Vec<Run>, NoRoom> {
     let mut runs = vec![Run::default(); stages.len()];
     let (held_back, others): (Vec<usize>, Vec<usize>) =
         (0..stages.len()).partition(|&index| stands_alone(stages, index));
@@ -124,11 +131,14 @@
         let next = stages.iter().filter(|s| s.after.contains(&index)).map(StageLoad::waiting).max();
         let length = stage.call + next.map_or(after.min(HANDED_ON), |waiting| waiting + FETCHING);
         let bound = (stage.room * ROOM_PLANNED * open).max(stage.wanted);
-        let start = stage.taken.earliest(wanted_at, length, stage.wanted, bound).ok_or(index)?;
+        let start = stage
+            .taken
+            .earliest(wanted_at, length, stage.wanted, bound)
+            .ok_or(NoRoom { stage: index, wait: None })?;
         let share = (stage.taken.peak(start, length) + stage.wanted) / stage.room.max(1.0);
         let for_room = start.saturating_sub(wanted_at);
         if for_room > ROOM_WAIT {
-            return Err(index);
+            return Err(NoRoom { stage: index, wait: Some(for_room) });
         }
         runs[index] = Run { end: start + stage.call, for_room, room_share: share };
     }
@@ -172,7 +182,8 @@
         let share = |&a: &usize, &b: &usize| runs[a].room_share.total_cmp(&runs[b].room_share);
         needed().max_by(share).unwrap_or_default()
     };
-    let narrowest = runs.as_deref().map_or_else(|full| *full, by_share);
+    let narrowest = runs.as_deref().map_or_else(|full| full.stage, by_share);
+    let wait = runs.as_ref().err().map(|full| full.wait.unwrap_or(NO_ROOM_RETRY));
     let runs = runs.unwrap_or_else(|_| vec![Run::default(); stages.len()]);
     let room_share = runs.get(narrowest).map_or(0.0, |r| r.room_share);
     let predicted = runs.iter().map(|r| r.end).max().unwrap_or_default() + after;
@@ -193,8 +204,7 @@
     };
     let excess = match refusal {
         Some(PathRefusal::NoEndpoint) => Duration::from_secs(1),
-        _ if has_room => predicted.saturating_sub(allowed),
-        _ => NO_ROOM_RETRY,
+        _ => wait.unwrap_or_else(|| predicted.saturating_sub(allowed)),
     };
     let retry_after = excess.clamp(SHORTEST_RETRY, LONGEST_RETRY);
     PathDecision { refusal, narrowest, predicted, room_share, retry_after }
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -83,6 +83,17 @@
     assert_eq!(decision.refusal, Some(PathRefusal::NoRoom), "with nothing to wait for, it begins");
 }
 
+#[test_case(700, 700; "when there will be")]
+#[test_case(120, 150; "not sooner than callers can usefully return")]
+fn a_refusal_for_want_of_room_tells_when_there_will_be_some(until: u64, retry_after: u64) {
+    let mut full = stage(&[]);
+    full.taken = taken(0, until, 95.0);
+    let decision = admit_path(&[full], AFTER, OBJECTIVE, 0);
+    assert_eq!(decision.refusal, Some(PathRefusal::NoRoom));
+    assert!(decision.retry_after >= ms(retry_after), "{:?}", decision.retry_after);
+    assert!(decision.retry_after <= ms(retry_after + 50), "{:?}", decision.retry_after);
+}
+
 #[test]
 fn a_refusal_for_want_of_room_names_the_stage_that_finds_none() {
     let mut full = stage(&[0]);
