--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -191,6 +191,9 @@
         let known = self.documents.is_complete();
         for early in due {
             let (caller, incoming) = (early.caller, early.incoming);
+            let request = incoming.id.clone();
+            let waited_ms = ms(now.saturating_sub(early.arrived));
+            self.note(Note::Waited { request, waited_ms, known });
             self.requests.submit(caller, incoming, &self.table, known, early.arrived, now);
         }
     }
--- a/src/direct/note.rs
+++ b/src/direct/note.rs
@@ -25,6 +25,15 @@
         /// Milliseconds that remain.
         left_ms: u64,
     },
+    /// It waited for the first configuration, or for peers and endpoints to be heard.
+    Waited {
+        /// The caller's id.
+        request: Name,
+        /// For so many milliseconds.
+        waited_ms: u64,
+        /// Whether there is a configuration now.
+        known: bool,
+    },
     /// Its stages were handed to an owner.
     StagesSubmitted {
         /// The caller's id.
@@ -291,6 +300,7 @@
     pub const fn kind(&self) -> &'static str {
         match self {
             Self::Arrived { .. } => "arrived",
+            Self::Waited { .. } => "waited",
             Self::StagesSubmitted { .. } => "stages_submitted",
             Self::StagesDecided { .. } => "stages_decided",
             Self::Reported { .. } => "reported",
