An endpoint that fails what may not be repeated is avoided as well

Cause: a server error counted as a failure only where the request could be sent again; for what may run once it counted as a good and fast answer, so that an endpoint that fails at once drew more of such requests. Change: a server error speaks against the endpoint, but for the one that says that the time was over. The answer is passed on as before. The test failed first.

--- a/src/direct/requests/attempts.rs
+++ b/src/direct/requests/attempts.rs
@@ -190,7 +190,11 @@
         if proof.status >= 500 && self.may_try_again(caller, now) {
             return self.may_have_run(caller, "server error", table, now);
         }
-        self.observations.answered(&endpoint, now.saturating_sub(open.sent));
+        if !is_own_failure(proof.status) {
+            self.observations.answered(&endpoint, now.saturating_sub(open.sent));
+        } else if self.observations.failed(&endpoint, now) {
+            self.note_avoided(&endpoint, "server errors");
+        }
         self.out.push(Action::Deliver { caller, attempt });
         if is_open {
             if let Some(request) = self.requests.get_mut(&caller) {
@@ -399,3 +403,9 @@
         }
     }
 }
+
+/// Whether a status speaks against the endpoint: a server error, but for the one that says that the
+/// caller's time was over.
+const fn is_own_failure(status: u16) -> bool {
+    status >= 500 && status != 504
+}
--- a/tests/direct_requests.rs
+++ b/tests/direct_requests.rs
@@ -15,6 +15,7 @@
 use stackmast::direct::event::{
     Action, BatchOutcome, CallFailure, Event, Generation, Incoming, PieceOutcome, Proof, Refused,
 };
+use stackmast::direct::note::Note;
 use stackmast::direct::peers::members::MemberState;
 use stackmast::direct::peers::message::{JobId, Made, PeerMessage};
 use stackmast::direct::published::documents::{Document, Revised, Seen};
@@ -55,6 +56,9 @@
     core.handle(Event::CallerGone { caller: 2 }, ms(2));
     let actions =
         publish(&mut core, deployment(1, vec![route("r", Repeat::AtMostOnce, &[])]), ms(20));
+    let waited =
+        |a: &&Action| matches!(a, Action::Note(Note::Waited { waited_ms: 20, known: true, .. }));
+    assert_eq!(actions.iter().filter(waited).count(), 1, "on-call is told");
     let calls = calls(&actions);
     assert_eq!(calls.len(), 1, "not the one whose caller left");
     assert_eq!(calls[0].1.allowed, ms(4_980), "counted from when it came");
@@ -249,6 +253,25 @@
     assert_eq!(refusal(&actions).expect("nowhere").reason, Refused::NoEndpoint);
 }
 
+#[test_case(500, true; "a server error")]
+#[test_case(504, false; "time that was over")]
+#[test_case(404, false; "an answer")]
+fn an_endpoint_that_fails_what_may_not_be_repeated_is_avoided(status: u16, is_avoided: bool) {
+    let mut core = configured(vec![route("r", Repeat::AtMostOnce, &[])]);
+    let mut failed = std::collections::HashSet::new();
+    for at in [0, 10] {
+        let actions = submit(&mut core, 1, incoming("r", Vec::new()), ms(at));
+        let (attempt, order) = calls(&actions)[0].clone();
+        failed.insert(order.endpoint.id.clone());
+        let proof = Proof { status, ..good() };
+        let actions = core.handle(answered(attempt, proof), ms(at + 5));
+        assert!(is_delivered(&actions), "it is its answer all the same");
+    }
+    assert_eq!(failed.len(), 1, "the same one while it looks as good as the other");
+    let actions = submit(&mut core, 1, incoming("r", Vec::new()), ms(20));
+    assert_eq!(!failed.contains(&calls(&actions)[0].1.endpoint.id), is_avoided);
+}
+
 /// Makes two stages of the only request; gives what follows and when.
 fn make_stages(
     core: &mut GatewayCore,
