--- a/tests/directenv/fakes.rs
+++ b/tests/directenv/fakes.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt;
 use stackmast::direct::event::{
-    BatchOutcome, CallFailure, CallOrder, Event, PieceOrder, PieceOutcome, Proof,
+    BatchOutcome, BatchReport, CallFailure, CallOrder, Event, PieceOrder, PieceOutcome, Proof,
 };
 use stackmast::direct::published::model::{Endpoint, Repeat, Route};
 
@@ -12,6 +12,18 @@
 use super::world::{Happening, World};
 
 impl World {
+    /// An endpoint tells how it stands, if it is not silent; what it tells may be wrong by now.
+    pub fn report(&mut self, number: usize, endpoint: &Endpoint) {
+        if self.is_troubled() && self.chance(0.2) {
+            return;
+        }
+        let free_bytes = self.rng.random_range(0..=1_000);
+        let report = BatchReport { free_bytes, waiting: 0 };
+        let event = Event::Reported { endpoint: endpoint.id.clone(), report };
+        let at = self.now + self.time_in(ms(1), ms(8));
+        self.at(at, Happening::Event(number, self.lives[number], Box::new(event)));
+    }
+
     /// An endpoint is called with a request: it may refuse, fail before or after its run, or answer.
     pub fn call(&mut self, number: usize, caller: u64, attempt: u64, order: &CallOrder) {
         let life = self.lives[number];
--- a/tests/directenv/world.rs
+++ b/tests/directenv/world.rs
@@ -12,7 +12,7 @@
 use rand::{RngExt, SeedableRng};
 use stackmast::actor::Core;
 use stackmast::direct::core::{GatewayCore, Setup};
-use stackmast::direct::event::{Action, BatchReport, Event, Generation, Incoming};
+use stackmast::direct::event::{Action, Event, Generation, Incoming};
 use stackmast::direct::peers::message::PeerMessage;
 use stackmast::direct::published::documents::{Document, Revised};
 use stackmast::direct::published::model::{Endpoint, Repeat, Route};
@@ -451,18 +451,6 @@
         }
     }
 
-    /// An endpoint tells how it stands, if it is not silent; what it tells may be wrong by now.
-    fn report(&mut self, number: usize, endpoint: &Endpoint) {
-        if self.is_troubled() && self.chance(0.2) {
-            return;
-        }
-        let free_bytes = self.rng.random_range(0..=1_000);
-        let report = BatchReport { free_bytes, waiting: 0 };
-        let event = Event::Reported { endpoint: endpoint.id.clone(), report };
-        let at = self.now + self.time_in(ms(1), ms(8));
-        self.at(at, Happening::Event(number, self.lives[number], Box::new(event)));
-    }
-
     fn answer(&mut self, caller: u64, how: &str) {
         let seen = self.callers.get_mut(&caller).expect("a caller");
         seen.answers += 1;
