--- a/tests/directenv/fakes.rs
+++ b/tests/directenv/fakes.rs
@@ -4,7 +4,8 @@
 
 use rand::RngExt;
 use stackmast::direct::event::{
-    BatchOutcome, BatchReport, CallFailure, CallOrder, Event, PieceOrder, PieceOutcome, Proof,
+    BatchOutcome, BatchReport, CallFailure, CallOrder, Event, Generation, PieceOrder, PieceOutcome,
+    Proof,
 };
 use stackmast::direct::published::model::{Endpoint, Repeat, Route};
 
@@ -158,3 +159,9 @@
         PieceOutcome::Made(handle.into())
     }
 }
+
+/// A prompt with one of three shared parts, so that requests are routed by prefix.
+pub fn generation(caller: u64) -> Generation {
+    let parts = vec![(format!("shared-{}", caller % 3), 500), (format!("own-{caller}"), 100)];
+    Generation { prompt_tokens: 600, output_tokens: 50, parts }
+}
--- a/tests/directenv/world.rs
+++ b/tests/directenv/world.rs
@@ -12,7 +12,7 @@
 use rand::{RngExt, SeedableRng};
 use stackmast::actor::Core;
 use stackmast::direct::core::{GatewayCore, Setup};
-use stackmast::direct::event::{Action, Event, Generation, Incoming};
+use stackmast::direct::event::{Action, Event, Incoming};
 use stackmast::direct::peers::message::PeerMessage;
 use stackmast::direct::published::documents::{Document, Revised};
 use stackmast::direct::published::model::{Endpoint, Repeat, Route};
@@ -368,7 +368,7 @@
             path: format!("/{}/x", spec.name),
             key: Some("key".to_owned()),
             allowed: Some(self.allowed),
-            generation: spec.streams.then(|| generation(caller)),
+            generation: spec.streams.then(|| super::fakes::generation(caller)),
             pieces: spec.stages.iter().map(|_| self.rng.random_range(1..4)).collect(),
             piece_key: Some("k".into()),
             after_event: None,
@@ -494,9 +494,3 @@
         }
     }
 }
-
-/// A prompt with one of three shared parts, so that requests are routed by prefix.
-fn generation(caller: u64) -> Generation {
-    let parts = vec![(format!("shared-{}", caller % 3), 500), (format!("own-{caller}"), 100)];
-    Generation { prompt_tokens: 600, output_tokens: 50, parts }
-}
