Sight: a read of the store tells how long its answer's head was waited for

Cause: the line of a read told its transfer only, so a connection that says nothing looked like a store that is slow, and neither could be told from a watch that had nothing to tell.

--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -122,6 +122,8 @@
     pub bytes: usize,
     /// Bytes that were stated.
     pub expected: Option<u64>,
+    /// From the call to the answer's head, or to the failure; a watch waits for changes meanwhile.
+    pub waited: Duration,
     /// From the answer's head to its end.
     pub took: Duration,
     /// Time of decoding.
--- a/src/direct/note.rs
+++ b/src/direct/note.rs
@@ -164,6 +164,8 @@
         bytes: usize,
         /// Bytes that were stated.
         expected: Option<u64>,
+        /// Milliseconds from the call to the answer's head, or to the failure.
+        waited_ms: u64,
         /// Milliseconds from the answer's head to its end.
         took_ms: u64,
         /// Milliseconds of decoding.
@@ -291,9 +293,16 @@
 impl Note {
     /// The line of a read of the publisher's store.
     pub fn store_read(read: &StoreRead) -> Self {
-        let StoreRead { subject, watch, outcome, bytes, expected, took, decoding } = *read;
-        let (took_ms, decode_ms) = (ms(took), ms(decoding));
-        Self::StoreRead { subject, watch, outcome, bytes, expected, took_ms, decode_ms }
+        Self::StoreRead {
+            subject: read.subject,
+            watch: read.watch,
+            outcome: read.outcome,
+            bytes: read.bytes,
+            expected: read.expected,
+            waited_ms: ms(read.waited),
+            took_ms: ms(read.took),
+            decode_ms: ms(read.decoding),
+        }
     }
 
     /// The word for metrics, as in the line.
