--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -122,6 +122,8 @@
     pub bytes: usize,
     /// Bytes that were stated.
     pub expected: Option<u64>,
+    /// Whether a new connection answered, while the one before it said nothing.
+    pub again: bool,
     /// From the call to the answer's head, or to the failure; a watch waits for changes meanwhile.
     pub waited: Duration,
     /// From the answer's head to its end.
--- a/src/direct/note.rs
+++ b/src/direct/note.rs
@@ -164,6 +164,8 @@
         bytes: usize,
         /// Bytes that were stated.
         expected: Option<u64>,
+        /// Whether a new connection answered, while the one before it said nothing.
+        again: bool,
         /// Milliseconds from the call to the answer's head, or to the failure.
         waited_ms: u64,
         /// Milliseconds from the answer's head to its end.
@@ -299,6 +301,7 @@
             outcome: read.outcome,
             bytes: read.bytes,
             expected: read.expected,
+            again: read.again,
             waited_ms: ms(read.waited),
             took_ms: ms(read.took),
             decode_ms: ms(read.decoding),
--- a/tests/direct_pulls.rs
+++ b/tests/direct_pulls.rs
@@ -207,6 +207,7 @@
         outcome: StoreRead::WHOLE,
         bytes: 400_000,
         expected: Some(400_000),
+        again: false,
         waited: ms(5),
         took: ms(300),
         decoding: ms(10),
