--- a/tests/direct_bulk.rs
+++ b/tests/direct_bulk.rs
@@ -5,24 +5,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use directenv::gateway::new_core;
+use directenv::gateway::{Idle, new_core};
 use directenv::{address, deployment};
-use stackmast::actor::{Handle, Shell, mailbox, run};
+use stackmast::actor::{Handle, mailbox, run};
 use stackmast::direct::core::GatewayCore;
-use stackmast::direct::event::Action;
 use stackmast::direct::peers::links::{Peers, accept};
 use stackmast::direct::peers::message::PeerMessage;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep, timeout};
 
-/// Does nothing of what a core decides.
-struct Idle;
-
-impl Shell<GatewayCore> for Idle {
-    fn act(&mut self, _action: Action, _core: &GatewayCore) {}
-}
-
 /// A gateway that takes connections, and where.
 async fn gateway() -> (Handle<GatewayCore>, SocketAddr) {
     let listener = TcpListener::bind(address(0)).await.expect("a port");
--- a/tests/direct_links.rs
+++ b/tests/direct_links.rs
@@ -9,10 +9,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use directenv::gateway::new_core;
+use directenv::gateway::{Idle, new_core};
 use directenv::{address, ms};
-use stackmast::actor::{Core, Shell, mailbox, run};
-use stackmast::direct::core::GatewayCore;
+use stackmast::actor::{Core, mailbox, run};
 use stackmast::direct::event::{Action, Event};
 use stackmast::direct::peers::links::{Peers, accept};
 use stackmast::direct::peers::members::{Member, MemberState};
@@ -23,13 +22,6 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
-/// Does nothing of what a core decides.
-struct Idle;
-
-impl Shell<GatewayCore> for Idle {
-    fn act(&mut self, _action: Action, _core: &GatewayCore) {}
-}
-
 fn beat(from: SocketAddr, heartbeat: u64) -> Event {
     let state = MemberState::Serving;
     let member = Member { address: from, incarnation: 1, heartbeat, state, capacity: 1_000 };
--- a/tests/directenv/gateway.rs
+++ b/tests/directenv/gateway.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use stackmast::actor::Core;
+use stackmast::actor::{Core, Shell};
 use stackmast::direct::core::{GatewayCore, Setup};
 use stackmast::direct::event::{Action, CallOrder, Event, Incoming, Proof, Refusal};
 use stackmast::direct::peers::members::{Member, MemberState};
@@ -14,6 +14,13 @@
 
 use super::{address, deployment, endpoints, ms};
 
+/// Does nothing of what a core decides.
+pub struct Idle;
+
+impl Shell<GatewayCore> for Idle {
+    fn act(&mut self, _action: Action, _core: &GatewayCore) {}
+}
+
 pub fn setup() -> Setup {
     Setup {
         address: address(1),
