Cells: in a large deployment each data centre's batch pools have an owner

And one host was all that a loss had to hit.

A job belongs to the cell of the data centre where its request will run, so its results stay there; one that its cell refuses untouched goes to one other cell that has not refused lately. No gateway is first of two cells while another host is as strong.

Ruled out: fewer, larger cells; not tried.

--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -13,7 +13,7 @@
 use crate::direct::event::{Action, Event, Incoming};
 use crate::direct::lateness::Lateness;
 use crate::direct::note::{Note, ms};
-use crate::direct::owner::scheduler::Scheduler;
+use crate::direct::owner::owners::Owners;
 use crate::direct::peers::members::{HEARTBEAT, MemberState, Members};
 use crate::direct::peers::message::{Job, PeerMessage};
 use crate::direct::peers::pulls::Pulls;
@@ -22,7 +22,6 @@
 use crate::direct::repeats::Bounds;
 use crate::direct::requests::Requests;
 use crate::direct::requests::early::Waiting;
-use crate::direct::requests::stages::STAGES;
 use crate::direct::requests::stopping::Stopping;
 use crate::direct::stop::{self, Stop};
 use crate::message::Timestamp;
@@ -57,7 +56,7 @@
     pub(super) documents: Documents,
     pub(super) table: Table,
     pub(super) requests: Requests,
-    pub(super) scheduler: Scheduler,
+    pub(super) owners: Owners,
     pub(super) pulls: Pulls,
     early: Waiting,
     lateness: Lateness,
@@ -87,7 +86,7 @@
                 setup.data_centre,
                 setup.repeats,
             ),
-            scheduler: Scheduler::new(setup.repeats),
+            owners: Owners::new(setup.repeats),
             pulls: Pulls::default(),
             early: Waiting::default(),
             lateness: Lateness::default(),
@@ -105,7 +104,7 @@
 
     /// Requests and jobs that are not over.
     pub fn in_flight(&self) -> usize {
-        self.requests.len() + self.scheduler.jobs()
+        self.requests.len() + self.owners.jobs()
     }
 
     /// What is known and compiled.
@@ -132,10 +131,10 @@
                 self.requests.stream_ended(caller, attempt, whole, last_event, &self.table, now);
             }
             Event::BatchEnded { call, outcome } => {
-                self.scheduler.batch_ended(call, outcome, &self.table, now);
+                self.owners.batch_ended(call, outcome, &self.table, now);
             }
             Event::Reported { endpoint, report } => {
-                self.scheduler.reported(&endpoint, report, &self.table, now);
+                self.owners.reported(&endpoint, report, &self.table, now);
             }
             Event::Peer { from, message } => self.on_peer(from, message, now),
             Event::PeerBroke { address, incarnation } => {
@@ -237,19 +236,19 @@
         self.look_at_early(now);
         let (unanswered, streams) = self.requests.end_all(now);
         let own = self.members.own().address;
-        self.scheduler.end_all(own);
+        self.owners.end_all(own);
         self.note(Note::Stopped {
             stopping_ms: self.stop.map_or(0, |s| ms(s.age(now))),
             unanswered,
             streams,
-            jobs: self.scheduler.jobs(),
+            jobs: self.owners.jobs(),
         });
     }
 
     /// Whether this gateway ends a job that another one or itself submits: what it has, it ends; new
     /// ones only where they are made before the process ends.
     fn takes_job(&self, job: &Job, from: SocketAddr, now: Timestamp) -> bool {
-        if self.scheduler.has(&job.id) {
+        if self.owners.has(&job.id) {
             return true;
         }
         let is_own = from == self.members.own().address;
@@ -260,7 +259,7 @@
     fn on_peer(&mut self, from: SocketAddr, message: PeerMessage, now: Timestamp) {
         match message {
             PeerMessage::Gossip { members, seen, complete, usage, late } => {
-                self.scheduler.told_usage(from, usage);
+                self.owners.told_usage(from, usage, &self.table);
                 self.requests.told_lateness(from, late, now);
                 let heard = self.members.hear(&members, now);
                 for member in heard.ended {
@@ -293,7 +292,7 @@
                 self.on_documents(from, documents, complete.then_some(seen), now);
             }
             PeerMessage::Submit(job) if self.takes_job(&job, from, now) => {
-                self.scheduler.submit(*job, &self.table, now);
+                self.owners.submit(*job, &self.table, now);
             }
             PeerMessage::Submit(job) => {
                 let message = PeerMessage::GivenUp {
@@ -304,14 +303,15 @@
                 };
                 self.tell(from, message);
             }
-            PeerMessage::Release(job) => self.scheduler.release(job, &self.table),
+            PeerMessage::Release(job) => self.owners.release(job, &self.table),
             PeerMessage::Accepted(job) => self.requests.accepted(job, from),
             PeerMessage::StageDone { job, stage, results } => {
                 self.requests.stage_done(job, from, stage, results);
             }
             PeerMessage::Ready(job) => self.requests.ready(job, from, &self.table, now),
             PeerMessage::GivenUp { job, reason, untouched, retry_after } => {
-                self.requests.given_up(job, from, reason, untouched, retry_after, now);
+                let table = &self.table;
+                self.requests.given_up(job, from, reason, untouched, retry_after, table, now);
             }
         }
     }
@@ -333,8 +333,8 @@
     ) {
         self.note(Note::Peer { address, incarnation, alive: false, cause });
         self.pulls.lost(address);
-        self.scheduler.release_all_of(address, incarnation, &self.table);
-        self.scheduler.owner_lost(address, now);
+        self.owners.release_all_of(address, incarnation, &self.table);
+        self.owners.owner_lost(address, now);
         self.requests.owner_lost(address, incarnation);
     }
 
@@ -358,7 +358,7 @@
             self.beat(now);
         }
         self.catch_up(now);
-        self.scheduler.look(&self.table, now);
+        self.owners.look(&self.table, now);
         self.requests.look(&self.table, now);
     }
 
@@ -379,16 +379,23 @@
         }
         if ready != self.is_ready {
             self.is_ready = ready;
-            if ready && self.owns_stages() {
-                self.scheduler.ask_reports(&self.table, now);
+            if ready {
+                self.ask_reports(now);
             }
             self.out.push(Action::Ready(ready));
             self.note(Note::Ready { ready });
         }
     }
 
-    fn owns_stages(&self) -> bool {
-        self.members.owner(STAGES, &[]).is_some_and(|m| m.address == self.members.own().address)
+    /// Asks the endpoints of the cells that this gateway owns how they stand.
+    fn ask_reports(&mut self, now: Timestamp) {
+        let cells: Vec<_> = self.table.cells().names().cloned().collect();
+        let own = self.members.own().address;
+        for (cell, ranked) in self.members.owners(&cells, 1) {
+            if ranked.first().is_some_and(|owner| owner.address == own) {
+                self.owners.ask_reports(&cell, &self.table, now);
+            }
+        }
     }
 
     fn gossip(&self, now: Timestamp) -> PeerMessage {
@@ -396,7 +403,7 @@
             members: self.members.digest(),
             seen: self.documents.seen(),
             complete: self.documents.is_complete(),
-            usage: self.scheduler.usage(),
+            usage: self.owners.usage(),
             late: self.lateness.now(now),
         }
     }
@@ -422,7 +429,7 @@
         loop {
             let mut produced = std::mem::take(&mut self.out);
             produced.extend(self.requests.actions(&self.members, &self.table, &mut self.rng, now));
-            produced.extend(self.scheduler.actions(&self.table, now));
+            produced.extend(self.owners.actions(&self.table, now));
             if produced.is_empty() {
                 return actions;
             }
@@ -463,7 +470,7 @@
         self.lateness.waited(waited, now);
         let lateness = self.lateness.now(now);
         self.requests.set_lateness(lateness);
-        self.scheduler.set_lateness(lateness);
+        self.owners.set_lateness(lateness);
         if let Some(is_short) = self.lateness.changed(now) {
             self.note(Note::ShortOfTime { is_short, late_ms: ms(lateness) });
         }
@@ -477,7 +484,7 @@
     }
 
     fn next_wakeup(&self) -> Option<Timestamp> {
-        let wakeups = [self.scheduler.next_wakeup(), self.requests.next_wakeup()];
+        let wakeups = [self.owners.next_wakeup(), self.requests.next_wakeup()];
         let pulls = self.pulls.next_wakeup(self.documents.is_complete()).into_iter();
         let behind = pulls.chain(self.documents.next_expiry()).chain(self.members.next_suspicion());
         let settled =
--- a/src/direct/following.rs
+++ b/src/direct/following.rs
@@ -170,9 +170,10 @@
             for id in &merged.endpoints {
                 self.table.replace(id, self.documents.endpoint(id));
             }
+            self.table.regroup();
         }
         self.requests.changed(&self.table, merged.deployment.is_some());
-        self.scheduler.changed(&self.table);
+        self.owners.changed(&self.table);
         if spread {
             self.next_beat = Timestamp::ZERO;
         }
--- a/src/direct/note.rs
+++ b/src/direct/note.rs
@@ -40,6 +40,8 @@
         request: Name,
         /// The owner.
         owner: SocketAddr,
+        /// The cell that makes them.
+        cell: Name,
         /// Whether another had begun them.
         resubmitted: bool,
     },
--- a/src/direct/owner/mod.rs
+++ b/src/direct/owner/mod.rs
@@ -20,6 +20,7 @@
 mod ledger;
 pub mod makers;
 mod outcomes;
+pub mod owners;
 mod pace;
 mod plan;
 mod queue;
--- a/src/direct/owner/outcomes.rs
+++ b/src/direct/owner/outcomes.rs
@@ -15,9 +15,14 @@
 
 /// A piece that was sent so many times is given up.
 const MAX_TRIES: u32 = 4;
-/// Gateways that repeat calls with pieces at once: an owner, and the one before it.
+/// Gateways that repeat calls with pieces of a cell at once: its owner, and the one before it.
 const OWNERS: usize = 2;
 
+/// Gateways that share the budget of repeats.
+fn owners(table: &Table) -> usize {
+    OWNERS * table.cells().names().len()
+}
+
 impl Scheduler {
     /// A call ended.
     pub fn batch_ended(&mut self, id: u64, outcome: BatchOutcome, table: &Table, now: Timestamp) {
@@ -191,7 +196,7 @@
             return self.give_up(job, JobReason::Failed, table);
         }
         // Also a piece that was refused arrives twice.
-        if !self.repeats.take(&pool, OWNERS, now) {
+        if !self.repeats.take(&pool, owners(table), now) {
             return self.give_up(job, JobReason::RepeatBudget, table);
         }
         self.dirty.insert(pool);
@@ -234,7 +239,7 @@
             self.free(&made, bytes, table);
         }
         self.dirty.extend(again.iter().cloned());
-        if !again.iter().all(|pool| self.repeats.take(pool, OWNERS, now)) {
+        if !again.iter().all(|pool| self.repeats.take(pool, owners(table), now)) {
             self.give_up(job, JobReason::RepeatBudget, table);
         }
     }
--- /dev/null
+++ b/src/direct/owner/owners.rs
@@ -0,0 +1,159 @@
+//! The cells that this gateway owns, or did until their jobs are over.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::direct::event::{Action, BatchOutcome, BatchReport};
+use crate::direct::owner::makers::Usage;
+use crate::direct::owner::scheduler::Scheduler;
+use crate::direct::peers::message::{Job, JobId};
+use crate::direct::published::model::Name;
+use crate::direct::published::table::Table;
+use crate::direct::repeats::Bounds;
+use crate::message::Timestamp;
+
+/// Calls of each cell are numbered from a multiple of this on.
+const CALLS: u64 = 1 << 48;
+
+/// A scheduler for each cell that jobs came for.
+#[derive(Debug)]
+pub struct Owners {
+    bounds: Bounds,
+    cells: BTreeMap<Name, Scheduler>,
+    /// What other owners use, for a cell that is begun.
+    told: HashMap<SocketAddr, Vec<Usage>>,
+    lateness: Duration,
+    begun: u64,
+}
+
+impl Owners {
+    /// Owns nothing yet.
+    pub fn new(bounds: Bounds) -> Self {
+        let (cells, told) = Default::default();
+        Self { bounds, cells, told, lateness: Duration::ZERO, begun: 0 }
+    }
+
+    /// How late this process handles its events.
+    pub fn set_lateness(&mut self, lateness: Duration) {
+        self.lateness = lateness;
+        self.each(|owner| owner.set_lateness(lateness));
+    }
+
+    /// Jobs that were begun and are not over.
+    pub fn jobs(&self) -> usize {
+        self.cells.values().map(Scheduler::jobs).sum()
+    }
+
+    /// Whether a job is begun here and not over.
+    pub fn has(&self, job: &JobId) -> bool {
+        self.cells.values().any(|owner| owner.has(job))
+    }
+
+    /// When the next look is due.
+    pub fn next_wakeup(&self) -> Option<Timestamp> {
+        self.cells.values().filter_map(Scheduler::next_wakeup).min()
+    }
+
+    /// What this gateway uses at endpoints.
+    pub fn usage(&self) -> Vec<Usage> {
+        self.cells.values().flat_map(Scheduler::usage).collect()
+    }
+
+    /// The owner of a cell, which is begun if it is new.
+    fn cell(&mut self, cell: &Name, table: &Table) -> &mut Scheduler {
+        let (bounds, begun, lateness) = (self.bounds, &mut self.begun, self.lateness);
+        let told = &self.told;
+        self.cells.entry(cell.clone()).or_insert_with(|| {
+            let mut owner = Scheduler::of_cell(cell.clone(), bounds, *begun * CALLS);
+            *begun += 1;
+            owner.set_lateness(lateness);
+            for (other, usage) in told {
+                owner.told_usage(*other, usage.clone(), table);
+            }
+            owner
+        })
+    }
+
+    fn each(&mut self, act: impl FnMut(&mut Scheduler)) {
+        self.cells.values_mut().for_each(act);
+    }
+
+    /// A gateway submits a job.
+    pub fn submit(&mut self, job: Job, table: &Table, now: Timestamp) {
+        let cell = job.cell.clone();
+        self.cell(&cell, table).submit(job, table, now);
+    }
+
+    /// A call ended.
+    pub fn batch_ended(&mut self, call: u64, outcome: BatchOutcome, table: &Table, now: Timestamp) {
+        let owner = self.cells.values_mut().find(|owner| owner.has_call(call));
+        if let Some(owner) = owner {
+            owner.batch_ended(call, outcome, table, now);
+        }
+    }
+
+    /// An endpoint told how it stands.
+    pub fn reported(
+        &mut self,
+        endpoint: &Name,
+        report: BatchReport,
+        table: &Table,
+        now: Timestamp,
+    ) {
+        self.each(|owner| owner.reported(endpoint, report, table, now));
+    }
+
+    /// Asks the endpoints of a cell that this gateway begins to own how they stand.
+    pub fn ask_reports(&mut self, cell: &Name, table: &Table, now: Timestamp) {
+        self.cell(cell, table).ask_reports(table, now);
+    }
+
+    /// Another gateway tells what it uses as an owner.
+    pub fn told_usage(&mut self, owner: SocketAddr, usage: Vec<Usage>, table: &Table) {
+        self.each(|cell| cell.told_usage(owner, usage.clone(), table));
+        if usage.is_empty() {
+            self.told.remove(&owner);
+        } else {
+            self.told.insert(owner, usage);
+        }
+    }
+
+    /// Another owner is gone.
+    pub fn owner_lost(&mut self, owner: SocketAddr, now: Timestamp) {
+        self.told.remove(&owner);
+        self.each(|cell| cell.owner_lost(owner, now));
+    }
+
+    /// Nobody needs a job's results any more.
+    pub fn release(&mut self, job: JobId, table: &Table) {
+        self.each(|owner| owner.release(job, table));
+    }
+
+    /// A gateway is gone, and its jobs with it.
+    pub fn release_all_of(&mut self, gateway: SocketAddr, incarnation: u64, table: &Table) {
+        self.each(|owner| owner.release_all_of(gateway, incarnation, table));
+    }
+
+    /// The process ends: other gateways are told that their jobs go on elsewhere or nowhere.
+    pub fn end_all(&mut self, own: SocketAddr) {
+        self.each(|owner| owner.end_all(own));
+    }
+
+    /// Endpoints or the configuration changed.
+    pub fn changed(&mut self, table: &Table) {
+        self.each(|owner| owner.changed(table));
+    }
+
+    /// Looks at what is due.
+    pub fn look(&mut self, table: &Table, now: Timestamp) {
+        self.each(|owner| owner.look(table, now));
+    }
+
+    /// Takes what must be done.
+    pub fn actions(&mut self, table: &Table, now: Timestamp) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.each(|owner| actions.extend(owner.actions(table, now)));
+        actions
+    }
+}
--- a/src/direct/owner/scheduler.rs
+++ b/src/direct/owner/scheduler.rs
@@ -36,6 +36,8 @@
 /// Stages of many gateways' requests.
 #[derive(Debug)]
 pub struct Scheduler {
+    /// Whose endpoints it calls; `None` for all that there are.
+    cell: Option<Name>,
     pub(super) jobs: BTreeMap<JobId, JobRun>,
     pub(super) calls: Calls,
     pub(super) makers: Makers,
@@ -69,9 +71,10 @@
 }
 
 impl Scheduler {
-    /// Owns nothing yet.
+    /// The owner of all endpoints, without jobs yet.
     pub fn new(bounds: Bounds) -> Self {
         Self {
+            cell: None,
             jobs: BTreeMap::new(),
             calls: Calls::default(),
             makers: Makers::default(),
@@ -96,6 +99,22 @@
         }
     }
 
+    /// The owner of a cell's endpoints; its calls are numbered after `first_call`.
+    pub fn of_cell(cell: Name, bounds: Bounds, first_call: u64) -> Self {
+        Self { cell: Some(cell), next_call: first_call, ..Self::new(bounds) }
+    }
+
+    /// Whether it calls an endpoint.
+    pub(super) fn calls_endpoint(&self, endpoint: &Endpoint, table: &Table) -> bool {
+        let cell = self.cell.as_ref();
+        cell.is_none_or(|cell| table.cells().has(cell, &endpoint.data_centre))
+    }
+
+    /// Whether a call is one of its own that has not ended.
+    pub(super) fn has_call(&self, call: u64) -> bool {
+        self.calls.contains_key(&call)
+    }
+
     /// How late this process handles its events: what it begins ends later by that.
     pub fn set_lateness(&mut self, lateness: Duration) {
         self.lateness = lateness;
@@ -126,8 +145,10 @@
         self.makers.usage()
     }
 
-    /// Another owner tells what it uses.
-    pub fn told_usage(&mut self, owner: SocketAddr, usage: Vec<Usage>) {
+    /// Another owner tells what it uses; endpoints of other cells are nothing to this one.
+    pub fn told_usage(&mut self, owner: SocketAddr, mut usage: Vec<Usage>, table: &Table) {
+        usage
+            .retain(|u| table.endpoint(&u.endpoint).is_some_and(|e| self.calls_endpoint(e, table)));
         self.makers.told(owner, usage);
     }
 
@@ -160,7 +181,8 @@
         self.reports_asked = Some(now);
         let pools = table.deployment.pools.iter().filter(|p| table.batch(&p.name).is_some());
         let endpoints = pools.flat_map(|p| table.members(&p.name)).filter(|e| !e.leaving);
-        self.out.extend(endpoints.map(|e| Action::AskReport(e.clone())));
+        let endpoints: Vec<_> = endpoints.filter(|e| self.calls_endpoint(e, table)).collect();
+        self.out.extend(endpoints.into_iter().map(|e| Action::AskReport(e.clone())));
     }
 
     /// An endpoint told how it stands.
@@ -171,7 +193,8 @@
         table: &Table,
         now: Timestamp,
     ) {
-        let Some(spec) = table.batch_of(endpoint) else {
+        let is_called = table.endpoint(endpoint).is_some_and(|e| self.calls_endpoint(e, table));
+        let Some(spec) = table.batch_of(endpoint).filter(|_| is_called) else {
             return;
         };
         self.makers.reported(endpoint, spec.room_bytes, report.free_bytes, now);
@@ -314,7 +337,7 @@
         let (Some(spec), Some(endpoint)) = (table.batch(pool), table.endpoint(id)) else {
             return;
         };
-        if endpoint.leaving {
+        if endpoint.leaving || !self.calls_endpoint(endpoint, table) {
             return;
         }
         if self.makers.changes_with_time(id, now) {
--- a/src/direct/peers/members.rs
+++ b/src/direct/peers/members.rs
@@ -3,7 +3,8 @@
 //! Nothing is agreed: two gateways may take different members for alive for a while, and whatever
 //! follows from it (two owners of one pool) must be harmless.
 
-use std::collections::BTreeMap;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -12,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use crate::direct::published::model::Name;
 use crate::message::Timestamp;
 
 /// Time between two heartbeats of a process.
@@ -88,6 +90,29 @@
     }
 }
 
+/// Whether a member serves, how strong its host is, and its random weight.
+type Rank = (bool, u32, u64);
+
+/// One member for each cell, another for each as far as there are others that serve on hosts as strong.
+fn firsts<'a>(ranked: &[(&Name, Vec<(Rank, &'a Member)>)]) -> BTreeMap<Name, &'a Member> {
+    let mut claims: Vec<(Rank, &Name, &Member)> = Vec::new();
+    for (cell, ranked) in ranked {
+        let best = ranked.first().map(|((serves, class, _), _)| (*serves, *class));
+        let equals =
+            ranked.iter().take_while(|((serves, class, _), _)| Some((*serves, *class)) == best);
+        claims.extend(equals.map(|(rank, member)| (*rank, *cell, *member)));
+    }
+    claims.sort_unstable_by_key(|(rank, cell, _)| (Reverse(*rank), *cell));
+    let mut firsts: BTreeMap<Name, &Member> = BTreeMap::new();
+    let mut taken = BTreeSet::new();
+    for (_, cell, member) in claims {
+        if !firsts.contains_key(cell) && taken.insert(member.address) {
+            firsts.insert(cell.clone(), member);
+        }
+    }
+    firsts
+}
+
 /// The members that one gateway knows.
 #[derive(Debug)]
 pub struct Members {
@@ -293,22 +318,38 @@
 
     /// The owner of `what`; `skip` are passed over. See [`Self::owners`].
     pub fn owner(&self, what: &str, skip: &[SocketAddr]) -> Option<Member> {
-        let owners = self.owners(what, skip.len() + 1);
-        owners.into_iter().find(|m| !skip.contains(&m.address))
+        let ranked = self.ranked(what).into_iter();
+        ranked.map(|(_, m)| m).find(|m| !skip.contains(&m.address)).cloned()
     }
 
-    /// The owner of `what` and those that come after it, `count` at most: those that serve before those
-    /// that are leaving and still there, then the strongest hosts first, and of these the one with the
-    /// highest random weight. Costs what there are members.
-    pub fn owners(&self, what: &str, count: usize) -> Vec<Member> {
+    /// Who may own `what`, the first first: those that serve before those that are leaving and still
+    /// there, then the strongest hosts, and of these the one with the highest random weight.
+    fn ranked(&self, what: &str) -> Vec<(Rank, &Member)> {
         let seed = xxh3_64(what.as_bytes());
         let weight = |m: &Member| xxh3_64_with_seed(m.address.to_string().as_bytes(), seed);
         let rank = |m: &Member| (m.state == MemberState::Serving, m.capacity_class(), weight(m));
         let members = self.alive().chain([&self.own]);
         let able = members.filter(|m| m.state != MemberState::Starting);
         let mut ranked: Vec<_> = able.map(|m| (rank(m), m)).collect();
-        ranked.sort_unstable_by_key(|(rank, _)| std::cmp::Reverse(*rank));
-        ranked.into_iter().take(count).map(|(_, m)| m.clone()).collect()
+        ranked.sort_unstable_by_key(|(rank, _)| Reverse(*rank));
+        ranked
+    }
+
+    /// For each of `cells` its owner and those that come after it, `count` at most. No gateway is the
+    /// first of two cells as long as there is another one as strong; whoever weighs most for a cell has
+    /// it, so the loss of one owner seldom moves another cell.
+    ///
+    /// Costs what there are members, for each cell.
+    pub fn owners(&self, cells: &[Name], count: usize) -> BTreeMap<Name, Vec<Member>> {
+        let ranked: Vec<_> = cells.iter().map(|cell| (cell, self.ranked(cell))).collect();
+        let firsts = firsts(&ranked);
+        let owners = ranked.into_iter().map(|(cell, ranked)| {
+            let first = firsts.get(cell).copied();
+            let ranked = ranked.into_iter().map(|(_, member)| member);
+            let others = ranked.filter(|m| Some(m.address) != first.map(|f| f.address));
+            (cell.clone(), first.into_iter().chain(others).take(count).cloned().collect())
+        });
+        owners.collect()
     }
 
     /// The others: since when each is in its state, or dead, and whether it is taken for alive.
--- a/src/direct/peers/message.rs
+++ b/src/direct/peers/message.rs
@@ -50,6 +50,9 @@
     pub id: JobId,
     /// The caller's id of the request.
     pub request: Name,
+    /// The cell whose endpoints make them; of a program that knows none, empty.
+    #[serde(default = "no_name")]
+    pub cell: Name,
     /// The route, as the gateway's configuration has it.
     pub route: Name,
     /// The stages' graph.
@@ -70,6 +73,10 @@
     pub resubmitted: bool,
 }
 
+fn no_name() -> Name {
+    "".into()
+}
+
 /// One stage of a job.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct JobStage {
--- a/src/direct/published/mod.rs
+++ b/src/direct/published/mod.rs
@@ -3,6 +3,7 @@
 //! `core` merges whatever comes from the store or from peers (`following`); everybody else only reads
 //! the `table`. Nothing here decides about a request.
 
+pub mod cells;
 pub mod documents;
 pub mod lapse;
 pub mod model;
--- a/src/direct/published/table.rs
+++ b/src/direct/published/table.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use crate::direct::published::cells::Cells;
 use crate::direct::published::model::{
     BatchSpec, Deployment, Endpoint, Name, Organisation, Pool, Route, Work,
 };
@@ -19,6 +20,7 @@
     members: HashMap<Name, Vec<Arc<Endpoint>>>,
     /// Members of any pool.
     by_id: HashMap<Name, Arc<Endpoint>>,
+    cells: Cells,
 }
 
 impl Table {
@@ -39,13 +41,27 @@
             by_key.extend(organisation.keys.iter().map(|k| (k.clone(), i)));
         }
         let (members, by_id) = (HashMap::new(), HashMap::new());
-        let mut table = Self { deployment, by_host, by_key, members, by_id };
+        let cells = Cells::default();
+        let mut table = Self { deployment, by_host, by_key, members, by_id, cells };
         for endpoint in endpoints {
             table.replace(&endpoint.id, Some(endpoint));
         }
+        table.regroup();
         table
     }
 
+    /// Groups the endpoints into cells anew, after some were replaced.
+    pub fn regroup(&mut self) {
+        let batch = self.deployment.pools.iter().filter(|p| matches!(p.work, Work::Batch(_)));
+        let members = batch.flat_map(|p| self.members(&p.name).iter().map(move |e| (p, &**e)));
+        self.cells = Cells::of(members);
+    }
+
+    /// The cells of the endpoints that work in batches.
+    pub const fn cells(&self) -> &Cells {
+        &self.cells
+    }
+
     /// An endpoint is new, changed or, where there is none now, gone; routes and keys stay as they are.
     pub fn replace(&mut self, id: &Name, endpoint: Option<&Arc<Endpoint>>) {
         self.by_id.remove(id);
--- a/src/direct/requests/mod.rs
+++ b/src/direct/requests/mod.rs
@@ -13,6 +13,7 @@
 pub mod endpoints;
 pub mod experience;
 pub mod fetches;
+mod owners;
 mod patience;
 pub mod request;
 pub(super) mod stages;
@@ -27,7 +28,7 @@
 
 use crate::direct::event::{Action, Incoming, Refusal, Refused};
 use crate::direct::note::{Note, ms};
-use crate::direct::peers::members::{Member, Members};
+use crate::direct::peers::members::Members;
 use crate::direct::peers::message::{JobId, PeerMessage};
 use crate::direct::published::model::{Name, Route};
 use crate::direct::published::table::Table;
@@ -35,6 +36,7 @@
 use crate::direct::requests::endpoints::Observations;
 use crate::direct::requests::experience::Experience;
 use crate::direct::requests::fetches::Fetches;
+use crate::direct::requests::owners::KnownOwners;
 use crate::direct::requests::request::{Phase, Request};
 use crate::direct::requests::stopping::Stopping;
 use crate::message::Timestamp;
@@ -74,8 +76,9 @@
     pub(super) running_learnt_at: Timestamp,
     pub(super) repeats: Repeats,
     pub(super) processes: usize,
-    /// Who owns the stages, and who comes after, as of a count of changes of the members.
-    pub(super) owners: (Option<u64>, Vec<Member>),
+    owners: KnownOwners,
+    /// Cells that refused a job for want of time or room, and until when that holds.
+    pub(super) short_cells: HashMap<Name, Timestamp>,
     /// How late this process handles its events.
     pub(super) lateness: Duration,
     /// Other gateways that told that they are late.
@@ -106,7 +109,8 @@
             running_learnt_at: Timestamp::ZERO,
             repeats: Repeats::new(bounds),
             processes: 1,
-            owners: (None, Vec::new()),
+            owners: KnownOwners::default(),
+            short_cells: HashMap::new(),
             lateness: Duration::ZERO,
             late_owners: HashMap::new(),
             next_attempt: 0,
@@ -232,6 +236,7 @@
             phase: Phase::Running,
             results: vec![Vec::new(); stages],
             owner: None,
+            cells: Vec::new(),
             passed_over: Vec::new(),
             attempt: None,
             sends: 0,
--- /dev/null
+++ b/src/direct/requests/owners.rs
@@ -0,0 +1,111 @@
+//! Which cell makes a request's stages, and who owns it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::direct::peers::members::{Member, Members};
+use crate::direct::peers::message::JobReason;
+use crate::direct::published::cells::Cells;
+use crate::direct::published::model::Name;
+use crate::direct::published::table::Table;
+use crate::direct::requests::Requests;
+use crate::direct::requests::stages::MAX_OWNERS;
+use crate::message::Timestamp;
+
+/// Cells that one request's stages are submitted to at most: the own one, and one with more room.
+const MAX_CELLS: usize = 2;
+/// A cell that refused is taken to refuse for so long: a call ends in it every few milliseconds.
+const SHORT: Duration = Duration::from_millis(100);
+
+/// The owners of all cells and those that come after them, ranked once for each change of the members or
+/// the cells, not for each request.
+#[derive(Debug, Default)]
+pub(super) struct KnownOwners {
+    changes: Option<u64>,
+    cells: Cells,
+    ranked: BTreeMap<Name, Vec<Member>>,
+}
+
+impl KnownOwners {
+    /// Ranks anew if something changed.
+    pub(super) fn learn(&mut self, members: &Members, table: &Table) {
+        let changes = Some(members.changes());
+        if self.changes == changes && self.cells == *table.cells() {
+            return;
+        }
+        self.changes = changes;
+        self.cells = table.cells().clone();
+        let names: Vec<Name> = self.cells.names().cloned().collect();
+        self.ranked = members.owners(&names, MAX_OWNERS + 1);
+    }
+
+    /// The first owner of a cell that was not passed over.
+    pub(super) fn of_cell(&self, cell: &str, passed_over: &[SocketAddr]) -> Option<Member> {
+        let ranked = self.ranked.get(cell)?;
+        ranked.iter().find(|o| !passed_over.contains(&o.address)).cloned()
+    }
+}
+
+impl Requests {
+    /// The cell for the stages of a request that will run in `data_centre`, where their results are
+    /// fetched to: that of the data centre, unless the request went to another one.
+    pub(super) fn cell_for(&mut self, caller: u64, data_centre: &str, table: &Table) -> Name {
+        let own = table.cells().of_data_centre(data_centre);
+        let Some(request) = self.requests.get_mut(&caller) else {
+            return own;
+        };
+        let last = request.cells.last().filter(|last| table.cells().names().any(|c| c == *last));
+        if let Some(last) = last {
+            return last.clone();
+        }
+        request.cells.push(own.clone());
+        own
+    }
+
+    /// A cell that a request was not submitted to and that has not refused lately; another one for
+    /// each request, so that all that one cell refuses don't meet in the next.
+    fn other_cell(
+        &self,
+        request: &str,
+        tried: &[Name],
+        table: &Table,
+        now: Timestamp,
+    ) -> Option<Name> {
+        let is_short = |cell: &Name| self.short_cells.get(cell).is_some_and(|until| now < *until);
+        let others = table.cells().names().filter(|cell| !tried.contains(cell) && !is_short(cell));
+        let others: Vec<&Name> = others.collect();
+        let index = xxh3_64(request.as_bytes()) % others.len().max(1) as u64;
+        others.get(index as usize).map(|cell| (*cell).clone())
+    }
+
+    /// Has a job that its cell refused, untouched, submitted to another one; says whether there is one.
+    pub(super) fn goes_to_another_cell(
+        &mut self,
+        caller: u64,
+        reason: JobReason,
+        retry_after: Duration,
+        table: &Table,
+        now: Timestamp,
+    ) -> bool {
+        let is_short =
+            matches!(reason, JobReason::WouldBeLate | JobReason::NoRoom | JobReason::NoEndpoint);
+        let Some(request) = self.requests.get(&caller).filter(|_| is_short) else {
+            return false;
+        };
+        let may_go = request.cells.len() < MAX_CELLS && !request.holds_results;
+        let other = self.other_cell(&request.incoming.id, &request.cells, table, now);
+        if let Some(last) = request.cells.last() {
+            self.short_cells.insert(last.clone(), now + retry_after.min(SHORT));
+        }
+        let Some(other) = other.filter(|_| may_go) else {
+            return false;
+        };
+        if let Some(request) = self.requests.get_mut(&caller) {
+            request.cells.push(other);
+        }
+        true
+    }
+}
--- a/src/direct/requests/request.rs
+++ b/src/direct/requests/request.rs
@@ -75,6 +75,8 @@
     pub results: Vec<Vec<Made>>,
     /// The owner of its stages, also after they are done.
     pub owner: Option<SocketAddr>,
+    /// Cells that its stages were submitted to, the last one last.
+    pub cells: Vec<Name>,
     /// Owners that were asked and did not take it.
     pub passed_over: Vec<SocketAddr>,
     /// The open call.
--- a/src/direct/requests/stages.rs
+++ b/src/direct/requests/stages.rs
@@ -19,9 +19,7 @@
 /// A timer that is so late says that this process stood still: answers may wait to be read.
 const STOOD_STILL: Duration = Duration::from_millis(40);
 /// Owners that are asked at most.
-const MAX_OWNERS: usize = 3;
-/// The pools that work in batches have one owner together.
-pub(in crate::direct) const STAGES: &str = "stages";
+pub(super) const MAX_OWNERS: usize = 3;
 
 impl Requests {
     pub(super) fn submit_stages(
@@ -37,11 +35,12 @@
         // The results go where the run will be, as far as can be told now.
         let place = self.choose(request, table, now);
         let place = place.map_or_else(|| self.data_centre.clone(), |(e, ..)| e.data_centre.clone());
-        self.rank_owners(members);
+        self.owners.learn(members, table);
+        let cell = self.cell_for(caller, &place, table);
         let Some(request) = self.requests.get_mut(&caller) else {
             return;
         };
-        let owner = self.owners.1.iter().find(|o| !request.passed_over.contains(&o.address));
+        let owner = self.owners.of_cell(&cell, &request.passed_over);
         let tried = request.passed_over.len();
         let Some(owner) = owner.filter(|_| tried < MAX_OWNERS) else {
             let (reason, retry_after) = match self.stopping {
@@ -66,21 +65,13 @@
         self.out.push(Action::Note(Note::StagesSubmitted {
             request: request.incoming.id.clone(),
             owner: owner.address,
+            cell,
             resubmitted,
         }));
         let message = PeerMessage::Submit(Box::new(job));
         self.out.push(Action::Tell { to: owner.address, message });
     }
 
-    /// Ranks the members as owners of the stages, if they changed: costs what there are members at a
-    /// change of them, and nothing for a request.
-    fn rank_owners(&mut self, members: &Members) {
-        let changes = Some(members.changes());
-        if self.owners.0 != changes {
-            self.owners = (changes, members.owners(STAGES, MAX_OWNERS + 1));
-        }
-    }
-
     /// What was on the way to or from this owner may be lost: the jobs that it has are submitted
     /// again, and it tells how they stand.
     pub fn submit_again(&mut self, owner: SocketAddr) {
@@ -154,6 +145,7 @@
         reason: JobReason,
         untouched: bool,
         retry_after: Duration,
+        table: &Table,
         now: Timestamp,
     ) {
         let Some((caller, request)) = self.job(job, from) else {
@@ -165,6 +157,9 @@
         }
         self.out
             .push(Action::Note(Note::StagesGivenUp { request: id, reason: format!("{reason:?}") }));
+        if untouched && self.goes_to_another_cell(caller, reason, retry_after, table, now) {
+            return self.to_submit.push(caller);
+        }
         match reason {
             JobReason::NotOwner => self.pass_over(caller, from),
             JobReason::DeadlinePassed => self.refuse(caller, Refused::TimedOut, RETRY_SOON, now),
@@ -239,6 +234,7 @@
     Job {
         id: request.job,
         request: request.incoming.id.clone(),
+        cell: request.cells.last().cloned().unwrap_or_else(|| "".into()),
         route: request.route.name.clone(),
         stages: stages.collect(),
         key: request.incoming.piece_key.clone(),
--- a/testbed/src/owner_load.rs
+++ b/testbed/src/owner_load.rs
@@ -243,6 +243,7 @@
         Job {
             id: JobId { gateway, incarnation: 1, number },
             request: format!("{number:016x}").into(),
+            cell: "stages".into(),
             route: "questions".into(),
             stages,
             key: Some("key".into()),
--- a/tests/direct_scheduler.rs
+++ b/tests/direct_scheduler.rs
@@ -262,7 +262,7 @@
     let table = table(vec![route.clone()]);
     let mut scheduler = scheduler();
     let usage = vec![Usage { endpoint: "second-1".into(), bytes: 10 }];
-    scheduler.told_usage(address(7), usage);
+    scheduler.told_usage(address(7), usage, &table);
     let (_, now) = owner_with_fetched_inputs(&mut scheduler, &table, job(1, &route, 2));
     scheduler.look(&table, now);
     assert!(freed(&scheduler.actions(&table, now)).is_empty(), "its call may wait for its turn");
--- a/tests/directenv/mod.rs
+++ b/tests/directenv/mod.rs
@@ -120,6 +120,7 @@
     Job {
         id: job_id(number),
         request: format!("request-{number}").into(),
+        cell: "stages".into(),
         route: route.name.clone(),
         stages: stages.collect(),
         key: Some("k".into()),
