Many gateways share the watching of changes; a report that does not come leaves a line

Change: after a change a gateway rests for up to 60 ms times the gateways it hears (8 s at most), at random; whoever goes on first tells the others, which pull entries within 0.1 s as they did already. A gateway that hears fewer meanwhile goes on sooner. Up to four gateways nothing changes. An endpoint that does not answer how it stands is told of (no_report); it was passed over in silence.

Ruled out: a few readers by name: they must be found again whenever the store turns some of them away.

--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -136,6 +136,7 @@
             Event::Reported { endpoint, report } => {
                 self.owners.reported(&endpoint, report, &self.table, now);
             }
+            Event::NoReport { endpoint } => self.note(Note::NoReport { endpoint }),
             Event::Peer { from, message } => self.on_peer(from, message, now),
             Event::PeerBroke { address, incarnation } => {
                 if self.members.suspect(address, incarnation, now) {
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -220,6 +220,11 @@
         /// What it told.
         report: BatchReport,
     },
+    /// An endpoint did not tell how it stands, or not in time.
+    NoReport {
+        /// Which.
+        endpoint: Name,
+    },
     /// Another gateway speaks.
     Peer {
         /// Who, by where its peers connect.
--- a/src/direct/following.rs
+++ b/src/direct/following.rs
@@ -2,6 +2,7 @@
 //! peers, asks peers for what it lacks, and gives them what they ask for.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,6 +21,11 @@
 const SHORTEST_WATCH: Duration = Duration::from_secs(2);
 /// Where many do, the first of them to ask again tells all: their watches end this often together.
 const WATCH_ENDS: Duration = Duration::from_millis(250);
+/// Endpoints write their entries one after the other, and each watch that hears of one is a call that costs:
+/// between two that heard something, changes gather for so long at least.
+pub const SHORTEST_GATHER: Duration = Duration::from_millis(250);
+/// Where many gateways watch, one of them goes on this often, and tells the others.
+const GATHER_ENDS: Duration = Duration::from_millis(60);
 /// Each watch is a call that costs.
 const LONGEST_WATCH: Duration = Duration::from_secs(8);
 
@@ -31,6 +37,14 @@
         (WATCH_ENDS * watching).clamp(SHORTEST_WATCH, LONGEST_WATCH)
     }
 
+    /// Between which times a gateway that heard of a change of the list goes on to watch. Whoever goes on
+    /// first tells the others what came meanwhile, so the fleet hears as early as from a watch that never
+    /// rests, and a change costs a call each only after a quiet time.
+    pub fn gather_within(&self) -> RangeInclusive<Duration> {
+        let watching = self.members.alive().count() as u32 + 1;
+        SHORTEST_GATHER..=(GATHER_ENDS * watching).clamp(SHORTEST_GATHER, LONGEST_WATCH)
+    }
+
     /// The publisher's store gave documents, or the whole list as it stood at revision `whole_at`.
     pub(super) fn published(
         &mut self,
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -13,7 +13,7 @@
 pub mod client;
 pub mod core;
 pub mod event;
-mod following;
+pub mod following;
 pub mod lateness;
 pub mod note;
 pub mod owner;
--- a/src/direct/note.rs
+++ b/src/direct/note.rs
@@ -284,6 +284,12 @@
         /// Whether another gateway was known to serve.
         others_serve: bool,
     },
+    /// An endpoint that was asked how it stands did not answer in time, or not readably: its owner plans as if
+    /// nobody else used it.
+    NoReport {
+        /// Which.
+        endpoint: Name,
+    },
     /// Events wait for the core for long, or not any more.
     ShortOfTime {
         /// Whether they do.
@@ -358,6 +364,7 @@
             Self::Started { .. } => "started",
             Self::Stopping { .. } => "stopping",
             Self::StopDecided { .. } => "stop_decided",
+            Self::NoReport { .. } => "no_report",
             Self::ShortOfTime { .. } => "short_of_time",
             Self::Stopped { .. } => "stopped",
             Self::Reloaded { .. } => "reloaded",
--- a/src/direct/shell.rs
+++ b/src/direct/shell.rs
@@ -299,9 +299,11 @@
         let (core, client) = (self.core.clone(), self.client.clone());
         tokio::spawn(async move {
             let id = endpoint.id.clone();
-            if let Some(report) = client.report(endpoint).await {
-                core.send(Event::Reported { endpoint: id, report }).await.ok();
-            }
+            let event = match client.report(endpoint).await {
+                Some(report) => Event::Reported { endpoint: id, report },
+                None => Event::NoReport { endpoint: id },
+            };
+            core.send(event).await.ok();
         });
     }
 
--- a/tests/direct_links.rs
+++ b/tests/direct_links.rs
@@ -58,6 +58,19 @@
     assert_eq!(core.watch_wait(), Duration::from_secs(2), "nobody is heard any more");
 }
 
+#[test_case(1, 250; "alone")]
+#[test_case(4, 250; "four")]
+#[test_case(30, 1_800; "thirty")]
+#[test_case(103, 6_180; "many: one of them goes on every 60 ms")]
+#[test_case(580, 8_000; "at most that")]
+fn changes_of_the_list_gather_longer_where_many_hear_of_them(gateways: u64, longest: u64) {
+    let mut core = new_core();
+    for other in 1..gateways {
+        core.handle(beat(address(1_000 + other as u16), other), ms(0));
+    }
+    assert_eq!(core.gather_within(), ms(250)..=ms(longest));
+}
+
 #[tokio::test]
 async fn what_is_told_after_a_disconnection_goes_over_a_new_connection() {
     let listener = TcpListener::bind(address(0)).await.expect("a port");
--- a/tests/direct_requests.rs
+++ b/tests/direct_requests.rs
@@ -414,3 +414,11 @@
     assert!(actions.iter().any(is_released), "the silent one is told that it need not");
     assert_eq!(pieces_sent(&actions), [(0, 0)], "and the next one begins");
 }
+
+#[test]
+fn an_endpoint_that_does_not_tell_how_it_stands_leaves_a_line() {
+    let mut core = configured(vec![]);
+    let actions = core.handle(Event::NoReport { endpoint: "first-1".into() }, ms(1));
+    let is_told = |a: &Action| matches!(a, Action::Note(Note::NoReport { endpoint }) if **endpoint == *"first-1");
+    assert!(actions.iter().any(is_told));
+}
