Heartbeats are handled however much own callers ask

Cause, by reading: urgent events were handled before all others without an end. A gateway whose callers ask without a pause would have handled no heartbeat for a second, and taken all others for dead.

Change: at most 16 urgent events in a row while others wait. The lateness of a lost owner is forgotten with it. What an owner says when it gives a job up is one type.

Ruled out: a queue of its own for heartbeats; they must stay in order with a peer's other messages.

Test failed first: with urgent events only first, place 100 instead of 16.

--- a/src/actor.rs
+++ b/src/actor.rs
@@ -10,6 +10,9 @@
 
 /// Messages that wait for a core; senders wait beyond that.
 const MAILBOX: usize = 8_192;
+/// Urgent events that are handled in a row while others wait: heartbeats are among those, and a process that
+/// handles none for a second takes all others for dead.
+const MOST_URGENT: usize = 16;
 /// A core without timers is woken this often.
 const IDLE_WAKEUP: Duration = Duration::from_secs(1);
 
@@ -22,7 +25,7 @@
     /// The event that says that time has passed.
     const TICK: Self::Event;
 
-    /// Whether an event is handled before all that are not urgent, however long those have waited.
+    /// Whether an event is handled before those that are not urgent and have waited for longer.
     fn is_urgent(_event: &Self::Event) -> bool {
         false
     }
@@ -118,9 +121,24 @@
     (Handle { urgent, mailbox }, Mailbox { urgent: urgent_receiver, receiver })
 }
 
+impl<C: Core> Mailbox<C> {
+    /// The next message and whether it is urgent; `None` once no handle is left.
+    async fn next(&mut self, urgent_first: bool) -> Option<(Message<C>, bool)> {
+        if !urgent_first && let Ok(message) = self.receiver.try_recv() {
+            return Some((message, false));
+        }
+        tokio::select! {
+            biased;
+            Some(message) = self.urgent.recv() => Some((message, true)),
+            message = self.receiver.recv() => message.map(|message| (message, false)),
+        }
+    }
+}
+
 /// Runs a core until its last handle is gone.
 pub async fn run<C: Core>(mut core: C, mut shell: impl Shell<C>, mut mailbox: Mailbox<C>) {
     let start = Instant::now();
+    let mut urgent_in_a_row = 0;
     loop {
         let now = start.elapsed();
         let idle = now + IDLE_WAKEUP;
@@ -131,8 +149,10 @@
                 // One that was due before it could be known waits from now on.
                 Some(Message::Event(C::TICK, wakeup.max(start + now)))
             }
-            Some(message) = mailbox.urgent.recv() => Some(message),
-            message = mailbox.receiver.recv() => message,
+            next = mailbox.next(urgent_in_a_row < MOST_URGENT) => next.map(|(message, is_urgent)| {
+                urgent_in_a_row = if is_urgent { urgent_in_a_row + 1 } else { 0 };
+                message
+            }),
         };
         match message {
             None => return,
--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -22,6 +22,7 @@
 use crate::direct::repeats::Bounds;
 use crate::direct::requests::Requests;
 use crate::direct::requests::early::Waiting;
+use crate::direct::requests::stages::GivenUp;
 use crate::direct::requests::stopping::Stopping;
 use crate::direct::stop::{self, Stop};
 use crate::message::Timestamp;
@@ -311,8 +312,8 @@
             }
             PeerMessage::Ready(job) => self.requests.ready(job, from, &self.table, now),
             PeerMessage::GivenUp { job, reason, untouched, retry_after } => {
-                let table = &self.table;
-                self.requests.given_up(job, from, reason, untouched, retry_after, table, now);
+                let given_up = GivenUp { reason, untouched, retry_after };
+                self.requests.given_up(job, from, given_up, &self.table, now);
             }
         }
     }
--- a/src/direct/requests/stages.rs
+++ b/src/direct/requests/stages.rs
@@ -21,6 +21,17 @@
 /// Owners that are asked at most.
 pub(super) const MAX_OWNERS: usize = 3;
 
+/// Why an owner gave a job up.
+#[derive(Debug, Clone, Copy)]
+pub struct GivenUp {
+    /// The reason.
+    pub reason: JobReason,
+    /// Whether nothing of it was begun.
+    pub untouched: bool,
+    /// When to come back.
+    pub retry_after: Duration,
+}
+
 impl Requests {
     pub(super) fn submit_stages(
         &mut self,
@@ -142,12 +153,11 @@
         &mut self,
         job: JobId,
         from: SocketAddr,
-        reason: JobReason,
-        untouched: bool,
-        retry_after: Duration,
+        given_up: GivenUp,
         table: &Table,
         now: Timestamp,
     ) {
+        let GivenUp { reason, untouched, retry_after } = given_up;
         let Some((caller, request)) = self.job(job, from) else {
             return;
         };
@@ -176,6 +186,7 @@
 
     /// An owner is gone: what it had goes to another one.
     pub fn owner_lost(&mut self, address: SocketAddr, lost: u64) {
+        self.late_owners.remove(&address);
         let with_owner: Vec<u64> = self
             .requests
             .iter()
--- a/tests/direct_late.rs
+++ b/tests/direct_late.rs
@@ -170,3 +170,18 @@
     actor::run(Numbers(Vec::new()), Order(sender), mailbox).await;
     assert_eq!(handled.iter().collect::<Vec<_>>(), [1, 2, 11, 12, 13, 14]);
 }
+
+#[tokio::test]
+async fn heartbeats_are_handled_however_much_own_callers_ask() {
+    let (handle, mailbox) = actor::mailbox::<Numbers>();
+    for event in std::iter::repeat_n(1, 100).chain([11, 12]) {
+        handle.send(event).await.expect("it runs");
+    }
+    drop(handle);
+    let (sender, handled) = std::sync::mpsc::channel();
+    actor::run(Numbers(Vec::new()), Order(sender), mailbox).await;
+    let handled: Vec<u64> = handled.iter().collect();
+    let place = |event: u64| handled.iter().position(|e| *e == event);
+    assert_eq!((place(11), place(12)), (Some(16), Some(33)));
+    assert_eq!(handled.len(), 102);
+}
