--- a/src/direct/owner/entry.rs
+++ b/src/direct/owner/entry.rs
@@ -6,7 +6,7 @@
 use crate::direct::owner::bookings::Booking;
 use crate::direct::owner::jobs::{HEAVY, JobRun};
 use crate::direct::owner::ledger::{Entry, StageEntry};
-use crate::direct::owner::plan::{Basis, expected_runs, fillings};
+use crate::direct::owner::plan::{Basis, Filling, expected_runs, fillings};
 use crate::direct::owner::queue::{Rank, Waiting};
 use crate::message::Timestamp;
 use crate::policy::path::HOLD_SLACK;
@@ -17,46 +17,52 @@
 
 /// What a job enters now.
 ///
-/// What it is expected to do moves on with time: it is entered anew a [`STEP`] of the time-line later
+/// What it is expected to do moves on with time: it is entered anew a [`STEP`] of the timeline later
 /// while it waits for a call or for its results to be fetched, and otherwise when a stage should have
 /// begun or ended. So a job that does nothing is entered twenty times a second at most.
 pub(super) fn entry(run: &mut JobRun, basis: Basis<'_>) -> Entry {
-    let now = basis.now;
-    let runs = expected_runs(run, basis);
-    let fillings = fillings(run, &runs);
+    let fillings = fillings(run, &expected_runs(run, basis));
     let moves_on = moves_on(run);
-    // On average, it is as late as that when it is entered anew.
-    let late = if moves_on { STEP / 2 } else { Duration::ZERO };
     let mut review: Option<Duration> = None;
-    let mut review_in = |time: Duration| review = Some(review.map_or(time, |r| r.min(time)));
     let mut stages = Vec::with_capacity(fillings.len());
     for (stage, filling) in fillings.into_iter().enumerate() {
-        let waiting = run.stages[stage].waiting();
-        let is_begun = run.stages[stage].started.is_some();
-        let home = run.inner_home.clone().filter(|_| run.is_heavy(stage));
-        let is_open = waiting > 0 && run.is_open(stage);
-        let held_for = is_open.then(|| held_back_for(run, stage, now));
-        if let Some(filling) = filling {
-            let begins = Some(filling.from).filter(|from| !is_begun && !from.is_zero());
-            let next = begins.unwrap_or(filling.until);
-            review_in(if moves_on { STEP } else { next.max(STEP) });
+        let held_for = held_back_for(run, stage, basis.now);
+        let plan_ends = filling.map(|f| plan_ends(run, stage, f)).filter(|_| !moves_on);
+        let moves_on = moves_on.then_some(STEP);
+        let held_for_more = held_for.filter(|wait| !wait.is_zero()).map(|w| w.max(HELD_LOOK));
+        review = [review, plan_ends, moves_on, held_for_more].into_iter().flatten().min();
+        if held_for == Some(Duration::ZERO) {
+            run.stages[stage].opened.get_or_insert(basis.now);
         }
-        if let Some(wait) = held_for.filter(|wait| !wait.is_zero()) {
-            review_in(wait.max(HELD_LOOK));
-        }
-        let may_be_sent = held_for.is_some_and(|wait| wait.is_zero());
-        if may_be_sent {
-            run.stages[stage].opened.get_or_insert(now);
-        }
-        stages.push(StageEntry {
-            waiting,
-            running: run.stages[stage].open() - waiting,
-            home,
-            queued: may_be_sent.then(|| queued(run, stage, waiting)),
-            booking: filling.map(|f| Booking::new(f.from + late, f.until + late, f.bytes, now)),
-        });
+        stages.push(stage_entry(run, stage, held_for, filling, basis.now));
+    }
+    Entry { stages, review: review.map(|time| basis.now + time) }
+}
+
+/// When a stage should have begun, or its results should have been fetched.
+fn plan_ends(run: &JobRun, stage: usize, filling: Filling) -> Duration {
+    let is_begun = run.stages[stage].started.is_some() || filling.from.is_zero();
+    let ends = if is_begun { filling.until } else { filling.from };
+    ends.max(STEP)
+}
+
+fn stage_entry(
+    run: &JobRun,
+    stage: usize,
+    held_for: Option<Duration>,
+    filling: Option<Filling>,
+    now: Timestamp,
+) -> StageEntry {
+    let waiting = run.stages[stage].waiting();
+    // On average, what moves on is as late as that when it is entered anew.
+    let late = if moves_on(run) { STEP / 2 } else { Duration::ZERO };
+    StageEntry {
+        waiting,
+        running: run.stages[stage].open() - waiting,
+        home: run.inner_home.clone().filter(|_| run.is_heavy(stage)),
+        queued: (held_for == Some(Duration::ZERO)).then(|| queued(run, stage, waiting)),
+        booking: filling.map(|f| Booking::new(f.from + late, f.until + late, f.bytes, now)),
     }
-    Entry { stages, review: review.map(|time| now + time) }
 }
 
 /// Whether all that is expected of a job moves on as time passes: it waits for a call, or for its results
@@ -74,12 +80,15 @@
     Waiting { rank, pieces, bytes: run.job.stages[stage].result_bytes, home }
 }
 
-/// How much longer a stage that others don't need is held back, so that its results don't wait; if
-/// nothing happens to the job, not at all earlier.
-fn held_back_for(run: &JobRun, stage: usize, now: Timestamp) -> Duration {
+/// How much longer the waiting pieces of a stage are held back, if nothing happens to the job: one that
+/// others don't need waits for them, so that its results don't; `None` where no piece may be sent.
+fn held_back_for(run: &JobRun, stage: usize, now: Timestamp) -> Option<Duration> {
+    if run.stages[stage].waiting() == 0 || !run.is_open(stage) {
+        return None;
+    }
     if !run.stands_alone(stage) {
-        return Duration::ZERO;
+        return Some(Duration::ZERO);
     }
     let others = run.remaining(Some(stage), now);
-    others.saturating_sub(run.calls[stage] + HOLD_SLACK)
+    Some(others.saturating_sub(run.calls[stage] + HOLD_SLACK))
 }
--- a/src/direct/owner/queue.rs
+++ b/src/direct/owner/queue.rs
@@ -143,9 +143,9 @@
     ) -> Vec<Candidate> {
         let mut candidates = Vec::new();
         for (home, group) in &self.groups {
-            let held = home.as_ref().map_or(0, &next_calls);
+            let next_calls = home.as_ref().map_or(0, &next_calls);
             let home_is_free = home.as_ref().is_none_or(&is_free);
-            look_at(group, home.as_ref(), held, home_is_free, look, &mut candidates);
+            look_at(group, home.as_ref(), next_calls, home_is_free, look, &mut candidates);
         }
         candidates.sort_unstable_by_key(|c| (look.order(c.rank), c.skip));
         candidates
@@ -157,7 +157,7 @@
 fn look_at(
     group: &Group,
     home: Option<&Name>,
-    held: usize,
+    next_calls: usize,
     home_is_free: bool,
     look: Look,
     candidates: &mut Vec<Candidate>,
@@ -170,7 +170,7 @@
     };
     for (rank, &(pieces, bytes)) in group.in_time(look.now_ms) {
         let may_wait = home.is_some() && rank.latest_start_ms > look.waits_from_ms;
-        let stays = if may_wait { held.saturating_sub(before).min(pieces) } else { 0 };
+        let stays = if may_wait { next_calls.saturating_sub(before).min(pieces) } else { 0 };
         before += pieces;
         if stays > 0 && home_is_free {
             found += add(rank, bytes, 0, stays, true);
@@ -178,7 +178,7 @@
         if pieces > stays {
             found += add(rank, bytes, stays, pieces - stays, false);
         }
-        let nothing_leaves = may_wait && !home_is_free && group.pieces <= held;
+        let nothing_leaves = may_wait && !home_is_free && group.pieces <= next_calls;
         if found >= look.most || nothing_leaves {
             break;
         }
--- a/src/direct/owner/scheduler.rs
+++ b/src/direct/owner/scheduler.rs
@@ -51,8 +51,8 @@
     /// Whether the ledger has the endpoints of the table.
     is_listed: bool,
     /// Endpoints that change with time, and when they were last looked at.
-    restless: BTreeSet<Name>,
-    restless_looked_at: Timestamp,
+    changing: BTreeSet<Name>,
+    changing_looked_at: Timestamp,
     pub(super) timers: Timers,
     pub(super) to_free: BTreeMap<Name, (Arc<Endpoint>, Vec<Handle>)>,
     /// Pools whose calls may be filled.
@@ -84,8 +84,8 @@
             ledger: Ledger::default(),
             touched: Vec::new(),
             is_listed: false,
-            restless: BTreeSet::new(),
-            restless_looked_at: Timestamp::ZERO,
+            changing: BTreeSet::new(),
+            changing_looked_at: Timestamp::ZERO,
             timers: Timers::default(),
             to_free: BTreeMap::new(),
             dirty: BTreeSet::new(),
@@ -301,9 +301,9 @@
             self.list_endpoints(table, now);
         }
         let mut changed = self.makers.take_changed();
-        if now >= self.restless_looked_at + LOOK {
-            self.restless_looked_at = now;
-            changed.append(&mut self.restless);
+        if now >= self.changing_looked_at + LOOK {
+            self.changing_looked_at = now;
+            changed.append(&mut self.changing);
         }
         for endpoint in changed {
             for pool in table.batch_pools_of(&endpoint) {
@@ -341,7 +341,7 @@
             return;
         }
         if self.makers.changes_with_time(id, now) {
-            self.restless.insert(id.clone());
+            self.changing.insert(id.clone());
         }
         let standing = self.standing(id, spec, now);
         self.ledger.pool(pool).endpoints.set(endpoint.clone(), standing);
--- a/src/direct/peers/codec.rs
+++ b/src/direct/peers/codec.rs
@@ -1,7 +1,7 @@
 //! How messages between gateways are written: compactly (`postcard`) to those that say that they read it,
 //! as JSON to a program of an earlier version, as long as one is replaced by the other.
 //!
-//! A heartbeat of 103 gateways has 2 kB instead of 11 kB, and takes a tenth of the time to read.
+//! A heartbeat of 103 gateways has 1,965 bytes instead of 11,233.
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -24,7 +24,7 @@
 
 impl Readers {
     /// A gateway told whether it reads the compact form.
-    pub(super) fn told(&self, gateway: SocketAddr, compact: bool) {
+    pub fn told(&self, gateway: SocketAddr, compact: bool) {
         let mut readers = self.compact.lock().unwrap_or_else(PoisonError::into_inner);
         if compact {
             readers.insert(gateway);
@@ -39,19 +39,20 @@
 }
 
 /// A message that is written once for all who get it.
-pub(super) struct Outgoing {
+pub struct Outgoing {
     message: PeerMessage,
     compact: Option<Bytes>,
     json: Option<Bytes>,
 }
 
 impl Outgoing {
-    pub(super) const fn new(message: PeerMessage) -> Self {
+    /// Not written yet.
+    pub const fn new(message: PeerMessage) -> Self {
         Self { message, compact: None, json: None }
     }
 
     /// The message as `to` reads it.
-    pub(super) fn for_reader(&mut self, to: SocketAddr, readers: &Readers) -> Bytes {
+    pub fn for_reader(&mut self, to: SocketAddr, readers: &Readers) -> Bytes {
         let message = &self.message;
         let bytes = if readers.read_compact(to) {
             self.compact.get_or_insert_with(|| compact(message))
@@ -73,7 +74,7 @@
 }
 
 /// Reads a message in either form; `None` where it is of another version of the program.
-pub(super) fn read(frame: &[u8]) -> Option<PeerMessage> {
+pub fn read(frame: &[u8]) -> Option<PeerMessage> {
     let message: PeerMessage = if frame.first().is_some_and(|b| JSON_STARTS.contains(b)) {
         serde_json::from_slice(frame).ok()?
     } else {
--- a/src/direct/requests/patience.rs
+++ b/src/direct/requests/patience.rs
@@ -1,9 +1,9 @@
 //! What a gateway that is short of time, or whose owner is, does with callers' requests.
 //!
 //! The pattern: a burst, on a host whose processor is spent. Each event waits, an answer that is there
-//! goes out late, and whoever is not served comes back. Without this module all owners were taken for
-//! dead while they were busy, stages were made twice and three times over, and callers were held beyond
-//! the time for which their operator allows it.
+//! goes out late, and whoever is not served comes back. An owner that is only busy must not be taken for
+//! gone, or its stages are made once more elsewhere; and nobody may be held beyond the time for which their
+//! operator allows it.
 
 use std::net::SocketAddr;
 use std::time::Duration;
