--- a/src/direct/published/cells.rs
+++ b/src/direct/published/cells.rs
@@ -1,14 +1,16 @@
 //! Cells: data centres whose endpoints of batch pools have one owner.
 //!
-//! One owner fills calls best, and is one host to lose and to wear out: it makes every call and hears of
-//! every piece, 0.15 ms of a core a call. So a small deployment is one cell, and a large one has a cell
-//! for each data centre, between which a job moves only if its own is short.
+//! One owner has all pieces to fill calls with, and is one host to lose and to wear out: it makes every call
+//! and hears of every piece. So a small deployment is one cell, and a large one has a cell for each data
+//! centre, between which a job moves only if its own is short. With 120 endpoints and 620 requests a second
+//! the busiest gateway took 0.12 of a core with one owner, 0.03 with six.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::direct::published::model::{Endpoint, Name, Pool};
 
-/// From so many endpoints of batch pools on, cells follow data centres: they end about 270 calls a second.
+/// From so many endpoints of batch pools on, cells follow data centres. With calls of 0.3 s they end 300 a
+/// second, by calculation; fleets of 53 and of 120 were measured, none between.
 const ONE_OWNER: usize = 90;
 /// A cell has so many endpoints of each pool at least: with one, its loss would leave none.
 const FEWEST: usize = 2;
