--- /dev/null
+++ b/src/direct/owner/restarts.rs
@@ -0,0 +1,88 @@
+//! Endpoints that start again under their ids: what they worked on is sent again, and what they kept is made
+//! again.
+
+use crate::direct::event::Action;
+use crate::direct::note::{Note, ms};
+use crate::direct::owner::jobs::{JobRun, Piece};
+use crate::direct::owner::scheduler::Scheduler;
+use crate::direct::peers::message::{JobId, JobReason};
+use crate::direct::published::model::Name;
+use crate::direct::published::table::Table;
+use crate::message::Timestamp;
+
+impl Scheduler {
+    /// An endpoint is in another life.
+    pub fn restarted(&mut self, endpoint: &Name, table: &Table, now: Timestamp) {
+        self.makers.restarted(endpoint);
+        self.calls_lost(endpoint, table, now);
+        for (job, stage) in self.results_lost(endpoint) {
+            self.make_again(job, stage, table, now);
+        }
+    }
+
+    /// Calls to its life before never end.
+    fn calls_lost(&mut self, endpoint: &Name, table: &Table, now: Timestamp) {
+        let incarnation = table.endpoint(endpoint).map(|e| e.incarnation);
+        let lost = self.calls.iter().filter(|(_, call)| {
+            call.endpoint.id == *endpoint && Some(call.endpoint.incarnation) != incarnation
+        });
+        let mut lost: Vec<u64> = lost.map(|(id, _)| *id).collect();
+        lost.sort_unstable();
+        for id in lost {
+            let Some(call) = self.calls.remove(&id) else {
+                continue;
+            };
+            self.out.push(Action::Note(Note::BatchEnded {
+                call: id,
+                endpoint: endpoint.clone(),
+                outcome: "endpoint restarted".to_owned(),
+                took_ms: ms(now.saturating_sub(call.sent)),
+            }));
+            self.put_back(&call, id, true, table, now);
+            self.dirty.insert(call.pool);
+        }
+    }
+
+    /// Takes the results out that its life before kept; names the stages that lack them. What is ready is on
+    /// its way to its last endpoint, which tells if it came too late.
+    fn results_lost(&mut self, endpoint: &Name) -> Vec<(JobId, usize)> {
+        let mut lacking = Vec::new();
+        for (id, run) in &mut self.jobs {
+            for stage in 0..run.stages.len() {
+                if take_out(run, stage, endpoint) {
+                    lacking.push((*id, stage));
+                }
+            }
+        }
+        lacking
+    }
+
+    fn make_again(&mut self, id: JobId, stage: usize, table: &Table, now: Timestamp) {
+        let Some(run) = self.job_mut(id).filter(|run| !run.ready) else {
+            return;
+        };
+        run.stages[stage].told = false;
+        let lacks_inputs = run.lacks_inputs(stage);
+        let pool = run.job.stages[stage].pool.clone();
+        if !self.takes_repeat(&pool, table, now) {
+            return self.give_up(id, JobReason::RepeatBudget, table);
+        }
+        self.dirty.insert(pool);
+        if lacks_inputs {
+            self.make_inputs_again(id, stage, table, now);
+        }
+    }
+}
+
+/// Whether a stage had a result at an endpoint, which is gone.
+fn take_out(run: &mut JobRun, stage: usize, endpoint: &Name) -> bool {
+    let gone = if run.ready { Piece::Used } else { Piece::Waiting { tries: 1 } };
+    let mut had = false;
+    for piece in &mut run.stages[stage].pieces {
+        if matches!(piece, Piece::Made(made) if made.endpoint == *endpoint) {
+            *piece = gone.clone();
+            had = true;
+        }
+    }
+    had
+}
--- /dev/null
+++ b/tests/direct_orders.rs
@@ -0,0 +1,48 @@
+//! Random schedules of 1 to 100 gateways under orders to evacuate and restarts of endpoints, in virtual time.
+//!
+//! Messages are late or lost, gateways are killed, cut off, or turned away by the store. `STACKMAST_SCHEDULES`
+//! sets how many, `STACKMAST_SEED` the first seed.
+
+mod directenv;
+
+use directenv::orders::{Fleet, MOST_IN_A_SECOND, Seen};
+
+const SCHEDULES: u64 = 30;
+
+fn number(name: &str, default: u64) -> u64 {
+    std::env::var(name).ok().and_then(|v| v.parse().ok()).unwrap_or(default)
+}
+
+/// Small fleets as well as large ones, which take longer.
+fn gateways(seed: u64) -> usize {
+    match seed % 6 {
+        0 => 1,
+        1 => 2 + (seed / 6) as usize % 4,
+        2 | 3 => 6 + (seed / 6) as usize % 10,
+        4 => 16 + (seed / 6) as usize % 16,
+        _ => 40 + (seed / 6) as usize % 61,
+    }
+}
+
+#[test]
+fn no_cold_endpoint_gets_more_than_it_bears_and_no_evacuated_one_anything() {
+    let first = number("STACKMAST_SEED", 1);
+    let count = number("STACKMAST_SCHEDULES", SCHEDULES);
+    let mut all = Seen::default();
+    for seed in first..first + count {
+        let mut fleet = Fleet::new(seed, gateways(seed));
+        fleet.run();
+        let seen = fleet.seen;
+        assert!(
+            seen.most_in_a_second <= MOST_IN_A_SECOND && seen.late_calls == 0,
+            "seed {seed}, {} gateways: {seen:?}",
+            gateways(seed)
+        );
+        all.calls += seen.calls;
+        all.cold_calls += seen.cold_calls;
+        all.refused += seen.refused;
+        all.most_in_a_second = all.most_in_a_second.max(seen.most_in_a_second);
+    }
+    println!("{count} schedules from seed {first}, 0 breaches: {all:?}");
+    assert!(all.cold_calls > 0 && all.refused > 0, "the checks are not idle");
+}
--- /dev/null
+++ b/tests/directenv/orders.rs
@@ -0,0 +1,449 @@
+//! A fleet of any size in virtual time under orders to evacuate and restarts of endpoints, while callers press:
+//! what an endpoint bears that is cold, and by when an evacuated data centre gets nothing, is checked.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use stackmast::actor::Core;
+use stackmast::direct::core::{GatewayCore, Setup};
+use stackmast::direct::event::{Action, CallFailure, Event};
+use stackmast::direct::published::documents::{Document, Revised};
+use stackmast::direct::published::evacuations::Evacuation;
+use stackmast::direct::published::model::{ColdStart, Deployment, Endpoint, Name, Repeat};
+
+use super::gateway::{good, incoming, setup};
+use super::{address, deployment, endpoint, ms, route};
+
+/// What a cold endpoint bears a second.
+pub const BEARS: f64 = 10.0;
+/// More than that in one second, and it falls over.
+pub const MOST_IN_A_SECOND: usize = 20;
+/// An order is in force after so long.
+pub const IN_FORCE: Duration = Duration::from_secs(5);
+/// A gateway that was cut off, or started, is in touch after so long.
+const IN_TOUCH: Duration = Duration::from_secs(4);
+const COLD: Duration = Duration::from_secs(3);
+const ENDPOINTS: u16 = 8;
+const DATA_CENTRES: u16 = 4;
+/// Requests a second, over all gateways.
+const PRESSURE: f64 = 300.0;
+const END: Duration = Duration::from_secs(14);
+
+enum Happening {
+    Event(usize, u64, Box<Event>),
+    Wake(usize, u64),
+    Arrival,
+    Order(Name, bool),
+    /// Endpoints go down, all at once.
+    Down(Vec<u16>),
+    /// They are back in another life, cold.
+    Up(Vec<u16>),
+    Kill(usize),
+    Start(usize),
+    Cut(usize, bool),
+    Away(usize, bool),
+}
+
+/// One gateway.
+struct Gateway {
+    core: Option<GatewayCore>,
+    life: u64,
+    wake: Option<Duration>,
+    /// Cut off from peers and store, not from endpoints.
+    is_cut: bool,
+    /// Turned away by the store.
+    is_away: bool,
+    in_touch_from: Duration,
+}
+
+/// What was seen.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Seen {
+    pub calls: usize,
+    pub cold_calls: usize,
+    pub refused: usize,
+    pub most_in_a_second: usize,
+    pub late_calls: usize,
+}
+
+/// The fleet.
+pub struct Fleet {
+    rng: StdRng,
+    now: Duration,
+    queue: BTreeMap<(Duration, u64), Happening>,
+    next: u64,
+    gateways: Vec<Gateway>,
+    endpoints: BTreeMap<Name, Arc<Endpoint>>,
+    down: BTreeSet<Name>,
+    /// When each endpoint is warm again.
+    cold_until: HashMap<Name, Duration>,
+    cold_calls: HashMap<Name, Vec<Duration>>,
+    revision: u64,
+    entered: BTreeMap<Name, Revised>,
+    orders: BTreeMap<Name, Order>,
+    callers: u64,
+    loss: f64,
+    slowest_news: Duration,
+    pub seen: Seen,
+}
+
+/// An order, and since when it stands.
+type Order = (u64, Option<Duration>);
+
+fn cold_deployment() -> Deployment {
+    let mut deployment = deployment(1, vec![route("r", Repeat::Idempotent, &[])]);
+    for pool in deployment.pools.iter_mut().filter(|p| &*p.name == "engine") {
+        pool.cold = Some(ColdStart { per_second: BEARS, lasts: COLD });
+        pool.max_connections = 10_000;
+    }
+    deployment
+}
+
+fn engine(number: u16) -> Endpoint {
+    let data_centre = format!("hall-{}", number % DATA_CENTRES).into();
+    Endpoint { data_centre, slots: 64, incarnation: 1, ..(*endpoint("engine", number)).clone() }
+}
+
+impl Fleet {
+    pub fn new(seed: u64, gateways: usize) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let loss = rng.random_range(0.0..0.2);
+        let slowest_news = ms(rng.random_range(20..1_000));
+        let mut fleet = Self {
+            rng,
+            now: Duration::ZERO,
+            queue: BTreeMap::new(),
+            next: 0,
+            gateways: Vec::new(),
+            endpoints: BTreeMap::new(),
+            down: BTreeSet::new(),
+            cold_until: HashMap::new(),
+            cold_calls: HashMap::new(),
+            revision: 10,
+            entered: BTreeMap::new(),
+            orders: BTreeMap::new(),
+            callers: 0,
+            loss,
+            slowest_news,
+            seen: Seen::default(),
+        };
+        for number in 0..ENDPOINTS {
+            fleet.enter(Arc::new(engine(number)));
+        }
+        for number in 0..gateways {
+            let (core, wake) = (None, None);
+            let in_touch_from = IN_TOUCH;
+            let (is_cut, is_away) = (false, false);
+            let gateway = Gateway { core, life: 0, wake, is_cut, is_away, in_touch_from };
+            fleet.gateways.push(gateway);
+            fleet.start(number);
+        }
+        fleet.plan();
+        fleet
+    }
+
+    fn at(&mut self, at: Duration, happening: Happening) {
+        self.next += 1;
+        self.queue.insert((at, self.next), happening);
+    }
+
+    fn time_in(&mut self, from: u64, to: u64) -> Duration {
+        Duration::from_micros(self.rng.random_range(from * 1_000..to * 1_000))
+    }
+
+    /// Callers from two seconds on; then orders, restarts and losses.
+    fn plan(&mut self) {
+        let mut at = 2.0;
+        while at < END.as_secs_f64() {
+            self.at(Duration::from_secs_f64(at), Happening::Arrival);
+            at += self.rng.random_range(0.0..2.0) / PRESSURE;
+        }
+        for _ in 0..self.rng.random_range(0..3) {
+            let data_centre: Name = format!("hall-{}", self.rng.random_range(0..4)).into();
+            let at = self.time_in(500, 6_000);
+            let back = at + self.time_in(500, 9_000);
+            self.at(at, Happening::Order(data_centre.clone(), true));
+            self.at(back, Happening::Order(data_centre, false));
+        }
+        for _ in 0..self.rng.random_range(1..3) {
+            let first = self.rng.random_range(0..ENDPOINTS);
+            let count = self.rng.random_range(1..=ENDPOINTS);
+            let numbers: Vec<u16> = (0..count).map(|n| (first + n) % ENDPOINTS).collect();
+            let at = self.time_in(2_500, 8_000);
+            let back = at + self.time_in(1_000, 3_000);
+            self.at(at, Happening::Down(numbers.clone()));
+            self.at(back, Happening::Up(numbers));
+        }
+        for _ in 0..self.rng.random_range(0..5) {
+            let gateway = self.rng.random_range(0..self.gateways.len());
+            let at = self.time_in(1_000, 9_000);
+            let back = at + self.time_in(100, 4_000);
+            match self.rng.random_range(0..3) {
+                0 => {
+                    self.at(at, Happening::Kill(gateway));
+                    self.at(back, Happening::Start(gateway));
+                }
+                1 => {
+                    self.at(at, Happening::Cut(gateway, true));
+                    self.at(back, Happening::Cut(gateway, false));
+                }
+                _ => {
+                    self.at(at, Happening::Away(gateway, true));
+                    self.at(back + ms(4_000), Happening::Away(gateway, false));
+                }
+            }
+        }
+        if self.rng.random_bool(0.2) {
+            let at = self.time_in(3_000, 8_000);
+            for gateway in 0..self.gateways.len() {
+                self.at(at, Happening::Kill(gateway));
+                let back = at + self.time_in(200, 500);
+                self.at(back, Happening::Start(gateway));
+            }
+        }
+    }
+
+    pub fn run(&mut self) {
+        while let Some(((at, _), happening)) = self.queue.pop_first() {
+            if at > END {
+                break;
+            }
+            self.now = at;
+            self.happen(happening);
+        }
+        for calls in self.cold_calls.values() {
+            for (i, start) in calls.iter().enumerate() {
+                let within = calls[i..].iter().take_while(|at| **at < *start + ms(1_000)).count();
+                self.seen.most_in_a_second = self.seen.most_in_a_second.max(within);
+            }
+        }
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Event(gateway, life, event) if self.gateways[gateway].life == life => {
+                self.handle(gateway, *event);
+            }
+            Happening::Wake(gateway, life) if self.gateways[gateway].life == life => {
+                self.gateways[gateway].wake = None;
+                self.handle(gateway, Event::Tick);
+            }
+            Happening::Event(..) | Happening::Wake(..) => {}
+            Happening::Arrival => self.arrive(),
+            Happening::Order(data_centre, stands) => self.order(data_centre, stands),
+            Happening::Down(numbers) => {
+                for number in numbers {
+                    let id: Name = format!("engine-{number}").into();
+                    self.down.insert(id.clone());
+                    self.revision += 1;
+                    let revision = self.revision;
+                    let gone = Revised { revision, document: Document::Gone(id.clone()) };
+                    self.entered.insert(id, gone.clone());
+                    self.spread(vec![gone]);
+                }
+            }
+            Happening::Up(numbers) => {
+                for number in numbers {
+                    self.up(number);
+                }
+            }
+            Happening::Kill(gateway) => {
+                self.gateways[gateway].core = None;
+                self.gateways[gateway].life += 1;
+            }
+            Happening::Start(gateway) => self.start(gateway),
+            Happening::Cut(gateway, is_cut) => {
+                self.gateways[gateway].is_cut = is_cut;
+                self.gateways[gateway].in_touch_from =
+                    if is_cut { Duration::MAX } else { self.now + IN_TOUCH };
+                self.publish_whole(gateway);
+            }
+            Happening::Away(gateway, is_away) => {
+                self.gateways[gateway].is_away = is_away;
+                self.publish_whole(gateway);
+            }
+        }
+    }
+
+    fn up(&mut self, number: u16) {
+        let before = engine(number);
+        if !self.down.remove(&before.id) {
+            return;
+        }
+        self.cold_until.insert(before.id.clone(), self.now + COLD);
+        let incarnation = self.now.as_millis() as u64;
+        let endpoint = Arc::new(Endpoint { incarnation, cold: COLD, ..before });
+        self.enter(endpoint.clone());
+        let entry = self.entered[&endpoint.id].clone();
+        self.spread(vec![entry]);
+    }
+
+    fn enter(&mut self, endpoint: Arc<Endpoint>) {
+        self.revision += 1;
+        let (revision, document) = (self.revision, Document::Endpoint(endpoint.clone()));
+        self.entered.insert(endpoint.id.clone(), Revised { revision, document });
+        self.endpoints.insert(endpoint.id.clone(), endpoint);
+    }
+
+    fn order(&mut self, data_centre: Name, stands: bool) {
+        self.revision += 1;
+        let revision = self.revision;
+        let since = stands.then_some(self.now);
+        self.orders.insert(data_centre.clone(), (revision, since));
+        let change = Evacuation { data_centre, revision, stands };
+        for gateway in 0..self.gateways.len() {
+            let event = Event::Evacuations { changes: vec![change.clone()], whole_at: None };
+            self.publish(gateway, event);
+        }
+    }
+
+    fn spread(&mut self, documents: Vec<Revised>) {
+        for gateway in 0..self.gateways.len() {
+            let event = Event::Published { documents: documents.clone(), whole_at: None };
+            self.publish(gateway, event);
+        }
+    }
+
+    /// The store tells a gateway, if it can, after a while.
+    fn publish(&mut self, gateway: usize, event: Event) {
+        let Gateway { is_cut, is_away, life, .. } = self.gateways[gateway];
+        let after = Duration::from_micros(
+            self.rng.random_range(4_000..self.slowest_news.as_micros() as u64),
+        );
+        if !is_cut && !is_away {
+            let event = Happening::Event(gateway, life, Box::new(event));
+            self.at(self.now + after, event);
+        }
+    }
+
+    fn publish_whole(&mut self, gateway: usize) {
+        let stand = self.orders.iter().filter(|(_, order)| order.1.is_some());
+        let change = |(data_centre, order): (&Name, &Order)| Evacuation {
+            data_centre: data_centre.clone(),
+            revision: order.0,
+            stands: true,
+        };
+        let changes = stand.map(change).collect();
+        let whole_at = Some(self.revision);
+        self.publish(gateway, Event::Evacuations { changes, whole_at });
+        let configured = Document::Deployment(Arc::new(cold_deployment()));
+        let documents = vec![Revised { revision: 1, document: configured }];
+        self.publish(gateway, Event::Published { documents, whole_at: None });
+        let is_entry = |r: &&Revised| matches!(r.document, Document::Endpoint(_));
+        let documents = self.entered.values().filter(is_entry).cloned().collect();
+        self.publish(gateway, Event::Published { documents, whole_at });
+    }
+
+    fn start(&mut self, number: usize) {
+        if self.gateways[number].core.is_some() {
+            return;
+        }
+        let gateways = self.gateways.len().max(3) as u16;
+        let seeds = (1..=gateways.min(3)).map(address).collect();
+        let seed = self.rng.random();
+        let gateway = &mut self.gateways[number];
+        gateway.life += 1;
+        gateway.wake = None;
+        gateway.in_touch_from = self.now + IN_TOUCH;
+        gateway.core = Some(GatewayCore::new(Setup {
+            address: address(number as u16 + 1),
+            incarnation: gateway.life,
+            data_centre: format!("hall-{}", number as u16 % DATA_CENTRES).into(),
+            seeds,
+            seed,
+            ..setup()
+        }));
+        self.publish_whole(number);
+        self.handle(number, Event::Tick);
+    }
+
+    fn arrive(&mut self) {
+        let gateway = self.rng.random_range(0..self.gateways.len());
+        self.callers += 1;
+        let caller = self.callers;
+        let mut incoming = incoming("r", Vec::new());
+        incoming.id = format!("request-{caller}").into();
+        self.handle(gateway, Event::Submit { caller, incoming });
+    }
+
+    fn handle(&mut self, number: usize, event: Event) {
+        let now = self.now;
+        let gateway = &mut self.gateways[number];
+        let Some(core) = &mut gateway.core else {
+            return;
+        };
+        let actions = core.handle(event, now);
+        let wake = core.next_wakeup().map(|at| at.max(now + ms(1)));
+        let life = gateway.life;
+        if let Some(at) = wake.filter(|at| gateway.wake.is_none_or(|planned| *at < planned)) {
+            gateway.wake = Some(at);
+            self.at(at, Happening::Wake(number, life));
+        }
+        for action in actions {
+            self.act(number, action);
+        }
+    }
+
+    fn act(&mut self, number: usize, action: Action) {
+        match action {
+            Action::Tell { to, message } => {
+                let from = address(number as u16 + 1);
+                self.send(number, to.port(), Event::Peer { from, message });
+            }
+            Action::Spread { to, message } => {
+                let from = address(number as u16 + 1);
+                for to in to {
+                    let message = message.clone();
+                    self.send(number, to.port(), Event::Peer { from, message });
+                }
+            }
+            Action::Call { caller, attempt, order } => {
+                self.call(number, caller, attempt, &order.endpoint);
+            }
+            Action::Refuse { .. } => self.seen.refused += 1,
+            _ => {}
+        }
+    }
+
+    /// A message between gateways: late, or lost.
+    fn send(&mut self, from: usize, to: u16, event: Event) {
+        let to = usize::from(to) - 1;
+        if to >= self.gateways.len() || self.rng.random_bool(self.loss) {
+            return;
+        }
+        if !self.gateways[from].is_cut && !self.gateways[to].is_cut {
+            let after = self.time_in(1, 60);
+            let event = Happening::Event(to, self.gateways[to].life, Box::new(event));
+            self.at(self.now + after, event);
+        }
+    }
+
+    fn call(&mut self, number: usize, caller: u64, attempt: u64, endpoint: &Endpoint) {
+        let life = self.gateways[number].life;
+        let arrives = self.now + self.time_in(1, 4);
+        let answer = if self.down.contains(&endpoint.id) {
+            Event::CallFailed { caller, attempt, failure: CallFailure::NotSent }
+        } else {
+            self.arrived(number, endpoint, arrives);
+            Event::Answered { caller, attempt, proof: good(), is_open: false }
+        };
+        let after = self.time_in(10, 120);
+        self.at(arrives + after, Happening::Event(number, life, Box::new(answer)));
+    }
+
+    /// A request reaches an endpoint.
+    fn arrived(&mut self, number: usize, endpoint: &Endpoint, at: Duration) {
+        self.seen.calls += 1;
+        if self.cold_until.get(&endpoint.id).is_some_and(|until| at < *until) {
+            self.seen.cold_calls += 1;
+            self.cold_calls.entry(endpoint.id.clone()).or_default().push(at);
+        }
+        let since = self.orders.get(&endpoint.data_centre).and_then(|order| order.1);
+        let is_late = since.is_some_and(|since| at > since + IN_FORCE);
+        self.seen.late_calls +=
+            usize::from(is_late && self.gateways[number].in_touch_from <= self.now);
+    }
+}
