Entries that lapsed are gone in the end though peers tell so once more

Cause: a gateway that lost the store holds entries that went meanwhile for 2 s. Peers read the list at other revisions and tell each "gone" with theirs; the second telling dropped what was held without a word, so the endpoint stayed in the table for good. Ruled out: a late heartbeat of the core, a clock, the store's own delay (all gateways heard within 0.3 s). Test: fails on the code before (Gone instead of Lapsed, and nothing expires).

--- a/src/direct/published/documents.rs
+++ b/src/direct/published/documents.rs
@@ -319,8 +319,12 @@
         if before != endpoint.as_ref() {
             merged.endpoints.push(id.clone());
         }
-        let lapsed = before.filter(|e| endpoint.is_none() && !e.leaving).cloned();
-        let lapsed = lapsed.zip(held_until);
+        let lapsed = match known {
+            _ if endpoint.is_some() => None,
+            // Peers that read the list at other revisions tell once more that the entry is gone.
+            Some(known) if known.endpoint.is_none() => known.lapsed.clone(),
+            _ => before.filter(|e| !e.leaving).cloned().zip(held_until),
+        };
         if let Some((_, until)) = &lapsed {
             self.next_expiry = Some(self.next_expiry.map_or(*until, |at| at.min(*until)));
         }
--- a/tests/direct_members.rs
+++ b/tests/direct_members.rs
@@ -186,6 +186,18 @@
     assert_eq!(ids(&documents), ["engine-1", "engine-2", "engine-6"]);
 }
 
+// Two gateways that lost the store read the list at different revisions, and tell each other: requests went to
+// endpoints 3.4 s after they had said that they leave.
+#[test]
+fn an_entry_that_lapsed_is_gone_in_the_end_though_peers_tell_so_once_more() {
+    let mut documents = lapsed_after(4_000);
+    documents.merge(vec![gone(2, 14)], ms(5_100));
+    assert_eq!(documents.state("engine-2"), EntryState::Lapsed);
+    let expired = documents.expire(ms(7_000));
+    assert!(expired.endpoints.contains(&"engine-2".into()), "whoever uses it is told");
+    assert_eq!(ids(&documents), ["engine-1", "engine-6"]);
+}
+
 #[test]
 fn an_endpoint_that_was_leaving_does_not_lapse() {
     let mut documents = lapsed_after(0);
