--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -18,6 +18,7 @@
 use crate::direct::peers::message::{Job, PeerMessage};
 use crate::direct::peers::pulls::Pulls;
 use crate::direct::published::documents::Documents;
+use crate::direct::published::evacuations::Evacuations;
 use crate::direct::published::table::Table;
 use crate::direct::repeats::Bounds;
 use crate::direct::requests::Requests;
@@ -55,6 +56,7 @@
 pub struct GatewayCore {
     pub(super) members: Members,
     pub(super) documents: Documents,
+    pub(super) evacuations: Evacuations,
     pub(super) table: Table,
     pub(super) requests: Requests,
     pub(super) owners: Owners,
@@ -80,6 +82,7 @@
         Self {
             members: Members::new(setup.address, setup.incarnation, setup.capacity, setup.seeds),
             documents: Documents::default(),
+            evacuations: Evacuations::default(),
             table: Table::default(),
             requests: Requests::new(
                 setup.address,
@@ -87,7 +90,7 @@
                 setup.data_centre,
                 setup.repeats,
             ),
-            owners: Owners::new(setup.repeats),
+            owners: Owners::new(setup.address, setup.repeats),
             pulls: Pulls::default(),
             early: Waiting::default(),
             lateness: Lateness::default(),
@@ -152,6 +155,10 @@
             }
             Event::PeerUnreachable { address } => self.on_unreachable(address, now),
             Event::Published { documents, whole_at } => self.published(documents, whole_at, now),
+            Event::Evacuations { changes, whole_at } => {
+                self.evacuations_published(&changes, whole_at, now);
+            }
+            Event::Unreadable { key, cause } => self.note(Note::Unreadable { key, cause }),
             Event::Publisher { answers } => {
                 self.documents.publisher(answers, now);
                 self.note(Note::Publisher { answers });
@@ -260,7 +267,8 @@
 
     fn on_peer(&mut self, from: SocketAddr, message: PeerMessage, now: Timestamp) {
         match message {
-            PeerMessage::Gossip { members, seen, complete, usage, late } => {
+            PeerMessage::Gossip { members, seen, complete, usage, late, evacuations } => {
+                self.evacuations_told(from, &evacuations, now);
                 self.owners.told_usage(from, usage, &self.table);
                 self.requests.told_lateness(from, late, now);
                 let heard = self.members.hear(&members, now);
@@ -407,6 +415,7 @@
             complete: self.documents.is_complete(),
             usage: self.owners.usage(),
             late: self.lateness.now(now),
+            evacuations: self.evacuations.clone(),
         }
     }
 
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -7,6 +7,7 @@
 use crate::direct::peers::message::{Handle, PeerMessage};
 use crate::direct::peers::pulls::Progress;
 use crate::direct::published::documents::Revised;
+use crate::direct::published::evacuations::Evacuation;
 use crate::direct::published::model::{Endpoint, Name};
 use crate::message::Timestamp;
 
@@ -66,6 +67,8 @@
     pub other_endpoint: bool,
     /// Requests running and waiting at the endpoint, and its slots.
     pub load: Option<(u32, u32, u32)>,
+    /// How much longer the endpoint is cold, where it tells.
+    pub cold: Option<Duration>,
 }
 
 /// How a call failed without an answer.
@@ -146,6 +149,8 @@
     pub free_bytes: u64,
     /// Calls that wait there.
     pub waiting: u32,
+    /// The life that it tells of; 0 where it does not say.
+    pub incarnation: u64,
 }
 
 /// What happens to a gateway.
@@ -256,6 +261,20 @@
         /// The revision at which these are the whole list of endpoints.
         whole_at: Option<u64>,
     },
+    /// Orders to evacuate data centres were given or taken back.
+    Evacuations {
+        /// Some changes, or all orders that stand.
+        changes: Vec<Evacuation>,
+        /// The revision at which these are all that stand.
+        whole_at: Option<u64>,
+    },
+    /// A document of the publisher can't be read: it names nothing to use.
+    Unreadable {
+        /// Its key.
+        key: String,
+        /// Why.
+        cause: String,
+    },
     /// The publisher answers, or stopped to.
     Publisher {
         /// Whether it answers.
@@ -349,6 +368,10 @@
     Overloaded,
     /// No endpoint takes it.
     NoEndpoint,
+    /// No endpoint that takes it stands in a region where it may run.
+    NoEndpointAtHome,
+    /// Every endpoint that takes it is cold, and what they bear is used.
+    AllCold,
     /// Its time is over; what runs is stopped.
     TimedOut,
     /// It may have run, and its answer can't be had.
--- a/src/direct/following.rs
+++ b/src/direct/following.rs
@@ -12,8 +12,8 @@
 use crate::direct::peers::message::PeerMessage;
 use crate::direct::peers::pulls::Own;
 use crate::direct::published::documents::{Document, Merged, Revised, Seen};
-use crate::direct::published::model::Deployment;
-use crate::direct::published::table::Table;
+use crate::direct::published::evacuations::{Evacuation, Evacuations};
+use crate::direct::published::model::{Deployment, Endpoint};
 use crate::message::Timestamp;
 
 /// A watch of the publisher's store waits for so long where few gateways watch: what one over a silent
@@ -180,20 +180,84 @@
         }
         if merged.deployment.is_some() {
             let deployment = self.documents.deployment().clone();
-            self.table = Table::new(deployment, self.documents.endpoints());
+            self.table = self.table.with_deployment(deployment, self.documents.endpoints());
         } else {
             for id in &merged.endpoints {
                 self.table.replace(id, self.documents.endpoint(id));
             }
             self.table.regroup();
         }
-        self.requests.changed(&self.table, merged.deployment.is_some());
-        self.owners.changed(&self.table);
+        for id in &merged.restarted {
+            let incarnation = self.documents.endpoint(id).map_or(0, |e| e.incarnation);
+            self.note(Note::Restarted { endpoint: id.clone(), incarnation });
+        }
+        let entered = merged.endpoints.iter().filter_map(|id| self.documents.endpoint(id));
+        let entered: Vec<Arc<Endpoint>> = entered.cloned().collect();
+        for endpoint in entered.iter().filter(|e| !e.cold.is_zero()) {
+            let cold_ms = ms(endpoint.cold);
+            self.note(Note::Cold { endpoint: endpoint.id.clone(), cold_ms });
+        }
+        self.requests.changed(&self.table, merged, &entered, now);
+        self.owners.changed(&self.table, merged, &entered, now);
         if spread {
             self.next_beat = Timestamp::ZERO;
         }
     }
 
+    /// The publisher's store told of orders to evacuate data centres, or of all that stand.
+    pub(super) fn evacuations_published(
+        &mut self,
+        changes: &[Evacuation],
+        whole_at: Option<u64>,
+        now: Timestamp,
+    ) {
+        let mut evacuations = self.evacuations.clone();
+        match whole_at {
+            Some(at) => evacuations.merge(&Evacuations::read(changes, at)),
+            None => changes.iter().for_each(|change| evacuations.change(change)),
+        }
+        if self.evacuations_merged(evacuations, "publisher", now) {
+            self.next_beat = Timestamp::ZERO;
+        }
+    }
+
+    /// A peer told what it knows of orders to evacuate data centres.
+    pub(super) fn evacuations_told(
+        &mut self,
+        from: SocketAddr,
+        told: &Evacuations,
+        now: Timestamp,
+    ) {
+        if *told == self.evacuations {
+            return;
+        }
+        let mut evacuations = self.evacuations.clone();
+        evacuations.merge(told);
+        self.evacuations_merged(evacuations, &from.to_string(), now);
+    }
+
+    /// Puts orders in force, from now on and for all that is not yet sent; says whether any changed.
+    fn evacuations_merged(&mut self, known: Evacuations, source: &str, now: Timestamp) -> bool {
+        let (before, standing) = (self.evacuations.standing(), known.standing());
+        self.evacuations = known;
+        if before == standing {
+            return false;
+        }
+        for data_centre in &before ^ &standing {
+            let there = self.documents.endpoints().filter(|e| e.data_centre == data_centre);
+            self.note(Note::Evacuation {
+                stands: standing.contains(&data_centre),
+                endpoints: there.count(),
+                data_centre,
+                source: source.to_owned(),
+            });
+        }
+        self.table.evacuate(standing, self.documents.endpoints());
+        self.requests.changed(&self.table, &Merged::default(), &[], now);
+        self.owners.changed(&self.table, &Merged::default(), &[], now);
+        true
+    }
+
     /// Asks peers for what they have seen and this gateway has not.
     pub(super) fn catch_up(&mut self, now: Timestamp) {
         let own = self.own();
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -11,6 +11,7 @@
 //! `requests` and `owner` speak by messages only, also within one gateway.
 
 pub mod client;
+pub mod cold;
 pub mod core;
 pub mod event;
 pub mod following;
--- a/src/direct/note.rs
+++ b/src/direct/note.rs
@@ -224,6 +224,38 @@
         /// Where that came from.
         source: String,
     },
+    /// An endpoint told that it is cold: it gets a part of what it bears.
+    Cold {
+        /// The endpoint.
+        endpoint: Name,
+        /// Milliseconds until it is warm.
+        cold_ms: u64,
+    },
+    /// An endpoint started again under its id: nothing of its life before holds.
+    Restarted {
+        /// The endpoint.
+        endpoint: Name,
+        /// Its life, by the time of its start.
+        incarnation: u64,
+    },
+    /// A data centre is to get no new work, or gets some again.
+    Evacuation {
+        /// The data centre.
+        data_centre: Name,
+        /// Whether the order stands.
+        stands: bool,
+        /// Endpoints there.
+        endpoints: usize,
+        /// Where that came from.
+        source: String,
+    },
+    /// A published document can't be used, and names nothing; told once for each key and cause.
+    Unreadable {
+        /// The document's key.
+        key: String,
+        /// Why.
+        cause: String,
+    },
     /// What is thought of an endpoint changed by own observation.
     Suspicion {
         /// The endpoint.
@@ -357,6 +389,10 @@
             Self::Pulled { .. } => "pulled",
             Self::CoreLate { .. } => "core_late",
             Self::Endpoint { .. } => "endpoint",
+            Self::Cold { .. } => "cold",
+            Self::Restarted { .. } => "restarted",
+            Self::Evacuation { .. } => "evacuation",
+            Self::Unreadable { .. } => "unreadable",
             Self::Suspicion { .. } => "suspicion",
             Self::Peer { .. } => "peer",
             Self::Publisher { .. } => "publisher",
--- a/src/direct/owner/admission.rs
+++ b/src/direct/owner/admission.rs
@@ -13,6 +13,7 @@
 use crate::direct::owner::jobs::{JobRun, Piece, expected_calls};
 use crate::direct::owner::scheduler::Scheduler;
 use crate::direct::peers::message::{Job, JobId, JobReason, JobStage, PeerMessage};
+use crate::direct::published::homes::Homes;
 use crate::direct::published::model::{BatchSpec, Name};
 use crate::direct::published::table::Table;
 use crate::message::Timestamp;
@@ -108,13 +109,16 @@
         }
         let stages = job.stages.iter().zip(calls);
         stages
-            .map(|(stage, call)| self.load(stage, call, taken[&stage.pool].clone(), table))
+            .map(|(stage, call)| {
+                self.load(stage, &job.homes, call, taken[&stage.pool].clone(), table)
+            })
             .collect()
     }
 
     fn load(
         &self,
         stage: &JobStage,
+        homes: &Homes,
         call: Duration,
         taken: Arc<Timeline>,
         table: &Table,
@@ -133,7 +137,7 @@
         else {
             return load;
         };
-        let endpoints = pool.endpoints.count() as f64;
+        let endpoints = pool.endpoints.count_at(homes) as f64;
         load.slots = endpoints * f64::from(spec.slots);
         load.room =
             (spec.room_bytes as f64).mul_add(endpoints, -(pool.endpoints.of_others() as f64));
@@ -150,6 +154,7 @@
         let (first, others) = pools.split_first()?;
         let homes = first.endpoints.data_centres();
         let homes = homes.filter(|h| others.iter().all(|pool| pool.endpoints.count_in(h) > 0));
+        let homes = homes.filter(|h| first.endpoints.is_at(h, &run.job.homes));
         // Pieces for each endpoint, in thousandths.
         let load = |home: &Name| {
             let loads = pools
--- a/src/direct/owner/entry.rs
+++ b/src/direct/owner/entry.rs
@@ -77,7 +77,8 @@
     let latest_start_ms = ms(run.objective) as i64 - ms(rest) as i64;
     let home = run.home(stage).filter(|_| run.moved_bytes(stage) >= HEAVY).cloned();
     let rank = Rank { latest_start_ms, job: run.job.id, stage };
-    Waiting { rank, pieces, bytes: run.job.stages[stage].result_bytes, home }
+    let (bytes, homes) = (run.job.stages[stage].result_bytes, run.job.homes.clone());
+    Waiting { rank, pieces, bytes, home, homes }
 }
 
 /// How much longer the waiting pieces of a stage are held back, if nothing happens to the job: one that
--- a/src/direct/owner/filling.rs
+++ b/src/direct/owner/filling.rs
@@ -115,6 +115,7 @@
         }
         self.repeats.first(pool, firsts, now);
         self.makers.sent(&endpoint.id, total);
+        self.cold.sent(&endpoint, pieces.len(), now);
         let expected = spec.call + spec.piece * orders.len() as u32;
         let patience = expected.mul_f64(OVERDUE) + PATIENCE;
         let queued = self.ledger.get(pool).map_or(0, |ledger| ledger.queue.pieces());
@@ -157,26 +158,27 @@
     );
     let place = |(index, c)| Some((index, place_for(c, &pool.endpoints)?));
     let (first, (room, endpoint)) = candidates.iter().enumerate().find_map(place)?;
-    let taken = take(&candidates[first..], &endpoint.data_centre, spec.pieces, room);
+    let taken = take(&candidates[first..], endpoint, spec.pieces, room);
     Some((endpoint.clone(), taken, candidates.len()))
 }
 
 /// The free endpoint with most room at home, or else anywhere, and its room.
 fn place_for<'a>(piece: &Candidate, endpoints: &'a Endpoints) -> Option<(u64, &'a Arc<Endpoint>)> {
     let at_home = piece.home.as_ref().and_then(|home| endpoints.roomiest_in(home, piece.bytes));
+    let at_home = at_home.filter(|(_, endpoint)| piece.homes.have(endpoint));
     if at_home.is_none() && piece.waits_for_home {
         return None;
     }
-    at_home.or_else(|| endpoints.roomiest(piece.bytes))
+    at_home.or_else(|| endpoints.roomiest_at(&piece.homes, piece.bytes))
 }
 
-/// What goes into a call of `most` pieces in a data centre, where `room` bytes are left.
-fn take(candidates: &[Candidate], data_centre: &str, most: usize, mut room: u64) -> Vec<Taken> {
+/// What goes into a call of `most` pieces to an endpoint, where `room` bytes are left.
+fn take(candidates: &[Candidate], to: &Endpoint, most: usize, mut room: u64) -> Vec<Taken> {
     let mut left = most;
     let mut taken = Vec::new();
     for candidate in candidates {
-        let is_home = candidate.home.as_ref().is_none_or(|home| **home == *data_centre);
-        if candidate.waits_for_home && !is_home {
+        let is_home = candidate.home.as_ref().is_none_or(|home| *home == to.data_centre);
+        if candidate.waits_for_home && !is_home || !candidate.homes.have(to) {
             continue;
         }
         let fit = room.checked_div(candidate.bytes).map_or(usize::MAX, |fit| fit as usize);
--- a/src/direct/owner/free.rs
+++ b/src/direct/owner/free.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
+use crate::direct::published::homes::{Homes, region_of};
 use crate::direct::published::model::{Endpoint, Name};
 
 /// How one endpoint stands.
@@ -39,6 +40,7 @@
 /// Those in one data centre.
 #[derive(Debug, Default)]
 struct Local {
+    region: Option<String>,
     count: usize,
     /// Free ones, by room.
     free: BTreeSet<(u64, Name)>,
@@ -51,6 +53,7 @@
         self.of_others += standing.of_others;
         let local = self.by_data_centre.entry(endpoint.data_centre.clone()).or_default();
         local.count += 1;
+        local.region = region_of(endpoint).map(str::to_owned);
         if standing.is_free {
             local.free.insert((standing.room, endpoint.id.clone()));
         }
@@ -110,11 +113,6 @@
         self.listed.get(id).map(|l| &l.endpoint)
     }
 
-    /// How many take work.
-    pub(super) const fn count(&self) -> usize {
-        self.used().count
-    }
-
     /// Bytes that others use at those that take work.
     pub(super) const fn of_others(&self) -> u64 {
         self.used().of_others
@@ -132,11 +130,27 @@
         classes.into_iter().filter_map(local).sum()
     }
 
+    /// How many take work in some regions.
+    pub(super) fn count_at(&self, homes: &Homes) -> usize {
+        self.locals_at(homes).map(|local| local.count).sum()
+    }
+
     /// Data centres with an endpoint that takes work.
     pub(super) fn data_centres(&self) -> impl Iterator<Item = &Name> {
         self.used().by_data_centre.keys()
     }
 
+    /// Whether a data centre lies in some regions; of one without endpoints that is not known.
+    pub(super) fn is_at(&self, data_centre: &str, homes: &Homes) -> bool {
+        let local = self.used().by_data_centre.get(data_centre);
+        local.is_some_and(|local| homes.have_region(local.region.as_deref()))
+    }
+
+    fn locals_at<'a>(&'a self, homes: &'a Homes) -> impl Iterator<Item = &'a Local> {
+        let locals = self.used().by_data_centre.values();
+        locals.filter(|local| homes.have_region(local.region.as_deref()))
+    }
+
     /// Whether one is free in a data centre.
     pub(super) fn is_free_in(&self, data_centre: &str) -> bool {
         let local = self.used().by_data_centre.get(data_centre);
@@ -158,10 +172,9 @@
         self.found(local.free.last()?, bytes)
     }
 
-    /// The free one with most room anywhere, if it has `bytes`.
-    pub(super) fn roomiest(&self, bytes: u64) -> Option<(u64, &Arc<Endpoint>)> {
-        let locals = self.used().by_data_centre.values();
-        self.found(locals.filter_map(|local| local.free.last()).max()?, bytes)
+    /// The free one with most room in some regions, if it has `bytes`.
+    pub(super) fn roomiest_at(&self, homes: &Homes, bytes: u64) -> Option<(u64, &Arc<Endpoint>)> {
+        self.found(self.locals_at(homes).filter_map(|local| local.free.last()).max()?, bytes)
     }
 
     fn found(&self, (room, id): &(u64, Name), bytes: u64) -> Option<(u64, &Arc<Endpoint>)> {
--- a/src/direct/owner/makers.rs
+++ b/src/direct/owner/makers.rs
@@ -271,6 +271,15 @@
         }
     }
 
+    /// An endpoint is in another life: what was known of it, and what it kept for anybody, is over.
+    pub fn restarted(&mut self, endpoint: &Name) {
+        self.makers.remove(endpoint);
+        for told in self.told.values_mut() {
+            told.usage.remove(endpoint);
+        }
+        self.changed.insert(endpoint.clone());
+    }
+
     /// Forgets endpoints that are not listed any more and keep nothing.
     pub fn retain(&mut self, listed: impl Fn(&str) -> bool) {
         self.makers.retain(|id, m| listed(id) || m.running > 0);
--- a/src/direct/owner/outcomes.rs
+++ b/src/direct/owner/outcomes.rs
@@ -16,12 +16,7 @@
 /// A piece that was sent so many times is given up.
 const MAX_TRIES: u32 = 4;
 /// Gateways that repeat calls with pieces of a cell at once: its owner, and the one before it.
-const OWNERS: usize = 2;
-
-/// Gateways that share the budget of repeats.
-fn owners(table: &Table) -> usize {
-    OWNERS * table.cells().names().len()
-}
+pub(super) const OWNERS: usize = 2;
 
 impl Scheduler {
     /// A call ended.
@@ -196,7 +191,7 @@
             return self.give_up(job, JobReason::Failed, table);
         }
         // Also a piece that was refused arrives twice.
-        if !self.repeats.take(&pool, owners(table), now) {
+        if !self.takes_repeat(&pool, table, now) {
             return self.give_up(job, JobReason::RepeatBudget, table);
         }
         self.dirty.insert(pool);
@@ -205,6 +200,12 @@
         }
     }
 
+    /// Takes a repeat to a pool out of the budget, where it holds one.
+    pub(super) fn takes_repeat(&mut self, pool: &Name, table: &Table, now: Timestamp) -> bool {
+        let owners = OWNERS * table.cells().names().len();
+        self.repeats.take(pool, owners, now)
+    }
+
     /// An input of a stage is gone: the stages before it are made again, and those before them
     /// whose own results were used and freed.
     pub(super) fn make_inputs_again(
@@ -239,7 +240,7 @@
             self.free(&made, bytes, table);
         }
         self.dirty.extend(again.iter().cloned());
-        if !again.iter().all(|pool| self.repeats.take(pool, owners(table), now)) {
+        if !again.iter().all(|pool| self.takes_repeat(pool, table, now)) {
             self.give_up(job, JobReason::RepeatBudget, table);
         }
     }
--- a/src/direct/owner/owners.rs
+++ b/src/direct/owner/owners.rs
@@ -2,13 +2,16 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use crate::direct::cold::ColdEndpoints;
 use crate::direct::event::{Action, BatchOutcome, BatchReport};
 use crate::direct::owner::makers::Usage;
 use crate::direct::owner::scheduler::Scheduler;
 use crate::direct::peers::message::{Job, JobId};
-use crate::direct::published::model::Name;
+use crate::direct::published::documents::Merged;
+use crate::direct::published::model::{Endpoint, Name};
 use crate::direct::published::table::Table;
 use crate::direct::repeats::Bounds;
 use crate::message::Timestamp;
@@ -24,14 +27,17 @@
     /// What other owners use, for a cell that is begun.
     told: HashMap<SocketAddr, Vec<Usage>>,
     lateness: Duration,
+    /// For a cell that is begun.
+    cold: ColdEndpoints,
     begun: u64,
 }
 
 impl Owners {
     /// Owns nothing yet.
-    pub fn new(bounds: Bounds) -> Self {
+    pub fn new(own: SocketAddr, bounds: Bounds) -> Self {
         let (cells, told) = Default::default();
-        Self { bounds, cells, told, lateness: Duration::ZERO, begun: 0 }
+        let cold = ColdEndpoints::new(own);
+        Self { bounds, cells, told, lateness: Duration::ZERO, cold, begun: 0 }
     }
 
     /// How late this process handles its events.
@@ -63,9 +69,10 @@
     /// The owner of a cell, which is begun if it is new.
     fn cell(&mut self, cell: &Name, table: &Table) -> &mut Scheduler {
         let (bounds, begun, lateness) = (self.bounds, &mut self.begun, self.lateness);
-        let told = &self.told;
+        let (told, cold) = (&self.told, &self.cold);
         self.cells.entry(cell.clone()).or_insert_with(|| {
-            let mut owner = Scheduler::of_cell(cell.clone(), bounds, *begun * CALLS);
+            let first_call = *begun * CALLS;
+            let mut owner = Scheduler::of_cell(cell.clone(), bounds, first_call, cold.clone());
             *begun += 1;
             owner.set_lateness(lateness);
             for (other, usage) in told {
@@ -141,8 +148,21 @@
     }
 
     /// Endpoints or the configuration changed.
-    pub fn changed(&mut self, table: &Table) {
-        self.each(|owner| owner.changed(table));
+    pub fn changed(
+        &mut self,
+        table: &Table,
+        merged: &Merged,
+        entered: &[Arc<Endpoint>],
+        now: Timestamp,
+    ) {
+        self.cold.learn(table, entered, now);
+        self.each(|owner| {
+            owner.changed(table);
+            owner.cold.learn(table, entered, now);
+            for endpoint in &merged.restarted {
+                owner.restarted(endpoint, table, now);
+            }
+        });
     }
 
     /// Looks at what is due.
--- a/src/direct/owner/queue.rs
+++ b/src/direct/owner/queue.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 
 use crate::direct::peers::message::JobId;
+use crate::direct::published::homes::Homes;
 use crate::direct::published::model::Name;
 
 /// A stage in the order of urgency.
@@ -29,6 +30,8 @@
     pub(super) bytes: u64,
     /// The data centre where its inputs are and its results are needed, where that matters.
     pub(super) home: Option<Name>,
+    /// Where its pieces may be made at all.
+    pub(super) homes: Homes,
 }
 
 /// Pieces that may go into the next call.
@@ -40,6 +43,8 @@
     pub(super) pieces: usize,
     pub(super) bytes: u64,
     pub(super) home: Option<Name>,
+    /// Regions whose endpoints may make them.
+    pub(super) homes: Homes,
     /// Whether only an endpoint at home will do.
     pub(super) waits_for_home: bool,
 }
@@ -61,13 +66,21 @@
     }
 }
 
+/// What waits of one stage.
+#[derive(Debug)]
+struct Queued {
+    pieces: usize,
+    bytes: u64,
+    homes: Homes,
+}
+
 #[derive(Debug, Default)]
 struct Group {
-    stages: BTreeMap<Rank, (usize, u64)>,
+    stages: BTreeMap<Rank, Queued>,
     pieces: usize,
 }
 
-type Entry<'a> = (&'a Rank, &'a (usize, u64));
+type Entry<'a> = (&'a Rank, &'a Queued);
 
 impl Group {
     /// The first rank of a stage that can still be in time.
@@ -95,7 +108,8 @@
 impl Queue {
     pub(super) fn add(&mut self, waiting: &Waiting) {
         let group = self.groups.entry(waiting.home.clone()).or_default();
-        group.stages.insert(waiting.rank, (waiting.pieces, waiting.bytes));
+        let Waiting { pieces, bytes, ref homes, .. } = *waiting;
+        group.stages.insert(waiting.rank, Queued { pieces, bytes, homes: homes.clone() });
         group.pieces += waiting.pieces;
     }
 
@@ -103,8 +117,8 @@
         let Some(group) = self.groups.get_mut(&waiting.home) else {
             return;
         };
-        if let Some((pieces, _)) = group.stages.remove(&waiting.rank) {
-            group.pieces -= pieces;
+        if let Some(queued) = group.stages.remove(&waiting.rank) {
+            group.pieces -= queued.pieces;
         }
         if group.stages.is_empty() {
             self.groups.remove(&waiting.home);
@@ -163,30 +177,31 @@
     candidates: &mut Vec<Candidate>,
 ) {
     let (mut before, mut found) = (0, 0);
-    let mut add = |rank: &Rank, bytes: u64, skip: usize, pieces: usize, waits_for_home: bool| {
-        let home = home.cloned();
-        candidates.push(Candidate { rank: *rank, skip, pieces, bytes, home, waits_for_home });
+    let mut add = |rank: &Rank, of: &Queued, skip: usize, pieces: usize, waits_for_home: bool| {
+        let (rank, bytes, home, homes) = (*rank, of.bytes, home.cloned(), of.homes.clone());
+        candidates.push(Candidate { rank, skip, pieces, bytes, home, homes, waits_for_home });
         pieces
     };
-    for (rank, &(pieces, bytes)) in group.in_time(look.now_ms) {
+    for (rank, queued) in group.in_time(look.now_ms) {
+        let pieces = queued.pieces;
         let may_wait = home.is_some() && rank.latest_start_ms > look.waits_from_ms;
         let stays = if may_wait { next_calls.saturating_sub(before).min(pieces) } else { 0 };
         before += pieces;
         if stays > 0 && home_is_free {
-            found += add(rank, bytes, 0, stays, true);
+            found += add(rank, queued, 0, stays, true);
         }
         if pieces > stays {
-            found += add(rank, bytes, stays, pieces - stays, false);
+            found += add(rank, queued, stays, pieces - stays, false);
         }
         let nothing_leaves = may_wait && !home_is_free && group.pieces <= next_calls;
         if found >= look.most || nothing_leaves {
             break;
         }
     }
-    for (rank, &(pieces, bytes)) in group.missed(look.now_ms) {
+    for (rank, queued) in group.missed(look.now_ms) {
         if found >= look.most {
             return;
         }
-        found += add(rank, bytes, 0, pieces, false);
+        found += add(rank, queued, 0, queued.pieces, false);
     }
 }
--- a/src/direct/owner/scheduler.rs
+++ b/src/direct/owner/scheduler.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::direct::cold::ColdEndpoints;
 use crate::direct::event::{Action, BatchReport};
 use crate::direct::note::Note;
 use crate::direct::owner::calls::{Calls, SETTLING};
@@ -18,6 +19,7 @@
 use crate::direct::owner::jobs::{JobRun, Piece, expected_calls};
 use crate::direct::owner::ledger::{Entry, Ledger};
 use crate::direct::owner::makers::{Makers, Usage};
+use crate::direct::owner::outcomes::OWNERS;
 use crate::direct::owner::pace::Paces;
 use crate::direct::owner::plan::Basis;
 use crate::direct::peers::message::{Handle, JobId, JobReason, Made, PeerMessage};
@@ -41,6 +43,7 @@
     pub(super) jobs: BTreeMap<JobId, JobRun>,
     pub(super) calls: Calls,
     pub(super) makers: Makers,
+    pub(super) cold: ColdEndpoints,
     pub(super) repeats: Repeats,
     pub(super) next_call: u64,
     pub(super) paces: Paces,
@@ -78,6 +81,7 @@
             jobs: BTreeMap::new(),
             calls: Calls::default(),
             makers: Makers::default(),
+            cold: ColdEndpoints::new(JobId::LOWEST.gateway),
             repeats: Repeats::new(bounds),
             next_call: 0,
             paces: Paces::default(),
@@ -100,8 +104,8 @@
     }
 
     /// The owner of a cell's endpoints; its calls are numbered after `first_call`.
-    pub fn of_cell(cell: Name, bounds: Bounds, first_call: u64) -> Self {
-        Self { cell: Some(cell), next_call: first_call, ..Self::new(bounds) }
+    pub fn of_cell(cell: Name, bounds: Bounds, first_call: u64, cold: ColdEndpoints) -> Self {
+        Self { cell: Some(cell), next_call: first_call, cold, ..Self::new(bounds) }
     }
 
     /// Whether it calls an endpoint.
@@ -197,6 +201,11 @@
         let Some(spec) = table.batch_of(endpoint).filter(|_| is_called) else {
             return;
         };
+        let listed = table.endpoint(endpoint).map_or(0, |e| e.incarnation);
+        if report.incarnation != 0 && listed != 0 && report.incarnation != listed {
+            // Its entry is about to tell of the life that the report is about, or has told of a later one.
+            return self.out.push(Action::Note(Note::NoReport { endpoint: endpoint.clone() }));
+        }
         self.makers.reported(endpoint, spec.room_bytes, report.free_bytes, now);
         self.out.push(Action::Note(Note::Reported {
             endpoint: endpoint.clone(),
@@ -340,10 +349,13 @@
         if endpoint.leaving || !self.calls_endpoint(endpoint, table) {
             return;
         }
-        if self.makers.changes_with_time(id, now) {
+        if self.makers.changes_with_time(id, now) || self.cold.is_cold(id, now) {
             self.changing.insert(id.clone());
         }
-        let standing = self.standing(id, spec, now);
+        let bears = table.pool(pool).and_then(|pool| pool.cold);
+        let is_open = self.cold.opens(endpoint, bears, OWNERS, now).is_none();
+        let mut standing = self.standing(id, spec, now);
+        standing.is_free &= is_open;
         self.ledger.pool(pool).endpoints.set(endpoint.clone(), standing);
     }
 
--- a/src/direct/peers/links.rs
+++ b/src/direct/peers/links.rs
@@ -23,7 +23,7 @@
 use crate::direct::core::GatewayCore;
 use crate::direct::event::Event;
 use crate::direct::peers::bulk::{Bulk, Receives};
-use crate::direct::peers::codec::{Outgoing, Readers, json, read};
+use crate::direct::peers::codec::{COMPACT_FORM, Outgoing, Readers, json, read};
 use crate::direct::peers::message::PeerMessage;
 
 /// A connection must come up within that.
@@ -54,15 +54,19 @@
     /// How many bytes the configuration has.
     #[serde(default)]
     pub bytes: Option<u64>,
-    /// Whether the sender reads the compact form of messages.
+    /// Whether the sender reads the first compact form of messages; it does not any more.
     #[serde(default)]
     pub compact: bool,
+    /// The compact form of messages that the sender reads.
+    #[serde(default)]
+    pub form: u32,
 }
 
 impl Hello {
     /// On the connection for all messages but configurations.
     const fn new(address: SocketAddr, incarnation: u64) -> Self {
-        Self { address, incarnation, bulk: false, pull: 0, bytes: None, compact: true }
+        let (bulk, compact) = (false, false);
+        Self { address, incarnation, bulk, pull: 0, bytes: None, compact, form: COMPACT_FORM }
     }
 }
 
@@ -233,7 +237,7 @@
         receives.start(connection, hello, core);
         return;
     }
-    readers.told(hello.address, hello.compact);
+    readers.told(hello.address, hello.form == COMPACT_FORM);
     while let Ok(Some(Ok(frame))) = timeout(IDLE, connection.next()).await {
         let Some(message) = read(&frame) else {
             // Of another version of the program, as while a new one is rolled out; the next can be read.
--- a/src/direct/peers/message.rs
+++ b/src/direct/peers/message.rs
@@ -9,6 +9,8 @@
 use crate::direct::owner::makers::Usage;
 use crate::direct::peers::members::Member;
 use crate::direct::published::documents::{Revised, Seen};
+use crate::direct::published::evacuations::Evacuations;
+use crate::direct::published::homes::Homes;
 use crate::direct::published::model::{Deployment, Name};
 
 /// Names one request of one life of one gateway.
@@ -69,6 +71,9 @@
     pub priority: u8,
     /// Where the last results will be fetched from, as far as is known.
     pub data_centre: Name,
+    /// Where its stages may be made.
+    #[serde(default)]
+    pub homes: Homes,
     /// Whether another owner had begun it.
     pub resubmitted: bool,
 }
@@ -127,6 +132,9 @@
         /// How late it handles its events.
         #[serde(default)]
         late: Duration,
+        /// What it knows of orders to evacuate data centres.
+        #[serde(default)]
+        evacuations: Evacuations,
     },
     /// Asks for the documents that the sender lacks.
     Pull {
--- a/src/direct/published/documents.rs
+++ b/src/direct/published/documents.rs
@@ -65,6 +65,8 @@
 struct Entry {
     revision: u64,
     endpoint: Option<Arc<Endpoint>>,
+    /// The last life of which it told.
+    incarnation: u64,
     /// What the entry was before it lapsed, and until when it is used on.
     lapsed: Option<(Arc<Endpoint>, Timestamp)>,
     since: Timestamp,
@@ -109,6 +111,8 @@
     pub deployment: Option<u64>,
     /// Endpoints that are new, changed or gone.
     pub endpoints: Vec<Name>,
+    /// Those among them that are in another life under the same id.
+    pub restarted: Vec<Name>,
 }
 
 impl Merged {
@@ -319,6 +323,11 @@
         if before != endpoint.as_ref() {
             merged.endpoints.push(id.clone());
         }
+        let last_life = known.map_or(0, |k| k.incarnation);
+        let incarnation = endpoint.as_ref().map_or(last_life, |e| e.incarnation);
+        if last_life != 0 && incarnation != last_life {
+            merged.restarted.push(id.clone());
+        }
         let lapsed = match known {
             _ if endpoint.is_some() => None,
             // Peers that read the list at other revisions tell once more that the entry is gone.
@@ -328,7 +337,7 @@
         if let Some((_, until)) = &lapsed {
             self.next_expiry = Some(self.next_expiry.map_or(*until, |at| at.min(*until)));
         }
-        self.endpoints.insert(id, Entry { revision, endpoint, lapsed, since: now });
+        self.endpoints.insert(id, Entry { revision, endpoint, incarnation, lapsed, since: now });
     }
 
     /// Forgets endpoints that are gone for long.
--- a/src/direct/published/mod.rs
+++ b/src/direct/published/mod.rs
@@ -5,6 +5,8 @@
 
 pub mod cells;
 pub mod documents;
+pub mod evacuations;
+pub mod homes;
 pub mod lapse;
 pub mod model;
 pub mod table;
--- a/src/direct/published/model.rs
+++ b/src/direct/published/model.rs
@@ -68,6 +68,9 @@
     pub stages: Vec<StageSpec>,
     /// Whether callers need no key.
     pub public: bool,
+    /// Regions that its requests may be run in; any where there are none.
+    #[serde(default)]
+    pub homes: Vec<Name>,
 }
 
 /// One of the pools of a route.
@@ -99,10 +102,22 @@
     pub endpoints: Selector,
     /// Connections that one endpoint accepts from all callers together.
     pub max_connections: u32,
+    /// What an endpoint bears that has just started, where that is less than usual.
+    #[serde(default)]
+    pub cold: Option<ColdStart>,
     /// What it runs.
     pub work: Work,
 }
 
+/// What an endpoint bears until it is warm.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct ColdStart {
+    /// Requests a second, from all gateways together.
+    pub per_second: f64,
+    /// How long it is cold after its start.
+    pub lasts: Duration,
+}
+
 /// What the endpoints of a pool run.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Work {
@@ -149,6 +164,9 @@
     pub keys: Vec<Name>,
     /// Its priority, where it has one of its own.
     pub priority: Option<u8>,
+    /// Regions that its requests may be run in; any where there are none.
+    #[serde(default)]
+    pub homes: Vec<Name>,
 }
 
 /// Bounds on what a caller sends.
@@ -175,11 +193,15 @@
     }
 }
 
-/// One life of a back end.
+/// A back end.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Endpoint {
-    /// Unique; a new life has a new one.
+    /// Unique among those that are there.
     pub id: Name,
+    /// Its life, by the time of its start; in another one it holds and knows nothing of this one. 0 where it
+    /// does not tell: then a new life has a new id.
+    #[serde(default)]
+    pub incarnation: u64,
     /// Where it is called.
     pub address: SocketAddr,
     /// Where it stands.
@@ -190,6 +212,9 @@
     pub slots: u32,
     /// Whether it takes no new work.
     pub leaving: bool,
+    /// How much longer it was cold when it told so; zero where it was warm.
+    #[serde(default)]
+    pub cold: Duration,
 }
 
 /// What is wrong with a configuration.
--- a/src/direct/published/table.rs
+++ b/src/direct/published/table.rs
@@ -1,6 +1,6 @@
 //! A configuration and the list of endpoints, compiled for lookups.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use crate::direct::published::cells::Cells;
@@ -20,6 +20,8 @@
     members: HashMap<Name, Vec<Arc<Endpoint>>>,
     /// Members of any pool.
     by_id: HashMap<Name, Arc<Endpoint>>,
+    /// Data centres whose endpoints take no new work, whatever they say.
+    evacuated: BTreeSet<Name>,
     cells: Cells,
 }
 
@@ -40,9 +42,7 @@
         for (i, organisation) in deployment.organisations.iter().enumerate() {
             by_key.extend(organisation.keys.iter().map(|k| (k.clone(), i)));
         }
-        let (members, by_id) = (HashMap::new(), HashMap::new());
-        let cells = Cells::default();
-        let mut table = Self { deployment, by_host, by_key, members, by_id, cells };
+        let mut table = Self { deployment, by_host, by_key, ..Self::default() };
         for endpoint in endpoints {
             table.replace(&endpoint.id, Some(endpoint));
         }
@@ -50,6 +50,42 @@
         table
     }
 
+    /// Compiles anew with another configuration; the endpoints of evacuated data centres still get nothing.
+    pub fn with_deployment<'a>(
+        &self,
+        deployment: Arc<Deployment>,
+        endpoints: impl Iterator<Item = &'a Arc<Endpoint>>,
+    ) -> Self {
+        let mut table = Self::new(deployment, [].into_iter());
+        table.evacuated.clone_from(&self.evacuated);
+        for endpoint in endpoints {
+            table.replace(&endpoint.id, Some(endpoint));
+        }
+        table.regroup();
+        table
+    }
+
+    /// Orders to evacuate data centres changed: `endpoints` are entered anew.
+    pub fn evacuate<'a>(
+        &mut self,
+        evacuated: BTreeSet<Name>,
+        endpoints: impl Iterator<Item = &'a Arc<Endpoint>>,
+    ) {
+        self.evacuated = evacuated;
+        for endpoint in endpoints {
+            self.replace(&endpoint.id, Some(endpoint));
+        }
+        self.regroup();
+    }
+
+    /// An endpoint as it may be used: in an evacuated data centre it takes no new work, as if it were leaving.
+    fn usable(&self, endpoint: &Arc<Endpoint>) -> Arc<Endpoint> {
+        if endpoint.leaving || !self.evacuated.contains(&endpoint.data_centre) {
+            return endpoint.clone();
+        }
+        Arc::new(Endpoint { leaving: true, ..(**endpoint).clone() })
+    }
+
     /// Groups the endpoints into cells anew, after some were replaced.
     pub fn regroup(&mut self) {
         let batch = self.deployment.pools.iter().filter(|p| matches!(p.work, Work::Batch(_)));
@@ -64,6 +100,7 @@
 
     /// An endpoint is new, changed or, where there is none now, gone; routes and keys stay as they are.
     pub fn replace(&mut self, id: &Name, endpoint: Option<&Arc<Endpoint>>) {
+        let endpoint = endpoint.map(|endpoint| self.usable(endpoint));
         self.by_id.remove(id);
         for pool in &self.deployment.pools {
             let members = self.members.entry(pool.name.clone()).or_default();
@@ -71,7 +108,7 @@
             if let Ok(at) = place {
                 members.remove(at);
             }
-            let member = endpoint.filter(|e| pool.endpoints.matches(&e.labels));
+            let member = endpoint.as_ref().filter(|e| pool.endpoints.matches(&e.labels));
             if let Some(member) = member {
                 let (Ok(at) | Err(at)) = place;
                 members.insert(at, member.clone());
--- a/src/direct/requests/attempts.rs
+++ b/src/direct/requests/attempts.rs
@@ -7,12 +7,12 @@
 use crate::direct::note::{Note, ms};
 use crate::direct::published::model::{Endpoint, Name};
 use crate::direct::published::table::Table;
-use crate::direct::requests::request::{Attempt, Phase, Request};
+use crate::direct::requests::choice::Choice;
+use crate::direct::requests::request::{Attempt, Phase};
 use crate::direct::requests::{RETRY_SOON, Requests, Timer};
 use crate::invariant;
 use crate::invariant::Violation;
 use crate::message::Timestamp;
-use crate::policy::place::place;
 
 /// Calls for one request at most, also refused ones.
 const MAX_SENDS: u32 = 4;
@@ -39,8 +39,9 @@
         let Some(request) = self.requests.get(&caller) else {
             return;
         };
-        let Some((endpoint, because, candidates)) = self.choose(request, table, now) else {
-            return self.refuse(caller, Refused::NoEndpoint, RETRY_SOON, now);
+        let Choice { endpoint, because, candidates } = match self.choose(request, table, now) {
+            Ok(choice) => choice,
+            Err(no_place) => return self.refuse_without_place(caller, no_place, now),
         };
         let selector = table.pool(&request.pool).map(|p| p.endpoints.to_string());
         self.out.push(Action::Note(Note::Sent {
@@ -66,31 +67,6 @@
         true
     }
 
-    pub(super) fn choose(
-        &self,
-        request: &Request,
-        table: &Table,
-        now: Timestamp,
-    ) -> Option<(Arc<Endpoint>, &'static str, usize)> {
-        let members = table.members(&request.pool);
-        let open: Vec<&Arc<Endpoint>> =
-            members.iter().filter(|e| !e.leaving && !request.tried.contains(&e.id)).collect();
-        let median = self.observations.median_answer(members.iter().map(|e| &e.id));
-        let share = self.connection_share(&request.pool, table);
-        let places: Vec<_> = open
-            .iter()
-            .map(|e| self.observations.place(e, &self.data_centre, median, share, now))
-            .collect();
-        let (chosen, because) = place(&places, request.shared_part())?;
-        Some((open[chosen].clone(), because.as_str(), open.len()))
-    }
-
-    /// Connections to one endpoint of a pool that this gateway may hold: all gateways share its bound.
-    fn connection_share(&self, pool: &Name, table: &Table) -> usize {
-        let bound = table.pool(pool).map_or(u32::MAX, |p| p.max_connections) as usize;
-        (bound / self.processes.max(1)).max(1)
-    }
-
     pub(super) fn call(
         &mut self,
         caller: u64,
@@ -125,7 +101,8 @@
             let silence = now + request.patience();
             self.timers.insert((silence, caller, Timer::Silence(number)));
         }
-        self.observations.sent(&endpoint.id);
+        self.observations.sent(&endpoint);
+        self.cold.sent(&endpoint, 1, now);
         let order = CallOrder {
             endpoint,
             allowed: request.deadline.saturating_sub(now),
@@ -148,7 +125,7 @@
     /// Takes the open attempt out.
     pub(super) fn close_attempt(&mut self, caller: u64) -> Option<Attempt> {
         let attempt = self.requests.get_mut(&caller)?.attempt.take()?;
-        self.observations.ended(&attempt.endpoint.id);
+        self.observations.ended(&attempt.endpoint);
         Some(attempt)
     }
 
@@ -171,7 +148,10 @@
         let Some(open) = request.attempt.clone() else {
             return;
         };
-        let endpoint = open.endpoint.id.clone();
+        let endpoint = open.endpoint.clone();
+        if let Some(left) = proof.cold {
+            self.cold.told(&endpoint, left, now);
+        }
         if let Some((running, waiting, _)) = proof.load {
             self.observations.reported(&endpoint, running + waiting, now);
         }
@@ -189,7 +169,7 @@
         if !is_own_failure(proof.status) {
             self.observations.answered(&endpoint, now.saturating_sub(open.ordered));
         } else if self.observations.failed(&endpoint, now) {
-            self.note_avoided(&endpoint, "server errors");
+            self.note_avoided(&endpoint.id, "server errors");
         }
         self.out.push(Action::Deliver { caller, attempt });
         if is_open {
@@ -277,7 +257,7 @@
         let Some(attempt) = self.close_attempt(caller) else {
             return;
         };
-        let endpoint = &attempt.endpoint.id;
+        let endpoint = &attempt.endpoint;
         if proof.other_endpoint {
             self.avoid(endpoint, "other endpoint", now);
         } else {
@@ -317,7 +297,7 @@
             return;
         };
         self.out.push(Action::Hangup { caller, attempt: attempt.number });
-        if self.observations.failed(&attempt.endpoint.id, now) {
+        if self.observations.failed(&attempt.endpoint, now) {
             self.note_avoided(&attempt.endpoint.id, "failures");
         }
         let Some(request) = self.requests.get_mut(&caller) else {
@@ -354,9 +334,10 @@
             return;
         };
         if failure == CallFailure::TurnedAway {
-            self.observations.full(&closed.endpoint.id, now);
+            self.observations.full(&closed.endpoint, now);
         } else {
-            self.avoid(&closed.endpoint.id, "unreachable", now);
+            self.avoid(&closed.endpoint, "unreachable", now);
+            self.may_have_restarted(caller, &closed.endpoint, table, now);
         }
         let sends = self.requests.get(&caller).map_or(MAX_SENDS, |r| r.sends);
         let goes_on = sends < MAX_SENDS;
@@ -392,7 +373,7 @@
             self.out.push(Action::Finish { caller });
             return self.end(caller, "streamed", Some(&closed.endpoint.id), now);
         }
-        if self.observations.failed(&closed.endpoint.id, now) {
+        if self.observations.failed(&closed.endpoint, now) {
             self.note_avoided(&closed.endpoint.id, "broken streams");
         }
         let may_try = self.may_try_again(caller, now);
@@ -422,9 +403,9 @@
         }
     }
 
-    pub(super) fn avoid(&mut self, endpoint: &Name, cause: &'static str, now: Timestamp) {
+    pub(super) fn avoid(&mut self, endpoint: &Endpoint, cause: &'static str, now: Timestamp) {
         if self.observations.unreachable(endpoint, now) {
-            self.note_avoided(endpoint, cause);
+            self.note_avoided(&endpoint.id, cause);
         }
     }
 
--- a/src/direct/requests/endpoints.rs
+++ b/src/direct/requests/endpoints.rs
@@ -23,6 +23,8 @@
 /// One endpoint as seen from here.
 #[derive(Debug, Clone, Default)]
 struct Observed {
+    /// The life that all of it is about.
+    incarnation: u64,
     in_flight: u32,
     reported: Option<(u32, Timestamp)>,
     avoided_until: Timestamp,
@@ -38,29 +40,45 @@
 }
 
 impl Observations {
-    fn entry(&mut self, endpoint: &Name) -> &mut Observed {
-        self.observed.entry(endpoint.clone()).or_default()
+    /// What was observed of an endpoint that was called, in this very life of it.
+    fn entry(&mut self, endpoint: &Endpoint) -> Option<&mut Observed> {
+        let observed = self.observed.get_mut(&endpoint.id)?;
+        (observed.incarnation == endpoint.incarnation).then_some(observed)
     }
 
-    /// A call was sent.
-    pub fn sent(&mut self, endpoint: &Name) {
-        self.entry(endpoint).in_flight += 1;
+    fn get(&self, endpoint: &Endpoint) -> Option<&Observed> {
+        let observed = self.observed.get(&endpoint.id)?;
+        (observed.incarnation == endpoint.incarnation).then_some(observed)
+    }
+
+    /// A call was sent. What was observed of a life before is forgotten.
+    pub fn sent(&mut self, endpoint: &Endpoint) {
+        let observed = self.observed.entry(endpoint.id.clone()).or_default();
+        if observed.incarnation != endpoint.incarnation {
+            *observed = Observed { incarnation: endpoint.incarnation, ..Observed::default() };
+        }
+        observed.in_flight += 1;
     }
 
     /// A call ended.
-    pub fn ended(&mut self, endpoint: &Name) {
-        let observed = self.entry(endpoint);
-        observed.in_flight = observed.in_flight.saturating_sub(1);
+    pub fn ended(&mut self, endpoint: &Endpoint) {
+        if let Some(observed) = self.entry(endpoint) {
+            observed.in_flight = observed.in_flight.saturating_sub(1);
+        }
     }
 
     /// An endpoint told its load: requests that run and wait.
-    pub fn reported(&mut self, endpoint: &Name, load: u32, now: Timestamp) {
-        self.entry(endpoint).reported = Some((load, now));
+    pub fn reported(&mut self, endpoint: &Endpoint, load: u32, now: Timestamp) {
+        if let Some(observed) = self.entry(endpoint) {
+            observed.reported = Some((load, now));
+        }
     }
 
     /// An endpoint answered well after this time.
-    pub fn answered(&mut self, endpoint: &Name, took: Duration) {
-        let observed = self.entry(endpoint);
+    pub fn answered(&mut self, endpoint: &Endpoint, took: Duration) {
+        let Some(observed) = self.entry(endpoint) else {
+            return;
+        };
         observed.failures = 0;
         observed.failing *= 1.0 - NEW_WEIGHT;
         let took = took.as_secs_f64();
@@ -69,14 +87,18 @@
     }
 
     /// An endpoint is full: it is passed over for a moment.
-    pub fn full(&mut self, endpoint: &Name, now: Timestamp) {
-        let observed = self.entry(endpoint);
+    pub fn full(&mut self, endpoint: &Endpoint, now: Timestamp) {
+        let Some(observed) = self.entry(endpoint) else {
+            return;
+        };
         observed.avoided_until = observed.avoided_until.max(now + FULL_PAUSE);
     }
 
     /// An endpoint failed; says whether it is newly avoided.
-    pub fn failed(&mut self, endpoint: &Name, now: Timestamp) -> bool {
-        let observed = self.entry(endpoint);
+    pub fn failed(&mut self, endpoint: &Endpoint, now: Timestamp) -> bool {
+        let Some(observed) = self.entry(endpoint) else {
+            return false;
+        };
         observed.failures += 1;
         observed.failing += (1.0 - observed.failing) * NEW_WEIGHT;
         if observed.failures < 2 && observed.failing < FAILING_SHARE {
@@ -89,8 +111,10 @@
     }
 
     /// An endpoint can't be reached at all; says whether it is newly avoided.
-    pub fn unreachable(&mut self, endpoint: &Name, now: Timestamp) -> bool {
-        let observed = self.entry(endpoint);
+    pub fn unreachable(&mut self, endpoint: &Endpoint, now: Timestamp) -> bool {
+        let Some(observed) = self.entry(endpoint) else {
+            return false;
+        };
         let was_avoided = observed.avoided_until > now;
         observed.failures += 1;
         observed.avoided_until = now + LONGEST_AVOIDANCE.min(FIRST_AVOIDANCE * observed.failures);
@@ -99,12 +123,12 @@
 
     /// Whether an endpoint runs another request at once, as far as is known.
     pub fn has_place(&self, endpoint: &Endpoint, now: Timestamp) -> bool {
-        self.load(&endpoint.id, now) < endpoint.slots
+        self.load(endpoint, now) < endpoint.slots
     }
 
     /// Requests that run or wait at an endpoint, as far as is known.
-    fn load(&self, endpoint: &str, now: Timestamp) -> u32 {
-        let Some(observed) = self.observed.get(endpoint) else {
+    fn load(&self, endpoint: &Endpoint, now: Timestamp) -> u32 {
+        let Some(observed) = self.get(endpoint) else {
             return 0;
         };
         let reported = observed.reported.filter(|(_, at)| now < *at + REPORT_KEPT);
@@ -121,14 +145,14 @@
         connections: usize,
         now: Timestamp,
     ) -> Place<'a> {
-        let observed = self.observed.get(&endpoint.id).cloned().unwrap_or_default();
+        let observed = self.get(endpoint).cloned().unwrap_or_default();
         let slowness = match (observed.answer_time, median) {
             (Some(own), Some(median)) if median > 0.0 => (own / median).clamp(1.0, 8.0),
             _ => 1.0,
         };
         Place {
             id: &endpoint.id,
-            load: f64::from(self.load(&endpoint.id, now)),
+            load: f64::from(self.load(endpoint, now)),
             slots: f64::from(endpoint.slots),
             avoided: observed.avoided_until > now || observed.in_flight as usize >= connections,
             is_near: *endpoint.data_centre == *data_centre,
@@ -137,8 +161,8 @@
     }
 
     /// The usual time of an answer among endpoints, in seconds.
-    pub fn median_answer<'a>(&self, pool: impl Iterator<Item = &'a Name>) -> Option<f64> {
-        let mut times: Vec<f64> = pool.filter_map(|e| self.observed.get(e)?.answer_time).collect();
+    pub fn median_answer<'a>(&self, pool: impl Iterator<Item = &'a Endpoint>) -> Option<f64> {
+        let mut times: Vec<f64> = pool.filter_map(|e| self.get(e)?.answer_time).collect();
         times.sort_by(f64::total_cmp);
         times.get(times.len() / 2).copied()
     }
--- a/src/direct/requests/mod.rs
+++ b/src/direct/requests/mod.rs
@@ -4,11 +4,12 @@
 //! repeat out of the shared budget.
 //!
 //! `core` hands in what callers, endpoints and owners do; `stages` follows the stages at their owner,
-//! `attempts` the calls, `stopping` what can still end in a process that stops, `patience`
+//! `attempts` the calls, `choice` where they go, `stopping` what can still end in a process that stops, `patience`
 //! what a process does that is short of time, `early` what comes
 //! before the first configuration. Which endpoint is chosen is `policy::place`'s.
 
 mod attempts;
+mod choice;
 pub mod early;
 pub mod endpoints;
 pub mod experience;
@@ -26,11 +27,13 @@
 use rand::{Rng, RngExt};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::direct::cold::ColdEndpoints;
 use crate::direct::event::{Action, Incoming, Refusal, Refused};
 use crate::direct::note::{Note, ms};
 use crate::direct::peers::members::Members;
 use crate::direct::peers::message::{JobId, PeerMessage};
-use crate::direct::published::model::{Name, Route};
+use crate::direct::published::homes::Homes;
+use crate::direct::published::model::{Name, Organisation, Route};
 use crate::direct::published::table::Table;
 use crate::direct::repeats::{Bounds, Repeats};
 use crate::direct::requests::endpoints::Observations;
@@ -67,6 +70,7 @@
     pub(super) by_job: HashMap<JobId, u64>,
     pub(super) timers: BTreeSet<(Timestamp, u64, Timer)>,
     pub(super) observations: Observations,
+    pub(super) cold: ColdEndpoints,
     pub(super) experience: Experience,
     pub(super) fetches: Fetches,
     pub(super) stopping: Option<Stopping>,
@@ -102,6 +106,7 @@
             by_job: HashMap::new(),
             timers: BTreeSet::new(),
             observations: Observations::default(),
+            cold: ColdEndpoints::new(own),
             experience: Experience::default(),
             fetches: Fetches::default(),
             stopping: None,
@@ -164,15 +169,6 @@
         actions
     }
 
-    /// Endpoints changed, or the whole configuration.
-    pub fn changed(&mut self, table: &Table, is_new_deployment: bool) {
-        self.observations.retain(|id| table.endpoint(id).is_some());
-        if is_new_deployment {
-            self.experience.retain(table.deployment.routes.iter().map(|r| &r.name));
-            self.fetches.retain(|pool| table.pool(pool).is_some());
-        }
-    }
-
     /// A caller asks; its request `arrived` now or, where it waited for a configuration, before.
     pub fn submit(
         &mut self,
@@ -219,16 +215,18 @@
         &self,
         caller: u64,
         incoming: Incoming,
-        route: Route,
-        organisation: Option<(Name, Option<u8>)>,
+        route: &Route,
+        organisation: Option<&Organisation>,
         arrived: Timestamp,
     ) -> Request {
         let allowed = incoming.allowed.unwrap_or(DEFAULT_ALLOWED).min(route.timeout);
         let stages = route.stages.len();
-        let priority = organisation.as_ref().and_then(|o| o.1).unwrap_or(route.priority);
+        let priority = organisation.and_then(|o| o.priority).unwrap_or(route.priority);
+        let homes = organisation.map_or(&[][..], |o| &o.homes);
         Request {
-            pool: target(&route, &incoming.id),
-            organisation: organisation.map(|o| o.0),
+            pool: target(route, &incoming.id),
+            organisation: organisation.map(|o| o.name.clone()),
+            homes: Homes::of(&route.homes, homes),
             priority,
             arrived,
             deadline: arrived + allowed,
@@ -245,7 +243,7 @@
             last_event: incoming.after_event.clone(),
             holds_results: false,
             incoming,
-            route,
+            route: route.clone(),
         }
     }
 
@@ -392,10 +390,14 @@
     }
 }
 
-type Admissible = (Route, Option<(Name, Option<u8>)>);
+type Admissible<'a> = (&'a Route, Option<&'a Organisation>);
 
 /// Checks a request against what is published; nothing of a refused one has run.
-fn admissible(incoming: &Incoming, table: &Table, known: bool) -> Result<Admissible, Refused> {
+fn admissible<'a>(
+    incoming: &Incoming,
+    table: &'a Table,
+    known: bool,
+) -> Result<Admissible<'a>, Refused> {
     if !known {
         return Err(Refused::NoConfiguration);
     }
@@ -408,8 +410,7 @@
     if !route.stages.is_empty() && incoming.pieces.len() != route.stages.len() {
         return Err(Refused::BadRequest("a count of pieces for each stage is required"));
     }
-    let organisation = organisation.map(|o| (o.name.clone(), o.priority));
-    Ok((route.clone(), organisation))
+    Ok((route, organisation))
 }
 
 /// The pool of a request among the weighted targets of its route.
--- a/src/direct/requests/request.rs
+++ b/src/direct/requests/request.rs
@@ -6,6 +6,7 @@
 
 use crate::direct::event::Incoming;
 use crate::direct::peers::message::{JobId, Made};
+use crate::direct::published::homes::Homes;
 use crate::direct::published::model::{Endpoint, Name, Repeat, Route};
 use crate::message::Timestamp;
 
@@ -61,6 +62,8 @@
     pub pool: Name,
     /// Who asks.
     pub organisation: Option<Name>,
+    /// Where it may run.
+    pub homes: Homes,
     /// 0 is the most urgent.
     pub priority: u8,
     /// When it came.
--- a/src/direct/requests/stages.rs
+++ b/src/direct/requests/stages.rs
@@ -43,9 +43,12 @@
         let Some(request) = self.requests.get(&caller) else {
             return;
         };
-        // The results go where the run will be, as far as can be told now.
-        let place = self.choose(request, table, now);
-        let place = place.map_or_else(|| self.data_centre.clone(), |(e, ..)| e.data_centre.clone());
+        // The results go where the run will be, as far as can be told now; what has no place to run is
+        // refused before anything is made for it.
+        let place = match self.choose(request, table, now) {
+            Ok(choice) => choice.endpoint.data_centre.clone(),
+            Err(no_place) => return self.refuse_without_place(caller, no_place, now),
+        };
         self.owners.learn(members, table);
         let cell = self.cell_for(caller, &place, table);
         let Some(request) = self.requests.get_mut(&caller) else {
@@ -254,6 +257,7 @@
         after: request.expected_start(),
         priority: request.priority,
         data_centre,
+        homes: request.homes.clone(),
         resubmitted,
     }
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -53,6 +53,10 @@
 pub const PEER_BAD: &str = "stackmast_peer_messages_bad_total";
 /// Bytes of messages between gateways, by direction and kind.
 pub const PEER_BYTES: &str = "stackmast_peer_bytes_total";
+/// Documents of the platform that could not be read, each time they were.
+pub const UNREADABLE: &str = "stackmast_unreadable_documents_total";
+/// Data centres that are evacuated.
+pub const EVACUATED: &str = "stackmast_evacuated_data_centres";
 /// Decisions and changes of belief, by kind.
 pub const DECISIONS: &str = "stackmast_decisions_total";
 /// Time of calls with pieces, in seconds.
@@ -95,6 +99,8 @@
     describe_counter!(PEER_DROPPED, "Messages to gateways dropped");
     describe_counter!(PEER_BAD, "Messages of gateways that could not be read");
     describe_counter!(PEER_BYTES, "Bytes of messages between gateways, by direction and kind");
+    describe_counter!(UNREADABLE, "Documents of the platform that could not be read");
+    describe_gauge!(EVACUATED, "Data centres that get no new work by order");
     describe_counter!(DECISIONS, "Decisions and changes of belief, by kind");
     describe_histogram!(BATCH_SECONDS, "Seconds of calls with pieces");
     describe_histogram!(BATCH_PIECES, "Pieces in a call");
@@ -201,6 +207,8 @@
             counter!(CUT_BY_STOP, "what" => "unanswered").increment(*unanswered as u64);
             counter!(CUT_BY_STOP, "what" => "stream").increment(*streams as u64);
         }
+        Note::Evacuation { stands: true, .. } => gauge!(EVACUATED).increment(1.0),
+        Note::Evacuation { stands: false, .. } => gauge!(EVACUATED).decrement(1.0),
         Note::Configured { version, .. } => gauge!(CONFIG_VERSION).set(*version as f64),
         _ => {}
     }
--- a/testbed/src/owner_load.rs
+++ b/testbed/src/owner_load.rs
@@ -14,6 +14,7 @@
 use stackmast::direct::event::{Action, BatchOutcome, CallFailure, PieceOutcome};
 use stackmast::direct::owner::scheduler::Scheduler;
 use stackmast::direct::peers::message::{Job, JobId, JobStage, PeerMessage};
+use stackmast::direct::published::homes::Homes;
 use stackmast::direct::published::model::{
     BatchSpec, CallerLimits, Deployment, Endpoint, Name, Pool, Work,
 };
@@ -116,7 +117,8 @@
             let kept = Duration::from_secs(4);
             let spec = BatchSpec { slots: 1, pieces, call: CALL, piece, room_bytes, kept };
             let endpoints = Selector::parse(&format!("service={name}")).unwrap_or_default();
-            Pool { name: name.into(), endpoints, max_connections: 340, work: Work::Batch(spec) }
+            let (max_connections, cold, work) = (340, None, Work::Batch(spec));
+            Pool { name: name.into(), endpoints, max_connections, cold, work }
         };
     STAGES.iter().map(pool).collect()
 }
@@ -127,11 +129,13 @@
         (0..count).map(move |number| {
             Arc::new(Endpoint {
                 id: format!("{name}-{number}").into(),
+                incarnation: 0,
                 address: ([127, 0, 0, 1], 9_000 + number as u16).into(),
                 data_centre: format!("dc-{}", number % DATA_CENTRES).into(),
                 labels: [("service".to_owned(), name.to_owned())].into_iter().collect(),
                 slots: 1,
                 leaving: false,
+                cold: Duration::ZERO,
             })
         })
     };
@@ -252,6 +256,7 @@
             after: Duration::from_millis(100),
             priority: 0,
             data_centre,
+            homes: Homes::default(),
             resubmitted: false,
         }
     }
--- a/tests/direct_cells.rs
+++ b/tests/direct_cells.rs
@@ -138,7 +138,7 @@
 #[test]
 fn pieces_of_a_cell_are_made_by_its_endpoints_and_results_find_their_job() {
     let table = table(&[10, 10, 10]);
-    let mut owners = Owners::new(bounds());
+    let mut owners = Owners::new(address(1), bounds());
     owners.submit(job_of(1, "stages/dc-1"), &table, ms(0));
     owners.submit(job_of(2, "stages/dc-2"), &table, ms(0));
     assert_eq!(owners.jobs(), 2);
--- /dev/null
+++ b/tests/direct_cold.rs
@@ -0,0 +1,158 @@
+//! Endpoints that are cold bear little: each gateway sends its part of it, and what is left is told a time.
+//!
+//! The load: a data centre's endpoints come back together, cold, while callers press. The figures are those of
+//! endpoints that bear 10 requests a second for 3 s and fall over at 20.
+
+mod directenv;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use directenv::gateway::{
+    calls, good, hear_of, incoming, listed, new_core, refusal, serving, submit,
+};
+use directenv::{address, deployment, endpoint, ms, route};
+use stackmast::actor::Core;
+use stackmast::direct::cold::ColdEndpoints;
+use stackmast::direct::core::GatewayCore;
+use stackmast::direct::event::{CallFailure, Event, Refused};
+use stackmast::direct::published::documents::{Document, Revised};
+use stackmast::direct::published::model::{ColdStart, Endpoint, Repeat};
+use stackmast::direct::published::table::Table;
+use test_case::test_case;
+
+const BEARS: ColdStart = ColdStart { per_second: 10.0, lasts: Duration::from_secs(3) };
+
+fn table() -> Table {
+    Table::new(Arc::new(deployment(1, Vec::new())), [].into_iter())
+}
+
+fn cold(number: u16, cold_ms: u64) -> Arc<Endpoint> {
+    let (cold, incarnation) = (ms(cold_ms), 1 + cold_ms);
+    Arc::new(Endpoint { cold, incarnation, ..(*endpoint("engine", number)).clone() })
+}
+
+/// When gateways that press without pause, and learn of a cold endpoint within `spread_ms`, send to it.
+fn sent(gateways: u16, spread_ms: u64) -> Vec<Duration> {
+    let (table, endpoint) = (table(), cold(1, 3_000));
+    let mut sent = Vec::new();
+    for gateway in 1..=gateways {
+        let mut known = ColdEndpoints::new(address(gateway));
+        known.learn(&table, &[], ms(0));
+        let learns = 5_000 + u64::from(gateway) * spread_ms / u64::from(gateways);
+        known.learn(&table, std::slice::from_ref(&endpoint), ms(learns));
+        for at in learns..8_000 {
+            if known.opens(&endpoint, Some(BEARS), usize::from(gateways), ms(at)).is_none() {
+                known.sent(&endpoint, 1, ms(at));
+                sent.push(ms(at));
+            }
+        }
+    }
+    sent.sort_unstable();
+    sent
+}
+
+#[test_case(1)]
+#[test_case(3)]
+#[test_case(21)]
+#[test_case(103)]
+#[test_case(580)]
+fn any_number_of_gateways_that_press_send_about_what_is_borne(gateways: u16) {
+    for spread_ms in [0, 300, 1_000] {
+        let sent = sent(gateways, spread_ms);
+        let in_second = |from: &Duration| {
+            sent.iter().filter(|at| *at >= from && **at < *from + ms(1_000)).count()
+        };
+        let most = sent.iter().map(in_second).max().unwrap_or_default();
+        assert!(most <= 15, "{most} in a second of {gateways} gateways");
+        assert!(sent.len() >= 6, "{} in three seconds of {gateways} gateways", sent.len());
+    }
+}
+
+#[test]
+fn a_gateway_that_has_just_started_sends_nothing_to_what_is_cold() {
+    let (table, endpoint) = (table(), cold(1, 3_000));
+    let mut known = ColdEndpoints::new(address(1));
+    // The entry may come before the configuration.
+    known.learn(&Table::default(), std::slice::from_ref(&endpoint), ms(10));
+    known.learn(&table, &[], ms(20));
+    assert!(known.opens(&endpoint, Some(BEARS), 1, ms(1_500)).is_some());
+    assert!(known.opens(&endpoint, Some(BEARS), 1, ms(1_800)).is_none(), "once it has gathered");
+}
+
+/// A gateway of 21 whose engines are as given, long after its start.
+fn core(engines: &[Arc<Endpoint>]) -> GatewayCore {
+    let mut deployment = deployment(1, vec![route("r", Repeat::Idempotent, &[])]);
+    for pool in deployment.pools.iter_mut().filter(|p| &*p.name == "engine") {
+        pool.cold = Some(BEARS);
+    }
+    let mut core = new_core();
+    let document = Document::Deployment(Arc::new(deployment));
+    let documents = vec![Revised { revision: 1, document }];
+    core.handle(Event::Published { documents, whole_at: None }, ms(0));
+    let documents = listed(&[cold(1, 0), cold(2, 0)], 2);
+    core.handle(Event::Published { documents, whole_at: Some(2) }, ms(0));
+    hear_of(&mut core, (2..=21).map(serving).collect(), ms(9_900));
+    let documents = listed(engines, 3);
+    core.handle(Event::Published { documents, whole_at: None }, ms(10_000));
+    core
+}
+
+/// Where a request is sent, which is answered at once.
+fn sent_to(core: &mut GatewayCore, caller: u64, at: u64) -> Option<String> {
+    let actions = submit(core, caller, incoming("r", Vec::new()), ms(at));
+    let (attempt, order) = calls(&actions).into_iter().next()?;
+    let answered = Event::Answered { caller, attempt, proof: good(), is_open: false };
+    core.handle(answered, ms(at));
+    Some(order.endpoint.id.to_string())
+}
+
+#[test]
+fn what_must_wait_for_a_cold_endpoint_goes_to_another() {
+    let mut core = core(&[cold(1, 3_000)]);
+    let mut to_cold = 0;
+    for caller in 1..=100u64 {
+        let to = sent_to(&mut core, caller, 10_000 + caller * 20).expect("there is another");
+        to_cold += usize::from(to == "engine-1");
+    }
+    assert!(to_cold <= 1, "{to_cold} within 2 s: its turn comes every 3.5 s");
+    assert_eq!(sent_to(&mut core, 200, 13_001).as_deref(), Some("engine-1"), "warm, and nearer");
+}
+
+#[test]
+fn where_all_are_cold_the_rest_is_refused_at_once_with_a_time() {
+    let mut core = core(&[cold(1, 3_000), cold(2, 3_000)]);
+    let mut served = 0;
+    for caller in 1..=100u64 {
+        let actions =
+            submit(&mut core, caller, incoming("r", Vec::new()), ms(10_000 + caller * 20));
+        served += calls(&actions).len();
+        if let Some(refusal) = refusal(&actions) {
+            assert_eq!((refusal.reason, refusal.not_run), (Refused::AllCold, true));
+            assert!(refusal.retry_after >= ms(250) && refusal.retry_after <= ms(4_500));
+        }
+    }
+    assert!(served <= 2, "{served} of 100: a turn at each of two endpoints");
+}
+
+#[test]
+fn what_could_not_be_reached_is_taken_for_cold_when_it_is_back() {
+    let mut core = core(&[]);
+    let press = |core: &mut GatewayCore, first: u64, at: u64| {
+        let mut attempts = Vec::new();
+        for caller in first..first + 30 {
+            let actions = submit(core, caller, incoming("r", Vec::new()), ms(at));
+            let to_first = calls(&actions).into_iter().filter(|c| &*c.1.endpoint.id == "engine-1");
+            attempts.extend(to_first.map(|c| (caller, c.0)));
+        }
+        attempts
+    };
+    let attempts = press(&mut core, 1, 10_100);
+    assert!(attempts.len() > 5);
+    for (caller, attempt) in attempts {
+        let failure = CallFailure::NotSent;
+        core.handle(Event::CallFailed { caller, attempt, failure }, ms(10_200));
+    }
+    let again = press(&mut core, 100, 14_300).len();
+    assert!(again <= 1, "{again} requests at once to what may have just started");
+}
--- /dev/null
+++ b/tests/direct_evacuations.rs
@@ -0,0 +1,215 @@
+//! Orders to evacuate data centres: from any source in any order, in force at once, never forgotten.
+
+mod directenv;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use directenv::gateway::{
+    calls, configured, gossip, incoming, listed, new_core, publish, refusal, serving, submit,
+};
+use directenv::{address, deployment, endpoint, endpoints, ms, route};
+use proptest::prelude::*;
+use stackmast::actor::Core;
+use stackmast::direct::core::GatewayCore;
+use stackmast::direct::event::{Action, Event, Refused};
+use stackmast::direct::note::Note;
+use stackmast::direct::peers::message::PeerMessage;
+use stackmast::direct::published::evacuations::{Evacuation, Evacuations};
+use stackmast::direct::published::model::{Endpoint, Repeat};
+use test_case::test_case;
+
+fn change(data_centre: &str, revision: u64, stands: bool) -> Evacuation {
+    Evacuation { data_centre: data_centre.into(), revision, stands }
+}
+
+fn ordered(core: &mut GatewayCore, change: Evacuation, now: Duration) -> Vec<Action> {
+    core.handle(Event::Evacuations { changes: vec![change], whole_at: None }, now)
+}
+
+/// What a peer knows.
+fn told(core: &mut GatewayCore, known: &Evacuations, now: Duration) -> Vec<Action> {
+    let PeerMessage::Gossip { members, seen, complete, usage, late, .. } = gossip(vec![serving(2)])
+    else {
+        unreachable!("gossip is gossip");
+    };
+    let evacuations = known.clone();
+    let message = PeerMessage::Gossip { members, seen, complete, usage, late, evacuations };
+    core.handle(Event::Peer { from: address(2), message }, now)
+}
+
+/// The data centres that requests are sent to.
+fn reached(core: &mut GatewayCore, first: u64, now: Duration) -> Vec<String> {
+    let mut reached = Vec::new();
+    for caller in first..first + 8 {
+        let actions = submit(core, caller, incoming("r", Vec::new()), now);
+        reached.extend(calls(&actions).iter().map(|c| c.1.endpoint.data_centre.to_string()));
+    }
+    reached.sort_unstable();
+    reached.dedup();
+    reached
+}
+
+fn core() -> GatewayCore {
+    configured(vec![route("r", Repeat::Idempotent, &[])])
+}
+
+#[test]
+fn an_order_is_in_force_at_once_and_until_it_is_taken_back() {
+    let mut core = core();
+    assert_eq!(reached(&mut core, 1, ms(1)), ["hall-0", "hall-1"]);
+    let actions = ordered(&mut core, change("hall-0", 5, true), ms(2));
+    let noted = |a: &&Action| {
+        matches!(a, Action::Note(Note::Evacuation { stands: true, endpoints: 4, .. }))
+    };
+    assert_eq!(actions.iter().filter(noted).count(), 1, "on-call is told");
+    let spread = |a: &&Action| matches!(a, Action::Spread { message: PeerMessage::Gossip { evacuations, .. }, .. } if evacuations.standing().contains("hall-0"));
+    assert_eq!(actions.iter().filter(spread).count(), 1, "and the peers, at once");
+    assert_eq!(reached(&mut core, 10, ms(3)), ["hall-1"]);
+    ordered(&mut core, change("hall-0", 4, false), ms(4));
+    assert_eq!(reached(&mut core, 20, ms(5)), ["hall-1"], "older news change nothing");
+    ordered(&mut core, change("hall-0", 6, false), ms(6));
+    assert!(reached(&mut core, 30, ms(7)).contains(&"hall-0".to_owned()));
+}
+
+#[test]
+fn a_gateway_that_starts_learns_of_an_order_from_its_peers() {
+    let mut core = new_core();
+    let mut known = Evacuations::default();
+    known.change(&change("hall-0", 5, true));
+    told(&mut core, &known, ms(1));
+    publish(&mut core, deployment(1, vec![route("r", Repeat::Idempotent, &[])]), ms(2));
+    assert_eq!(reached(&mut core, 1, ms(3)), ["hall-1"]);
+    // It is entered anew, and the configuration changes: the order stands.
+    let entered = Arc::new(Endpoint { slots: 7, ..(*endpoint("engine", 2)).clone() });
+    core.handle(Event::Published { documents: listed(&[entered], 9), whole_at: None }, ms(4));
+    publish(&mut core, deployment(2, vec![route("r", Repeat::Idempotent, &[])]), ms(5));
+    assert_eq!(reached(&mut core, 10, ms(6)), ["hall-1"]);
+}
+
+#[test]
+fn a_peer_that_has_not_heard_of_its_end_does_not_bring_an_order_back() {
+    let mut core = core();
+    let mut known = Evacuations::default();
+    known.change(&change("hall-0", 5, true));
+    core.handle(Event::Evacuations { changes: Vec::new(), whole_at: Some(8) }, ms(1));
+    told(&mut core, &known, ms(2));
+    assert_eq!(reached(&mut core, 1, ms(3)), ["hall-0", "hall-1"], "at 8 it did not stand");
+    known.change(&change("hall-0", 9, true));
+    told(&mut core, &known, ms(4));
+    assert_eq!(reached(&mut core, 10, ms(5)), ["hall-1"], "but at 9 it does");
+}
+
+#[test_case(&["hall-0", "hall-1"], false; "two data centres, which have all endpoints")]
+#[test_case(&["hall-9"], true; "one that nobody knows")]
+#[test_case(&[""], true; "one without a name")]
+fn what_no_endpoint_takes_is_refused_at_once(evacuated: &[&str], is_served: bool) {
+    let mut core = core();
+    for (number, data_centre) in evacuated.iter().enumerate() {
+        ordered(&mut core, change(data_centre, 5 + number as u64, true), ms(1));
+    }
+    let actions = submit(&mut core, 1, incoming("r", Vec::new()), ms(2));
+    assert_eq!(!calls(&actions).is_empty(), is_served);
+    if !is_served {
+        let refusal = refusal(&actions).expect("refused");
+        assert_eq!((refusal.reason, refusal.not_run), (Refused::NoEndpoint, true));
+    }
+}
+
+#[test]
+fn stages_are_made_elsewhere_and_nothing_is_made_for_what_has_no_endpoint() {
+    let staged = route("s", Repeat::AtMostOnce, &[("first", &[], 10)]);
+    let mut core = configured(vec![staged]);
+    ordered(&mut core, change("hall-0", 5, true), ms(1));
+    let batches = |actions: &[Action]| -> Vec<String> {
+        let called = actions.iter().filter_map(|a| match a {
+            Action::Batch { endpoint, .. } => Some(endpoint.data_centre.to_string()),
+            _ => None,
+        });
+        called.collect()
+    };
+    let mut made = Vec::new();
+    for caller in 1..=6 {
+        made.extend(batches(&submit(&mut core, caller, incoming("s", vec![2]), ms(2))));
+    }
+    made.dedup();
+    assert_eq!(made, ["hall-1"]);
+    ordered(&mut core, change("hall-1", 6, true), ms(3));
+    let actions = submit(&mut core, 9, incoming("s", vec![2]), ms(4));
+    assert_eq!(refusal(&actions).expect("refused").reason, Refused::NoEndpoint);
+    assert!(batches(&actions).is_empty());
+}
+
+#[test]
+fn orders_for_any_number_of_places_are_kept_within_bounds() {
+    let mut known = Evacuations::default();
+    for number in 0..1_000 {
+        known.change(&change(&format!("place-{number}"), number + 1, number % 2 == 0));
+    }
+    assert!(known.standing().len() <= 64);
+    assert_eq!(endpoints().len(), 8);
+}
+
+/// What happens to three data centres, one revision each.
+fn history() -> impl Strategy<Value = Vec<(usize, bool)>> {
+    prop::collection::vec((0usize..3, any::<bool>()), 1..12)
+}
+
+proptest! {
+    // Processes hear some changes, read all at some revisions, and tell each other in any order: who has read
+    // all at the end has the truth, and it is the same for all that it was told to.
+    #[test]
+    fn accounts_merge_to_the_truth(
+        history in history(),
+        heard in prop::collection::vec((0usize..4, any::<prop::sample::Index>(), any::<bool>()), 0..40),
+        told in prop::collection::vec((0usize..4, 0usize..4), 0..40),
+    ) {
+        let name = |place: usize| format!("hall-{place}");
+        let standing_at = |revision: u64| {
+            let mut standing = std::collections::BTreeMap::new();
+            for (at, (place, stands)) in (1..).zip(&history).take_while(|(at, _)| *at <= revision) {
+                if *stands {
+                    standing.insert(name(*place), at);
+                } else {
+                    standing.remove(&name(*place));
+                }
+            }
+            standing
+        };
+        let read_at = |revision: u64| {
+            let standing = standing_at(revision);
+            let changes: Vec<_> = standing.iter().map(|(n, at)| change(n, *at, true)).collect();
+            Evacuations::read(&changes, revision)
+        };
+        let mut processes = vec![Evacuations::default(); 4];
+        let mut talk = told.iter().cycle();
+        for (process, index, whole) in heard {
+            let at = index.index(history.len());
+            if whole {
+                processes[process].merge(&read_at(at as u64 + 1));
+            } else {
+                let (place, stands) = history[at];
+                processes[process].change(&change(&name(place), at as u64 + 1, stands));
+            }
+            if let Some((from, to)) = talk.next() {
+                let from = processes[*from].clone();
+                processes[*to].merge(&from);
+            }
+        }
+        let last = history.len() as u64;
+        processes[0].merge(&read_at(last));
+        for to in 1..4 {
+            let from = processes[0].clone();
+            processes[to].merge(&from);
+        }
+        let truth: Vec<String> = standing_at(last).into_keys().collect();
+        for process in &processes {
+            let standing: Vec<String> = process.standing().iter().map(ToString::to_string).collect();
+            prop_assert_eq!(&standing, &truth);
+        }
+        let (mut forth, mut back) = (processes[1].clone(), processes[2].clone());
+        forth.merge(&processes[2]);
+        back.merge(&processes[1]);
+        prop_assert_eq!(forth, back);
+    }
+}
--- a/tests/direct_late.rs
+++ b/tests/direct_late.rs
@@ -12,6 +12,7 @@
 use stackmast::direct::note::Note;
 use stackmast::direct::peers::message::PeerMessage;
 use stackmast::direct::published::documents::Seen;
+use stackmast::direct::published::evacuations::Evacuations;
 use stackmast::direct::published::model::{Repeat, Route};
 use test_case::test_case;
 
@@ -102,8 +103,14 @@
         let members =
             vec![stackmast::direct::peers::members::Member { heartbeat, ..strong.clone() }];
         let seen = Seen::default();
-        let message =
-            PeerMessage::Gossip { members, seen, complete: true, usage: Vec::new(), late };
+        let message = PeerMessage::Gossip {
+            members,
+            seen,
+            complete: true,
+            usage: Vec::new(),
+            late,
+            evacuations: Evacuations::default(),
+        };
         Event::Peer { from: address(5), message }
     };
     core.handle(beat(2), ms(1_100));
--- a/tests/direct_links.rs
+++ b/tests/direct_links.rs
@@ -18,6 +18,7 @@
 use stackmast::direct::peers::members::{Member, MemberState};
 use stackmast::direct::peers::message::PeerMessage;
 use stackmast::direct::published::documents::Seen;
+use stackmast::direct::published::evacuations::Evacuations;
 use test_case::test_case;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -27,8 +28,14 @@
     let state = MemberState::Serving;
     let member = Member { address: from, incarnation: 1, heartbeat, state, capacity: 1_000 };
     let (members, seen) = (vec![member], Seen::default());
-    let message =
-        PeerMessage::Gossip { members, seen, complete: false, usage: Vec::new(), late: ms(0) };
+    let message = PeerMessage::Gossip {
+        members,
+        seen,
+        complete: false,
+        usage: Vec::new(),
+        late: ms(0),
+        evacuations: Evacuations::default(),
+    };
     Event::Peer { from, message }
 }
 
--- a/tests/direct_pulls.rs
+++ b/tests/direct_pulls.rs
@@ -13,6 +13,7 @@
 use stackmast::direct::peers::message::PeerMessage;
 use stackmast::direct::peers::pulls::Progress;
 use stackmast::direct::published::documents::{Document, Revised, Seen};
+use stackmast::direct::published::evacuations::Evacuations;
 use stackmast::direct::published::model::Repeat;
 use stackmast::direct::published::table::Table;
 use stackmast::direct::repeats::Bounds;
@@ -50,8 +51,14 @@
         capacity: if port == 4 { 500 } else { 90 },
     };
     let members = vec![member];
-    let message =
-        PeerMessage::Gossip { members, seen, complete: true, usage: Vec::new(), late: ms(0) };
+    let message = PeerMessage::Gossip {
+        members,
+        seen,
+        complete: true,
+        usage: Vec::new(),
+        late: ms(0),
+        evacuations: Evacuations::default(),
+    };
     Event::Peer { from: address(port), message }
 }
 
--- a/tests/direct_requests.rs
+++ b/tests/direct_requests.rs
@@ -17,6 +17,7 @@
 use stackmast::direct::peers::members::MemberState;
 use stackmast::direct::peers::message::{JobId, Made, PeerMessage};
 use stackmast::direct::published::documents::{Document, Revised, Seen};
+use stackmast::direct::published::evacuations::Evacuations;
 use stackmast::direct::published::model::{Repeat, Route};
 use test_case::test_case;
 
@@ -365,8 +366,14 @@
     (restarted.incarnation, restarted.state) = (6, MemberState::Starting);
     let seen = Seen::default();
     let members = vec![restarted];
-    let message =
-        PeerMessage::Gossip { members, seen, complete: false, usage: Vec::new(), late: ms(0) };
+    let message = PeerMessage::Gossip {
+        members,
+        seen,
+        complete: false,
+        usage: Vec::new(),
+        late: ms(0),
+        evacuations: Evacuations::default(),
+    };
     let actions = core.handle(Event::Peer { from: owner, message }, ms(400));
     assert_eq!(pieces_sent(&actions), [(1, 1)]);
 }
--- a/tests/direct_scheduler.rs
+++ b/tests/direct_scheduler.rs
@@ -355,7 +355,7 @@
     assert_eq!(asked(&actions).len(), 6, "all endpoints that work in batches");
     scheduler.submit(job(2, &route, 2), &table, ms(1));
     assert!(asked(&scheduler.actions(&table, ms(1))).is_empty(), "once");
-    let full = BatchReport { free_bytes: 0, waiting: 0 };
+    let full = BatchReport { free_bytes: 0, waiting: 0, incarnation: 0 };
     for endpoint in ["first-1", "first-2"] {
         scheduler.reported(&endpoint.into(), full, &table, ms(5));
     }
@@ -366,7 +366,7 @@
         })
     };
     assert!(refused(&scheduler.actions(&table, ms(6))), "what others hold is not there");
-    let free = BatchReport { free_bytes: 900, waiting: 0 };
+    let free = BatchReport { free_bytes: 900, waiting: 0, incarnation: 0 };
     for endpoint in ["first-1", "first-2"] {
         scheduler.reported(&endpoint.into(), free, &table, ms(50));
     }
--- a/tests/directenv/fakes.rs
+++ b/tests/directenv/fakes.rs
@@ -19,7 +19,7 @@
             return;
         }
         let free_bytes = self.rng.random_range(0..=1_000);
-        let report = BatchReport { free_bytes, waiting: 0 };
+        let report = BatchReport { free_bytes, waiting: 0, incarnation: 0 };
         let event = Event::Reported { endpoint: endpoint.id.clone(), report };
         let at = self.now + self.time_in(ms(1), ms(8));
         self.at(at, Happening::Event(number, self.lives[number], Box::new(event)));
--- a/tests/directenv/gateway.rs
+++ b/tests/directenv/gateway.rs
@@ -9,6 +9,7 @@
 use stackmast::direct::peers::members::{Member, MemberState};
 use stackmast::direct::peers::message::PeerMessage;
 use stackmast::direct::published::documents::{Document, Revised, Seen};
+use stackmast::direct::published::evacuations::Evacuations;
 use stackmast::direct::published::model::{Deployment, Endpoint, Route};
 use stackmast::direct::repeats::Bounds;
 
@@ -116,7 +117,14 @@
 
 pub fn gossip(members: Vec<Member>) -> PeerMessage {
     let seen = Seen::default();
-    PeerMessage::Gossip { members, seen, complete: true, usage: Vec::new(), late: ms(0) }
+    PeerMessage::Gossip {
+        members,
+        seen,
+        complete: true,
+        usage: Vec::new(),
+        late: ms(0),
+        evacuations: Evacuations::default(),
+    }
 }
 
 /// Gossip of the first of some members.
--- a/tests/directenv/mod.rs
+++ b/tests/directenv/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod fakes;
 pub mod gateway;
+pub mod orders;
 pub mod recount;
 pub mod stops;
 pub mod world;
@@ -13,6 +14,7 @@
 
 use stackmast::config::Selector;
 use stackmast::direct::peers::message::{Job, JobId, JobStage};
+use stackmast::direct::published::homes::Homes;
 use stackmast::direct::published::model::{
     BatchSpec, CallerLimits, Deployment, Endpoint, EngineSpec, Name, Organisation, Pool, Repeat,
     Route, StageSpec, Target, Work,
@@ -32,7 +34,7 @@
 
 fn pool(name: &str, work: Work) -> Pool {
     let endpoints = Selector::parse(&format!("service={name}")).expect("a selector");
-    Pool { name: name.into(), endpoints, max_connections: 100, work }
+    Pool { name: name.into(), endpoints, max_connections: 100, cold: None, work }
 }
 
 pub fn batch(pieces: usize, room_bytes: u64) -> Work {
@@ -45,7 +47,17 @@
     let labels = [("service".to_owned(), service.to_owned())].into_iter().collect();
     let data_centre = format!("hall-{}", number % 2).into();
     let address = address(9_000 + number);
-    Arc::new(Endpoint { id, address, data_centre, labels, slots: 4, leaving: false })
+    let (incarnation, cold) = (0, Duration::ZERO);
+    Arc::new(Endpoint {
+        id,
+        incarnation,
+        address,
+        data_centre,
+        labels,
+        slots: 4,
+        leaving: false,
+        cold,
+    })
 }
 
 /// A route over the pool "engine"; `stages` as (pool, after, bytes).
@@ -71,6 +83,7 @@
             })
             .collect(),
         public: false,
+        homes: Vec::new(),
     }
 }
 
@@ -89,6 +102,7 @@
             name: "org".into(),
             keys: vec!["key".into()],
             priority: None,
+            homes: Vec::new(),
         }],
         limits: CallerLimits::default(),
     }
@@ -129,6 +143,7 @@
         after: ms(100),
         priority: 0,
         data_centre: "hall-1".into(),
+        homes: Homes::default(),
         resubmitted: false,
     }
 }
