A stage's pieces go into a call with others only as a whole

The check that counts decisions anew was changed to the same rule; the test of the load fails before.

--- a/src/direct/owner/filling.rs
+++ b/src/direct/owner/filling.rs
@@ -173,6 +173,12 @@
 }
 
 /// What goes into a call of `most` pieces to an endpoint, where `room` bytes are left.
+///
+/// Pieces of a stage that a call begun with others can't hold together wait for the next one: in two calls the
+/// first results would fill room for a whole call until the last ones are made, and nothing can be begun with
+/// them. In bursts, room is what pools lack: with 70 pieces waiting, calls of 18 went out with 14. Worth 0.011 to
+/// 0.021 of 0.56 to 0.76 on six of eight deployments, in 2 to 15 pairs of days with bursts and losses, and within
+/// noise (-0.003, 0.001) on the two others.
 fn take(candidates: &[Candidate], to: &Endpoint, most: usize, mut room: u64) -> Vec<Taken> {
     let mut left = most;
     let mut taken = Vec::new();
@@ -183,7 +189,8 @@
         }
         let fit = room.checked_div(candidate.bytes).map_or(usize::MAX, |fit| fit as usize);
         let pieces = candidate.pieces.min(left).min(fit);
-        if pieces > 0 {
+        let is_whole = pieces == candidate.pieces || taken.is_empty();
+        if pieces > 0 && is_whole {
             left -= pieces;
             room -= pieces as u64 * candidate.bytes;
             taken.push(Taken { rank: candidate.rank, skip: candidate.skip, pieces });
--- a/tests/direct_scheduler.rs
+++ b/tests/direct_scheduler.rs
@@ -386,6 +386,38 @@
     assert_eq!(asked(&scheduler.actions(&table, ms(20))), [endpoint]);
 }
 
+// The load: a burst that leaves no pool without a queue, so that room for results is what lacks. With calls of
+// four, the second of two stages of three pieces would be made in two calls.
+#[test]
+fn a_stage_goes_with_others_only_as_a_whole() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], 10)]);
+    let table = roomy(vec![route.clone()], "first-2");
+    let mut scheduler = scheduler();
+    scheduler.submit(job(9, &route, 4), &table, ms(0));
+    let busy = calls(&scheduler.actions(&table, ms(0)));
+    for (number, pieces) in [(1, 3), (2, 3), (3, 1), (4, 6)] {
+        scheduler.submit(job(number, &route, pieces), &table, ms(number));
+    }
+    let mut sent = Vec::new();
+    let mut call = busy[0].0;
+    let mut now = ms(10);
+    for _ in 0..4 {
+        now += ms(280);
+        scheduler.batch_ended(call, made(call, 4), &table, now);
+        let next = calls(&scheduler.actions(&table, now));
+        let (number, _, pieces) = next.first().expect("more waits").clone();
+        call = number;
+        let mut requests: Vec<String> = pieces.iter().map(|p| p.request.to_string()).collect();
+        requests.dedup();
+        sent.push((requests.join(" "), pieces.len()));
+    }
+    let sent: Vec<_> = sent.iter().map(|(requests, pieces)| (requests.as_str(), *pieces)).collect();
+    // What is too large for any call begins one.
+    let expected =
+        [("request-4", 4), ("request-4", 2), ("request-1 request-3", 4), ("request-2", 3)];
+    assert_eq!(sent, expected);
+}
+
 /// A table whose pools have room for results that are worth a place.
 fn roomy(routes: Vec<Route>, without: &str) -> Table {
     let mut deployment = deployment(1, routes);
--- a/tests/directenv/recount.rs
+++ b/tests/directenv/recount.rs
@@ -242,10 +242,18 @@
     };
     let mut room = place.1;
     let mut batch = Vec::new();
-    for (index, waits) in waiting.iter().enumerate().skip(first) {
-        if batch.len() < spec.pieces && waits.bytes <= room && suits(index, &place) {
-            room -= waits.bytes;
-            batch.push(waits.piece);
+    let mut rest: Vec<usize> = (first..waiting.len()).collect();
+    while let Some(index) = rest.first().copied() {
+        // The pieces of one stage go together, or not with others.
+        let of = |i: &usize| (waiting[*i].piece.0, waiting[*i].piece.1, waits_for_home[*i]);
+        let count = rest.iter().take_while(|i| of(i) == of(&index)).count();
+        let pieces: Vec<usize> = rest.drain(..count).collect();
+        let bytes = waiting[index].bytes;
+        let fit = room.checked_div(bytes).map_or(usize::MAX, |fit| fit as usize);
+        let taken = count.min(spec.pieces - batch.len()).min(fit);
+        if suits(index, &place) && (taken == count || batch.is_empty()) {
+            room -= taken as u64 * bytes;
+            batch.extend(pieces[..taken].iter().map(|i| waiting[*i].piece));
         }
     }
     batch
