--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -15,15 +15,15 @@
 use crate::direct::note::{Note, ms};
 use crate::direct::owner::owners::Owners;
 use crate::direct::peers::members::{HEARTBEAT, MemberState, Members};
-use crate::direct::peers::message::{Job, PeerMessage};
+use crate::direct::peers::message::PeerMessage;
 use crate::direct::peers::pulls::Pulls;
 use crate::direct::published::documents::Documents;
 use crate::direct::published::evacuations::Evacuations;
+use crate::direct::published::model::Name;
 use crate::direct::published::table::Table;
 use crate::direct::repeats::Bounds;
 use crate::direct::requests::Requests;
 use crate::direct::requests::early::Waiting;
-use crate::direct::requests::stages::GivenUp;
 use crate::direct::requests::stopping::Stopping;
 use crate::direct::stop::{self, Stop};
 use crate::message::Timestamp;
@@ -38,7 +38,7 @@
     /// The processor time that its host has, in thousandths of a core.
     pub capacity: u32,
     /// Where it stands.
-    pub data_centre: crate::direct::published::model::Name,
+    pub data_centre: Name,
     /// Where it may meet others.
     pub seeds: Vec<SocketAddr>,
     /// The budget of repeats.
@@ -62,7 +62,7 @@
     pub(super) owners: Owners,
     pub(super) pulls: Pulls,
     early: Waiting,
-    lateness: Lateness,
+    pub(super) lateness: Lateness,
     /// How long the event that is handled has waited.
     waited: Duration,
     /// When the first whole configuration came.
@@ -254,100 +254,6 @@
         });
     }
 
-    /// Whether this gateway ends a job that another one or itself submits: what it has, it ends; new
-    /// ones only where they are made before the process ends.
-    fn takes_job(&self, job: &Job, from: SocketAddr, now: Timestamp) -> bool {
-        if self.owners.has(&job.id) {
-            return true;
-        }
-        let is_own = from == self.members.own().address;
-        let can_end = || self.requests.stages_can_end(&job.route, job.to_deadline, now);
-        self.documents.is_complete() && (is_own || self.requests.is_open(now) && can_end())
-    }
-
-    fn on_peer(&mut self, from: SocketAddr, message: PeerMessage, now: Timestamp) {
-        match message {
-            PeerMessage::Gossip { members, seen, complete, usage, late, evacuations } => {
-                self.evacuations_told(from, &evacuations, now);
-                self.owners.told_usage(from, usage, &self.table);
-                self.requests.told_lateness(from, late, now);
-                let heard = self.members.hear(&members, now);
-                for member in heard.ended {
-                    self.peer_lost(member.address, member.incarnation, "restarted", now);
-                }
-                // Who starts learns at once who is there, not with the next heartbeat.
-                let newly_heard = heard.alive.iter().any(|m| m.address == from);
-                for member in heard.alive {
-                    self.note(Note::Peer {
-                        address: member.address,
-                        incarnation: member.incarnation,
-                        alive: true,
-                        cause: "heard",
-                    });
-                }
-                if newly_heard {
-                    let message = self.gossip(now);
-                    self.tell(from, message);
-                }
-                self.pulls.told(from, seen, complete, self.own(), now);
-            }
-            PeerMessage::Pull { seen, configuration, number } => {
-                self.on_pull(from, seen, configuration.then_some(number));
-            }
-            PeerMessage::Configuration { revision, deployment, .. } => {
-                self.on_configuration(from, revision, deployment, now);
-            }
-            PeerMessage::NoConfiguration => self.pull_failed(from, 0, "refused", now),
-            PeerMessage::Documents { documents, complete, seen } => {
-                self.on_documents(from, documents, complete.then_some(seen), now);
-            }
-            PeerMessage::Submit(job) if self.takes_job(&job, from, now) => {
-                self.owners.submit(*job, &self.table, now);
-            }
-            PeerMessage::Submit(job) => {
-                let message = PeerMessage::GivenUp {
-                    job: job.id,
-                    reason: crate::direct::peers::message::JobReason::NotOwner,
-                    untouched: true,
-                    retry_after: Duration::ZERO,
-                };
-                self.tell(from, message);
-            }
-            PeerMessage::Release(job) => self.owners.release(job, &self.table),
-            PeerMessage::Accepted(job) => self.requests.accepted(job, from),
-            PeerMessage::StageDone { job, stage, results } => {
-                self.requests.stage_done(job, from, stage, results);
-            }
-            PeerMessage::Ready(job) => self.requests.ready(job, from, &self.table, now),
-            PeerMessage::GivenUp { job, reason, untouched, retry_after } => {
-                let given_up = GivenUp { reason, untouched, retry_after };
-                self.requests.given_up(job, from, given_up, &self.table, now);
-            }
-        }
-    }
-
-    fn on_unreachable(&mut self, address: SocketAddr, now: Timestamp) {
-        if let Some(incarnation) = self.members.life(address)
-            && self.members.broke(address, incarnation, now)
-        {
-            self.peer_lost(address, incarnation, "unreachable", now);
-        }
-    }
-
-    fn peer_lost(
-        &mut self,
-        address: SocketAddr,
-        incarnation: u64,
-        cause: &'static str,
-        now: Timestamp,
-    ) {
-        self.note(Note::Peer { address, incarnation, alive: false, cause });
-        self.pulls.lost(address);
-        self.owners.release_all_of(address, incarnation, &self.table);
-        self.owners.owner_lost(address, now);
-        self.requests.owner_lost(address, incarnation);
-    }
-
     pub(super) fn tell(&mut self, to: SocketAddr, message: PeerMessage) {
         self.out.push(Action::Tell { to, message });
     }
@@ -408,31 +314,6 @@
         }
     }
 
-    fn gossip(&self, now: Timestamp) -> PeerMessage {
-        PeerMessage::Gossip {
-            members: self.members.digest(),
-            seen: self.documents.seen(),
-            complete: self.documents.is_complete(),
-            usage: self.owners.usage(),
-            late: self.lateness.now(now),
-            evacuations: self.evacuations.clone(),
-        }
-    }
-
-    fn beat(&mut self, now: Timestamp) {
-        let to = self.members.beat(&mut self.rng);
-        let message = self.gossip(now);
-        self.out.push(Action::Spread { to, message });
-    }
-
-    /// A peer's connection broke. If it is gone, it can't be reached; if it lives, what was on the
-    /// way may be lost: its owner is told again what it has of this gateway.
-    fn probe(&mut self, address: SocketAddr, now: Timestamp) {
-        let message = self.gossip(now);
-        self.tell(address, message);
-        self.requests.submit_again(address);
-    }
-
     /// Carries messages to the own scheduler or requests without the network.
     fn collect(&mut self, now: Timestamp) -> Vec<Action> {
         let own = self.members.own().address;
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -4,11 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::direct::note::Note;
 use crate::direct::peers::message::{Handle, PeerMessage};
 use crate::direct::peers::pulls::Progress;
 use crate::direct::published::documents::Revised;
 use crate::direct::published::evacuations::Evacuation;
-use crate::direct::published::model::{Endpoint, Name};
+use crate::direct::published::model::{CallerLimits, Endpoint, Name};
 use crate::message::Timestamp;
 
 /// What a caller asks, as far as decisions depend on it.
@@ -476,7 +477,7 @@
     /// Whether the process calls itself ready.
     Ready(bool),
     /// What callers may send.
-    Limits(crate::direct::published::model::CallerLimits),
+    Limits(CallerLimits),
     /// Write a line.
-    Note(crate::direct::note::Note),
+    Note(Note),
 }
--- a/src/direct/requests/choice.rs
+++ b/src/direct/requests/choice.rs
@@ -4,10 +4,9 @@
 use std::time::Duration;
 
 use crate::direct::event::Refused;
-use crate::direct::published::documents::Merged;
-use crate::direct::published::model::{ColdStart, Endpoint, Name};
+use crate::direct::published::model::{Endpoint, Name};
 use crate::direct::published::table::Table;
-use crate::direct::requests::request::{Phase, Request};
+use crate::direct::requests::request::Request;
 use crate::direct::requests::{RETRY_SOON, Requests};
 use crate::message::Timestamp;
 use crate::policy::place::place;
@@ -88,56 +87,4 @@
         let bound = table.pool(pool).map_or(u32::MAX, |p| p.max_connections) as usize;
         (bound / self.processes.max(1)).max(1)
     }
-
-    /// Endpoints changed, whose entries are `entered` now, or the whole configuration.
-    pub fn changed(
-        &mut self,
-        table: &Table,
-        merged: &Merged,
-        entered: &[Arc<Endpoint>],
-        now: Timestamp,
-    ) {
-        self.cold.learn(table, entered, now);
-        self.observations.retain(|id| table.endpoint(id).is_some());
-        if merged.deployment.is_some() {
-            self.experience.retain(table.deployment.routes.iter().map(|r| &r.name));
-            self.fetches.retain(|pool| table.pool(pool).is_some());
-        }
-        self.endpoints_restarted(&merged.restarted, table, now);
-    }
-
-    /// Endpoints are in another life: what they had not answered may have run, and never will be answered.
-    /// A stream that is being passed on ends with its connection, behind what came over it.
-    fn endpoints_restarted(&mut self, restarted: &[Name], table: &Table, now: Timestamp) {
-        if restarted.is_empty() {
-            return;
-        }
-        let is_lost = |request: &Request| {
-            let endpoint = request.attempt.as_ref().map(|attempt| &attempt.endpoint);
-            let now_there = endpoint.and_then(|e| Some((e, table.endpoint(&e.id)?)));
-            request.phase == Phase::Running
-                && now_there.is_some_and(|(then, now)| then.incarnation != now.incarnation)
-        };
-        let lost = self.requests.iter().filter(|(_, request)| is_lost(request));
-        let mut lost: Vec<u64> = lost.map(|(caller, _)| *caller).collect();
-        lost.sort_unstable();
-        for caller in lost {
-            self.may_have_run(caller, "endpoint restarted", table, now);
-        }
-    }
-
-    /// An endpoint of a request's pool can't be reached: if it is back, it is in another life and cold.
-    pub(super) fn may_have_restarted(
-        &mut self,
-        caller: u64,
-        endpoint: &Endpoint,
-        table: &Table,
-        now: Timestamp,
-    ) {
-        let pool = self.requests.get(&caller).and_then(|request| table.pool(&request.pool));
-        let bears: Option<ColdStart> = pool.and_then(|pool| pool.cold);
-        if let Some(bears) = bears {
-            self.cold.unreachable(endpoint, bears, now);
-        }
-    }
 }
