--- a/src/direct/following.rs
+++ b/src/direct/following.rs
@@ -216,6 +216,10 @@
             Some(at) => evacuations.merge(&Evacuations::read(changes, at)),
             None => changes.iter().for_each(|change| evacuations.change(change)),
         }
+        for change in changes.iter().filter(|change| evacuations.left_out(change)) {
+            let key = change.data_centre.to_string();
+            self.note(Note::Unreadable { key, cause: "too many orders to evacuate".to_owned() });
+        }
         if self.evacuations_merged(evacuations, "publisher", now) {
             self.next_beat = Timestamp::ZERO;
         }
--- a/src/direct/published/evacuations.rs
+++ b/src/direct/published/evacuations.rs
@@ -55,6 +55,11 @@
         standing.map(|(data_centre, _)| data_centre.clone()).collect()
     }
 
+    /// Whether an order that stands was not taken, since there are too many.
+    pub fn left_out(&self, change: &Evacuation) -> bool {
+        change.stands && self.orders.len() >= MOST && !self.orders.contains_key(&change.data_centre)
+    }
+
     /// Takes in a change; one that is older than what is known changes nothing.
     pub fn change(&mut self, change: &Evacuation) {
         if change.revision > self.known_at(&change.data_centre) {
--- a/tests/direct_evacuations.rs
+++ b/tests/direct_evacuations.rs
@@ -8,7 +8,7 @@
 use directenv::gateway::{
     calls, configured, gossip, incoming, listed, new_core, publish, refusal, serving, submit,
 };
-use directenv::{address, deployment, endpoint, endpoints, ms, route};
+use directenv::{address, deployment, endpoint, ms, route};
 use proptest::prelude::*;
 use stackmast::actor::Core;
 use stackmast::direct::core::GatewayCore;
@@ -147,7 +147,15 @@
         known.change(&change(&format!("place-{number}"), number + 1, number % 2 == 0));
     }
     assert!(known.standing().len() <= 64);
-    assert_eq!(endpoints().len(), 8);
+    let mut core = core();
+    let mut told = 0;
+    for number in 0..100 {
+        let actions =
+            ordered(&mut core, change(&format!("place-{number}"), number + 5, true), ms(1));
+        told +=
+            actions.iter().filter(|a| matches!(a, Action::Note(Note::Unreadable { .. }))).count();
+    }
+    assert_eq!(told, 36, "each that is not taken leaves a line");
 }
 
 /// What happens to three data centres, one revision each.
