What was seen of an endpoint that could not be reached outlives an entry that lapsed; returning data centres are filled by degrees

Now an entry that lapsed tells nothing, a suspicion ends with time or another life alone, and for cold_s after an order is taken back the data centre's endpoints get a cold one's part.

--- a/src/direct/cold.rs
+++ b/src/direct/cold.rs
@@ -11,7 +11,7 @@
 //! and where all endpoints are cold most gateways have nothing to send to); chance alone, for each request (a
 //! burst passes it on).
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -42,6 +42,9 @@
 #[derive(Debug, Clone)]
 struct Cold {
     incarnation: u64,
+    /// Whether nothing but a failed connection says so: then its entry tells nothing to the contrary, which may
+    /// have been written before.
+    is_suspected: bool,
     until: Timestamp,
     /// The next request is sent so many turns, ...
     turns: f64,
@@ -96,30 +99,47 @@
 
     /// An endpoint told how much longer it is cold.
     pub fn told(&mut self, endpoint: &Endpoint, left: Duration, now: Timestamp) {
-        if left.is_zero() {
+        if !left.is_zero() {
+            return self.until(endpoint, false, now + left.min(LONGEST), now);
+        }
+        let known = self.endpoints.get(&endpoint.id);
+        if known.is_some_and(|c| !c.is_suspected || c.incarnation != endpoint.incarnation) {
             self.endpoints.remove(&endpoint.id);
-        } else {
-            self.until(endpoint, now + left.min(LONGEST), now);
         }
     }
 
     /// An endpoint can't be reached: if it is back, it has probably started anew.
     pub fn unreachable(&mut self, endpoint: &Endpoint, bears: ColdStart, now: Timestamp) {
-        self.until(endpoint, now + TRIED_AGAIN + bears.lasts, now);
+        self.until(endpoint, true, now + TRIED_AGAIN + bears.lasts, now);
+    }
+
+    /// Data centres get work again: their endpoints, which may have started meanwhile without anybody's calling
+    /// them, are filled by degrees.
+    pub fn return_of(&mut self, data_centres: &BTreeSet<Name>, table: &Table, now: Timestamp) {
+        for pool in &table.deployment.pools {
+            let Some(bears) = pool.cold else {
+                continue;
+            };
+            let returned = table.members(&pool.name).iter();
+            for endpoint in returned.filter(|e| data_centres.contains(&e.data_centre)) {
+                self.until(endpoint, true, now + bears.lasts, now);
+            }
+        }
     }
 
-    fn until(&mut self, endpoint: &Endpoint, until: Timestamp, now: Timestamp) {
+    fn until(&mut self, endpoint: &Endpoint, is_suspected: bool, until: Timestamp, now: Timestamp) {
         let incarnation = endpoint.incarnation;
         if let Some(cold) = self.endpoints.get_mut(&endpoint.id)
             && cold.incarnation == incarnation
             && cold.until > now
         {
             cold.until = until;
+            cold.is_suspected = is_suspected;
             return;
         }
         let drawn = xxh3_64_with_seed(endpoint.id.as_bytes(), self.seed ^ incarnation);
         let turns = drawn as f64 / u64::MAX as f64;
-        let cold = Cold { incarnation, until, turns, since: now };
+        let cold = Cold { incarnation, is_suspected, until, turns, since: now };
         self.endpoints.insert(endpoint.id.clone(), cold);
     }
 
--- a/src/direct/following.rs
+++ b/src/direct/following.rs
@@ -1,6 +1,7 @@
 //! How a gateway follows what is published: it merges what comes from the publisher's store and from
 //! peers, asks peers for what it lacks, and gives them what they ask for.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::sync::Arc;
@@ -13,7 +14,7 @@
 use crate::direct::peers::pulls::Own;
 use crate::direct::published::documents::{Document, Merged, Revised, Seen};
 use crate::direct::published::evacuations::{Evacuation, Evacuations};
-use crate::direct::published::model::{Deployment, Endpoint};
+use crate::direct::published::model::{Deployment, Endpoint, Name};
 use crate::message::Timestamp;
 
 /// A watch of the publisher's store waits for so long where few gateways watch: what one over a silent
@@ -191,7 +192,9 @@
             let incarnation = self.documents.endpoint(id).map_or(0, |e| e.incarnation);
             self.note(Note::Restarted { endpoint: id.clone(), incarnation });
         }
-        let entered = merged.endpoints.iter().filter_map(|id| self.documents.endpoint(id));
+        // An entry that lapsed tells nothing new.
+        let entered = merged.endpoints.iter().filter(|id| self.documents.is_listed(id));
+        let entered = entered.filter_map(|id| self.documents.endpoint(id));
         let entered: Vec<Arc<Endpoint>> = entered.cloned().collect();
         for endpoint in entered.iter().filter(|e| !e.cold.is_zero()) {
             let cold_ms = ms(endpoint.cold);
@@ -256,9 +259,12 @@
                 source: source.to_owned(),
             });
         }
+        let returned: BTreeSet<Name> = &before - &standing;
         self.table.evacuate(standing, self.documents.endpoints());
         self.requests.changed(&self.table, &Merged::default(), &[], now);
         self.owners.changed(&self.table, &Merged::default(), &[], now);
+        self.requests.return_of(&returned, &self.table, now);
+        self.owners.return_of(&returned, &self.table, now);
         true
     }
 
--- a/src/direct/owner/owners.rs
+++ b/src/direct/owner/owners.rs
@@ -1,6 +1,6 @@
 //! The cells that this gateway owns, or did until their jobs are over.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -165,6 +165,12 @@
         });
     }
 
+    /// Data centres get work again after an order was taken back.
+    pub fn return_of(&mut self, data_centres: &BTreeSet<Name>, table: &Table, now: Timestamp) {
+        self.cold.return_of(data_centres, table, now);
+        self.each(|owner| owner.cold.return_of(data_centres, table, now));
+    }
+
     /// Looks at what is due.
     pub fn look(&mut self, table: &Table, now: Timestamp) {
         self.each(|owner| owner.look(table, now));
--- a/src/direct/published/documents.rs
+++ b/src/direct/published/documents.rs
@@ -154,6 +154,11 @@
         self.endpoints.get(id).and_then(Entry::in_use)
     }
 
+    /// Whether an endpoint's entry is there.
+    pub fn is_listed(&self, id: &str) -> bool {
+        self.endpoints.get(id).is_some_and(|entry| entry.endpoint.is_some())
+    }
+
     /// Where an endpoint's entry stands.
     pub fn state(&self, id: &str) -> EntryState {
         let entry = self.endpoints.get(id);
--- a/src/direct/requests/changes.rs
+++ b/src/direct/requests/changes.rs
@@ -1,5 +1,6 @@
 //! What changed endpoints mean for the requests of one gateway: what is forgotten, and what may have run.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use crate::direct::published::documents::Merged;
@@ -27,6 +28,11 @@
         self.endpoints_restarted(&merged.restarted, table, now);
     }
 
+    /// Data centres get work again after an order was taken back.
+    pub fn return_of(&mut self, data_centres: &BTreeSet<Name>, table: &Table, now: Timestamp) {
+        self.cold.return_of(data_centres, table, now);
+    }
+
     /// Endpoints are in another life: what they had not answered may have run, and never will be answered.
     /// A stream that is being passed on ends with its connection, behind what came over it.
     fn endpoints_restarted(&mut self, restarted: &[Name], table: &Table, now: Timestamp) {
