--- a/src/direct/owner/mod.rs
+++ b/src/direct/owner/mod.rs
@@ -3,10 +3,10 @@
 //! `core` hands in what gateways tell and what endpoints answer; it knows no callers and no members.
 //!
 //! `scheduler` holds jobs and calls, `admission` decides whether a job is begun, `filling` sends pieces,
-//! `outcomes` takes results in, `restarts` forgets what endpoints lost. What they decide by is kept, not counted: `ledger` has a page for each
-//! pool (`queue` what waits, `bookings` the room over time, `free` the endpoints), into which each job
-//! enters what `entry` and `plan` make of it, anew whenever it changes. A job costs what its own stages
-//! cost, and the logarithm of what is held.
+//! `outcomes` takes results in, `restarts` forgets what endpoints lost. What they decide by is kept, not
+//! counted: `ledger` has a page for each pool (`queue` what waits, `bookings` the room over time, `free` the
+//! endpoints), into which each job enters what `entry` and `plan` make of it, anew whenever it changes. A job
+//! costs what its own stages cost, and the logarithm of what is held.
 
 mod admission;
 mod bookings;
--- a/src/direct/requests/mod.rs
+++ b/src/direct/requests/mod.rs
@@ -4,10 +4,9 @@
 //! repeat out of the shared budget.
 //!
 //! `core` hands in what callers, endpoints and owners do; `stages` follows the stages at their owner,
-//! `attempts` the calls, `choice` where they go, `changes`
-//! what changed endpoints mean for them, `stopping` what can still end in a process that stops, `patience`
-//! what a process does that is short of time, `early` what comes
-//! before the first configuration. Which endpoint is chosen is `policy::place`'s.
+//! `attempts` the calls, `choice` where they go, `changes` what changed endpoints mean for them, `stopping` what
+//! can still end in a process that stops, `patience` what a process does that is short of time, `early` what
+//! comes before the first configuration. Which endpoint is chosen is `policy::place`'s.
 
 mod attempts;
 mod changes;
