A peer that knows less brings no endpoint back that a later whole list lacked

Cause: a whole list takes away what is listed and older; what it lacked and was not known yet was left open, so entries that a cut-off peer still told came in afterwards, with revisions below the list's. Ruled out: doubting all endpoints until the own read (tried, the own read had come).

--- a/src/direct/published/documents.rs
+++ b/src/direct/published/documents.rs
@@ -131,6 +131,9 @@
     seen: Seen,
     /// Whether the list of endpoints was ever read as a whole.
     listed: bool,
+    /// At which revision the publisher last gave the whole list: what it lacked then is not brought back by peers
+    /// who know less.
+    read_at: u64,
     absence: Absence,
     /// No entry lapses earlier; `None` where none will.
     next_expiry: Option<Timestamp>,
@@ -206,7 +209,20 @@
     }
 
     /// Takes documents in; older ones change nothing.
-    pub fn merge(&mut self, documents: Vec<Revised>, now: Timestamp) -> Merged {
+    pub fn merge(&mut self, mut documents: Vec<Revised>, now: Timestamp) -> Merged {
+        documents.retain(|document| !self.was_missing(document));
+        self.take_in(documents, now)
+    }
+
+    /// Whether it is an endpoint's entry that a whole list of a later revision did not have.
+    fn was_missing(&self, document: &Revised) -> bool {
+        let Document::Endpoint(endpoint) = &document.document else {
+            return false;
+        };
+        document.revision <= self.read_at && !self.endpoints.contains_key(&endpoint.id)
+    }
+
+    fn take_in(&mut self, documents: Vec<Revised>, now: Timestamp) -> Merged {
         let gone = documents.iter().filter(|d| self.takes_away(d)).count();
         let held_until = self.held_until(gone, now);
         let mut merged = Merged::default();
@@ -235,7 +251,8 @@
                 _ => None,
             })
             .collect();
-        let mut merged = self.merge(documents, now);
+        let mut merged = self.take_in(documents, now);
+        self.read_at = self.read_at.max(at);
         let missing: Vec<Name> = self
             .endpoints
             .iter()
--- a/tests/direct_members.rs
+++ b/tests/direct_members.rs
@@ -186,6 +186,18 @@
     assert_eq!(ids(&documents), ["engine-1", "engine-2", "engine-6"]);
 }
 
+// A gateway starts and reads the list, while a peer that was cut off still tells what it had of an endpoint that
+// has left: 51 requests in a second reached one that had just started again under that id.
+#[test]
+fn a_peer_that_knows_less_brings_no_endpoint_back() {
+    let mut documents = Documents::default();
+    documents.merge_list(vec![entry(1, 3)], 8, ms(0));
+    assert!(documents.merge(vec![entry(2, 7)], ms(1)).is_empty(), "it had left by then");
+    assert_eq!(ids(&documents), ["engine-1"]);
+    documents.merge(vec![entry(2, 9)], ms(2));
+    assert_eq!(ids(&documents), ["engine-1", "engine-2"], "it is back");
+}
+
 // Two gateways that lost the store read the list at different revisions, and tell each other: requests went to
 // endpoints 3.4 s after they had said that they leave.
 #[test]
