--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -7,6 +7,7 @@
 use crate::direct::note::Note;
 use crate::direct::peers::message::{Handle, PeerMessage};
 use crate::direct::peers::pulls::Progress;
+use crate::direct::poison::fingerprint::Fingerprint;
 use crate::direct::published::documents::Revised;
 use crate::direct::published::evacuations::Evacuation;
 use crate::direct::published::model::{CallerLimits, Endpoint, Name};
@@ -33,6 +34,8 @@
     pub piece_key: Option<Name>,
     /// The last event that the caller has.
     pub after_event: Option<String>,
+    /// What it holds, told from its method, path and body.
+    pub content: Fingerprint,
 }
 
 impl Incoming {
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -7,6 +7,7 @@
 //! - `published`: routes, pools and endpoints, merged from any source and compiled.
 //! - `peers`: the other gateways, what they say, and what is asked of them.
 //! - `requests`: callers' requests of this gateway, each with one final answer.
+//! - `poison`: requests that end the endpoints which run them.
 //! - `owner`: the pools that work in batches, for as long as this gateway owns them.
 //!
 //! `requests` and `owner` speak by messages only, also within one gateway.
@@ -20,6 +21,7 @@
 pub mod note;
 pub mod owner;
 pub mod peers;
+pub mod poison;
 pub mod published;
 pub mod repeats;
 pub mod requests;
--- a/src/direct/note.rs
+++ b/src/direct/note.rs
@@ -20,6 +20,8 @@
         route: Name,
         /// Who asks.
         organisation: Option<Name>,
+        /// What it holds and who asks: the same for a request that comes again under another id.
+        fingerprint: String,
         /// The configuration's version.
         version: u64,
         /// Milliseconds that remain.
--- a/src/direct/requests/mod.rs
+++ b/src/direct/requests/mod.rs
@@ -199,6 +199,7 @@
             request: id,
             route: request.route.name.clone(),
             organisation: request.organisation.clone(),
+            fingerprint: request.fingerprint.to_string(),
             version: table.deployment.version,
             left_ms: ms(request.deadline.saturating_sub(now)),
         }));
@@ -226,6 +227,7 @@
         let homes = organisation.map_or(&[][..], |o| &o.homes);
         Request {
             pool: target(route, &incoming.id),
+            fingerprint: incoming.content.asked_by(organisation.map(|o| &*o.name)),
             organisation: organisation.map(|o| o.name.clone()),
             homes: Homes::of(&route.homes, homes),
             priority,
--- a/src/direct/requests/request.rs
+++ b/src/direct/requests/request.rs
@@ -6,6 +6,7 @@
 
 use crate::direct::event::Incoming;
 use crate::direct::peers::message::{JobId, Made};
+use crate::direct::poison::fingerprint::Fingerprint;
 use crate::direct::published::homes::Homes;
 use crate::direct::published::model::{Endpoint, Name, Repeat, Route};
 use crate::message::Timestamp;
@@ -62,6 +63,8 @@
     pub pool: Name,
     /// Who asks.
     pub organisation: Option<Name>,
+    /// What it holds and who asks.
+    pub fingerprint: Fingerprint,
     /// Where it may run.
     pub homes: Homes,
     /// 0 is the most urgent.
--- a/tests/directenv/gateway.rs
+++ b/tests/directenv/gateway.rs
@@ -8,6 +8,7 @@
 use stackmast::direct::event::{Action, CallOrder, Event, Incoming, Proof, Refusal};
 use stackmast::direct::peers::members::{Member, MemberState};
 use stackmast::direct::peers::message::PeerMessage;
+use stackmast::direct::poison::fingerprint::Fingerprint;
 use stackmast::direct::published::documents::{Document, Revised, Seen};
 use stackmast::direct::published::evacuations::Evacuations;
 use stackmast::direct::published::model::{Deployment, Endpoint, Route};
@@ -71,6 +72,7 @@
         pieces,
         piece_key: Some("k".into()),
         after_event: None,
+        content: Fingerprint::default(),
     }
 }
 
--- a/tests/directenv/world.rs
+++ b/tests/directenv/world.rs
@@ -14,6 +14,7 @@
 use stackmast::direct::core::{GatewayCore, Setup};
 use stackmast::direct::event::{Action, Event, Incoming};
 use stackmast::direct::peers::message::PeerMessage;
+use stackmast::direct::poison::fingerprint::Fingerprint;
 use stackmast::direct::published::documents::{Document, Revised};
 use stackmast::direct::published::model::{Endpoint, Repeat, Route};
 use stackmast::direct::repeats::Bounds;
@@ -372,6 +373,7 @@
             pieces: spec.stages.iter().map(|_| self.rng.random_range(1..4)).collect(),
             piece_key: Some("k".into()),
             after_event: None,
+            content: Fingerprint::of_content("POST", &id, b""),
         };
         self.callers.insert(
             caller,
