Requests that end the endpoints which run them are known by what they hold, and refused

Cause: a gateway forgot a request with its last answer, and gateways told each other nothing of requests. A caller's next try is a new request, so a content that ends endpoints went to the next one with each try.

Change: a call that breaks off has its endpoint probed once; a closed port, an entry that goes or another life proves that it ended. Then what ran there is suspected, by a digest of who asks, method, path and body. A run that ends well clears it.

Ruled out: counting broken calls (reset connections would condemn what they carried), counting all endings at once (a rack that goes would condemn whatever many callers ask alike), one keeper for each content (it may be lost).

--- a/src/direct/client.rs
+++ b/src/direct/client.rs
@@ -77,6 +77,9 @@
     /// Asks an endpoint that works in batches how it stands; `None` where it does not tell.
     fn report(&self, endpoint: Arc<Endpoint>) -> impl Future<Output = Option<BatchReport>> + Send;
 
+    /// Whether an endpoint's port is closed, which proves that its process is gone. Silence proves nothing.
+    fn is_closed(&self, endpoint: &Endpoint) -> impl Future<Output = bool> + Send;
+
     /// Tells an endpoint that results aren't needed any more.
     fn free(
         &self,
--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -4,6 +4,7 @@
 //! pools of which this gateway is the owner.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::SeedableRng;
@@ -17,6 +18,8 @@
 use crate::direct::peers::members::{HEARTBEAT, MemberState, Members};
 use crate::direct::peers::message::PeerMessage;
 use crate::direct::peers::pulls::Pulls;
+use crate::direct::poison::broken::Broken;
+use crate::direct::poison::suspects::Suspects;
 use crate::direct::published::documents::Documents;
 use crate::direct::published::evacuations::Evacuations;
 use crate::direct::published::model::Name;
@@ -63,6 +66,11 @@
     pub(super) pulls: Pulls,
     early: Waiting,
     pub(super) lateness: Lateness,
+    /// Contents under which endpoints ended; requests and owners have the same.
+    pub(super) suspects: Arc<Suspects>,
+    pub(super) broken: Broken,
+    /// When another gateway is next asked for what it knows of them.
+    pub(super) next_ask: Timestamp,
     /// How long the event that is handled has waited.
     waited: Duration,
     /// When the first whole configuration came.
@@ -94,6 +102,9 @@
             pulls: Pulls::default(),
             early: Waiting::default(),
             lateness: Lateness::default(),
+            suspects: Arc::default(),
+            broken: Broken::default(),
+            next_ask: Timestamp::ZERO,
             waited: Duration::ZERO,
             complete_since: None,
             next_beat: Timestamp::ZERO,
@@ -141,6 +152,9 @@
                 self.owners.reported(&endpoint, report, &self.table, now);
             }
             Event::NoReport { endpoint } => self.note(Note::NoReport { endpoint }),
+            Event::Probed { endpoint, incarnation, is_closed } => {
+                self.probed(&endpoint, incarnation, is_closed, now);
+            }
             Event::Peer { from, message } => self.on_peer(from, message, now),
             Event::PeerBroke { address, incarnation } => {
                 if self.members.suspect(address, incarnation, now) {
@@ -328,6 +342,7 @@
             for action in produced {
                 match action {
                     Action::Tell { to, message } if to == own => self.on_peer(own, message, now),
+                    Action::Poison(report) => self.poison_reported(report, now),
                     action => actions.push(action),
                 }
             }
@@ -352,6 +367,7 @@
                 | Event::CallSent { .. }
                 | Event::FirstEvent { .. }
                 | Event::StreamEnded { .. }
+                | Event::Probed { .. }
                 | Event::Drain { .. }
                 | Event::End
         )
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -7,10 +7,12 @@
 use crate::direct::note::Note;
 use crate::direct::peers::message::{Handle, PeerMessage};
 use crate::direct::peers::pulls::Progress;
+use crate::direct::poison::Report;
 use crate::direct::poison::fingerprint::Fingerprint;
 use crate::direct::published::documents::Revised;
 use crate::direct::published::evacuations::Evacuation;
 use crate::direct::published::model::{CallerLimits, Endpoint, Name};
+use crate::direct::published::store_read::StoreRead;
 use crate::message::Timestamp;
 
 /// What a caller asks, as far as decisions depend on it.
@@ -116,36 +118,6 @@
     Failed(CallFailure),
 }
 
-/// How reading the publisher's store went.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct StoreRead {
-    /// What was read.
-    pub subject: &'static str,
-    /// Whether it was a watch.
-    pub watch: bool,
-    /// `whole`, or how it failed.
-    pub outcome: &'static str,
-    /// Bytes that came.
-    pub bytes: usize,
-    /// Bytes that were stated.
-    pub expected: Option<u64>,
-    /// Whether a new connection answered, while the one before it said nothing.
-    pub again: bool,
-    /// From the call to the answer's head, or to the failure; a watch waits for changes meanwhile.
-    pub waited: Duration,
-    /// From the answer's head to its end.
-    pub took: Duration,
-    /// Time of decoding.
-    pub decoding: Duration,
-}
-
-impl StoreRead {
-    /// The subject of reads of the configuration.
-    pub const CONFIGURATION: &'static str = "configuration";
-    /// The outcome of a read whose answer came whole.
-    pub const WHOLE: &'static str = "whole";
-}
-
 /// How an endpoint that works in batches says that it stands, a moment ago.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BatchReport {
@@ -234,6 +206,15 @@
         /// Which.
         endpoint: Name,
     },
+    /// An endpoint whose connections broke was probed.
+    Probed {
+        /// Which.
+        endpoint: Name,
+        /// The life that was meant.
+        incarnation: u64,
+        /// Whether its port is closed: its process is gone.
+        is_closed: bool,
+    },
     /// Another gateway speaks.
     Peer {
         /// Who, by where its peers connect.
@@ -382,6 +363,8 @@
     OutcomeUnknown,
     /// It failed, and the budget holds no repeat.
     RepeatBudget,
+    /// Endpoints ended under what it holds.
+    Poison,
 }
 
 /// A final answer without an endpoint's.
@@ -451,6 +434,10 @@
     },
     /// Ask an endpoint that works in batches how it stands.
     AskReport(Arc<Endpoint>),
+    /// See whether an endpoint's port is closed.
+    Probe(Arc<Endpoint>),
+    /// What requests and owners tell of what they run; the core keeps it for itself.
+    Poison(Report),
     /// Tell a maker that results aren't needed any more.
     Free {
         /// Where.
--- a/src/direct/following.rs
+++ b/src/direct/following.rs
@@ -8,13 +8,14 @@
 use std::time::Duration;
 
 use crate::direct::core::GatewayCore;
-use crate::direct::event::{Action, StoreRead};
+use crate::direct::event::Action;
 use crate::direct::note::{Note, ms};
 use crate::direct::peers::message::PeerMessage;
 use crate::direct::peers::pulls::Own;
 use crate::direct::published::documents::{Document, Merged, Revised, Seen};
 use crate::direct::published::evacuations::{Evacuation, Evacuations};
 use crate::direct::published::model::{Deployment, Endpoint, Name};
+use crate::direct::published::store_read::StoreRead;
 use crate::message::Timestamp;
 
 /// A watch of the publisher's store waits for so long where few gateways watch: what one over a silent
@@ -202,6 +203,7 @@
         }
         self.requests.changed(&self.table, merged, &entered, now);
         self.owners.changed(&self.table, merged, &entered, now);
+        self.entries_may_prove(&merged.endpoints, now);
         if spread {
             self.next_beat = Timestamp::ZERO;
         }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -1,7 +1,7 @@
 //! A gateway that calls endpoints directly: endpoints that state for themselves what has not run.
 //!
 //! `core` decides and holds all state, without I/O or clock (`following` is its part for what is published,
-//! `talking` that for other gateways); `shell` does the I/O. What is published, how callers ask and how
+//! `talking` that for other gateways, `suspecting` that for poison requests); `shell` does the I/O. What is published, how callers ask and how
 //! endpoints are spoken to is translated by an adapter (see `client`).
 //!
 //! - `published`: routes, pools and endpoints, merged from any source and compiled.
@@ -28,4 +28,5 @@
 pub mod shell;
 pub mod stop;
 pub mod stream;
+mod suspecting;
 mod talking;
--- a/src/direct/note.rs
+++ b/src/direct/note.rs
@@ -5,8 +5,8 @@
 
 use serde::Serialize;
 
-use crate::direct::event::StoreRead;
 use crate::direct::published::model::Name;
+use crate::direct::published::store_read::StoreRead;
 
 /// One line.
 #[derive(Debug, Clone, PartialEq, Serialize)]
@@ -112,6 +112,31 @@
         /// Milliseconds that remain.
         left_ms: u64,
     },
+    /// An endpoint ended while this ran there.
+    EndpointEnded {
+        /// The endpoint.
+        endpoint: Name,
+        /// Its life.
+        incarnation: u64,
+        /// What proved it.
+        proof: &'static str,
+        /// What ran there: fingerprints, each with the rounds of endings that it has had.
+        suspects: Vec<(String, u8)>,
+    },
+    /// What endpoints ended under is refused from now on.
+    PoisonFound {
+        /// What it holds and who asks, or one of its stages.
+        fingerprint: String,
+        /// Endpoints that ended under it.
+        endpoints: Vec<Name>,
+        /// `own`, or the gateway that told of the last of them.
+        source: String,
+    },
+    /// What an endpoint had ended under ran well.
+    Cleared {
+        /// What it holds and who asks, or one of its stages.
+        fingerprint: String,
+    },
     /// An attempt ended without an answer that is passed on.
     AttemptFailed {
         /// The caller's id.
@@ -381,6 +406,9 @@
             Self::BatchSent { .. } => "batch_sent",
             Self::BatchEnded { .. } => "batch_ended",
             Self::Sent { .. } => "sent",
+            Self::EndpointEnded { .. } => "endpoint_ended",
+            Self::PoisonFound { .. } => "poison_found",
+            Self::Cleared { .. } => "cleared",
             Self::AttemptFailed { .. } => "attempt_failed",
             Self::ResultsGone { .. } => "results_gone",
             Self::Ended { .. } => "ended",
--- a/src/direct/owner/admission.rs
+++ b/src/direct/owner/admission.rs
@@ -13,6 +13,7 @@
 use crate::direct::owner::jobs::{JobRun, Piece, expected_calls};
 use crate::direct::owner::scheduler::Scheduler;
 use crate::direct::peers::message::{Job, JobId, JobReason, JobStage, PeerMessage};
+use crate::direct::poison::suspects::KEPT;
 use crate::direct::published::homes::Homes;
 use crate::direct::published::model::{BatchSpec, Name};
 use crate::direct::published::table::Table;
@@ -33,6 +34,9 @@
         if self.jobs.contains_key(&id) {
             return self.tell_again(id);
         }
+        if self.poison_in(&job).is_some() {
+            return self.tell_given_up(id, JobReason::Failed, true, KEPT);
+        }
         if self.last_submit.is_none_or(|last| now >= last + SETTLING) {
             self.owner_since = now;
             self.ask_reports(table, now);
--- a/src/direct/owner/calls.rs
+++ b/src/direct/owner/calls.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::direct::peers::message::JobId;
+use crate::direct::poison::Run;
 use crate::direct::published::model::{Endpoint, Name};
 use crate::message::Timestamp;
 
@@ -17,6 +18,14 @@
 /// Calls by their numbers.
 pub(super) type Calls = HashMap<u64, Call, foldhash::fast::RandomState>;
 
+/// A stage of a job with pieces in a call.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Part {
+    pub(super) job: JobId,
+    pub(super) stage: usize,
+    pub(super) run: Run,
+}
+
 /// A call with pieces that has not ended.
 #[derive(Debug)]
 pub(super) struct Call {
@@ -24,6 +33,8 @@
     pub(super) endpoint: Arc<Endpoint>,
     /// Each piece, with the bytes of its result.
     pub(super) pieces: Vec<(PieceId, u64)>,
+    /// The stages that they are of, each once.
+    pub(super) parts: Vec<Part>,
     pub(super) sent: Timestamp,
     pub(super) expected: Duration,
     /// Given up: whatever comes is freed.
--- a/src/direct/owner/filling.rs
+++ b/src/direct/owner/filling.rs
@@ -52,7 +52,9 @@
             let Some(ledger) = self.ledger.get(pool) else {
                 return;
             };
-            let Some((endpoint, taken, looked_at)) = next_call(ledger, spec, now) else {
+            let goes_alone = |rank: Rank| self.goes_alone(rank.job, rank.stage);
+            let next = next_call(ledger, spec, goes_alone, now);
+            let Some((endpoint, taken, looked_at)) = next else {
                 return;
             };
             self.looked_at += looked_at as u64;
@@ -129,7 +131,9 @@
         self.timers.add(now + patience, Due::Overdue(call));
         let (is_late, has_fetched) = (false, false);
         let (pool, to) = (pool.clone(), endpoint.clone());
-        let sent = Call { pool, endpoint: to, pieces, sent: now, expected, is_late, has_fetched };
+        let parts = self.parts(&pieces);
+        let sent =
+            Call { pool, endpoint: to, pieces, parts, sent: now, expected, is_late, has_fetched };
         self.calls.insert(call, sent);
         let timeout = patience * 4;
         self.out.push(Action::Batch { call, endpoint, pieces: orders, timeout });
@@ -141,6 +145,7 @@
 fn next_call(
     pool: &PoolLedger,
     spec: &BatchSpec,
+    goes_alone: impl Fn(Rank) -> bool,
     now: Timestamp,
 ) -> Option<(Arc<Endpoint>, Vec<Taken>, usize)> {
     if pool.queue.is_empty() || !pool.endpoints.is_free() {
@@ -158,7 +163,7 @@
     );
     let place = |(index, c)| Some((index, place_for(c, &pool.endpoints)?));
     let (first, (room, endpoint)) = candidates.iter().enumerate().find_map(place)?;
-    let taken = take(&candidates[first..], endpoint, spec.pieces, room);
+    let taken = take(&candidates[first..], endpoint, spec.pieces, room, goes_alone);
     Some((endpoint.clone(), taken, candidates.len()))
 }
 
@@ -179,10 +184,28 @@
 /// them. In bursts, room is what pools lack: with 70 pieces waiting, calls of 18 went out with 14. Worth 0.011 to
 /// 0.021 of 0.56 to 0.76 on six of eight deployments, in 2 to 15 pairs of days with bursts and losses, and within
 /// noise (-0.003, 0.001) on the two others.
-fn take(candidates: &[Candidate], to: &Endpoint, most: usize, mut room: u64) -> Vec<Taken> {
+///
+/// Of what goes alone, one stage is taken and nothing else; see [`super::poison`].
+fn take(
+    candidates: &[Candidate],
+    to: &Endpoint,
+    most: usize,
+    mut room: u64,
+    goes_alone: impl Fn(Rank) -> bool,
+) -> Vec<Taken> {
     let mut left = most;
-    let mut taken = Vec::new();
+    let mut taken: Vec<Taken> = Vec::new();
+    let mut alone = None;
     for candidate in candidates {
+        let rank = candidate.rank;
+        let shares = match (alone, taken.is_empty()) {
+            (Some(alone), _) => alone == rank,
+            (None, true) => true,
+            (None, false) => !goes_alone(rank),
+        };
+        if !shares {
+            continue;
+        }
         let is_home = candidate.home.as_ref().is_none_or(|home| *home == to.data_centre);
         if candidate.waits_for_home && !is_home || !candidate.homes.have(to) {
             continue;
@@ -193,7 +216,10 @@
         if pieces > 0 && is_whole {
             left -= pieces;
             room -= pieces as u64 * candidate.bytes;
-            taken.push(Taken { rank: candidate.rank, skip: candidate.skip, pieces });
+            taken.push(Taken { rank, skip: candidate.skip, pieces });
+            if alone.is_none() && taken.len() == 1 && goes_alone(rank) {
+                alone = Some(rank);
+            }
         }
         if left == 0 {
             break;
--- a/src/direct/owner/outcomes.rs
+++ b/src/direct/owner/outcomes.rs
@@ -39,6 +39,7 @@
                     self.paces.called(&call.pool, spec, took);
                 }
                 self.judge_speed(&call, took, table, now);
+                self.report_survived(&call, &outcomes);
                 self.pieces_ended(&call, id, outcomes, table, now);
             }
             BatchOutcome::Full | BatchOutcome::Failed(CallFailure::TurnedAway) => {
@@ -49,7 +50,8 @@
                 self.avoid(&call.endpoint.id, "unreachable", now);
                 self.put_back(&call, id, false, table, now);
             }
-            BatchOutcome::Failed(_) => {
+            BatchOutcome::Failed(failure) => {
+                self.report_broken(&call, failure == CallFailure::Broken);
                 self.avoid(&call.endpoint.id, "broken", now);
                 self.put_back(&call, id, true, table, now);
             }
--- a/src/direct/owner/owners.rs
+++ b/src/direct/owner/owners.rs
@@ -10,6 +10,7 @@
 use crate::direct::owner::makers::Usage;
 use crate::direct::owner::scheduler::Scheduler;
 use crate::direct::peers::message::{Job, JobId};
+use crate::direct::poison::suspects::{Condemned, Suspects};
 use crate::direct::published::documents::Merged;
 use crate::direct::published::model::{Endpoint, Name};
 use crate::direct::published::table::Table;
@@ -29,6 +30,8 @@
     lateness: Duration,
     /// For a cell that is begun.
     cold: ColdEndpoints,
+    /// Contents under which endpoints ended.
+    suspects: Arc<Suspects>,
     begun: u64,
 }
 
@@ -37,7 +40,8 @@
     pub fn new(own: SocketAddr, bounds: Bounds) -> Self {
         let (cells, told) = Default::default();
         let cold = ColdEndpoints::new(own);
-        Self { bounds, cells, told, lateness: Duration::ZERO, cold, begun: 0 }
+        let (lateness, suspects) = (Duration::ZERO, Arc::default());
+        Self { bounds, cells, told, lateness, cold, suspects, begun: 0 }
     }
 
     /// How late this process handles its events.
@@ -46,6 +50,20 @@
         self.each(|owner| owner.set_lateness(lateness));
     }
 
+    /// Contents under which endpoints ended; those `condemned` are refused since.
+    pub fn set_suspects(
+        &mut self,
+        suspects: &Arc<Suspects>,
+        condemned: &[Condemned],
+        table: &Table,
+    ) {
+        self.suspects = suspects.clone();
+        self.each(|owner| {
+            owner.set_suspects(suspects.clone());
+            owner.condemned(condemned, table);
+        });
+    }
+
     /// Jobs that were begun and are not over.
     pub fn jobs(&self) -> usize {
         self.cells.values().map(Scheduler::jobs).sum()
@@ -69,12 +87,13 @@
     /// The owner of a cell, which is begun if it is new.
     fn cell(&mut self, cell: &Name, table: &Table) -> &mut Scheduler {
         let (bounds, begun, lateness) = (self.bounds, &mut self.begun, self.lateness);
-        let (told, cold) = (&self.told, &self.cold);
+        let (told, cold, suspects) = (&self.told, &self.cold, &self.suspects);
         self.cells.entry(cell.clone()).or_insert_with(|| {
             let first_call = *begun * CALLS;
             let mut owner = Scheduler::of_cell(cell.clone(), bounds, first_call, cold.clone());
             *begun += 1;
             owner.set_lateness(lateness);
+            owner.set_suspects(suspects.clone());
             for (other, usage) in told {
                 owner.told_usage(*other, usage.clone(), table);
             }
--- a/src/direct/owner/restarts.rs
+++ b/src/direct/owner/restarts.rs
@@ -38,6 +38,7 @@
                 outcome: "endpoint restarted".to_owned(),
                 took_ms: ms(now.saturating_sub(call.sent)),
             }));
+            self.report_broken(&call, false);
             self.put_back(&call, id, true, table, now);
             self.dirty.insert(call.pool);
         }
--- a/src/direct/owner/scheduler.rs
+++ b/src/direct/owner/scheduler.rs
@@ -23,6 +23,7 @@
 use crate::direct::owner::pace::Paces;
 use crate::direct::owner::plan::Basis;
 use crate::direct::peers::message::{Handle, JobId, JobReason, Made, PeerMessage};
+use crate::direct::poison::suspects::Suspects;
 use crate::direct::published::model::{BatchSpec, Endpoint, Name};
 use crate::direct::published::table::Table;
 use crate::direct::repeats::{Bounds, Repeats};
@@ -45,6 +46,8 @@
     pub(super) makers: Makers,
     pub(super) cold: ColdEndpoints,
     pub(super) repeats: Repeats,
+    /// Contents under which endpoints ended.
+    pub(super) suspects: Arc<Suspects>,
     pub(super) next_call: u64,
     pub(super) paces: Paces,
     /// What is kept of each pool, up to `touched` jobs and changed makers.
@@ -83,6 +86,7 @@
             makers: Makers::default(),
             cold: ColdEndpoints::new(JobId::LOWEST.gateway),
             repeats: Repeats::new(bounds),
+            suspects: Arc::default(),
             next_call: 0,
             paces: Paces::default(),
             ledger: Ledger::default(),
--- a/src/direct/peers/message.rs
+++ b/src/direct/peers/message.rs
@@ -8,6 +8,8 @@
 
 use crate::direct::owner::makers::Usage;
 use crate::direct::peers::members::Member;
+use crate::direct::poison::fingerprint::Fingerprint;
+use crate::direct::poison::suspects::Account;
 use crate::direct::published::documents::{Revised, Seen};
 use crate::direct::published::evacuations::Evacuations;
 use crate::direct::published::homes::Homes;
@@ -76,6 +78,9 @@
     pub homes: Homes,
     /// Whether another owner had begun it.
     pub resubmitted: bool,
+    /// What the request holds and who asks.
+    #[serde(default)]
+    pub fingerprint: Fingerprint,
 }
 
 fn no_name() -> Name {
@@ -198,6 +203,10 @@
     Ready(JobId),
     /// The results of a job are not needed any more, or the job as a whole.
     Release(JobId),
+    /// What the sender knows of contents under which endpoints ended.
+    Suspects(Vec<Account>),
+    /// Asks for that, where the digest of what the receiver knows is another one.
+    AskSuspects(u64),
 }
 
 impl PeerMessage {
@@ -215,6 +224,8 @@
             Self::StageDone { .. } => "stage_done",
             Self::Ready(_) => "ready",
             Self::Release(_) => "release",
+            Self::Suspects(_) => "suspects",
+            Self::AskSuspects(_) => "ask_suspects",
         }
     }
 }
--- /dev/null
+++ b/src/direct/poison/broken.rs
@@ -0,0 +1,169 @@
+//! Calls that broke off, until it is known whether their endpoint ended.
+//!
+//! A broken connection proves nothing: connections are reset, and answers break off at endpoints that live on. So
+//! the endpoint is probed once: a closed port proves that its process is gone. What a probe can't tell, since
+//! the endpoint was back by then or answers nobody, the list of endpoints may: an entry that goes within the next
+//! seconds, or tells of another life.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::direct::poison::Run;
+use crate::direct::published::model::{Endpoint, Name};
+use crate::direct::published::table::Table;
+use crate::message::Timestamp;
+
+/// An entry of an endpoint that ended goes within three of its heartbeats, 3.6 s, and is heard of from peers at
+/// the latest in 2 s more.
+const WAITS_FOR_PROOF: Duration = Duration::from_secs(6);
+/// Contents that are remembered of one endpoint's calls; bounds memory. An endpoint runs 32 to 64 at once, from all
+/// gateways together.
+const MOST_RUNS: usize = 128;
+/// Endpoints that are waited for at most; bounds memory.
+const MOST_ENDPOINTS: usize = 1_024;
+
+/// What an endpoint's list entry says of a life that a call broke at.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Listed {
+    /// It is there as it was.
+    Same,
+    /// It said that it leaves, or is gone without a sign of an end: its calls may break off as planned.
+    Leaving,
+    /// Another life is there.
+    AnotherLife,
+}
+
+fn listed(endpoint: &Endpoint, table: &Table) -> Listed {
+    match table.endpoint(&endpoint.id) {
+        Some(now) if now.incarnation != endpoint.incarnation => Listed::AnotherLife,
+        Some(now) if !now.leaving => Listed::Same,
+        _ => Listed::Leaving,
+    }
+}
+
+/// An endpoint that ended, with what ran there as far as this gateway knows.
+#[derive(Debug)]
+pub struct Ended {
+    /// The life that ended.
+    pub endpoint: Arc<Endpoint>,
+    /// What ran there.
+    pub runs: Vec<Run>,
+    /// What proved it.
+    pub proof: &'static str,
+}
+
+/// What follows from a call that broke off.
+#[derive(Debug)]
+pub enum Verdict {
+    /// Its endpoint ended.
+    Ended(Ended),
+    /// Its endpoint is to be probed.
+    Probe,
+    /// It is waited for proof, or there is nothing to prove.
+    Wait,
+}
+
+#[derive(Debug)]
+struct Calls {
+    endpoint: Arc<Endpoint>,
+    runs: Vec<Run>,
+    is_probed: bool,
+    /// It is known that it ended: calls that are heard of later count at once.
+    proof: Option<&'static str>,
+    until: Timestamp,
+}
+
+/// The broken calls of one gateway, by the lives of endpoints.
+#[derive(Debug, Default)]
+pub struct Broken {
+    calls: HashMap<(Name, u64), Calls>,
+}
+
+impl Broken {
+    /// A call broke off while all this was at the endpoint.
+    pub fn broke(
+        &mut self,
+        endpoint: &Arc<Endpoint>,
+        runs: &[Run],
+        by_connection: bool,
+        table: &Table,
+        now: Timestamp,
+    ) -> Verdict {
+        let key = (endpoint.id.clone(), endpoint.incarnation);
+        let standing = listed(endpoint, table);
+        let is_known = self.calls.contains_key(&key);
+        if !is_known && (standing == Listed::Leaving || self.calls.len() >= MOST_ENDPOINTS) {
+            return Verdict::Wait;
+        }
+        let calls = self.calls.entry(key).or_insert_with(|| Calls {
+            endpoint: endpoint.clone(),
+            runs: Vec::new(),
+            is_probed: false,
+            proof: None,
+            until: now + WAITS_FOR_PROOF,
+        });
+        if standing == Listed::AnotherLife {
+            calls.proof.get_or_insert("another life");
+        }
+        if let Some(proof) = calls.proof {
+            let (endpoint, runs) = (endpoint.clone(), runs.to_vec());
+            return Verdict::Ended(Ended { endpoint, runs, proof });
+        }
+        let room = MOST_RUNS.saturating_sub(calls.runs.len());
+        calls.runs.extend(runs.iter().take(room));
+        if by_connection && !std::mem::replace(&mut calls.is_probed, true) {
+            return Verdict::Probe;
+        }
+        Verdict::Wait
+    }
+
+    /// An endpoint was probed, and its port is closed.
+    pub fn port_closed(&mut self, endpoint: &Name, incarnation: u64) -> Option<Ended> {
+        self.prove(&(endpoint.clone(), incarnation), "port closed")
+    }
+
+    fn prove(&mut self, key: &(Name, u64), proof: &'static str) -> Option<Ended> {
+        let calls = self.calls.get_mut(key)?;
+        calls.proof.get_or_insert(proof);
+        let runs = std::mem::take(&mut calls.runs);
+        let endpoint = calls.endpoint.clone();
+        (!runs.is_empty()).then_some(Ended { endpoint, runs, proof })
+    }
+
+    /// Entries of endpoints changed: names those that ended.
+    pub fn changed(
+        &mut self,
+        ids: &[Name],
+        table: &Table,
+        is_gone: impl Fn(&str) -> bool,
+    ) -> Vec<Ended> {
+        if self.calls.is_empty() {
+            return Vec::new();
+        }
+        let ids: HashSet<&Name> = ids.iter().collect();
+        let changed = self.calls.iter().filter(|((id, _), _)| ids.contains(id));
+        let changed = changed.map(|(key, calls)| (key.clone(), calls.endpoint.clone()));
+        let changed: Vec<_> = changed.collect();
+        let mut ended = Vec::new();
+        for (key, endpoint) in changed {
+            let proof = match listed(&endpoint, table) {
+                _ if is_gone(&endpoint.id) => "entry gone",
+                Listed::AnotherLife => "another life",
+                Listed::Same => continue,
+                Listed::Leaving => {
+                    // Whoever says that it leaves lives.
+                    self.calls.remove(&key);
+                    continue;
+                }
+            };
+            ended.extend(self.prove(&key, proof));
+        }
+        ended
+    }
+
+    /// Forgets calls that have waited for proof for long enough.
+    pub fn forget(&mut self, now: Timestamp) {
+        self.calls.retain(|_, calls| now < calls.until);
+    }
+}
--- a/src/direct/poison/fingerprint.rs
+++ b/src/direct/poison/fingerprint.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::Xxh3Default;
+use xxhash_rust::xxh3::{Xxh3Default, xxh3_64_with_seed};
 
 /// A digest of who asks, the method, the path with its query, and the body. The host is left out: one
 /// route may be reached by several.
@@ -26,6 +26,11 @@
         Self(digest.digest())
     }
 
+    /// What one of its stages has endpoints do: a stage may run well before another one ends each endpoint.
+    pub fn of_stage(self, stage: usize) -> Self {
+        Self(xxh3_64_with_seed(&self.0.to_le_bytes(), stage as u64 + 1))
+    }
+
     /// The same content, asked by an organisation, or by nobody who shows a key.
     pub fn asked_by(self, organisation: Option<&str>) -> Self {
         let Some(organisation) = organisation else {
--- a/src/direct/poison/mod.rs
+++ b/src/direct/poison/mod.rs
@@ -1,6 +1,50 @@
 //! Poison requests: those that end the endpoints which run them, and come again.
 //!
-//! Callers send a request again as a new one, with an id of its own and through any gateway, so what tells it is
-//! what it holds: its [`fingerprint`].
+//! The pattern: a request ends each endpoint soon after that begins to run it, and all that runs there breaks off
+//! with it. Its caller sends it again as a new one, with an id of its own and through any gateway, so
+//! every try is the first one to whoever takes it. One such request ended 14 endpoints in 10 s.
+//!
+//! What tells it is what it holds: its [`fingerprint`]. A call that broke off waits in [`broken`] for proof that its
+//! endpoint ended; then everything that ran there is suspected, and [`suspects`] remembers it until it is
+//! the poison, or has run well elsewhere. Gateways tell each other what they know.
+//!
+//! Ways weighed: each gateway for itself (three endpoints for each gateway: 1,700 at 580); one gateway that keeps the
+//! count of a fingerprint (it may be lost, and two views are two of them); counting broken calls instead of ended
+//! endpoints (a reset connection would condemn whatever it carried).
 
+pub mod broken;
 pub mod fingerprint;
+pub mod suspects;
+
+use std::sync::Arc;
+
+use crate::direct::poison::fingerprint::Fingerprint;
+use crate::direct::published::model::Endpoint;
+
+/// Something that was run, and how much its sender knew: one more than the rounds in which endpoints had ended
+/// under it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Run {
+    /// What ran.
+    pub fingerprint: Fingerprint,
+    /// See [`suspects::Loss::round`].
+    pub round: u8,
+}
+
+/// What requests and owners tell of what they run.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Report {
+    /// A call broke off, or said nothing any more, while all this was at the endpoint.
+    Broke {
+        /// Where.
+        endpoint: Arc<Endpoint>,
+        /// What was in the call.
+        runs: Vec<Run>,
+        /// Whether its connection broke; otherwise it fell silent.
+        by_connection: bool,
+    },
+    /// It ran to an end though endpoints had ended under it before.
+    Survived(Fingerprint),
+    /// It came again and was refused as poison.
+    Refused(Fingerprint),
+}
--- a/src/direct/published/mod.rs
+++ b/src/direct/published/mod.rs
@@ -9,4 +9,5 @@
 pub mod homes;
 pub mod lapse;
 pub mod model;
+pub mod store_read;
 pub mod table;
--- a/src/direct/requests/attempts.rs
+++ b/src/direct/requests/attempts.rs
@@ -21,6 +21,43 @@
 /// A request with less time left than that is not sent any more.
 const TOO_LATE: Duration = Duration::from_millis(5);
 
+/// How an attempt failed that may have run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Failure {
+    /// The answer proves nothing.
+    WrongAnswer,
+    /// The endpoint failed.
+    ServerError,
+    /// Its connection broke.
+    Broken,
+    /// There was no answer in time.
+    Silent,
+    /// Its endpoint is in another life.
+    EndpointRestarted,
+}
+
+impl Failure {
+    /// The words for lines.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::WrongAnswer => "wrong answer",
+            Self::ServerError => "server error",
+            Self::Broken => "broken",
+            Self::Silent => "silent",
+            Self::EndpointRestarted => "endpoint restarted",
+        }
+    }
+
+    /// Whether its endpoint may have ended, and whether the connection says so.
+    const fn may_have_ended(self) -> Option<bool> {
+        match self {
+            Self::WrongAnswer | Self::ServerError => None,
+            Self::Broken => Some(true),
+            Self::Silent | Self::EndpointRestarted => Some(false),
+        }
+    }
+}
+
 impl Requests {
     /// Hands a request to an endpoint, or gives it up.
     pub(super) fn dispatch(&mut self, caller: u64, table: &Table, now: Timestamp) {
@@ -30,7 +67,7 @@
         if now + TOO_LATE >= request.deadline {
             return self.refuse(caller, Refused::TimedOut, RETRY_SOON, now);
         }
-        if !self.may_be_sent(caller, now) {
+        if !self.may_be_sent(caller, now) || self.is_refused_as_poison(caller, now) {
             return;
         }
         if self.make_again(caller) {
@@ -78,6 +115,7 @@
             return;
         };
         let connections = self.connection_share(&request.pool, table);
+        let round = self.next_round(request);
         let Some(request) = self.requests.get_mut(&caller) else {
             return;
         };
@@ -94,6 +132,7 @@
             self.repeats.first(&request.pool, 1, now);
         }
         request.sends += 1;
+        request.round = round;
         request.tried.push(endpoint.id.clone());
         request.attempt =
             Some(Attempt { number, endpoint: endpoint.clone(), ordered: now, sent: None });
@@ -161,10 +200,10 @@
         let is_success = (200..300).contains(&proof.status);
         let is_whole = proof.own && (proof.signed || !is_success);
         if !is_whole {
-            return self.may_have_run(caller, "wrong answer", table, now);
+            return self.may_have_run(caller, Failure::WrongAnswer, table, now);
         }
         if proof.status >= 500 && self.may_try_again(caller, now) {
-            return self.may_have_run(caller, "server error", table, now);
+            return self.may_have_run(caller, Failure::ServerError, table, now);
         }
         if !is_own_failure(proof.status) {
             self.observations.answered(&endpoint, now.saturating_sub(open.ordered));
@@ -180,6 +219,7 @@
             if is_success {
                 self.learn(caller, true, now);
             }
+            self.report_survived(caller);
             self.close_attempt(caller);
             self.end(caller, &format!("answered {}", proof.status), None, now);
         }
@@ -288,7 +328,7 @@
     pub(super) fn may_have_run(
         &mut self,
         caller: u64,
-        failure: &str,
+        failure: Failure,
         table: &Table,
         now: Timestamp,
     ) {
@@ -297,6 +337,9 @@
             return;
         };
         self.out.push(Action::Hangup { caller, attempt: attempt.number });
+        if let Some(by_connection) = failure.may_have_ended() {
+            self.report_broken(caller, &attempt, by_connection);
+        }
         if self.observations.failed(&attempt.endpoint, now) {
             self.note_avoided(&attempt.endpoint.id, "failures");
         }
@@ -307,7 +350,7 @@
         let pool = request.pool.clone();
         let goes_on = may_try && self.repeats.take(&pool, self.processes, now);
         let next = if goes_on { "again" } else { "given up" };
-        self.note_failure(caller, &attempt, failure.to_owned(), next);
+        self.note_failure(caller, &attempt, failure.as_str().to_owned(), next);
         if goes_on {
             self.dispatch(caller, table, now);
         } else {
@@ -327,8 +370,14 @@
         if !self.is_current(caller, attempt) {
             return;
         }
-        if matches!(failure, CallFailure::Broken | CallFailure::Silent) {
-            return self.may_have_run(caller, "broken", table, now);
+        match failure {
+            CallFailure::Broken => {
+                return self.may_have_run(caller, Failure::Broken, table, now);
+            }
+            CallFailure::Silent => {
+                return self.may_have_run(caller, Failure::Silent, table, now);
+            }
+            CallFailure::NotSent | CallFailure::TurnedAway => {}
         }
         let Some(closed) = self.close_attempt(caller) else {
             return;
@@ -370,12 +419,14 @@
             return;
         };
         if whole {
+            self.report_survived(caller);
             self.out.push(Action::Finish { caller });
             return self.end(caller, "streamed", Some(&closed.endpoint.id), now);
         }
         if self.observations.failed(&closed.endpoint, now) {
             self.note_avoided(&closed.endpoint.id, "broken streams");
         }
+        self.report_broken(caller, &closed, true);
         let may_try = self.may_try_again(caller, now);
         let Some(request) = self.requests.get_mut(&caller) else {
             return;
@@ -399,7 +450,7 @@
     pub(super) fn silent(&mut self, caller: u64, attempt: u64, table: &Table, now: Timestamp) {
         let is_running = self.requests.get(&caller).is_some_and(|r| r.phase == Phase::Running);
         if is_running && self.is_current(caller, attempt) {
-            self.may_have_run(caller, "silent", table, now);
+            self.may_have_run(caller, Failure::Silent, table, now);
         }
     }
 
--- a/src/direct/requests/changes.rs
+++ b/src/direct/requests/changes.rs
@@ -7,6 +7,7 @@
 use crate::direct::published::model::{ColdStart, Endpoint, Name};
 use crate::direct::published::table::Table;
 use crate::direct::requests::Requests;
+use crate::direct::requests::attempts::Failure;
 use crate::direct::requests::request::{Phase, Request};
 use crate::message::Timestamp;
 
@@ -49,7 +50,7 @@
         let mut lost: Vec<u64> = lost.map(|(caller, _)| *caller).collect();
         lost.sort_unstable();
         for caller in lost {
-            self.may_have_run(caller, "endpoint restarted", table, now);
+            self.may_have_run(caller, Failure::EndpointRestarted, table, now);
         }
     }
 
--- a/src/direct/requests/mod.rs
+++ b/src/direct/requests/mod.rs
@@ -5,7 +5,7 @@
 //!
 //! `core` hands in what callers, endpoints and owners do; `stages` follows the stages at their owner,
 //! `attempts` the calls, `choice` where they go, `changes` what changed endpoints mean for them, `stopping` what
-//! can still end in a process that stops, `patience` what a process does that is short of time, `early` what
+//! can still end in a process that stops, `patience` what a process does that is short of time, `poison` what ends endpoints, `early` what
 //! comes before the first configuration. Which endpoint is chosen is `policy::place`'s.
 
 mod attempts;
@@ -17,12 +17,14 @@
 pub mod fetches;
 mod owners;
 mod patience;
+mod poison;
 pub mod request;
 pub(super) mod stages;
 pub(super) mod stopping;
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::{Rng, RngExt};
@@ -33,6 +35,7 @@
 use crate::direct::note::{Note, ms};
 use crate::direct::peers::members::Members;
 use crate::direct::peers::message::{JobId, PeerMessage};
+use crate::direct::poison::suspects::Suspects;
 use crate::direct::published::homes::Homes;
 use crate::direct::published::model::{Name, Organisation, Route};
 use crate::direct::published::table::Table;
@@ -88,6 +91,8 @@
     pub(super) lateness: Duration,
     /// Other gateways that told that they are late.
     pub(super) late_owners: HashMap<SocketAddr, patience::Told>,
+    /// Contents under which endpoints ended.
+    pub(super) suspects: Arc<Suspects>,
     pub(super) next_attempt: u64,
     /// Jobs to be submitted once the members are at hand.
     pub(super) to_submit: Vec<u64>,
@@ -119,6 +124,7 @@
             short_cells: HashMap::new(),
             lateness: Duration::ZERO,
             late_owners: HashMap::new(),
+            suspects: Arc::default(),
             next_attempt: 0,
             to_submit: Vec::new(),
             to_submit_again: Vec::new(),
@@ -203,6 +209,9 @@
             version: table.deployment.version,
             left_ms: ms(request.deadline.saturating_sub(now)),
         }));
+        if let Some(part) = self.poison_in(&request) {
+            return self.refuse_poison_at_door(caller, &request, part);
+        }
         self.timers.insert((request.deadline, caller, Timer::Deadline));
         let has_stages = request.has_stages();
         self.requests.insert(caller, request);
@@ -242,6 +251,7 @@
             attempt: None,
             sends: 0,
             may_have_run: 0,
+            round: 0,
             tried: Vec::new(),
             last_event: incoming.after_event.clone(),
             holds_results: false,
--- a/src/direct/requests/stages.rs
+++ b/src/direct/requests/stages.rs
@@ -176,6 +176,7 @@
         match reason {
             JobReason::NotOwner => self.pass_over(caller, from),
             JobReason::DeadlinePassed => self.refuse(caller, Refused::TimedOut, RETRY_SOON, now),
+            _ if self.is_refused_as_poison(caller, now) => {}
             _ => self.refuse(caller, Refused::Overloaded, retry_after, now),
         }
     }
@@ -259,5 +260,6 @@
         data_centre,
         homes: request.homes.clone(),
         resubmitted,
+        fingerprint: request.fingerprint,
     }
 }
--- a/src/direct/shell.rs
+++ b/src/direct/shell.rs
@@ -307,6 +307,15 @@
         });
     }
 
+    fn probe(&self, endpoint: Arc<Endpoint>) {
+        let (core, client) = (self.core.clone(), self.client.clone());
+        tokio::spawn(async move {
+            let is_closed = client.is_closed(&endpoint).await;
+            let (endpoint, incarnation) = (endpoint.id.clone(), endpoint.incarnation);
+            core.send(Event::Probed { endpoint, incarnation, is_closed }).await.ok();
+        });
+    }
+
     fn write(&self, note: &Note) {
         crate::metrics::noted(note);
         self.lines.write(note);
@@ -368,6 +377,9 @@
                 tokio::spawn(async move { client.free(endpoint, handles).await });
             }
             Action::AskReport(endpoint) => self.ask_report(endpoint),
+            Action::Probe(endpoint) => self.probe(endpoint),
+            // The core takes these in before it hands its actions out.
+            Action::Poison(_) => {}
             Action::Tell { to, message } => self.peers.tell(to, message),
             Action::Spread { to, message } => self.peers.spread(&to, message),
             Action::Disconnect { from } => self.peers.disconnect(from),
--- /dev/null
+++ b/src/direct/suspecting.rs
@@ -0,0 +1,144 @@
+//! The core's part for poison requests: it gathers what requests and owners tell of endpoints that ended, hears
+//! and tells other gateways, and hands out what is refused.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::seq::IteratorRandom;
+
+use crate::direct::core::GatewayCore;
+use crate::direct::event::Action;
+use crate::direct::note::Note;
+use crate::direct::peers::members::HEARTBEAT;
+use crate::direct::peers::message::PeerMessage;
+use crate::direct::poison::Report;
+use crate::direct::poison::broken::{Ended, Verdict};
+use crate::direct::poison::suspects::{Account, Condemned};
+use crate::direct::published::documents::EntryState;
+use crate::direct::published::model::Name;
+use crate::message::Timestamp;
+
+/// One other gateway is asked this often whether it knows something else: who missed the news, cut off or not
+/// yet started, has it in time. A digest of ten bytes where nothing is new.
+const ASKED_EVERY: Duration = Duration::from_secs(2);
+
+impl GatewayCore {
+    /// Requests or owners tell what became of something that they ran.
+    pub(super) fn poison_reported(&mut self, report: Report, now: Timestamp) {
+        match report {
+            Report::Broke { endpoint, runs, by_connection } => {
+                let (broken, table) = (&mut self.broken, &self.table);
+                match broken.broke(&endpoint, &runs, by_connection, table, now) {
+                    Verdict::Ended(ended) => self.endpoints_ended(vec![ended], now),
+                    Verdict::Probe => self.out.push(Action::Probe(endpoint)),
+                    Verdict::Wait => {}
+                }
+            }
+            Report::Survived(fingerprint) => {
+                if Arc::make_mut(&mut self.suspects).clear(fingerprint, now) {
+                    self.note(Note::Cleared { fingerprint: fingerprint.to_string() });
+                    self.hand_out_suspects(Vec::new(), "own", now);
+                }
+            }
+            Report::Refused(fingerprint) => {
+                if self.suspects.is_refreshed_by(fingerprint, now) {
+                    Arc::make_mut(&mut self.suspects).came(fingerprint, now);
+                }
+            }
+        }
+    }
+
+    /// An endpoint was probed.
+    pub(super) fn probed(
+        &mut self,
+        endpoint: &Name,
+        incarnation: u64,
+        is_closed: bool,
+        now: Timestamp,
+    ) {
+        let ended = if is_closed { self.broken.port_closed(endpoint, incarnation) } else { None };
+        self.endpoints_ended(ended.into_iter().collect(), now);
+    }
+
+    /// Entries of endpoints changed, which may prove that they ended.
+    pub(super) fn entries_may_prove(&mut self, ids: &[Name], now: Timestamp) {
+        let documents = &self.documents;
+        let is_gone = |id: &str| documents.state(id) == EntryState::Gone;
+        let ended = self.broken.changed(ids, &self.table, is_gone);
+        self.endpoints_ended(ended, now);
+    }
+
+    fn endpoints_ended(&mut self, ended: Vec<Ended>, now: Timestamp) {
+        if ended.is_empty() {
+            return;
+        }
+        let mut condemned = Vec::new();
+        for Ended { endpoint, runs, proof } in ended {
+            let suspects = Arc::make_mut(&mut self.suspects);
+            condemned.extend(suspects.ended(&endpoint.id, endpoint.incarnation, &runs, now));
+            let rounds = runs.iter().map(|run| (run.fingerprint.to_string(), run.round));
+            self.note(Note::EndpointEnded {
+                endpoint: endpoint.id.clone(),
+                incarnation: endpoint.incarnation,
+                proof,
+                suspects: rounds.collect(),
+            });
+        }
+        self.hand_out_suspects(condemned, "own", now);
+        self.next_beat = Timestamp::ZERO;
+    }
+
+    /// Another gateway tells what it knows.
+    pub(super) fn suspects_told(&mut self, from: SocketAddr, told: &[Account], now: Timestamp) {
+        let condemned = Arc::make_mut(&mut self.suspects).told(told, now);
+        self.hand_out_suspects(condemned, &from.to_string(), now);
+    }
+
+    /// Another gateway asks, which knows what has this digest.
+    pub(super) fn suspects_asked(&mut self, from: SocketAddr, digest: u64, now: Timestamp) {
+        if digest != self.suspects.digest() {
+            self.tell(from, PeerMessage::Suspects(self.suspects.accounts(now)));
+        }
+    }
+
+    /// Requests and owners go by what is known now.
+    fn hand_out_suspects(&mut self, condemned: Vec<Condemned>, source: &str, now: Timestamp) {
+        for Condemned { fingerprint, endpoints } in &condemned {
+            let (fingerprint, endpoints) = (fingerprint.to_string(), endpoints.clone());
+            let source = source.to_owned();
+            self.note(Note::PoisonFound { fingerprint, endpoints, source });
+        }
+        crate::metrics::poison(self.suspects.poison());
+        self.requests.set_suspects(self.suspects.clone());
+        self.requests.condemned(&condemned, now);
+        self.owners.set_suspects(&self.suspects, &condemned, &self.table);
+    }
+
+    /// With a heartbeat: tells news of suspects to whom it goes, forgets old ones, and asks another gateway now
+    /// and then, a newly heard one with the next heartbeat.
+    pub(super) fn tell_suspects(&mut self, to: &[SocketAddr], now: Timestamp) {
+        self.broken.forget(now);
+        if self.suspects.is_outdated(now) {
+            Arc::make_mut(&mut self.suspects).forget(now);
+            self.hand_out_suspects(Vec::new(), "own", now);
+        }
+        if self.suspects.has_news() {
+            let news = Arc::make_mut(&mut self.suspects).news(now);
+            let message = PeerMessage::Suspects(news);
+            self.out.push(Action::Spread { to: to.to_vec(), message });
+        }
+        if now >= self.next_ask
+            && let Some(peer) = self.members.alive().choose(&mut self.rng)
+        {
+            let to = peer.address;
+            self.next_ask = now + ASKED_EVERY;
+            self.tell(to, PeerMessage::AskSuspects(self.suspects.digest()));
+        }
+    }
+
+    /// A gateway was heard for the first time, or once more: whichever missed something asks soon.
+    pub(super) fn ask_suspects_soon(&mut self, now: Timestamp) {
+        self.next_ask = self.next_ask.min(now + HEARTBEAT);
+    }
+}
--- a/src/direct/talking.rs
+++ b/src/direct/talking.rs
@@ -43,6 +43,7 @@
                     });
                 }
                 if newly_heard {
+                    self.ask_suspects_soon(now);
                     let message = self.gossip(now);
                     self.tell(from, message);
                 }
@@ -76,6 +77,8 @@
                 self.requests.stage_done(job, from, stage, results);
             }
             PeerMessage::Ready(job) => self.requests.ready(job, from, &self.table, now),
+            PeerMessage::Suspects(accounts) => self.suspects_told(from, &accounts, now),
+            PeerMessage::AskSuspects(digest) => self.suspects_asked(from, digest, now),
             PeerMessage::GivenUp { job, reason, untouched, retry_after } => {
                 let given_up = GivenUp { reason, untouched, retry_after };
                 self.requests.given_up(job, from, given_up, &self.table, now);
@@ -119,6 +122,7 @@
     pub(super) fn beat(&mut self, now: Timestamp) {
         let to = self.members.beat(&mut self.rng);
         let message = self.gossip(now);
+        self.tell_suspects(&to, now);
         self.out.push(Action::Spread { to, message });
     }
 
--- a/testbed/src/owner_load.rs
+++ b/testbed/src/owner_load.rs
@@ -14,6 +14,7 @@
 use stackmast::direct::event::{Action, BatchOutcome, CallFailure, PieceOutcome};
 use stackmast::direct::owner::scheduler::Scheduler;
 use stackmast::direct::peers::message::{Job, JobId, JobStage, PeerMessage};
+use stackmast::direct::poison::fingerprint::Fingerprint;
 use stackmast::direct::published::homes::Homes;
 use stackmast::direct::published::model::{
     BatchSpec, CallerLimits, Deployment, Endpoint, Name, Pool, Work,
@@ -258,6 +259,7 @@
             data_centre,
             homes: Homes::default(),
             resubmitted: false,
+            fingerprint: Fingerprint::of_content("POST", &number.to_string(), b""),
         }
     }
 
--- a/tests/directenv/mod.rs
+++ b/tests/directenv/mod.rs
@@ -14,6 +14,7 @@
 
 use stackmast::config::Selector;
 use stackmast::direct::peers::message::{Job, JobId, JobStage};
+use stackmast::direct::poison::fingerprint::Fingerprint;
 use stackmast::direct::published::homes::Homes;
 use stackmast::direct::published::model::{
     BatchSpec, CallerLimits, Deployment, Endpoint, EngineSpec, Name, Organisation, Pool, Repeat,
@@ -145,5 +146,6 @@
         data_centre: "hall-1".into(),
         homes: Homes::default(),
         resubmitted: false,
+        fingerprint: Fingerprint::of_content("POST", &number.to_string(), b""),
     }
 }
