--- a/src/actor.rs
+++ b/src/actor.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use snafu::Snafu;
-use tokio::sync::{mpsc, oneshot};
-use tokio::time::Instant;
+use tokio::sync::{mpsc, oneshot, watch};
 
+use crate::clock::Clock;
 use crate::message::Timestamp;
 
 /// Messages that wait for a core; senders wait beyond that.
@@ -15,6 +15,10 @@
 const MOST_URGENT: usize = 16;
 /// A core without timers is woken this often.
 const IDLE_WAKEUP: Duration = Duration::from_secs(1);
+/// A core that goes on so long after it was due was not merely late: its process stood still, frozen, suspended
+/// or without a processor, and what others told it meanwhile waits to be read. Hosts of 0.09 cores are late by up
+/// to 200 ms in a burst.
+const STOOD_STILL: Duration = Duration::from_millis(500);
 
 /// Decisions without I/O or clock.
 pub trait Core: Send + 'static {
@@ -33,6 +37,9 @@
     /// The event that is handled next has waited so long.
     fn waits(&mut self, _waited: Duration, _now: Timestamp) {}
 
+    /// The process stood still for so long, until now.
+    fn stood_still(&mut self, _for_so_long: Duration, _now: Timestamp) {}
+
     /// Takes in an event and returns what must be done, in order.
     fn handle(&mut self, event: Self::Event, now: Timestamp) -> Vec<Self::Action>;
     /// When [`Self::TICK`] is due.
@@ -52,7 +59,7 @@
 
 enum Message<C: Core> {
     /// An event, and since when it waits.
-    Event(C::Event, Instant),
+    Event(C::Event, Timestamp),
     Inspect(Inspection<C>),
 }
 
@@ -65,11 +72,15 @@
 pub struct Handle<C: Core> {
     urgent: mpsc::Sender<Message<C>>,
     mailbox: mpsc::Sender<Message<C>>,
+    clock: Clock,
+    /// When the process last went on after it had stood still.
+    went_on: watch::Receiver<Timestamp>,
 }
 
 impl<C: Core> Clone for Handle<C> {
     fn clone(&self) -> Self {
-        Self { urgent: self.urgent.clone(), mailbox: self.mailbox.clone() }
+        let (urgent, mailbox) = (self.urgent.clone(), self.mailbox.clone());
+        Self { urgent, mailbox, clock: self.clock.clone(), went_on: self.went_on.clone() }
     }
 }
 
@@ -81,14 +92,35 @@
     /// Sends an event, waiting while the mailbox is full.
     pub async fn send(&self, event: C::Event) -> Result<(), Stopped> {
         let mailbox = self.sender(&event);
-        mailbox.send(Message::Event(event, Instant::now())).await.map_err(|_| Stopped)
+        mailbox.send(Message::Event(event, self.now())).await.map_err(|_| Stopped)
+    }
+
+    /// The time by the core's clock.
+    pub fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    /// Waits until a time by the core's clock: what a suspension has used up is not waited for after it.
+    pub async fn sleep_until(&self, at: Timestamp) {
+        let mut went_on = self.went_on.clone();
+        loop {
+            went_on.mark_unchanged();
+            let left = at.saturating_sub(self.now());
+            if left.is_zero() {
+                return;
+            }
+            tokio::select! {
+                () = tokio::time::sleep(left) => {}
+                Ok(()) = went_on.changed() => {}
+            }
+        }
     }
 
     /// Sends an event from where nothing can wait, such as a destructor.
     pub fn post(&self, event: C::Event, runtime: &tokio::runtime::Handle) {
         let mailbox = self.sender(&event).clone();
         if let Err(mpsc::error::TrySendError::Full(message)) =
-            mailbox.try_send(Message::Event(event, Instant::now()))
+            mailbox.try_send(Message::Event(event, self.now()))
         {
             runtime.spawn(async move { mailbox.send(message).await.ok() });
         }
@@ -112,13 +144,22 @@
 pub struct Mailbox<C: Core> {
     urgent: mpsc::Receiver<Message<C>>,
     receiver: mpsc::Receiver<Message<C>>,
+    clock: Clock,
+    went_on: watch::Sender<Timestamp>,
 }
 
 /// A handle and the mailbox that it sends to.
 pub fn mailbox<C: Core>() -> (Handle<C>, Mailbox<C>) {
+    mailbox_with(Clock::of_host())
+}
+
+/// As [`mailbox`], with a clock of its own.
+pub fn mailbox_with<C: Core>(clock: Clock) -> (Handle<C>, Mailbox<C>) {
     let (urgent, urgent_receiver) = mpsc::channel(MAILBOX);
     let (mailbox, receiver) = mpsc::channel(MAILBOX);
-    (Handle { urgent, mailbox }, Mailbox { urgent: urgent_receiver, receiver })
+    let (sender, went_on) = watch::channel(Timestamp::ZERO);
+    let handle = Handle { urgent, mailbox, clock: clock.clone(), went_on };
+    (handle, Mailbox { urgent: urgent_receiver, receiver, clock, went_on: sender })
 }
 
 impl<C: Core> Mailbox<C> {
@@ -133,35 +174,47 @@
             message = self.receiver.recv() => message.map(|message| (message, false)),
         }
     }
+
+    /// The time, after a look whether it should have been looked at much earlier, at `due`.
+    fn look_at_clock(&self, core: &mut C, due: Timestamp) -> Timestamp {
+        let now = self.clock.now();
+        let late = now.saturating_sub(due);
+        if late >= STOOD_STILL {
+            core.stood_still(late, now);
+            self.went_on.send_replace(now);
+        }
+        now
+    }
 }
 
 /// Runs a core until its last handle is gone.
 pub async fn run<C: Core>(mut core: C, mut shell: impl Shell<C>, mut mailbox: Mailbox<C>) {
-    let start = Instant::now();
     let mut urgent_in_a_row = 0;
+    let mut due = mailbox.clock.now();
     loop {
-        let now = start.elapsed();
+        let now = mailbox.look_at_clock(&mut core, due);
         let idle = now + IDLE_WAKEUP;
-        let wakeup = start + core.next_wakeup().map_or(idle, |at| at.min(idle));
+        let wakeup = core.next_wakeup().map_or(idle, |at| at.min(idle));
+        // One that was due before it could be known waits from now on.
+        due = wakeup.max(now);
         let message = tokio::select! {
             biased;
-            () = tokio::time::sleep_until(wakeup) => {
-                // One that was due before it could be known waits from now on.
-                Some(Message::Event(C::TICK, wakeup.max(start + now)))
-            }
+            () = tokio::time::sleep(due - now) => Some(Message::Event(C::TICK, due)),
             next = mailbox.next(urgent_in_a_row < MOST_URGENT) => next.map(|(message, is_urgent)| {
                 urgent_in_a_row = if is_urgent { urgent_in_a_row + 1 } else { 0 };
                 message
             }),
         };
+        let begun = mailbox.look_at_clock(&mut core, due);
+        due = begun;
         match message {
             None => return,
-            Some(Message::Inspect(ask)) => ask(&core, start.elapsed()),
+            Some(Message::Inspect(ask)) => ask(&core, begun),
             Some(Message::Event(event, since)) => {
-                let begun = Instant::now();
-                core.waits(begun.saturating_duration_since(since), begun - start);
-                let actions = core.handle(event, begun - start);
-                shell.handled(begun.saturating_duration_since(since), begun.elapsed());
+                let waited = begun.saturating_sub(since);
+                core.waits(waited, begun);
+                let actions = core.handle(event, begun);
+                shell.handled(waited, mailbox.clock.now().saturating_sub(begun));
                 for action in actions {
                     shell.act(action, &core);
                 }
--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -75,6 +75,8 @@
     pub(super) next_ask: Timestamp,
     /// How long the event that is handled has waited.
     waited: Duration,
+    /// When the process last went on after it had stood still.
+    went_on_at: Timestamp,
     /// When the first whole configuration came.
     complete_since: Option<Timestamp>,
     pub(super) next_beat: Timestamp,
@@ -109,6 +111,7 @@
             survivors: Survivors::default(),
             next_ask: Timestamp::ZERO,
             waited: Duration::ZERO,
+            went_on_at: Timestamp::ZERO,
             complete_since: None,
             next_beat: Timestamp::ZERO,
             stop: None,
@@ -376,9 +379,22 @@
         )
     }
 
+    /// Nobody was heard meanwhile, which says nothing of them. Whoever is there is told at once that this process
+    /// is, and asked for what is new.
+    fn stood_still(&mut self, for_so_long: Duration, now: Timestamp) {
+        self.went_on_at = now;
+        self.members.stood_still(for_so_long, now);
+        self.requests.stood_still(now);
+        self.owners.stood_still(now);
+        self.next_beat = Timestamp::ZERO;
+        self.next_ask = Timestamp::ZERO;
+        self.note(Note::StoodStill { for_ms: ms(for_so_long) });
+    }
+
     fn waits(&mut self, waited: Duration, now: Timestamp) {
         self.waited = waited;
-        self.lateness.waited(waited, now);
+        // A process that stood still is not short of time since.
+        self.lateness.waited(waited.min(now.saturating_sub(self.went_on_at)), now);
         let lateness = self.lateness.now(now);
         self.requests.set_lateness(lateness);
         self.owners.set_lateness(lateness);
--- a/src/direct/note.rs
+++ b/src/direct/note.rs
@@ -132,6 +132,11 @@
         /// `own`, or the gateway that told of the last of them.
         source: String,
     },
+    /// The process stood still, frozen, suspended or without a processor, and goes on.
+    StoodStill {
+        /// For so many milliseconds.
+        for_ms: u64,
+    },
     /// What an endpoint had ended under ran well.
     Cleared {
         /// What it holds and who asks, or one of its stages.
@@ -409,6 +414,7 @@
             Self::EndpointEnded { .. } => "endpoint_ended",
             Self::PoisonFound { .. } => "poison_found",
             Self::Cleared { .. } => "cleared",
+            Self::StoodStill { .. } => "stood_still",
             Self::AttemptFailed { .. } => "attempt_failed",
             Self::ResultsGone { .. } => "results_gone",
             Self::Ended { .. } => "ended",
--- a/src/direct/owner/due.rs
+++ b/src/direct/owner/due.rs
@@ -33,6 +33,13 @@
         self.due.remove(&(at, due));
     }
 
+    /// What is due by now is due later.
+    pub(super) fn postpone(&mut self, now: Timestamp, until: Timestamp) {
+        let later = self.due.split_off(&(now, Due::Deadline(JobId::LOWEST)));
+        let due = std::mem::replace(&mut self.due, later).into_iter();
+        self.due.extend(due.map(|(_, due)| (until, due)));
+    }
+
     /// Takes what is due by now, the oldest first.
     pub(super) fn take(&mut self, now: Timestamp) -> Option<Due> {
         let (at, due) = *self.due.first()?;
--- a/src/direct/owner/outcomes.rs
+++ b/src/direct/owner/outcomes.rs
@@ -36,10 +36,12 @@
         }));
         match outcome {
             BatchOutcome::Pieces(outcomes) => {
-                if let Some(spec) = table.batch(&call.pool) {
-                    self.paces.called(&call.pool, spec, took);
+                if call.sent >= self.went_on_at {
+                    if let Some(spec) = table.batch(&call.pool) {
+                        self.paces.called(&call.pool, spec, took);
+                    }
+                    self.judge_speed(&call, took, table, now);
                 }
-                self.judge_speed(&call, took, table, now);
                 self.report_well(&call, &outcomes);
                 self.pieces_ended(&call, id, outcomes, table, now);
             }
--- a/src/direct/owner/owners.rs
+++ b/src/direct/owner/owners.rs
@@ -50,6 +50,11 @@
         self.each(|owner| owner.set_lateness(lateness));
     }
 
+    /// This process stood still until now.
+    pub fn stood_still(&mut self, now: Timestamp) {
+        self.each(|owner| owner.stood_still(now));
+    }
+
     /// Contents under which endpoints ended; those `condemned` are refused since.
     pub fn set_suspects(
         &mut self,
--- a/src/direct/owner/scheduler.rs
+++ b/src/direct/owner/scheduler.rs
@@ -27,6 +27,7 @@
 use crate::direct::published::model::{BatchSpec, Endpoint, Name};
 use crate::direct::published::table::Table;
 use crate::direct::repeats::{Bounds, Repeats};
+use crate::direct::requests::READ_FIRST;
 use crate::message::Timestamp;
 use crate::policy::path::FETCHING;
 
@@ -68,6 +69,8 @@
     reports_asked: Option<Timestamp>,
     /// How late this process handles its events.
     pub(super) lateness: Duration,
+    /// When this process last went on after it had stood still.
+    pub(super) went_on_at: Timestamp,
     pub(super) last_submit: Option<Timestamp>,
     /// When jobs began to come, after none had for a while.
     pub(super) owner_since: Timestamp,
@@ -100,6 +103,7 @@
             last_look: Timestamp::ZERO,
             reports_asked: None,
             lateness: Duration::ZERO,
+            went_on_at: Timestamp::ZERO,
             last_submit: None,
             owner_since: Timestamp::ZERO,
             looked_at: 0,
@@ -128,6 +132,13 @@
         self.lateness = lateness;
     }
 
+    /// This process stood still until now: what became due meanwhile is looked at once the results are read that
+    /// came meanwhile, and calls that were out tell nothing of how fast endpoints are.
+    pub fn stood_still(&mut self, now: Timestamp) {
+        self.went_on_at = now;
+        self.timers.postpone(now, now + READ_FIRST);
+    }
+
     /// Jobs that were begun and are not over.
     pub fn jobs(&self) -> usize {
         self.jobs.len()
--- a/src/direct/peers/members.rs
+++ b/src/direct/peers/members.rs
@@ -282,6 +282,17 @@
         lost
     }
 
+    /// This process stood still for so long, until now, and heard nobody: that says nothing of the others. They
+    /// have as long to be heard from now on as they had before.
+    pub fn stood_still(&mut self, for_so_long: Duration, now: Timestamp) {
+        for heard in self.others.values_mut().filter_map(|known| known.heard.as_mut()) {
+            *heard = (*heard + for_so_long).min(now);
+        }
+        for suspected in self.suspected.values_mut() {
+            *suspected = (*suspected + for_so_long).min(now);
+        }
+    }
+
     /// The others that are taken for alive.
     pub fn alive(&self) -> impl Iterator<Item = &Member> {
         self.others.values().filter(|k| k.heard.is_some()).map(|k| &k.member)
--- a/src/direct/requests/attempts.rs
+++ b/src/direct/requests/attempts.rs
@@ -207,7 +207,7 @@
             return self.may_have_run(caller, Failure::ServerError, table, now);
         }
         if !is_own_failure(proof.status) {
-            self.observations.answered(&endpoint, now.saturating_sub(open.ordered));
+            self.observations.answered(&endpoint, self.took(open.ordered, now));
         } else if self.observations.failed(&endpoint, now) {
             self.note_avoided(&endpoint.id, "server errors");
         }
@@ -260,8 +260,9 @@
     pub fn first_event(&mut self, caller: u64, now: Timestamp) {
         if let Some(request) = self.requests.get(&caller)
             && let Some(sent) = request.attempt.as_ref().and_then(|a| a.sent)
+            && let Some(took) = self.took(sent, now)
         {
-            self.fetches.begun(&request.pool, now.saturating_sub(sent));
+            self.fetches.begun(&request.pool, took);
         }
         self.release(caller);
     }
--- a/src/direct/requests/endpoints.rs
+++ b/src/direct/requests/endpoints.rs
@@ -74,14 +74,16 @@
         }
     }
 
-    /// An endpoint answered well after this time.
-    pub fn answered(&mut self, endpoint: &Endpoint, took: Duration) {
+    /// An endpoint answered well, after this time where it is known.
+    pub fn answered(&mut self, endpoint: &Endpoint, took: Option<Duration>) {
         let Some(observed) = self.entry(endpoint) else {
             return;
         };
         observed.failures = 0;
         observed.failing *= 1.0 - NEW_WEIGHT;
-        let took = took.as_secs_f64();
+        let Some(took) = took.map(|took| took.as_secs_f64()) else {
+            return;
+        };
         let before = observed.answer_time.unwrap_or(took);
         observed.answer_time = Some(before + (took - before) * NEW_WEIGHT);
     }
--- a/src/direct/requests/mod.rs
+++ b/src/direct/requests/mod.rs
@@ -54,6 +54,9 @@
 pub(super) const RETRY_ELSEWHERE: Duration = Duration::from_millis(100);
 /// A request without a deadline of its own.
 const DEFAULT_ALLOWED: Duration = Duration::from_secs(60);
+/// A process that stood still reads for so long what came meanwhile before it judges who was silent: answers that
+/// are ready are delivered, also late ones.
+pub const READ_FIRST: Duration = Duration::from_millis(100);
 
 /// What is due for a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -89,6 +92,8 @@
     pub(super) short_cells: HashMap<Name, Timestamp>,
     /// How late this process handles its events.
     pub(super) lateness: Duration,
+    /// When this process last went on after it had stood still: times that began before are no experience.
+    pub(super) went_on_at: Timestamp,
     /// Other gateways that told that they are late.
     pub(super) late_owners: HashMap<SocketAddr, patience::Told>,
     /// Contents under which endpoints ended.
@@ -123,6 +128,7 @@
             owners: KnownOwners::default(),
             short_cells: HashMap::new(),
             lateness: Duration::ZERO,
+            went_on_at: Timestamp::ZERO,
             late_owners: HashMap::new(),
             suspects: Arc::default(),
             next_attempt: 0,
@@ -307,6 +313,20 @@
         }
     }
 
+    /// This process stood still until now: what became due meanwhile is looked at once the answers are read that
+    /// came meanwhile.
+    pub fn stood_still(&mut self, now: Timestamp) {
+        self.went_on_at = now;
+        let later = self.timers.split_off(&(now, 0, Timer::Deadline));
+        let due = std::mem::replace(&mut self.timers, later).into_iter();
+        self.timers.extend(due.map(|(_, caller, timer)| (now + READ_FIRST, caller, timer)));
+    }
+
+    /// How long something took that began at a time, if this process could hear of its end all the while.
+    pub(super) fn took(&self, since: Timestamp, now: Timestamp) -> Option<Duration> {
+        (since >= self.went_on_at).then(|| now.saturating_sub(since))
+    }
+
     pub(super) fn time_out(&mut self, caller: u64, now: Timestamp) {
         let Some(request) = self.requests.get(&caller) else {
             return;
--- a/src/direct/requests/stages.rs
+++ b/src/direct/requests/stages.rs
@@ -146,8 +146,10 @@
             return self.pass_over(caller, from);
         }
         request.phase = Phase::Running;
-        let (route, took) = (request.route.name.clone(), now.saturating_sub(request.arrived));
-        self.experience.took(&route, Part::Stages, 1, took);
+        let (route, arrived) = (request.route.name.clone(), request.arrived);
+        if let Some(took) = self.took(arrived, now) {
+            self.experience.took(&route, Part::Stages, 1, took);
+        }
         self.dispatch(caller, table, now);
     }
 
--- a/src/direct/requests/stopping.rs
+++ b/src/direct/requests/stopping.rs
@@ -214,7 +214,9 @@
         };
         let (route, size) = (&request.route.name, request.size());
         for (part, since) in [(Part::Whole, request.arrived), (Part::Run, sent)] {
-            let took = now.saturating_sub(since);
+            let Some(took) = self.took(since, now) else {
+                continue;
+            };
             if is_whole {
                 self.experience.took(route, part, size, took);
             } else {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod agent;
 pub mod audit;
 pub mod channels;
+pub mod clock;
 pub mod config;
 pub mod config_store;
 pub mod daemon;
--- /dev/null
+++ b/tests/direct_standstill.rs
@@ -0,0 +1,172 @@
+//! A process that stood still for seconds, frozen or on a suspended machine: what it judges when it goes on.
+//!
+//! A steady clock doesn't count a suspension, so a process that goes by one takes all that it knows for fresh. One
+//! that counts it takes everybody else for silent. Both are wrong: its own time has passed, and what others
+//! said meanwhile waits to be read.
+
+mod directenv;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use directenv::gateway::{
+    answered, calls, configured, good, hear_of, incoming, is_delivered, refusal, serving, submit,
+};
+use directenv::{ms, route};
+use stackmast::actor::{self, Core, Shell};
+use stackmast::clock::{Clock, since_boot};
+use stackmast::direct::core::GatewayCore;
+use stackmast::direct::event::{Action, BatchOutcome, Event, PieceOutcome, Refused};
+use stackmast::direct::note::Note;
+use stackmast::direct::peers::message::PeerMessage;
+use stackmast::direct::published::model::Repeat;
+
+const SUSPENDED: Duration = Duration::from_secs(5);
+
+/// A clock that can be moved on, as by a suspension that the runtime's timers don't see.
+fn clock() -> (Clock, Arc<AtomicU64>) {
+    let suspended = Arc::new(AtomicU64::new(0));
+    let by = suspended.clone();
+    let read = move || since_boot() + Duration::from_millis(by.load(Ordering::Relaxed));
+    (Clock::new(read), suspended)
+}
+
+/// Tells what it is told.
+struct Told(std::sync::mpsc::Sender<(&'static str, Duration)>);
+
+impl Core for Told {
+    type Event = ();
+    type Action = ();
+    const TICK: () = ();
+
+    fn stood_still(&mut self, for_so_long: Duration, _now: Duration) {
+        self.0.send(("stood still", for_so_long)).ok();
+    }
+
+    fn waits(&mut self, waited: Duration, _now: Duration) {
+        self.0.send(("waited", waited)).ok();
+    }
+
+    fn handle(&mut self, _event: (), _now: Duration) -> Vec<()> {
+        Vec::new()
+    }
+
+    fn next_wakeup(&self) -> Option<Duration> {
+        None
+    }
+}
+
+struct Idle;
+
+impl Shell<Told> for Idle {
+    fn act(&mut self, _action: (), _core: &Told) {}
+}
+
+#[tokio::test]
+async fn a_core_is_told_that_its_process_stood_still_and_counts_the_time() {
+    let (clock, suspended) = clock();
+    let (handle, mailbox) = actor::mailbox_with::<Told>(clock);
+    let (sender, told) = std::sync::mpsc::channel();
+    let core = tokio::spawn(actor::run(Told(sender), Idle, mailbox));
+    handle.send(()).await.expect("it runs");
+    tokio::time::sleep(ms(20)).await;
+    suspended.store(SUSPENDED.as_millis() as u64, Ordering::Relaxed);
+    handle.send(()).await.expect("it runs");
+    tokio::time::sleep(ms(20)).await;
+    assert!(handle.now() >= SUSPENDED);
+    drop(handle);
+    core.await.expect("it ends");
+    let told: Vec<_> = told.iter().collect();
+    let stood_still: Vec<_> = told.iter().filter(|(what, _)| *what == "stood still").collect();
+    assert_eq!(stood_still.len(), 1, "{told:?}");
+    assert!(stood_still[0].1 > SUSPENDED - ms(1_100), "{told:?}");
+    assert!(told.iter().all(|(what, took)| *what != "waited" || *took < ms(500)), "{told:?}");
+}
+
+#[tokio::test]
+async fn what_a_suspension_has_used_up_is_not_waited_for_after_it() {
+    let (clock, suspended) = clock();
+    let (handle, mailbox) = actor::mailbox_with::<Told>(clock);
+    let (sender, _told) = std::sync::mpsc::channel();
+    tokio::spawn(actor::run(Told(sender), Idle, mailbox));
+    let begun = Instant::now();
+    let until = handle.now() + ms(4_000);
+    let waits = tokio::spawn({
+        let handle = handle.clone();
+        async move { handle.sleep_until(until).await }
+    });
+    tokio::time::sleep(ms(50)).await;
+    suspended.store(SUSPENDED.as_millis() as u64, Ordering::Relaxed);
+    handle.send(()).await.expect("it runs");
+    waits.await.expect("it ends");
+    assert!(begun.elapsed() < ms(1_500), "{:?}", begun.elapsed());
+}
+
+fn lost(actions: &[Action]) -> usize {
+    let is_lost = |a: &&Action| matches!(a, Action::Note(Note::Peer { alive: false, .. }));
+    actions.iter().filter(is_lost).count()
+}
+
+/// The process stands still from one time to another.
+fn stand_still(core: &mut GatewayCore, from: Duration, to: Duration) -> Vec<Action> {
+    core.handle(Event::Tick, from);
+    core.stood_still(to - from, to);
+    core.handle(Event::Tick, to)
+}
+
+#[test]
+fn others_are_not_taken_for_silent_before_they_could_be_heard() {
+    let mut core = configured(vec![route("r", Repeat::Idempotent, &[])]);
+    hear_of(&mut core, vec![serving(2), serving(3)], ms(1_000));
+    let actions = stand_still(&mut core, ms(1_200), ms(6_200));
+    assert_eq!(lost(&actions), 0);
+    let is_told =
+        |a: &&Action| matches!(a, Action::Spread { message: PeerMessage::Gossip { .. }, .. });
+    assert_eq!(actions.iter().filter(is_told).count(), 1, "it tells at once that it is there");
+    assert_eq!(lost(&core.handle(Event::Tick, ms(6_900))), 0);
+    assert_eq!(lost(&core.handle(Event::Tick, ms(7_100))), 2, "who says nothing since is gone");
+}
+
+#[test]
+fn an_answer_that_came_meanwhile_is_delivered_and_its_call_not_repeated() {
+    let mut core = configured(vec![route("r", Repeat::Idempotent, &[])]);
+    let attempt = calls(&submit(&mut core, 1, incoming("r", vec![]), ms(1_000)))[0].0;
+    let actions = stand_still(&mut core, ms(1_100), ms(6_100));
+    assert!(calls(&actions).is_empty() && refusal(&actions).is_none(), "it may wait to be read");
+    assert!(is_delivered(&core.handle(answered(attempt, good()), ms(6_110))));
+}
+
+#[test]
+fn a_call_that_nothing_came_of_is_repeated_or_given_up_soon_after() {
+    let mut core = configured(vec![route("r", Repeat::Idempotent, &[])]);
+    submit(&mut core, 1, incoming("r", vec![]), ms(1_000));
+    stand_still(&mut core, ms(1_100), ms(3_600));
+    let again = calls(&core.handle(Event::Tick, ms(3_700)));
+    assert_eq!(again.len(), 1);
+    assert_eq!(again[0].1.allowed, ms(2_300), "its caller's time went on");
+    stand_still(&mut core, ms(3_700), ms(8_700));
+    let refused = refusal(&core.handle(Event::Tick, ms(8_800))).expect("its time is over");
+    assert_eq!((refused.reason, refused.not_run), (Refused::TimedOut, false));
+}
+
+#[test]
+fn pieces_that_were_made_meanwhile_are_taken_in_and_not_made_again() {
+    let staged = route("s", Repeat::AtMostOnce, &[("first", &[], 10)]);
+    let mut core = configured(vec![staged]);
+    let actions = submit(&mut core, 1, incoming("s", vec![1]), ms(1_000));
+    let batch = |actions: &[Action]| {
+        actions.iter().find_map(|a| match a {
+            Action::Batch { call, .. } => Some(*call),
+            _ => None,
+        })
+    };
+    let call = batch(&actions).expect("a call");
+    let actions = stand_still(&mut core, ms(1_100), ms(4_100));
+    assert_eq!(batch(&actions), None, "its result may wait to be read");
+    let outcome = BatchOutcome::Pieces(vec![PieceOutcome::Made("h".into())]);
+    let actions = core.handle(Event::BatchEnded { call, outcome }, ms(4_110));
+    assert_eq!(calls(&actions).len(), 1, "the request runs");
+    let is_slow = |a: &Action| matches!(a, Action::Note(Note::Suspicion { .. }));
+    assert!(!actions.iter().any(is_slow), "the endpoint was not slow, this process stood still");
+}
