--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -32,6 +32,10 @@
 use crate::direct::stop::{self, Stop};
 use crate::message::Timestamp;
 
+/// A report of how an endpoint stands is worth something for so long after it was asked for: one that lay unread while
+/// this process stood still tells how the endpoint stood then.
+const REPORT_KEPT: Duration = Duration::from_millis(500);
+
 /// What a gateway is made with.
 #[derive(Debug, Clone)]
 pub struct Setup {
@@ -154,7 +158,10 @@
             Event::BatchEnded { call, outcome } => {
                 self.owners.batch_ended(call, outcome, &self.table, now);
             }
-            Event::Reported { endpoint, report } => {
+            Event::Reported { endpoint, asked, .. } if now >= asked + REPORT_KEPT => {
+                self.note(Note::NoReport { endpoint });
+            }
+            Event::Reported { endpoint, report, .. } => {
                 self.owners.reported(&endpoint, report, &self.table, now);
             }
             Event::NoReport { endpoint } => self.note(Note::NoReport { endpoint }),
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -200,6 +200,8 @@
         endpoint: Name,
         /// What it told.
         report: BatchReport,
+        /// When it was asked.
+        asked: Timestamp,
     },
     /// An endpoint did not tell how it stands, or not in time.
     NoReport {
--- a/src/direct/poison/suspects.rs
+++ b/src/direct/poison/suspects.rs
@@ -217,6 +217,21 @@
         self.judge()
     }
 
+    /// Whether another gateway tells something that is not known: most of what comes was heard before.
+    pub fn is_news(&self, account: &Account, now: Timestamp) -> bool {
+        let came = now.saturating_sub(Duration::from_secs(u64::from(account.age_s)));
+        let Some(known) = self.of.get(&account.fingerprint) else {
+            return true;
+        };
+        let covers = |loss: &Loss| {
+            let same = known.losses.iter().find(|own| own.life() == loss.life());
+            same.is_some_and(|own| own.round >= loss.round && (own.alone || !loss.alone))
+        };
+        let is_later = account.cleared > known.cleared || came > known.came + REFRESHED_AFTER;
+        let adds = account.cleared == known.cleared && !account.losses.iter().all(covers);
+        is_later || adds
+    }
+
     /// Takes in what another gateway tells; names what is refused since.
     pub fn told(&mut self, accounts: &[Account], now: Timestamp) -> Vec<Condemned> {
         for account in accounts {
--- a/src/direct/shell.rs
+++ b/src/direct/shell.rs
@@ -298,9 +298,9 @@
     fn ask_report(&self, endpoint: Arc<Endpoint>) {
         let (core, client) = (self.core.clone(), self.client.clone());
         tokio::spawn(async move {
-            let id = endpoint.id.clone();
+            let (id, asked) = (endpoint.id.clone(), core.now());
             let event = match client.report(endpoint).await {
-                Some(report) => Event::Reported { endpoint: id, report },
+                Some(report) => Event::Reported { endpoint: id, report, asked },
                 None => Event::NoReport { endpoint: id },
             };
             core.send(event).await.ok();
--- a/src/direct/suspecting.rs
+++ b/src/direct/suspecting.rs
@@ -105,13 +105,17 @@
 
     /// Another gateway tells what it knows.
     pub(super) fn suspects_told(&mut self, from: SocketAddr, told: &[Account], now: Timestamp) {
-        let mut condemned = Arc::make_mut(&mut self.suspects).told(told, now);
         let ended = self.broken.told(told, now);
-        let told = told.iter().map(|account| account.fingerprint);
-        let well: Vec<_> = told.filter(|f| self.survivors.has(*f, now)).collect();
-        condemned.retain(|c| !well.contains(&c.fingerprint));
-        self.hand_out_suspects(condemned, &from.to_string(), now);
-        well.into_iter().for_each(|fingerprint| self.clear(fingerprint, now));
+        let news = told.iter().filter(|account| self.suspects.is_news(account, now));
+        let news: Vec<Account> = news.cloned().collect();
+        if !news.is_empty() {
+            let mut condemned = Arc::make_mut(&mut self.suspects).told(&news, now);
+            let told = news.iter().map(|account| account.fingerprint);
+            let well: Vec<_> = told.filter(|f| self.survivors.has(*f, now)).collect();
+            condemned.retain(|c| !well.contains(&c.fingerprint));
+            self.hand_out_suspects(condemned, &from.to_string(), now);
+            well.into_iter().for_each(|fingerprint| self.clear(fingerprint, now));
+        }
         self.endpoints_ended(ended, now);
     }
 
--- a/tests/direct_poison.rs
+++ b/tests/direct_poison.rs
@@ -199,3 +199,20 @@
     };
     assert_eq!(ended.runs.len(), 3);
 }
+
+#[test]
+fn what_is_known_is_told_apart_from_news() {
+    let mut suspects = Suspects::default();
+    end(&mut suspects, "a", &[run(1, 1, true)]);
+    end(&mut suspects, "b", &[run(1, 2, true)]);
+    let told = suspects.accounts(ms(0));
+    let is_news = |suspects: &Suspects| suspects.is_news(&told[0], ms(0));
+    assert!(!is_news(&suspects) && is_news(&Suspects::default()));
+    let mut less = Suspects::default();
+    end(&mut less, "b", &[run(1, 1, true)]);
+    assert!(is_news(&less));
+    less.told(&told, ms(0));
+    assert!(!is_news(&less));
+    less.clear(content(1), ms(0));
+    assert!(!is_news(&less), "what was cleared since is older");
+}
--- a/tests/direct_standstill.rs
+++ b/tests/direct_standstill.rs
@@ -17,7 +17,7 @@
 use stackmast::actor::{self, Core, Shell};
 use stackmast::clock::{Clock, since_boot};
 use stackmast::direct::core::GatewayCore;
-use stackmast::direct::event::{Action, BatchOutcome, Event, PieceOutcome, Refused};
+use stackmast::direct::event::{Action, BatchOutcome, BatchReport, Event, PieceOutcome, Refused};
 use stackmast::direct::note::Note;
 use stackmast::direct::peers::message::PeerMessage;
 use stackmast::direct::published::model::Repeat;
@@ -170,3 +170,19 @@
     let is_slow = |a: &Action| matches!(a, Action::Note(Note::Suspicion { .. }));
     assert!(!actions.iter().any(is_slow), "the endpoint was not slow, this process stood still");
 }
+
+#[test]
+fn a_report_that_lay_unread_is_not_how_an_endpoint_stands_now() {
+    let staged = route("s", Repeat::AtMostOnce, &[("first", &[], 10)]);
+    let mut core = configured(vec![staged]);
+    submit(&mut core, 1, incoming("s", vec![1]), ms(1_000));
+    let told = |core: &mut GatewayCore, now: Duration| {
+        let report = BatchReport { free_bytes: 10, waiting: 0, incarnation: 0 };
+        let endpoint = "first-1".into();
+        let actions = core.handle(Event::Reported { endpoint, report, asked: ms(1_000) }, now);
+        actions.iter().any(|a| matches!(a, Action::Note(Note::Reported { .. })))
+    };
+    assert!(told(&mut core, ms(1_010)));
+    stand_still(&mut core, ms(1_100), ms(4_100));
+    assert!(!told(&mut core, ms(4_101)));
+}
--- a/tests/directenv/fakes.rs
+++ b/tests/directenv/fakes.rs
@@ -20,7 +20,8 @@
         }
         let free_bytes = self.rng.random_range(0..=1_000);
         let report = BatchReport { free_bytes, waiting: 0, incarnation: 0 };
-        let event = Event::Reported { endpoint: endpoint.id.clone(), report };
+        let asked = self.now;
+        let event = Event::Reported { endpoint: endpoint.id.clone(), report, asked };
         let at = self.now + self.time_in(ms(1), ms(8));
         self.at(at, Happening::Event(number, self.lives[number], Box::new(event)));
     }
