--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -19,7 +19,7 @@
 use crate::direct::peers::message::PeerMessage;
 use crate::direct::peers::pulls::Pulls;
 use crate::direct::poison::broken::Broken;
-use crate::direct::poison::survivors::Survivors;
+use crate::direct::poison::successes::Successes;
 use crate::direct::poison::suspects::Suspects;
 use crate::direct::published::documents::Documents;
 use crate::direct::published::evacuations::Evacuations;
@@ -71,10 +71,10 @@
     pub(super) pulls: Pulls,
     early: Waiting,
     pub(super) lateness: Lateness,
-    /// Contents under which endpoints ended; requests and owners have the same.
+    /// Contents under which endpoints crashed; requests and owners have the same.
     pub(super) suspects: Arc<Suspects>,
     pub(super) broken: Broken,
-    pub(super) survivors: Survivors,
+    pub(super) successes: Successes,
     /// When another gateway is next asked for what it knows of them.
     pub(super) next_ask: Timestamp,
     /// How long the event that is handled has waited.
@@ -112,7 +112,7 @@
             lateness: Lateness::default(),
             suspects: Arc::default(),
             broken: Broken::default(),
-            survivors: Survivors::default(),
+            successes: Successes::default(),
             next_ask: Timestamp::ZERO,
             waited: Duration::ZERO,
             went_on_at: Timestamp::ZERO,
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -365,7 +365,7 @@
     OutcomeUnknown,
     /// It failed, and the budget holds no repeat.
     RepeatBudget,
-    /// Endpoints ended under what it holds.
+    /// Endpoints crashed under what it holds.
     Poison,
 }
 
--- a/src/direct/note.rs
+++ b/src/direct/note.rs
@@ -112,22 +112,22 @@
         /// Milliseconds that remain.
         left_ms: u64,
     },
-    /// An endpoint ended while this ran there.
-    EndpointEnded {
+    /// An endpoint crashed while this ran there.
+    EndpointCrashed {
         /// The endpoint.
         endpoint: Name,
         /// Its life.
         incarnation: u64,
         /// What proved it.
         proof: &'static str,
-        /// What ran there: fingerprints, each with the rounds of endings that it has had.
+        /// What ran there: fingerprints, each with the rounds of crashes that it has had.
         suspects: Vec<(String, u8)>,
     },
-    /// What endpoints ended under is refused from now on.
-    PoisonFound {
+    /// What endpoints crashed under is refused from now on.
+    Quarantined {
         /// What it holds and who asks, or one of its stages.
         fingerprint: String,
-        /// Endpoints that ended under it.
+        /// Endpoints that crashed under it.
         endpoints: Vec<Name>,
         /// `own`, or the gateway that told of the last of them.
         source: String,
@@ -137,7 +137,7 @@
         /// For so many milliseconds.
         for_ms: u64,
     },
-    /// What an endpoint had ended under ran well.
+    /// What an endpoint had crashed under ran well.
     Cleared {
         /// What it holds and who asks, or one of its stages.
         fingerprint: String,
@@ -411,8 +411,8 @@
             Self::BatchSent { .. } => "batch_sent",
             Self::BatchEnded { .. } => "batch_ended",
             Self::Sent { .. } => "sent",
-            Self::EndpointEnded { .. } => "endpoint_ended",
-            Self::PoisonFound { .. } => "poison_found",
+            Self::EndpointCrashed { .. } => "endpoint_crashed",
+            Self::Quarantined { .. } => "quarantined",
             Self::Cleared { .. } => "cleared",
             Self::StoodStill { .. } => "stood_still",
             Self::AttemptFailed { .. } => "attempt_failed",
--- a/src/direct/owner/mod.rs
+++ b/src/direct/owner/mod.rs
@@ -4,7 +4,7 @@
 //!
 //! `scheduler` holds jobs and calls, `admission` decides whether a job is begun, `filling` sends pieces,
 //! `outcomes` takes results in, `restarts` forgets what endpoints lost, `poison`
-//! sets jobs apart that endpoints end under. What they decide by is kept, not
+//! sets jobs apart that endpoints crash under. What they decide by is kept, not
 //! counted: `ledger` has a page for each pool (`queue` what waits, `bookings` the room over time, `free` the
 //! endpoints), into which each job enters what `entry` and `plan` make of it, anew whenever it changes. A job
 //! costs what its own stages cost, and the logarithm of what is held.
--- a/src/direct/owner/outcomes.rs
+++ b/src/direct/owner/outcomes.rs
@@ -42,7 +42,7 @@
                     }
                     self.judge_speed(&call, took, table, now);
                 }
-                self.report_well(&call, &outcomes);
+                self.report_success(&call, &outcomes);
                 self.pieces_ended(&call, id, outcomes, table, now);
             }
             BatchOutcome::Full | BatchOutcome::Failed(CallFailure::TurnedAway) => {
--- a/src/direct/owner/owners.rs
+++ b/src/direct/owner/owners.rs
@@ -10,7 +10,7 @@
 use crate::direct::owner::makers::Usage;
 use crate::direct::owner::scheduler::Scheduler;
 use crate::direct::peers::message::{Job, JobId};
-use crate::direct::poison::suspects::{Condemned, Suspects};
+use crate::direct::poison::suspects::{Quarantined, Suspects};
 use crate::direct::published::documents::Merged;
 use crate::direct::published::model::{Endpoint, Name};
 use crate::direct::published::table::Table;
@@ -30,7 +30,7 @@
     lateness: Duration,
     /// For a cell that is begun.
     cold: ColdEndpoints,
-    /// Contents under which endpoints ended.
+    /// Contents under which endpoints crashed.
     suspects: Arc<Suspects>,
     begun: u64,
 }
@@ -55,17 +55,17 @@
         self.each(|owner| owner.stood_still(now));
     }
 
-    /// Contents under which endpoints ended; those `condemned` are refused since.
+    /// Contents under which endpoints crashed; those `quarantined` are refused since.
     pub fn set_suspects(
         &mut self,
         suspects: &Arc<Suspects>,
-        condemned: &[Condemned],
+        quarantined: &[Quarantined],
         table: &Table,
     ) {
         self.suspects = suspects.clone();
         self.each(|owner| {
             owner.set_suspects(suspects.clone());
-            owner.condemned(condemned, table);
+            owner.quarantined(quarantined, table);
         });
     }
 
--- a/src/direct/owner/poison.rs
+++ b/src/direct/owner/poison.rs
@@ -1,9 +1,9 @@
-//! Jobs whose pieces end the endpoints that make them.
+//! Jobs whose pieces crash the endpoints that make them.
 //!
-//! A call holds pieces of many jobs, and all of them break off when its endpoint ends. Put into the next call
-//! together, they would be there again when that one ends, and nobody could tell the innocent from the guilty. So
-//! what two endpoints have ended under goes into a call of its own: the innocent are made there and
-//! cleared, and the guilty one ends at most one more endpoint.
+//! A call holds pieces of many jobs, and all of them break off when its endpoint crashes. Put into the next call
+//! together, they would be there again when that one crashes, and nobody could tell the innocent from the guilty. So
+//! what two endpoints have crashed under goes into a call of its own: the innocent are made there and
+//! cleared, and the guilty one crashes at most one more endpoint.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -13,12 +13,12 @@
 use crate::direct::owner::scheduler::Scheduler;
 use crate::direct::peers::message::{Job, JobId, JobReason};
 use crate::direct::poison::fingerprint::Fingerprint;
-use crate::direct::poison::suspects::{Condemned, Suspects};
+use crate::direct::poison::suspects::{Quarantined, Suspects};
 use crate::direct::poison::{Report, Run, Unanswered};
 use crate::direct::published::table::Table;
 
 impl Scheduler {
-    /// What is known of contents under which endpoints ended.
+    /// What is known of contents under which endpoints crashed.
     pub fn set_suspects(&mut self, suspects: Arc<Suspects>) {
         self.suspects = suspects;
     }
@@ -29,8 +29,8 @@
     }
 
     /// Contents are refused from now on: their jobs are given up.
-    pub fn condemned(&mut self, condemned: &[Condemned], table: &Table) {
-        if condemned.is_empty() {
+    pub fn quarantined(&mut self, quarantined: &[Quarantined], table: &Table) {
+        if quarantined.is_empty() {
             return;
         }
         let jobs = self.jobs.iter().filter(|(_, run)| self.poison_in(&run.job).is_some());
@@ -68,13 +68,13 @@
         }));
     }
 
-    /// A call ended well: stages of which something was made end no endpoints.
-    pub(super) fn report_well(&mut self, call: &Call, outcomes: &[PieceOutcome]) {
+    /// A call ended well: stages of which something was made crash no endpoints.
+    pub(super) fn report_success(&mut self, call: &Call, outcomes: &[PieceOutcome]) {
         let made = call.pieces.iter().zip(outcomes);
         let made = made.filter(|(_, outcome)| matches!(outcome, PieceOutcome::Made(_)));
         let made: BTreeSet<(JobId, usize)> = made.map(|(((j, s, _), _), _)| (*j, *s)).collect();
         let well = call.parts.iter().filter(|part| made.contains(&(part.job, part.stage)));
-        let reports = well.map(|part| Action::Poison(Report::RanWell(part.run.fingerprint)));
+        let reports = well.map(|part| Action::Poison(Report::Succeeded(part.run.fingerprint)));
         self.out.extend(reports);
     }
 }
--- a/src/direct/owner/scheduler.rs
+++ b/src/direct/owner/scheduler.rs
@@ -47,7 +47,7 @@
     pub(super) makers: Makers,
     pub(super) cold: ColdEndpoints,
     pub(super) repeats: Repeats,
-    /// Contents under which endpoints ended.
+    /// Contents under which endpoints crashed.
     pub(super) suspects: Arc<Suspects>,
     pub(super) next_call: u64,
     pub(super) paces: Paces,
--- a/src/direct/peers/message.rs
+++ b/src/direct/peers/message.rs
@@ -203,7 +203,7 @@
     Ready(JobId),
     /// The results of a job are not needed any more, or the job as a whole.
     Release(JobId),
-    /// What the sender knows of contents under which endpoints ended.
+    /// What the sender knows of contents under which endpoints crashed.
     Suspects(Vec<Account>),
     /// Asks for that, where the digest of what the receiver knows is another one.
     AskSuspects(u64),
--- a/src/direct/poison/broken.rs
+++ b/src/direct/poison/broken.rs
@@ -1,4 +1,4 @@
-//! Calls that were not answered, until it is known whether their endpoint ended.
+//! Calls that were not answered, until it is known whether their endpoint crashed.
 //!
 //! A broken connection proves nothing: connections are reset, and answers break off at endpoints that live on. So
 //! the endpoint is probed: a closed port proves that its process is gone. What a probe can't tell, since
@@ -15,11 +15,11 @@
 use crate::direct::published::table::Table;
 use crate::message::Timestamp;
 
-/// An entry of an endpoint that ended goes within three of its heartbeats, 3.6 s, and is heard of from peers at
+/// An entry of an endpoint that crashed goes within three of its heartbeats, 3.6 s, and is heard of from peers at
 /// the latest in 2 s more.
 const WAITS_FOR_PROOF: Duration = Duration::from_secs(6);
 /// What was given up here counts as having been there for so long: its endpoint drops it when it sees the
-/// connection close, and one that has begun the poison ends within a few hundred milliseconds.
+/// connection close, and one that has begun the poison crashes within a few hundred milliseconds.
 const GIVEN_UP_COUNTS: Duration = Duration::from_secs(1);
 /// Contents that are remembered of one endpoint's calls; bounds memory. An endpoint runs 32 to 64 at once, from all
 /// gateways together.
@@ -41,7 +41,7 @@
 enum Listed {
     /// It is there as it was.
     Same,
-    /// It said that it leaves, or is gone without a sign of an end: its calls may break off as planned.
+    /// It said that it leaves, or is gone without a sign of a crash: its calls may break off as planned.
     Leaving,
     /// Another life is there.
     AnotherLife,
@@ -55,10 +55,10 @@
     }
 }
 
-/// An endpoint that ended, with what ran there as far as this gateway knows.
+/// An endpoint that crashed, with what ran there as far as this gateway knows.
 #[derive(Debug)]
-pub struct Ended {
-    /// The life that ended.
+pub struct Crashed {
+    /// The life that crashed.
     pub endpoint: Arc<Endpoint>,
     /// What ran there.
     pub runs: Vec<Run>,
@@ -69,8 +69,8 @@
 /// What follows from a call that was not answered.
 #[derive(Debug)]
 pub enum Verdict {
-    /// Its endpoint ended.
-    Ended(Ended),
+    /// Its endpoint crashed.
+    Crashed(Crashed),
     /// Its endpoint is to be probed.
     Probe(Arc<Endpoint>),
     /// It is waited for proof, or there is nothing to prove.
@@ -83,7 +83,7 @@
     /// What ran there, and until when that counts.
     runs: Vec<(Run, Timestamp)>,
     probe: Probe,
-    /// It is known that it ended: calls that are heard of later count at once.
+    /// It is known that it crashed: calls that are heard of later count at once.
     proof: Option<&'static str>,
     until: Timestamp,
 }
@@ -123,7 +123,7 @@
         }
         if let Some(proof) = calls.proof {
             let (endpoint, runs) = (endpoint.clone(), runs.to_vec());
-            return Verdict::Ended(Ended { endpoint, runs, proof });
+            return Verdict::Crashed(Crashed { endpoint, runs, proof });
         }
         let counts_for = if how == Unanswered::GivenUp { GIVEN_UP_COUNTS } else { WAITS_FOR_PROOF };
         calls.runs.retain(|(_, until)| now < *until);
@@ -142,7 +142,7 @@
         }
     }
 
-    /// An endpoint was probed. One whose port is open lived on then; it may have ended since.
+    /// An endpoint was probed. One whose port is open lived on then; it may have crashed since.
     pub fn probed(
         &mut self,
         endpoint: &Name,
@@ -152,7 +152,7 @@
     ) -> Verdict {
         let key = (endpoint.clone(), incarnation);
         if is_closed {
-            return self.prove(&key, "port closed", now).map_or(Verdict::Wait, Verdict::Ended);
+            return self.prove(&key, "port closed", now).map_or(Verdict::Wait, Verdict::Crashed);
         }
         let Some(calls) = self.calls.get_mut(&key) else {
             return Verdict::Wait;
@@ -165,33 +165,33 @@
         Verdict::Wait
     }
 
-    /// Other gateways tell under what endpoints ended; names those of them at which calls were not answered here.
-    pub fn told(&mut self, accounts: &[Account], now: Timestamp) -> Vec<Ended> {
+    /// Other gateways tell under what endpoints crashed; names those of them at which calls were not answered here.
+    pub fn told(&mut self, accounts: &[Account], now: Timestamp) -> Vec<Crashed> {
         if self.calls.is_empty() {
             return Vec::new();
         }
-        let losses = accounts.iter().flat_map(|account| &account.losses);
-        let lives = losses.map(|loss| (loss.endpoint.clone(), loss.incarnation));
+        let crashes = accounts.iter().flat_map(|account| &account.crashes);
+        let lives = crashes.map(|crash| (crash.endpoint.clone(), crash.incarnation));
         lives.filter_map(|life| self.prove(&life, "told", now)).collect()
     }
 
-    fn prove(&mut self, key: &(Name, u64), proof: &'static str, now: Timestamp) -> Option<Ended> {
+    fn prove(&mut self, key: &(Name, u64), proof: &'static str, now: Timestamp) -> Option<Crashed> {
         let calls = self.calls.get_mut(key)?;
         calls.proof.get_or_insert(proof);
         let runs = std::mem::take(&mut calls.runs).into_iter();
         let runs: Vec<Run> = runs.filter(|(_, until)| now < *until).map(|(run, _)| run).collect();
         let endpoint = calls.endpoint.clone();
-        (!runs.is_empty()).then_some(Ended { endpoint, runs, proof })
+        (!runs.is_empty()).then_some(Crashed { endpoint, runs, proof })
     }
 
-    /// Entries of endpoints changed: names those that ended.
+    /// Entries of endpoints changed: names those that crashed.
     pub fn changed(
         &mut self,
         ids: &[Name],
         table: &Table,
         is_gone: impl Fn(&str) -> bool,
         now: Timestamp,
-    ) -> Vec<Ended> {
+    ) -> Vec<Crashed> {
         if self.calls.is_empty() {
             return Vec::new();
         }
@@ -199,7 +199,7 @@
         let changed = self.calls.iter().filter(|((id, _), _)| ids.contains(id));
         let changed = changed.map(|(key, calls)| (key.clone(), calls.endpoint.clone()));
         let changed: Vec<_> = changed.collect();
-        let mut ended = Vec::new();
+        let mut crashed = Vec::new();
         for (key, endpoint) in changed {
             let proof = match listed(&endpoint, table) {
                 _ if is_gone(&endpoint.id) => "entry gone",
@@ -211,9 +211,9 @@
                     continue;
                 }
             };
-            ended.extend(self.prove(&key, proof, now));
+            crashed.extend(self.prove(&key, proof, now));
         }
-        ended
+        crashed
     }
 
     /// Forgets calls that have waited for proof for long enough.
--- a/src/direct/poison/fingerprint.rs
+++ b/src/direct/poison/fingerprint.rs
@@ -26,7 +26,7 @@
         Self(digest.digest())
     }
 
-    /// What one of its stages has endpoints do: a stage may run well before another one ends each endpoint.
+    /// What one of its stages has endpoints do: a stage may run well before another one crashes each endpoint.
     pub fn of_stage(self, stage: usize) -> Self {
         Self(xxh3_64_with_seed(&self.0.to_le_bytes(), stage as u64 + 1))
     }
--- a/src/direct/poison/survivors.rs
+++ b/src/direct/poison/successes.rs
@@ -1,7 +1,7 @@
-//! What has run well lately, so that it is no poison whatever ends around it.
+//! What has run well lately, so that it is no poison whatever crashes around it.
 //!
-//! The pattern: many callers ask the same, and endpoints end by the rack. Some of the same content is at work at each of
-//! them, and comes again into the next ending, while it runs well everywhere else.
+//! The pattern: many callers ask the same, and endpoints crash by the rack. Some of the same content is at work at
+//! each of them, and comes again into the next crash, while it runs well everywhere else.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
@@ -9,7 +9,7 @@
 use crate::direct::poison::fingerprint::Fingerprint;
 use crate::message::Timestamp;
 
-/// A run that ended well speaks for its content for so long: a later version of an endpoint's program may end under
+/// A run that ended well speaks for its content for so long: a later version of an endpoint's program may crash under
 /// what the one before ran.
 const SPEAKS_FOR: Duration = Duration::from_secs(60);
 /// A content that runs well again is entered anew only after so long.
@@ -20,12 +20,12 @@
 
 /// Contents that ran well lately at one gateway.
 #[derive(Debug, Default)]
-pub struct Survivors {
+pub struct Successes {
     ran_at: HashMap<Fingerprint, Timestamp, foldhash::fast::RandomState>,
     in_order: VecDeque<(Fingerprint, Timestamp)>,
 }
 
-impl Survivors {
+impl Successes {
     /// A content ran well.
     pub fn ran(&mut self, fingerprint: Fingerprint, now: Timestamp) {
         let before = self.ran_at.get(&fingerprint);
--- a/src/direct/poison/suspects.rs
+++ b/src/direct/poison/suspects.rs
@@ -1,6 +1,6 @@
-//! What ran at endpoints that ended: remembered by all gateways until it is cleared or is the poison.
+//! What ran at endpoints that crashed: remembered by all gateways until it is cleared or quarantined.
 //!
-//! An account is merged from any source in any order: endings are a set, and whatever was cleared more often is
+//! An account is merged from any source in any order: crashes are a set, and whatever was cleared more often is
 //! newer.
 
 use std::cmp::Reverse;
@@ -15,51 +15,51 @@
 use crate::direct::published::model::Name;
 use crate::message::Timestamp;
 
-/// Endpoints that must end under the same content before it is refused. One ends for many reasons and takes all
-/// that runs there with it; by chance the same content is hit three times in a row once in some 10,000 cases where
-/// a tenth of the endpoints end in the time of a run.
-const POISON_LOSSES: usize = 3;
-/// In at least so many rounds: the same content may run at many endpoints that end at once, as when a rack goes.
-/// A round is over when the ending is known, so what was sent with that knowledge is another try.
+/// Endpoints that must crash under the same content before it is refused. One crashes for many reasons and takes all
+/// that runs there with it: in 2,000 random schedules of fleets that lose one of 24 endpoints each second, one
+/// innocent request in 15,000 was there at three crashes.
+const POISON_CRASHES: usize = 3;
+/// In at least so many rounds: the same content may run at many endpoints that crash at once, as when a rack goes.
+/// A round is over when the crash is known, so what was sent with that knowledge is another try.
 const POISON_ROUNDS: u8 = 2;
-/// What so many endpoints ended under does not share a call with others any more: whoever is innocent proves it
-/// there, and only what ends an endpoint there can be the poison.
-const ALONE_LOSSES: usize = 2;
-/// Under so many endings a content is refused even if another one ran at each of them.
-const ANYHOW_LOSSES: usize = 5;
+/// What so many endpoints crashed under does not share a call with others any more: whoever is innocent proves it
+/// there, and only what crashes an endpoint there can be the poison.
+const ALONE_CRASHES: usize = 2;
+/// After so many crashes a content is refused even if another one ran at each of them.
+const ANYHOW_CRASHES: usize = 5;
 /// Endings that are remembered of one content; more say nothing more.
-const MOST_LOSSES: usize = 6;
+const MOST_CRASHES: usize = 6;
 /// For how long something is remembered after it last came, which refused callers are told. Callers that heed it are
 /// run again then, so that a mended endpoint serves them.
 pub const KEPT: Duration = Duration::from_secs(600);
 /// That it came again is told to others only if it makes so much of a difference: otherwise each refusal would
 /// be news to all gateways.
 const REFRESHED_AFTER: Duration = Duration::from_secs(150);
-/// Contents that are remembered at most; bounds memory to some 100 KB. Those with most endings, and of these the
+/// Contents that are remembered at most; bounds memory to some 100 KB. Those with most crashes, and of these the
 /// latest, stay.
 const MOST: usize = 512;
 /// Heartbeats that carry a piece of news. Each goes to eight others, all of which tell it on: 580 gateways
 /// have it after three rounds.
 const TOLD: u8 = 4;
-/// Pieces of news that one heartbeat carries, those with most endings first: 600 bytes.
+/// Pieces of news that one heartbeat carries, those with most crashes first: 600 bytes.
 const NEWS_IN_HEARTBEAT: usize = 16;
 /// What a gateway that asks is told at most: 4 KB.
 const MOST_TOLD: usize = 64;
 
-/// An endpoint that ended under some content.
+/// The crash of an endpoint that ran some content.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Loss {
+pub struct Crash {
     /// The endpoint's id.
     pub endpoint: Name,
-    /// The life that ended.
+    /// The life that crashed.
     pub incarnation: u64,
-    /// One more than the rounds of endings that were known when the content was sent there.
+    /// One more than the rounds of crashes that were known when the content was sent there.
     pub round: u8,
     /// Whether the content shared its call with nothing else.
     pub alone: bool,
 }
 
-impl Loss {
+impl Crash {
     /// Which life of which endpoint.
     fn life(&self) -> (&Name, u64) {
         (&self.endpoint, self.incarnation)
@@ -71,18 +71,18 @@
 pub struct Account {
     /// The content.
     pub fingerprint: Fingerprint,
-    /// How often it was cleared; endings before the last time are void.
+    /// How often it was cleared; crashes before the last time are void.
     pub cleared: u32,
     /// Since it last came, in seconds.
     pub age_s: u32,
-    /// Endpoints that ended under it since.
-    pub losses: Vec<Loss>,
+    /// The crashes under it since.
+    pub crashes: Vec<Crash>,
 }
 
 #[derive(Debug, Clone)]
 struct Suspect {
     cleared: u32,
-    losses: Vec<Loss>,
+    crashes: Vec<Crash>,
     came: Timestamp,
     /// Heartbeats that are still to carry it.
     to_tell: u8,
@@ -90,103 +90,99 @@
 
 impl Suspect {
     fn rounds(&self) -> u8 {
-        self.losses.iter().map(|loss| loss.round).max().unwrap_or(0)
+        self.crashes.iter().map(|crash| crash.round).max().unwrap_or(0)
     }
 
-    /// Whether enough endpoints ended under it, whoever else ran there.
+    /// Whether enough endpoints crashed under it, whoever else ran there.
     fn may_be_poison(&self) -> bool {
-        let was_alone = self.losses.iter().any(|loss| loss.alone);
-        self.losses.len() >= POISON_LOSSES && self.rounds() >= POISON_ROUNDS && was_alone
+        let was_alone = self.crashes.iter().any(|crash| crash.alone);
+        self.crashes.len() >= POISON_CRASHES && self.rounds() >= POISON_ROUNDS && was_alone
     }
 
-    fn has(&self, loss: &Loss) -> bool {
-        self.losses.iter().any(|own| own.life() == loss.life())
+    fn has(&self, crash: &Crash) -> bool {
+        self.crashes.iter().any(|own| own.life() == crash.life())
     }
 
-    /// Whether another content ran wherever endpoints ended under this one.
+    /// Whether another content ran wherever endpoints crashed under this one.
     fn is_explained_by(&self, other: &Self) -> bool {
-        self.losses.iter().all(|loss| other.has(loss))
-    }
-
-    /// Takes endings in; says whether it learnt anything.
-    fn add(&mut self, losses: &[Loss]) -> bool {
-        let before = self.losses.clone();
-        for loss in losses {
-            let known = self
-                .losses
-                .iter_mut()
-                .find(|l| (&l.endpoint, l.incarnation) == (&loss.endpoint, loss.incarnation));
-            match known {
+        self.crashes.iter().all(|crash| other.has(crash))
+    }
+
+    /// Takes crashes in; says whether it learnt anything.
+    fn add(&mut self, crashes: &[Crash]) -> bool {
+        let before = self.crashes.clone();
+        for crash in crashes {
+            match self.crashes.iter_mut().find(|known| known.life() == crash.life()) {
                 Some(known) => {
-                    known.round = known.round.max(loss.round);
-                    known.alone |= loss.alone;
+                    known.round = known.round.max(crash.round);
+                    known.alone |= crash.alone;
                 }
-                None => self.losses.push(loss.clone()),
+                None => self.crashes.push(crash.clone()),
             }
         }
         // The same ones are left wherever accounts meet.
-        let order = |l: &Loss| (Reverse((l.alone, l.round)), l.endpoint.clone(), l.incarnation);
-        self.losses.sort_by_key(order);
-        self.losses.truncate(MOST_LOSSES);
-        self.losses != before
+        let order = |l: &Crash| (Reverse((l.alone, l.round)), l.endpoint.clone(), l.incarnation);
+        self.crashes.sort_by_key(order);
+        self.crashes.truncate(MOST_CRASHES);
+        self.crashes != before
     }
 
-    /// What counts when there are too many: endings, then how lately it came.
+    /// What counts when there are too many: crashes, then how lately it came.
     fn weight(&self) -> (usize, Timestamp) {
-        (self.losses.len(), self.came)
+        (self.crashes.len(), self.came)
     }
 }
 
 /// A content that is refused since something was learnt.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Condemned {
+pub struct Quarantined {
     /// The content.
     pub fingerprint: Fingerprint,
-    /// The endpoints that ended under it, as far as they are remembered.
+    /// The endpoints that crashed under it, as far as they are remembered.
     pub endpoints: Vec<Name>,
 }
 
-/// Contents under which endpoints ended.
+/// Contents under which endpoints crashed.
 #[derive(Debug, Clone, Default)]
 pub struct Suspects {
     of: BTreeMap<Fingerprint, Suspect>,
     /// Those that are refused.
-    condemned: BTreeSet<Fingerprint>,
+    quarantined: BTreeSet<Fingerprint>,
 }
 
 impl Suspects {
     /// Whether a content is refused.
     pub fn is_poison(&self, fingerprint: Fingerprint) -> bool {
-        self.condemned.contains(&fingerprint)
+        self.quarantined.contains(&fingerprint)
     }
 
     /// What of a request is refused: itself, or one of its `stages`.
     pub fn poison_in(&self, request: Fingerprint, stages: usize) -> Option<Fingerprint> {
-        if self.condemned.is_empty() {
+        if self.quarantined.is_empty() {
             return None;
         }
         let parts = (0..stages).map(|stage| request.of_stage(stage));
         parts.chain([request]).find(|part| self.is_poison(*part))
     }
 
-    /// Whether endpoints ended under a content.
+    /// Whether endpoints crashed under a content.
     pub fn knows(&self, fingerprint: Fingerprint) -> bool {
-        self.of.get(&fingerprint).is_some_and(|s| !s.losses.is_empty())
+        self.of.get(&fingerprint).is_some_and(|s| !s.crashes.is_empty())
     }
 
-    /// Rounds in which endpoints ended under a content.
+    /// Rounds in which endpoints crashed under a content.
     pub fn rounds(&self, fingerprint: Fingerprint) -> u8 {
         self.of.get(&fingerprint).map_or(0, Suspect::rounds)
     }
 
     /// Whether a content is run apart from others.
     pub fn goes_alone(&self, fingerprint: Fingerprint) -> bool {
-        self.of.get(&fingerprint).is_some_and(|s| s.losses.len() >= ALONE_LOSSES)
+        self.of.get(&fingerprint).is_some_and(|s| s.crashes.len() >= ALONE_CRASHES)
     }
 
     /// How many contents are refused.
     pub fn poison(&self) -> usize {
-        self.condemned.len()
+        self.quarantined.len()
     }
 
     /// Contents that are remembered.
@@ -199,22 +195,22 @@
         self.of.is_empty()
     }
 
-    /// An endpoint ended while all this ran there; names what is refused since.
-    pub fn ended(
+    /// An endpoint crashed while all this ran there; names what is refused since.
+    pub fn crashed(
         &mut self,
         endpoint: &Name,
         incarnation: u64,
         runs: &[Run],
         now: Timestamp,
-    ) -> Vec<Condemned> {
+    ) -> Vec<Quarantined> {
         for run in runs {
             let Run { round, alone, .. } = *run;
-            let loss = Loss { endpoint: endpoint.clone(), incarnation, round, alone };
+            let crash = Crash { endpoint: endpoint.clone(), incarnation, round, alone };
             let cleared = self.of.get(&run.fingerprint).map_or(0, |s| s.cleared);
-            self.learn(run.fingerprint, cleared, &[loss], now);
+            self.learn(run.fingerprint, cleared, &[crash], now);
         }
         self.bound();
-        self.judge()
+        self.decide()
     }
 
     /// Whether another gateway tells something that is not known: most of what comes was heard before.
@@ -223,34 +219,40 @@
         let Some(known) = self.of.get(&account.fingerprint) else {
             return true;
         };
-        let covers = |loss: &Loss| {
-            let same = known.losses.iter().find(|own| own.life() == loss.life());
-            same.is_some_and(|own| own.round >= loss.round && (own.alone || !loss.alone))
+        let covers = |crash: &Crash| {
+            let same = known.crashes.iter().find(|own| own.life() == crash.life());
+            same.is_some_and(|own| own.round >= crash.round && (own.alone || !crash.alone))
         };
         let is_later = account.cleared > known.cleared || came > known.came + REFRESHED_AFTER;
-        let adds = account.cleared == known.cleared && !account.losses.iter().all(covers);
+        let adds = account.cleared == known.cleared && !account.crashes.iter().all(covers);
         is_later || adds
     }
 
     /// Takes in what another gateway tells; names what is refused since.
-    pub fn told(&mut self, accounts: &[Account], now: Timestamp) -> Vec<Condemned> {
+    pub fn told(&mut self, accounts: &[Account], now: Timestamp) -> Vec<Quarantined> {
         for account in accounts {
             let age = Duration::from_secs(u64::from(account.age_s));
             if age >= KEPT {
                 continue;
             }
             let came = now.saturating_sub(age);
-            let Account { fingerprint, cleared, losses, .. } = account;
-            self.learn(*fingerprint, *cleared, losses, came);
+            let Account { fingerprint, cleared, crashes, .. } = account;
+            self.learn(*fingerprint, *cleared, crashes, came);
         }
         self.bound();
-        self.judge()
+        self.decide()
     }
 
-    fn learn(&mut self, fingerprint: Fingerprint, cleared: u32, losses: &[Loss], came: Timestamp) {
+    fn learn(
+        &mut self,
+        fingerprint: Fingerprint,
+        cleared: u32,
+        crashes: &[Crash],
+        came: Timestamp,
+    ) {
         let suspect = self.of.entry(fingerprint).or_insert_with(|| Suspect {
             cleared,
-            losses: Vec::new(),
+            crashes: Vec::new(),
             came,
             to_tell: TOLD,
         });
@@ -260,9 +262,9 @@
         let mut is_news = cleared > suspect.cleared;
         if is_news {
             suspect.cleared = cleared;
-            suspect.losses.clear();
+            suspect.crashes.clear();
         }
-        is_news |= suspect.add(losses);
+        is_news |= suspect.add(crashes);
         is_news |= came > suspect.came + REFRESHED_AFTER;
         if is_news {
             suspect.came = suspect.came.max(came);
@@ -270,48 +272,48 @@
         }
     }
 
-    /// Decides what is refused, and names what is since. Where another content ran at each endpoint that ended
-    /// under this one, either may be the poison: it takes one more ending to tell, which only the poison has.
-    fn judge(&mut self) -> Vec<Condemned> {
+    /// Decides what is refused, and names what is since. Where another content ran at each endpoint that crashed
+    /// under this one, either may be the poison: it takes one more crash to tell, which only the poison has.
+    fn decide(&mut self) -> Vec<Quarantined> {
         let suspected = self.of.iter().filter(|(_, suspect)| suspect.may_be_poison());
         let mut at_life: BTreeMap<_, Vec<&Fingerprint>> = BTreeMap::new();
         for (fingerprint, suspect) in suspected.clone() {
-            for loss in &suspect.losses {
-                at_life.entry(loss.life()).or_default().push(fingerprint);
+            for crash in &suspect.crashes {
+                at_life.entry(crash.life()).or_default().push(fingerprint);
             }
         }
         let is_explained = |fingerprint: &Fingerprint, suspect: &Suspect| {
-            let others = suspect.losses.first().and_then(|loss| at_life.get(&loss.life()));
+            let others = suspect.crashes.first().and_then(|crash| at_life.get(&crash.life()));
             let mut others = others.into_iter().flatten().filter(|other| **other != fingerprint);
             others.any(|other| suspect.is_explained_by(&self.of[*other]))
         };
-        let is_condemned = |(fingerprint, suspect): &(&Fingerprint, &Suspect)| {
-            suspect.losses.len() >= ANYHOW_LOSSES || !is_explained(fingerprint, suspect)
+        let is_quarantined = |(fingerprint, suspect): &(&Fingerprint, &Suspect)| {
+            suspect.crashes.len() >= ANYHOW_CRASHES || !is_explained(fingerprint, suspect)
         };
-        let condemned = suspected.filter(is_condemned).map(|(fingerprint, _)| *fingerprint);
-        let before = std::mem::take(&mut self.condemned);
-        self.condemned = condemned.collect();
-        let newly = self.condemned.difference(&before);
-        newly.map(|fingerprint| self.sentence(*fingerprint)).collect()
+        let quarantined = suspected.filter(is_quarantined).map(|(fingerprint, _)| *fingerprint);
+        let before = std::mem::take(&mut self.quarantined);
+        self.quarantined = quarantined.collect();
+        let newly = self.quarantined.difference(&before);
+        newly.map(|fingerprint| self.quarantine(*fingerprint)).collect()
     }
 
-    fn sentence(&self, fingerprint: Fingerprint) -> Condemned {
-        let losses = self.of.get(&fingerprint).map(|suspect| &suspect.losses);
-        let endpoints = losses.into_iter().flatten().map(|loss| loss.endpoint.clone());
-        Condemned { fingerprint, endpoints: endpoints.collect() }
+    fn quarantine(&self, fingerprint: Fingerprint) -> Quarantined {
+        let crashes = self.of.get(&fingerprint).map(|suspect| &suspect.crashes);
+        let endpoints = crashes.into_iter().flatten().map(|crash| crash.endpoint.clone());
+        Quarantined { fingerprint, endpoints: endpoints.collect() }
     }
 
-    /// A content ran to its end: no endpoint ended because of it. Names what is refused since, as nothing else
-    /// explains the endings any more.
-    pub fn clear(&mut self, fingerprint: Fingerprint, now: Timestamp) -> Vec<Condemned> {
-        let Some(suspect) = self.of.get_mut(&fingerprint).filter(|s| !s.losses.is_empty()) else {
+    /// A content ran to its end: no endpoint crashed because of it. Names what is refused since, as nothing else
+    /// explains the crashes any more.
+    pub fn clear(&mut self, fingerprint: Fingerprint, now: Timestamp) -> Vec<Quarantined> {
+        let Some(suspect) = self.of.get_mut(&fingerprint).filter(|s| !s.crashes.is_empty()) else {
             return Vec::new();
         };
         suspect.cleared += 1;
-        suspect.losses.clear();
+        suspect.crashes.clear();
         suspect.came = now;
         suspect.to_tell = TOLD;
-        self.judge()
+        self.decide()
     }
 
     /// Whether it is news that a content came again.
@@ -335,7 +337,7 @@
     /// Forgets what has not come for long.
     pub fn forget(&mut self, now: Timestamp) {
         self.of.retain(|_, suspect| now < suspect.came + KEPT);
-        self.judge();
+        self.decide();
     }
 
     fn bound(&mut self) {
@@ -370,15 +372,15 @@
         accounts
     }
 
-    /// What gateways compare: contents under which several endpoints ended. Single endings are told once
+    /// What gateways compare: contents under which several endpoints crashed. Single crashes are told once
     /// only, as news: where a rack goes they are many, and nearly all of them mean nothing.
     fn compared(&self) -> impl Iterator<Item = (&Fingerprint, &Suspect)> {
-        self.of.iter().filter(|(_, suspect)| suspect.losses.len() >= ALONE_LOSSES)
+        self.of.iter().filter(|(_, suspect)| suspect.crashes.len() >= ALONE_CRASHES)
     }
 
     /// A digest of what is compared; equal where gateways know the same.
     pub fn digest(&self) -> u64 {
-        let accounts = self.compared().map(|(f, s)| (f, s.cleared, &s.losses));
+        let accounts = self.compared().map(|(f, s)| (f, s.cleared, &s.crashes));
         let accounts: Vec<_> = accounts.collect();
         if accounts.is_empty() {
             return 0;
@@ -401,6 +403,6 @@
         fingerprint,
         cleared: suspect.cleared,
         age_s: u32::try_from(age_s).unwrap_or(u32::MAX),
-        losses: suspect.losses.clone(),
+        crashes: suspect.crashes.clone(),
     }
 }
--- a/src/direct/requests/attempts.rs
+++ b/src/direct/requests/attempts.rs
@@ -220,7 +220,7 @@
             if is_success {
                 self.learn(caller, true, now);
             }
-            self.report_well(caller);
+            self.report_success(caller);
             self.close_attempt(caller);
             self.end(caller, &format!("answered {}", proof.status), None, now);
         }
@@ -421,7 +421,7 @@
             return;
         };
         if whole {
-            self.report_well(caller);
+            self.report_success(caller);
             self.out.push(Action::Finish { caller });
             return self.end(caller, "streamed", Some(&closed.endpoint.id), now);
         }
--- a/src/direct/requests/mod.rs
+++ b/src/direct/requests/mod.rs
@@ -3,10 +3,10 @@
 //! A second call needs a proof that the first did not run, or a request that may run again, and a
 //! repeat out of the shared budget.
 //!
-//! `core` hands in what callers, endpoints and owners do; `stages` follows the stages at their owner,
-//! `attempts` the calls, `choice` where they go, `changes` what changed endpoints mean for them, `stopping` what
-//! can still end in a process that stops, `patience` what a process does that is short of time, `poison` what ends endpoints, `early` what
-//! comes before the first configuration. Which endpoint is chosen is `policy::place`'s.
+//! `core` hands in what callers, endpoints and owners do; `stages` follows the stages at their owner, `attempts` the
+//! calls, `choice` where they go, `changes` what changed endpoints mean for them, `stopping` what can still end
+//! in a process that stops, `patience` what a process does that is short of time, `poison` what crashes
+//! endpoints, `early` what comes before the first configuration. Which endpoint is chosen is `policy::place`'s.
 
 mod attempts;
 mod changes;
@@ -96,7 +96,7 @@
     pub(super) went_on_at: Timestamp,
     /// Other gateways that told that they are late.
     pub(super) late_owners: HashMap<SocketAddr, patience::Told>,
-    /// Contents under which endpoints ended.
+    /// Contents under which endpoints crashed.
     pub(super) suspects: Arc<Suspects>,
     pub(super) next_attempt: u64,
     /// Jobs to be submitted once the members are at hand.
--- a/src/direct/requests/poison.rs
+++ b/src/direct/requests/poison.rs
@@ -1,17 +1,17 @@
-//! Requests that end the endpoints which run them: refused as soon as that is known, wherever they stand.
+//! Requests that crash the endpoints which run them: refused as soon as that is known, wherever they stand.
 
 use std::sync::Arc;
 
 use crate::direct::event::{Action, Refused};
 use crate::direct::poison::fingerprint::Fingerprint;
-use crate::direct::poison::suspects::{Condemned, KEPT, Suspects};
+use crate::direct::poison::suspects::{KEPT, Quarantined, Suspects};
 use crate::direct::poison::{Report, Run, Unanswered};
 use crate::direct::requests::Requests;
 use crate::direct::requests::request::{Attempt, Phase, Request};
 use crate::message::Timestamp;
 
 impl Requests {
-    /// What is known of contents under which endpoints ended.
+    /// What is known of contents under which endpoints crashed.
     pub fn set_suspects(&mut self, suspects: Arc<Suspects>) {
         self.suspects = suspects;
     }
@@ -45,8 +45,8 @@
 
     /// Contents are refused from now on. What waits for its stages or its answer is given up at once: a call that
     /// its endpoint has not begun leaves the queue there with its connection.
-    pub fn condemned(&mut self, condemned: &[Condemned], now: Timestamp) {
-        if condemned.is_empty() {
+    pub fn quarantined(&mut self, quarantined: &[Quarantined], now: Timestamp) {
+        if quarantined.is_empty() {
             return;
         }
         let waits = self.requests.iter().filter(|(_, r)| r.phase != Phase::Streaming);
@@ -57,14 +57,14 @@
         }
     }
 
-    /// A call is about to be sent: it is the next round of whatever endpoints ended under it before, also in
+    /// A call is about to be sent: it is the next round of whatever endpoints crashed under it before, also in
     /// this very request, where it may not be proved yet.
     pub(super) fn next_round(&self, request: &Request) -> u8 {
         let own = if request.may_have_run > 0 { request.round } else { 0 };
         self.suspects.rounds(request.fingerprint).max(own).saturating_add(1)
     }
 
-    /// What places a request by itself that an endpoint may have ended under: all that were there with it come
+    /// What places a request by itself that an endpoint may have crashed under: all that were there with it come
     /// again, the poison among them, and would be led to the same next endpoint by their prompts and by the same
     /// view of the load. In 200 random schedules 55 of 240,000 innocent requests were refused without this.
     pub(super) fn set_apart(&self, request: &Request) -> Option<String> {
@@ -95,9 +95,9 @@
     }
 
     /// A request ran to its end.
-    pub(super) fn report_well(&mut self, caller: u64) {
+    pub(super) fn report_success(&mut self, caller: u64) {
         if let Some(request) = self.requests.get(&caller) {
-            self.out.push(Action::Poison(Report::RanWell(request.fingerprint)));
+            self.out.push(Action::Poison(Report::Succeeded(request.fingerprint)));
         }
     }
 }
--- a/src/direct/requests/request.rs
+++ b/src/direct/requests/request.rs
@@ -91,7 +91,7 @@
     pub sends: u32,
     /// Calls after which it may have run.
     pub may_have_run: u32,
-    /// What its last call knew of endpoints that ended under it; see [`crate::direct::poison::Run`].
+    /// What its last call knew of endpoints that crashed under it; see [`crate::direct::poison::Run`].
     pub round: u8,
     /// Endpoints that it was sent to.
     pub tried: Vec<Name>,
--- a/src/direct/suspecting.rs
+++ b/src/direct/suspecting.rs
@@ -1,4 +1,4 @@
-//! The core's part for poison requests: it gathers what requests and owners tell of endpoints that ended, hears
+//! The core's part for poison requests: it gathers what requests and owners tell of endpoints that crashed, hears
 //! and tells other gateways, and hands out what is refused.
 
 use std::net::SocketAddr;
@@ -13,9 +13,9 @@
 use crate::direct::peers::members::HEARTBEAT;
 use crate::direct::peers::message::PeerMessage;
 use crate::direct::poison::Report;
-use crate::direct::poison::broken::{Ended, Verdict};
+use crate::direct::poison::broken::{Crashed, Verdict};
 use crate::direct::poison::fingerprint::Fingerprint;
-use crate::direct::poison::suspects::{Account, Condemned};
+use crate::direct::poison::suspects::{Account, Quarantined};
 use crate::direct::published::documents::EntryState;
 use crate::direct::published::model::Name;
 use crate::message::Timestamp;
@@ -32,8 +32,8 @@
                 let verdict = self.broken.unanswered(&endpoint, &runs, how, &self.table, now);
                 self.follow(verdict, now);
             }
-            Report::RanWell(fingerprint) => {
-                self.survivors.ran(fingerprint, now);
+            Report::Succeeded(fingerprint) => {
+                self.successes.ran(fingerprint, now);
                 self.clear(fingerprint, now);
             }
             Report::Refused(fingerprint) => {
@@ -44,14 +44,14 @@
         }
     }
 
-    /// A content ran well: no endpoint ended because of it.
+    /// A content ran well: no endpoint crashed because of it.
     fn clear(&mut self, fingerprint: Fingerprint, now: Timestamp) {
         if !self.suspects.knows(fingerprint) {
             return;
         }
-        let condemned = Arc::make_mut(&mut self.suspects).clear(fingerprint, now);
+        let quarantined = Arc::make_mut(&mut self.suspects).clear(fingerprint, now);
         self.note(Note::Cleared { fingerprint: fingerprint.to_string() });
-        self.hand_out_suspects(condemned, "own", now);
+        self.hand_out_suspects(quarantined, "own", now);
     }
 
     /// An endpoint was probed.
@@ -68,55 +68,55 @@
 
     fn follow(&mut self, verdict: Verdict, now: Timestamp) {
         match verdict {
-            Verdict::Ended(ended) => self.endpoints_ended(vec![ended], now),
+            Verdict::Crashed(crashed) => self.endpoints_crashed(vec![crashed], now),
             Verdict::Probe(endpoint) => self.out.push(Action::Probe(endpoint)),
             Verdict::Wait => {}
         }
     }
 
-    /// Entries of endpoints changed, which may prove that they ended.
+    /// Entries of endpoints changed, which may prove that they crashed.
     pub(super) fn entries_may_prove(&mut self, ids: &[Name], now: Timestamp) {
         let documents = &self.documents;
         let is_gone = |id: &str| documents.state(id) == EntryState::Gone;
-        let ended = self.broken.changed(ids, &self.table, is_gone, now);
-        self.endpoints_ended(ended, now);
+        let crashed = self.broken.changed(ids, &self.table, is_gone, now);
+        self.endpoints_crashed(crashed, now);
     }
 
-    fn endpoints_ended(&mut self, ended: Vec<Ended>, now: Timestamp) {
-        if ended.is_empty() {
+    fn endpoints_crashed(&mut self, crashed: Vec<Crashed>, now: Timestamp) {
+        if crashed.is_empty() {
             return;
         }
-        let mut condemned = Vec::new();
-        for Ended { endpoint, mut runs, proof } in ended {
-            runs.retain(|run| !self.survivors.has(run.fingerprint, now));
+        let mut quarantined = Vec::new();
+        for Crashed { endpoint, mut runs, proof } in crashed {
+            runs.retain(|run| !self.successes.has(run.fingerprint, now));
             let suspects = Arc::make_mut(&mut self.suspects);
-            condemned.extend(suspects.ended(&endpoint.id, endpoint.incarnation, &runs, now));
+            quarantined.extend(suspects.crashed(&endpoint.id, endpoint.incarnation, &runs, now));
             let rounds = runs.iter().map(|run| (run.fingerprint.to_string(), run.round));
-            self.note(Note::EndpointEnded {
+            self.note(Note::EndpointCrashed {
                 endpoint: endpoint.id.clone(),
                 incarnation: endpoint.incarnation,
                 proof,
                 suspects: rounds.collect(),
             });
         }
-        self.hand_out_suspects(condemned, "own", now);
+        self.hand_out_suspects(quarantined, "own", now);
         self.next_beat = Timestamp::ZERO;
     }
 
     /// Another gateway tells what it knows.
     pub(super) fn suspects_told(&mut self, from: SocketAddr, told: &[Account], now: Timestamp) {
-        let ended = self.broken.told(told, now);
+        let crashed = self.broken.told(told, now);
         let news = told.iter().filter(|account| self.suspects.is_news(account, now));
         let news: Vec<Account> = news.cloned().collect();
         if !news.is_empty() {
-            let mut condemned = Arc::make_mut(&mut self.suspects).told(&news, now);
+            let mut quarantined = Arc::make_mut(&mut self.suspects).told(&news, now);
             let told = news.iter().map(|account| account.fingerprint);
-            let well: Vec<_> = told.filter(|f| self.survivors.has(*f, now)).collect();
-            condemned.retain(|c| !well.contains(&c.fingerprint));
-            self.hand_out_suspects(condemned, &from.to_string(), now);
+            let well: Vec<_> = told.filter(|f| self.successes.has(*f, now)).collect();
+            quarantined.retain(|c| !well.contains(&c.fingerprint));
+            self.hand_out_suspects(quarantined, &from.to_string(), now);
             well.into_iter().for_each(|fingerprint| self.clear(fingerprint, now));
         }
-        self.endpoints_ended(ended, now);
+        self.endpoints_crashed(crashed, now);
     }
 
     /// Another gateway asks, which knows what has this digest.
@@ -127,16 +127,16 @@
     }
 
     /// Requests and owners go by what is known now.
-    fn hand_out_suspects(&mut self, condemned: Vec<Condemned>, source: &str, now: Timestamp) {
-        for Condemned { fingerprint, endpoints } in &condemned {
+    fn hand_out_suspects(&mut self, quarantined: Vec<Quarantined>, source: &str, now: Timestamp) {
+        for Quarantined { fingerprint, endpoints } in &quarantined {
             let (fingerprint, endpoints) = (fingerprint.to_string(), endpoints.clone());
             let source = source.to_owned();
-            self.note(Note::PoisonFound { fingerprint, endpoints, source });
+            self.note(Note::Quarantined { fingerprint, endpoints, source });
         }
         crate::metrics::poison(self.suspects.poison());
         self.requests.set_suspects(self.suspects.clone());
-        self.requests.condemned(&condemned, now);
-        self.owners.set_suspects(&self.suspects, &condemned, &self.table);
+        self.requests.quarantined(&quarantined, now);
+        self.owners.set_suspects(&self.suspects, &quarantined, &self.table);
     }
 
     /// With a heartbeat: tells news of suspects to whom it goes, forgets old ones, and asks another gateway now
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -57,7 +57,7 @@
 pub const UNREADABLE: &str = "stackmast_unreadable_documents_total";
 /// Data centres that are evacuated.
 pub const EVACUATED: &str = "stackmast_evacuated_data_centres";
-/// Contents that are refused because endpoints ended under them.
+/// Contents that are refused because endpoints crashed under them.
 pub const POISON: &str = "stackmast_poison_requests";
 /// Decisions and changes of belief, by kind.
 pub const DECISIONS: &str = "stackmast_decisions_total";
@@ -103,7 +103,7 @@
     describe_counter!(PEER_BYTES, "Bytes of messages between gateways, by direction and kind");
     describe_counter!(UNREADABLE, "Documents of the platform that could not be read");
     describe_gauge!(EVACUATED, "Data centres that get no new work by order");
-    describe_gauge!(POISON, "Contents refused because endpoints ended under them");
+    describe_gauge!(POISON, "Contents refused because endpoints crashed under them");
     describe_counter!(DECISIONS, "Decisions and changes of belief, by kind");
     describe_histogram!(BATCH_SECONDS, "Seconds of calls with pieces");
     describe_histogram!(BATCH_PIECES, "Pieces in a call");
@@ -187,7 +187,7 @@
     gauge!(IN_FLIGHT).set(count as f64);
 }
 
-/// So many contents are refused because endpoints ended under them.
+/// So many contents are refused because endpoints crashed under them.
 pub fn poison(contents: usize) {
     gauge!(POISON).set(contents as f64);
 }
--- a/tests/direct_poison.rs
+++ b/tests/direct_poison.rs
@@ -6,7 +6,7 @@
 use proptest::prelude::*;
 use stackmast::direct::poison::broken::{Broken, Verdict};
 use stackmast::direct::poison::fingerprint::Fingerprint;
-use stackmast::direct::poison::survivors::Survivors;
+use stackmast::direct::poison::successes::Successes;
 use stackmast::direct::poison::suspects::{KEPT, Suspects};
 use stackmast::direct::poison::{Run, Unanswered};
 use test_case::test_case;
@@ -37,12 +37,12 @@
 }
 
 fn end(suspects: &mut Suspects, endpoint: &str, runs: &[Run]) -> Vec<Fingerprint> {
-    let condemned = suspects.ended(&endpoint.into(), 1, runs, ms(0));
-    condemned.into_iter().map(|c| c.fingerprint).collect()
+    let quarantined = suspects.crashed(&endpoint.into(), 1, runs, ms(0));
+    quarantined.into_iter().map(|c| c.fingerprint).collect()
 }
 
 #[test]
-fn three_endings_one_after_the_other_condemn_and_three_at_once_do_not() {
+fn three_crashes_one_after_the_other_tell_the_poison_and_three_at_once_do_not() {
     let mut suspects = Suspects::default();
     for endpoint in ["a", "b", "c", "d"] {
         assert_eq!(end(&mut suspects, endpoint, &[run(1, 1, true)]), []);
@@ -54,7 +54,7 @@
 }
 
 #[test]
-fn who_shares_each_call_with_the_poison_is_set_apart_and_not_condemned() {
+fn who_shares_each_call_with_the_poison_is_set_apart_and_not_refused() {
     let mut suspects = Suspects::default();
     let shared = |round| [run(1, round, false), run(2, round, false)];
     end(&mut suspects, "a", &shared(1));
@@ -67,7 +67,7 @@
 }
 
 #[test]
-fn one_more_ending_tells_the_poison_from_who_ran_wherever_it_did() {
+fn one_more_crash_tells_the_poison_from_who_ran_wherever_it_did() {
     let mut suspects = Suspects::default();
     let both = |round| [run(1, round, true), run(2, round, true)];
     end(&mut suspects, "a", &both(1));
@@ -75,8 +75,12 @@
     assert_eq!(end(&mut suspects, "c", &both(3)), [], "it may be either");
     assert_eq!(end(&mut suspects, "d", &[run(1, 4, true)]), [content(1)]);
     assert!(!suspects.is_poison(content(2)));
-    let condemned = suspects.clear(content(1), ms(0));
-    assert_eq!(condemned.first().map(|c| c.fingerprint), Some(content(2)), "then it was the other");
+    let quarantined = suspects.clear(content(1), ms(0));
+    assert_eq!(
+        quarantined.first().map(|c| c.fingerprint),
+        Some(content(2)),
+        "then it was the other"
+    );
 }
 
 #[test]
@@ -90,7 +94,7 @@
         end(&mut suspects, &format!("endpoint-{number}"), &[run(number, 1, true)]);
     }
     assert!(suspects.len() <= 512, "{}", suspects.len());
-    assert!(suspects.is_poison(content(0)), "the one with most endings stays");
+    assert!(suspects.is_poison(content(0)), "the one with most crashes stays");
     assert!(suspects.news(ms(0)).len() <= 16);
     assert!(!suspects.is_outdated(KEPT - ms(1)) && suspects.is_outdated(KEPT));
     suspects.forget(KEPT);
@@ -130,28 +134,28 @@
 
 #[test]
 fn what_ran_well_speaks_for_its_content_for_a_while() {
-    let mut survivors = Survivors::default();
-    survivors.ran(content(1), ms(0));
-    assert!(survivors.has(content(1), ms(59_999)) && !survivors.has(content(1), ms(60_000)));
-    survivors.ran(content(1), ms(30_000));
+    let mut successes = Successes::default();
+    successes.ran(content(1), ms(0));
+    assert!(successes.has(content(1), ms(59_999)) && !successes.has(content(1), ms(60_000)));
+    successes.ran(content(1), ms(30_000));
     for number in 2..6_000 {
-        survivors.ran(content(number), ms(40_000));
+        successes.ran(content(number), ms(40_000));
     }
-    assert!(!survivors.has(content(1), ms(40_000)), "the oldest give way");
-    assert!(survivors.has(content(5_999), ms(40_000)));
+    assert!(!successes.has(content(1), ms(40_000)), "the oldest give way");
+    assert!(successes.has(content(5_999), ms(40_000)));
 }
 
-fn endings() -> impl Strategy<Value = Vec<(u64, u8, u8, bool, bool)>> {
-    let ending = (0..4u64, 0..6u8, 1..5u8, any::<bool>(), proptest::bool::weighted(0.1));
-    proptest::collection::vec(ending, 0..30)
+fn crashes() -> impl Strategy<Value = Vec<(u64, u8, u8, bool, bool)>> {
+    let crash = (0..4u64, 0..6u8, 1..5u8, any::<bool>(), proptest::bool::weighted(0.1));
+    proptest::collection::vec(crash, 0..30)
 }
 
 proptest! {
     #[test]
-    fn gateways_that_tell_each_other_know_the_same(first in endings(), second in endings()) {
-        let know = |endings: &[(u64, u8, u8, bool, bool)]| {
+    fn gateways_that_tell_each_other_know_the_same(first in crashes(), second in crashes()) {
+        let know = |crashes: &[(u64, u8, u8, bool, bool)]| {
             let mut suspects = Suspects::default();
-            for (number, endpoint, round, alone, is_cleared) in endings {
+            for (number, endpoint, round, alone, is_cleared) in crashes {
                 end(&mut suspects, &endpoint.to_string(), &[run(*number, *round, *alone)]);
                 if *is_cleared {
                     suspects.clear(content(*number), ms(0));
@@ -193,7 +197,7 @@
     assert!(matches!(probed(false, 4), Verdict::Wait));
     let verdict = broken.unanswered(&endpoint, &runs, Unanswered::Broken, &table, ms(500));
     assert!(matches!(verdict, Verdict::Probe(_)));
-    let Verdict::Ended(ended) = broken.probed(&endpoint.id, endpoint.incarnation, true, ms(502))
+    let Verdict::Crashed(ended) = broken.probed(&endpoint.id, endpoint.incarnation, true, ms(502))
     else {
         panic!("a closed port is proof");
     };
