--- a/src/direct/poison/broken.rs
+++ b/src/direct/poison/broken.rs
@@ -5,7 +5,7 @@
 //! the endpoint was back by then or answers nobody, the list of endpoints may: an entry that goes within the next
 //! seconds, or tells of another life.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -91,7 +91,7 @@
 /// The unanswered calls of one gateway, by the lives of endpoints.
 #[derive(Debug, Default)]
 pub struct Broken {
-    calls: HashMap<(Name, u64), Calls>,
+    calls: BTreeMap<(Name, u64), Calls>,
 }
 
 impl Broken {
--- a/src/direct/requests/changes.rs
+++ b/src/direct/requests/changes.rs
@@ -46,10 +46,7 @@
             request.phase == Phase::Running
                 && now_there.is_some_and(|(then, now)| then.incarnation != now.incarnation)
         };
-        let lost = self.requests.iter().filter(|(_, request)| is_lost(request));
-        let mut lost: Vec<u64> = lost.map(|(caller, _)| *caller).collect();
-        lost.sort_unstable();
-        for caller in lost {
+        for caller in self.callers_where(is_lost) {
             self.may_have_run(caller, Failure::EndpointRestarted, table, now);
         }
     }
--- a/src/direct/requests/mod.rs
+++ b/src/direct/requests/mod.rs
@@ -143,6 +143,14 @@
         self.requests.len()
     }
 
+    /// The callers of some requests, always in the same order: schedules and incidents are played again.
+    pub(super) fn callers_where(&self, which: impl Fn(&Request) -> bool) -> Vec<u64> {
+        let found = self.requests.iter().filter(|(_, request)| which(request));
+        let mut callers: Vec<u64> = found.map(|(caller, _)| *caller).collect();
+        callers.sort_unstable();
+        callers
+    }
+
     /// Streams that are being passed on.
     pub fn streams(&self) -> usize {
         self.requests.values().filter(|r| r.phase == Phase::Streaming).count()
--- a/src/direct/requests/poison.rs
+++ b/src/direct/requests/poison.rs
@@ -49,10 +49,7 @@
         if quarantined.is_empty() {
             return;
         }
-        let waits = self.requests.iter().filter(|(_, r)| r.phase != Phase::Streaming);
-        let mut waits: Vec<u64> = waits.map(|(caller, _)| *caller).collect();
-        waits.sort_unstable();
-        for caller in waits {
+        for caller in self.callers_where(|r| r.phase != Phase::Streaming) {
             self.is_refused_as_poison(caller, now);
         }
     }
--- a/src/direct/requests/stages.rs
+++ b/src/direct/requests/stages.rs
@@ -89,8 +89,7 @@
     /// What was on the way to or from this owner may be lost: the jobs that it has are submitted
     /// again, and it tells how they stand.
     pub fn submit_again(&mut self, owner: SocketAddr) {
-        let with_owner = self.requests.iter().filter(|(_, r)| r.is_with(owner));
-        self.to_submit_again.extend(with_owner.map(|(caller, _)| *caller));
+        self.to_submit_again.extend(self.callers_where(|r| r.is_with(owner)));
     }
 
     /// Submits a job once more to the owner that has it.
@@ -193,18 +192,13 @@
     /// An owner is gone: what it had goes to another one.
     pub fn owner_lost(&mut self, address: SocketAddr, lost: u64) {
         self.late_owners.remove(&address);
-        let with_owner: Vec<u64> = self
-            .requests
-            .iter()
-            .filter(|(_, r)| {
-                let life = match r.phase {
-                    Phase::Stages { incarnation, .. } => Some(incarnation),
-                    _ => None,
-                };
-                r.is_with(address) && life == Some(lost)
-            })
-            .map(|(caller, _)| *caller)
-            .collect();
+        let with_owner = self.callers_where(|r| {
+            let life = match r.phase {
+                Phase::Stages { incarnation, .. } => Some(incarnation),
+                _ => None,
+            };
+            r.is_with(address) && life == Some(lost)
+        });
         for caller in with_owner {
             self.pass_over(caller, address);
         }
--- a/src/direct/requests/stopping.rs
+++ b/src/direct/requests/stopping.rs
@@ -66,8 +66,7 @@
     /// What still runs takes longer than until now: long ones end last, so without this the short ones
     /// would be all experience.
     fn learn_from_running(&mut self, now: Timestamp) {
-        let callers: Vec<u64> = self.requests.keys().copied().collect();
-        for caller in callers {
+        for caller in self.callers_where(|_| true) {
             self.learn(caller, false, now);
         }
     }
@@ -183,8 +182,9 @@
             return;
         }
         self.stages_looked_at = now;
-        let waiting = self.requests.iter().filter(|(_, r)| matches!(r.phase, Phase::Stages { .. }));
-        let decided = waiting.map(|(caller, r)| (*caller, self.can_end(r, At::Stages, now)));
+        let waiting = self.callers_where(|r| matches!(r.phase, Phase::Stages { .. })).into_iter();
+        let waiting = waiting.filter_map(|caller| Some((caller, self.requests.get(&caller)?)));
+        let decided = waiting.map(|(caller, r)| (caller, self.can_end(r, At::Stages, now)));
         let too_late: Vec<_> = decided.filter(|(_, (can_end, _))| !can_end).collect();
         for (caller, (_, note)) in too_late {
             self.out.extend(note.map(Action::Note));
@@ -196,7 +196,7 @@
     /// Returns how many there were of each.
     pub fn end_all(&mut self, now: Timestamp) -> (usize, usize) {
         let streams = self.streams();
-        let callers: Vec<u64> = self.requests.keys().copied().collect();
+        let callers = self.callers_where(|_| true);
         let unanswered = callers.len() - streams;
         for caller in callers {
             self.refuse(caller, Refused::Draining, self.elsewhere(), now);
--- a/tests/direct_schedules.rs
+++ b/tests/direct_schedules.rs
@@ -37,6 +37,20 @@
     assert!(answered > 0);
 }
 
+// A seed that shows a fault is played again: so nothing may hang on the order of a hash map. Of 400 schedules played
+// three times, one or two differed while requests of a lost owner went on in such an order.
+#[test]
+fn a_schedule_runs_the_same_way_each_time() {
+    for seed in 1..=60 {
+        let happenings = || {
+            let mut world = World::new(seed);
+            world.run();
+            world.next
+        };
+        assert_eq!(happenings(), happenings(), "seed {seed}");
+    }
+}
+
 // Streams last up to 6.5 s and gateways are stopped, several at once: what a gateway takes later than
 // three seconds after its signal is whole before its process ends.
 #[test]
--- a/tests/directenv/mod.rs
+++ b/tests/directenv/mod.rs
@@ -7,6 +7,7 @@
 pub mod poison;
 pub mod recount;
 pub mod stops;
+pub mod timeline;
 pub mod world;
 
 use std::net::SocketAddr;
--- a/tests/directenv/orders.rs
+++ b/tests/directenv/orders.rs
@@ -5,16 +5,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
-use stackmast::actor::Core;
-use stackmast::direct::core::{GatewayCore, Setup};
+use rand::RngExt;
+use stackmast::direct::core::Setup;
 use stackmast::direct::event::{Action, CallFailure, Event};
 use stackmast::direct::published::documents::{Document, Revised};
 use stackmast::direct::published::evacuations::Evacuation;
 use stackmast::direct::published::model::{ColdStart, Deployment, Endpoint, Name, Repeat};
 
 use super::gateway::{good, incoming, setup};
+use super::timeline::{Gateway, Timeline};
 use super::{address, deployment, endpoint, ms, route};
 
 /// What a cold endpoint bears a second.
@@ -47,18 +46,6 @@
     Away(usize, bool),
 }
 
-/// One gateway.
-struct Gateway {
-    core: Option<GatewayCore>,
-    life: u64,
-    wake: Option<Duration>,
-    /// Cut off from peers and store, not from endpoints.
-    is_cut: bool,
-    /// Turned away by the store.
-    is_away: bool,
-    in_touch_from: Duration,
-}
-
 /// What was seen.
 #[derive(Debug, Default, Clone, Copy)]
 pub struct Seen {
@@ -71,10 +58,7 @@
 
 /// The fleet.
 pub struct Fleet {
-    rng: StdRng,
-    now: Duration,
-    queue: BTreeMap<(Duration, u64), Happening>,
-    next: u64,
+    time: Timeline<Happening>,
     gateways: Vec<Gateway>,
     endpoints: BTreeMap<Name, Arc<Endpoint>>,
     down: BTreeSet<Name>,
@@ -109,14 +93,11 @@
 
 impl Fleet {
     pub fn new(seed: u64, gateways: usize) -> Self {
-        let mut rng = StdRng::seed_from_u64(seed);
-        let loss = rng.random_range(0.0..0.2);
-        let slowest_news = ms(rng.random_range(20..1_000));
+        let mut time = Timeline::new(seed);
+        let loss = time.rng.random_range(0.0..0.2);
+        let slowest_news = ms(time.rng.random_range(20..1_000));
         let mut fleet = Self {
-            rng,
-            now: Duration::ZERO,
-            queue: BTreeMap::new(),
-            next: 0,
+            time,
             gateways: Vec::new(),
             endpoints: BTreeMap::new(),
             down: BTreeSet::new(),
@@ -134,11 +115,7 @@
             fleet.enter(Arc::new(engine(number)));
         }
         for number in 0..gateways {
-            let (core, wake) = (None, None);
-            let in_touch_from = IN_TOUCH;
-            let (is_cut, is_away) = (false, false);
-            let gateway = Gateway { core, life: 0, wake, is_cut, is_away, in_touch_from };
-            fleet.gateways.push(gateway);
+            fleet.gateways.push(Gateway::new(IN_TOUCH));
             fleet.start(number);
         }
         fleet.plan();
@@ -146,12 +123,11 @@
     }
 
     fn at(&mut self, at: Duration, happening: Happening) {
-        self.next += 1;
-        self.queue.insert((at, self.next), happening);
+        self.time.at(at, happening);
     }
 
     fn time_in(&mut self, from: u64, to: u64) -> Duration {
-        Duration::from_micros(self.rng.random_range(from * 1_000..to * 1_000))
+        self.time.time_in(from, to)
     }
 
     /// Callers from two seconds on; then orders, restarts and losses.
@@ -159,29 +135,29 @@
         let mut at = 2.0;
         while at < END.as_secs_f64() {
             self.at(Duration::from_secs_f64(at), Happening::Arrival);
-            at += self.rng.random_range(0.0..2.0) / PRESSURE;
+            at += self.time.rng.random_range(0.0..2.0) / PRESSURE;
         }
-        for _ in 0..self.rng.random_range(0..3) {
-            let data_centre: Name = format!("hall-{}", self.rng.random_range(0..4)).into();
+        for _ in 0..self.time.rng.random_range(0..3) {
+            let data_centre: Name = format!("hall-{}", self.time.rng.random_range(0..4)).into();
             let at = self.time_in(500, 6_000);
             let back = at + self.time_in(500, 9_000);
             self.at(at, Happening::Order(data_centre.clone(), true));
             self.at(back, Happening::Order(data_centre, false));
         }
-        for _ in 0..self.rng.random_range(1..3) {
-            let first = self.rng.random_range(0..ENDPOINTS);
-            let count = self.rng.random_range(1..=ENDPOINTS);
+        for _ in 0..self.time.rng.random_range(1..3) {
+            let first = self.time.rng.random_range(0..ENDPOINTS);
+            let count = self.time.rng.random_range(1..=ENDPOINTS);
             let numbers: Vec<u16> = (0..count).map(|n| (first + n) % ENDPOINTS).collect();
             let at = self.time_in(2_500, 8_000);
             let back = at + self.time_in(1_000, 3_000);
             self.at(at, Happening::Down(numbers.clone()));
             self.at(back, Happening::Up(numbers));
         }
-        for _ in 0..self.rng.random_range(0..5) {
-            let gateway = self.rng.random_range(0..self.gateways.len());
+        for _ in 0..self.time.rng.random_range(0..5) {
+            let gateway = self.time.rng.random_range(0..self.gateways.len());
             let at = self.time_in(1_000, 9_000);
             let back = at + self.time_in(100, 4_000);
-            match self.rng.random_range(0..3) {
+            match self.time.rng.random_range(0..3) {
                 0 => {
                     self.at(at, Happening::Kill(gateway));
                     self.at(back, Happening::Start(gateway));
@@ -196,7 +172,7 @@
                 }
             }
         }
-        if self.rng.random_bool(0.2) {
+        if self.time.rng.random_bool(0.2) {
             let at = self.time_in(3_000, 8_000);
             for gateway in 0..self.gateways.len() {
                 self.at(at, Happening::Kill(gateway));
@@ -207,11 +183,7 @@
     }
 
     pub fn run(&mut self) {
-        while let Some(((at, _), happening)) = self.queue.pop_first() {
-            if at > END {
-                break;
-            }
-            self.now = at;
+        while let Some(happening) = self.time.step(END) {
             self.happen(happening);
         }
         for calls in self.cold_calls.values() {
@@ -251,14 +223,13 @@
                 }
             }
             Happening::Kill(gateway) => {
-                self.gateways[gateway].core = None;
-                self.gateways[gateway].life += 1;
+                self.gateways[gateway].kill();
             }
             Happening::Start(gateway) => self.start(gateway),
             Happening::Cut(gateway, is_cut) => {
                 self.gateways[gateway].is_cut = is_cut;
                 self.gateways[gateway].in_touch_from =
-                    if is_cut { Duration::MAX } else { self.now + IN_TOUCH };
+                    if is_cut { Duration::MAX } else { self.time.now + IN_TOUCH };
                 self.publish_whole(gateway);
             }
             Happening::Away(gateway, is_away) => {
@@ -273,8 +244,8 @@
         if !self.down.remove(&before.id) {
             return;
         }
-        self.cold_until.insert(before.id.clone(), self.now + COLD);
-        let incarnation = self.now.as_millis() as u64;
+        self.cold_until.insert(before.id.clone(), self.time.now + COLD);
+        let incarnation = self.time.now.as_millis() as u64;
         let endpoint = Arc::new(Endpoint { incarnation, cold: COLD, ..before });
         self.enter(endpoint.clone());
         let entry = self.entered[&endpoint.id].clone();
@@ -291,7 +262,7 @@
     fn order(&mut self, data_centre: Name, stands: bool) {
         self.revision += 1;
         let revision = self.revision;
-        let since = stands.then_some(self.now);
+        let since = stands.then_some(self.time.now);
         self.orders.insert(data_centre.clone(), (revision, since));
         let change = Evacuation { data_centre, revision, stands };
         for gateway in 0..self.gateways.len() {
@@ -311,11 +282,11 @@
     fn publish(&mut self, gateway: usize, event: Event) {
         let Gateway { is_cut, is_away, life, .. } = self.gateways[gateway];
         let after = Duration::from_micros(
-            self.rng.random_range(4_000..self.slowest_news.as_micros() as u64),
+            self.time.rng.random_range(4_000..self.slowest_news.as_micros() as u64),
         );
         if !is_cut && !is_away {
             let event = Happening::Event(gateway, life, Box::new(event));
-            self.at(self.now + after, event);
+            self.at(self.time.now + after, event);
         }
     }
 
@@ -341,27 +312,17 @@
         if self.gateways[number].core.is_some() {
             return;
         }
-        let gateways = self.gateways.len().max(3) as u16;
-        let seeds = (1..=gateways.min(3)).map(address).collect();
-        let seed = self.rng.random();
+        let data_centre = format!("hall-{}", number as u16 % DATA_CENTRES).into();
+        let seed = self.time.rng.random();
         let gateway = &mut self.gateways[number];
-        gateway.life += 1;
-        gateway.wake = None;
-        gateway.in_touch_from = self.now + IN_TOUCH;
-        gateway.core = Some(GatewayCore::new(Setup {
-            address: address(number as u16 + 1),
-            incarnation: gateway.life,
-            data_centre: format!("hall-{}", number as u16 % DATA_CENTRES).into(),
-            seeds,
-            seed,
-            ..setup()
-        }));
+        gateway.in_touch_from = self.time.now + IN_TOUCH;
+        gateway.start(number, Setup { data_centre, seed, ..setup() });
         self.publish_whole(number);
         self.handle(number, Event::Tick);
     }
 
     fn arrive(&mut self) {
-        let gateway = self.rng.random_range(0..self.gateways.len());
+        let gateway = self.time.rng.random_range(0..self.gateways.len());
         self.callers += 1;
         let caller = self.callers;
         let mut incoming = incoming("r", Vec::new());
@@ -370,16 +331,11 @@
     }
 
     fn handle(&mut self, number: usize, event: Event) {
-        let now = self.now;
+        let now = self.time.now;
         let gateway = &mut self.gateways[number];
-        let Some(core) = &mut gateway.core else {
-            return;
-        };
-        let actions = core.handle(event, now);
-        let wake = core.next_wakeup().map(|at| at.max(now + ms(1)));
-        let life = gateway.life;
-        if let Some(at) = wake.filter(|at| gateway.wake.is_none_or(|planned| *at < planned)) {
-            gateway.wake = Some(at);
+        let (actions, wake) = gateway.handle(event, now);
+        if let Some(at) = wake {
+            let life = gateway.life;
             self.at(at, Happening::Wake(number, life));
         }
         for action in actions {
@@ -411,19 +367,19 @@
     /// A message between gateways: late, or lost.
     fn send(&mut self, from: usize, to: u16, event: Event) {
         let to = usize::from(to) - 1;
-        if to >= self.gateways.len() || self.rng.random_bool(self.loss) {
+        if to >= self.gateways.len() || self.time.rng.random_bool(self.loss) {
             return;
         }
         if !self.gateways[from].is_cut && !self.gateways[to].is_cut {
             let after = self.time_in(1, 60);
             let event = Happening::Event(to, self.gateways[to].life, Box::new(event));
-            self.at(self.now + after, event);
+            self.at(self.time.now + after, event);
         }
     }
 
     fn call(&mut self, number: usize, caller: u64, attempt: u64, endpoint: &Endpoint) {
         let life = self.gateways[number].life;
-        let arrives = self.now + self.time_in(1, 4);
+        let arrives = self.time.now + self.time_in(1, 4);
         let answer = if self.down.contains(&endpoint.id) {
             Event::CallFailed { caller, attempt, failure: CallFailure::NotSent }
         } else {
@@ -449,7 +405,7 @@
     /// Whether a gateway is in touch with the store, or with a peer that is. Schedule 2262 has a single gateway that
     /// the store turns away from before an order until after its end: nobody can tell it.
     fn can_hear(&self, number: usize) -> bool {
-        let is_in_touch = |g: &Gateway| g.core.is_some() && g.in_touch_from <= self.now;
+        let is_in_touch = |g: &Gateway| g.core.is_some() && g.in_touch_from <= self.time.now;
         let tells = |g: &Gateway| is_in_touch(g) && !g.is_away;
         is_in_touch(&self.gateways[number]) && self.gateways.iter().any(tells)
     }
--- a/tests/directenv/poison/endpoints.rs
+++ b/tests/directenv/poison/endpoints.rs
@@ -47,10 +47,10 @@
         poison: Option<Content>,
     ) {
         let Gateway { life, in_touch_from, .. } = self.gateways[gateway];
-        let arrives = self.now + self.time_in(1, 4);
+        let arrives = self.time.now + self.time_in(1, 4);
         let running = Running { gateway, life, work, contents };
-        if let Some(content) = poison.filter(|_| in_touch_from <= self.now) {
-            self.reached.entry(content).or_default().push(self.now);
+        if let Some(content) = poison.filter(|_| in_touch_from <= self.time.now) {
+            self.reached.entry(content).or_default().push(self.time.now);
         }
         let begin = Happening::Begin(to.id.clone(), to.incarnation, running, poison);
         self.at(arrives, begin);
@@ -67,14 +67,14 @@
         if self.down.contains(id) || !is_there {
             return self.answer(&running, Some(CallFailure::NotSent));
         }
-        self.next += 1;
-        let number = self.next;
+        self.time.next += 1;
+        let number = self.time.next;
         self.running.entry(id.clone()).or_default().insert(number, running);
         if poison.is_some() {
-            let at = self.now + self.time_in(10, 200);
+            let at = self.time.now + self.time_in(10, 200);
             self.at(at, Happening::Crash(vec![id.clone()], poison, life));
         } else {
-            let at = self.now + self.time_in(50, 700);
+            let at = self.time.now + self.time_in(50, 700);
             self.at(at, Happening::Finish(id.clone(), life, number));
         }
     }
@@ -107,7 +107,7 @@
                 Event::BatchEnded { call: *call, outcome }
             }
         };
-        let at = self.now + self.time_in(1, 5);
+        let at = self.time.now + self.time_in(1, 5);
         self.at(at, Happening::Event(running.gateway, running.life, Box::new(event)));
     }
 
@@ -117,7 +117,7 @@
             return;
         }
         match content {
-            Some(content) => self.endings.entry(content).or_default().push(self.now),
+            Some(content) => self.endings.entry(content).or_default().push(self.time.now),
             None => self.seen.other_endings += 1,
         }
         let ended = self.running.remove(id).unwrap_or_default();
@@ -129,9 +129,9 @@
         for running in ended.into_values() {
             self.answer(&running, Some(CallFailure::Broken));
         }
-        let lapses = self.now + self.time_in(1_200, 3_600);
+        let lapses = self.time.now + self.time_in(1_200, 3_600);
         self.at(lapses, Happening::Lapse(id.clone(), life));
-        let back = self.now + self.time_in(1_000, 5_000);
+        let back = self.time.now + self.time_in(1_000, 5_000);
         self.at(back, Happening::Back(id.clone()));
     }
 
@@ -150,7 +150,7 @@
     pub(super) fn back(&mut self, id: &Name) {
         self.down.remove(id);
         let before = self.endpoints[id].clone();
-        let incarnation = self.now.as_millis() as u64;
+        let incarnation = self.time.now.as_millis() as u64;
         self.enter(Arc::new(Endpoint { incarnation, ..(*before).clone() }));
         let entry = self.entered[id].clone();
         self.spread(&[entry]);
--- a/tests/directenv/poison/mod.rs
+++ b/tests/directenv/poison/mod.rs
@@ -7,16 +7,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
-use stackmast::actor::Core;
-use stackmast::direct::core::{GatewayCore, Setup};
+use rand::RngExt;
+use stackmast::direct::core::Setup;
 use stackmast::direct::event::{Action, Event, Refused};
 use stackmast::direct::poison::fingerprint::Fingerprint;
 use stackmast::direct::published::documents::{Document, Revised};
 use stackmast::direct::published::model::{Deployment, Endpoint, Name, Repeat};
 
 use super::gateway::{incoming, setup};
+use super::timeline::{Gateway, Timeline};
 use super::{address, deployment, endpoint, ms, route};
 
 /// A gateway that was cut off, or started, is in touch after so long; and so long after the third ending
@@ -89,14 +88,6 @@
     Cut(usize, bool),
 }
 
-struct Gateway {
-    core: Option<GatewayCore>,
-    life: u64,
-    wake: Option<Duration>,
-    is_cut: bool,
-    in_touch_from: Duration,
-}
-
 /// What was seen.
 #[derive(Debug, Default, Clone)]
 pub struct Seen {
@@ -116,10 +107,7 @@
 
 /// The fleet.
 pub struct Fleet {
-    rng: StdRng,
-    now: Duration,
-    queue: BTreeMap<(Duration, u64), Happening>,
-    next: u64,
+    time: Timeline<Happening>,
     gateways: Vec<Gateway>,
     endpoints: BTreeMap<Name, Arc<Endpoint>>,
     down: BTreeSet<Name>,
@@ -150,13 +138,10 @@
 
 impl Fleet {
     pub fn new(seed: u64, gateways: usize) -> Self {
-        let mut rng = StdRng::seed_from_u64(seed);
-        let loss = rng.random_range(0.0..0.1);
+        let mut time = Timeline::new(seed);
+        let loss = time.rng.random_range(0.0..0.1);
         let mut fleet = Self {
-            rng,
-            now: Duration::ZERO,
-            queue: BTreeMap::new(),
-            next: 0,
+            time,
             gateways: Vec::new(),
             endpoints: BTreeMap::new(),
             down: BTreeSet::new(),
@@ -178,8 +163,7 @@
             fleet.enter(new_endpoint("first", number, 1));
         }
         for number in 0..gateways {
-            let (core, wake, is_cut, in_touch_from) = (None, None, false, IN_TOUCH);
-            fleet.gateways.push(Gateway { core, life: 0, wake, is_cut, in_touch_from });
+            fleet.gateways.push(Gateway::new(IN_TOUCH));
             fleet.start(number);
         }
         fleet.plan();
@@ -187,42 +171,41 @@
     }
 
     fn at(&mut self, at: Duration, happening: Happening) {
-        self.next += 1;
-        self.queue.insert((at, self.next), happening);
+        self.time.at(at, happening);
     }
 
     fn time_in(&mut self, from: u64, to: u64) -> Duration {
-        Duration::from_micros(self.rng.random_range(from * 1_000..to * 1_000))
+        self.time.time_in(from, to)
     }
 
     fn plan(&mut self) {
         let mut at = 2.0;
         while at < END.as_secs_f64() - 2.0 {
-            let number = self.next;
-            let content = match self.rng.random_range(0..10) {
+            let number = self.time.next;
+            let content = match self.time.rng.random_range(0..10) {
                 0 => Content::Hot(number % 2),
                 _ => Content::Own(number),
             };
-            let is_staged = self.rng.random_bool(0.4);
+            let is_staged = self.time.rng.random_bool(0.4);
             let caller = Caller { content, is_staged, tries: 0 };
             self.at(Duration::from_secs_f64(at), Happening::Arrival(caller));
-            at += self.rng.random_range(0.0..2.0) / PRESSURE;
+            at += self.time.rng.random_range(0.0..2.0) / PRESSURE;
         }
-        for number in 0..self.rng.random_range(1..3) {
+        for number in 0..self.time.rng.random_range(1..3) {
             self.plan_poison(number);
         }
-        for _ in 0..self.rng.random_range(0..3) {
+        for _ in 0..self.time.rng.random_range(0..3) {
             let at = self.time_in(2_500, 18_000);
-            let share = self.rng.random_range(0.05..0.6);
+            let share = self.time.rng.random_range(0.05..0.6);
             let ids: Vec<Name> = self.endpoints.keys().cloned().collect();
-            let ids = ids.into_iter().filter(|_| self.rng.random_bool(share)).collect();
+            let ids = ids.into_iter().filter(|_| self.time.rng.random_bool(share)).collect();
             self.at(at, Happening::Crash(ids, None, 1));
         }
-        for _ in 0..self.rng.random_range(0..4) {
-            let gateway = self.rng.random_range(0..self.gateways.len());
+        for _ in 0..self.time.rng.random_range(0..4) {
+            let gateway = self.time.rng.random_range(0..self.gateways.len());
             let at = self.time_in(1_000, 18_000);
             let back = at + self.time_in(100, 4_000);
-            match self.rng.random_range(0..3) {
+            match self.time.rng.random_range(0..3) {
                 0 => {
                     self.at(at, Happening::Kill(gateway));
                     self.at(back, Happening::Start(gateway));
@@ -238,16 +221,16 @@
 
     /// A poison comes again and again, sometimes three times at once.
     fn plan_poison(&mut self, number: u64) {
-        let (content, is_staged) = match self.rng.random_range(0..3) {
+        let (content, is_staged) = match self.time.rng.random_range(0..3) {
             0 => (Content::Poison(number), false),
             1 => (Content::Poison(number), true),
             _ => (Content::StagePoison(number), true),
         };
         let caller = Caller { content, is_staged, tries: 1 };
-        let pace = self.rng.random_range(250..1_500);
+        let pace = self.time.rng.random_range(250..1_500);
         let mut at = self.time_in(2_000, 6_000);
         while at < END - ms(3_000) {
-            let times = if self.rng.random_bool(0.15) { 3 } else { 1 };
+            let times = if self.time.rng.random_bool(0.15) { 3 } else { 1 };
             for _ in 0..times {
                 self.at(at, Happening::Arrival(caller));
             }
@@ -256,11 +239,7 @@
     }
 
     pub fn run(&mut self) {
-        while let Some(((at, _), happening)) = self.queue.pop_first() {
-            if at > END {
-                break;
-            }
-            self.now = at;
+        while let Some(happening) = self.time.step(END) {
             self.happen(happening);
         }
         for (content, endings) in &self.endings {
@@ -298,27 +277,27 @@
             Happening::Back(id) => self.back(&id),
             Happening::Reset(gateway) => self.reset(gateway),
             Happening::Kill(gateway) => {
-                self.gateways[gateway].core = None;
-                self.gateways[gateway].life += 1;
+                self.gateways[gateway].kill();
             }
             Happening::Start(gateway) => self.start(gateway),
             Happening::Cut(gateway, is_cut) => {
                 self.gateways[gateway].is_cut = is_cut;
                 self.gateways[gateway].in_touch_from =
-                    if is_cut { Duration::MAX } else { self.now + IN_TOUCH };
+                    if is_cut { Duration::MAX } else { self.time.now + IN_TOUCH };
                 self.publish_whole(gateway);
             }
         }
     }
 
     fn arrive(&mut self, caller: Caller) {
-        let gateway = self.rng.random_range(0..self.gateways.len());
+        let gateway = self.time.rng.random_range(0..self.gateways.len());
         if self.gateways[gateway].core.is_none() {
             return;
         }
         self.next_caller += 1;
         let number = self.next_caller;
-        let pieces = if caller.is_staged { vec![self.rng.random_range(1..3)] } else { Vec::new() };
+        let pieces =
+            if caller.is_staged { vec![self.time.rng.random_range(1..3)] } else { Vec::new() };
         let mut asked = incoming(if caller.is_staged { "s" } else { "r" }, pieces);
         asked.id = number.to_string().as_str().into();
         asked.content =
@@ -328,16 +307,11 @@
     }
 
     fn handle(&mut self, number: usize, event: Event) {
-        let now = self.now;
+        let now = self.time.now;
         let gateway = &mut self.gateways[number];
-        let Some(core) = &mut gateway.core else {
-            return;
-        };
-        let actions = core.handle(event, now);
-        let wake = core.next_wakeup().map(|at| at.max(now + ms(1)));
-        let life = gateway.life;
-        if let Some(at) = wake.filter(|at| gateway.wake.is_none_or(|planned| *at < planned)) {
-            gateway.wake = Some(at);
+        let (actions, wake) = gateway.handle(event, now);
+        if let Some(at) = wake {
+            let life = gateway.life;
             self.at(at, Happening::Wake(number, life));
         }
         for action in actions {
@@ -367,7 +341,7 @@
                 let incarnation = endpoint.incarnation;
                 let is_closed = self.down.contains(&endpoint.id);
                 let event = Event::Probed { endpoint: endpoint.id.clone(), incarnation, is_closed };
-                let at = self.now + self.time_in(1, 10);
+                let at = self.time.now + self.time_in(1, 10);
                 self.at(at, Happening::Event(number, life, Box::new(event)));
             }
             Action::Refuse { caller, refusal } => self.refused(caller, &refusal.reason),
@@ -392,7 +366,7 @@
             self.seen.wronged += usize::from(ended_under < CONDEMNED_AFTER);
         }
         if tries < 2 {
-            let at = self.now + self.time_in(100, 600);
+            let at = self.time.now + self.time_in(100, 600);
             self.at(at, Happening::Arrival(Caller { content, is_staged, tries: tries + 1 }));
         }
     }
@@ -400,13 +374,13 @@
     /// A message between gateways: late, or lost.
     fn send(&mut self, from: usize, to: u16, event: Event) {
         let to = usize::from(to) - 1;
-        if to >= self.gateways.len() || self.rng.random_bool(self.loss) {
+        if to >= self.gateways.len() || self.time.rng.random_bool(self.loss) {
             return;
         }
         if !self.gateways[from].is_cut && !self.gateways[to].is_cut {
             let after = self.time_in(1, 60);
             let event = Happening::Event(to, self.gateways[to].life, Box::new(event));
-            self.at(self.now + after, event);
+            self.at(self.time.now + after, event);
         }
     }
 
@@ -429,7 +403,7 @@
         let Gateway { is_cut, life, .. } = self.gateways[gateway];
         let after = self.time_in(4, 300);
         if !is_cut {
-            self.at(self.now + after, Happening::Event(gateway, life, Box::new(event)));
+            self.at(self.time.now + after, Happening::Event(gateway, life, Box::new(event)));
         }
     }
 
@@ -447,19 +421,10 @@
         if self.gateways[number].core.is_some() {
             return;
         }
-        let seeds = (1..=3).map(address).collect();
-        let seed = self.rng.random();
+        let seed = self.time.rng.random();
         let gateway = &mut self.gateways[number];
-        gateway.life += 1;
-        gateway.wake = None;
-        gateway.in_touch_from = self.now + IN_TOUCH;
-        gateway.core = Some(GatewayCore::new(Setup {
-            address: address(number as u16 + 1),
-            incarnation: gateway.life,
-            seeds,
-            seed,
-            ..setup()
-        }));
+        gateway.in_touch_from = self.time.now + IN_TOUCH;
+        gateway.start(number, Setup { seed, ..setup() });
         self.publish_whole(number);
         self.handle(number, Event::Tick);
     }
--- /dev/null
+++ b/tests/directenv/timeline.rs
@@ -0,0 +1,98 @@
+//! What fleets in virtual time have in common: what happens when, and gateways that are woken when they ask to be.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use stackmast::actor::Core;
+use stackmast::direct::core::{GatewayCore, Setup};
+use stackmast::direct::event::{Action, Event};
+
+use super::{address, ms};
+
+/// The first gateways are where the others may meet.
+const SEEDS: u16 = 3;
+
+/// What happens, by time, and the chances of one schedule.
+pub struct Timeline<H> {
+    pub rng: StdRng,
+    pub now: Duration,
+    queue: BTreeMap<(Duration, u64), H>,
+    pub next: u64,
+}
+
+impl<H> Timeline<H> {
+    pub fn new(seed: u64) -> Self {
+        let rng = StdRng::seed_from_u64(seed);
+        Self { rng, now: Duration::ZERO, queue: BTreeMap::new(), next: 0 }
+    }
+
+    pub fn at(&mut self, at: Duration, happening: H) {
+        self.next += 1;
+        self.queue.insert((at, self.next), happening);
+    }
+
+    /// A random time between two, in milliseconds.
+    pub fn time_in(&mut self, from: u64, to: u64) -> Duration {
+        Duration::from_micros(self.rng.random_range(from * 1_000..to * 1_000))
+    }
+
+    /// What happens next, before the end; it is now.
+    pub fn step(&mut self, end: Duration) -> Option<H> {
+        let ((at, _), happening) = self.queue.pop_first()?;
+        (at <= end).then(|| {
+            self.now = at;
+            happening
+        })
+    }
+}
+
+/// One gateway.
+pub struct Gateway {
+    pub core: Option<GatewayCore>,
+    pub life: u64,
+    pub wake: Option<Duration>,
+    /// Cut off from peers and store, not from endpoints.
+    pub is_cut: bool,
+    /// Turned away by the store.
+    pub is_away: bool,
+    pub in_touch_from: Duration,
+}
+
+impl Gateway {
+    /// One that was not started.
+    pub fn new(in_touch_from: Duration) -> Self {
+        Self { core: None, life: 0, wake: None, is_cut: false, is_away: false, in_touch_from }
+    }
+
+    /// Starts it in another life.
+    pub fn start(&mut self, number: usize, setup: Setup) {
+        self.life += 1;
+        self.wake = None;
+        self.core = Some(GatewayCore::new(Setup {
+            address: address(number as u16 + 1),
+            incarnation: self.life,
+            seeds: (1..=SEEDS).map(address).collect(),
+            ..setup
+        }));
+    }
+
+    /// Kills it.
+    pub fn kill(&mut self) {
+        self.core = None;
+        self.life += 1;
+    }
+
+    /// Has it handle an event: what it does, and when it is to be woken, if that is earlier than planned.
+    pub fn handle(&mut self, event: Event, now: Duration) -> (Vec<Action>, Option<Duration>) {
+        let Some(core) = &mut self.core else {
+            return (Vec::new(), None);
+        };
+        let actions = core.handle(event, now);
+        let wake = core.next_wakeup().map(|at| at.max(now + ms(1)));
+        let wake = wake.filter(|at| self.wake.is_none_or(|planned| *at < planned));
+        self.wake = wake.or(self.wake);
+        (actions, wake)
+    }
+}
--- a/tests/directenv/world.rs
+++ b/tests/directenv/world.rs
@@ -363,17 +363,13 @@
         let route = self.rng.random_range(0..self.routes.len());
         let spec = &self.routes[route];
         let id = format!("request-{caller}");
+        let pieces = spec.stages.iter().map(|_| self.rng.random_range(1..4)).collect();
         let incoming = Incoming {
             id: id.as_str().into(),
-            host: "h.example".to_owned(),
-            path: format!("/{}/x", spec.name),
-            key: Some("key".to_owned()),
             allowed: Some(self.allowed),
             generation: spec.streams.then(|| super::fakes::generation(caller)),
-            pieces: spec.stages.iter().map(|_| self.rng.random_range(1..4)).collect(),
-            piece_key: Some("k".into()),
-            after_event: None,
             content: Fingerprint::of_content("POST", &id, b""),
+            ..super::gateway::incoming(&spec.name, pieces)
         };
         self.callers.insert(
             caller,
