--- a/tests/direct_quarantine.rs
+++ b/tests/direct_quarantine.rs
@@ -13,11 +13,12 @@
 use stackmast::direct::core::GatewayCore;
 use stackmast::direct::event::{Action, CallFailure, Event, Incoming, Refused};
 use stackmast::direct::note::Note;
+use stackmast::direct::peers::members::Member;
 use stackmast::direct::peers::message::PeerMessage;
 use stackmast::direct::poison::Run;
 use stackmast::direct::poison::fingerprint::Fingerprint;
 use stackmast::direct::poison::suspects::{KEPT, Suspects};
-use stackmast::direct::published::model::{Endpoint, Repeat};
+use stackmast::direct::published::model::{Endpoint, Repeat, Route};
 
 fn content() -> Fingerprint {
     Fingerprint::of_content("POST", "/r/x", b"poison")
@@ -139,3 +140,33 @@
     assert!(tells(&ask(&mut core, 0)));
     assert!(!tells(&ask(&mut core, known().digest())));
 }
+
+#[test]
+fn a_gateway_asks_now_and_then_whether_it_missed_something() {
+    let mut core = core();
+    let mut asked = 0;
+    for beat in 0..30u64 {
+        let heard = Member { heartbeat: beat + 1, ..serving(2) };
+        hear_of(&mut core, vec![heard], ms(beat * 200));
+        let actions = core.handle(Event::Tick, ms(beat * 200 + 100));
+        asked += told(&actions).iter().filter(|m| matches!(m, PeerMessage::AskSuspects(_))).count();
+    }
+    assert!((2..=4).contains(&asked), "about every two seconds: {asked} times in six");
+}
+
+#[test]
+fn a_stream_that_breaks_after_its_content_was_quarantined_goes_on_nowhere() {
+    let again = Route { streams: true, resumable: true, ..route("r", Repeat::AtMostOnce, &[]) };
+    let mut core = configured(vec![again]);
+    let attempt = calls(&submit(&mut core, 1, poison("r", vec![]), ms(1_000)))[0].0;
+    let event = Event::Answered { caller: 1, attempt, proof: good(), is_open: true };
+    core.handle(event, ms(1_010));
+    let message = PeerMessage::Suspects(known().accounts(ms(0)));
+    let actions = core.handle(Event::Peer { from: address(2), message }, ms(1_050));
+    assert!(!actions.iter().any(|a| matches!(a, Action::Abort { .. })), "it may still run well");
+    let last_event = Some("3".to_owned());
+    let ended = Event::StreamEnded { caller: 1, attempt, whole: false, last_event };
+    let actions = core.handle(ended, ms(1_060));
+    assert!(calls(&actions).is_empty());
+    assert!(actions.iter().any(|a| matches!(a, Action::Abort { .. })));
+}
