--- a/tests/direct_quarantine.rs
+++ b/tests/direct_quarantine.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use directenv::gateway::{
-    calls, configured, good, hear_of, incoming, listed, refusal, serving, submit,
+    calls, configured, good, gossip, hear_of, incoming, listed, refusal, serving, submit,
 };
 use directenv::{address, endpoint, ms, route};
 use stackmast::actor::Core;
@@ -147,8 +147,8 @@
     let mut asked = 0;
     for beat in 0..30u64 {
         let heard = Member { heartbeat: beat + 1, ..serving(2) };
-        hear_of(&mut core, vec![heard], ms(beat * 200));
-        let actions = core.handle(Event::Tick, ms(beat * 200 + 100));
+        let event = Event::Peer { from: address(2), message: gossip(vec![heard]) };
+        let actions = core.handle(event, ms(beat * 200));
         asked += told(&actions).iter().filter(|m| matches!(m, PeerMessage::AskSuspects(_))).count();
     }
     assert!((2..=4).contains(&asked), "about every two seconds: {asked} times in six");
