--- a/tests/direct_evacuations.rs
+++ b/tests/direct_evacuations.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use directenv::gateway::{
-    calls, configured, gossip, incoming, listed, new_core, publish, refusal, serving, submit,
+    Says, calls, configured, incoming, listed, new_core, publish, refusal, serving, submit,
 };
 use directenv::{address, deployment, endpoint, ms, route};
 use proptest::prelude::*;
@@ -29,12 +29,8 @@
 
 /// What a peer knows.
 fn told(core: &mut GatewayCore, known: &Evacuations, now: Duration) -> Vec<Action> {
-    let PeerMessage::Gossip { members, seen, complete, usage, late, .. } = gossip(vec![serving(2)])
-    else {
-        unreachable!("gossip is gossip");
-    };
-    let evacuations = known.clone();
-    let message = PeerMessage::Gossip { members, seen, complete, usage, late, evacuations };
+    let (members, evacuations) = (vec![serving(2)], known.clone());
+    let message = Says { members, complete: true, evacuations, ..Says::default() }.message();
     core.handle(Event::Peer { from: address(2), message }, now)
 }
 
--- a/tests/direct_late.rs
+++ b/tests/direct_late.rs
@@ -4,15 +4,13 @@
 
 use std::time::Duration;
 
-use directenv::gateway::{calls, configured, hear_of, incoming, refusal, serving, submit};
+use directenv::gateway::{Says, calls, configured, hear_of, incoming, refusal, serving, submit};
 use directenv::{address, ms, route};
 use stackmast::actor::{self, Core, Shell};
 use stackmast::direct::core::GatewayCore;
 use stackmast::direct::event::{Action, Event, Refused};
 use stackmast::direct::note::Note;
 use stackmast::direct::peers::message::PeerMessage;
-use stackmast::direct::published::documents::Seen;
-use stackmast::direct::published::evacuations::Evacuations;
 use stackmast::direct::published::model::{Repeat, Route};
 use test_case::test_case;
 
@@ -102,15 +100,7 @@
     let beat = |heartbeat: u64| {
         let members =
             vec![stackmast::direct::peers::members::Member { heartbeat, ..strong.clone() }];
-        let seen = Seen::default();
-        let message = PeerMessage::Gossip {
-            members,
-            seen,
-            complete: true,
-            usage: Vec::new(),
-            late,
-            evacuations: Evacuations::default(),
-        };
+        let message = Says { members, complete: true, late, ..Says::default() }.message();
         Event::Peer { from: address(5), message }
     };
     core.handle(beat(2), ms(1_100));
--- a/tests/direct_links.rs
+++ b/tests/direct_links.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use directenv::gateway::{Idle, new_core};
+use directenv::gateway::{Idle, Says, new_core};
 use directenv::{address, ms};
 use stackmast::actor::{Core, mailbox, run};
 use stackmast::direct::event::{Action, Event};
@@ -17,8 +17,6 @@
 use stackmast::direct::peers::links::{Peers, accept};
 use stackmast::direct::peers::members::{Member, MemberState};
 use stackmast::direct::peers::message::PeerMessage;
-use stackmast::direct::published::documents::Seen;
-use stackmast::direct::published::evacuations::Evacuations;
 use test_case::test_case;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -27,15 +25,7 @@
 fn beat(from: SocketAddr, heartbeat: u64) -> Event {
     let state = MemberState::Serving;
     let member = Member { address: from, incarnation: 1, heartbeat, state, capacity: 1_000 };
-    let (members, seen) = (vec![member], Seen::default());
-    let message = PeerMessage::Gossip {
-        members,
-        seen,
-        complete: false,
-        usage: Vec::new(),
-        late: ms(0),
-        evacuations: Evacuations::default(),
-    };
+    let message = Says { members: vec![member], ..Says::default() }.message();
     Event::Peer { from, message }
 }
 
--- a/tests/direct_pulls.rs
+++ b/tests/direct_pulls.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use directenv::gateway::Says;
 use directenv::{address, deployment, endpoint, ms, route};
 use stackmast::actor::Core;
 use stackmast::direct::core::{GatewayCore, Setup};
@@ -13,7 +14,6 @@
 use stackmast::direct::peers::message::PeerMessage;
 use stackmast::direct::peers::pulls::Progress;
 use stackmast::direct::published::documents::{Document, Revised, Seen};
-use stackmast::direct::published::evacuations::Evacuations;
 use stackmast::direct::published::model::Repeat;
 use stackmast::direct::published::store_read::StoreRead;
 use stackmast::direct::published::table::Table;
@@ -51,15 +51,8 @@
         state: MemberState::Serving,
         capacity: if port == 4 { 500 } else { 90 },
     };
-    let members = vec![member];
-    let message = PeerMessage::Gossip {
-        members,
-        seen,
-        complete: true,
-        usage: Vec::new(),
-        late: ms(0),
-        evacuations: Evacuations::default(),
-    };
+    let says = Says { members: vec![member], seen, complete: true, ..Says::default() };
+    let message = says.message();
     Event::Peer { from: address(port), message }
 }
 
--- a/tests/direct_requests.rs
+++ b/tests/direct_requests.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use directenv::gateway::{
-    answered, calls, configured, good, gossip, hear_of, incoming, is_delivered, listed, new_core,
-    publish, refusal, serving, setup, submit,
+    Says, answered, calls, configured, good, gossip, hear_of, incoming, is_delivered, listed,
+    new_core, publish, refusal, serving, setup, submit,
 };
 use directenv::{address, deployment, endpoint, ms, route};
 use stackmast::actor::Core;
@@ -16,8 +16,7 @@
 use stackmast::direct::note::Note;
 use stackmast::direct::peers::members::MemberState;
 use stackmast::direct::peers::message::{JobId, Made, PeerMessage};
-use stackmast::direct::published::documents::{Document, Revised, Seen};
-use stackmast::direct::published::evacuations::Evacuations;
+use stackmast::direct::published::documents::{Document, Revised};
 use stackmast::direct::published::model::{Repeat, Route};
 use test_case::test_case;
 
@@ -364,16 +363,7 @@
     let (mut core, owner) = with_one_stage_made();
     let mut restarted = serving(owner.port());
     (restarted.incarnation, restarted.state) = (6, MemberState::Starting);
-    let seen = Seen::default();
-    let members = vec![restarted];
-    let message = PeerMessage::Gossip {
-        members,
-        seen,
-        complete: false,
-        usage: Vec::new(),
-        late: ms(0),
-        evacuations: Evacuations::default(),
-    };
+    let message = Says { members: vec![restarted], ..Says::default() }.message();
     let actions = core.handle(Event::Peer { from: owner, message }, ms(400));
     assert_eq!(pieces_sent(&actions), [(1, 1)]);
 }
--- a/tests/directenv/gateway.rs
+++ b/tests/directenv/gateway.rs
@@ -117,18 +117,27 @@
     Member { address: address(port), incarnation: 5, heartbeat: 1, state, capacity: 1_000 }
 }
 
-pub fn gossip(members: Vec<Member>) -> PeerMessage {
-    let seen = Seen::default();
-    PeerMessage::Gossip {
-        members,
-        seen,
-        complete: true,
-        usage: Vec::new(),
-        late: ms(0),
-        evacuations: Evacuations::default(),
+/// What a heartbeat says; the rest is nothing.
+#[derive(Default)]
+pub struct Says {
+    pub members: Vec<Member>,
+    pub seen: Seen,
+    pub complete: bool,
+    pub late: Duration,
+    pub evacuations: Evacuations,
+}
+
+impl Says {
+    pub fn message(self) -> PeerMessage {
+        let Self { members, seen, complete, late, evacuations } = self;
+        PeerMessage::Gossip { members, seen, complete, usage: Vec::new(), late, evacuations }
     }
 }
 
+pub fn gossip(members: Vec<Member>) -> PeerMessage {
+    Says { members, complete: true, ..Says::default() }.message()
+}
+
 /// Gossip of the first of some members.
 pub fn hear_of(core: &mut GatewayCore, members: Vec<Member>, now: Duration) {
     let from = members[0].address;
