--- a/src/direct/client.rs
+++ b/src/direct/client.rs
@@ -10,6 +10,7 @@
 use crate::direct::event::{BatchOutcome, BatchReport, CallFailure, CallOrder, PieceOrder, Proof};
 use crate::direct::peers::message::Handle;
 use crate::direct::published::model::Endpoint;
+use crate::direct::statement::Statement;
 
 /// A caller's message as it is handed on.
 #[derive(Debug, Clone)]
@@ -56,15 +57,23 @@
     pub body: AnswerBody,
 }
 
+/// Follows one message to an endpoint and its answer.
+pub trait Exchange: Send {
+    /// The message goes out now, over a connection that is up.
+    fn goes_out(&mut self);
+
+    /// The head of the answer is read, and says this of the endpoint.
+    fn states(&mut self, statement: Statement);
+}
+
 /// Speaks to endpoints in their protocol.
 pub trait EndpointClient: Send + Sync + 'static {
-    /// Hands a request to an endpoint, and calls `sent` as it goes out over a connection that is up;
-    /// dropping the future ends the connection.
+    /// Hands a request to an endpoint; dropping the future ends the connection.
     fn call(
         &self,
         order: CallOrder,
         request: Arc<Forwarded>,
-        sent: impl FnOnce() + Send,
+        exchange: impl Exchange,
     ) -> impl Future<Output = Result<Answer, CallFailure>> + Send;
 
     /// Has an endpoint make pieces.
@@ -72,10 +81,15 @@
         &self,
         endpoint: Arc<Endpoint>,
         pieces: Vec<PieceOrder>,
+        exchange: impl Exchange,
     ) -> impl Future<Output = BatchOutcome> + Send;
 
     /// Asks an endpoint that works in batches how it stands; `None` where it does not tell.
-    fn report(&self, endpoint: Arc<Endpoint>) -> impl Future<Output = Option<BatchReport>> + Send;
+    fn report(
+        &self,
+        endpoint: Arc<Endpoint>,
+        exchange: impl Exchange,
+    ) -> impl Future<Output = Option<BatchReport>> + Send;
 
     /// Whether an endpoint's port is closed, which proves that its process is gone. Silence proves nothing.
     fn is_closed(&self, endpoint: &Endpoint) -> impl Future<Output = bool> + Send;
@@ -85,5 +99,6 @@
         &self,
         endpoint: Arc<Endpoint>,
         handles: Vec<Handle>,
+        exchange: impl Exchange,
     ) -> impl Future<Output = ()> + Send;
 }
--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -158,6 +158,9 @@
             Event::BatchEnded { call, outcome } => {
                 self.owners.batch_ended(call, outcome, &self.table, now);
             }
+            Event::Stated { endpoint, asked, statement, at } => {
+                self.stated(&endpoint, asked, statement, at, now);
+            }
             Event::Reported { endpoint, asked, .. } if now >= asked + REPORT_KEPT => {
                 self.note(Note::NoReport { endpoint });
             }
@@ -378,6 +381,7 @@
                 | Event::Answered { .. }
                 | Event::CallFailed { .. }
                 | Event::CallSent { .. }
+                | Event::Stated { .. }
                 | Event::FirstEvent { .. }
                 | Event::StreamEnded { .. }
                 | Event::Probed { .. }
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -13,6 +13,7 @@
 use crate::direct::published::evacuations::Evacuation;
 use crate::direct::published::model::{CallerLimits, Endpoint, Name};
 use crate::direct::published::store_read::StoreRead;
+use crate::direct::statement::{Asked, Statement};
 use crate::message::Timestamp;
 
 /// What a caller asks, as far as decisions depend on it.
@@ -194,6 +195,17 @@
         /// How.
         outcome: BatchOutcome,
     },
+    /// An endpoint said something of itself in the head of an answer.
+    Stated {
+        /// Which, in the life that was called.
+        endpoint: Arc<Endpoint>,
+        /// What it was asked.
+        asked: Asked,
+        /// What it said.
+        statement: Statement,
+        /// When the head was read.
+        at: Timestamp,
+    },
     /// An endpoint that works in batches told how it stands.
     Reported {
         /// Which.
--- a/src/direct/note.rs
+++ b/src/direct/note.rs
@@ -256,6 +256,23 @@
         /// Where that came from.
         source: String,
     },
+    /// An endpoint said something of itself in an answer.
+    Stated {
+        /// The endpoint.
+        endpoint: Name,
+        /// The life that was called.
+        incarnation: u64,
+        /// What it was asked.
+        asked: &'static str,
+        /// Whether it leaves.
+        leaving: bool,
+        /// Milliseconds that it wants nothing from this gateway, where it turned something away and said so.
+        backoff_ms: Option<u64>,
+        /// Whether that time could not be read.
+        unclear: bool,
+        /// Milliseconds since its answer was read.
+        age_ms: u64,
+    },
     /// An endpoint told that it is cold: it gets a part of what it bears.
     Cold {
         /// The endpoint.
@@ -379,9 +396,9 @@
     },
 }
 
-/// Whole milliseconds.
+/// Whole milliseconds, as far as there are numbers for them.
 pub fn ms(time: Duration) -> u64 {
-    time.as_millis() as u64
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
 impl Note {
@@ -425,6 +442,7 @@
             Self::Pulled { .. } => "pulled",
             Self::CoreLate { .. } => "core_late",
             Self::Endpoint { .. } => "endpoint",
+            Self::Stated { .. } => "stated",
             Self::Cold { .. } => "cold",
             Self::Restarted { .. } => "restarted",
             Self::Evacuation { .. } => "evacuation",
--- a/src/direct/shell.rs
+++ b/src/direct/shell.rs
@@ -16,7 +16,7 @@
 use tokio::task::AbortHandle;
 
 use crate::actor::{Handle, Shell};
-use crate::direct::client::{Answer, AnswerBody, AnswerHead, EndpointClient, Forwarded};
+use crate::direct::client::{Answer, AnswerBody, AnswerHead, EndpointClient, Exchange, Forwarded};
 use crate::direct::core::GatewayCore;
 use crate::direct::event::{
     Action, BatchOutcome, CallFailure, CallOrder, Event, Incoming, PieceOrder, Refusal,
@@ -24,6 +24,7 @@
 use crate::direct::note::{Note, ms};
 use crate::direct::peers::links::Peers;
 use crate::direct::published::model::{CallerLimits, Endpoint};
+use crate::direct::statement::{Asked, Statement};
 use crate::direct::stream::EventSplitter;
 use crate::logging::Lines;
 
@@ -164,6 +165,38 @@
     }
 }
 
+/// One message to an endpoint: what is said over it goes to the core.
+struct Conversation {
+    core: Handle<GatewayCore>,
+    endpoint: Arc<Endpoint>,
+    asked: Asked,
+    /// The caller and attempt of a call whose start the core waits for.
+    awaited: Option<(u64, u64)>,
+}
+
+impl Conversation {
+    fn new(core: &Handle<GatewayCore>, endpoint: &Arc<Endpoint>, asked: Asked) -> Self {
+        Self { core: core.clone(), endpoint: endpoint.clone(), asked, awaited: None }
+    }
+}
+
+impl Exchange for Conversation {
+    fn goes_out(&mut self) {
+        if let Some((caller, attempt)) = self.awaited.take() {
+            self.core.post(Event::CallSent { caller, attempt }, &Runtime::current());
+        }
+    }
+
+    fn states(&mut self, statement: Statement) {
+        if statement.is_empty() {
+            return;
+        }
+        let (endpoint, asked, at) = (self.endpoint.clone(), self.asked, self.core.now());
+        let event = Event::Stated { endpoint, asked, statement, at };
+        self.core.post(event, &Runtime::current());
+    }
+}
+
 /// The shell of one gateway.
 pub struct GatewayShell<C> {
     core: Handle<GatewayCore>,
@@ -203,13 +236,13 @@
         let (core, client, parked) = (self.core.clone(), self.client.clone(), self.callers.clone());
         let allowed = order.allowed;
         let task = tokio::spawn(async move {
-            let needs_results = !order.inputs.is_empty();
-            let sent = || {
-                if needs_results {
-                    core.post(Event::CallSent { caller, attempt }, &Runtime::current());
-                }
+            let exchange = Conversation {
+                core: core.clone(),
+                endpoint: order.endpoint.clone(),
+                asked: Asked::Request,
+                awaited: (!order.inputs.is_empty()).then_some((caller, attempt)),
             };
-            let called = tokio::time::timeout(allowed, client.call(order, request, sent)).await;
+            let called = tokio::time::timeout(allowed, client.call(order, request, exchange)).await;
             let event = match called.unwrap_or(Err(CallFailure::Silent)) {
                 Ok(answer) => {
                     let proof = answer.proof;
@@ -289,7 +322,9 @@
     ) {
         let (core, client) = (self.core.clone(), self.client.clone());
         tokio::spawn(async move {
-            let called = tokio::time::timeout(patience, client.batch(endpoint, pieces)).await;
+            let exchange = Conversation::new(&core, &endpoint, Asked::Pieces);
+            let called = client.batch(endpoint, pieces, exchange);
+            let called = tokio::time::timeout(patience, called).await;
             let outcome = called.unwrap_or(BatchOutcome::Failed(CallFailure::Silent));
             core.send(Event::BatchEnded { call, outcome }).await.ok();
         });
@@ -299,7 +334,8 @@
         let (core, client) = (self.core.clone(), self.client.clone());
         tokio::spawn(async move {
             let (id, asked) = (endpoint.id.clone(), core.now());
-            let event = match client.report(endpoint).await {
+            let exchange = Conversation::new(&core, &endpoint, Asked::Report);
+            let event = match client.report(endpoint, exchange).await {
                 Some(report) => Event::Reported { endpoint: id, report, asked },
                 None => Event::NoReport { endpoint: id },
             };
@@ -374,7 +410,8 @@
             }
             Action::Free { endpoint, handles } => {
                 let client = self.client.clone();
-                tokio::spawn(async move { client.free(endpoint, handles).await });
+                let exchange = Conversation::new(&self.core, &endpoint, Asked::Free);
+                tokio::spawn(async move { client.free(endpoint, handles, exchange).await });
             }
             Action::AskReport(endpoint) => self.ask_report(endpoint),
             Action::Probe(endpoint) => self.probe(endpoint),
