What endpoints say of themselves in answers is heard, on every way they are called

Cause: of an answer a gateway read what it proves of the request. That its endpoint leaves, or wants nothing for a while, was read by nobody, so the list was the only one to tell the first, and nobody told the second: a refusal counted for 60 ms.

Leaving: the table has a life that said so as leaving, so all that keeps away from endpoints which the list calls leaving does so (requests, repeats, resumed streams, pieces, reports). It holds for that life whatever the list says of it; another life takes it back. Gateways tell each other with two heartbeats, and a gateway that starts is told.

A pause: nothing goes to the endpoint from this gateway for its time: no request, piece, report, result to be freed or probe. Another life ends it, nothing else does. Where all endpoints of a pool pause, requests and jobs are refused at once with the true time, and what comes back fills each endpoint by degrees: one request, then two with each that is answered; gateways come back apart.

What was ordered before it was known looks once more before it goes out, and is proved not sent.

--- a/src/direct/client.rs
+++ b/src/direct/client.rs
@@ -59,8 +59,9 @@
 
 /// Follows one message to an endpoint and its answer.
 pub trait Exchange: Send {
-    /// The message goes out now, over a connection that is up.
-    fn goes_out(&mut self);
+    /// The message could go out now, over a connection that is up; says whether it still may. One that may not is
+    /// [`CallFailure::Withheld`].
+    fn goes_out(&mut self) -> bool;
 
     /// The head of the answer is read, and says this of the endpoint.
     fn states(&mut self, statement: Statement);
--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -11,6 +11,8 @@
 use rand::rngs::StdRng;
 
 use crate::actor::Core;
+use crate::direct::backoff::Backoffs;
+use crate::direct::departures::Departures;
 use crate::direct::event::{Action, Event, Incoming};
 use crate::direct::lateness::Lateness;
 use crate::direct::note::{Note, ms};
@@ -23,7 +25,7 @@
 use crate::direct::poison::suspects::Suspects;
 use crate::direct::published::documents::Documents;
 use crate::direct::published::evacuations::Evacuations;
-use crate::direct::published::model::Name;
+use crate::direct::published::model::{Endpoint, Name};
 use crate::direct::published::table::Table;
 use crate::direct::repeats::Bounds;
 use crate::direct::requests::Requests;
@@ -75,6 +77,12 @@
     pub(super) suspects: Arc<Suspects>,
     pub(super) broken: Broken,
     pub(super) successes: Successes,
+    /// Endpoints that said in answers that they leave.
+    pub(super) departures: Departures,
+    /// Endpoints that asked this gateway for a pause; requests and owners have the same.
+    pub(super) backoffs: Arc<Backoffs>,
+    /// Probes that wait for the end of such a pause.
+    pub(super) later_probes: Vec<(Timestamp, Arc<Endpoint>)>,
     /// When another gateway is next asked for what it knows of them.
     pub(super) next_ask: Timestamp,
     /// How long the event that is handled has waited.
@@ -113,6 +121,9 @@
             suspects: Arc::default(),
             broken: Broken::default(),
             successes: Successes::default(),
+            departures: Departures::default(),
+            backoffs: Arc::new(Backoffs::new(setup.address)),
+            later_probes: Vec::new(),
             next_ask: Timestamp::ZERO,
             waited: Duration::ZERO,
             went_on_at: Timestamp::ZERO,
@@ -299,6 +310,7 @@
         self.merged(&expired, "not back", false, now);
         self.update_state(now);
         self.look_at_early(now);
+        self.probe_later_ones(now);
         if now >= self.next_beat {
             self.next_beat = now + HEARTBEAT;
             self.beat(now);
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -85,6 +85,8 @@
     NotSent,
     /// The endpoint closed a new connection before anything was sent: it has too many.
     TurnedAway,
+    /// The endpoint said that it wants nothing before anything was sent.
+    Withheld,
     /// It may have run.
     Broken,
     /// There was no answer in time; it may run.
@@ -371,6 +373,8 @@
     NoEndpointAtHome,
     /// Every endpoint that takes it is cold, and what they bear is used.
     AllCold,
+    /// Every endpoint that takes it asked this gateway for a pause, or gets requests again by degrees.
+    AllPaused,
     /// Its time is over; what runs is stopped.
     TimedOut,
     /// It may have run, and its answer can't be had.
@@ -452,6 +456,16 @@
     Probe(Arc<Endpoint>),
     /// What requests and owners tell of what they run; the core keeps it for itself.
     Poison(Report),
+    /// Let nothing more go out to this life of an endpoint, of what was ordered before: until a time, or without one no
+    /// new work for good.
+    Withhold {
+        /// The endpoint.
+        endpoint: Name,
+        /// Its life.
+        incarnation: u64,
+        /// Until when.
+        until: Option<Timestamp>,
+    },
     /// Tell a maker that results aren't needed any more.
     Free {
         /// Where.
--- a/src/direct/hearing.rs
+++ b/src/direct/hearing.rs
@@ -1,9 +1,14 @@
-//! The core's part for what endpoints say of themselves in answers.
+//! The core's part for what endpoints say of themselves in answers: that they leave, and for how long they want
+//! nothing. It holds for all that this gateway sends, whatever the answer was to and whatever became of that.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use crate::direct::core::GatewayCore;
+use crate::direct::departures::Departure;
+use crate::direct::event::Action;
 use crate::direct::note::{Note, ms};
+use crate::direct::published::documents::{EntryState, Merged};
 use crate::direct::published::model::Endpoint;
 use crate::direct::statement::{Asked, Backoff, Statement};
 use crate::message::Timestamp;
@@ -18,6 +23,15 @@
         at: Timestamp,
         now: Timestamp,
     ) {
+        let departure = Departure::of(endpoint);
+        let is_known = self.departures.has(&departure);
+        let paused_until = statement.backoff.and_then(|b| self.paused(endpoint, b, at, now));
+        if statement.leaving {
+            self.departed(departure, asked.as_str(), now);
+        }
+        if statement.leaving && is_known && statement.backoff.is_none() {
+            return;
+        }
         let backoff_ms = match statement.backoff {
             Some(Backoff::For(time)) => Some(ms(time)),
             Some(Backoff::Unclear) | None => None,
@@ -30,6 +44,115 @@
             backoff_ms,
             unclear: statement.backoff == Some(Backoff::Unclear),
             age_ms: ms(now.saturating_sub(at)),
+            paused_ms: paused_until.map(|until| ms(until.saturating_sub(now))),
         });
     }
+
+    /// Another gateway tells of endpoints that leave.
+    pub(super) fn departures_told(
+        &mut self,
+        from: SocketAddr,
+        told: Vec<Departure>,
+        now: Timestamp,
+    ) {
+        for departure in told {
+            self.departed(departure, &from.to_string(), now);
+        }
+    }
+
+    /// A life of an endpoint leaves, by its own word or another gateway's.
+    ///
+    /// The table has it as leaving, so everything that keeps away from endpoints which the list calls leaving does
+    /// so from now on, at whatever stage its request is: a rule of its own for each way of calling would miss one.
+    fn departed(&mut self, departure: Departure, source: &str, now: Timestamp) {
+        if !self.departures.heard(departure.clone(), now) {
+            return;
+        }
+        let life = |endpoint: &&Arc<Endpoint>| endpoint.incarnation == departure.incarnation;
+        let endpoint = self.documents.endpoint(&departure.endpoint).filter(life).cloned();
+        let is_news = endpoint.as_ref().is_some_and(|endpoint| !endpoint.leaving);
+        let (id, incarnation) = (departure.endpoint.clone(), departure.incarnation);
+        let there = self.documents.endpoint(&id).cloned();
+        self.table.depart(departure, there.as_ref());
+        self.out.push(Action::Withhold { endpoint: id.clone(), incarnation, until: None });
+        if !is_news {
+            return;
+        }
+        let state = EntryState::Leaving.as_str();
+        self.note(Note::Endpoint { endpoint: id.clone(), state, source: source.to_owned() });
+        self.requests.changed(&self.table, &Merged::default(), &[], now);
+        self.owners.changed(&self.table, &Merged::default(), &[], now);
+        self.entries_may_prove(&[id], now);
+    }
+
+    /// An endpoint asked for a pause; says until when it gets one, if that is new.
+    ///
+    /// Requests and owners share what is known: the endpoint means this gateway, not the part of it that had asked.
+    fn paused(
+        &mut self,
+        endpoint: &Arc<Endpoint>,
+        backoff: Backoff,
+        at: Timestamp,
+        now: Timestamp,
+    ) -> Option<Timestamp> {
+        let until = Arc::make_mut(&mut self.backoffs).asked(endpoint, backoff, at)?;
+        let (id, incarnation) = (endpoint.id.clone(), endpoint.incarnation);
+        self.out.push(Action::Withhold { endpoint: id, incarnation, until: Some(until) });
+        self.requests.paused(endpoint, until, &self.backoffs);
+        self.owners.paused(endpoint, &self.backoffs, &self.table, now);
+        Some(until)
+    }
+
+    /// Whether the list tells what is known of a departure, or knows nothing of the endpoint any more.
+    fn is_listed_as_leaving(&self, departure: &Departure) -> bool {
+        match self.documents.state(&departure.endpoint) {
+            EntryState::Leaving | EntryState::Gone => true,
+            EntryState::Listed | EntryState::Lapsed => false,
+        }
+    }
+
+    /// Departures that go with the next heartbeat; those of long ago are forgotten.
+    pub(super) fn news_of_departures(&mut self, now: Timestamp) -> Vec<Departure> {
+        if self.departures.is_empty() {
+            return Vec::new();
+        }
+        let documents = &self.documents;
+        let is_listed = |departure: &Departure| {
+            let endpoint = documents.endpoint(&departure.endpoint);
+            endpoint.is_some_and(|e| e.incarnation == departure.incarnation)
+        };
+        if self.departures.forget(is_listed, now) {
+            let departures = &self.departures;
+            self.table.forget_departed(|departure| departures.has(departure));
+        }
+        let mut departures = std::mem::take(&mut self.departures);
+        let news = departures.news(|departure| self.is_listed_as_leaving(departure));
+        self.departures = departures;
+        news
+    }
+
+    /// Departures that a gateway is told which is heard for the first time.
+    pub(super) fn all_departures(&self) -> Vec<Departure> {
+        self.departures.all(|departure| self.is_listed_as_leaving(departure))
+    }
+
+    /// Probes an endpoint, after its pause if it asked for one: its entry may tell before that.
+    pub(super) fn probe_unless_paused(&mut self, endpoint: Arc<Endpoint>, now: Timestamp) {
+        match self.backoffs.until(&endpoint, now) {
+            Some(until) => self.later_probes.push((until, endpoint)),
+            None => self.out.push(Action::Probe(endpoint)),
+        }
+    }
+
+    /// Probes whose pauses are over.
+    pub(super) fn probe_later_ones(&mut self, now: Timestamp) {
+        if self.later_probes.is_empty() {
+            return;
+        }
+        let (due, later) = self.later_probes.drain(..).partition(|(until, _)| now >= *until);
+        self.later_probes = later;
+        for (_, endpoint) in due {
+            self.probe_unless_paused(endpoint, now);
+        }
+    }
 }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -1,7 +1,8 @@
 //! A gateway that calls endpoints directly: endpoints that state for themselves what has not run.
 //!
 //! `core` decides and holds all state, without I/O or clock (`following` is its part for what is published,
-//! `talking` that for other gateways, `suspecting` that for poison requests); `shell` does the I/O. What is
+//! `talking` that for other gateways, `suspecting` that for poison requests, `hearing` that for what endpoints say of
+//! themselves); `shell` does the I/O. What is
 //! published, how callers ask and how endpoints are spoken to is translated by an adapter (see `client`).
 //!
 //! - `published`: routes, pools and endpoints, merged from any source and compiled.
@@ -12,11 +13,14 @@
 //!
 //! `requests` and `owner` speak by messages only, also within one gateway.
 
+pub mod backoff;
 pub mod client;
 pub mod cold;
 pub mod core;
+pub mod departures;
 pub mod event;
 pub mod following;
+pub mod gates;
 mod hearing;
 pub mod lateness;
 pub mod note;
--- a/src/direct/note.rs
+++ b/src/direct/note.rs
@@ -272,6 +272,8 @@
         unclear: bool,
         /// Milliseconds since its answer was read.
         age_ms: u64,
+        /// Milliseconds until this gateway sends it something again, where that is later than it was.
+        paused_ms: Option<u64>,
     },
     /// An endpoint told that it is cold: it gets a part of what it bears.
     Cold {
--- a/src/direct/owner/admission.rs
+++ b/src/direct/owner/admission.rs
@@ -49,7 +49,11 @@
                 PathRefusal::WouldBeLate => JobReason::WouldBeLate,
                 PathRefusal::NoRoom => JobReason::NoRoom,
             };
-            return self.tell_given_up(id, reason, true, decision.retry_after);
+            let needed = job.stages.iter().filter(|s| s.pieces > s.done.len());
+            let needed = needed.filter(|_| refusal == PathRefusal::NoEndpoint);
+            let pauses = needed.filter_map(|s| self.pause_of(&s.pool, table, now));
+            let retry_after = pauses.max().unwrap_or(decision.retry_after);
+            return self.tell_given_up(id, reason, true, retry_after);
         }
         self.tell(id, PeerMessage::Accepted(id));
         let mut run = JobRun::new(job, table, now);
--- a/src/direct/owner/free.rs
+++ b/src/direct/owner/free.rs
@@ -93,7 +93,8 @@
         self.listed.insert(listed.endpoint.id.clone(), listed);
     }
 
-    fn remove(&mut self, id: &Name) {
+    /// An endpoint takes nothing now.
+    pub(super) fn remove(&mut self, id: &Name) {
         if let Some(listed) = self.listed.remove(id) {
             self.class_mut(listed.standing.is_avoided).remove(&listed);
         }
--- a/src/direct/owner/makers.rs
+++ b/src/direct/owner/makers.rs
@@ -90,6 +90,11 @@
         self.makers.get(endpoint).copied().unwrap_or_default()
     }
 
+    /// An endpoint is to be looked at anew.
+    pub fn look_at(&mut self, endpoint: &Name) {
+        self.changed.insert(endpoint.clone());
+    }
+
     /// Endpoints of which something changed since this was last asked.
     pub fn take_changed(&mut self) -> BTreeSet<Name> {
         std::mem::take(&mut self.changed)
--- a/src/direct/owner/mod.rs
+++ b/src/direct/owner/mod.rs
@@ -23,6 +23,7 @@
 mod outcomes;
 pub mod owners;
 mod pace;
+mod pauses;
 mod plan;
 mod poison;
 mod queue;
--- a/src/direct/owner/outcomes.rs
+++ b/src/direct/owner/outcomes.rs
@@ -49,6 +49,9 @@
                 self.makers.full(&call.endpoint.id, now);
                 self.put_back(&call, id, false, table, now);
             }
+            BatchOutcome::Failed(CallFailure::Withheld) => {
+                self.put_back(&call, id, false, table, now);
+            }
             BatchOutcome::OtherEndpoint | BatchOutcome::Failed(CallFailure::NotSent) => {
                 self.avoid(&call.endpoint.id, "unreachable", now);
                 self.put_back(&call, id, false, table, now);
@@ -127,7 +130,7 @@
                 }
             }
         }
-        if no_room {
+        if no_room && self.may_be_asked(&call.endpoint, table, now) {
             self.out.push(Action::AskReport(call.endpoint.clone()));
         }
         for job in call.jobs() {
--- a/src/direct/owner/owners.rs
+++ b/src/direct/owner/owners.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::direct::backoff::Backoffs;
 use crate::direct::cold::ColdEndpoints;
 use crate::direct::event::{Action, BatchOutcome, BatchReport};
 use crate::direct::owner::makers::Usage;
@@ -32,6 +33,8 @@
     cold: ColdEndpoints,
     /// Contents under which endpoints crashed.
     suspects: Arc<Suspects>,
+    /// Endpoints that asked for a pause, for a cell that is begun.
+    backoffs: Arc<Backoffs>,
     begun: u64,
 }
 
@@ -41,7 +44,8 @@
         let (cells, told) = Default::default();
         let cold = ColdEndpoints::new(own);
         let (lateness, suspects) = (Duration::ZERO, Arc::default());
-        Self { bounds, cells, told, lateness, cold, suspects, begun: 0 }
+        let backoffs = Arc::new(Backoffs::new(own));
+        Self { bounds, cells, told, lateness, cold, suspects, backoffs, begun: 0 }
     }
 
     /// How late this process handles its events.
@@ -93,12 +97,14 @@
     fn cell(&mut self, cell: &Name, table: &Table) -> &mut Scheduler {
         let (bounds, begun, lateness) = (self.bounds, &mut self.begun, self.lateness);
         let (told, cold, suspects) = (&self.told, &self.cold, &self.suspects);
+        let backoffs = &self.backoffs;
         self.cells.entry(cell.clone()).or_insert_with(|| {
             let first_call = *begun * CALLS;
             let mut owner = Scheduler::of_cell(cell.clone(), bounds, first_call, cold.clone());
             *begun += 1;
             owner.set_lateness(lateness);
             owner.set_suspects(suspects.clone());
+            owner.backoffs = backoffs.clone();
             for (other, usage) in told {
                 owner.told_usage(*other, usage.clone(), table);
             }
@@ -189,6 +195,21 @@
         });
     }
 
+    /// An endpoint asked for a pause.
+    pub fn paused(
+        &mut self,
+        endpoint: &Endpoint,
+        backoffs: &Arc<Backoffs>,
+        table: &Table,
+        now: Timestamp,
+    ) {
+        self.backoffs = backoffs.clone();
+        self.each(|owner| {
+            owner.backoffs = backoffs.clone();
+            owner.paused(endpoint, table, now);
+        });
+    }
+
     /// Data centres get work again after an order was taken back.
     pub fn return_of(&mut self, data_centres: &BTreeSet<Name>, table: &Table, now: Timestamp) {
         self.cold.return_of(data_centres, table, now);
--- a/src/direct/owner/scheduler.rs
+++ b/src/direct/owner/scheduler.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::direct::backoff::Backoffs;
 use crate::direct::cold::ColdEndpoints;
 use crate::direct::event::{Action, BatchReport};
 use crate::direct::note::Note;
@@ -46,6 +47,8 @@
     pub(super) calls: Calls,
     pub(super) makers: Makers,
     pub(super) cold: ColdEndpoints,
+    /// Endpoints that asked for a pause.
+    pub(super) backoffs: Arc<Backoffs>,
     pub(super) repeats: Repeats,
     /// Contents under which endpoints crashed.
     pub(super) suspects: Arc<Suspects>,
@@ -88,6 +91,7 @@
             calls: Calls::default(),
             makers: Makers::default(),
             cold: ColdEndpoints::new(JobId::LOWEST.gateway),
+            backoffs: Arc::new(Backoffs::new(JobId::LOWEST.gateway)),
             repeats: Repeats::new(bounds),
             suspects: Arc::default(),
             next_call: 0,
@@ -156,7 +160,8 @@
 
     /// When the next look is due.
     pub fn next_wakeup(&self) -> Option<Timestamp> {
-        (!self.jobs.is_empty() || !self.calls.is_empty()).then_some(self.last_look + LOOK)
+        let is_busy = !self.jobs.is_empty() || !self.calls.is_empty() || !self.to_free.is_empty();
+        is_busy.then_some(self.last_look + LOOK)
     }
 
     /// What this owner uses at endpoints.
@@ -184,10 +189,7 @@
         while let Some(pool) = self.dirty.pop_first() {
             self.fill(&pool, table, now);
         }
-        let to_free = std::mem::take(&mut self.to_free);
-        self.out.extend(
-            to_free.into_values().map(|(endpoint, handles)| Action::Free { endpoint, handles }),
-        );
+        self.free_what_may_be(now);
         std::mem::take(&mut self.out)
     }
 
@@ -200,6 +202,7 @@
         self.reports_asked = Some(now);
         let pools = table.deployment.pools.iter().filter(|p| table.batch(&p.name).is_some());
         let endpoints = pools.flat_map(|p| table.members(&p.name)).filter(|e| !e.leaving);
+        let endpoints = endpoints.filter(|e| self.backoffs.until(e, now).is_none());
         let endpoints: Vec<_> = endpoints.filter(|e| self.calls_endpoint(e, table)).collect();
         self.out.extend(endpoints.into_iter().map(|e| Action::AskReport(e.clone())));
     }
@@ -364,6 +367,10 @@
         if endpoint.leaving || !self.calls_endpoint(endpoint, table) {
             return;
         }
+        if self.backoffs.until(endpoint, now).is_some() {
+            self.changing.insert(id.clone());
+            return self.ledger.pool(pool).endpoints.remove(id);
+        }
         if self.makers.changes_with_time(id, now) || self.cold.is_cold(id, now) {
             self.changing.insert(id.clone());
         }
--- a/src/direct/peers/codec.rs
+++ b/src/direct/peers/codec.rs
@@ -18,7 +18,7 @@
 
 /// The compact form tells no names: it grows by one whenever the fields of a message or of what it holds
 /// change, and gateways that read another one get JSON.
-pub const COMPACT_FORM: u32 = 3;
+pub const COMPACT_FORM: u32 = 4;
 
 /// The gateways that read the compact form.
 #[derive(Debug, Clone, Default)]
--- a/src/direct/peers/message.rs
+++ b/src/direct/peers/message.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::direct::departures::Departure;
 use crate::direct::owner::makers::Usage;
 use crate::direct::peers::members::Member;
 use crate::direct::poison::fingerprint::Fingerprint;
@@ -140,6 +141,9 @@
         /// What it knows of orders to evacuate data centres.
         #[serde(default)]
         evacuations: Evacuations,
+        /// Endpoints that it heard leave, as far as the receiver may not know.
+        #[serde(default)]
+        departures: Vec<Departure>,
     },
     /// Asks for the documents that the sender lacks.
     Pull {
--- a/src/direct/published/table.rs
+++ b/src/direct/published/table.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
+use crate::direct::departures::Departure;
 use crate::direct::published::cells::Cells;
 use crate::direct::published::model::{
     BatchSpec, Deployment, Endpoint, Name, Organisation, Pool, Route, Work,
@@ -22,6 +23,8 @@
     by_id: HashMap<Name, Arc<Endpoint>>,
     /// Data centres whose endpoints take no new work, whatever they say.
     evacuated: BTreeSet<Name>,
+    /// Lives that said in answers that they leave, whatever the list says of them.
+    departed: BTreeSet<Departure>,
     cells: Cells,
 }
 
@@ -58,6 +61,7 @@
     ) -> Self {
         let mut table = Self::new(deployment, [].into_iter());
         table.evacuated.clone_from(&self.evacuated);
+        table.departed.clone_from(&self.departed);
         for endpoint in endpoints {
             table.replace(&endpoint.id, Some(endpoint));
         }
@@ -78,9 +82,25 @@
         self.regroup();
     }
 
-    /// An endpoint as it may be used: in an evacuated data centre it takes no new work, as if it were leaving.
+    /// A life of an endpoint leaves: it takes no new work, also if it is entered later or once more.
+    pub fn depart(&mut self, departure: Departure, endpoint: Option<&Arc<Endpoint>>) {
+        let id = departure.endpoint.clone();
+        self.departed.insert(departure);
+        self.replace(&id, endpoint);
+        self.regroup();
+    }
+
+    /// Forgets departures that are not kept any more.
+    pub fn forget_departed(&mut self, is_kept: impl FnMut(&Departure) -> bool) {
+        self.departed.retain(is_kept);
+    }
+
+    /// An endpoint as it may be used: one that said that it leaves, and one in an evacuated data centre, takes no new
+    /// work, as if the list said so.
     fn usable(&self, endpoint: &Arc<Endpoint>) -> Arc<Endpoint> {
-        if endpoint.leaving || !self.evacuated.contains(&endpoint.data_centre) {
+        let takes_none = self.evacuated.contains(&endpoint.data_centre)
+            || !self.departed.is_empty() && self.departed.contains(&Departure::of(endpoint));
+        if endpoint.leaving || !takes_none {
             return endpoint.clone();
         }
         Arc::new(Endpoint { leaving: true, ..(**endpoint).clone() })
--- a/src/direct/requests/attempts.rs
+++ b/src/direct/requests/attempts.rs
@@ -142,6 +142,7 @@
             self.timers.insert((silence, caller, Timer::Silence(number)));
         }
         self.observations.sent(&endpoint);
+        self.ramps.sent(&endpoint, now);
         self.cold.sent(&endpoint, 1, now);
         let order = CallOrder {
             endpoint,
@@ -166,6 +167,7 @@
     pub(super) fn close_attempt(&mut self, caller: u64) -> Option<Attempt> {
         let attempt = self.requests.get_mut(&caller)?.attempt.take()?;
         self.observations.ended(&attempt.endpoint);
+        self.ramps.ended(&attempt.endpoint, attempt.ordered);
         Some(attempt)
     }
 
@@ -207,7 +209,9 @@
             return self.may_have_run(caller, Failure::ServerError, table, now);
         }
         if !is_own_failure(proof.status) {
-            self.observations.answered(&endpoint, self.took(open.ordered, now));
+            let took = self.took(open.ordered, now);
+            self.observations.answered(&endpoint, took);
+            self.ramps.answered(&endpoint, open.ordered);
         } else if self.observations.failed(&endpoint, now) {
             self.note_avoided(&endpoint.id, "server errors");
         }
@@ -379,16 +383,18 @@
             CallFailure::Silent => {
                 return self.may_have_run(caller, Failure::Silent, table, now);
             }
-            CallFailure::NotSent | CallFailure::TurnedAway => {}
+            CallFailure::NotSent | CallFailure::TurnedAway | CallFailure::Withheld => {}
         }
         let Some(closed) = self.close_attempt(caller) else {
             return;
         };
-        if failure == CallFailure::TurnedAway {
-            self.observations.full(&closed.endpoint, now);
-        } else {
-            self.avoid(&closed.endpoint, "unreachable", now);
-            self.may_have_restarted(caller, &closed.endpoint, table, now);
+        match failure {
+            CallFailure::TurnedAway => self.observations.full(&closed.endpoint, now),
+            CallFailure::Withheld => {}
+            _ => {
+                self.avoid(&closed.endpoint, "unreachable", now);
+                self.may_have_restarted(caller, &closed.endpoint, table, now);
+            }
         }
         let sends = self.requests.get(&caller).map_or(MAX_SENDS, |r| r.sends);
         let goes_on = sends < MAX_SENDS;
--- a/src/direct/requests/changes.rs
+++ b/src/direct/requests/changes.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use crate::direct::backoff::Backoffs;
 use crate::direct::published::documents::Merged;
 use crate::direct::published::model::{ColdStart, Endpoint, Name};
 use crate::direct::published::table::Table;
@@ -22,6 +23,7 @@
     ) {
         self.cold.learn(table, entered, now);
         self.observations.retain(|id| table.endpoint(id).is_some());
+        self.ramps.retain(|id| table.endpoint(id).is_some());
         if merged.deployment.is_some() {
             self.experience.retain(table.deployment.routes.iter().map(|r| &r.name));
             self.fetches.retain(|pool| table.pool(pool).is_some());
@@ -34,6 +36,12 @@
         self.cold.return_of(data_centres, table, now);
     }
 
+    /// An endpoint asked for a pause until a time: requests go elsewhere, and it is filled by degrees after it.
+    pub fn paused(&mut self, endpoint: &Endpoint, until: Timestamp, backoffs: &Arc<Backoffs>) {
+        self.backoffs = backoffs.clone();
+        self.ramps.begin(endpoint, until);
+    }
+
     /// Endpoints are in another life: what they had not answered may have run, and never will be answered.
     /// A stream that is being passed on ends with its connection, behind what came over it.
     fn endpoints_restarted(&mut self, restarted: &[Name], table: &Table, now: Timestamp) {
--- a/src/direct/requests/mod.rs
+++ b/src/direct/requests/mod.rs
@@ -18,6 +18,7 @@
 mod owners;
 mod patience;
 mod poison;
+mod ramp;
 pub mod request;
 pub(super) mod stages;
 pub(super) mod stopping;
@@ -30,6 +31,7 @@
 use rand::{Rng, RngExt};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::direct::backoff::Backoffs;
 use crate::direct::cold::ColdEndpoints;
 use crate::direct::event::{Action, Incoming, Refusal, Refused};
 use crate::direct::note::{Note, ms};
@@ -44,6 +46,7 @@
 use crate::direct::requests::experience::Experience;
 use crate::direct::requests::fetches::Fetches;
 use crate::direct::requests::owners::KnownOwners;
+use crate::direct::requests::ramp::Ramps;
 use crate::direct::requests::request::{Phase, Request};
 use crate::direct::requests::stopping::Stopping;
 use crate::message::Timestamp;
@@ -52,6 +55,9 @@
 pub(super) const RETRY_SOON: Duration = Duration::from_millis(250);
 /// When to come back to a process that knows too little.
 pub(super) const RETRY_ELSEWHERE: Duration = Duration::from_millis(100);
+/// Callers whose endpoints all asked for a pause come back within that after its end: a pause is told as long as it
+/// is, not half as long again, and the endpoints are filled by degrees anyhow.
+const PAUSE_SPREAD: Duration = Duration::from_millis(500);
 /// A request without a deadline of its own.
 const DEFAULT_ALLOWED: Duration = Duration::from_secs(60);
 /// A process that stood still reads for so long what came meanwhile before it judges who was silent: answers that
@@ -78,6 +84,9 @@
     pub(super) timers: BTreeSet<(Timestamp, u64, Timer)>,
     pub(super) observations: Observations,
     pub(super) cold: ColdEndpoints,
+    /// Endpoints that asked for a pause.
+    pub(super) backoffs: Arc<Backoffs>,
+    ramps: Ramps,
     pub(super) experience: Experience,
     pub(super) fetches: Fetches,
     pub(super) stopping: Option<Stopping>,
@@ -118,6 +127,8 @@
             timers: BTreeSet::new(),
             observations: Observations::default(),
             cold: ColdEndpoints::new(own),
+            backoffs: Arc::new(Backoffs::new(own)),
+            ramps: Ramps::default(),
             experience: Experience::default(),
             fetches: Fetches::default(),
             stopping: None,
@@ -184,7 +195,8 @@
         let mut actions = std::mem::take(&mut self.out);
         for action in &mut actions {
             if let Action::Refuse { refusal, .. } = action {
-                refusal.retry_after = refusal.retry_after.mul_f64(rng.random_range(1.0..1.5));
+                let spread = refusal.retry_after.mul_f64(rng.random_range(0.0..0.5));
+                refusal.retry_after += spread.min(longest_spread(&refusal.reason));
             }
         }
         actions
@@ -425,6 +437,14 @@
     }
 }
 
+/// Callers that are refused together come back apart; how far at most.
+const fn longest_spread(reason: &Refused) -> Duration {
+    match reason {
+        Refused::AllPaused | Refused::NoEndpoint => PAUSE_SPREAD,
+        _ => Duration::MAX,
+    }
+}
+
 type Admissible<'a> = (&'a Route, Option<&'a Organisation>);
 
 /// Checks a request against what is published; nothing of a refused one has run.
--- a/src/direct/requests/stages.rs
+++ b/src/direct/requests/stages.rs
@@ -9,6 +9,7 @@
 use crate::direct::peers::message::{Job, JobId, JobReason, JobStage, Made, PeerMessage};
 use crate::direct::published::model::Name;
 use crate::direct::published::table::Table;
+use crate::direct::requests::choice::NoPlace;
 use crate::direct::requests::experience::Part;
 use crate::direct::requests::request::{Phase, Request};
 use crate::direct::requests::{RETRY_SOON, Requests, Timer};
@@ -47,6 +48,12 @@
         // refused before anything is made for it.
         let place = match self.choose(request, table, now) {
             Ok(choice) => choice.endpoint.data_centre.clone(),
+            // Its pause is over before anything could be made for the request.
+            Err(NoPlace::AllPaused { for_at_least })
+                if for_at_least < shortest_stages(request, table) =>
+            {
+                self.data_centre.clone()
+            }
             Err(no_place) => return self.refuse_without_place(caller, no_place, now),
         };
         self.owners.learn(members, table);
@@ -176,6 +183,7 @@
         }
         match reason {
             JobReason::NotOwner => self.pass_over(caller, from),
+            JobReason::NoEndpoint => self.refuse(caller, Refused::NoEndpoint, retry_after, now),
             JobReason::DeadlinePassed => self.refuse(caller, Refused::TimedOut, RETRY_SOON, now),
             _ if self.is_refused_as_poison(caller, now) => {}
             _ => self.refuse(caller, Refused::Overloaded, retry_after, now),
@@ -232,6 +240,19 @@
     }
 }
 
+/// The stages of a request take so long at least: the calls on the longest way through their graph.
+fn shortest_stages(request: &Request, table: &Table) -> Duration {
+    let mut ends: Vec<Duration> = Vec::with_capacity(request.route.stages.len());
+    for (stage, spec) in request.route.stages.iter().enumerate() {
+        let begins = spec.after.iter().filter_map(|&after| ends.get(after)).max().copied();
+        let has_pieces = request.incoming.pieces.get(stage).is_some_and(|&pieces| pieces > 0);
+        let call =
+            table.batch(&spec.pool).filter(|_| has_pieces).map_or(Duration::ZERO, |b| b.call);
+        ends.push(begins.unwrap_or_default() + call);
+    }
+    ends.into_iter().max().unwrap_or_default()
+}
+
 fn job_of(request: &Request, resubmitted: bool, data_centre: Name, now: Timestamp) -> Job {
     let specs = request.route.stages.iter().enumerate();
     let stages = specs.map(|(i, spec)| JobStage {
--- a/src/direct/shell.rs
+++ b/src/direct/shell.rs
@@ -21,6 +21,7 @@
 use crate::direct::event::{
     Action, BatchOutcome, CallFailure, CallOrder, Event, Incoming, PieceOrder, Refusal,
 };
+use crate::direct::gates::Gates;
 use crate::direct::note::{Note, ms};
 use crate::direct::peers::links::Peers;
 use crate::direct::published::model::{CallerLimits, Endpoint};
@@ -170,21 +171,21 @@
     core: Handle<GatewayCore>,
     endpoint: Arc<Endpoint>,
     asked: Asked,
+    gates: Gates,
     /// The caller and attempt of a call whose start the core waits for.
     awaited: Option<(u64, u64)>,
 }
 
-impl Conversation {
-    fn new(core: &Handle<GatewayCore>, endpoint: &Arc<Endpoint>, asked: Asked) -> Self {
-        Self { core: core.clone(), endpoint: endpoint.clone(), asked, awaited: None }
-    }
-}
-
 impl Exchange for Conversation {
-    fn goes_out(&mut self) {
+    fn goes_out(&mut self) -> bool {
+        if !self.gates.is_open(&self.endpoint, self.asked, self.core.now()) {
+            crate::metrics::withheld(self.asked);
+            return false;
+        }
         if let Some((caller, attempt)) = self.awaited.take() {
             self.core.post(Event::CallSent { caller, attempt }, &Runtime::current());
         }
+        true
     }
 
     fn states(&mut self, statement: Statement) {
@@ -205,6 +206,7 @@
     callers: Callers,
     state: watch::Sender<State>,
     lines: Lines,
+    gates: Gates,
     late_told: Option<Instant>,
 }
 
@@ -224,7 +226,13 @@
             next: Arc::new(AtomicU64::new(1)),
             state: receiver,
         };
-        (Self { core, client, peers, callers, state, lines, late_told: None }, gateway)
+        let gates = Gates::default();
+        (Self { core, client, peers, callers, state, lines, gates, late_told: None }, gateway)
+    }
+
+    fn conversation(&self, endpoint: &Arc<Endpoint>, asked: Asked) -> Conversation {
+        let (core, endpoint) = (self.core.clone(), endpoint.clone());
+        Conversation { core, endpoint, asked, gates: self.gates.clone(), awaited: None }
     }
 
     fn call(&self, caller: u64, attempt: u64, order: CallOrder) {
@@ -235,13 +243,9 @@
         let request = entry.request.clone();
         let (core, client, parked) = (self.core.clone(), self.client.clone(), self.callers.clone());
         let allowed = order.allowed;
+        let mut exchange = self.conversation(&order.endpoint, Asked::Request);
+        exchange.awaited = (!order.inputs.is_empty()).then_some((caller, attempt));
         let task = tokio::spawn(async move {
-            let exchange = Conversation {
-                core: core.clone(),
-                endpoint: order.endpoint.clone(),
-                asked: Asked::Request,
-                awaited: (!order.inputs.is_empty()).then_some((caller, attempt)),
-            };
             let called = tokio::time::timeout(allowed, client.call(order, request, exchange)).await;
             let event = match called.unwrap_or(Err(CallFailure::Silent)) {
                 Ok(answer) => {
@@ -321,8 +325,8 @@
         patience: Duration,
     ) {
         let (core, client) = (self.core.clone(), self.client.clone());
+        let exchange = self.conversation(&endpoint, Asked::Pieces);
         tokio::spawn(async move {
-            let exchange = Conversation::new(&core, &endpoint, Asked::Pieces);
             let called = client.batch(endpoint, pieces, exchange);
             let called = tokio::time::timeout(patience, called).await;
             let outcome = called.unwrap_or(BatchOutcome::Failed(CallFailure::Silent));
@@ -332,9 +336,9 @@
 
     fn ask_report(&self, endpoint: Arc<Endpoint>) {
         let (core, client) = (self.core.clone(), self.client.clone());
+        let exchange = self.conversation(&endpoint, Asked::Report);
         tokio::spawn(async move {
             let (id, asked) = (endpoint.id.clone(), core.now());
-            let exchange = Conversation::new(&core, &endpoint, Asked::Report);
             let event = match client.report(endpoint, exchange).await {
                 Some(report) => Event::Reported { endpoint: id, report, asked },
                 None => Event::NoReport { endpoint: id },
@@ -410,9 +414,12 @@
             }
             Action::Free { endpoint, handles } => {
                 let client = self.client.clone();
-                let exchange = Conversation::new(&self.core, &endpoint, Asked::Free);
+                let exchange = self.conversation(&endpoint, Asked::Free);
                 tokio::spawn(async move { client.free(endpoint, handles, exchange).await });
             }
+            Action::Withhold { endpoint, incarnation, until } => {
+                self.gates.close(endpoint, incarnation, until, self.core.now());
+            }
             Action::AskReport(endpoint) => self.ask_report(endpoint),
             Action::Probe(endpoint) => self.probe(endpoint),
             // The core takes these in before it hands its actions out.
--- a/src/direct/suspecting.rs
+++ b/src/direct/suspecting.rs
@@ -69,7 +69,7 @@
     fn follow(&mut self, verdict: Verdict, now: Timestamp) {
         match verdict {
             Verdict::Crashed(crashed) => self.endpoints_crashed(vec![crashed], now),
-            Verdict::Probe(endpoint) => self.out.push(Action::Probe(endpoint)),
+            Verdict::Probe(endpoint) => self.probe_unless_paused(endpoint, now),
             Verdict::Wait => {}
         }
     }
--- a/src/direct/talking.rs
+++ b/src/direct/talking.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::direct::core::GatewayCore;
+use crate::direct::departures::Departure;
 use crate::direct::event::Action;
 use crate::direct::note::Note;
 use crate::direct::peers::message::{Job, JobReason, PeerMessage};
@@ -24,8 +25,17 @@
 
     pub(super) fn on_peer(&mut self, from: SocketAddr, message: PeerMessage, now: Timestamp) {
         match message {
-            PeerMessage::Gossip { members, seen, complete, usage, late, evacuations } => {
+            PeerMessage::Gossip {
+                members,
+                seen,
+                complete,
+                usage,
+                late,
+                evacuations,
+                departures,
+            } => {
                 self.evacuations_told(from, &evacuations, now);
+                self.departures_told(from, departures, now);
                 self.owners.told_usage(from, usage, &self.table);
                 self.requests.told_lateness(from, late, now);
                 let heard = self.members.hear(&members, now);
@@ -44,7 +54,7 @@
                 }
                 if newly_heard {
                     self.ask_suspects_soon(now);
-                    let message = self.gossip(now);
+                    let message = self.gossip(self.all_departures(), now);
                     self.tell(from, message);
                 }
                 self.pulls.told(from, seen, complete, self.own(), now);
@@ -108,7 +118,7 @@
         self.requests.owner_lost(address, incarnation);
     }
 
-    fn gossip(&self, now: Timestamp) -> PeerMessage {
+    fn gossip(&self, departures: Vec<Departure>, now: Timestamp) -> PeerMessage {
         PeerMessage::Gossip {
             members: self.members.digest(),
             seen: self.documents.seen(),
@@ -116,12 +126,14 @@
             usage: self.owners.usage(),
             late: self.lateness.now(now),
             evacuations: self.evacuations.clone(),
+            departures,
         }
     }
 
     pub(super) fn beat(&mut self, now: Timestamp) {
         let to = self.members.beat(&mut self.rng);
-        let message = self.gossip(now);
+        let departures = self.news_of_departures(now);
+        let message = self.gossip(departures, now);
         self.tell_suspects(&to, now);
         self.out.push(Action::Spread { to, message });
     }
@@ -129,7 +141,7 @@
     /// A peer's connection broke. If it is gone, it can't be reached; if it lives, what was on the
     /// way may be lost: its owner is told again what it has of this gateway.
     pub(super) fn probe(&mut self, address: SocketAddr, now: Timestamp) {
-        let message = self.gossip(now);
+        let message = self.gossip(Vec::new(), now);
         self.tell(address, message);
         self.requests.submit_again(address);
     }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -5,6 +5,7 @@
 use metrics::{counter, describe_counter, describe_gauge, describe_histogram, gauge, histogram};
 
 use crate::direct::note::Note;
+use crate::direct::statement::Asked;
 use crate::message::Ran;
 use crate::refusal::Refusal;
 
@@ -59,6 +60,8 @@
 pub const EVACUATED: &str = "stackmast_evacuated_data_centres";
 /// Contents that are refused because endpoints crashed under them.
 pub const POISON: &str = "stackmast_poison_requests";
+/// Messages to endpoints that were ordered and not sent, since the endpoint said meanwhile that it wants nothing.
+pub const WITHHELD: &str = "stackmast_messages_withheld_total";
 /// Decisions and changes of belief, by kind.
 pub const DECISIONS: &str = "stackmast_decisions_total";
 /// Time of calls with pieces, in seconds.
@@ -104,6 +107,7 @@
     describe_counter!(UNREADABLE, "Documents of the platform that could not be read");
     describe_gauge!(EVACUATED, "Data centres that get no new work by order");
     describe_gauge!(POISON, "Contents refused because endpoints crashed under them");
+    describe_counter!(WITHHELD, "Ordered messages to endpoints that were not sent, by asked");
     describe_counter!(DECISIONS, "Decisions and changes of belief, by kind");
     describe_histogram!(BATCH_SECONDS, "Seconds of calls with pieces");
     describe_histogram!(BATCH_PIECES, "Pieces in a call");
@@ -187,6 +191,11 @@
     gauge!(IN_FLIGHT).set(count as f64);
 }
 
+/// A message was not sent, since its endpoint wants nothing.
+pub fn withheld(asked: Asked) {
+    counter!(WITHHELD, "asked" => asked.as_str()).increment(1);
+}
+
 /// So many contents are refused because endpoints crashed under them.
 pub fn poison(contents: usize) {
     gauge!(POISON).set(contents as f64);
--- a/tests/direct_schedules.rs
+++ b/tests/direct_schedules.rs
@@ -81,6 +81,30 @@
     assert!(ended > 0 && (served_late > 0 || count < STOP_SCHEDULES));
 }
 
+// Endpoints say in answers that they leave or want nothing for a while: a gateway that has heard it sends nothing
+// that they don't want, whatever else happens.
+#[test]
+fn random_schedules_of_endpoints_that_say_what_they_want_keep_to_it() {
+    let first = number("STACKMAST_SEED", 1);
+    let count = number("STACKMAST_SCHEDULES", SCHEDULES);
+    let (mut said, mut checked) = (0, 0);
+    for seed in first..first + count {
+        let outcome = std::panic::catch_unwind(|| {
+            let mut world = World::with_statements(seed);
+            world.run();
+            world.statements.map(|s| (s.said, s.checked)).unwrap_or_default()
+        });
+        match outcome {
+            Ok(counts) => (said, checked) = (said + counts.0, checked + counts.1),
+            Err(_) => panic!("seed {seed}: STACKMAST_SEED={seed} STACKMAST_SCHEDULES=1"),
+        }
+    }
+    println!(
+        "{count} schedules from seed {first}: {said} statements, {checked} later messages, 0 breaches"
+    );
+    assert!(said > 0 && (checked > 0 || count < SCHEDULES));
+}
+
 // Without trouble, everything that can be served is, and nothing is left at the makers.
 #[test]
 fn a_calm_schedule_serves_all_and_frees_all() {
--- a/tests/directenv/fakes.rs
+++ b/tests/directenv/fakes.rs
@@ -8,6 +8,7 @@
     Proof,
 };
 use stackmast::direct::published::model::{Endpoint, Repeat, Route};
+use stackmast::direct::statement::Asked;
 
 use super::ms;
 use super::world::{Happening, World};
@@ -23,6 +24,7 @@
         let asked = self.now;
         let event = Event::Reported { endpoint: endpoint.id.clone(), report, asked };
         let at = self.now + self.time_in(ms(1), ms(8));
+        self.answers(number, endpoint, Asked::Report, at);
         self.at(at, Happening::Event(number, self.lives[number], Box::new(event)));
     }
 
@@ -71,6 +73,7 @@
             let sent = Event::CallSent { caller, attempt };
             self.at(self.now + ms(1), Happening::Event(number, life, Box::new(sent)));
         }
+        self.answers(number, &order.endpoint, Asked::Request, self.now + delay);
         let is_stream = spec.streams && matches!(&event, Event::Answered { is_open: true, .. });
         self.at(self.now + delay, Happening::Event(number, life, Box::new(event)));
         if is_stream {
@@ -120,6 +123,7 @@
         if matches!(outcome, BatchOutcome::Full | BatchOutcome::OtherEndpoint) {
             delay = ms(2);
         }
+        self.answers(number, endpoint, Asked::Pieces, self.now + delay);
         let life = self.lives[number];
         let event = Event::BatchEnded { call, outcome };
         self.at(self.now + delay, Happening::Event(number, life, Box::new(event)));
--- a/tests/directenv/gateway.rs
+++ b/tests/directenv/gateway.rs
@@ -5,6 +5,7 @@
 
 use stackmast::actor::{Core, Shell};
 use stackmast::direct::core::{GatewayCore, Setup};
+use stackmast::direct::departures::Departure;
 use stackmast::direct::event::{Action, CallOrder, Event, Incoming, Proof, Refusal};
 use stackmast::direct::peers::members::{Member, MemberState};
 use stackmast::direct::peers::message::PeerMessage;
@@ -125,12 +126,14 @@
     pub complete: bool,
     pub late: Duration,
     pub evacuations: Evacuations,
+    pub departures: Vec<Departure>,
 }
 
 impl Says {
     pub fn message(self) -> PeerMessage {
-        let Self { members, seen, complete, late, evacuations } = self;
-        PeerMessage::Gossip { members, seen, complete, usage: Vec::new(), late, evacuations }
+        let Self { members, seen, complete, late, evacuations, departures } = self;
+        let usage = Vec::new();
+        PeerMessage::Gossip { members, seen, complete, usage, late, evacuations, departures }
     }
 }
 
--- a/tests/directenv/mod.rs
+++ b/tests/directenv/mod.rs
@@ -6,6 +6,7 @@
 pub mod orders;
 pub mod poison;
 pub mod recount;
+pub mod statements;
 pub mod stops;
 pub mod timeline;
 pub mod world;
--- a/tests/directenv/world.rs
+++ b/tests/directenv/world.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::statements::Statements;
 use super::stops::Stops;
 use super::{address, deployment, endpoints, ms, route};
 use rand::rngs::StdRng;
@@ -93,6 +94,8 @@
     pub allowed: Duration,
     pub end: Duration,
     pub stops: Stops,
+    /// What endpoints say of themselves, where they do.
+    pub statements: Option<Statements>,
 }
 
 impl World {
@@ -146,6 +149,7 @@
             allowed: Duration::from_secs(5),
             end: END,
             stops: Stops::default(),
+            statements: None,
         }
     }
 
@@ -396,6 +400,9 @@
 
     pub(super) fn handle(&mut self, number: usize, event: Event) {
         let now = self.now;
+        if self.gateways[number].is_some() {
+            self.hears(number, &event);
+        }
         let Some(core) = self.gateways[number].as_mut() else {
             return;
         };
@@ -416,6 +423,7 @@
     }
 
     fn act(&mut self, number: usize, action: Action) {
+        self.check_statements(number, &action);
         match action {
             Action::Call { caller, attempt, order } => self.call(number, caller, attempt, &order),
             Action::Batch { call, endpoint, pieces, .. } => {
