--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -74,8 +74,6 @@
     pub other_endpoint: bool,
     /// Requests running and waiting at the endpoint, and its slots.
     pub load: Option<(u32, u32, u32)>,
-    /// How much longer the endpoint is cold, where it tells.
-    pub cold: Option<Duration>,
 }
 
 /// How a call failed without an answer.
--- a/src/direct/hearing.rs
+++ b/src/direct/hearing.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::direct::core::GatewayCore;
 use crate::direct::departures::Departure;
@@ -29,7 +30,9 @@
         if statement.leaving {
             self.departed(departure, asked.as_str(), now);
         }
-        if statement.leaving && is_known && statement.backoff.is_none() {
+        let turns_cold = statement.cold.is_some_and(|left| self.is_cold(endpoint, left, at, now));
+        let leaves = statement.leaving && !is_known;
+        if !leaves && statement.backoff.is_none() && !turns_cold {
             return;
         }
         let backoff_ms = match statement.backoff {
@@ -45,9 +48,25 @@
             unclear: statement.backoff == Some(Backoff::Unclear),
             age_ms: ms(now.saturating_sub(at)),
             paused_ms: paused_until.map(|until| ms(until.saturating_sub(now))),
+            cold_ms: statement.cold.map(ms),
         });
     }
 
+    /// An endpoint told how much longer it is cold; says whether it was taken for warm until now.
+    ///
+    /// Owners hear it, too: whoever the endpoint answered, all of this gateway's calls count in what it bears.
+    fn is_cold(
+        &mut self,
+        endpoint: &Endpoint,
+        left: Duration,
+        at: Timestamp,
+        now: Timestamp,
+    ) -> bool {
+        let was_cold = self.requests.told_cold(endpoint, left, at, now);
+        self.owners.told_cold(endpoint, left, at);
+        !left.is_zero() && !was_cold
+    }
+
     /// Another gateway tells of endpoints that leave.
     pub(super) fn departures_told(
         &mut self,
--- a/src/direct/note.rs
+++ b/src/direct/note.rs
@@ -274,6 +274,8 @@
         age_ms: u64,
         /// Milliseconds until this gateway sends it something again, where that is later than it was.
         paused_ms: Option<u64>,
+        /// Milliseconds that it is cold, where it told.
+        cold_ms: Option<u64>,
     },
     /// An endpoint told that it is cold: it gets a part of what it bears.
     Cold {
--- a/src/direct/owner/owners.rs
+++ b/src/direct/owner/owners.rs
@@ -195,6 +195,15 @@
         });
     }
 
+    /// An endpoint told at a time how much longer it is cold.
+    pub fn told_cold(&mut self, endpoint: &Endpoint, left: Duration, at: Timestamp) {
+        self.cold.told(endpoint, left, at);
+        self.each(|owner| {
+            owner.cold.told(endpoint, left, at);
+            owner.makers.look_at(&endpoint.id);
+        });
+    }
+
     /// An endpoint asked for a pause.
     pub fn paused(
         &mut self,
--- a/src/direct/requests/attempts.rs
+++ b/src/direct/requests/attempts.rs
@@ -191,9 +191,6 @@
             return;
         };
         let endpoint = open.endpoint.clone();
-        if let Some(left) = proof.cold {
-            self.cold.told(&endpoint, left, now);
-        }
         if let Some((running, waiting, _)) = proof.load {
             self.observations.reported(&endpoint, running + waiting, now);
         }
--- a/src/direct/requests/changes.rs
+++ b/src/direct/requests/changes.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::direct::backoff::Backoffs;
 use crate::direct::published::documents::Merged;
@@ -36,6 +37,19 @@
         self.cold.return_of(data_centres, table, now);
     }
 
+    /// An endpoint told at a time how much longer it is cold; says whether it was taken for cold until now.
+    pub fn told_cold(
+        &mut self,
+        endpoint: &Endpoint,
+        left: Duration,
+        at: Timestamp,
+        now: Timestamp,
+    ) -> bool {
+        let was_cold = self.cold.is_cold(&endpoint.id, now);
+        self.cold.told(endpoint, left, at);
+        was_cold
+    }
+
     /// An endpoint asked for a pause until a time: requests go elsewhere, and it is filled by degrees after it.
     pub fn paused(&mut self, endpoint: &Endpoint, until: Timestamp, backoffs: &Arc<Backoffs>) {
         self.backoffs = backoffs.clone();
--- a/src/direct/statement.rs
+++ b/src/direct/statement.rs
@@ -18,6 +18,8 @@
     pub leaving: bool,
     /// It turned something away and wants nothing for a while.
     pub backoff: Option<Backoff>,
+    /// How much longer it is cold, zero where it is warm.
+    pub cold: Option<Duration>,
 }
 
 impl Statement {
--- a/tests/direct_statements.rs
+++ b/tests/direct_statements.rs
@@ -22,15 +22,15 @@
 use stackmast::direct::peers::message::PeerMessage;
 use stackmast::direct::published::documents::{Document, Revised};
 use stackmast::direct::published::evacuations::Evacuation;
-use stackmast::direct::published::model::{Endpoint, Repeat, Route};
+use stackmast::direct::published::model::{ColdStart, Endpoint, Repeat, Route};
 use stackmast::direct::statement::{Asked, Backoff, Statement};
 use test_case::test_case;
 
-const LEAVES: Statement = Statement { leaving: true, backoff: None };
+const LEAVES: Statement = Statement { leaving: true, backoff: None, cold: None };
 const SECONDS: u64 = 1_000;
 
 fn pause(backoff: Backoff) -> Statement {
-    Statement { leaving: false, backoff: Some(backoff) }
+    Statement { backoff: Some(backoff), ..Statement::default() }
 }
 
 fn pause_for(time: Duration) -> Statement {
@@ -565,6 +565,35 @@
     assert!(probed(&after));
 }
 
+#[test]
+fn an_endpoint_that_tells_that_it_is_cold_gets_its_part_of_pieces_and_requests_alike() {
+    const BEARS: ColdStart = ColdStart { per_second: 10.0, lasts: Duration::from_secs(3) };
+    let mut deployment = deployment(9, routes());
+    deployment.pools.iter_mut().for_each(|pool| pool.cold = Some(BEARS));
+    let mut core = configured(routes());
+    publish(&mut core, deployment, ms(0));
+    submit(&mut core, 1, incoming("staged", vec![1, 1]), ms(3_000));
+    for (number, service) in [(1, "first"), (2, "first"), (1, "engine"), (2, "engine")] {
+        let cold = Statement { cold: Some(ms(2 * SECONDS)), ..Statement::default() };
+        let told = says(&mut core, &endpoint(service, number), cold, 3_010);
+        let noted = |a: &&Action| matches!(a, Action::Note(Note::Stated { .. }));
+        assert_eq!(told.iter().filter(noted).count(), 1);
+        let again = says(&mut core, &endpoint(service, number), cold, 3_020);
+        assert_eq!(again.iter().filter(noted).count(), 0, "told once");
+    }
+    let mut sent = 0;
+    for caller in 100..130 {
+        let at = ms(3_030 + caller);
+        sent += calls(&submit(&mut core, caller, incoming("r", Vec::new()), at)).len();
+        let staged = submit(&mut core, caller + 100, incoming("staged", vec![1, 0]), at);
+        sent += batches(&staged).len();
+    }
+    assert!(sent <= 4, "{sent}: one each at most in 0.03 s");
+    let warm = Statement { cold: Some(Duration::ZERO), ..Statement::default() };
+    says(&mut core, &engine(1), warm, 3_200);
+    assert!(gets_any(&mut core, "engine-1", 900, 3_210), "it told that it is warm");
+}
+
 #[test]
 fn what_is_known_is_bounded() {
     let mut departures = Departures::default();
