Load that another endpoint at the address tells is not believed of the one that was meant

What callers saw: after an address went to another endpoint that is busy, the endpoint that was meant counted as full for a second. Cause: the load in a 421 was booked for whoever was meant. The test fails without the filter.

--- a/src/direct/requests/attempts.rs
+++ b/src/direct/requests/attempts.rs
@@ -191,7 +191,8 @@
             return;
         };
         let endpoint = open.endpoint.clone();
-        if let Some((running, waiting, _)) = proof.load {
+        // A misdirected request was answered by another endpoint.
+        if let Some((running, waiting, _)) = proof.load.filter(|_| !proof.other_endpoint) {
             self.observations.reported(&endpoint, running + waiting, now);
         }
         if proof.not_run || proof.other_endpoint {
--- a/tests/direct_statements.rs
+++ b/tests/direct_statements.rs
@@ -594,6 +594,19 @@
     assert!(gets_any(&mut core, "engine-1", 900, 3_210), "it told that it is warm");
 }
 
+#[test]
+fn load_that_another_endpoint_tells_at_the_address_is_not_believed() {
+    let mut core = configured(routes());
+    let actions = submit(&mut core, 1, incoming("r", Vec::new()), ms(0));
+    let (attempt, order) = calls(&actions)[0].clone();
+    let load = Some((60, 60, 64));
+    let proof =
+        Proof { status: 421, not_run: true, other_endpoint: true, load, ..Proof::default() };
+    core.handle(Event::Answered { caller: 1, attempt, proof, is_open: false }, ms(5));
+    // It is avoided for a moment as at any wrong address, and not for being full.
+    assert!(gets_any(&mut core, &order.endpoint.id, 100, 600));
+}
+
 #[test]
 fn what_is_known_is_bounded() {
     let mut departures = Departures::default();
