--- a/tests/direct_gates.rs
+++ b/tests/direct_gates.rs
@@ -3,11 +3,29 @@
 mod directenv;
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
-use directenv::{endpoint, ms};
+use bytes::Bytes;
+use directenv::gateway::{incoming, listed, new_core};
+use directenv::{address, deployment, endpoint, ms, route};
+use hyper::{HeaderMap, Method, StatusCode};
+use stackmast::actor::{mailbox, run};
+use stackmast::direct::client::{
+    Answer, AnswerBody, AnswerHead, EndpointClient, Exchange, Forwarded,
+};
+use stackmast::direct::event::{
+    BatchOutcome, BatchReport, CallFailure, CallOrder, Event, PieceOrder, Proof,
+};
 use stackmast::direct::gates::Gates;
-use stackmast::direct::published::model::Endpoint;
-use stackmast::direct::statement::Asked;
+use stackmast::direct::peers::links::Peers;
+use stackmast::direct::peers::message::Handle;
+use stackmast::direct::published::documents::{Document, Revised};
+use stackmast::direct::published::model::{Endpoint, Repeat};
+use stackmast::direct::shell::{GatewayShell, Reply};
+use stackmast::direct::statement::{Asked, Backoff, Statement};
+use stackmast::logging::Lines;
+use test_case::test_case;
+use tokio::sync::Semaphore;
 
 const ALL: [Asked; 4] = [Asked::Request, Asked::Pieces, Asked::Report, Asked::Free];
 
@@ -41,3 +59,89 @@
     let second = Arc::new(Endpoint { incarnation: 9, ..(*first).clone() });
     assert_eq!(open(&gates, &second, 1), ALL);
 }
+
+/// An endpoint of which the first message hangs before it can go out, and which says something in every answer.
+struct Said {
+    statement: Statement,
+    held: Arc<Semaphore>,
+    calls: AtomicUsize,
+    went_out: Arc<AtomicUsize>,
+}
+
+impl EndpointClient for Said {
+    async fn call(
+        &self,
+        _order: CallOrder,
+        _request: Arc<Forwarded>,
+        mut exchange: impl Exchange,
+    ) -> Result<Answer, CallFailure> {
+        if self.calls.fetch_add(1, Ordering::Relaxed) == 0 {
+            self.held.acquire().await.expect("it is open").forget();
+        }
+        if !exchange.goes_out() {
+            return Err(CallFailure::Withheld);
+        }
+        self.went_out.fetch_add(1, Ordering::Relaxed);
+        exchange.states(self.statement);
+        let head = AnswerHead { status: StatusCode::OK, headers: HeaderMap::new() };
+        let proof = Proof { status: 200, signed: true, own: true, ..Proof::default() };
+        Ok(Answer { proof, head, body: AnswerBody::Whole(Bytes::new()) })
+    }
+
+    async fn batch(
+        &self,
+        _endpoint: Arc<Endpoint>,
+        _pieces: Vec<PieceOrder>,
+        _exchange: impl Exchange,
+    ) -> BatchOutcome {
+        BatchOutcome::Full
+    }
+
+    async fn report(&self, _: Arc<Endpoint>, _exchange: impl Exchange) -> Option<BatchReport> {
+        None
+    }
+
+    async fn is_closed(&self, _endpoint: &Endpoint) -> bool {
+        false
+    }
+
+    async fn free(&self, _: Arc<Endpoint>, _handles: Vec<Handle>, _exchange: impl Exchange) {}
+}
+
+// The load: a request waits for its connection to come up while another one is answered, and the answer says that the
+// endpoint leaves, or wants nothing.
+#[test_case(Statement { leaving: true, ..Statement::default() }; "leaving")]
+#[test_case(Statement { backoff: Some(Backoff::Unclear), ..Statement::default() }; "pause")]
+#[tokio::test]
+async fn what_was_ordered_before_does_not_go_out(statement: Statement) {
+    let (held, went_out) = (Arc::new(Semaphore::new(0)), Arc::<AtomicUsize>::default());
+    let calls = AtomicUsize::new(0);
+    let client = Said { statement, held: held.clone(), calls, went_out: went_out.clone() };
+    let (core, waiting) = mailbox();
+    let peers = Peers::new(address(9), 1, core.clone());
+    let lines = Lines::new("test");
+    let (shell, gateway) = GatewayShell::new(core.clone(), Arc::new(client), peers, lines);
+    tokio::spawn(run(new_core(), shell, waiting));
+    let routes = vec![route("r", Repeat::Idempotent, &[])];
+    let document = Document::Deployment(Arc::new(deployment(1, routes)));
+    let mut documents = listed(&[endpoint("engine", 1)], 2);
+    documents.push(Revised { revision: 1, document });
+    core.send(Event::Published { documents, whole_at: Some(2) }).await.expect("a core");
+    let ask = async || {
+        let (method, headers, body) = (Method::GET, HeaderMap::new(), Bytes::new());
+        let request = Forwarded { method, target: "/r/x".to_owned(), headers, body };
+        gateway.submit(incoming("r", Vec::new()), request).await.expect("an answer")
+    };
+    let after = async {
+        tokio::time::sleep(ms(20)).await;
+        let answered = ask().await;
+        tokio::time::sleep(ms(20)).await;
+        held.add_permits(1);
+        answered
+    };
+    let (first, second) = tokio::join!(ask(), after);
+    assert!(matches!(second, Reply::Whole(..)));
+    let Reply::Refused(refusal) = first else { panic!("it went out") };
+    assert!(refusal.not_run);
+    assert_eq!(went_out.load(Ordering::Relaxed), 1);
+}
