--- a/src/direct/client.rs
+++ b/src/direct/client.rs
@@ -7,7 +7,8 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::{HeaderMap, Method, StatusCode};
 
-use crate::direct::event::{BatchOutcome, BatchReport, CallFailure, CallOrder, PieceOrder, Proof};
+use crate::direct::answers::{BatchOutcome, BatchReport, CallFailure, Proof};
+use crate::direct::event::{CallOrder, PieceOrder};
 use crate::direct::peers::message::Handle;
 use crate::direct::published::model::Endpoint;
 use crate::direct::statement::Statement;
--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -17,6 +17,7 @@
 use crate::direct::lateness::Lateness;
 use crate::direct::note::{Note, ms};
 use crate::direct::owner::owners::Owners;
+use crate::direct::peers::build::Builds;
 use crate::direct::peers::members::{HEARTBEAT, MemberState, Members};
 use crate::direct::peers::message::PeerMessage;
 use crate::direct::peers::pulls::Pulls;
@@ -65,6 +66,8 @@
 #[derive(Debug)]
 pub struct GatewayCore {
     pub(super) members: Members,
+    /// Which of them run another build.
+    pub(super) builds: Builds,
     pub(super) documents: Documents,
     pub(super) evacuations: Evacuations,
     pub(super) table: Table,
@@ -105,6 +108,7 @@
     pub fn new(setup: Setup) -> Self {
         Self {
             members: Members::new(setup.address, setup.incarnation, setup.capacity, setup.seeds),
+            builds: Builds::default(),
             documents: Documents::default(),
             evacuations: Evacuations::default(),
             table: Table::default(),
@@ -134,7 +138,7 @@
             settling: setup.settling,
             is_ready: false,
             rng: StdRng::seed_from_u64(setup.seed),
-            out: vec![Action::Note(Note::Started { incarnation: setup.incarnation })],
+            out: vec![Action::Note(Note::started(setup.incarnation))],
         }
     }
 
@@ -143,6 +147,11 @@
         self.requests.len() + self.owners.jobs()
     }
 
+    /// Other gateways that run another build.
+    pub fn peers_of_other_builds(&self) -> usize {
+        self.builds.others()
+    }
+
     /// What is known and compiled.
     pub const fn table(&self) -> &Table {
         &self.table
@@ -183,6 +192,10 @@
                 self.probed(&endpoint, incarnation, is_closed, now);
             }
             Event::Peer { from, message } => self.on_peer(from, message, now),
+            Event::PeerGreeted { address, incarnation, build } => {
+                self.greeted(address, incarnation, &build);
+            }
+            Event::PeerUnread { from, greeted, unread } => self.unread(from, greeted, unread),
             Event::PeerBroke { address, incarnation } => {
                 if self.members.suspect(address, incarnation, now) {
                     self.probe(address, now);
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -13,6 +13,7 @@
 //!
 //! `requests` and `owner` speak by messages only, also within one gateway.
 
+pub mod answers;
 pub mod backoff;
 pub mod client;
 pub mod cold;
--- /dev/null
+++ b/src/direct/note/kinds.rs
@@ -0,0 +1,74 @@
+//! How lines are made, and their words for metrics.
+
+use crate::direct::note::{Note, ms};
+use crate::direct::peers::build::Build;
+use crate::direct::published::store_read::StoreRead;
+
+impl Note {
+    /// The first line of a life of this build.
+    pub fn started(incarnation: u64) -> Self {
+        let Build { version, commit, form } = Build::own();
+        Self::Started { incarnation, version, commit, form }
+    }
+
+    /// The line of a read of the publisher's store.
+    pub fn store_read(read: &StoreRead) -> Self {
+        Self::StoreRead {
+            subject: read.subject,
+            watch: read.watch,
+            outcome: read.outcome,
+            bytes: read.bytes,
+            expected: read.expected,
+            again: read.again,
+            waited_ms: ms(read.waited),
+            took_ms: ms(read.took),
+            decode_ms: ms(read.decoding),
+        }
+    }
+
+    /// The word for metrics, as in the line.
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Arrived { .. } => "arrived",
+            Self::Waited { .. } => "waited",
+            Self::StagesSubmitted { .. } => "stages_submitted",
+            Self::StagesDecided { .. } => "stages_decided",
+            Self::Reported { .. } => "reported",
+            Self::BatchSent { .. } => "batch_sent",
+            Self::BatchEnded { .. } => "batch_ended",
+            Self::Sent { .. } => "sent",
+            Self::EndpointCrashed { .. } => "endpoint_crashed",
+            Self::Quarantined { .. } => "quarantined",
+            Self::Cleared { .. } => "cleared",
+            Self::StoodStill { .. } => "stood_still",
+            Self::AttemptFailed { .. } => "attempt_failed",
+            Self::ResultsGone { .. } => "results_gone",
+            Self::Ended { .. } => "ended",
+            Self::StagesGivenUp { .. } => "stages_given_up",
+            Self::Configured { .. } => "configured",
+            Self::StoreRead { .. } => "store_read",
+            Self::Pull { .. } => "pull",
+            Self::Pulled { .. } => "pulled",
+            Self::CoreLate { .. } => "core_late",
+            Self::Endpoint { .. } => "endpoint",
+            Self::Stated { .. } => "stated",
+            Self::Cold { .. } => "cold",
+            Self::Restarted { .. } => "restarted",
+            Self::Evacuation { .. } => "evacuation",
+            Self::Unreadable { .. } => "unreadable",
+            Self::Suspicion { .. } => "suspicion",
+            Self::Peer { .. } => "peer",
+            Self::Publisher { .. } => "publisher",
+            Self::Ready { .. } => "ready",
+            Self::Started { .. } => "started",
+            Self::PeerBuild { .. } => "peer_build",
+            Self::PeerUnread { .. } => "peer_unread",
+            Self::Stopping { .. } => "stopping",
+            Self::StopDecided { .. } => "stop_decided",
+            Self::NoReport { .. } => "no_report",
+            Self::ShortOfTime { .. } => "short_of_time",
+            Self::Stopped { .. } => "stopped",
+            Self::Reloaded { .. } => "reloaded",
+        }
+    }
+}
--- a/src/direct/note.rs
+++ b/src/direct/note/mod.rs
@@ -1,12 +1,13 @@
 //! The lines that on-call reads: one for each decision and each change of what a gateway believes.
 
+mod kinds;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::Serialize;
 
 use crate::direct::published::model::Name;
-use crate::direct::published::store_read::StoreRead;
 
 /// One line.
 #[derive(Debug, Clone, PartialEq, Serialize)]
@@ -343,6 +344,36 @@
     Started {
         /// Its life.
         incarnation: u64,
+        /// The program's version.
+        version: String,
+        /// The commit that it was built from, where that is known.
+        commit: Option<String>,
+        /// The compact form of messages that it writes.
+        form: u32,
+    },
+    /// A peer that runs another build is there, or is not any more.
+    PeerBuild {
+        /// Who.
+        address: SocketAddr,
+        /// Its life.
+        incarnation: u64,
+        /// Its version, empty where it does not tell.
+        version: String,
+        /// Its commit, where that is known.
+        commit: Option<String>,
+        /// The compact form of messages that it reads.
+        form: u32,
+        /// `first` or `last`.
+        heard: &'static str,
+    },
+    /// A peer says what this build does not read; told once for each peer and form.
+    PeerUnread {
+        /// Who.
+        address: SocketAddr,
+        /// The form.
+        form: u32,
+        /// Why.
+        cause: &'static str,
     },
     /// The process was told to stop.
     Stopping {
@@ -404,64 +435,3 @@
 pub fn ms(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
-
-impl Note {
-    /// The line of a read of the publisher's store.
-    pub fn store_read(read: &StoreRead) -> Self {
-        Self::StoreRead {
-            subject: read.subject,
-            watch: read.watch,
-            outcome: read.outcome,
-            bytes: read.bytes,
-            expected: read.expected,
-            again: read.again,
-            waited_ms: ms(read.waited),
-            took_ms: ms(read.took),
-            decode_ms: ms(read.decoding),
-        }
-    }
-
-    /// The word for metrics, as in the line.
-    pub const fn kind(&self) -> &'static str {
-        match self {
-            Self::Arrived { .. } => "arrived",
-            Self::Waited { .. } => "waited",
-            Self::StagesSubmitted { .. } => "stages_submitted",
-            Self::StagesDecided { .. } => "stages_decided",
-            Self::Reported { .. } => "reported",
-            Self::BatchSent { .. } => "batch_sent",
-            Self::BatchEnded { .. } => "batch_ended",
-            Self::Sent { .. } => "sent",
-            Self::EndpointCrashed { .. } => "endpoint_crashed",
-            Self::Quarantined { .. } => "quarantined",
-            Self::Cleared { .. } => "cleared",
-            Self::StoodStill { .. } => "stood_still",
-            Self::AttemptFailed { .. } => "attempt_failed",
-            Self::ResultsGone { .. } => "results_gone",
-            Self::Ended { .. } => "ended",
-            Self::StagesGivenUp { .. } => "stages_given_up",
-            Self::Configured { .. } => "configured",
-            Self::StoreRead { .. } => "store_read",
-            Self::Pull { .. } => "pull",
-            Self::Pulled { .. } => "pulled",
-            Self::CoreLate { .. } => "core_late",
-            Self::Endpoint { .. } => "endpoint",
-            Self::Stated { .. } => "stated",
-            Self::Cold { .. } => "cold",
-            Self::Restarted { .. } => "restarted",
-            Self::Evacuation { .. } => "evacuation",
-            Self::Unreadable { .. } => "unreadable",
-            Self::Suspicion { .. } => "suspicion",
-            Self::Peer { .. } => "peer",
-            Self::Publisher { .. } => "publisher",
-            Self::Ready { .. } => "ready",
-            Self::Started { .. } => "started",
-            Self::Stopping { .. } => "stopping",
-            Self::StopDecided { .. } => "stop_decided",
-            Self::NoReport { .. } => "no_report",
-            Self::ShortOfTime { .. } => "short_of_time",
-            Self::Stopped { .. } => "stopped",
-            Self::Reloaded { .. } => "reloaded",
-        }
-    }
-}
--- a/src/direct/owner/outcomes.rs
+++ b/src/direct/owner/outcomes.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::direct::event::{Action, BatchOutcome, CallFailure, PieceOutcome};
+use crate::direct::answers::{BatchOutcome, CallFailure, PieceOutcome};
+use crate::direct::event::Action;
 use crate::direct::note::{Note, ms};
 use crate::direct::owner::calls::{Call, PieceId, SETTLING};
 use crate::direct::owner::jobs::Piece;
--- a/src/direct/owner/owners.rs
+++ b/src/direct/owner/owners.rs
@@ -5,9 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::direct::answers::{BatchOutcome, BatchReport};
 use crate::direct::backoff::Backoffs;
 use crate::direct::cold::ColdEndpoints;
-use crate::direct::event::{Action, BatchOutcome, BatchReport};
+use crate::direct::event::Action;
 use crate::direct::owner::makers::Usage;
 use crate::direct::owner::scheduler::Scheduler;
 use crate::direct::peers::message::{Job, JobId};
--- a/src/direct/owner/poison.rs
+++ b/src/direct/owner/poison.rs
@@ -8,7 +8,8 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use crate::direct::event::{Action, PieceOutcome};
+use crate::direct::answers::PieceOutcome;
+use crate::direct::event::Action;
 use crate::direct::owner::calls::{Call, Part, PieceId};
 use crate::direct::owner::scheduler::Scheduler;
 use crate::direct::peers::message::{Job, JobId, JobReason};
--- a/src/direct/owner/scheduler.rs
+++ b/src/direct/owner/scheduler.rs
@@ -9,9 +9,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::direct::answers::BatchReport;
 use crate::direct::backoff::Backoffs;
 use crate::direct::cold::ColdEndpoints;
-use crate::direct::event::{Action, BatchReport};
+use crate::direct::event::Action;
 use crate::direct::note::Note;
 use crate::direct::owner::calls::{Calls, SETTLING};
 use crate::direct::owner::due::{Due, Timers};
--- a/src/direct/peers/bulk.rs
+++ b/src/direct/peers/bulk.rs
@@ -62,7 +62,7 @@
         };
         let message = self.encoded(which, message);
         let bytes = Some(message.len() as u64);
-        let hello = Hello { bulk: true, pull, bytes, ..self.hello };
+        let hello = Hello { bulk: true, pull, bytes, ..self.hello.clone() };
         tokio::spawn(async move {
             let outcome = match timeout(LONGEST, send(to, hello, message)).await {
                 Ok(true) => "sent",
@@ -119,8 +119,9 @@
     pub fn start(&self, connection: Connection, hello: Hello, core: Handle<GatewayCore>) {
         let mut running = self.running.lock().unwrap_or_else(PoisonError::into_inner);
         running.retain(|_, task| !task.is_finished());
+        let from = hello.address;
         let task = tokio::spawn(async move { receive(connection, hello, &core).await });
-        if let Some(older) = running.insert(hello.address, task.abort_handle()) {
+        if let Some(older) = running.insert(from, task.abort_handle()) {
             older.abort();
         }
     }
--- a/src/direct/peers/links.rs
+++ b/src/direct/peers/links.rs
@@ -19,11 +19,12 @@
 use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::actor::Handle;
+use crate::actor::{Handle, Stopped};
 use crate::direct::core::GatewayCore;
 use crate::direct::event::Event;
+use crate::direct::peers::build::Build;
 use crate::direct::peers::bulk::{Bulk, Receives};
-use crate::direct::peers::codec::{COMPACT_FORM, Outgoing, Readers, json, read};
+use crate::direct::peers::codec::{FORM, Outgoing, Unread, json, read};
 use crate::direct::peers::message::PeerMessage;
 
 /// A connection must come up within that.
@@ -38,9 +39,9 @@
 /// The longest message: a whole configuration and list.
 pub(super) const MAX_FRAME: usize = 16 << 20;
 
-/// The first message on a connection.
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
-pub(super) struct Hello {
+/// The first message on a connection, and the answer to it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Hello {
     /// Where the sender's peers connect.
     pub address: SocketAddr,
     /// The sender's life.
@@ -60,20 +61,43 @@
     /// The compact form of messages that the sender reads.
     #[serde(default)]
     pub form: u32,
+    /// Whether the sender waits for the receiver's greeting on this connection: it writes JSON until then. Builds
+    /// before that take whatever comes back for the connection's end.
+    #[serde(default)]
+    pub answers: bool,
+    /// The sender's build.
+    #[serde(default)]
+    pub build: Build,
 }
 
 impl Hello {
     /// On the connection for all messages but configurations.
-    const fn new(address: SocketAddr, incarnation: u64) -> Self {
-        let (bulk, compact) = (false, false);
-        Self { address, incarnation, bulk, pull: 0, bytes: None, compact, form: COMPACT_FORM }
+    fn new(address: SocketAddr, incarnation: u64) -> Self {
+        Self {
+            address,
+            incarnation,
+            bulk: false,
+            pull: 0,
+            bytes: None,
+            compact: false,
+            form: FORM,
+            answers: true,
+            build: Build::own(),
+        }
+    }
+
+    /// What the core hears of it.
+    fn greeted(&self) -> Event {
+        let (address, incarnation) = (self.address, self.incarnation);
+        let build = Build { form: self.form, ..self.build.clone() };
+        Event::PeerGreeted { address, incarnation, build }
     }
 }
 
 /// What waits for a peer, and the task that sends it.
 #[derive(Debug)]
 struct Link {
-    queue: mpsc::Sender<Bytes>,
+    queue: mpsc::Sender<Arc<Outgoing>>,
     task: AbortHandle,
 }
 
@@ -81,25 +105,23 @@
 
 /// The connections to other gateways.
 pub struct Peers {
-    own: SocketAddr,
-    incarnation: u64,
+    hello: Hello,
     core: Handle<GatewayCore>,
     queues: Queues,
     bulk: Bulk,
-    readers: Readers,
 }
 
 impl Peers {
     /// None yet.
     pub fn new(own: SocketAddr, incarnation: u64, core: Handle<GatewayCore>) -> Self {
-        let bulk = Bulk::new(Hello::new(own, incarnation));
-        let (queues, readers) = Default::default();
-        Self { own, incarnation, core, queues, bulk, readers }
+        let hello = Hello::new(own, incarnation);
+        let bulk = Bulk::new(Hello { answers: false, ..hello.clone() });
+        Self { hello, core, queues: Queues::default(), bulk }
     }
 
-    /// What [`accept`] learns of how the other gateways read.
-    pub fn readers(&self) -> Readers {
-        self.readers.clone()
+    /// What [`accept`] answers to other gateways' greetings.
+    pub fn greeting(&self) -> Hello {
+        self.hello.clone()
     }
 
     /// Queues a message; a connection is made where there is none.
@@ -116,9 +138,9 @@
 
     /// Queues one message for several, written once.
     pub fn spread(&self, to: &[SocketAddr], message: PeerMessage) {
-        let mut outgoing = Outgoing::new(message);
+        let outgoing = Arc::new(Outgoing::new(message));
         for &to in to {
-            self.queue(to, outgoing.for_reader(to, &self.readers));
+            self.queue(to, outgoing.clone());
         }
     }
 
@@ -130,7 +152,7 @@
         }
     }
 
-    fn queue(&self, to: SocketAddr, message: Bytes) {
+    fn queue(&self, to: SocketAddr, message: Arc<Outgoing>) {
         let mut queues = self.queues.lock().unwrap_or_else(PoisonError::into_inner);
         let link = queues.entry(to).or_insert_with(|| self.connect(to));
         if link.queue.try_send(message).is_err() {
@@ -140,10 +162,10 @@
 
     fn connect(&self, to: SocketAddr) -> Link {
         let (queue, receiver) = mpsc::channel(QUEUE);
-        let hello = Hello::new(self.own, self.incarnation);
+        let hello = self.hello.clone();
         let (core, queues, own_queue) = (self.core.clone(), self.queues.clone(), queue.clone());
         let task = tokio::spawn(async move {
-            let was_connected = run(to, hello, receiver).await;
+            let was_connected = run(to, &hello, receiver, &core).await;
             forget(&queues, to, &own_queue);
             let event = if was_connected {
                 Event::PeerReset { address: to }
@@ -156,7 +178,7 @@
     }
 }
 
-fn forget(queues: &Queues, to: SocketAddr, queue: &mpsc::Sender<Bytes>) {
+fn forget(queues: &Queues, to: SocketAddr, queue: &mpsc::Sender<Arc<Outgoing>>) {
     let mut queues = queues.lock().unwrap_or_else(PoisonError::into_inner);
     if queues.get(&to).is_some_and(|link| link.queue.same_channel(queue)) {
         queues.remove(&to);
@@ -172,27 +194,38 @@
 }
 
 /// Sends what is queued until the connection breaks; says whether there was one.
-async fn run(to: SocketAddr, hello: Hello, queue: mpsc::Receiver<Bytes>) -> bool {
+async fn run(
+    to: SocketAddr,
+    hello: &Hello,
+    queue: mpsc::Receiver<Arc<Outgoing>>,
+    core: &Handle<GatewayCore>,
+) -> bool {
     let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await else {
         return false;
     };
     let mut connection = framed(stream);
-    if connection.send(json(&hello)).await.is_ok() {
-        send_all(connection, queue).await;
+    if connection.send(json(hello)).await.is_ok() {
+        send_all(connection, queue, core).await;
     }
     true
 }
 
-async fn send_all(mut connection: Connection, mut queue: mpsc::Receiver<Bytes>) {
+async fn send_all(
+    mut connection: Connection,
+    mut queue: mpsc::Receiver<Arc<Outgoing>>,
+    core: &Handle<GatewayCore>,
+) {
+    // What the peer reads, once it has greeted on this connection.
+    let mut form = None;
     loop {
         tokio::select! {
             message = queue.recv() => {
                 let Some(message) = message else { return };
-                if connection.feed(message).await.is_err() {
+                if connection.feed(message.for_reader(form)).await.is_err() {
                     return;
                 }
                 while let Ok(message) = queue.try_recv() {
-                    if connection.feed(message).await.is_err() {
+                    if connection.feed(message.for_reader(form)).await.is_err() {
                         return;
                     }
                 }
@@ -200,20 +233,27 @@
                     return;
                 }
             }
-            // Peers send nothing this way: whatever comes is the end.
-            _ = connection.next() => return,
+            // Peers send nothing more this way: whatever else comes is the end.
+            answer = connection.next() => {
+                let greeting = answer.and_then(Result::ok).filter(|_| form.is_none());
+                let greeting = greeting.and_then(|a| serde_json::from_slice::<Hello>(&a).ok());
+                let Some(greeting) = greeting else { return };
+                form = Some(greeting.form);
+                core.send(greeting.greeted()).await.ok();
+            }
         }
     }
 }
 
-/// Takes connections of other gateways.
-pub async fn accept(listener: TcpListener, core: Handle<GatewayCore>, readers: Readers) {
+/// Takes connections of other gateways, which are answered with a greeting.
+pub async fn accept(listener: TcpListener, core: Handle<GatewayCore>, greeting: Hello) {
     let receives = Receives::default();
+    let greeting = json(&greeting);
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let readers = readers.clone();
-                tokio::spawn(receive(stream, receives.clone(), core.clone(), readers));
+                let (receives, core) = (receives.clone(), core.clone());
+                tokio::spawn(receive(stream, receives, core, greeting.clone()));
             }
             Err(_) => tokio::time::sleep(CONNECT_TIMEOUT).await,
         }
@@ -224,7 +264,7 @@
     stream: TcpStream,
     receives: Receives,
     core: Handle<GatewayCore>,
-    readers: Readers,
+    greeting: Bytes,
 ) {
     let mut connection = framed(stream);
     let Some(Ok(first)) = connection.next().await else {
@@ -237,18 +277,34 @@
         receives.start(connection, hello, core);
         return;
     }
-    readers.told(hello.address, hello.form == COMPACT_FORM);
+    core.send(hello.greeted()).await.ok();
+    let is_answered = !hello.answers || connection.send(greeting).await.is_ok();
+    let (address, incarnation) = (hello.address, hello.incarnation);
+    if is_answered && receive_all(connection, &hello, &core).await.is_err() {
+        return;
+    }
+    core.send(Event::PeerBroke { address, incarnation }).await.ok();
+}
+
+/// Hands on what a peer sends until its connection ends, or until it sends what is in a form that is not known: its
+/// end tells the peer at once that this was not read, and it says anew what it had to say.
+async fn receive_all(
+    mut connection: Connection,
+    hello: &Hello,
+    core: &Handle<GatewayCore>,
+) -> Result<(), Stopped> {
+    let from = hello.address;
     while let Ok(Some(Ok(frame))) = timeout(IDLE, connection.next()).await {
-        let Some(message) = read(&frame) else {
-            // Of another version of the program, as while a new one is rolled out; the next can be read.
-            metrics::counter!(crate::metrics::PEER_BAD).increment(1);
-            continue;
-        };
-        let event = Event::Peer { from: hello.address, message };
-        if core.send(event).await.is_err() {
-            return;
+        match read(&frame, hello.form) {
+            Ok(message) => core.send(Event::Peer { from, message }).await?,
+            Err(unread) => {
+                metrics::counter!(crate::metrics::PEER_BAD).increment(1);
+                core.send(Event::PeerUnread { from, greeted: hello.form, unread }).await?;
+                if matches!(unread, Unread::Form(_)) {
+                    return Ok(());
+                }
+            }
         }
     }
-    let Hello { address, incarnation, .. } = hello;
-    core.send(Event::PeerBroke { address, incarnation }).await.ok();
+    Ok(())
 }
--- a/src/direct/peers/mod.rs
+++ b/src/direct/peers/mod.rs
@@ -3,8 +3,10 @@
 //! `core` asks `members` who owns what and `pulls` what to ask of whom; `links` and `bulk` do the I/O for
 //! `shell`, `codec` writes and reads what they carry. Nothing is agreed: whoever reads `members` must bear that another gateway sees others.
 
+pub mod build;
 pub mod bulk;
 pub mod codec;
+mod form3;
 pub mod links;
 pub mod members;
 pub mod message;
--- a/src/direct/requests/attempts.rs
+++ b/src/direct/requests/attempts.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::direct::event::{Action, CallFailure, CallOrder, Proof, Refused};
+use crate::direct::answers::{CallFailure, Proof};
+use crate::direct::event::{Action, CallOrder, Refused};
 use crate::direct::note::{Note, ms};
 use crate::direct::poison::Unanswered;
 use crate::direct::published::model::{Endpoint, Name};
--- a/src/direct/shell.rs
+++ b/src/direct/shell.rs
@@ -16,11 +16,10 @@
 use tokio::task::AbortHandle;
 
 use crate::actor::{Handle, Shell};
+use crate::direct::answers::{BatchOutcome, CallFailure};
 use crate::direct::client::{Answer, AnswerBody, AnswerHead, EndpointClient, Exchange, Forwarded};
 use crate::direct::core::GatewayCore;
-use crate::direct::event::{
-    Action, BatchOutcome, CallFailure, CallOrder, Event, Incoming, PieceOrder, Refusal,
-};
+use crate::direct::event::{Action, CallOrder, Event, Incoming, PieceOrder, Refusal};
 use crate::direct::gates::Gates;
 use crate::direct::note::{Note, ms};
 use crate::direct::peers::links::Peers;
--- a/src/direct/talking.rs
+++ b/src/direct/talking.rs
@@ -7,7 +7,9 @@
 use crate::direct::departures::Departure;
 use crate::direct::event::Action;
 use crate::direct::note::Note;
-use crate::direct::peers::message::{Job, JobReason, PeerMessage};
+use crate::direct::peers::build::{Build, Greeted};
+use crate::direct::peers::codec::Unread;
+use crate::direct::peers::message::{Job, JobId, JobReason, PeerMessage};
 use crate::direct::requests::stages::GivenUp;
 use crate::message::Timestamp;
 
@@ -72,15 +74,7 @@
             PeerMessage::Submit(job) if self.takes_job(&job, from, now) => {
                 self.owners.submit(*job, &self.table, now);
             }
-            PeerMessage::Submit(job) => {
-                let message = PeerMessage::GivenUp {
-                    job: job.id,
-                    reason: JobReason::NotOwner,
-                    untouched: true,
-                    retry_after: Duration::ZERO,
-                };
-                self.tell(from, message);
-            }
+            PeerMessage::Submit(job) => self.refuse_job(job.id, from),
             PeerMessage::Release(job) => self.owners.release(job, &self.table),
             PeerMessage::Accepted(job) => self.requests.accepted(job, from),
             PeerMessage::StageDone { job, stage, results } => {
@@ -112,12 +106,57 @@
         now: Timestamp,
     ) {
         self.note(Note::Peer { address, incarnation, alive: false, cause });
+        if let Some((life, build)) = self.builds.lost(address) {
+            self.note_build(address, life, &build, "last");
+        }
         self.pulls.lost(address);
         self.owners.release_all_of(address, incarnation, &self.table);
         self.owners.owner_lost(address, now);
         self.requests.owner_lost(address, incarnation);
     }
 
+    /// A peer said which build it runs.
+    pub(super) fn greeted(&mut self, address: SocketAddr, incarnation: u64, build: &Build) {
+        match self.builds.greeted(address, incarnation, build) {
+            Greeted::AsBefore => {}
+            Greeted::Other => self.note_build(address, incarnation, build, "first"),
+            Greeted::Own(before) => self.note_build(address, incarnation, &before, "last"),
+        }
+    }
+
+    fn note_build(
+        &mut self,
+        address: SocketAddr,
+        incarnation: u64,
+        build: &Build,
+        heard: &'static str,
+    ) {
+        crate::metrics::peers_of_other_builds(self.builds.others());
+        let Build { version, commit, form } = build.clone();
+        self.note(Note::PeerBuild { address, incarnation, version, commit, form, heard });
+    }
+
+    /// A peer said what this build does not read. Whoever submitted a job hears at once that it is not begun here; what
+    /// else was lost is said again: its connection ends where its form is unknown, and a peer is greeted then.
+    pub(super) fn unread(&mut self, from: SocketAddr, greeted: u32, unread: Unread) {
+        let (form, cause) = match unread {
+            Unread::Form(form) => (form, "unknown form"),
+            Unread::Message { .. } => (greeted, "unknown message"),
+        };
+        if self.builds.unread(from, form) {
+            self.note(Note::PeerUnread { address: from, form, cause });
+        }
+        if let Unread::Message { job: Some(job) } = unread {
+            self.refuse_job(job, from);
+        }
+    }
+
+    /// A job is not begun here: its gateway has it begun elsewhere.
+    fn refuse_job(&mut self, job: JobId, to: SocketAddr) {
+        let (reason, untouched, retry_after) = (JobReason::NotOwner, true, Duration::ZERO);
+        self.tell(to, PeerMessage::GivenUp { job, reason, untouched, retry_after });
+    }
+
     fn gossip(&self, departures: Vec<Departure>, now: Timestamp) -> PeerMessage {
         PeerMessage::Gossip {
             members: self.members.digest(),
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -5,6 +5,7 @@
 use metrics::{counter, describe_counter, describe_gauge, describe_histogram, gauge, histogram};
 
 use crate::direct::note::Note;
+use crate::direct::peers::build::Build;
 use crate::direct::statement::Asked;
 use crate::message::Ran;
 use crate::refusal::Refusal;
@@ -52,6 +53,10 @@
 pub const PEER_DROPPED: &str = "stackmast_peer_messages_dropped_total";
 /// Messages of other gateways that could not be read.
 pub const PEER_BAD: &str = "stackmast_peer_messages_bad_total";
+/// Other gateways that run another build.
+pub const OTHER_BUILDS: &str = "stackmast_peers_of_other_builds";
+/// Always 1: the build that runs, by version, commit and the form of its messages.
+pub const BUILD_INFO: &str = "stackmast_build_info";
 /// Bytes of messages between gateways, by direction and kind.
 pub const PEER_BYTES: &str = "stackmast_peer_bytes_total";
 /// Documents of the platform that could not be read, each time they were.
@@ -119,7 +124,13 @@
     describe_counter!(BULK, "Configurations sent to peers, by outcome");
     describe_histogram!(CORE_WAIT, "Seconds that events wait for the core");
     describe_histogram!(CORE_TOOK, "Seconds that the core takes for an event");
+    describe_gauge!(OTHER_BUILDS, "Other gateways that run another build");
+    describe_gauge!(BUILD_INFO, "1, by version, commit and form of messages");
     counter!(INVARIANT_VIOLATIONS).absolute(0);
+    let Build { version, commit, form } = Build::own();
+    let commit = commit.unwrap_or_default();
+    gauge!(BUILD_INFO, "version" => version, "commit" => commit, "form" => form.to_string())
+        .set(1.0);
 }
 
 /// A request was answered in full.
@@ -196,6 +207,11 @@
     counter!(WITHHELD, "asked" => asked.as_str()).increment(1);
 }
 
+/// So many other gateways run another build.
+pub fn peers_of_other_builds(peers: usize) {
+    gauge!(OTHER_BUILDS).set(peers as f64);
+}
+
 /// So many contents are refused because endpoints crashed under them.
 pub fn poison(contents: usize) {
     gauge!(POISON).set(contents as f64);
--- /dev/null
+++ b/testbed/src/frames.rs
@@ -0,0 +1,276 @@
+//! Messages between gateways as a build writes them: one of each kind, with every field set.
+//!
+//! What this build writes is kept in a file for each form (`tests/frames`), so that later builds can be tried against
+//! it without this one.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use snafu::{ResultExt, Snafu};
+use stackmast::config::Selector;
+use stackmast::direct::departures::Departure;
+use stackmast::direct::owner::makers::Usage;
+use stackmast::direct::peers::codec::{FORM, Outgoing};
+use stackmast::direct::peers::members::{Member, MemberState};
+use stackmast::direct::peers::message::{Job, JobId, JobReason, JobStage, Made, PeerMessage};
+use stackmast::direct::poison::fingerprint::Fingerprint;
+use stackmast::direct::poison::suspects::{Account, Crash};
+use stackmast::direct::published::documents::{Document, Revised, Seen};
+use stackmast::direct::published::evacuations::{Evacuation, Evacuations};
+use stackmast::direct::published::homes::Homes;
+use stackmast::direct::published::model::{
+    BatchSpec, CallerLimits, ColdStart, Deployment, Endpoint, EngineSpec, Name, Organisation, Pool,
+    Repeat, Route, StageSpec, Target, Work,
+};
+
+/// The frames of one form.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Frames {
+    /// The compact form.
+    pub form: u32,
+    /// By kind of message.
+    pub frames: BTreeMap<String, Frame>,
+}
+
+/// One message, as it is written.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Frame {
+    /// To whom nothing is known of.
+    pub json: Value,
+    /// To a peer that reads this form; in hexadecimal.
+    pub compact: String,
+}
+
+impl Frame {
+    /// The bytes of the JSON frame.
+    pub fn json_bytes(&self) -> Vec<u8> {
+        self.json.to_string().into_bytes()
+    }
+
+    /// The bytes of the compact frame; `None` if it is not written in hexadecimal.
+    pub fn compact_bytes(&self) -> Option<Vec<u8>> {
+        let pairs = self.compact.as_bytes().chunks(2);
+        let byte = |pair| u8::from_str_radix(std::str::from_utf8(pair).ok()?, 16).ok();
+        pairs.map(byte).collect()
+    }
+}
+
+/// Why no file was written.
+#[derive(Debug, Snafu)]
+pub enum FramesError {
+    /// A message has no JSON form.
+    #[snafu(display("a message can't be written: {source}"))]
+    Encode {
+        /// Why.
+        source: serde_json::Error,
+    },
+    /// The file could not be written.
+    #[snafu(display("{file}: {source}"))]
+    Write {
+        /// Which.
+        file: String,
+        /// Why.
+        source: std::io::Error,
+    },
+}
+
+/// What this build writes.
+pub fn own() -> Frames {
+    let frames = messages().into_iter().map(|message| {
+        let kind = message.kind().to_owned();
+        let outgoing = Outgoing::new(message);
+        let json = serde_json::from_slice(&outgoing.for_reader(None)).unwrap_or_default();
+        let compact = outgoing.for_reader(Some(FORM));
+        let compact = compact.iter().map(|byte| format!("{byte:02x}")).collect();
+        (kind, Frame { json, compact })
+    });
+    Frames { form: FORM, frames: frames.collect() }
+}
+
+/// Writes what this build writes to a file.
+pub fn write(file: &str) -> Result<(), FramesError> {
+    let text = serde_json::to_string_pretty(&own()).context(EncodeSnafu)?;
+    std::fs::write(file, text + "\n").context(WriteSnafu { file })
+}
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([10, 1, 0, 41], port))
+}
+
+fn name(name: &str) -> Name {
+    name.into()
+}
+
+const fn job_id(number: u64) -> JobId {
+    let gateway =
+        SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::new(10, 1, 0, 41)), 8_628);
+    JobId { gateway, incarnation: 1_790_000_000_000_001, number }
+}
+
+fn endpoint() -> Endpoint {
+    Endpoint {
+        id: name("endpoint-1"),
+        incarnation: 1_790_000_000_002,
+        address: address(8_080),
+        data_centre: name("hall-1"),
+        labels: [("service".to_owned(), "llm".to_owned())].into_iter().collect(),
+        slots: 64,
+        leaving: true,
+        cold: Duration::from_millis(1_500),
+    }
+}
+
+fn route() -> Route {
+    Route {
+        name: name("route-1"),
+        host: name("h.example"),
+        path_prefix: name("/a/"),
+        streams: true,
+        repeat: Repeat::AtMostOnce,
+        resumable: true,
+        timeout: Duration::from_secs(20),
+        objective: Duration::from_millis(2_500),
+        priority: 2,
+        targets: vec![Target { pool: name("llm"), weight: 3 }],
+        max_attempts: 2,
+        stages: vec![StageSpec { pool: name("maker"), after: vec![0], result_bytes: 96_000 }],
+        public: true,
+        homes: vec![name("region-1")],
+    }
+}
+
+fn pool(label: &str, work: Work) -> Pool {
+    Pool {
+        name: name(label),
+        endpoints: Selector::parse(&format!("service={label}")).unwrap_or_default(),
+        max_connections: 280,
+        cold: Some(ColdStart { per_second: 10.0, lasts: Duration::from_secs(3) }),
+        work,
+    }
+}
+
+fn deployment() -> Deployment {
+    let batch = BatchSpec {
+        slots: 1,
+        pieces: 14,
+        call: Duration::from_millis(240),
+        piece: Duration::from_millis(15),
+        room_bytes: 1_500_000,
+        kept: Duration::from_secs(4),
+    };
+    let engine = EngineSpec { slots: 64, memory_tokens: 509_358 };
+    Deployment {
+        version: 12,
+        routes: vec![route()],
+        pools: vec![
+            pool("llm", Work::Engine(engine)),
+            pool("maker", Work::Batch(batch)),
+            pool("desk", Work::Plain),
+        ],
+        organisations: vec![Organisation {
+            name: name("organisation-1"),
+            keys: vec![name("key-1")],
+            priority: Some(1),
+            homes: vec![name("region-1")],
+        }],
+        limits: CallerLimits::default(),
+    }
+}
+
+fn made() -> Made {
+    Made { handle: name("10.1.64.7:8080/91bd3f06e44"), endpoint: name("endpoint-2") }
+}
+
+fn heartbeat() -> PeerMessage {
+    let member = Member {
+        address: address(8_628),
+        incarnation: 1_790_000_000_000_001,
+        heartbeat: 300,
+        state: MemberState::Serving,
+        capacity: 190,
+    };
+    let order = Evacuation { data_centre: name("hall-1"), revision: 31, stands: true };
+    let usage = Usage { endpoint: name("endpoint-2"), bytes: 96_000 };
+    PeerMessage::Gossip {
+        members: vec![member],
+        seen: Seen { version: 12, endpoints: 345 },
+        complete: true,
+        usage: vec![usage],
+        late: Duration::from_millis(20),
+        evacuations: Evacuations::read(&[order], 40),
+        departures: vec![Departure::of(&endpoint())],
+    }
+}
+
+fn submission() -> PeerMessage {
+    let stage = JobStage {
+        pool: name("maker"),
+        after: vec![0],
+        result_bytes: 96_000,
+        pieces: 2,
+        done: vec![made()],
+    };
+    PeerMessage::Submit(Box::new(Job {
+        id: job_id(7),
+        request: name("9c41d07be2a35f68"),
+        cell: name("stages"),
+        route: name("route-1"),
+        stages: vec![stage],
+        key: Some(name("7c1e07a291bd")),
+        to_objective: Duration::from_millis(2_400),
+        to_deadline: Duration::from_millis(19_000),
+        after: Duration::from_millis(280),
+        priority: 2,
+        data_centre: name("hall-1"),
+        homes: Homes::of(&[name("region-1")], &[]),
+        resubmitted: true,
+        fingerprint: Fingerprint::of_content("POST", "/a/b", b"body"),
+    }))
+}
+
+fn suspects() -> PeerMessage {
+    let crash = Crash {
+        endpoint: name("endpoint-1"),
+        incarnation: 1_790_000_000_002,
+        round: 2,
+        alone: true,
+    };
+    let fingerprint = Fingerprint::of_content("POST", "/a/b", b"body");
+    PeerMessage::Suspects(vec![Account { fingerprint, cleared: 1, age_s: 9, crashes: vec![crash] }])
+}
+
+fn messages() -> Vec<PeerMessage> {
+    let documents = vec![
+        Revised { revision: 344, document: Document::Endpoint(Arc::new(endpoint())) },
+        Revised { revision: 345, document: Document::Gone(name("endpoint-3")) },
+    ];
+    let deployment = Arc::new(deployment());
+    vec![
+        heartbeat(),
+        PeerMessage::Pull {
+            seen: Seen { version: 12, endpoints: 345 },
+            configuration: true,
+            number: 4,
+        },
+        PeerMessage::Configuration { revision: 344, deployment, pull: 0 },
+        PeerMessage::NoConfiguration,
+        PeerMessage::Documents { documents, complete: true, seen: 345 },
+        submission(),
+        PeerMessage::Accepted(job_id(7)),
+        PeerMessage::GivenUp {
+            job: job_id(7),
+            reason: JobReason::NoRoom,
+            untouched: true,
+            retry_after: Duration::from_millis(400),
+        },
+        PeerMessage::StageDone { job: job_id(7), stage: 1, results: vec![made()] },
+        PeerMessage::Ready(job_id(7)),
+        PeerMessage::Release(job_id(7)),
+        suspects(),
+        PeerMessage::AskSuspects(0x9416_d334_0145_fee9),
+    ]
+}
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod deployment;
 pub mod engine;
 pub mod fleet;
+pub mod frames;
 pub mod history;
 pub mod hop;
 pub mod load;
--- a/testbed/src/options.rs
+++ b/testbed/src/options.rs
@@ -13,6 +13,7 @@
   hop                   the cost of the path itself, beside calling the endpoints directly
   capacity [N...]       slopes for docs/CAPACITY.md, with so many processes
   load FILE [POLICY...] a scenario under several policies, paired
+  frames FILE           messages between gateways as this build writes them, one of each kind
   soak                  real processes under random faults, and the check of the history
   stackmastd ARGS       the daemon, as part of this program
 ";
@@ -54,6 +55,7 @@
             let counts: Vec<_> = counts.iter().filter_map(|c| c.parse().ok()).collect();
             run(crate::capacity::run(&this_program(), &counts))
         }
+        ["frames", file] => run(std::future::ready(crate::frames::write(file))),
         ["soak"] => {
             let (seconds, seed) =
                 (number(&matches, "seconds", 300.0), number(&matches, "seed", 1.0));
--- a/tests/direct_bulk.rs
+++ b/tests/direct_bulk.rs
@@ -9,7 +9,6 @@
 use directenv::{address, deployment};
 use stackmast::actor::{Handle, mailbox, run};
 use stackmast::direct::core::GatewayCore;
-use stackmast::direct::peers::codec::Readers;
 use stackmast::direct::peers::links::{Peers, accept};
 use stackmast::direct::peers::message::PeerMessage;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -22,7 +21,8 @@
     let at = listener.local_addr().expect("its address");
     let (core, waiting) = mailbox();
     tokio::spawn(run(new_core(), Idle, waiting));
-    tokio::spawn(accept(listener, core.clone(), Readers::default()));
+    let greeting = Peers::new(at, 1, core.clone()).greeting();
+    tokio::spawn(accept(listener, core.clone(), greeting));
     (core, at)
 }
 
--- a/tests/direct_codec.rs
+++ b/tests/direct_codec.rs
@@ -3,17 +3,15 @@
 mod directenv;
 
 use directenv::gateway::{gossip, serving};
-use directenv::{address, job, route};
-use stackmast::direct::peers::codec::{Outgoing, Readers, read};
+use directenv::{job, route};
+use stackmast::direct::peers::codec::{FORM, Outgoing, Unread, read};
 use stackmast::direct::peers::message::PeerMessage;
 use stackmast::direct::published::model::Repeat;
 
-/// A message as a gateway that reads compactly gets it, and as one of an earlier version does.
+/// A message as a peer that reads this build's form gets it, and as any other does.
 fn both_forms(message: &PeerMessage) -> [bytes::Bytes; 2] {
-    let readers = Readers::default();
-    readers.told(address(2), true);
-    let mut outgoing = Outgoing::new(message.clone());
-    [address(2), address(3)].map(|to| outgoing.for_reader(to, &readers))
+    let outgoing = Outgoing::new(message.clone());
+    [Some(FORM), None].map(|form| outgoing.for_reader(form))
 }
 
 fn heartbeat(members: u16) -> PeerMessage {
@@ -41,28 +39,58 @@
 fn both_forms_are_read_as_what_was_written() {
     for message in messages() {
         for frame in both_forms(&message) {
-            assert_eq!(read(&frame).as_ref(), Some(&message));
+            assert_eq!(read(&frame, FORM).as_ref(), Ok(&message));
         }
     }
 }
 
 #[test]
-fn a_gateway_that_reads_compactly_no_more_gets_json() {
-    let readers = Readers::default();
-    for (compact, begins) in [(true, 0), (false, b'{')] {
-        readers.told(address(2), compact);
-        let frame = Outgoing::new(heartbeat(3)).for_reader(address(2), &readers);
-        assert_eq!(frame[0], begins);
+fn a_peer_that_reads_another_form_or_has_not_greeted_gets_json() {
+    let outgoing = Outgoing::new(heartbeat(3));
+    for form in [None, Some(0), Some(FORM - 1), Some(FORM + 1)] {
+        assert_eq!(outgoing.for_reader(form)[0], b'{');
     }
+    assert_ne!(outgoing.for_reader(Some(FORM))[0], b'{');
 }
 
 #[test]
-fn what_is_neither_is_passed_over() {
-    for frame in [&b""[..], b"{", b"\"Nonsense\"", &[200, 1, 2], &[0, 255]] {
-        assert_eq!(read(frame), None);
+fn what_is_none_is_passed_over() {
+    let unread = Err(Unread::Message { job: None });
+    for frame in [&b""[..], b"{", b"\"Nonsense\"", &[200, 1, 2], &[0, 255], &[0xc1], &[0xc1, 4]] {
+        assert_eq!(read(frame, FORM), unread, "{frame:?}");
     }
 }
 
+#[test]
+fn a_form_that_is_not_known_is_not_guessed_at() {
+    let [compact, _] = both_forms(&heartbeat(3));
+    // The same bytes, said to be of a later form, or said by a greeting to be of an earlier one.
+    let mut later = compact.to_vec();
+    later[1] = 9;
+    assert_eq!(read(&later, FORM), Err(Unread::Form(9)));
+    assert_eq!(read(&compact[2..], 2), Err(Unread::Form(2)));
+    assert_eq!(read(&compact[2..], FORM), Err(Unread::Message { job: None }), "it has no mark");
+}
+
+#[test]
+fn builds_before_the_mark_pass_marked_frames_over() {
+    for message in messages() {
+        let [compact, _] = both_forms(&message);
+        assert!(postcard::from_bytes::<PeerMessage>(&compact).is_err());
+    }
+}
+
+#[test]
+fn of_a_submission_that_is_not_read_the_job_is_known() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], 10)]);
+    let job = job(1, &route, 3);
+    let mut written =
+        serde_json::to_value(PeerMessage::Submit(Box::new(job.clone()))).expect("JSON");
+    written["Submit"]["stages"] = "of a later build".into();
+    let frame = serde_json::to_vec(&written).expect("JSON");
+    assert_eq!(read(&frame, FORM), Err(Unread::Message { job: Some(job.id) }));
+}
+
 #[test]
 fn a_compact_heartbeat_has_a_fifth_of_the_bytes() {
     let [compact, json] = both_forms(&heartbeat(103)).map(|frame| frame.len());
--- a/tests/direct_cold.rs
+++ b/tests/direct_cold.rs
@@ -13,9 +13,10 @@
 };
 use directenv::{address, deployment, endpoint, ms, route};
 use stackmast::actor::Core;
+use stackmast::direct::answers::CallFailure;
 use stackmast::direct::cold::ColdEndpoints;
 use stackmast::direct::core::GatewayCore;
-use stackmast::direct::event::{CallFailure, Event, Refused};
+use stackmast::direct::event::{Event, Refused};
 use stackmast::direct::published::documents::{Document, Revised};
 use stackmast::direct::published::model::{ColdStart, Endpoint, Repeat};
 use stackmast::direct::published::table::Table;
--- a/tests/direct_gates.rs
+++ b/tests/direct_gates.rs
@@ -10,12 +10,11 @@
 use directenv::{address, deployment, endpoint, ms, route};
 use hyper::{HeaderMap, Method, StatusCode};
 use stackmast::actor::{mailbox, run};
+use stackmast::direct::answers::{BatchOutcome, BatchReport, CallFailure, Proof};
 use stackmast::direct::client::{
     Answer, AnswerBody, AnswerHead, EndpointClient, Exchange, Forwarded,
 };
-use stackmast::direct::event::{
-    BatchOutcome, BatchReport, CallFailure, CallOrder, Event, PieceOrder, Proof,
-};
+use stackmast::direct::event::{CallOrder, Event, PieceOrder};
 use stackmast::direct::gates::Gates;
 use stackmast::direct::peers::links::Peers;
 use stackmast::direct::peers::message::Handle;
--- a/tests/direct_links.rs
+++ b/tests/direct_links.rs
@@ -13,7 +13,6 @@
 use directenv::{address, ms};
 use stackmast::actor::{Core, mailbox, run};
 use stackmast::direct::event::{Action, Event};
-use stackmast::direct::peers::codec::Readers;
 use stackmast::direct::peers::links::{Peers, accept};
 use stackmast::direct::peers::members::{Member, MemberState};
 use stackmast::direct::peers::message::PeerMessage;
@@ -92,7 +91,8 @@
     let at = listener.local_addr().expect("its address");
     let (core, waiting) = mailbox();
     tokio::spawn(run(new_core(), Idle, waiting));
-    tokio::spawn(accept(listener, core, Readers::default()));
+    let greeting = Peers::new(at, 1, core.clone()).greeting();
+    tokio::spawn(accept(listener, core, greeting));
     let mut stream = TcpStream::connect(at).await.expect("a connection");
     let hello = br#"{"address":"127.0.0.1:9","incarnation":1}"#;
     stream.write_u32(hello.len() as u32).await.expect("a length");
--- a/tests/direct_quarantine.rs
+++ b/tests/direct_quarantine.rs
@@ -10,8 +10,9 @@
 };
 use directenv::{address, endpoint, ms, route};
 use stackmast::actor::Core;
+use stackmast::direct::answers::CallFailure;
 use stackmast::direct::core::GatewayCore;
-use stackmast::direct::event::{Action, CallFailure, Event, Incoming, Refused};
+use stackmast::direct::event::{Action, Event, Incoming, Refused};
 use stackmast::direct::note::Note;
 use stackmast::direct::peers::members::Member;
 use stackmast::direct::peers::message::PeerMessage;
--- a/tests/direct_requests.rs
+++ b/tests/direct_requests.rs
@@ -11,8 +11,9 @@
 };
 use directenv::{address, deployment, endpoint, ms, route};
 use stackmast::actor::Core;
+use stackmast::direct::answers::{CallFailure, Proof};
 use stackmast::direct::core::{GatewayCore, Setup};
-use stackmast::direct::event::{Action, CallFailure, Event, Generation, Incoming, Proof, Refused};
+use stackmast::direct::event::{Action, Event, Generation, Incoming, Refused};
 use stackmast::direct::note::Note;
 use stackmast::direct::peers::members::MemberState;
 use stackmast::direct::peers::message::{JobId, Made, PeerMessage};
--- a/tests/direct_restarts.rs
+++ b/tests/direct_restarts.rs
@@ -8,10 +8,9 @@
 use directenv::gateway::{answered, calls, good, incoming, is_delivered, listed, refusal, submit};
 use directenv::{endpoint, job, ms, route, table};
 use stackmast::actor::Core;
+use stackmast::direct::answers::{BatchOutcome, BatchReport, CallFailure, PieceOutcome, Proof};
 use stackmast::direct::core::GatewayCore;
-use stackmast::direct::event::{
-    Action, BatchOutcome, BatchReport, CallFailure, Event, PieceOutcome, Proof, Refused,
-};
+use stackmast::direct::event::{Action, Event, Refused};
 use stackmast::direct::note::Note;
 use stackmast::direct::owner::scheduler::Scheduler;
 use stackmast::direct::published::documents::{Document, Documents, Revised};
--- a/tests/direct_results.rs
+++ b/tests/direct_results.rs
@@ -8,8 +8,9 @@
 use directenv::gateway::{answered, calls, configured, good, incoming, submit};
 use directenv::{ms, route};
 use stackmast::actor::Core;
+use stackmast::direct::answers::{BatchOutcome, CallFailure, PieceOutcome, Proof};
 use stackmast::direct::core::GatewayCore;
-use stackmast::direct::event::{Action, BatchOutcome, CallFailure, Event, PieceOutcome, Proof};
+use stackmast::direct::event::{Action, Event};
 use stackmast::direct::note::Note;
 use stackmast::direct::published::model::{Repeat, Route};
 
--- a/tests/direct_scheduler.rs
+++ b/tests/direct_scheduler.rs
@@ -6,9 +6,8 @@
 use std::time::Duration;
 
 use directenv::{address, batch, deployment, endpoint, endpoints, job, job_id, ms, route, table};
-use stackmast::direct::event::{
-    Action, BatchOutcome, BatchReport, CallFailure, PieceOrder, PieceOutcome,
-};
+use stackmast::direct::answers::{BatchOutcome, BatchReport, CallFailure, PieceOutcome};
+use stackmast::direct::event::{Action, PieceOrder};
 use stackmast::direct::owner::makers::Usage;
 use stackmast::direct::owner::scheduler::Scheduler;
 use stackmast::direct::peers::message::{Job, JobReason, PeerMessage};
--- a/tests/direct_standstill.rs
+++ b/tests/direct_standstill.rs
@@ -16,8 +16,9 @@
 use directenv::{ms, route};
 use stackmast::actor::{self, Core, Shell};
 use stackmast::clock::{Clock, since_boot};
+use stackmast::direct::answers::{BatchOutcome, BatchReport, PieceOutcome};
 use stackmast::direct::core::GatewayCore;
-use stackmast::direct::event::{Action, BatchOutcome, BatchReport, Event, PieceOutcome, Refused};
+use stackmast::direct::event::{Action, Event, Refused};
 use stackmast::direct::note::Note;
 use stackmast::direct::peers::message::PeerMessage;
 use stackmast::direct::published::model::Repeat;
--- a/tests/direct_statements.rs
+++ b/tests/direct_statements.rs
@@ -10,19 +10,20 @@
     Says, answered, calls, configured, good, incoming, listed, new_core, publish, refusal, serving,
     submit,
 };
-use directenv::{address, deployment, endpoint, ms, route};
+use directenv::{address, deployment, endpoint, job, ms, route, table};
 use stackmast::actor::Core;
+use stackmast::direct::answers::{BatchOutcome, BatchReport, CallFailure, PieceOutcome, Proof};
 use stackmast::direct::backoff::Backoffs;
 use stackmast::direct::core::GatewayCore;
 use stackmast::direct::departures::{Departure, Departures};
-use stackmast::direct::event::{
-    Action, BatchOutcome, BatchReport, CallFailure, Event, PieceOutcome, Proof, Refused,
-};
+use stackmast::direct::event::{Action, Event, Refused};
 use stackmast::direct::note::Note;
+use stackmast::direct::owner::owners::Owners;
 use stackmast::direct::peers::message::PeerMessage;
 use stackmast::direct::published::documents::{Document, Revised};
 use stackmast::direct::published::evacuations::Evacuation;
 use stackmast::direct::published::model::{ColdStart, Endpoint, Repeat, Route};
+use stackmast::direct::repeats::Bounds;
 use stackmast::direct::statement::{Asked, Backoff, Statement};
 use test_case::test_case;
 
@@ -198,7 +199,7 @@
     enter(&mut core, &Arc::new(Endpoint { leaving: true, ..(*engine(1)).clone() }), 50, 30);
     let told: usize =
         (1..8).map(|beat| told(&core.handle(Event::Tick, ms(beat * 250))).len()).sum();
-    assert!(told <= 1, "{told}");
+    assert_eq!(told, 0);
 }
 
 #[test]
@@ -350,6 +351,24 @@
     assert!(press(300, 4_040) >= 40, "then as ever: they run four at once");
 }
 
+#[test]
+fn what_was_there_before_a_pause_makes_no_way_after_it() {
+    let mut core = configured(routes());
+    says(&mut core, &engine(2), LEAVES, 0);
+    let mut before = Vec::new();
+    for caller in 1..=3 {
+        let actions = submit(&mut core, caller, incoming("r", Vec::new()), ms(0));
+        before.push((caller, calls(&actions)[0].0));
+    }
+    says(&mut core, &engine(1), pause_for(ms(SECONDS)), 1);
+    assert_eq!(goes_to(&mut core, 10, 1_300).as_deref(), Some("engine-1"), "the first");
+    for (caller, attempt) in before {
+        let answered = Event::Answered { caller, attempt, proof: good(), is_open: false };
+        core.handle(answered, ms(1_310));
+    }
+    assert_eq!(goes_to(&mut core, 11, 1_320), None, "until the first is answered");
+}
+
 #[test]
 fn a_first_request_after_a_pause_that_is_turned_away_begins_the_next_pause() {
     let mut core = configured(routes());
@@ -632,7 +651,9 @@
     for minute in 1..40 {
         core.handle(Event::Tick, ms(minute * 60 * SECONDS));
     }
-    assert!(!gets_any(&mut core, "engine-1", 100, 40 * 60 * SECONDS));
+    let at = 40 * 60 * SECONDS;
+    publish(&mut core, deployment(9, routes()), ms(at));
+    assert!(!gets_any(&mut core, "engine-1", 100, at + 1));
 }
 
 #[test]
@@ -666,3 +687,19 @@
     let all: std::collections::BTreeSet<_> = (1..=100).filter_map(ends).collect();
     assert!(all.len() > 90, "gateways come back apart");
 }
+
+#[test]
+fn a_cell_that_is_begun_during_a_pause_knows_of_it() {
+    let bounds = Bounds { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) };
+    let (mut owners, table) = (Owners::new(address(1), bounds), table(routes()));
+    let mut known = Backoffs::new(address(1));
+    known.asked(&endpoint("first", 1), Backoff::For(ms(9 * SECONDS)), ms(0));
+    owners.paused(&endpoint("first", 1), &Arc::new(known), &table, ms(0));
+    for number in 1..=4 {
+        owners.submit(job(number, &staged(), 4), &table, ms(10));
+    }
+    let actions = owners.actions(&table, ms(10));
+    let called: Vec<String> =
+        batches(&actions).into_iter().map(|(_, e)| e.id.to_string()).collect();
+    assert_eq!(called, ["first-2"]);
+}
--- a/tests/direct_stops.rs
+++ b/tests/direct_stops.rs
@@ -7,10 +7,9 @@
 use directenv::gateway::{calls, configured, good, hear_of, incoming, refusal, serving, submit};
 use directenv::{address, job, ms, route};
 use stackmast::actor::Core;
+use stackmast::direct::answers::{BatchOutcome, PieceOutcome, Proof};
 use stackmast::direct::core::GatewayCore;
-use stackmast::direct::event::{
-    Action, BatchOutcome, Event, Incoming, PieceOutcome, Proof, Refused,
-};
+use stackmast::direct::event::{Action, Event, Incoming, Refused};
 use stackmast::direct::peers::members::{Member, MemberState};
 use stackmast::direct::peers::message::{Job, JobId, JobReason, Made, PeerMessage};
 use stackmast::direct::published::model::{Repeat, Route};
--- a/tests/direct_upgrades.rs
+++ b/tests/direct_upgrades.rs
@@ -8,15 +8,19 @@
 mod directenv;
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use directenv::gateway::{Idle, new_core};
-use directenv::{address, job, route};
+use directenv::gateway::{Idle, configured, hear_of, incoming, new_core, serving, setup, submit};
+use directenv::{address, job, job_id, ms, route};
 use futures_util::{SinkExt, StreamExt};
-use stackmast::actor::{Handle, mailbox, run};
+use stackmast::actor::{Core, Handle, mailbox, run};
 use stackmast::direct::core::GatewayCore;
+use stackmast::direct::event::{Action, Event};
+use stackmast::direct::note::Note;
+use stackmast::direct::peers::build::Build;
+use stackmast::direct::peers::codec::{FORM, Unread, read};
 use stackmast::direct::peers::links::{Peers, accept};
-use stackmast::direct::peers::message::PeerMessage;
+use stackmast::direct::peers::message::{JobReason, PeerMessage};
 use stackmast::direct::published::model::Repeat;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
@@ -37,7 +41,7 @@
     let (core, waiting) = mailbox();
     tokio::spawn(run(new_core(), Idle, waiting));
     let peers = Peers::new(at, 1, core.clone());
-    tokio::spawn(accept(listener, core.clone(), peers.readers()));
+    tokio::spawn(accept(listener, core.clone(), peers.greeting()));
     (at, peers, core)
 }
 
@@ -87,3 +91,164 @@
     let frame = next(&mut connection).await;
     assert!(is_read_by_older(&frame), "an older build reads no {:?}", &frame[..frame.len().min(8)]);
 }
+
+/// A greeting of a peer at an address that reads a form.
+fn greeting(at: SocketAddr, form: u32) -> bytes::Bytes {
+    let address = at.to_string();
+    let hello = serde_json::json!({ "address": address, "incarnation": 7, "form": form });
+    serde_json::to_vec(&hello).expect("a greeting").into()
+}
+
+#[tokio::test]
+async fn a_peer_that_greets_on_the_connection_gets_the_compact_form_and_no_longer_than_that() {
+    let (_at, peers, _core) = gateway().await;
+    let other = TcpListener::bind(address(0)).await.expect("a port");
+    let other_at = other.local_addr().expect("its address");
+    for _ in 0..2 {
+        peers.tell(other_at, submission(1));
+        let (mut connection, hello) = taken(&other).await;
+        assert_eq!(hello["answers"], true);
+        assert!(is_read_by_older(&next(&mut connection).await), "nothing is known of it yet");
+        connection.send(greeting(other_at, FORM)).await.expect("sent");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        peers.tell(other_at, submission(2));
+        let frame = next(&mut connection).await;
+        assert_eq!(read(&frame, FORM), Ok(submission(2)));
+        assert!(!is_read_by_older(&frame), "it is compact");
+        // It ends, and another takes its place.
+        drop(connection);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[tokio::test]
+async fn a_peer_that_greets_in_another_form_gets_json() {
+    let (_at, peers, _core) = gateway().await;
+    let other = TcpListener::bind(address(0)).await.expect("a port");
+    let other_at = other.local_addr().expect("its address");
+    peers.tell(other_at, submission(1));
+    let (mut connection, _) = taken(&other).await;
+    connection.send(greeting(other_at, FORM + 1)).await.expect("sent");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    peers.tell(other_at, submission(2));
+    for _ in 0..2 {
+        assert!(is_read_by_older(&next(&mut connection).await));
+    }
+}
+
+#[tokio::test]
+async fn two_gateways_of_this_build_speak_compactly() {
+    let (first, peers, _core) = gateway().await;
+    let (second, _, core) = gateway().await;
+    assert_ne!(first, second);
+    for _ in 0..3 {
+        peers.tell(second, PeerMessage::NoConfiguration);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let own = core.inspect(|core, _| core.peers_of_other_builds()).await.expect("a core");
+    assert_eq!(own, 0, "they know each other for what they are");
+}
+
+#[tokio::test]
+async fn what_is_in_a_form_that_is_not_known_ends_its_connection_at_once() {
+    let (at, _peers, core) = gateway().await;
+    let mut older = framed(TcpStream::connect(at).await.expect("a connection"));
+    older.send(greeting(address(9), 2)).await.expect("sent");
+    // A submission as the landing before the last one wrote it, whatever it says.
+    older.send(bytes::Bytes::from_static(&[5, 0, 1, 2, 3])).await.expect("sent");
+    let told = Instant::now();
+    let end = timeout(WITHIN, older.next()).await.expect("in time");
+    assert!(end.is_none_or(|end| end.is_err()), "it ends");
+    assert!(told.elapsed() < Duration::from_millis(100), "{:?}", told.elapsed());
+    let others = core.inspect(|core, _| core.peers_of_other_builds()).await.expect("a core");
+    assert_eq!(others, 1);
+}
+
+#[tokio::test]
+async fn a_message_that_is_not_known_does_not_end_its_connection() {
+    let (at, _peers, _core) = gateway().await;
+    let mut later = framed(TcpStream::connect(at).await.expect("a connection"));
+    later.send(greeting(address(9), FORM + 1)).await.expect("sent");
+    later.send(bytes::Bytes::from_static(b"{\"OfALaterBuild\":{}}")).await.expect("sent");
+    let end = timeout(Duration::from_millis(300), later.next()).await;
+    assert!(end.is_err(), "the next one may be read: {end:?}");
+}
+
+/// What a core tells, but for heartbeats.
+fn told(actions: &[Action]) -> Vec<(SocketAddr, PeerMessage)> {
+    let told = actions.iter().filter_map(|a| match a {
+        Action::Tell { to, message } => Some((*to, message.clone())),
+        _ => None,
+    });
+    told.filter(|(_, m)| !matches!(m, PeerMessage::Gossip { .. })).collect()
+}
+
+#[test]
+fn whoever_submits_a_job_that_is_not_read_hears_it_at_once() {
+    let mut core = configured(vec![route("r", Repeat::AtMostOnce, &[("first", &[], 10)])]);
+    let (from, job) = (address(5), job_id(3));
+    let unread = Unread::Message { job: Some(job) };
+    let event = || Event::PeerUnread { from, greeted: 9, unread };
+    let actions = core.handle(event(), ms(10));
+    let refused = matches!(
+        told(&actions).as_slice(),
+        [(to, PeerMessage::GivenUp { reason: JobReason::NotOwner, untouched: true, .. })]
+            if *to == from
+    );
+    assert!(refused, "{actions:?}");
+    let noted = |actions: &[Action]| {
+        actions.iter().filter(|a| matches!(a, Action::Note(Note::PeerUnread { .. }))).count()
+    };
+    assert_eq!(noted(&actions), 1);
+    assert_eq!(noted(&core.handle(event(), ms(20))), 0, "told once");
+}
+
+#[test]
+fn a_job_that_an_owner_refuses_unread_goes_to_another_one_at_once() {
+    let routes = vec![route("r", Repeat::AtMostOnce, &[("first", &[], 10)])];
+    let mut core = configured(routes);
+    hear_of(&mut core, (2..=4).map(serving).collect(), ms(10));
+    // One of the others owns some of these.
+    for caller in 1..=40 {
+        let actions = submit(&mut core, caller, incoming("r", vec![1]), ms(20 + caller));
+        let submitted = told(&actions).into_iter().find_map(|(to, message)| match message {
+            PeerMessage::Submit(job) => Some((to, job.id)),
+            _ => None,
+        });
+        let Some((owner, job)) = submitted else { continue };
+        let (reason, untouched, retry_after) = (JobReason::NotOwner, true, Duration::ZERO);
+        let message = PeerMessage::GivenUp { job, reason, untouched, retry_after };
+        let actions = core.handle(Event::Peer { from: owner, message }, ms(22 + caller));
+        let again = told(&actions).into_iter().find_map(|(to, message)| match message {
+            PeerMessage::Submit(_) => Some(to),
+            _ => None,
+        });
+        assert_ne!(again, Some(owner));
+        return;
+    }
+    panic!("no job went to another gateway");
+}
+
+#[test]
+fn on_call_is_told_of_peers_of_another_build_first_and_last() {
+    let mut core = configured(Vec::new());
+    let build = Build { version: "0.0.9".to_owned(), commit: None, form: 3 };
+    let greet = |core: &mut GatewayCore, incarnation, build: &Build| {
+        let event = Event::PeerGreeted { address: address(5), incarnation, build: build.clone() };
+        core.handle(event, ms(10))
+    };
+    let heard = |actions: &[Action]| {
+        let heard = actions.iter().filter_map(|a| match a {
+            Action::Note(Note::PeerBuild { heard, version, .. }) => Some((*heard, version.clone())),
+            _ => None,
+        });
+        heard.collect::<Vec<_>>()
+    };
+    assert_eq!(heard(&greet(&mut core, 1, &build)), [("first", "0.0.9".to_owned())]);
+    assert!(heard(&greet(&mut core, 1, &build)).is_empty(), "with each connection once more");
+    assert_eq!(heard(&greet(&mut core, 2, &Build::own())), [("last", "0.0.9".to_owned())]);
+    assert!(heard(&greet(&mut core, 2, &Build::own())).is_empty());
+    let started = GatewayCore::new(setup()).handle(Event::Tick, ms(0));
+    let is_named = |a: &Action| matches!(a, Action::Note(Note::Started { form: FORM, .. }));
+    assert!(started.iter().any(is_named));
+}
--- a/tests/directenv/fakes.rs
+++ b/tests/directenv/fakes.rs
@@ -3,10 +3,8 @@
 use std::collections::{BTreeSet, HashSet};
 
 use rand::RngExt;
-use stackmast::direct::event::{
-    BatchOutcome, BatchReport, CallFailure, CallOrder, Event, Generation, PieceOrder, PieceOutcome,
-    Proof,
-};
+use stackmast::direct::answers::{BatchOutcome, BatchReport, CallFailure, PieceOutcome, Proof};
+use stackmast::direct::event::{CallOrder, Event, Generation, PieceOrder};
 use stackmast::direct::published::model::{Endpoint, Repeat, Route};
 use stackmast::direct::statement::Asked;
 
--- a/tests/directenv/gateway.rs
+++ b/tests/directenv/gateway.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use stackmast::actor::{Core, Shell};
+use stackmast::direct::answers::Proof;
 use stackmast::direct::core::{GatewayCore, Setup};
 use stackmast::direct::departures::Departure;
-use stackmast::direct::event::{Action, CallOrder, Event, Incoming, Proof, Refusal};
+use stackmast::direct::event::{Action, CallOrder, Event, Incoming, Refusal};
 use stackmast::direct::peers::members::{Member, MemberState};
 use stackmast::direct::peers::message::PeerMessage;
 use stackmast::direct::poison::fingerprint::Fingerprint;
--- a/tests/directenv/orders.rs
+++ b/tests/directenv/orders.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use rand::RngExt;
+use stackmast::direct::answers::CallFailure;
 use stackmast::direct::core::Setup;
-use stackmast::direct::event::{Action, CallFailure, Event};
+use stackmast::direct::event::{Action, Event};
 use stackmast::direct::published::documents::{Document, Revised};
 use stackmast::direct::published::evacuations::Evacuation;
 use stackmast::direct::published::model::{ColdStart, Deployment, Endpoint, Name, Repeat};
--- a/tests/directenv/poison/endpoints.rs
+++ b/tests/directenv/poison/endpoints.rs
@@ -3,9 +3,8 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use stackmast::direct::event::{
-    BatchOutcome, CallFailure, CallOrder, Event, PieceOrder, PieceOutcome,
-};
+use stackmast::direct::answers::{BatchOutcome, CallFailure, PieceOutcome};
+use stackmast::direct::event::{CallOrder, Event, PieceOrder};
 use stackmast::direct::published::documents::{Document, Revised};
 use stackmast::direct::published::model::{Endpoint, Name};
 
--- /dev/null
+++ b/tests/kept_frames.rs
@@ -0,0 +1,110 @@
+//! Messages between gateways as the last landings wrote them, kept in a file for each form (`tests/frames`): this build
+//! reads them, writes its own as they are kept, and leaves out nothing that an older one needs.
+//!
+//! Whoever changes a message: raise `FORM`, have `stackmast-testbed frames tests/frames/form-N.json` write the new file, and
+//! keep a reader of the form before beside it, as `peers/form3.rs` is.
+
+use std::collections::BTreeSet;
+
+use serde_json::Value;
+use stackmast::direct::peers::codec::{FORM, Unread, read};
+use stackmast::direct::peers::message::PeerMessage;
+use stackmast_testbed::frames::{Frame, Frames, own};
+use test_case::test_case;
+
+/// The form of the landing before; its compact frames are read.
+const BEFORE: u32 = 3;
+/// A compact frame begins with so many bytes; the number of its kind follows.
+const MARK_AND_FORM: usize = 2;
+
+fn kept(form: u32) -> Frames {
+    let file = format!("{}/tests/frames/form-{form}.json", env!("CARGO_MANIFEST_DIR"));
+    let text = std::fs::read(&file).unwrap_or_else(|error| panic!("{file}: {error}"));
+    serde_json::from_slice(&text).unwrap_or_else(|error| panic!("{file}: {error}"))
+}
+
+#[test]
+fn this_build_writes_its_form_as_it_is_kept() {
+    let (kept, own) = (kept(FORM), own());
+    assert_eq!(kept.form, own.form);
+    for (kind, frame) in &own.frames {
+        let kept = kept.frames.get(kind);
+        assert!(kept.is_some_and(|kept| kept == frame), "{kind} is not as form {FORM} has it");
+    }
+    assert_eq!(kept.frames.len(), own.frames.len(), "a kind of message went");
+}
+
+#[test]
+fn each_kind_of_message_is_kept() {
+    let frames = own().frames;
+    let kind = |frame: &Frame| frame.compact_bytes().expect("hexadecimal")[MARK_AND_FORM];
+    let kinds: BTreeSet<u8> = frames.values().map(kind).collect();
+    assert_eq!(kinds, (0..frames.len() as u8).collect());
+    let next = [&[0xc1, FORM as u8, frames.len() as u8][..], &[0; 64]].concat();
+    assert!(read(&next, FORM).is_err(), "there is one more");
+}
+
+#[test_case(FORM)]
+#[test_case(BEFORE)]
+#[test_case(2)]
+fn what_the_last_landings_write_as_json_is_read(form: u32) {
+    for (kind, frame) in kept(form).frames {
+        let message = read(&frame.json_bytes(), form);
+        assert_eq!(message.as_ref().map(PeerMessage::kind), Ok(&*kind));
+    }
+}
+
+#[test_case(FORM)]
+#[test_case(BEFORE)]
+fn what_the_last_landing_writes_compactly_is_read_as_its_json(form: u32) {
+    for (kind, frame) in kept(form).frames {
+        let compact = frame.compact_bytes().expect("hexadecimal");
+        assert_eq!(read(&compact, form), read(&frame.json_bytes(), form), "{kind}");
+    }
+}
+
+#[test]
+fn what_earlier_landings_write_compactly_is_not_guessed_at() {
+    for (kind, frame) in kept(2).frames {
+        let compact = frame.compact_bytes().expect("hexadecimal");
+        assert_eq!(read(&compact, 2), Err(Unread::Form(2)), "{kind}");
+    }
+}
+
+/// Whether a program that reads what is `older` reads what is `newer`: it passes over fields that it does not know,
+/// and needs those that it does, in their shape.
+fn fits(older: &Value, newer: &Value) -> Result<(), String> {
+    match (older, newer) {
+        (Value::Object(older), Value::Object(newer)) => {
+            older.iter().try_for_each(|(name, value)| {
+                let newer = newer.get(name).ok_or_else(|| format!("{name} lacks"))?;
+                fits(value, newer).map_err(|why| format!("{name}: {why}"))
+            })
+        }
+        (Value::Array(older), Value::Array(newer)) => match (older.first(), newer.first()) {
+            (Some(older), Some(newer)) => fits(older, newer),
+            _ => Ok(()),
+        },
+        (older, newer) if std::mem::discriminant(older) == std::mem::discriminant(newer) => Ok(()),
+        (older, newer) => Err(format!("{newer} where {older} was")),
+    }
+}
+
+#[test_case(BEFORE)]
+#[test_case(2)]
+fn what_this_build_writes_fits_the_schema_of_the_last_landings(form: u32) {
+    let own = own().frames;
+    for (kind, older) in kept(form).frames {
+        let newer = own.get(&kind).unwrap_or_else(|| panic!("{kind} is not written any more"));
+        fits(&older.json, &newer.json).unwrap_or_else(|why| panic!("{kind}: {why}"));
+    }
+}
+
+// The check itself: a field that lacks, or has another shape, is found at any depth.
+#[test_case(r#"{"a":{"b":[{"c":1}]}}"#, r#"{"a":{"b":[{"c":1,"d":2}]}}"#, true; "more")]
+#[test_case(r#"{"a":{"b":[{"c":1}]}}"#, r#"{"a":{"b":[{"d":2}]}}"#, false; "less")]
+#[test_case(r#"{"a":{"b":[{"c":1}]}}"#, r#"{"a":{"b":[{"c":"1"}]}}"#, false; "another shape")]
+fn a_schema_is_fitted_as_a_reader_would(older: &str, newer: &str, expected: bool) {
+    let parse = |text| serde_json::from_str::<Value>(text).expect("JSON");
+    assert_eq!(fits(&parse(older), &parse(newer)).is_ok(), expected);
+}
