--- a/src/direct/owner/plan.rs
+++ b/src/direct/owner/plan.rs
@@ -5,6 +5,7 @@
 use crate::direct::owner::calls::{Call, Calls};
 use crate::direct::owner::jobs::{JobRun, Piece, StageRun};
 use crate::direct::owner::pace::Paces;
+use crate::direct::peers::message::JobStage;
 use crate::direct::published::table::Table;
 use crate::message::Timestamp;
 use crate::policy::path::{FETCHING, HANDED_ON, HOLD_SLACK};
@@ -69,7 +70,7 @@
     let end = runs.iter().map(|r| r.end).max().unwrap_or_default();
     let stages = run.job.stages.iter().zip(&run.stages).enumerate();
     let filling = |(index, (spec, stage)): (usize, (&_, &StageRun))| {
-        let spec: &crate::direct::peers::message::JobStage = spec;
+        let spec: &JobStage = spec;
         let bytes = stage.unused() as u64 * spec.result_bytes;
         let users = run.job.stages.iter().zip(runs);
         let users = users.filter(|(s, _)| s.after.contains(&index)).map(|(_, r)| r.start);
--- a/src/direct/published/documents.rs
+++ b/src/direct/published/documents.rs
@@ -285,14 +285,6 @@
         revised.collect()
     }
 
-    /// What a process that has seen `since` lacks.
-    pub fn newer_than(&self, since: Seen) -> Vec<Revised> {
-        let deployment = self.deployment_after(since.version).map(|(revision, deployment)| {
-            Revised { revision, document: Document::Deployment(deployment) }
-        });
-        deployment.into_iter().chain(self.endpoints_after(since.endpoints)).collect()
-    }
-
     /// A peer that had seen entries up to `seen` sent all that it has beyond what this process had seen.
     pub fn note_listed(&mut self, seen: u64) {
         self.listed = true;
--- /dev/null
+++ b/tests/direct_backoff.rs
@@ -0,0 +1,236 @@
+//! Endpoints that turn something away and want nothing from this gateway for a while: nothing goes there for so long,
+//! and by degrees after it.
+
+mod directenv;
+
+use std::time::Duration;
+
+use directenv::gateway::{answered, calls, configured, good, incoming, refusal, submit};
+use directenv::said::{
+    LEAVES, SECONDS, engine, enter, gets_any, goes_to, hear, living, pause_for, routes, says, told,
+};
+use directenv::{address, ms};
+use stackmast::actor::Core;
+use stackmast::direct::answers::{CallFailure, Proof};
+use stackmast::direct::backoff::Backoffs;
+use stackmast::direct::event::{Action, Event, Refused};
+use stackmast::direct::note::Note;
+use stackmast::direct::statement::{Asked, Backoff};
+use test_case::test_case;
+
+#[test]
+fn a_pause_holds_for_its_time_and_is_told_to_no_other_gateway() {
+    let mut core = configured(routes());
+    hear(&mut core, Vec::new(), 5);
+    let actions = says(&mut core, &engine(1), pause_for(ms(3 * SECONDS)), 10);
+    let is_told = |a: &Action| {
+        let paused = |ms: u64| (3_000..=3_750).contains(&ms);
+        matches!(a, Action::Note(Note::Stated { paused_ms: Some(ms), .. }) if paused(*ms))
+    };
+    assert!(actions.iter().any(is_told));
+    for at in [20, 1_000, 3_009] {
+        assert!(!gets_any(&mut core, "engine-1", at * 100, at));
+    }
+    assert!(gets_any(&mut core, "engine-1", 900_000, 3_761));
+    let beats = (1..8).map(|beat| told(&core.handle(Event::Tick, ms(4_000 + beat * 250))).len());
+    assert_eq!(beats.sum::<usize>(), 0);
+}
+
+#[test]
+fn a_pause_is_neither_shortened_by_what_is_answered_meanwhile_nor_ended_by_success() {
+    let mut core = configured(routes());
+    let actions = submit(&mut core, 1, incoming("r", Vec::new()), ms(0));
+    let (attempt, order) = calls(&actions)[0].clone();
+    says(&mut core, &order.endpoint, pause_for(ms(3 * SECONDS)), 10);
+    says(&mut core, &order.endpoint, pause_for(ms(100)), 20);
+    says(&mut core, &order.endpoint, pause_for(Duration::ZERO), 30);
+    core.handle(answered(attempt, good()), ms(40));
+    assert!(!gets_any(&mut core, &order.endpoint.id, 100, 2_900));
+}
+
+#[test]
+fn another_life_has_asked_for_no_pause() {
+    let mut core = configured(routes());
+    enter(&mut core, &living("engine", 1, 7), 50, 5);
+    says(&mut core, &living("engine", 1, 7), pause_for(ms(9 * SECONDS)), 10);
+    assert!(!gets_any(&mut core, "engine-1", 100, 20));
+    enter(&mut core, &living("engine", 1, 9), 51, 30);
+    assert!(gets_any(&mut core, "engine-1", 200, 40));
+}
+
+#[test_case(Backoff::For(Duration::ZERO), 0, 0; "none")]
+#[test_case(Backoff::For(Duration::from_millis(400)), 400, 500; "a fraction")]
+#[test_case(Backoff::Unclear, 1_000, 1_250; "no number")]
+#[test_case(Backoff::For(Duration::from_secs(30)), 30_000, 31_000; "long")]
+#[test_case(Backoff::For(Duration::MAX), 3_600_000, 3_601_000; "absurd")]
+fn any_time_that_is_asked_for_has_an_end(backoff: Backoff, from_ms: u64, to_ms: u64) {
+    for gateway in 1..50 {
+        let mut known = Backoffs::new(address(gateway));
+        known.asked(&engine(1), backoff, ms(5));
+        let until = known.until(&engine(1), ms(5)).unwrap_or(ms(5)) - ms(5);
+        assert!(until >= ms(from_ms) && until <= ms(to_ms), "{until:?}");
+    }
+}
+
+#[test]
+fn a_pause_counts_from_when_its_answer_was_read() {
+    let mut core = configured(routes());
+    let statement = pause_for(ms(2 * SECONDS));
+    let (endpoint, asked) = (engine(1), Asked::Request);
+    // The core was late by a second.
+    let event = Event::Stated { endpoint, asked, statement, at: ms(100) };
+    core.handle(event, ms(1_100));
+    assert!(!gets_any(&mut core, "engine-1", 100, 2_099));
+    assert!(gets_any(&mut core, "engine-1", 200, 2_601));
+}
+
+#[test]
+fn where_all_want_nothing_the_rest_is_refused_at_once_with_the_true_time() {
+    let mut core = configured(routes());
+    says(&mut core, &engine(1), pause_for(ms(8 * SECONDS)), 0);
+    says(&mut core, &engine(2), pause_for(ms(4 * SECONDS)), 0);
+    for caller in 1..=50 {
+        let at = 100 + caller * 50;
+        let actions = submit(&mut core, caller, incoming("r", Vec::new()), ms(at));
+        let refusal = refusal(&actions).expect("refused at once");
+        assert_eq!((refusal.reason, refusal.not_run), (Refused::AllPaused, true));
+        let opens = refusal.retry_after + ms(at);
+        assert!(opens >= ms(4_000) && opens <= ms(5_500), "{opens:?}");
+    }
+}
+
+#[test]
+fn when_pauses_end_endpoints_are_filled_by_degrees() {
+    let mut core = configured(routes());
+    // Both turned something away, after they had served something; they turn away no more.
+    for caller in 1..=2 {
+        let actions = submit(&mut core, caller, incoming("r", Vec::new()), ms(0));
+        let (attempt, order) = calls(&actions)[0].clone();
+        says(&mut core, &order.endpoint, pause_for(ms(3 * SECONDS)), 1);
+        core.handle(Event::Answered { caller, attempt, proof: good(), is_open: false }, ms(1));
+    }
+    let mut press = |first: u64, at: u64| {
+        let mut sent = Vec::new();
+        for caller in first..first + 40 {
+            let actions = submit(&mut core, caller, incoming("r", Vec::new()), ms(at));
+            sent.extend(calls(&actions).into_iter().map(|(attempt, _)| (caller, attempt)));
+            if let Some(refusal) = refusal(&actions) {
+                assert_eq!((refusal.reason, refusal.not_run), (Refused::AllPaused, true));
+                assert!(refusal.retry_after <= ms(750), "{:?}", refusal.retry_after);
+            }
+        }
+        for (caller, attempt) in &sent {
+            let answered = Event::Answered {
+                caller: *caller,
+                attempt: *attempt,
+                proof: good(),
+                is_open: false,
+            };
+            core.handle(answered, ms(at + 10));
+        }
+        sent.len()
+    };
+    assert_eq!(press(100, 4_000), 2, "one each");
+    assert_eq!(press(200, 4_020), 4, "then two");
+    assert!(press(300, 4_040) >= 40, "then as ever: they run four at once");
+}
+
+#[test]
+fn what_was_there_before_a_pause_makes_no_way_after_it() {
+    let mut core = configured(routes());
+    says(&mut core, &engine(2), LEAVES, 0);
+    let mut before = Vec::new();
+    for caller in 1..=3 {
+        let actions = submit(&mut core, caller, incoming("r", Vec::new()), ms(0));
+        before.push((caller, calls(&actions)[0].0));
+    }
+    says(&mut core, &engine(1), pause_for(ms(SECONDS)), 1);
+    assert_eq!(goes_to(&mut core, 10, 1_300).as_deref(), Some("engine-1"), "the first");
+    for (caller, attempt) in before {
+        let answered = Event::Answered { caller, attempt, proof: good(), is_open: false };
+        core.handle(answered, ms(1_310));
+    }
+    assert_eq!(goes_to(&mut core, 11, 1_320), None, "until the first is answered");
+}
+
+#[test]
+fn a_first_request_after_a_pause_that_is_turned_away_begins_the_next_pause() {
+    let mut core = configured(routes());
+    says(&mut core, &engine(2), LEAVES, 0);
+    for round in 0..3 {
+        let at = round * 5 * SECONDS;
+        let caller = 10 * round + 1;
+        let actions = submit(&mut core, caller, incoming("r", Vec::new()), ms(at));
+        let (attempt, order) = calls(&actions)[0].clone();
+        says(&mut core, &order.endpoint, pause_for(ms(3 * SECONDS)), at + 2);
+        let proof = Proof { status: 503, not_run: true, ..Proof::default() };
+        let refused =
+            core.handle(Event::Answered { caller, attempt, proof, is_open: false }, ms(at + 2));
+        let refusal = refusal(&refused).expect("there is no other");
+        assert!(refusal.not_run && refusal.retry_after >= ms(3 * SECONDS));
+        assert_eq!(goes_to(&mut core, caller + 1, at + 2_900), None);
+    }
+}
+
+#[test_case("r", false; "a request that may run again")]
+#[test_case("again", true; "a stream that goes on elsewhere")]
+fn repeats_and_resumed_streams_keep_away(name: &str, streams: bool) {
+    let mut core = configured(routes());
+    let actions = submit(&mut core, 1, incoming(name, Vec::new()), ms(0));
+    let (attempt, order) = calls(&actions)[0].clone();
+    let other = if &*order.endpoint.id == "engine-1" { engine(2) } else { engine(1) };
+    let failed = if streams {
+        core.handle(Event::Answered { caller: 1, attempt, proof: good(), is_open: true }, ms(5));
+        says(&mut core, &other, LEAVES, 10);
+        let last_event = Some("3".to_owned());
+        core.handle(Event::StreamEnded { caller: 1, attempt, whole: false, last_event }, ms(20))
+    } else {
+        says(&mut core, &other, pause_for(ms(3 * SECONDS)), 10);
+        let failure = CallFailure::Broken;
+        core.handle(Event::CallFailed { caller: 1, attempt, failure }, ms(20))
+    };
+    assert!(calls(&failed).is_empty(), "there is no other");
+    let is_over = |a: &Action| matches!(a, Action::Abort { .. } | Action::Refuse { .. });
+    assert!(failed.iter().any(is_over));
+}
+
+#[test]
+fn what_was_ordered_and_did_not_go_out_goes_elsewhere_without_blame() {
+    let mut core = configured(routes());
+    let actions = submit(&mut core, 1, incoming("r", Vec::new()), ms(0));
+    let (attempt, order) = calls(&actions)[0].clone();
+    let actions = says(&mut core, &order.endpoint, pause_for(ms(SECONDS)), 10);
+    let withheld = |a: &Action| matches!(a, Action::Withhold { until: Some(_), .. });
+    assert!(actions.iter().any(withheld));
+    let failure = CallFailure::Withheld;
+    let actions = core.handle(Event::CallFailed { caller: 1, attempt, failure }, ms(20));
+    assert_eq!(calls(&actions).len(), 1);
+    assert_ne!(calls(&actions)[0].1.endpoint.id, order.endpoint.id);
+    assert!(!actions.iter().any(|a| matches!(a, Action::Note(Note::Suspicion { .. }))));
+}
+
+#[test]
+fn an_endpoint_that_wants_nothing_is_probed_after_its_pause() {
+    let mut core = configured(routes());
+    let actions = submit(&mut core, 1, incoming("r", Vec::new()), ms(0));
+    let (attempt, order) = calls(&actions)[0].clone();
+    says(&mut core, &order.endpoint, pause_for(ms(SECONDS)), 5);
+    let failure = CallFailure::Broken;
+    let mut during = core.handle(Event::CallFailed { caller: 1, attempt, failure }, ms(10));
+    during.extend((1..50).flat_map(|n| core.handle(Event::Tick, ms(10 + n * 20))));
+    let probed = |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::Probe(_)));
+    assert!(!probed(&during));
+    let after: Vec<_> =
+        (0..20).flat_map(|n| core.handle(Event::Tick, ms(1_100 + n * 20))).collect();
+    assert!(probed(&after));
+}
+
+#[test]
+fn gateways_differ_in_what_they_add_to_a_pause() {
+    let ends = |port| {
+        let mut known = Backoffs::new(address(port));
+        known.asked(&engine(1), Backoff::For(ms(4 * SECONDS)), ms(0))
+    };
+    let all: std::collections::BTreeSet<_> = (1..=100).filter_map(ends).collect();
+    assert!(all.len() > 90, "gateways come back apart");
+}
--- /dev/null
+++ b/tests/direct_departures.rs
@@ -0,0 +1,195 @@
+//! Endpoints that say in answers that they leave: who hears it, how long it holds, what takes it back, and what a restart, a
+//! standstill or another gateway does to it.
+
+mod directenv;
+
+use std::sync::Arc;
+
+use directenv::gateway::{calls, configured, incoming, new_core, publish, submit};
+use directenv::said::{
+    LEAVES, SECONDS, departure, engine, enter, gets_any, goes_to, hear, living, pause_for, routes,
+    says, told,
+};
+use directenv::{address, deployment, ms};
+use stackmast::actor::Core;
+use stackmast::direct::answers::Proof;
+use stackmast::direct::backoff::Backoffs;
+use stackmast::direct::departures::{Departure, Departures};
+use stackmast::direct::event::{Action, Event};
+use stackmast::direct::note::Note;
+use stackmast::direct::published::documents::{Document, Revised};
+use stackmast::direct::published::evacuations::Evacuation;
+use stackmast::direct::published::model::Endpoint;
+use stackmast::direct::statement::{Asked, Backoff};
+use test_case::test_case;
+
+#[test_case(Asked::Request)]
+#[test_case(Asked::Pieces)]
+#[test_case(Asked::Report)]
+#[test_case(Asked::Free)]
+fn an_endpoint_that_leaves_gets_no_new_work_whatever_its_answer_was_to(asked: Asked) {
+    let mut core = configured(routes());
+    assert!(gets_any(&mut core, "engine-1", 1, 10));
+    let event = Event::Stated { endpoint: engine(1), asked, statement: LEAVES, at: ms(20) };
+    let actions = core.handle(event, ms(20));
+    let is_told = |a: &Action| matches!(a, Action::Note(Note::Endpoint { state: "leaving", .. }));
+    assert!(actions.iter().any(is_told), "on-call is told of the change");
+    let withheld = |a: &Action| matches!(a, Action::Withhold { until: None, .. });
+    assert!(actions.iter().any(withheld), "also what was ordered before");
+    assert!(!gets_any(&mut core, "engine-1", 100, 30));
+    assert!(gets_any(&mut core, "engine-2", 200, 40));
+}
+
+#[test]
+fn nothing_that_the_list_says_of_the_same_life_takes_it_back() {
+    let mut core = configured(routes());
+    says(&mut core, &engine(1), LEAVES, 10);
+    // An entry that was written late, or by a store that had lost an answer.
+    let mut changed = (*engine(1)).clone();
+    changed.slots += 1;
+    enter(&mut core, &Arc::new(changed), 50, 20);
+    assert!(!gets_any(&mut core, "engine-1", 100, 30));
+    let gone = vec![Revised { revision: 51, document: Document::Gone("engine-1".into()) }];
+    core.handle(Event::Published { documents: gone, whole_at: None }, ms(40));
+    enter(&mut core, &engine(1), 52, 50);
+    assert!(!gets_any(&mut core, "engine-1", 200, 60), "it had lapsed and is back");
+}
+
+#[test]
+fn a_configuration_or_an_order_that_is_taken_back_does_not_take_it_back() {
+    let mut core = configured(routes());
+    says(&mut core, &engine(1), LEAVES, 10);
+    publish(&mut core, deployment(9, routes()), ms(20));
+    assert!(!gets_any(&mut core, "engine-1", 100, 30));
+    for (revision, stands) in [(70, true), (71, false)] {
+        let order = Evacuation { data_centre: engine(1).data_centre.clone(), revision, stands };
+        let changes = vec![order];
+        core.handle(Event::Evacuations { changes, whole_at: None }, ms(revision));
+    }
+    assert!(!gets_any(&mut core, "engine-1", 200, 80));
+}
+
+#[test]
+fn another_life_takes_work_again_and_leaves_by_its_own_word_only() {
+    let mut core = configured(routes());
+    enter(&mut core, &living("engine", 1, 7), 50, 5);
+    says(&mut core, &living("engine", 1, 7), LEAVES, 10);
+    assert!(!gets_any(&mut core, "engine-1", 100, 20));
+    enter(&mut core, &living("engine", 1, 9), 51, 30);
+    assert!(gets_any(&mut core, "engine-1", 200, 40));
+    // A late answer of the life before says nothing of this one.
+    says(&mut core, &living("engine", 1, 7), LEAVES, 50);
+    assert!(gets_any(&mut core, "engine-1", 300, 60));
+    says(&mut core, &living("engine", 1, 9), LEAVES, 70);
+    assert!(!gets_any(&mut core, "engine-1", 400, 80));
+}
+
+#[test]
+fn an_answer_that_came_before_the_entry_counts_once_it_is_entered() {
+    let mut core = configured(routes());
+    says(&mut core, &living("engine", 1, 9), LEAVES, 10);
+    assert!(gets_any(&mut core, "engine-1", 100, 20), "that was another life");
+    enter(&mut core, &living("engine", 1, 9), 50, 30);
+    assert!(!gets_any(&mut core, "engine-1", 200, 40));
+}
+
+#[test]
+fn gateways_tell_each_other_with_two_heartbeats() {
+    let mut core = configured(routes());
+    hear(&mut core, Vec::new(), 10);
+    says(&mut core, &engine(1), LEAVES, 20);
+    let beats: Vec<usize> =
+        (1..8).map(|beat| told(&core.handle(Event::Tick, ms(beat * 250))).len()).collect();
+    assert_eq!(beats.iter().sum::<usize>(), 2, "{beats:?}");
+    let mut other = configured(routes());
+    hear(&mut other, vec![departure("engine", 1, 0)], 10);
+    assert!(!gets_any(&mut other, "engine-1", 100, 20));
+    let passed_on = told(&other.handle(Event::Tick, ms(500)));
+    assert_eq!(passed_on, [departure("engine", 1, 0)], "it passes on what it was told");
+}
+
+#[test]
+fn what_the_list_tells_is_not_told_once_more() {
+    let mut core = configured(routes());
+    hear(&mut core, Vec::new(), 10);
+    says(&mut core, &engine(1), LEAVES, 20);
+    enter(&mut core, &Arc::new(Endpoint { leaving: true, ..(*engine(1)).clone() }), 50, 30);
+    let told: usize =
+        (1..8).map(|beat| told(&core.handle(Event::Tick, ms(beat * 250))).len()).sum();
+    assert_eq!(told, 0);
+}
+
+#[test]
+fn a_gateway_that_starts_is_told_at_once() {
+    let mut core = configured(routes());
+    says(&mut core, &engine(1), LEAVES, 10);
+    (1..8).for_each(|beat| drop(core.handle(Event::Tick, ms(beat * 250))));
+    let answer = hear(&mut core, Vec::new(), 5_000);
+    assert!(told(&answer).contains(&departure("engine", 1, 0)), "it was long ago");
+    let mut started = new_core();
+    hear(&mut started, told(&answer), 0);
+    publish(&mut started, deployment(1, routes()), ms(10));
+    assert!(!gets_any(&mut started, "engine-1", 100, 20), "it was told before it had the list");
+}
+
+#[test]
+fn a_peer_tells_of_one_life_only() {
+    let mut core = configured(routes());
+    enter(&mut core, &living("engine", 1, 9), 50, 5);
+    hear(&mut core, vec![departure("engine", 1, 7)], 10);
+    assert!(gets_any(&mut core, "engine-1", 100, 20));
+}
+
+#[test]
+fn a_standstill_changes_nothing_of_it() {
+    let mut core = configured(routes());
+    says(&mut core, &engine(1), LEAVES, 10);
+    says(&mut core, &engine(2), pause_for(ms(3 * SECONDS)), 10);
+    core.stood_still(ms(2 * SECONDS), ms(2_100));
+    assert_eq!(goes_to(&mut core, 1, 2_110), None, "one leaves, the other wants nothing yet");
+    core.stood_still(ms(5 * SECONDS), ms(7_200));
+    assert_eq!(goes_to(&mut core, 2, 7_210).as_deref(), Some("engine-2"), "its pause is over");
+}
+
+#[test]
+fn load_that_another_endpoint_tells_at_the_address_is_not_believed() {
+    let mut core = configured(routes());
+    let actions = submit(&mut core, 1, incoming("r", Vec::new()), ms(0));
+    let (attempt, order) = calls(&actions)[0].clone();
+    let load = Some((60, 60, 64));
+    let proof =
+        Proof { status: 421, not_run: true, other_endpoint: true, load, ..Proof::default() };
+    core.handle(Event::Answered { caller: 1, attempt, proof, is_open: false }, ms(5));
+    // It is avoided for a moment as at any wrong address, and not for being full.
+    assert!(gets_any(&mut core, &order.endpoint.id, 100, 600));
+}
+
+#[test]
+fn what_is_known_is_bounded() {
+    let mut departures = Departures::default();
+    let mut backoffs = Backoffs::new(address(1));
+    for number in 0..6_000u64 {
+        let id = format!("endpoint-{number}");
+        let endpoint = Endpoint { id: id.as_str().into(), ..(*engine(1)).clone() };
+        departures.heard(Departure::of(&endpoint), ms(number));
+        backoffs.asked(&endpoint, Backoff::For(ms(900 * SECONDS)), ms(number));
+    }
+    assert!(departures.len() <= 4_096 && backoffs.len() <= 4_096);
+    assert!(departures.has(&Departure { endpoint: "endpoint-5999".into(), incarnation: 0 }));
+    assert!(departures.news(|_| false).len() <= 256, "so is a heartbeat");
+    assert!(departures.all(|_| false).len() <= 256);
+    assert!(departures.forget(|_| false, ms(6_000 + 600 * SECONDS)));
+    assert!(departures.is_empty(), "none is listed, nor was heard of for ten minutes");
+}
+
+#[test]
+fn a_life_that_is_listed_is_not_forgotten() {
+    let mut core = configured(routes());
+    says(&mut core, &engine(1), LEAVES, 10);
+    for minute in 1..40 {
+        core.handle(Event::Tick, ms(minute * 60 * SECONDS));
+    }
+    let at = 40 * 60 * SECONDS;
+    publish(&mut core, deployment(9, routes()), ms(at));
+    assert!(!gets_any(&mut core, "engine-1", 100, at + 1));
+}
--- a/tests/direct_members.rs
+++ b/tests/direct_members.rs
@@ -252,9 +252,12 @@
     documents.merge_list(vec![entry(1, 3), entry(2, 4)], 4, ms(0));
     let since = Seen { version: 3, endpoints: 3 };
     assert!(since.is_behind(&documents.seen()));
-    assert_eq!(documents.newer_than(since), [entry(2, 4)]);
+    assert_eq!(documents.endpoints_after(since.endpoints), [entry(2, 4)]);
+    assert!(documents.deployment_after(since.version).is_none());
     let mut other = Documents::default();
-    other.merge(documents.newer_than(Seen::default()), ms(0));
+    let (revision, deployment) = documents.deployment_after(0).expect("a configuration");
+    other.merge(vec![Revised { revision, document: Document::Deployment(deployment) }], ms(0));
+    other.merge(documents.endpoints_after(0), ms(0));
     assert_eq!(other.seen(), documents.seen());
 }
 
--- a/tests/directenv/orders.rs
+++ b/tests/directenv/orders.rs
@@ -123,62 +123,54 @@
         fleet
     }
 
-    fn at(&mut self, at: Duration, happening: Happening) {
-        self.time.at(at, happening);
-    }
-
-    fn time_in(&mut self, from: u64, to: u64) -> Duration {
-        self.time.time_in(from, to)
-    }
-
     /// Callers from two seconds on; then orders, restarts and losses.
     fn plan(&mut self) {
         let mut at = 2.0;
         while at < END.as_secs_f64() {
-            self.at(Duration::from_secs_f64(at), Happening::Arrival);
+            self.time.at(Duration::from_secs_f64(at), Happening::Arrival);
             at += self.time.rng.random_range(0.0..2.0) / PRESSURE;
         }
         for _ in 0..self.time.rng.random_range(0..3) {
             let data_centre: Name = format!("hall-{}", self.time.rng.random_range(0..4)).into();
-            let at = self.time_in(500, 6_000);
-            let back = at + self.time_in(500, 9_000);
-            self.at(at, Happening::Order(data_centre.clone(), true));
-            self.at(back, Happening::Order(data_centre, false));
+            let at = self.time.time_in(500, 6_000);
+            let back = at + self.time.time_in(500, 9_000);
+            self.time.at(at, Happening::Order(data_centre.clone(), true));
+            self.time.at(back, Happening::Order(data_centre, false));
         }
         for _ in 0..self.time.rng.random_range(1..3) {
             let first = self.time.rng.random_range(0..ENDPOINTS);
             let count = self.time.rng.random_range(1..=ENDPOINTS);
             let numbers: Vec<u16> = (0..count).map(|n| (first + n) % ENDPOINTS).collect();
-            let at = self.time_in(2_500, 8_000);
-            let back = at + self.time_in(1_000, 3_000);
-            self.at(at, Happening::Down(numbers.clone()));
-            self.at(back, Happening::Up(numbers));
+            let at = self.time.time_in(2_500, 8_000);
+            let back = at + self.time.time_in(1_000, 3_000);
+            self.time.at(at, Happening::Down(numbers.clone()));
+            self.time.at(back, Happening::Up(numbers));
         }
         for _ in 0..self.time.rng.random_range(0..5) {
             let gateway = self.time.rng.random_range(0..self.gateways.len());
-            let at = self.time_in(1_000, 9_000);
-            let back = at + self.time_in(100, 4_000);
+            let at = self.time.time_in(1_000, 9_000);
+            let back = at + self.time.time_in(100, 4_000);
             match self.time.rng.random_range(0..3) {
                 0 => {
-                    self.at(at, Happening::Kill(gateway));
-                    self.at(back, Happening::Start(gateway));
+                    self.time.at(at, Happening::Kill(gateway));
+                    self.time.at(back, Happening::Start(gateway));
                 }
                 1 => {
-                    self.at(at, Happening::Cut(gateway, true));
-                    self.at(back, Happening::Cut(gateway, false));
+                    self.time.at(at, Happening::Cut(gateway, true));
+                    self.time.at(back, Happening::Cut(gateway, false));
                 }
                 _ => {
-                    self.at(at, Happening::Away(gateway, true));
-                    self.at(back + ms(4_000), Happening::Away(gateway, false));
+                    self.time.at(at, Happening::Away(gateway, true));
+                    self.time.at(back + ms(4_000), Happening::Away(gateway, false));
                 }
             }
         }
         if self.time.rng.random_bool(0.2) {
-            let at = self.time_in(3_000, 8_000);
+            let at = self.time.time_in(3_000, 8_000);
             for gateway in 0..self.gateways.len() {
-                self.at(at, Happening::Kill(gateway));
-                let back = at + self.time_in(200, 500);
-                self.at(back, Happening::Start(gateway));
+                self.time.at(at, Happening::Kill(gateway));
+                let back = at + self.time.time_in(200, 500);
+                self.time.at(back, Happening::Start(gateway));
             }
         }
     }
@@ -287,7 +279,7 @@
         );
         if !is_cut && !is_away {
             let event = Happening::Event(gateway, life, Box::new(event));
-            self.at(self.time.now + after, event);
+            self.time.at(self.time.now + after, event);
         }
     }
 
@@ -337,7 +329,7 @@
         let (actions, wake) = gateway.handle(event, now);
         if let Some(at) = wake {
             let life = gateway.life;
-            self.at(at, Happening::Wake(number, life));
+            self.time.at(at, Happening::Wake(number, life));
         }
         for action in actions {
             self.act(number, action);
@@ -372,23 +364,23 @@
             return;
         }
         if !self.gateways[from].is_cut && !self.gateways[to].is_cut {
-            let after = self.time_in(1, 60);
+            let after = self.time.time_in(1, 60);
             let event = Happening::Event(to, self.gateways[to].life, Box::new(event));
-            self.at(self.time.now + after, event);
+            self.time.at(self.time.now + after, event);
         }
     }
 
     fn call(&mut self, number: usize, caller: u64, attempt: u64, endpoint: &Endpoint) {
         let life = self.gateways[number].life;
-        let arrives = self.time.now + self.time_in(1, 4);
+        let arrives = self.time.now + self.time.time_in(1, 4);
         let answer = if self.down.contains(&endpoint.id) {
             Event::CallFailed { caller, attempt, failure: CallFailure::NotSent }
         } else {
             self.arrived(number, endpoint, arrives);
             Event::Answered { caller, attempt, proof: good(), is_open: false }
         };
-        let after = self.time_in(10, 120);
-        self.at(arrives + after, Happening::Event(number, life, Box::new(answer)));
+        let after = self.time.time_in(10, 120);
+        self.time.at(arrives + after, Happening::Event(number, life, Box::new(answer)));
     }
 
     /// A request reaches an endpoint.
--- a/tests/directenv/poison/endpoints.rs
+++ b/tests/directenv/poison/endpoints.rs
@@ -46,13 +46,13 @@
         poison: Option<Content>,
     ) {
         let Gateway { life, in_touch_from, .. } = self.gateways[gateway];
-        let arrives = self.time.now + self.time_in(1, 4);
+        let arrives = self.time.now + self.time.time_in(1, 4);
         let running = Running { gateway, life, work, contents };
         if let Some(content) = poison.filter(|_| in_touch_from <= self.time.now) {
             self.reached.entry(content).or_default().push(self.time.now);
         }
         let begin = Happening::Begin(to.id.clone(), to.incarnation, running, poison);
-        self.at(arrives, begin);
+        self.time.at(arrives, begin);
     }
 
     pub(super) fn begin(
@@ -70,11 +70,11 @@
         let number = self.time.next;
         self.running.entry(id.clone()).or_default().insert(number, running);
         if poison.is_some() {
-            let at = self.time.now + self.time_in(10, 200);
-            self.at(at, Happening::Crash(vec![id.clone()], poison, life));
+            let at = self.time.now + self.time.time_in(10, 200);
+            self.time.at(at, Happening::Crash(vec![id.clone()], poison, life));
         } else {
-            let at = self.time.now + self.time_in(50, 700);
-            self.at(at, Happening::Finish(id.clone(), life, number));
+            let at = self.time.now + self.time.time_in(50, 700);
+            self.time.at(at, Happening::Finish(id.clone(), life, number));
         }
     }
 
@@ -106,8 +106,8 @@
                 Event::BatchEnded { call: *call, outcome }
             }
         };
-        let at = self.time.now + self.time_in(1, 5);
-        self.at(at, Happening::Event(running.gateway, running.life, Box::new(event)));
+        let at = self.time.now + self.time.time_in(1, 5);
+        self.time.at(at, Happening::Event(running.gateway, running.life, Box::new(event)));
     }
 
     pub(super) fn crash(&mut self, id: &Name, content: Option<Content>, life: u64) {
@@ -128,10 +128,10 @@
         for running in ended.into_values() {
             self.answer(&running, Some(CallFailure::Broken));
         }
-        let lapses = self.time.now + self.time_in(1_200, 3_600);
-        self.at(lapses, Happening::Lapse(id.clone(), life));
-        let back = self.time.now + self.time_in(1_000, 5_000);
-        self.at(back, Happening::Back(id.clone()));
+        let lapses = self.time.now + self.time.time_in(1_200, 3_600);
+        self.time.at(lapses, Happening::Lapse(id.clone(), life));
+        let back = self.time.now + self.time.time_in(1_000, 5_000);
+        self.time.at(back, Happening::Back(id.clone()));
     }
 
     pub(super) fn lapse(&mut self, id: &Name, life: u64) {
--- a/tests/directenv/poison/mod.rs
+++ b/tests/directenv/poison/mod.rs
@@ -170,14 +170,6 @@
         fleet
     }
 
-    fn at(&mut self, at: Duration, happening: Happening) {
-        self.time.at(at, happening);
-    }
-
-    fn time_in(&mut self, from: u64, to: u64) -> Duration {
-        self.time.time_in(from, to)
-    }
-
     fn plan(&mut self) {
         let mut at = 2.0;
         while at < END.as_secs_f64() - 2.0 {
@@ -188,33 +180,33 @@
             };
             let is_staged = self.time.rng.random_bool(0.4);
             let caller = Caller { content, is_staged, tries: 0 };
-            self.at(Duration::from_secs_f64(at), Happening::Arrival(caller));
+            self.time.at(Duration::from_secs_f64(at), Happening::Arrival(caller));
             at += self.time.rng.random_range(0.0..2.0) / PRESSURE;
         }
         for number in 0..self.time.rng.random_range(1..3) {
             self.plan_poison(number);
         }
         for _ in 0..self.time.rng.random_range(0..3) {
-            let at = self.time_in(2_500, 18_000);
+            let at = self.time.time_in(2_500, 18_000);
             let share = self.time.rng.random_range(0.05..0.6);
             let ids: Vec<Name> = self.endpoints.keys().cloned().collect();
             let ids = ids.into_iter().filter(|_| self.time.rng.random_bool(share)).collect();
-            self.at(at, Happening::Crash(ids, None, 1));
+            self.time.at(at, Happening::Crash(ids, None, 1));
         }
         for _ in 0..self.time.rng.random_range(0..4) {
             let gateway = self.time.rng.random_range(0..self.gateways.len());
-            let at = self.time_in(1_000, 18_000);
-            let back = at + self.time_in(100, 4_000);
+            let at = self.time.time_in(1_000, 18_000);
+            let back = at + self.time.time_in(100, 4_000);
             match self.time.rng.random_range(0..3) {
                 0 => {
-                    self.at(at, Happening::Kill(gateway));
-                    self.at(back, Happening::Start(gateway));
+                    self.time.at(at, Happening::Kill(gateway));
+                    self.time.at(back, Happening::Start(gateway));
                 }
                 1 => {
-                    self.at(at, Happening::Cut(gateway, true));
-                    self.at(back, Happening::Cut(gateway, false));
+                    self.time.at(at, Happening::Cut(gateway, true));
+                    self.time.at(back, Happening::Cut(gateway, false));
                 }
-                _ => self.at(at, Happening::Reset(gateway)),
+                _ => self.time.at(at, Happening::Reset(gateway)),
             }
         }
     }
@@ -228,13 +220,13 @@
         };
         let caller = Caller { content, is_staged, tries: 1 };
         let pace = self.time.rng.random_range(250..1_500);
-        let mut at = self.time_in(2_000, 6_000);
+        let mut at = self.time.time_in(2_000, 6_000);
         while at < END - ms(3_000) {
             let times = if self.time.rng.random_bool(0.15) { 3 } else { 1 };
             for _ in 0..times {
-                self.at(at, Happening::Arrival(caller));
+                self.time.at(at, Happening::Arrival(caller));
             }
-            at += self.time_in(pace / 2, pace * 3 / 2);
+            at += self.time.time_in(pace / 2, pace * 3 / 2);
         }
     }
 
@@ -312,7 +304,7 @@
         let (actions, wake) = gateway.handle(event, now);
         if let Some(at) = wake {
             let life = gateway.life;
-            self.at(at, Happening::Wake(number, life));
+            self.time.at(at, Happening::Wake(number, life));
         }
         for action in actions {
             self.act(number, action);
@@ -341,8 +333,8 @@
                 let incarnation = endpoint.incarnation;
                 let is_closed = self.down.contains(&endpoint.id);
                 let event = Event::Probed { endpoint: endpoint.id.clone(), incarnation, is_closed };
-                let at = self.time.now + self.time_in(1, 10);
-                self.at(at, Happening::Event(number, life, Box::new(event)));
+                let at = self.time.now + self.time.time_in(1, 10);
+                self.time.at(at, Happening::Event(number, life, Box::new(event)));
             }
             Action::Refuse { caller, refusal } => self.refused(caller, &refusal.reason),
             Action::Deliver { caller, .. } => {
@@ -366,8 +358,8 @@
             self.seen.wronged += usize::from(ended_under < CONDEMNED_AFTER);
         }
         if tries < 2 {
-            let at = self.time.now + self.time_in(100, 600);
-            self.at(at, Happening::Arrival(Caller { content, is_staged, tries: tries + 1 }));
+            let at = self.time.now + self.time.time_in(100, 600);
+            self.time.at(at, Happening::Arrival(Caller { content, is_staged, tries: tries + 1 }));
         }
     }
 
@@ -378,9 +370,9 @@
             return;
         }
         if !self.gateways[from].is_cut && !self.gateways[to].is_cut {
-            let after = self.time_in(1, 60);
+            let after = self.time.time_in(1, 60);
             let event = Happening::Event(to, self.gateways[to].life, Box::new(event));
-            self.at(self.time.now + after, event);
+            self.time.at(self.time.now + after, event);
         }
     }
 
@@ -401,9 +393,9 @@
     /// The store tells a gateway, if it can, after a while.
     fn publish(&mut self, gateway: usize, event: Event) {
         let Gateway { is_cut, life, .. } = self.gateways[gateway];
-        let after = self.time_in(4, 300);
+        let after = self.time.time_in(4, 300);
         if !is_cut {
-            self.at(self.time.now + after, Happening::Event(gateway, life, Box::new(event)));
+            self.time.at(self.time.now + after, Happening::Event(gateway, life, Box::new(event)));
         }
     }
 
--- /dev/null
+++ b/tests/directenv/said.rs
@@ -0,0 +1,121 @@
+//! Gateways that hear endpoints: what these say, and what those do since.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use stackmast::actor::Core;
+use stackmast::direct::answers::{BatchOutcome, PieceOutcome};
+use stackmast::direct::core::GatewayCore;
+use stackmast::direct::departures::Departure;
+use stackmast::direct::event::{Action, Event};
+use stackmast::direct::peers::message::PeerMessage;
+use stackmast::direct::published::model::{Endpoint, Repeat, Route};
+use stackmast::direct::statement::{Asked, Backoff, Statement};
+
+use super::gateway::{Says, calls, good, incoming, listed, serving, submit};
+use super::{address, endpoint, ms, route};
+
+pub const LEAVES: Statement = Statement { leaving: true, backoff: None, cold: None };
+pub const SECONDS: u64 = 1_000;
+
+pub fn pause(backoff: Backoff) -> Statement {
+    Statement { backoff: Some(backoff), ..Statement::default() }
+}
+
+pub fn pause_for(time: Duration) -> Statement {
+    pause(Backoff::For(time))
+}
+
+/// An endpoint in a life.
+pub fn living(service: &str, number: u16, incarnation: u64) -> Arc<Endpoint> {
+    Arc::new(Endpoint { incarnation, ..(*endpoint(service, number)).clone() })
+}
+
+pub fn engine(number: u16) -> Arc<Endpoint> {
+    endpoint("engine", number)
+}
+
+pub fn routes() -> Vec<Route> {
+    let mut again = route("again", Repeat::AtMostOnce, &[]);
+    (again.streams, again.resumable) = (true, true);
+    vec![route("r", Repeat::Idempotent, &[]), again, staged()]
+}
+
+pub fn staged() -> Route {
+    route("staged", Repeat::Idempotent, &[("first", &[], 10), ("second", &[0], 10)])
+}
+
+pub fn says(
+    core: &mut GatewayCore,
+    who: &Arc<Endpoint>,
+    statement: Statement,
+    at: u64,
+) -> Vec<Action> {
+    let event =
+        Event::Stated { endpoint: who.clone(), asked: Asked::Request, statement, at: ms(at) };
+    core.handle(event, ms(at))
+}
+
+pub fn enter(core: &mut GatewayCore, who: &Arc<Endpoint>, revision: u64, at: u64) {
+    let documents = listed(std::slice::from_ref(who), revision);
+    core.handle(Event::Published { documents, whole_at: None }, ms(at));
+}
+
+/// Where a new request goes.
+pub fn goes_to(core: &mut GatewayCore, caller: u64, at: u64) -> Option<String> {
+    let actions = submit(core, caller, incoming("r", Vec::new()), ms(at));
+    calls(&actions).first().map(|(_, order)| order.endpoint.id.to_string())
+}
+
+/// Whether any of many requests, which are all answered, goes to an endpoint.
+pub fn gets_any(core: &mut GatewayCore, who: &str, first: u64, at: u64) -> bool {
+    (first..first + 20).any(|caller| {
+        let actions = submit(core, caller, incoming("r", Vec::new()), ms(at));
+        let Some((attempt, order)) = calls(&actions).into_iter().next() else {
+            return false;
+        };
+        let answered = Event::Answered { caller, attempt, proof: good(), is_open: false };
+        core.handle(answered, ms(at));
+        &*order.endpoint.id == who
+    })
+}
+
+/// Calls with pieces, as (call, endpoint).
+pub fn batches(actions: &[Action]) -> Vec<(u64, Arc<Endpoint>)> {
+    let batches = actions.iter().filter_map(|a| match a {
+        Action::Batch { call, endpoint, .. } => Some((*call, endpoint.clone())),
+        _ => None,
+    });
+    batches.collect()
+}
+
+pub fn freed(actions: &[Action]) -> Vec<String> {
+    let freed = actions.iter().filter_map(|a| match a {
+        Action::Free { endpoint, .. } => Some(endpoint.id.to_string()),
+        _ => None,
+    });
+    freed.collect()
+}
+
+pub fn made(handle: &str) -> BatchOutcome {
+    BatchOutcome::Pieces(vec![PieceOutcome::Made(handle.into())])
+}
+
+pub fn departure(service: &str, number: u16, incarnation: u64) -> Departure {
+    Departure::of(&living(service, number, incarnation))
+}
+
+pub fn hear(core: &mut GatewayCore, departures: Vec<Departure>, at: u64) -> Vec<Action> {
+    let message = Says { members: vec![serving(2)], departures, ..Says::default() }.message();
+    core.handle(Event::Peer { from: address(2), message }, ms(at))
+}
+
+/// Departures that go with a heartbeat or an answer to one.
+pub fn told(actions: &[Action]) -> Vec<Departure> {
+    let messages = actions.iter().filter_map(|a| match a {
+        Action::Spread { message: PeerMessage::Gossip { departures, .. }, .. }
+        | Action::Tell { message: PeerMessage::Gossip { departures, .. }, .. } => Some(departures),
+        _ => None,
+    });
+    messages.flatten().cloned().collect()
+}
--- a/tests/directenv/world.rs
+++ b/tests/directenv/world.rs
@@ -3,12 +3,11 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use super::statements::Statements;
 use super::stops::Stops;
-use super::{address, deployment, endpoints, ms, route};
+use super::{address, ms, route};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use stackmast::actor::Core;
@@ -16,8 +15,7 @@
 use stackmast::direct::event::{Action, Event, Incoming};
 use stackmast::direct::peers::message::PeerMessage;
 use stackmast::direct::poison::fingerprint::Fingerprint;
-use stackmast::direct::published::documents::{Document, Revised};
-use stackmast::direct::published::model::{Endpoint, Repeat, Route};
+use stackmast::direct::published::model::{Repeat, Route};
 use stackmast::direct::repeats::Bounds;
 use stackmast::direct::requests::early::SETTLING;
 
@@ -249,29 +247,6 @@
         self.handle(number, Event::Tick);
     }
 
-    fn documents(&self) -> Vec<Revised> {
-        let entry = |e: &Arc<Endpoint>| {
-            let mut endpoint = (**e).clone();
-            endpoint.leaving = self.leaving.contains(&*e.id);
-            let revision = if endpoint.leaving { self.revision } else { self.listed_at };
-            Revised { revision, document: Document::Endpoint(Arc::new(endpoint)) }
-        };
-        let mut documents: Vec<Revised> = endpoints().iter().map(entry).collect();
-        let deployment = Arc::new(deployment(self.version, self.routes.clone()));
-        documents
-            .push(Revised { revision: self.revision, document: Document::Deployment(deployment) });
-        documents
-    }
-
-    pub fn publish_to(&mut self, number: usize) {
-        let documents = self.documents();
-        let whole_at = Some(self.revision);
-        let life = self.lives[number];
-        let delay = self.time_in(ms(1), ms(80));
-        let event = Event::Published { documents, whole_at };
-        self.at(self.now + delay, Happening::Event(number, life, Box::new(event)));
-    }
-
     pub fn run(&mut self) {
         while let Some(Reverse((at, id))) = self.queue.pop() {
             if at > self.end {
@@ -314,36 +289,6 @@
         }
     }
 
-    fn publish(&mut self) {
-        self.revision += 1;
-        if self.chance(0.5) {
-            self.version += 2;
-        } else {
-            let endpoints = endpoints();
-            let number = self.rng.random_range(0..endpoints.len());
-            self.leaving.insert(endpoints[number].id.to_string());
-        }
-        for number in 0..usize::from(GATEWAYS) {
-            if self.chance(0.8) {
-                self.publish_to(number);
-            }
-        }
-    }
-
-    /// A list with a third of the entries; the rest is written again later.
-    fn lapse(&mut self) {
-        self.revision += 2;
-        let whole_at = Some(self.revision - 1);
-        let listed = self.documents().into_iter().enumerate().filter(|(i, _)| i % 3 == 0);
-        let documents: Vec<Revised> = listed.map(|(_, document)| document).collect();
-        // What is written again is newer than all that was seen of the list.
-        self.listed_at = self.revision;
-        for number in 0..usize::from(GATEWAYS) {
-            let documents = documents.clone();
-            self.handle(number, Event::Published { documents, whole_at });
-        }
-    }
-
     pub(super) fn kill(&mut self, number: usize) {
         if self.gateways[number].take().is_none() {
             return;
