What pauses leave no place until its deadline is refused in its stages; departures and probes are bounded

Found by reading the change once more: a request in its stages whose engines all want nothing until its deadline went on until it was sent; the table kept departures that were forgotten for want of room; probes that wait for the end of a pause were kept once for each call that broke. Tests: the first; the others by their bounds' types.

--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -3,6 +3,7 @@
 //! One core a process: what is published, who the other gateways are, callers' requests, and the
 //! pools of which this gateway is the owner.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -85,7 +86,7 @@
     /// Endpoints that asked this gateway for a pause; requests and owners have the same.
     pub(super) backoffs: Arc<Backoffs>,
     /// Probes that wait for the end of such a pause.
-    pub(super) later_probes: Vec<(Timestamp, Arc<Endpoint>)>,
+    pub(super) later_probes: BTreeMap<Name, (Timestamp, Arc<Endpoint>)>,
     /// When another gateway is next asked for what it knows of them.
     pub(super) next_ask: Timestamp,
     /// How long the event that is handled has waited.
@@ -127,7 +128,7 @@
             successes: Successes::default(),
             departures: Departures::default(),
             backoffs: Arc::new(Backoffs::new(setup.address)),
-            later_probes: Vec::new(),
+            later_probes: BTreeMap::new(),
             next_ask: Timestamp::ZERO,
             waited: Duration::ZERO,
             went_on_at: Timestamp::ZERO,
--- a/src/direct/departures.rs
+++ b/src/direct/departures.rs
@@ -68,7 +68,7 @@
             known.heard = now;
             return false;
         }
-        if self.lives.len() >= MOST {
+        if self.is_full() {
             let oldest = self.lives.iter().min_by_key(|(_, known)| known.heard);
             if let Some(oldest) = oldest.map(|(departure, _)| departure.clone()) {
                 self.lives.remove(&oldest);
@@ -84,6 +84,11 @@
         self.lives.contains_key(departure)
     }
 
+    /// Whether the next one that is heard of takes another one's place.
+    pub fn is_full(&self) -> bool {
+        self.lives.len() >= MOST
+    }
+
     /// How many lives are.
     pub fn len(&self) -> usize {
         self.lives.len()
--- a/src/direct/hearing.rs
+++ b/src/direct/hearing.rs
@@ -84,9 +84,13 @@
     /// The table has it as leaving, so everything that keeps away from endpoints which the list calls leaving does
     /// so from now on, at whatever stage its request is: a rule of its own for each way of calling would miss one.
     fn departed(&mut self, departure: Departure, source: &str, now: Timestamp) {
+        let was_full = self.departures.is_full();
         if !self.departures.heard(departure.clone(), now) {
             return;
         }
+        if was_full {
+            self.forget_departed();
+        }
         let life = |endpoint: &&Arc<Endpoint>| endpoint.incarnation == departure.incarnation;
         let endpoint = self.documents.endpoint(&departure.endpoint).filter(life).cloned();
         let is_news = endpoint.as_ref().is_some_and(|endpoint| !endpoint.leaving);
@@ -117,11 +121,17 @@
         let until = Arc::make_mut(&mut self.backoffs).asked(endpoint, backoff, at)?;
         let (id, incarnation) = (endpoint.id.clone(), endpoint.incarnation);
         self.out.push(Action::Withhold { endpoint: id, incarnation, until: Some(until) });
-        self.requests.paused(endpoint, until, &self.backoffs);
+        self.requests.paused(endpoint, until, &self.backoffs, &self.table, now);
         self.owners.paused(endpoint, &self.backoffs, &self.table, now);
         Some(until)
     }
 
+    /// The table keeps no departures that are forgotten.
+    fn forget_departed(&mut self) {
+        let departures = &self.departures;
+        self.table.forget_departed(|departure| departures.has(departure));
+    }
+
     /// Whether the list tells what is known of a departure, or knows nothing of the endpoint any more.
     fn is_listed_as_leaving(&self, departure: &Departure) -> bool {
         match self.documents.state(&departure.endpoint) {
@@ -141,8 +151,7 @@
             endpoint.is_some_and(|e| e.incarnation == departure.incarnation)
         };
         if self.departures.forget(is_listed, now) {
-            let departures = &self.departures;
-            self.table.forget_departed(|departure| departures.has(departure));
+            self.forget_departed();
         }
         let mut departures = std::mem::take(&mut self.departures);
         let news = departures.news(|departure| self.is_listed_as_leaving(departure));
@@ -158,7 +167,9 @@
     /// Probes an endpoint, after its pause if it asked for one: its entry may tell before that.
     pub(super) fn probe_unless_paused(&mut self, endpoint: Arc<Endpoint>, now: Timestamp) {
         match self.backoffs.until(&endpoint, now) {
-            Some(until) => self.later_probes.push((until, endpoint)),
+            Some(until) => {
+                self.later_probes.insert(endpoint.id.clone(), (until, endpoint));
+            }
             None => self.out.push(Action::Probe(endpoint)),
         }
     }
@@ -168,9 +179,9 @@
         if self.later_probes.is_empty() {
             return;
         }
-        let (due, later) = self.later_probes.drain(..).partition(|(until, _)| now >= *until);
-        self.later_probes = later;
-        for (_, endpoint) in due {
+        let due = self.later_probes.extract_if(.., |_, (until, _)| now >= *until);
+        let due: Vec<Arc<Endpoint>> = due.map(|(_, (_, endpoint))| endpoint).collect();
+        for endpoint in due {
             self.probe_unless_paused(endpoint, now);
         }
     }
--- a/src/direct/requests/changes.rs
+++ b/src/direct/requests/changes.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::direct::backoff::Backoffs;
+use crate::direct::event::Refused;
 use crate::direct::published::documents::Merged;
 use crate::direct::published::model::{ColdStart, Endpoint, Name};
 use crate::direct::published::table::Table;
@@ -50,10 +51,42 @@
         was_cold
     }
 
-    /// An endpoint asked for a pause until a time: requests go elsewhere, and it is filled by degrees after it.
-    pub fn paused(&mut self, endpoint: &Endpoint, until: Timestamp, backoffs: &Arc<Backoffs>) {
+    /// An endpoint asked for a pause until a time: requests go elsewhere, and it is filled by degrees after it. What is
+    /// in its stages and would find all its endpoints in pauses until its deadline is refused now.
+    pub fn paused(
+        &mut self,
+        endpoint: &Endpoint,
+        until: Timestamp,
+        backoffs: &Arc<Backoffs>,
+        table: &Table,
+        now: Timestamp,
+    ) {
         self.backoffs = backoffs.clone();
         self.ramps.begin(endpoint, until);
+        let pools = table.deployment.pools.iter();
+        for pool in pools.filter(|pool| pool.endpoints.matches(&endpoint.labels)) {
+            if let Some(until) = self.all_paused_until(&pool.name, table, now) {
+                self.refuse_hopeless(&pool.name, until, now);
+            }
+        }
+    }
+
+    /// The end of the first pause where all endpoints of a pool that take work are in one.
+    fn all_paused_until(&self, pool: &str, table: &Table, now: Timestamp) -> Option<Timestamp> {
+        let working = table.members(pool).iter().filter(|endpoint| !endpoint.leaving);
+        let ends: Option<Vec<Timestamp>> =
+            working.map(|endpoint| self.backoffs.until(endpoint, now)).collect();
+        ends?.into_iter().min()
+    }
+
+    fn refuse_hopeless(&mut self, pool: &str, until: Timestamp, now: Timestamp) {
+        let is_hopeless = |request: &Request| {
+            let is_in_stages = matches!(request.phase, Phase::Stages { .. });
+            is_in_stages && *request.pool == *pool && request.deadline <= until
+        };
+        for caller in self.callers_where(is_hopeless) {
+            self.refuse(caller, Refused::AllPaused, until.saturating_sub(now), now);
+        }
     }
 
     /// Endpoints are in another life: what they had not answered may have run, and never will be answered.
--- a/tests/direct_pauses.rs
+++ b/tests/direct_pauses.rs
@@ -209,3 +209,15 @@
         batches(&actions).into_iter().map(|(_, e)| e.id.to_string()).collect();
     assert_eq!(called, ["first-2"]);
 }
+
+#[test]
+fn a_request_whose_engines_all_want_nothing_until_its_deadline_is_refused_in_its_stages() {
+    let mut core = configured(routes());
+    let actions = submit(&mut core, 1, incoming("staged", vec![1, 1]), ms(0));
+    assert_eq!(batches(&actions).len(), 1);
+    says(&mut core, &engine(1), pause_for(ms(20 * SECONDS)), 10);
+    let actions = says(&mut core, &engine(2), pause_for(ms(9 * SECONDS)), 20);
+    let refusal = refusal(&actions).expect("it waits for 5 s");
+    assert_eq!((refusal.reason, refusal.not_run), (Refused::AllPaused, true));
+    assert!(refusal.retry_after >= ms(9 * SECONDS) && refusal.retry_after <= ms(11 * SECONDS));
+}
