--- a/src/direct/hearing.rs
+++ b/src/direct/hearing.rs
@@ -11,7 +11,7 @@
 use crate::direct::note::{Note, ms};
 use crate::direct::published::documents::{EntryState, Merged};
 use crate::direct::published::model::Endpoint;
-use crate::direct::statement::{Asked, Backoff, Statement};
+use crate::direct::statement::{Asked, Backoff, RateLimit, Statement};
 use crate::message::Timestamp;
 
 impl GatewayCore {
@@ -32,7 +32,8 @@
         }
         let turns_cold = statement.cold.is_some_and(|left| self.is_cold(endpoint, left, at, now));
         let leaves = statement.leaving && !is_known;
-        if !leaves && statement.backoff.is_none() && !turns_cold {
+        let names_limit = !statement.names_no_limit();
+        if !leaves && statement.backoff.is_none() && !turns_cold && !names_limit {
             return;
         }
         let backoff_ms = match statement.backoff {
@@ -49,6 +50,10 @@
             age_ms: ms(now.saturating_sub(at)),
             paused_ms: paused_until.map(|until| ms(until.saturating_sub(now))),
             cold_ms: statement.cold.map(ms),
+            limit: match statement.limit {
+                Some(RateLimit::At(rate)) => Some(rate.as_per_second()),
+                Some(RateLimit::None) | None => None,
+            },
         });
     }
 
--- a/src/direct/note/mod.rs
+++ b/src/direct/note/mod.rs
@@ -277,6 +277,8 @@
         paused_ms: Option<u64>,
         /// Milliseconds that it is cold, where it told.
         cold_ms: Option<u64>,
+        /// Requests a second that it takes from all gateways together, where it named a limit.
+        limit: Option<f64>,
     },
     /// An endpoint told that it is cold: it gets a part of what it bears.
     Cold {
--- a/tests/directenv/said.rs
+++ b/tests/directenv/said.rs
@@ -15,7 +15,7 @@
 use super::gateway::{Says, calls, good, incoming, listed, serving, submit};
 use super::{address, endpoint, ms, route};
 
-pub const LEAVES: Statement = Statement { leaving: true, backoff: None, cold: None };
+pub const LEAVES: Statement = Statement { leaving: true, backoff: None, cold: None, limit: None };
 pub const SECONDS: u64 = 1_000;
 
 pub fn pause(backoff: Backoff) -> Statement {
--- a/tests/directenv/statements.rs
+++ b/tests/directenv/statements.rs
@@ -61,7 +61,7 @@
         let leaving = statements.rng.random_bool(LEAVES) && endpoint.id.ends_with("-1");
         let time = ms(statements.rng.random_range(1..2_500));
         let backoff = (!leaving).then_some(Backoff::For(time));
-        let statement = Statement { leaving, backoff, cold: None };
+        let statement = Statement { leaving, backoff, cold: None, limit: None };
         let endpoint = Arc::new(endpoint.clone());
         let event = Event::Stated { endpoint, asked, statement, at };
         let life = self.lives[number];
