--- /dev/null
+++ b/tests/direct_limits.rs
@@ -0,0 +1,459 @@
+//! Limits that endpoints name: who knows, what takes them back, what waits for its turn, and what is refused.
+
+mod directenv;
+
+use std::time::Duration;
+
+use directenv::gateway::{
+    Says, calls, configured, good, hear_of, incoming, publish, refusal, serving, setup, submit,
+};
+use directenv::said::{SECONDS, batches, engine, enter, living, pause_for, routes, says};
+use directenv::{address, deployment, endpoint, ms};
+use stackmast::actor::Core;
+use stackmast::direct::answers::{BatchOutcome, CallFailure, PieceOutcome};
+use stackmast::direct::core::{GatewayCore, Setup};
+use stackmast::direct::event::{Action, CallOrder, Event, Refused};
+use stackmast::direct::gates::Gates;
+use stackmast::direct::limits::known::{KnownLimits, LimitTold};
+use stackmast::direct::limits::limiter::{Ask, Asker, Decided, Limiter, Pace};
+use stackmast::direct::peers::build::Build;
+use stackmast::direct::peers::members::{Member, MemberState, Members};
+use stackmast::direct::peers::message::PeerMessage;
+use stackmast::direct::statement::{Asked, RateLimit, RequestRate, Statement};
+use test_case::test_case;
+
+fn rate(per_second: f64) -> RequestRate {
+    RequestRate::per_second(per_second)
+}
+
+fn at(per_second: f64) -> RateLimit {
+    RateLimit::At(rate(per_second))
+}
+
+fn names(limit: f64) -> Statement {
+    Statement { limit: Some(at(limit)), ..Statement::default() }
+}
+
+/// A gateway alone, settled, one of whose engines names a limit.
+fn limited(limit: f64) -> GatewayCore {
+    let mut core = configured(routes());
+    says(&mut core, &engine(1), names(limit), 2_000);
+    core
+}
+
+/// The calls that come of requests, one every so often, which are all answered at once.
+fn press(
+    core: &mut GatewayCore,
+    first: u64,
+    from: u64,
+    to: u64,
+    every: u64,
+) -> Vec<(u64, CallOrder)> {
+    let mut sent = Vec::new();
+    for (number, now) in (from..to).step_by(every as usize).enumerate() {
+        let caller = first + number as u64;
+        let mut actions = core.handle(Event::Tick, ms(now));
+        actions.extend(submit(core, caller, incoming("r", Vec::new()), ms(now)));
+        for (attempt, order) in calls(&actions) {
+            sent.push((now, order));
+            // Whoever waited is among them, so that the attempt tells whose it is.
+            for caller in first..=caller {
+                let proof = good();
+                core.handle(Event::Answered { caller, attempt, proof, is_open: false }, ms(now));
+            }
+        }
+    }
+    sent
+}
+
+fn to_first(sent: &[(u64, CallOrder)]) -> Vec<u64> {
+    sent.iter().filter(|(_, order)| &*order.endpoint.id == "engine-1").map(|(at, _)| *at).collect()
+}
+
+#[test]
+fn an_endpoint_gets_what_it_named_and_the_others_the_rest() {
+    let mut core = limited(2.0);
+    let sent = press(&mut core, 100, 2_010, 12_010, 20);
+    let first = to_first(&sent);
+    assert!(first.len() >= 14 && first.len() <= 20, "{first:?}");
+    let apart = first.windows(2).all(|pair| pair[1] - pair[0] >= 400);
+    assert!(apart, "evenly: {first:?}");
+    assert_eq!(sent.len(), 500, "nobody is refused");
+    assert!(
+        sent.iter().all(|(_, order)| order.permit.is_some() == (&*order.endpoint.id == "engine-1"))
+    );
+}
+
+#[test_case(0.0, 1, 2; "none: asked now and then whether that holds")]
+#[test_case(0.25, 3, 5; "one in four seconds")]
+fn the_smallest_limits_are_kept(limit: f64, from: usize, to: usize) {
+    let mut core = limited(limit);
+    let first = to_first(&press(&mut core, 100, 2_010, 22_010, 50));
+    assert!(first.len() >= from && first.len() <= to, "{first:?}");
+}
+
+// Of what endpoints tell, in the order in which answers are read, with when each message went out.
+#[test_case(&[(0, Some(3.0), 5), (2, None, 6)], Some(3.0); "an answer that was written before")]
+#[test_case(&[(0, Some(3.0), 5), (6, None, 9)], None; "an answer without it")]
+#[test_case(&[(0, Some(3.0), 5), (2, Some(8.0), 6)], Some(3.0); "a higher one that was written before")]
+#[test_case(&[(0, Some(3.0), 5), (6, Some(8.0), 9)], Some(8.0); "a higher one")]
+#[test_case(&[(0, Some(3.0), 5), (2, Some(1.0), 6)], Some(1.0); "a lower one, whenever it was written")]
+#[test_case(&[(0, Some(3.0), 5), (6, None, 9), (1, Some(3.0), 10)], Some(3.0); "an old one again")]
+#[test_case(&[(0, None, 5)], None; "none at all")]
+fn what_answers_tell(told: &[(u64, Option<f64>, u64)], expected: Option<f64>) {
+    let mut known = KnownLimits::default();
+    for &(sent, limit, read) in told {
+        let limit = limit.map_or(RateLimit::None, at);
+        known.stated(&engine(1), limit, ms(sent), ms(read));
+    }
+    // Whoever names none any more gets more by degrees, and is free after a while.
+    let free = known.rate(&engine(1), ms(6_000));
+    assert_eq!(free, expected.map(rate));
+}
+
+fn account(version: u64, limit: RateLimit) -> LimitTold {
+    LimitTold { endpoint: engine(1).id.clone(), incarnation: 0, version, limit }
+}
+
+#[test]
+fn accounts_merge_in_any_order() {
+    let accounts = [
+        account(1, at(3.0)),
+        account(2, RateLimit::None),
+        account(2, at(4.0)),
+        account(2, at(2.0)),
+        account(1, at(0.5)),
+    ];
+    for start in 0..accounts.len() {
+        let mut known = KnownLimits::default();
+        for number in 0..accounts.len() * 2 {
+            known.told(&accounts[(start + number * 3) % accounts.len()], ms(10));
+        }
+        assert_eq!(known.rate(&engine(1), ms(20)), Some(rate(2.0)), "the newest, the strictest");
+    }
+}
+
+#[test]
+fn what_ends_ends_by_degrees_for_everybody() {
+    let mut known = KnownLimits::default();
+    known.stated(&engine(1), at(3.0), ms(0), ms(0));
+    known.stated(&engine(1), RateLimit::None, ms(10), ms(1_000));
+    let gets = |after: u64| known.rate(&engine(1), ms(1_000 + after));
+    let expected = [3.0, 6.0, 12.0, 24.0, 48.0];
+    for (second, rate_then) in expected.into_iter().enumerate() {
+        assert_eq!(gets(second as u64 * SECONDS + 500), Some(rate(rate_then)));
+    }
+    assert_eq!(gets(5 * SECONDS), None);
+    // It names one again meanwhile: no ramp, no stampede.
+    known.stated(&engine(1), at(3.0), ms(2_000), ms(2_100));
+    assert_eq!(known.rate(&engine(1), ms(9_000)), Some(rate(3.0)));
+}
+
+#[test]
+fn another_life_has_named_nothing() {
+    let mut core = configured(routes());
+    enter(&mut core, &living("engine", 1, 7), 50, 5);
+    says(&mut core, &living("engine", 1, 7), names(0.0), 2_000);
+    assert!(to_first(&press(&mut core, 100, 2_010, 2_500, 20)).is_empty());
+    enter(&mut core, &living("engine", 1, 9), 51, 2_600);
+    let first = to_first(&press(&mut core, 300, 2_610, 3_110, 20));
+    assert!(first.len() >= 10, "{first:?}");
+}
+
+#[test]
+fn memory_is_bounded() {
+    let mut known = KnownLimits::default();
+    for number in 0..6_000u64 {
+        let told = LimitTold { incarnation: number, ..account(1, at(1.0)) };
+        known.told(&told, ms(number));
+    }
+    assert!(known.len() <= 4_096);
+    assert!(known.news().len() <= 256);
+    let gone = known.forget(|_| false, ms(6_000) + Duration::from_secs(601));
+    assert!(known.is_empty() && !gone.is_empty());
+}
+
+#[test]
+fn a_message_that_was_ordered_before_goes_out_with_a_permit_only() {
+    let (gates, named) = (Gates::default(), engine(1));
+    gates.limit(named.id.clone(), 0, true, ms(0));
+    for asked in [Asked::Request, Asked::Pieces, Asked::Report, Asked::Free] {
+        assert!(!gates.is_open(&named, asked, None, ms(90_000)), "also much later");
+        assert!(gates.is_open(&named, asked, Some(ms(50)), ms(49)));
+        assert!(!gates.is_open(&named, asked, Some(ms(50)), ms(50)), "it is void");
+        assert!(gates.is_open(&engine(2), asked, None, ms(0)));
+    }
+    gates.limit(named.id.clone(), 0, false, ms(90_000));
+    assert!(gates.is_open(&named, Asked::Request, None, ms(90_000)));
+}
+
+#[test]
+fn what_was_withheld_goes_elsewhere_without_blame() {
+    let mut core = configured(routes());
+    let actions = submit(&mut core, 1, incoming("r", Vec::new()), ms(2_000));
+    let (attempt, order) = calls(&actions)[0].clone();
+    let actions = says(&mut core, &order.endpoint, names(0.0), 2_001);
+    let closes = |a: &Action| matches!(a, Action::Limit { is_limited: true, .. });
+    assert!(actions.iter().any(closes));
+    let failure = CallFailure::Withheld;
+    let actions = core.handle(Event::CallFailed { caller: 1, attempt, failure }, ms(2_002));
+    assert_ne!(calls(&actions)[0].1.endpoint.id, order.endpoint.id);
+}
+
+#[test]
+fn where_all_have_limits_what_fits_waits_and_the_rest_is_told_its_turn() {
+    let mut core = limited(1.0);
+    says(&mut core, &engine(2), names(1.0), 2_000);
+    let mut refused = Vec::new();
+    let mut served = Vec::new();
+    for caller in 1..=40 {
+        let now = ms(2_000 + caller);
+        let actions = submit(&mut core, caller, incoming("r", Vec::new()), now);
+        served.extend(calls(&actions).iter().map(|_| 0));
+        if let Some(refusal) = refusal(&actions) {
+            assert_eq!((refusal.reason, refusal.not_run), (Refused::AllLimited, true));
+            refused.push(refusal.retry_after);
+        }
+    }
+    // Five seconds each, half of which may go by: two endpoints, two or three turns at each.
+    assert!(refused.len() >= 34 && refused.len() <= 36, "{}", refused.len());
+    let true_time = |time: &Duration| *time > ms(2_300) && *time < ms(4_200);
+    assert!(refused.iter().all(true_time), "{refused:?}");
+    for now in 2_040..4_700 {
+        let actions = core.handle(Event::Tick, ms(now));
+        served.extend(calls(&actions).iter().map(|_| now));
+    }
+    assert_eq!(served.len() + refused.len(), 40);
+    assert!(served.iter().all(|at| *at < 4_600), "{served:?}");
+}
+
+#[test]
+fn urgent_ones_and_those_with_less_time_go_first() {
+    let (life, pace) = (("engine-1".into(), 0), Pace::new(rate(1.0), 1.0));
+    let mut limiter = Limiter::default();
+    let asker = |number| Asker { gateway: address(1), number };
+    let mut ask = |number, priority, latest: u64| {
+        let ask = Ask { asker: asker(number), priority, latest: ms(latest) };
+        limiter.ask(&life, pace, ask, ms(0))
+    };
+    assert!(ask(1, 5, 9_000).is_empty());
+    assert!(ask(2, 5, 8_000).is_empty());
+    assert!(ask(3, 1, 9_000).is_empty());
+    // Two fit before it; behind what is more urgent it would be late.
+    assert!(matches!(ask(4, 9, 2_000)[..], [Decided::Refused(who, turn)]
+        if who == asker(4) && turn > ms(4_300) && turn < ms(4_600)));
+    assert!(ask(5, 5, 4_500).is_empty());
+    // It comes first, and the last one that is less urgent has to wait for longer than it may.
+    assert!(matches!(ask(6, 0, 9_000)[..], []));
+    let mut given = Vec::new();
+    for now in 0..8_000 {
+        for decided in limiter.look(|_| Some(pace), ms(250), ms(now)) {
+            match decided {
+                Decided::Given(asker) => given.push(asker.number),
+                Decided::Refused(asker, _) => panic!("{asker:?} at {now}"),
+            }
+        }
+    }
+    assert_eq!(given, [6, 3, 5, 2, 1]);
+}
+
+#[test]
+fn a_more_urgent_one_takes_the_turn_of_one_that_can_not_wait() {
+    let (life, pace) = (("engine-1".into(), 0), Pace::new(rate(1.0), 1.0));
+    let mut limiter = Limiter::default();
+    let ask = |number, priority, latest: u64| Ask {
+        asker: Asker { gateway: address(1), number },
+        priority,
+        latest: ms(latest),
+    };
+    assert!(limiter.ask(&life, pace, ask(1, 5, 1_500), ms(0)).is_empty());
+    let decided = limiter.ask(&life, pace, ask(2, 0, 1_500), ms(10));
+    let [Decided::Refused(who, turn)] = decided[..] else { panic!("{decided:?}") };
+    assert!(who.number == 1 && turn > ms(2_000) && turn < ms(2_300), "refused at once: {turn:?}");
+}
+
+#[test]
+fn the_strictest_holds_of_a_pause_and_a_limit() {
+    let mut core = limited(2.0);
+    says(&mut core, &engine(1), pause_for(ms(3 * SECONDS)), 2_010);
+    let first = to_first(&press(&mut core, 100, 2_020, 4_990, 20));
+    assert!(first.is_empty(), "{first:?}");
+    let first = to_first(&press(&mut core, 400, 6_000, 10_000, 20));
+    assert!(!first.is_empty() && first.len() <= 9, "{first:?}");
+}
+
+#[test]
+fn calls_with_pieces_have_their_turn() {
+    let mut core = configured(routes());
+    for number in 1..=2 {
+        says(&mut core, &endpoint("first", number), names(1.0), 2_000);
+    }
+    let mut sent = Vec::new();
+    for now in (2_010..12_010).step_by(10) {
+        let caller = now;
+        let mut actions = core.handle(Event::Tick, ms(now));
+        if now % 500 == 10 {
+            actions.extend(submit(&mut core, caller, incoming("staged", vec![4, 1]), ms(now)));
+        }
+        for (call, to) in batches(&actions) {
+            if to.id.starts_with("first") {
+                sent.push((now, to.id.to_string()));
+            }
+            let made = |n| PieceOutcome::Made(format!("h-{call}-{n}").into());
+            let outcome = BatchOutcome::Pieces((0..4).map(made).collect());
+            core.handle(Event::BatchEnded { call, outcome }, ms(now + 5));
+        }
+    }
+    assert!(sent.len() >= 12 && sent.len() <= 20, "{sent:?}");
+}
+
+/// The other gateway of two, as the one that starts later hears it.
+fn two() -> (GatewayCore, GatewayCore) {
+    let gateway = |port| {
+        let mut core = GatewayCore::new(Setup { address: address(port), ..setup() });
+        publish(&mut core, deployment(1, routes()), ms(0));
+        hear_of(&mut core, vec![serving(3 - port)], ms(100));
+        core
+    };
+    (gateway(1), gateway(2))
+}
+
+fn limits_told(actions: &[Action]) -> Vec<LimitTold> {
+    let messages = actions.iter().filter_map(|a| match a {
+        Action::Spread { message: PeerMessage::Gossip { limits, .. }, .. }
+        | Action::Tell { message: PeerMessage::Gossip { limits, .. }, .. } => Some(limits),
+        _ => None,
+    });
+    messages.flatten().cloned().collect()
+}
+
+#[test]
+fn other_gateways_hear_of_it_and_whoever_starts() {
+    let (mut core, _) = two();
+    let mut told = limits_told(&says(&mut core, &engine(1), names(1.0), 200));
+    for beat in 1..10 {
+        told.extend(limits_told(&core.handle(Event::Tick, ms(300 + beat * 200))));
+    }
+    assert_eq!(told, [account(1, at(1.0)), account(1, at(1.0))], "with two heartbeats");
+    let message = Says { members: vec![serving(5)], ..Says::default() }.message();
+    let actions = core.handle(Event::Peer { from: address(5), message }, ms(1_100));
+    assert_eq!(limits_told(&actions), [account(1, at(1.0))], "who starts is told at once");
+}
+
+#[test]
+fn a_gateway_that_never_had_an_answer_keeps_it() {
+    let (mut core, _) = two();
+    let limits = vec![account(1, at(0.0))];
+    let message = Says { members: vec![serving(2)], limits, ..Says::default() }.message();
+    core.handle(Event::Peer { from: address(2), message }, ms(200));
+    for caller in 1..=40 {
+        let actions = submit(&mut core, caller, incoming("r", Vec::new()), ms(200 + caller));
+        assert!(calls(&actions).iter().all(|(_, order)| &*order.endpoint.id != "engine-1"));
+    }
+}
+
+fn asked(actions: &[Action]) -> Vec<u64> {
+    let told = actions.iter().filter_map(|a| match a {
+        Action::Tell { message: PeerMessage::AskPermit { number, .. }, .. } => Some(*number),
+        _ => None,
+    });
+    told.collect()
+}
+
+/// An engine whose limiter is the other one of two gateways.
+fn of_the_other(core: &mut GatewayCore, now: u64) -> u64 {
+    says(core, &engine(1), names(1.0), now);
+    says(core, &engine(2), names(1.0), now);
+    for caller in 1..=20 {
+        let actions = submit(core, caller, incoming("r", Vec::new()), ms(now + caller));
+        if let Some(number) = asked(&actions).first() {
+            return *number;
+        }
+    }
+    panic!("the other one is no limiter")
+}
+
+#[test]
+fn a_permit_that_comes_late_is_void() {
+    let (_, mut core) = two();
+    let number = of_the_other(&mut core, 500);
+    let later = 9_000;
+    core.handle(Event::Tick, ms(later));
+    let (given, retry_after) = (true, Duration::ZERO);
+    let message = PeerMessage::Permit { number, given, retry_after };
+    let actions = core.handle(Event::Peer { from: address(1), message }, ms(later));
+    assert!(calls(&actions).is_empty());
+}
+
+#[test]
+fn nobody_else_decides() {
+    let (_, mut core) = two();
+    let number = of_the_other(&mut core, 500);
+    let (given, retry_after) = (true, Duration::ZERO);
+    let message = PeerMessage::Permit { number, given, retry_after };
+    let event = |from| Event::Peer { from: address(from), message: message.clone() };
+    assert!(calls(&core.handle(event(7), ms(530))).is_empty());
+    assert_eq!(calls(&core.handle(event(1), ms(531))).len(), 1);
+    assert!(calls(&core.handle(event(1), ms(532))).is_empty(), "one permit, one message");
+}
+
+fn settled(others: u16) -> Members {
+    let mut members = Members::new(address(1), 1, 1_000, Vec::new());
+    members.set_state(MemberState::Serving);
+    let alive: Vec<Member> = (2..2 + others).map(serving).collect();
+    members.hear(&alive, ms(0));
+    members
+}
+
+#[test]
+fn a_limiter_gives_the_parts_of_those_that_it_hears() {
+    let mut members = settled(9);
+    let all = |_: &Member| true;
+    assert!((members.part_heard(all, ms(500)) - 0.1).abs() < 1e-9, "not yet settled");
+    assert!((members.part_heard(all, ms(1_000)) - 1.0).abs() < 1e-9);
+    for port in 2..=5 {
+        members.broke(address(port), serving(port).incarnation, ms(1_100));
+    }
+    assert!((members.part_heard(all, ms(1_200)) - 0.6).abs() < 1e-9);
+    let reads = |member: &Member| member.address != address(10);
+    assert!((members.part_heard(reads, ms(1_200)) - 0.5).abs() < 1e-9, "another build");
+    // What fell silent may live on behind a cut for long after it is forgotten as a member.
+    let heartbeat = |port| Member { heartbeat: 900, ..serving(port) };
+    let alive: Vec<Member> = (6..=10).map(heartbeat).collect();
+    members.hear(&alive, ms(70_000));
+    members.expire(ms(70_100));
+    assert!((members.part_heard(all, ms(72_000)) - 0.6).abs() < 1e-9);
+}
+
+#[test]
+fn who_takes_over_waits_until_the_one_before_has_stopped() {
+    let all = |_: &Member| true;
+    let mut taken_over = 0;
+    for what in 0..40 {
+        let mut members = settled(3);
+        let what = format!("engine-{what}");
+        let (first, from) = members.limiter(&what, all).expect("one");
+        assert_eq!(from, ms(0));
+        if !members.broke(first, serving(first.port()).incarnation, ms(5_000)) {
+            continue;
+        }
+        let (next, from) = members.limiter(&what, all).expect("another");
+        assert_ne!(next, first);
+        assert_eq!(from, ms(6_000));
+        taken_over += 1;
+    }
+    assert!(taken_over > 10);
+}
+
+#[test]
+fn builds_that_give_no_permits_are_asked_for_none() {
+    let (mut core, _) = two();
+    let build = Build { version: "0.0.9".to_owned(), commit: None, form: 4 };
+    let incarnation = serving(2).incarnation;
+    core.handle(Event::PeerGreeted { address: address(2), incarnation, build }, ms(150));
+    says(&mut core, &engine(1), names(4.0), 2_000);
+    says(&mut core, &engine(2), names(4.0), 2_000);
+    let sent = press(&mut core, 1, 2_010, 6_010, 20);
+    // Its part is half of two: what the other one sends is its own.
+    assert!(sent.len() >= 10 && sent.len() <= 16, "{}", sent.len());
+}
