--- a/src/direct/limiting.rs
+++ b/src/direct/limiting.rs
@@ -1,7 +1,6 @@
 //! The core's part for limits that endpoints name: what is known of them, permits that are asked for, and those that
 //! this gateway gives.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -34,10 +33,10 @@
         sent: Timestamp,
         now: Timestamp,
     ) -> bool {
-        if limit == RateLimit::None && self.limits.is_empty() {
-            return false;
+        let is_new = self.limits.is_changed_by(endpoint, limit, sent);
+        if is_new {
+            Arc::make_mut(&mut self.limits).stated(endpoint, limit, now);
         }
-        let is_new = Arc::make_mut(&mut self.limits).stated(endpoint, limit, sent, now);
         if is_new && let Some(account) = self.limits.account(endpoint) {
             self.limit_changed(&account, "answer", now);
         }
@@ -47,7 +46,8 @@
     /// Another gateway tells of limits.
     pub(super) fn limits_told(&mut self, from: SocketAddr, told: &[LimitTold], now: Timestamp) {
         for account in told {
-            if Arc::make_mut(&mut self.limits).told(account, now) {
+            if self.limits.is_superseded_by(account) {
+                Arc::make_mut(&mut self.limits).told(account, now);
                 self.limit_changed(account, &from.to_string(), now);
             }
         }
@@ -69,7 +69,7 @@
             source: source.to_owned(),
         });
         self.share_limits(now);
-        self.serve_permits(now);
+        self.serve_permits(Some(&life), now);
     }
 
     fn set_gate(&mut self, (endpoint, incarnation): &Life, is_limited: bool) {
@@ -85,7 +85,7 @@
 
     /// Limits that go with the next heartbeat; those of long ago are forgotten.
     pub(super) fn news_of_limits(&mut self, now: Timestamp) -> Vec<LimitTold> {
-        if self.limits.is_empty() {
+        if !self.limits.is_due(now) {
             return Vec::new();
         }
         let documents = &self.documents;
@@ -95,13 +95,20 @@
         let limits = Arc::make_mut(&mut self.limits);
         let forgotten = limits.forget(is_listed, now);
         let news = limits.news();
-        for life in &forgotten {
-            self.set_gate(life, false);
+        self.no_longer_limited(&forgotten, now);
+        news
+    }
+
+    /// Endpoints need no permits any more.
+    fn no_longer_limited(&mut self, lives: &[Life], now: Timestamp) {
+        if lives.is_empty() {
+            return;
         }
-        if !forgotten.is_empty() {
-            self.share_limits(now);
+        for life in lives {
+            self.set_gate(life, false);
+            self.serve_permits(Some(life), now);
         }
-        news
+        self.share_limits(now);
     }
 
     /// Looks at what is due: permits to be given, limiters that are silent, endpoints that are free.
@@ -111,25 +118,20 @@
         }
         if self.limits.next_freed().is_some_and(|at| now >= at) {
             let freed = Arc::make_mut(&mut self.limits).take_freed(now);
-            freed.iter().for_each(|life| self.set_gate(life, false));
-            self.share_limits(now);
+            self.no_longer_limited(&freed, now);
         }
         if self.limiter.next_wakeup().is_some_and(|at| now >= at) {
-            self.serve_permits(now);
+            self.serve_permits(None, now);
         }
     }
 
-    /// Gives permits that are due, by how this gateway stands now.
-    pub(super) fn serve_permits(&mut self, now: Timestamp) {
+    /// Gives permits that are due, and looks at an endpoint whose limit changed.
+    fn serve_permits(&mut self, changed: Option<&Life>, now: Timestamp) {
         if self.limiter.is_empty() {
             return;
         }
         let mut limiter = std::mem::take(&mut self.limiter);
-        let lives: Vec<Life> = limiter.lives().cloned().collect();
-        let paces =
-            lives.into_iter().filter_map(|life| Some((life.clone(), self.pace(&life, now)?)));
-        let paces: HashMap<Life, Pace> = paces.collect();
-        let decided = limiter.look(|life| paces.get(life).copied(), RETRY_SOON, now);
+        let decided = limiter.look(changed, |life| self.pace(life, now), RETRY_SOON, now);
         self.limiter = limiter;
         self.tell_decided(decided);
     }
--- a/src/direct/limits/known.rs
+++ b/src/direct/limits/known.rs
@@ -7,6 +7,7 @@
 //! Gateways tell each other. Whoever hears something new from an answer counts the version on, and of two accounts the
 //! newer one holds; of two that were counted on at once, the stricter one.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -86,7 +87,10 @@
 /// The limits that one gateway knows.
 #[derive(Debug, Clone, Default)]
 pub struct KnownLimits {
-    lives: BTreeMap<Life, Known>,
+    /// By the endpoint's id and its life.
+    endpoints: BTreeMap<Name, BTreeMap<u64, Known>>,
+    /// How many lives there are.
+    count: usize,
     /// Whether something has yet to be told.
     has_news: bool,
     /// No life is forgotten earlier.
@@ -95,53 +99,63 @@
     freeing: Vec<Life>,
 }
 
-fn life(endpoint: &Endpoint) -> Life {
-    (endpoint.id.clone(), endpoint.incarnation)
-}
-
 impl KnownLimits {
-    /// An answer told a limit, or none; the message that it answers went out at a time. Says whether that changes
-    /// anything.
-    pub fn stated(
-        &mut self,
-        endpoint: &Endpoint,
-        limit: RateLimit,
-        sent: Timestamp,
-        now: Timestamp,
-    ) -> bool {
-        let life = life(endpoint);
-        let known = self.lives.get(&life).copied();
+    fn get(&self, id: &str, incarnation: u64) -> Option<&Known> {
+        self.endpoints.get(id)?.get(&incarnation)
+    }
+
+    fn iter(&self) -> impl Iterator<Item = (&Name, u64, &Known)> {
+        let lives = |(id, lives)| std::iter::repeat(id).zip(lives);
+        self.endpoints.iter().flat_map(lives).map(|(id, (life, known))| (id, *life, known))
+    }
+
+    fn remove(&mut self, (id, incarnation): &Life) {
+        let Some(lives) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        self.count -= usize::from(lives.remove(incarnation).is_some());
+        if lives.is_empty() {
+            self.endpoints.remove(id);
+        }
+    }
+
+    /// Whether it changes anything that an answer told a limit, or none; the message that it answers went out at a time.
+    pub fn is_changed_by(&self, endpoint: &Endpoint, limit: RateLimit, sent: Timestamp) -> bool {
+        let known = self.get(&endpoint.id, endpoint.incarnation);
         let is_newer = known.is_none_or(|known| sent >= known.since);
-        let holds = match (known.map(|known| known.limit), limit) {
+        match (known.map(|known| known.limit), limit) {
             (None | Some(RateLimit::None), RateLimit::None) => false,
             (None | Some(RateLimit::None), RateLimit::At(_)) => true,
             (Some(RateLimit::At(known)), RateLimit::At(told)) => {
                 told < known || told > known && is_newer
             }
             (Some(RateLimit::At(_)), RateLimit::None) => is_newer,
-        };
-        if holds {
-            let version = known.map_or(0, |known| known.version).saturating_add(1);
-            self.set(life, version, limit, now);
         }
-        holds
     }
 
-    /// Another gateway tells of a limit; says whether that is new.
-    pub fn told(&mut self, told: &LimitTold, now: Timestamp) -> bool {
-        let life = (told.endpoint.clone(), told.incarnation);
-        let known = self.lives.get(&life);
-        let is_new = known.is_none_or(|k| k.is_superseded_by(told.version, told.limit));
-        if is_new {
-            self.set(life, told.version, told.limit, now);
-        }
-        is_new
+    /// An answer told a limit, or none, and that changes something.
+    pub fn stated(&mut self, endpoint: &Endpoint, limit: RateLimit, now: Timestamp) {
+        let known = self.get(&endpoint.id, endpoint.incarnation);
+        let version = known.map_or(0, |known| known.version).saturating_add(1);
+        self.set((endpoint.id.clone(), endpoint.incarnation), version, limit, now);
+    }
+
+    /// Whether it changes anything that another gateway tells.
+    pub fn is_superseded_by(&self, told: &LimitTold) -> bool {
+        let known = self.get(&told.endpoint, told.incarnation);
+        known.is_none_or(|known| known.is_superseded_by(told.version, told.limit))
+    }
+
+    /// Another gateway tells of a limit, and that changes something.
+    pub fn told(&mut self, told: &LimitTold, now: Timestamp) {
+        self.set((told.endpoint.clone(), told.incarnation), told.version, told.limit, now);
     }
 
     fn set(&mut self, life: Life, version: u64, limit: RateLimit, now: Timestamp) {
-        let before = self.lives.get(&life).map(|known| known.last_named);
+        let before = self.get(&life.0, life.1).map(|known| known.last_named);
         if before.is_none() {
             self.make_room(now);
+            self.count += 1;
         }
         let last_named = match limit {
             RateLimit::At(rate) => rate,
@@ -153,43 +167,40 @@
         }
         self.has_news = true;
         let known = Known { version, limit, last_named, since: now, to_tell: TOLD };
-        self.lives.insert(life, known);
+        self.endpoints.entry(life.0).or_default().insert(life.1, known);
     }
 
     /// Where there are too many, the one goes that is free, or else that was heard of the longest time ago.
     fn make_room(&mut self, now: Timestamp) {
-        if self.lives.len() < MOST {
+        if self.count < MOST {
             return;
         }
         let order = |known: &Known| (known.rate(now).is_some(), known.since);
-        let first = self.lives.iter().min_by_key(|(_, known)| order(known));
-        if let Some(life) = first.map(|(life, _)| life.clone()) {
-            self.lives.remove(&life);
+        let first = self.iter().min_by_key(|(_, _, known)| order(known));
+        if let Some(life) = first.map(|(id, life, _)| (id.clone(), life)) {
+            self.remove(&life);
         }
     }
 
     /// Requests a second that an endpoint gets from all gateways together; `None` where nothing limits it.
     pub fn rate(&self, endpoint: &Endpoint, now: Timestamp) -> Option<RequestRate> {
-        if self.lives.is_empty() {
-            return None;
-        }
-        self.rate_of(&life(endpoint), now)
+        self.get(&endpoint.id, endpoint.incarnation)?.rate(now)
     }
 
     /// As [`Self::rate`], by the endpoint's life.
     pub fn rate_of(&self, life: &Life, now: Timestamp) -> Option<RequestRate> {
-        self.lives.get(life)?.rate(now)
+        self.get(&life.0, life.1)?.rate(now)
     }
 
     /// What is known of a life, as it is told.
     pub fn account(&self, endpoint: &Endpoint) -> Option<LimitTold> {
-        let life = life(endpoint);
-        self.lives.get(&life).map(|known| told(&life, known))
+        let known = self.get(&endpoint.id, endpoint.incarnation)?;
+        Some(told(&endpoint.id, endpoint.incarnation, known))
     }
 
     /// The lives that something is known of.
-    pub fn lives(&self) -> impl Iterator<Item = &Life> {
-        self.lives.keys()
+    pub fn lives(&self) -> impl Iterator<Item = (&Name, u64)> {
+        self.iter().map(|(id, life, _)| (id, life))
     }
 
     /// Lives that are free since this was last asked.
@@ -197,37 +208,45 @@
         if self.freeing.is_empty() {
             return Vec::new();
         }
-        let lives = &self.lives;
-        let is_free = |life: &mut Life| lives.get(life).is_none_or(|k| k.rate(now).is_none());
-        self.freeing.extract_if(.., is_free).collect()
+        let mut freeing = std::mem::take(&mut self.freeing);
+        let is_free = |life: &mut Life| self.rate_of(life, now).is_none();
+        let freed = freeing.extract_if(.., is_free).collect();
+        self.freeing = freeing;
+        freed
     }
 
     /// When the first of them is free.
     pub fn next_freed(&self) -> Option<Timestamp> {
-        let since = self.freeing.iter().filter_map(|life| self.lives.get(life));
+        let since = self.freeing.iter().filter_map(|life| self.get(&life.0, life.1));
         since.map(|known| known.since + FREED_AFTER).min()
     }
 
+    /// Whether something has yet to be told, or may be forgotten.
+    pub fn is_due(&self, now: Timestamp) -> bool {
+        self.has_news || !self.is_empty() && now >= self.forget_from
+    }
+
     /// What goes with the next heartbeat.
     pub fn news(&mut self) -> Vec<LimitTold> {
-        if !self.has_news {
-            return Vec::new();
-        }
-        let untold = self.lives.iter_mut().filter(|(_, known)| known.to_tell > 0);
         let mut news = Vec::new();
-        for (life, known) in untold.take(MOST_TOLD) {
-            known.to_tell -= 1;
-            news.push(told(life, known));
+        self.has_news = false;
+        for (id, lives) in &mut self.endpoints {
+            for (life, known) in lives.iter_mut().filter(|(_, known)| known.to_tell > 0) {
+                if news.len() < MOST_TOLD {
+                    known.to_tell -= 1;
+                    news.push(told(id, *life, known));
+                }
+                self.has_news |= known.to_tell > 0;
+            }
         }
-        self.has_news = self.lives.values().any(|known| known.to_tell > 0);
         news
     }
 
     /// What a gateway is told that is heard for the first time: the limits that hold, the last ones first.
     pub fn all(&self, now: Timestamp) -> Vec<LimitTold> {
-        let mut held: Vec<_> = self.lives.iter().filter(|(_, k)| k.rate(now).is_some()).collect();
-        held.sort_unstable_by_key(|(life, known)| (std::cmp::Reverse(known.since), *life));
-        held.into_iter().take(MOST_TOLD).map(|(life, known)| told(life, known)).collect()
+        let mut held: Vec<_> = self.iter().filter(|(.., k)| k.rate(now).is_some()).collect();
+        held.sort_unstable_by_key(|(id, life, known)| (Reverse(known.since), *id, *life));
+        held.into_iter().take(MOST_TOLD).map(|(id, life, known)| told(id, life, known)).collect()
     }
 
     /// Forgets lives that are not listed, or free, for long; says which had a limit.
@@ -236,29 +255,29 @@
             return Vec::new();
         }
         self.forget_from = now + FORGET_EVERY;
-        let is_over = |life: &Life, known: &Known| {
-            let is_held = known.rate(now).is_some() && is_listed(life);
-            !is_held && now >= known.since + KEPT
-        };
-        let over = self.lives.extract_if(.., |life, known| is_over(life, known));
-        over.map(|(life, _)| life).collect()
+        let lives = self.iter().map(|(id, life, known)| ((id.clone(), life), known));
+        let old = lives.filter(|(_, known)| now >= known.since + KEPT);
+        let over = old.filter(|(life, known)| known.rate(now).is_none() || !is_listed(life));
+        let over: Vec<Life> = over.map(|(life, _)| life).collect();
+        over.iter().for_each(|life| self.remove(life));
+        over
     }
 
     /// How many lives are known.
     pub fn len(&self) -> usize {
-        self.lives.len()
+        self.count
     }
 
     /// Whether none is.
     pub fn is_empty(&self) -> bool {
-        self.lives.is_empty()
+        self.count == 0
     }
 }
 
-fn told((endpoint, incarnation): &Life, known: &Known) -> LimitTold {
+fn told(endpoint: &Name, incarnation: u64, known: &Known) -> LimitTold {
     LimitTold {
         endpoint: endpoint.clone(),
-        incarnation: *incarnation,
+        incarnation,
         version: known.version,
         limit: known.limit,
     }
--- a/src/direct/limits/limiter.rs
+++ b/src/direct/limits/limiter.rs
@@ -3,7 +3,7 @@
 //! Whoever asks says how long it may wait. What fits waits in turn, the most urgent first, then whoever must be sent
 //! first; what does not is refused at once with the time at which it would be its turn.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -113,7 +113,7 @@
 /// The endpoints for which a gateway gives permits.
 #[derive(Debug, Default)]
 pub struct Limiter {
-    endpoints: HashMap<Life, Endpoint>,
+    endpoints: BTreeMap<Life, Endpoint>,
     asked: u64,
 }
 
@@ -141,24 +141,27 @@
         decided
     }
 
-    /// Gives what is due; `pace` says how each endpoint stands, and `None` that this gateway gives no permits for it.
+    /// Gives what is due, and looks at an endpoint whose limit changed; `pace` says how each stands, and `None` that this
+    /// gateway gives no permits for it.
     pub fn look(
         &mut self,
+        changed: Option<&Life>,
         pace: impl Fn(&Life) -> Option<Pace>,
         retry: Duration,
         now: Timestamp,
     ) -> Vec<Decided> {
         let mut decided = Vec::new();
         self.endpoints.retain(|life, endpoint| {
-            let pace = pace(life);
-            match pace {
-                Some(pace) => endpoint.serve(pace, now, &mut decided),
-                None => {
-                    let waiting = std::mem::take(&mut endpoint.waiting).into_values();
-                    decided.extend(waiting.map(|asker| Decided::Refused(asker, retry)));
-                }
+            if changed != Some(life) && endpoint.due.is_none_or(|due| now < due) {
+                return true;
             }
-            pace.is_some()
+            let Some(pace) = pace(life) else {
+                let waiting = std::mem::take(&mut endpoint.waiting).into_values();
+                decided.extend(waiting.map(|asker| Decided::Refused(asker, retry)));
+                return false;
+            };
+            endpoint.serve(pace, now, &mut decided);
+            true
         });
         decided
     }
@@ -175,11 +178,6 @@
         }
     }
 
-    /// The endpoints for which it was asked.
-    pub fn lives(&self) -> impl Iterator<Item = &Life> {
-        self.endpoints.keys()
-    }
-
     /// Whether it was asked for none.
     pub fn is_empty(&self) -> bool {
         self.endpoints.is_empty()
--- a/src/direct/owner/permits.rs
+++ b/src/direct/owner/permits.rs
@@ -19,8 +19,10 @@
 
 /// Calls are as urgent as anything: who is behind them was decided when their jobs were begun.
 const CALLS: u8 = 0;
-/// Results that nobody needs run out by themselves: they are freed when nothing else wants its turn.
+/// Results that nobody needs run out by themselves: they are freed when nothing else wants its turn, ...
 const FREED: u8 = u8::MAX;
+/// ... and only with one turn in so many: each call's results freed by themselves would take half of the turns.
+const FREED_ONE_IN: f64 = 10.0;
 /// An owner waits for so long for its turn before it looks again at what waits.
 const WAIT: Duration = Duration::from_secs(1);
 /// A permit that is older is not used for a call: it must go out before the permit is void.
@@ -35,6 +37,8 @@
     asked: Vec<(Name, Purpose)>,
     /// Permits for calls, and until when they hold.
     given: HashMap<Name, Timestamp>,
+    /// When something was last freed.
+    freed: HashMap<Name, Timestamp>,
     turns: Turns,
 }
 
@@ -43,6 +47,13 @@
         self.asked.iter().any(|(id, asked)| id == endpoint && *asked == purpose)
     }
 
+    /// Forgets endpoints that are not listed any more.
+    pub(super) fn retain(&mut self, listed: impl Fn(&str) -> bool) {
+        self.given.retain(|id, _| listed(id));
+        self.freed.retain(|id, _| listed(id));
+        self.turns.retain(listed);
+    }
+
     fn decided(&mut self, endpoint: &Name, purpose: Purpose) -> bool {
         let before = self.asked.len();
         self.asked.retain(|(id, asked)| id != endpoint || *asked != purpose);
@@ -82,7 +93,7 @@
         }
         let limits = self.limits.clone();
         for (id, incarnation) in limits.lives() {
-            let endpoint = table.endpoint(id).filter(|e| e.incarnation == *incarnation);
+            let endpoint = table.endpoint(id).filter(|e| e.incarnation == incarnation);
             let Some(endpoint) = endpoint.filter(|e| self.wants_permit(e, table, now)) else {
                 continue;
             };
@@ -148,16 +159,30 @@
 
     /// Asks for permits to free what endpoints with limits need not keep; says which may be told without one.
     pub(super) fn free_with_permits(&mut self, now: Timestamp) {
+        if self.limits.is_empty() {
+            return;
+        }
         let limited = self.to_free.values().map(|(endpoint, _)| endpoint);
-        let limited = limited.filter(|e| self.limits.rate(e, now).is_some());
-        let limited = limited.filter(|e| !self.permits.is_asked(&e.id, Purpose::Free));
-        let limited = limited.filter(|e| self.permits.turns.turn(e, FREED, now).is_none());
+        let limited = limited.filter(|endpoint| self.may_be_told_what_is_free(endpoint, now));
         let limited: Vec<_> = limited.cloned().collect();
         for endpoint in limited {
+            self.permits.freed.insert(endpoint.id.clone(), now);
             self.want(endpoint, Purpose::Free, FREED);
         }
     }
 
+    fn may_be_told_what_is_free(&self, endpoint: &Endpoint, now: Timestamp) -> bool {
+        let Some(rate) = self.limits.rate(endpoint, now) else {
+            return false;
+        };
+        let rest = Duration::try_from_secs_f64(FREED_ONE_IN / rate.as_per_second());
+        let rest = rest.unwrap_or(Duration::MAX);
+        let last = self.permits.freed.get(&endpoint.id);
+        last.is_none_or(|last| now >= last.saturating_add(rest))
+            && !self.permits.is_asked(&endpoint.id, Purpose::Free)
+            && self.permits.turns.turn(endpoint, FREED, now).is_none()
+    }
+
     /// How long so many more pieces of a pool wait until the last of them has its turn, where all its endpoints have
     /// limits; `None` where one has none.
     fn wait_for_turns(
--- a/src/direct/owner/scheduler.rs
+++ b/src/direct/owner/scheduler.rs
@@ -197,7 +197,6 @@
         while let Some(pool) = self.dirty.pop_first() {
             self.fill(&pool, table, now);
         }
-        self.ask_permits(table, now);
         self.free_what_may_be(now);
         std::mem::take(&mut self.out)
     }
@@ -283,6 +282,7 @@
     /// Endpoints or the configuration changed.
     pub fn changed(&mut self, table: &Table) {
         self.makers.retain(|id| table.endpoint(id).is_some());
+        self.permits.retain(|id| table.endpoint(id).is_some());
         self.dirty.extend(table.deployment.pools.iter().map(|p| p.name.clone()));
         self.is_listed = false;
     }
@@ -306,6 +306,7 @@
         // Pieces take an endpoint elsewhere when their time grows short, and room runs free with time.
         let waiting = self.ledger.pools().filter(|(_, pool)| !pool.queue.is_empty());
         self.dirty.extend(waiting.map(|(name, _)| name.clone()));
+        self.ask_permits(table, now);
     }
 
     /// A call has had the time to fetch the inputs of its pieces: they are freed. Where another owner
--- a/tests/direct_limits.rs
+++ b/tests/direct_limits.rs
@@ -92,6 +92,13 @@
     assert!(first.len() >= from && first.len() <= to, "{first:?}");
 }
 
+/// An answer to a message that went out at a time is read.
+fn state(known: &mut KnownLimits, limit: RateLimit, sent: u64, read: u64) {
+    if known.is_changed_by(&engine(1), limit, ms(sent)) {
+        known.stated(&engine(1), limit, ms(read));
+    }
+}
+
 // Of what endpoints tell, in the order in which answers are read, with when each message went out.
 #[test_case(&[(0, Some(3.0), 5), (2, None, 6)], Some(3.0); "an answer that was written before")]
 #[test_case(&[(0, Some(3.0), 5), (6, None, 9)], None; "an answer without it")]
@@ -104,7 +111,7 @@
     let mut known = KnownLimits::default();
     for &(sent, limit, read) in told {
         let limit = limit.map_or(RateLimit::None, at);
-        known.stated(&engine(1), limit, ms(sent), ms(read));
+        state(&mut known, limit, sent, read);
     }
     // Whoever names none any more gets more by degrees, and is free after a while.
     let free = known.rate(&engine(1), ms(6_000));
@@ -127,7 +134,10 @@
     for start in 0..accounts.len() {
         let mut known = KnownLimits::default();
         for number in 0..accounts.len() * 2 {
-            known.told(&accounts[(start + number * 3) % accounts.len()], ms(10));
+            let told = &accounts[(start + number * 3) % accounts.len()];
+            if known.is_superseded_by(told) {
+                known.told(told, ms(10));
+            }
         }
         assert_eq!(known.rate(&engine(1), ms(20)), Some(rate(2.0)), "the newest, the strictest");
     }
@@ -136,8 +146,8 @@
 #[test]
 fn what_ends_ends_by_degrees_for_everybody() {
     let mut known = KnownLimits::default();
-    known.stated(&engine(1), at(3.0), ms(0), ms(0));
-    known.stated(&engine(1), RateLimit::None, ms(10), ms(1_000));
+    state(&mut known, at(3.0), 0, 0);
+    state(&mut known, RateLimit::None, 10, 1_000);
     let gets = |after: u64| known.rate(&engine(1), ms(1_000 + after));
     let expected = [3.0, 6.0, 12.0, 24.0, 48.0];
     for (second, rate_then) in expected.into_iter().enumerate() {
@@ -145,7 +155,7 @@
     }
     assert_eq!(gets(5 * SECONDS), None);
     // It names one again meanwhile: no ramp, no stampede.
-    known.stated(&engine(1), at(3.0), ms(2_000), ms(2_100));
+    state(&mut known, at(3.0), 2_000, 2_100);
     assert_eq!(known.rate(&engine(1), ms(9_000)), Some(rate(3.0)));
 }
 
@@ -247,7 +257,7 @@
     assert!(matches!(ask(6, 0, 9_000)[..], []));
     let mut given = Vec::new();
     for now in 0..8_000 {
-        for decided in limiter.look(|_| Some(pace), ms(250), ms(now)) {
+        for decided in limiter.look(None, |_| Some(pace), ms(250), ms(now)) {
             match decided {
                 Decided::Given(asker) => given.push(asker.number),
                 Decided::Refused(asker, _) => panic!("{asker:?} at {now}"),
