--- a/src/direct/owner/permits.rs
+++ b/src/direct/owner/permits.rs
@@ -157,7 +157,7 @@
         }
     }
 
-    /// Asks for permits to free what endpoints with limits need not keep; says which may be told without one.
+    /// Asks for permits to tell endpoints with limits what they need not keep.
     pub(super) fn free_with_permits(&mut self, now: Timestamp) {
         if self.limits.is_empty() {
             return;
