--- a/tests/directenv/limits.rs
+++ b/tests/directenv/limits.rs
@@ -16,7 +16,7 @@
 use stackmast::direct::statement::{Asked, RateLimit, RequestRate, Statement};
 
 use super::gateway::{good, incoming, setup};
-use super::timeline::{Gateway, Timeline};
+use super::timeline::{Gateway, Timeline, heard};
 use super::{address, deployment, endpoint, route};
 
 /// Spans of that length are counted.
@@ -351,15 +351,10 @@
     }
 
     fn act(&mut self, number: usize, action: Action) {
-        let from = address(number as u16 + 1);
         match action {
-            Action::Tell { to, message } => {
-                self.send(number, to.port(), Event::Peer { from, message });
-            }
-            Action::Spread { to, message } => {
-                for to in to {
-                    let message = message.clone();
-                    self.send(number, to.port(), Event::Peer { from, message });
+            Action::Tell { .. } | Action::Spread { .. } => {
+                for (to, event) in heard(number, action) {
+                    self.send(number, to, event);
                 }
             }
             Action::Call { caller, attempt, order } => {
--- a/tests/directenv/orders.rs
+++ b/tests/directenv/orders.rs
@@ -14,8 +14,8 @@
 use stackmast::direct::published::model::{ColdStart, Deployment, Endpoint, Name, Repeat};
 
 use super::gateway::{good, incoming, setup};
-use super::timeline::{Gateway, Timeline};
-use super::{address, deployment, endpoint, ms, route};
+use super::timeline::{Gateway, Timeline, heard};
+use super::{deployment, endpoint, ms, route};
 
 /// What a cold endpoint bears a second.
 pub const BEARS: f64 = 10.0;
@@ -338,15 +338,9 @@
 
     fn act(&mut self, number: usize, action: Action) {
         match action {
-            Action::Tell { to, message } => {
-                let from = address(number as u16 + 1);
-                self.send(number, to.port(), Event::Peer { from, message });
-            }
-            Action::Spread { to, message } => {
-                let from = address(number as u16 + 1);
-                for to in to {
-                    let message = message.clone();
-                    self.send(number, to.port(), Event::Peer { from, message });
+            Action::Tell { .. } | Action::Spread { .. } => {
+                for (to, event) in heard(number, action) {
+                    self.send(number, to, event);
                 }
             }
             Action::Call { caller, attempt, order } => {
--- a/tests/directenv/poison/mod.rs
+++ b/tests/directenv/poison/mod.rs
@@ -15,8 +15,8 @@
 use stackmast::direct::published::model::{Deployment, Endpoint, Name, Repeat};
 
 use super::gateway::{incoming, setup};
-use super::timeline::{Gateway, Timeline};
-use super::{address, deployment, endpoint, ms, route};
+use super::timeline::{Gateway, Timeline, heard};
+use super::{deployment, endpoint, ms, route};
 
 /// A gateway that was cut off, or started, is in touch after so long; and so long after the third ending
 /// each gateway in touch has heard of it.
@@ -314,15 +314,9 @@
     fn act(&mut self, number: usize, action: Action) {
         let life = self.gateways[number].life;
         match action {
-            Action::Tell { to, message } => {
-                let from = address(number as u16 + 1);
-                self.send(number, to.port(), Event::Peer { from, message });
-            }
-            Action::Spread { to, message } => {
-                let from = address(number as u16 + 1);
-                for to in to {
-                    let message = message.clone();
-                    self.send(number, to.port(), Event::Peer { from, message });
+            Action::Tell { .. } | Action::Spread { .. } => {
+                for (to, event) in heard(number, action) {
+                    self.send(number, to, event);
                 }
             }
             Action::Call { caller, attempt, order } => self.call(number, caller, attempt, &order),
--- a/tests/directenv/timeline.rs
+++ b/tests/directenv/timeline.rs
@@ -98,3 +98,15 @@
         (actions, wake)
     }
 }
+
+/// What other gateways hear of an action of one: the port of each, and what it hears.
+pub fn heard(number: usize, action: Action) -> Vec<(u16, Event)> {
+    let from = address(number as u16 + 1);
+    let (to, message) = match action {
+        Action::Tell { to, message } => (vec![to], message),
+        Action::Spread { to, message } => (to, message),
+        _ => return Vec::new(),
+    };
+    let event = |message| Event::Peer { from, message };
+    to.into_iter().map(|to| (to.port(), event(message.clone()))).collect()
+}
