Sight for the incident: headers that are not read are named, and revisions that go back

Cause of the change: no line told that the store's answers had a header which this build does not read, and none told a revision, so the three hypotheses could not be told apart. Server-Limit would have been seen the same way.

--- a/src/direct/client.rs
+++ b/src/direct/client.rs
@@ -1,5 +1,6 @@
 //! What an adapter provides: calls to endpoints. What it gets: callers' messages, untouched.
 
+use std::collections::BTreeSet;
 use std::future::Future;
 use std::sync::Arc;
 
@@ -66,6 +67,9 @@
 
     /// The head of the answer is read, and says this of the endpoint.
     fn states(&mut self, statement: Statement);
+
+    /// The head of the answer has headers that are not read; each is named once.
+    fn passes_over(&mut self, headers: BTreeSet<String>);
 }
 
 /// Speaks to endpoints in their protocol.
--- a/src/direct/following.rs
+++ b/src/direct/following.rs
@@ -59,6 +59,10 @@
         if documents.iter().any(Revised::is_deployment) {
             self.pulls.read_ended();
         }
+        let seen = self.documents.seen().endpoints;
+        if let Some(revision) = whole_at.filter(|at| *at < seen) {
+            self.note(Note::StoreWentBack { revision, seen });
+        }
         let merged = match whole_at {
             Some(at) => self.documents.merge_list(documents, at, now),
             None => self.documents.merge(documents, now),
--- a/src/direct/note/kinds.rs
+++ b/src/direct/note/kinds.rs
@@ -54,6 +54,7 @@
             Self::StagesGivenUp { .. } => "stages_given_up",
             Self::Configured { .. } => "configured",
             Self::StoreRead { .. } => "store_read",
+            Self::StoreWentBack { .. } => "store_went_back",
             Self::Pull { .. } => "pull",
             Self::Pulled { .. } => "pulled",
             Self::CoreLate { .. } => "core_late",
--- a/src/direct/note/mod.rs
+++ b/src/direct/note/mod.rs
@@ -221,6 +221,13 @@
         /// Milliseconds of decoding.
         decode_ms: u64,
     },
+    /// The publisher's store gave the whole list at a lower revision than was seen before.
+    StoreWentBack {
+        /// The revision of the list.
+        revision: u64,
+        /// The highest revision that was seen of endpoints.
+        seen: u64,
+    },
     /// Documents are asked of a peer, came from it, or are waited for no longer.
     Pull {
         /// The peer.
--- a/src/direct/shell.rs
+++ b/src/direct/shell.rs
@@ -1,6 +1,6 @@
 //! Carries out what a gateway's core decides: calls, answers, messages, lines.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -34,6 +34,8 @@
 
 /// An event that waits or takes longer for the core makes it late.
 const LATE: Duration = Duration::from_millis(200);
+/// What lines call the answers of endpoints.
+const ENDPOINT_ANSWER: &str = "answer of an endpoint";
 /// That the core is late is told this often at most.
 const LATE_TOLD: Duration = Duration::from_secs(1);
 
@@ -204,6 +206,11 @@
         let event = Event::Stated { endpoint, asked, statement, sent, at };
         self.core.post(event, &Runtime::current());
     }
+
+    fn passes_over(&mut self, fields: BTreeSet<String>) {
+        let event = Event::PassedOver { document: ENDPOINT_ANSWER, fields };
+        self.core.post(event, &Runtime::current());
+    }
 }
 
 /// The shell of one gateway.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -61,6 +61,8 @@
 pub const PEER_BYTES: &str = "stackmast_peer_bytes_total";
 /// Documents of the platform that could not be read, each time they were.
 pub const UNREADABLE: &str = "stackmast_unreadable_documents_total";
+/// Headers of answers that belong to the platform and are not read, by source.
+pub const UNKNOWN_HEADERS: &str = "stackmast_unknown_headers_total";
 /// Data centres that are evacuated.
 pub const EVACUATED: &str = "stackmast_evacuated_data_centres";
 /// Contents that are refused because endpoints crashed under them.
@@ -110,6 +112,7 @@
     describe_counter!(PEER_BAD, "Messages of gateways that could not be read");
     describe_counter!(PEER_BYTES, "Bytes of messages between gateways, by direction and kind");
     describe_counter!(UNREADABLE, "Documents of the platform that could not be read");
+    describe_counter!(UNKNOWN_HEADERS, "Headers of the platform that are not read, by source");
     describe_gauge!(EVACUATED, "Data centres that get no new work by order");
     describe_gauge!(POISON, "Contents refused because endpoints crashed under them");
     describe_counter!(WITHHELD, "Ordered messages to endpoints that were not sent, by asked");
