--- a/benches/limits.rs
+++ b/benches/limits.rs
@@ -20,6 +20,7 @@
 use stackmast::direct::published::model::{
     CallerLimits, Deployment, Endpoint, EngineSpec, Pool, Repeat, Route, Target, Work,
 };
+use stackmast::direct::published::position::Position;
 use stackmast::direct::repeats::Bounds;
 use stackmast::direct::statement::{RateLimit, RequestRate};
 
@@ -99,13 +100,14 @@
 fn heartbeat(members: Vec<Member>, limits: Vec<LimitTold>) -> PeerMessage {
     PeerMessage::Gossip {
         members,
-        seen: Seen { version: 1, endpoints: 5 },
+        seen: Seen { version: 1, endpoints: Position::new(0, 5) },
         complete: true,
         usage: Vec::new(),
         late: Duration::ZERO,
         evacuations: Evacuations::default(),
         departures: Vec::new(),
         limits,
+        era: 0,
     }
 }
 
@@ -129,8 +131,13 @@
     let entries = (0..ENDPOINTS).map(|n| Document::Endpoint(Arc::new(endpoint(n))));
     let configured = [Document::Deployment(Arc::new(deployment()))];
     let documents = configured.into_iter().chain(entries);
-    let documents = documents.map(|document| Revised { revision: 5, document }).collect();
-    core.handle(Event::Published { documents, whole_at: Some(5) }, Duration::ZERO);
+    let documents = documents
+        .map(|document| Revised { position: Position::new(0, 5), made: 0, document })
+        .collect();
+    core.handle(
+        Event::Published { documents, whole_at: Some(Position::new(0, 5)) },
+        Duration::ZERO,
+    );
     hear(&mut core, gateways, limited, now);
     core
 }
--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -3,7 +3,7 @@
 //! One core a process: what is published, who the other gateways are, callers' requests, and the
 //! pools of which this gateway is the owner.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,8 +29,9 @@
 use crate::direct::poison::successes::Successes;
 use crate::direct::poison::suspects::Suspects;
 use crate::direct::published::documents::Documents;
-use crate::direct::published::evacuations::Evacuations;
+use crate::direct::published::evacuations::{Evacuations, Unconfirmed};
 use crate::direct::published::model::{Endpoint, Name};
+use crate::direct::published::position::Eras;
 use crate::direct::published::table::Table;
 use crate::direct::repeats::Bounds;
 use crate::direct::requests::Requests;
@@ -39,6 +40,11 @@
 use crate::direct::stop::{self, Stop};
 use crate::message::Timestamp;
 
+/// What lines call the store as the source of something.
+pub(super) const PUBLISHER: &str = "publisher";
+/// A gateway that starts, and hears of a newer configuration than the store gives, waits for it for so long before it
+/// calls itself ready: the store may have come back from an older copy.
+const NEWEST_WITHIN: Duration = Duration::from_millis(1_500);
 /// A report of how an endpoint stands is worth something for so long after it was asked for: one that lay unread while
 /// this process stood still tells how the endpoint stood then.
 const REPORT_KEPT: Duration = Duration::from_millis(500);
@@ -74,6 +80,14 @@
     pub(super) builds: Builds,
     pub(super) documents: Documents,
     pub(super) evacuations: Evacuations,
+    /// Orders of before an era that the store has yet to confirm.
+    pub(super) unconfirmed: Unconfirmed,
+    /// Data centres that get no new work by order.
+    pub(super) evacuated: BTreeSet<Name>,
+    /// Eras of the store that were heard of.
+    pub(super) eras: Eras,
+    /// Whether the configuration in the store is older than the one in force.
+    pub(super) published_older: bool,
     pub(super) table: Table,
     pub(super) requests: Requests,
     pub(super) owners: Owners,
@@ -102,7 +116,9 @@
     waited: Duration,
     /// When the process last went on after it had stood still.
     pub(super) went_on_at: Timestamp,
-    /// When the first whole configuration came.
+    /// When the first configuration and list came.
+    documented_since: Option<Timestamp>,
+    /// When they were first the newest that was known of.
     pub(super) complete_since: Option<Timestamp>,
     pub(super) next_beat: Timestamp,
     stop: Option<Stop>,
@@ -121,6 +137,10 @@
             builds: Builds::default(),
             documents: Documents::default(),
             evacuations: Evacuations::default(),
+            unconfirmed: Unconfirmed::default(),
+            evacuated: BTreeSet::new(),
+            eras: Eras::default(),
+            published_older: false,
             table: Table::default(),
             requests: Requests::new(
                 setup.address,
@@ -144,6 +164,7 @@
             next_ask: Timestamp::ZERO,
             waited: Duration::ZERO,
             went_on_at: Timestamp::ZERO,
+            documented_since: None,
             complete_since: None,
             next_beat: Timestamp::ZERO,
             stop: None,
@@ -233,6 +254,7 @@
                 self.documents.publisher(answers, now);
                 self.note(Note::Publisher { answers });
             }
+            Event::StoreEra { era } => self.hear_era(era, PUBLISHER),
             Event::Reading => self.pulls.reading(now),
             Event::PeerSends { from, progress } => self.pulls.progressed(from, progress, now),
             Event::PeerBrokeOff { from, pull } => self.pull_failed(from, pull, "broken off", now),
@@ -254,10 +276,15 @@
         if self.early.is_open() && !self.knows_enough(&incoming, now) {
             return self.early.add(caller, incoming, arrived);
         }
-        let known = self.documents.is_complete();
+        let known = self.is_complete();
         self.requests.submit(caller, incoming, &self.table, known, arrived, now);
     }
 
+    /// Whether requests are decided, by the newest configuration that is known of.
+    const fn is_complete(&self) -> bool {
+        self.complete_since.is_some()
+    }
+
     /// Whether a request can be decided: with a configuration, and with stages once the peers and the
     /// endpoints were heard. A process that stops waits for nothing.
     fn knows_enough(&self, incoming: &Incoming, now: Timestamp) -> bool {
@@ -273,7 +300,7 @@
         let mut early = std::mem::take(&mut self.early);
         let due = early.take_due(|incoming| self.knows_enough(incoming, now), now);
         self.early = early;
-        let known = self.documents.is_complete();
+        let known = self.is_complete();
         for early in due {
             let (caller, incoming) = (early.caller, early.incoming);
             let request = incoming.id.clone();
@@ -337,6 +364,7 @@
         }
         let expired = self.documents.expire(now);
         self.merged(&expired, "not back", false, now);
+        self.confirm_orders(now);
         self.update_state(now);
         self.look_at_early(now);
         self.probe_later_ones(now);
@@ -352,10 +380,13 @@
 
     fn update_state(&mut self, now: Timestamp) {
         let draining = self.stop.is_some();
-        let complete = self.documents.is_complete();
-        if complete && self.complete_since.is_none() {
-            self.complete_since = Some(now);
+        if self.documents.is_complete() && self.complete_since.is_none() {
+            let since = *self.documented_since.get_or_insert(now);
+            if !self.pulls.knows_newer() || now >= since + NEWEST_WITHIN {
+                self.complete_since = Some(now);
+            }
         }
+        let complete = self.is_complete();
         let ready = complete && !draining;
         let state = match (draining, ready) {
             (true, _) => MemberState::Leaving,
@@ -466,8 +497,9 @@
 
     fn next_wakeup(&self) -> Option<Timestamp> {
         let wakeups = [self.owners.next_wakeup(), self.requests.next_wakeup()];
-        let pulls = self.pulls.next_wakeup(self.documents.is_complete()).into_iter();
+        let pulls = self.pulls.next_wakeup(self.own()).into_iter();
         let behind = pulls.chain(self.documents.next_expiry()).chain(self.members.next_suspicion());
+        let behind = behind.chain(self.unconfirmed.next_expiry());
         let settled =
             self.complete_since.filter(|_| !self.early.is_empty()).map(|s| s + self.settling);
         let early = self.early.next_wakeup().into_iter().chain(settled);
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -17,6 +17,7 @@
 use crate::direct::published::documents::Revised;
 use crate::direct::published::evacuations::Evacuation;
 use crate::direct::published::model::{CallerLimits, Endpoint, Name};
+use crate::direct::published::position::Position;
 use crate::direct::published::store_read::StoreRead;
 use crate::direct::statement::{Asked, Statement};
 use crate::message::Timestamp;
@@ -211,15 +212,15 @@
     Published {
         /// Some or all.
         documents: Vec<Revised>,
-        /// The revision at which these are the whole list of endpoints.
-        whole_at: Option<u64>,
+        /// Where these are the whole list of endpoints.
+        whole_at: Option<Position>,
     },
     /// Orders to evacuate data centres were given or taken back.
     Evacuations {
         /// Some changes, or all orders that stand.
         changes: Vec<Evacuation>,
-        /// The revision at which these are all that stand.
-        whole_at: Option<u64>,
+        /// Where these are all that stand.
+        whole_at: Option<Position>,
     },
     /// A document of the publisher can't be read: it names nothing to use.
     Unreadable {
@@ -240,6 +241,11 @@
         /// Whether it answers.
         answers: bool,
     },
+    /// The publisher's store named its era in an answer.
+    StoreEra {
+        /// The era.
+        era: u64,
+    },
     /// Something came of a configuration that is read from the publisher.
     Reading,
     /// Something came of a configuration that a peer sends.
@@ -474,6 +480,8 @@
     Ready(bool),
     /// What callers may send.
     Limits(CallerLimits),
+    /// The store is in a newer era: what is followed of earlier ones is void.
+    StoreEra(u64),
     /// Write a line.
     Note(Note),
 }
--- a/src/direct/following.rs
+++ b/src/direct/following.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::direct::core::GatewayCore;
+use crate::direct::core::{GatewayCore, PUBLISHER};
 use crate::direct::event::Action;
 use crate::direct::note::{Note, ms};
 use crate::direct::peers::message::PeerMessage;
@@ -15,6 +15,7 @@
 use crate::direct::published::documents::{Document, Merged, Revised, Seen};
 use crate::direct::published::evacuations::{Evacuation, Evacuations};
 use crate::direct::published::model::{Deployment, Endpoint, Name};
+use crate::direct::published::position::Position;
 use crate::direct::published::store_read::StoreRead;
 use crate::message::Timestamp;
 
@@ -29,6 +30,10 @@
 /// Where many gateways watch, one of them goes on this often after a change, and tells the others. Beyond 133
 /// gateways, where [`LONGEST_WATCH`] bounds the rest, calls grow with the gateways.
 const GATHER_ENDS: Duration = Duration::from_millis(60);
+/// After an era has begun all gateways read everything anew: within so long for each of them, ...
+const REREAD_EACH: Duration = Duration::from_millis(4);
+/// ... and no later than that.
+const LONGEST_REREAD: Duration = Duration::from_secs(1);
 /// Each watch is a call that costs.
 const LONGEST_WATCH: Duration = Duration::from_secs(8);
 
@@ -48,26 +53,29 @@
         SHORTEST_GATHER..=(GATHER_ENDS * watching).clamp(SHORTEST_GATHER, LONGEST_WATCH)
     }
 
-    /// The publisher's store gave documents, or the whole list as it stood at revision `whole_at`.
+    /// Within which time gateways that hear of a new era from each other begin to read everything anew.
+    pub fn reread_within(&self) -> Duration {
+        let watching = self.members.alive().count() as u32 + 1;
+        (REREAD_EACH * watching).min(LONGEST_REREAD)
+    }
+
+    /// The publisher's store gave documents, or the whole list as it stood at `whole_at`.
     pub(super) fn published(
         &mut self,
         documents: Vec<Revised>,
-        whole_at: Option<u64>,
+        whole_at: Option<Position>,
         now: Timestamp,
     ) {
         self.documents.publisher(true, now);
         if documents.iter().any(Revised::is_deployment) {
             self.pulls.read_ended();
-        }
-        let seen = self.documents.seen().endpoints;
-        if let Some(revision) = whole_at.filter(|at| *at < seen) {
-            self.note(Note::StoreWentBack { revision, seen });
+            self.compare_published(&documents);
         }
         let merged = match whole_at {
-            Some(at) => self.documents.merge_list(documents, at, now),
+            Some(at) => self.merge_whole(documents, at, PUBLISHER, now),
             None => self.documents.merge(documents, now),
         };
-        self.merged(&merged, "publisher", true, now);
+        self.merged(&merged, PUBLISHER, true, now);
     }
 
     /// A read of the publisher's store was long, or failed.
@@ -83,38 +91,52 @@
     pub(super) fn on_configuration(
         &mut self,
         from: SocketAddr,
-        revision: u64,
+        position: Position,
         deployment: Arc<Deployment>,
         now: Timestamp,
     ) {
         self.pulls.answered(from);
         let document = Document::Deployment(deployment);
-        let merged = self.documents.merge(vec![Revised { revision, document }], now);
+        let merged = self.documents.merge(vec![Revised { position, made: 0, document }], now);
         self.note_pull(from, "answered");
         self.merged(&merged, &from.to_string(), false, now);
     }
 
-    /// A peer sent entries of endpoints: the whole list with `listed_at`, the revision up to which it has
-    /// seen them.
+    /// A peer sent entries of endpoints: the whole list with `listed_at`, up to where it has seen them.
+    ///
+    /// Who is in an earlier era than the peer gets all that the peer has: whatever else is known is not there any more.
     pub(super) fn on_documents(
         &mut self,
         from: SocketAddr,
-        documents: Vec<Revised>,
-        listed_at: Option<u64>,
+        mut documents: Vec<Revised>,
+        listed_at: Option<Position>,
         now: Timestamp,
     ) {
-        let merged = self.documents.merge(documents, now);
+        let source = from.to_string();
+        for revised in &mut documents {
+            revised.position = self.eras.adopt(revised.position);
+        }
+        let listed_at = listed_at.map(|at| self.eras.adopt(at));
+        let own = self.documents.seen().endpoints;
+        let merged = match listed_at {
+            Some(at) if own.era < at.era => {
+                self.hear_era(at.era, &source);
+                self.merge_whole(documents, at, &source, now)
+            }
+            _ => self.documents.merge(documents, now),
+        };
         if let Some(seen) = listed_at {
             self.documents.note_listed(seen);
         }
         self.pulls.list_came();
-        self.merged(&merged, &from.to_string(), false, now);
+        self.merged(&merged, &source, false, now);
     }
 
     /// Tells what became of a pull.
     pub(super) fn note_pull(&mut self, peer: SocketAddr, outcome: &'static str) {
         let Seen { version, endpoints } = self.documents.seen();
-        self.note(Note::Pull { peer, outcome, version, endpoints });
+        let Position { era, revision: endpoints } = endpoints;
+        self.note(Note::Pull { peer, outcome, version, era, endpoints });
     }
 
     /// What this gateway has.
@@ -125,18 +147,19 @@
     /// A peer asks for what it lacks: entries of endpoints, and with `configuration`, the number of its
     /// pull, also a newer configuration.
     pub(super) fn on_pull(&mut self, from: SocketAddr, seen: Seen, configuration: Option<u64>) {
+        let seen = Seen { endpoints: self.eras.adopt(seen.endpoints), ..seen };
         let documents = self.documents.endpoints_after(seen.endpoints);
         let complete = self.documents.is_complete();
         let newer =
             self.documents.deployment_after(seen.version).filter(|_| configuration.is_some());
         let (deployment, endpoints) = (newer.is_some(), documents.len());
         self.note(Note::Pulled { peer: from, deployment, endpoints });
-        let seen = self.documents.seen().endpoints;
-        self.tell(from, PeerMessage::Documents { documents, complete, seen });
+        let Position { era, revision: seen } = self.documents.seen().endpoints;
+        self.tell(from, PeerMessage::Documents { documents, complete, seen, era });
         match newer {
-            Some((revision, deployment)) => {
+            Some((Position { era, revision }, deployment)) => {
                 let pull = configuration.unwrap_or_default();
-                self.tell(from, PeerMessage::Configuration { revision, deployment, pull });
+                self.tell(from, PeerMessage::Configuration { revision, deployment, pull, era });
             }
             None if configuration.is_some() => self.tell(from, PeerMessage::NoConfiguration),
             None => {}
@@ -172,6 +195,9 @@
     /// What follows from a merge: lines, the table, and with `spread` a heartbeat at once, so that peers hear
     /// of what the publisher gave.
     pub(super) fn merged(&mut self, merged: &Merged, source: &str, spread: bool, now: Timestamp) {
+        for life in &merged.leaving_on {
+            self.departed(life.clone(), source, now);
+        }
         if let Some(before) = merged.deployment {
             self.note_configured(before, source, now);
             self.out.push(Action::Limits(self.documents.deployment().limits.clone()));
@@ -217,7 +243,7 @@
     pub(super) fn evacuations_published(
         &mut self,
         changes: &[Evacuation],
-        whole_at: Option<u64>,
+        whole_at: Option<Position>,
         now: Timestamp,
     ) {
         let mut evacuations = self.evacuations.clone();
@@ -229,7 +255,7 @@
             let key = change.data_centre.to_string();
             self.note(Note::Unreadable { key, cause: "too many orders to evacuate".to_owned() });
         }
-        if self.evacuations_merged(evacuations, "publisher", now) {
+        if self.evacuations_merged(evacuations, PUBLISHER, now) {
             self.next_beat = Timestamp::ZERO;
         }
     }
@@ -245,14 +271,28 @@
             return;
         }
         let mut evacuations = self.evacuations.clone();
-        evacuations.merge(told);
+        evacuations.merge(&told.adopted(&self.eras));
         self.evacuations_merged(evacuations, &from.to_string(), now);
     }
 
     /// Puts orders in force, from now on and for all that is not yet sent; says whether any changed.
     fn evacuations_merged(&mut self, known: Evacuations, source: &str, now: Timestamp) -> bool {
-        let (before, standing) = (self.evacuations.standing(), known.standing());
+        self.unconfirmed.changed(&self.evacuated, &self.evacuations, &known, now);
         self.evacuations = known;
+        self.obey_orders(source, now)
+    }
+
+    /// Orders of before an era that were not written again since are believed to be gone.
+    pub(super) fn confirm_orders(&mut self, now: Timestamp) {
+        if self.unconfirmed.expire(now) {
+            self.obey_orders("not confirmed", now);
+        }
+    }
+
+    /// Obeys the orders that stand and are confirmed; says whether that changed anything.
+    fn obey_orders(&mut self, source: &str, now: Timestamp) -> bool {
+        let standing = self.unconfirmed.in_force(self.evacuations.standing());
+        let before = std::mem::replace(&mut self.evacuated, standing.clone());
         if before == standing {
             return false;
         }
--- a/src/direct/hearing.rs
+++ b/src/direct/hearing.rs
@@ -89,7 +89,7 @@
     ///
     /// The table has it as leaving, so everything that keeps away from endpoints which the list calls leaving does
     /// so from now on, at whatever stage its request is: a rule of its own for each way of calling would miss one.
-    fn departed(&mut self, departure: Departure, source: &str, now: Timestamp) {
+    pub(super) fn departed(&mut self, departure: Departure, source: &str, now: Timestamp) {
         let was_full = self.departures.is_full();
         if !self.departures.heard(departure.clone(), now) {
             return;
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -33,6 +33,7 @@
 pub mod published;
 pub mod repeats;
 pub mod requests;
+mod returning;
 pub mod shell;
 pub mod statement;
 pub mod stop;
--- a/src/direct/note/mod.rs
+++ b/src/direct/note/mod.rs
@@ -228,6 +228,45 @@
         /// The highest revision that was seen of endpoints.
         seen: u64,
     },
+    /// A newer era of the store was heard of: it came back from an older copy.
+    StoreEra {
+        /// The era before.
+        before: u64,
+        /// The last revision of it that was seen of endpoints.
+        revision_before: u64,
+        /// The new one.
+        era: u64,
+        /// Who named it.
+        source: String,
+    },
+    /// The first whole list of a new era came.
+    StoreReturned {
+        /// The era before.
+        before: u64,
+        /// The last revision of it that was seen of endpoints.
+        revision_before: u64,
+        /// The new one.
+        era: u64,
+        /// The revision of the list.
+        revision: u64,
+        /// Who gave it.
+        source: String,
+        /// Endpoints that it lists as ready and that leave on; as the next two, some of them.
+        leaving: Vec<Name>,
+        /// Endpoints that it lists and whose entries had gone: they get nothing until they write again.
+        doubted: Vec<Name>,
+        /// Endpoints that it lacks: they are used on until they were due to write again.
+        lacked: Vec<Name>,
+    },
+    /// The configuration in the store is older than the one in force, or not any more.
+    PublishedVersion {
+        /// The version in the store.
+        published: u64,
+        /// The one in force.
+        in_force: u64,
+        /// Whether the one in the store is older.
+        is_older: bool,
+    },
     /// Documents are asked of a peer, came from it, or are waited for no longer.
     Pull {
         /// The peer.
@@ -236,6 +275,8 @@
         outcome: &'static str,
         /// The configuration's version that the process has.
         version: u64,
+        /// The era of the store that its list of endpoints is of.
+        era: u64,
         /// The revision of endpoints that the process has.
         endpoints: u64,
     },
--- a/src/direct/peers/bulk.rs
+++ b/src/direct/peers/bulk.rs
@@ -20,6 +20,7 @@
 use crate::direct::peers::links::{CONNECT_TIMEOUT, Connection, Hello, MAX_FRAME, framed};
 use crate::direct::peers::message::PeerMessage;
 use crate::direct::peers::pulls::Progress;
+use crate::direct::published::position::Position;
 
 /// Configurations that a process sends at once; more share its link and are late together.
 const AT_ONCE: usize = 2;
@@ -32,8 +33,11 @@
 /// A receiver that has not taken all within that is given up.
 const LONGEST: Duration = Duration::from_secs(10);
 
-/// A revision and version of the configuration, encoded once for all who ask.
-type Encoded = Option<((u64, u64), Bytes)>;
+/// Where a configuration stands, and its version.
+type Which = (Position, u64);
+
+/// A configuration, encoded once for all who ask.
+type Encoded = Option<(Which, Bytes)>;
 
 /// Sends configurations.
 #[derive(Debug)]
@@ -50,13 +54,7 @@
     }
 
     /// Begins to send; `false` if too many are sent already.
-    pub fn send(
-        &self,
-        to: SocketAddr,
-        pull: u64,
-        which: (u64, u64),
-        message: &PeerMessage,
-    ) -> bool {
+    pub fn send(&self, to: SocketAddr, pull: u64, which: Which, message: &PeerMessage) -> bool {
         let Ok(permit) = self.room.clone().try_acquire_owned() else {
             return false;
         };
@@ -75,7 +73,7 @@
         true
     }
 
-    fn encoded(&self, which: (u64, u64), message: &PeerMessage) -> Bytes {
+    fn encoded(&self, which: Which, message: &PeerMessage) -> Bytes {
         let mut encoded = self.encoded.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some((_, bytes)) = encoded.as_ref().filter(|(of, _)| *of == which) {
             return bytes.clone();
--- a/src/direct/peers/codec.rs
+++ b/src/direct/peers/codec.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::direct::peers::message::{JobId, PeerMessage};
-use crate::direct::peers::{form3, form4};
+use crate::direct::peers::{form3, form4, form5};
 
 /// How JSON begins: with an object or a word.
 const JSON_STARTS: [u8; 2] = [b'{', b'"'];
@@ -21,7 +21,7 @@
 
 /// The compact form that this build writes: it grows by one whenever the fields of a message or of what it holds change.
 /// The kept frames of each form (`tests/frames`) hold it to that.
-pub const FORM: u32 = 5;
+pub const FORM: u32 = 6;
 
 /// A message that is written once for all who get it, in each form at its first use.
 #[derive(Debug)]
@@ -103,6 +103,7 @@
 fn read_compact(form: u32, message: &[u8]) -> Result<PeerMessage, Unread> {
     let read = match form {
         FORM => postcard::from_bytes(message).ok(),
+        form5::FORM => form5::read(message),
         form4::FORM => form4::read(message),
         form3::FORM => form3::read(message),
         _ => return Err(Unread::Form(form)),
--- a/src/direct/peers/form3.rs
+++ b/src/direct/peers/form3.rs
@@ -1,5 +1,5 @@
-//! A compact form of an earlier landing: heartbeats without departures and limits. Read while one build is replaced by the
-//! other; goes once no landing that writes it is upgraded from.
+//! A compact form of an earlier landing: heartbeats without departures and limits. Read while one build is replaced by the other; goes once no landing
+//! that writes it is upgraded from.
 
 use std::time::Duration;
 
@@ -8,13 +8,10 @@
 use crate::direct::owner::makers::Usage;
 use crate::direct::peers::members::Member;
 use crate::direct::peers::message::PeerMessage;
-use crate::direct::published::documents::Seen;
-use crate::direct::published::evacuations::Evacuations;
+use crate::direct::peers::without_eras::{self, Evacuations, Seen};
 
 /// Its number.
 pub(super) const FORM: u32 = 3;
-/// How its heartbeats begin: with the number of their kind.
-const HEARTBEAT: u8 = 0;
 
 #[derive(Deserialize)]
 struct Heartbeat {
@@ -26,14 +23,16 @@
     evacuations: Evacuations,
 }
 
-/// Reads a message; all but heartbeats are as they are now.
+/// Reads a message.
 pub(super) fn read(message: &[u8]) -> Option<PeerMessage> {
-    let [HEARTBEAT, heartbeat @ ..] = message else {
-        return postcard::from_bytes(message).ok();
-    };
+    without_eras::read(message, heartbeat)
+}
+
+fn heartbeat(fields: &[u8]) -> Option<PeerMessage> {
     let Heartbeat { members, seen, complete, usage, late, evacuations } =
-        postcard::from_bytes(heartbeat).ok()?;
+        postcard::from_bytes(fields).ok()?;
     let (departures, limits) = Default::default();
+    let (seen, evacuations) = (seen.into(), evacuations.into());
     Some(PeerMessage::Gossip {
         members,
         seen,
@@ -43,5 +42,6 @@
         evacuations,
         departures,
         limits,
+        era: 0,
     })
 }
--- a/src/direct/peers/form4.rs
+++ b/src/direct/peers/form4.rs
@@ -1,5 +1,5 @@
-//! The compact form of the landing before: heartbeats without limits. Read while one build is replaced by the
-//! other; goes once no landing that writes it is upgraded from.
+//! A compact form of an earlier landing: heartbeats without limits. Read while one build is replaced by the other; goes once no landing
+//! that writes it is upgraded from.
 
 use std::time::Duration;
 
@@ -9,13 +9,10 @@
 use crate::direct::owner::makers::Usage;
 use crate::direct::peers::members::Member;
 use crate::direct::peers::message::PeerMessage;
-use crate::direct::published::documents::Seen;
-use crate::direct::published::evacuations::Evacuations;
+use crate::direct::peers::without_eras::{self, Evacuations, Seen};
 
 /// Its number.
 pub(super) const FORM: u32 = 4;
-/// How its heartbeats begin: with the number of their kind.
-const HEARTBEAT: u8 = 0;
 
 #[derive(Deserialize)]
 struct Heartbeat {
@@ -28,14 +25,16 @@
     departures: Vec<Departure>,
 }
 
-/// Reads a message; all but heartbeats are as they are now.
+/// Reads a message.
 pub(super) fn read(message: &[u8]) -> Option<PeerMessage> {
-    let [HEARTBEAT, heartbeat @ ..] = message else {
-        return postcard::from_bytes(message).ok();
-    };
+    without_eras::read(message, heartbeat)
+}
+
+fn heartbeat(fields: &[u8]) -> Option<PeerMessage> {
     let Heartbeat { members, seen, complete, usage, late, evacuations, departures } =
-        postcard::from_bytes(heartbeat).ok()?;
+        postcard::from_bytes(fields).ok()?;
     let limits = Vec::new();
+    let (seen, evacuations) = (seen.into(), evacuations.into());
     Some(PeerMessage::Gossip {
         members,
         seen,
@@ -45,5 +44,6 @@
         evacuations,
         departures,
         limits,
+        era: 0,
     })
 }
--- /dev/null
+++ b/src/direct/peers/form5.rs
@@ -0,0 +1,50 @@
+//! The compact form of the landing before: heartbeats and documents without eras. Read while one build is replaced by the other; goes once no landing
+//! that writes it is upgraded from.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use crate::direct::departures::Departure;
+use crate::direct::limits::known::LimitTold;
+use crate::direct::owner::makers::Usage;
+use crate::direct::peers::members::Member;
+use crate::direct::peers::message::PeerMessage;
+use crate::direct::peers::without_eras::{self, Evacuations, Seen};
+
+/// Its number.
+pub(super) const FORM: u32 = 5;
+
+#[derive(Deserialize)]
+struct Heartbeat {
+    members: Vec<Member>,
+    seen: Seen,
+    complete: bool,
+    usage: Vec<Usage>,
+    late: Duration,
+    evacuations: Evacuations,
+    departures: Vec<Departure>,
+    limits: Vec<LimitTold>,
+}
+
+/// Reads a message.
+pub(super) fn read(message: &[u8]) -> Option<PeerMessage> {
+    without_eras::read(message, heartbeat)
+}
+
+fn heartbeat(fields: &[u8]) -> Option<PeerMessage> {
+    let Heartbeat { members, seen, complete, usage, late, evacuations, departures, limits } =
+        postcard::from_bytes(fields).ok()?;
+    let (seen, evacuations) = (seen.into(), evacuations.into());
+    Some(PeerMessage::Gossip {
+        members,
+        seen,
+        complete,
+        usage,
+        late,
+        evacuations,
+        departures,
+        limits,
+        era: 0,
+    })
+}
--- a/src/direct/peers/links.rs
+++ b/src/direct/peers/links.rs
@@ -26,6 +26,7 @@
 use crate::direct::peers::bulk::{Bulk, Receives};
 use crate::direct::peers::codec::{FORM, Outgoing, Unread, json, read};
 use crate::direct::peers::message::PeerMessage;
+use crate::direct::published::position::Position;
 
 /// A connection must come up within that.
 pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -127,8 +128,9 @@
     /// Queues a message; a connection is made where there is none.
     pub fn tell(&self, to: SocketAddr, message: PeerMessage) {
         match message {
-            PeerMessage::Configuration { revision, ref deployment, pull } => {
-                if !self.bulk.send(to, pull, (revision, deployment.version), &message) {
+            PeerMessage::Configuration { revision, ref deployment, pull, era } => {
+                let which = (Position::new(era, revision), deployment.version);
+                if !self.bulk.send(to, pull, which, &message) {
                     self.spread(&[to], PeerMessage::NoConfiguration);
                 }
             }
--- a/src/direct/peers/message.rs
+++ b/src/direct/peers/message.rs
@@ -148,6 +148,9 @@
         /// Limits that endpoints name, as far as the receiver may not know.
         #[serde(default)]
         limits: Vec<LimitTold>,
+        /// The newest era of the store that it has heard of; of builds that know none, 0.
+        #[serde(default)]
+        era: u64,
     },
     /// Asks for the documents that the sender lacks.
     Pull {
@@ -169,6 +172,9 @@
         /// The number of the pull that it answers; it travels ahead of the message.
         #[serde(skip)]
         pull: u64,
+        /// The era of that revision.
+        #[serde(default)]
+        era: u64,
     },
     /// The sender has no newer configuration, or sends it to too many others now.
     NoConfiguration,
@@ -182,6 +188,9 @@
         /// and it alone is left of them.
         #[serde(default)]
         seen: u64,
+        /// The era of that revision.
+        #[serde(default)]
+        era: u64,
     },
     /// Run the stages of a request.
     Submit(Box<Job>),
--- a/src/direct/peers/pulls.rs
+++ b/src/direct/peers/pulls.rs
@@ -14,10 +14,13 @@
 
 use crate::direct::peers::members::Members;
 use crate::direct::published::documents::Seen;
+use crate::direct::published::position::Position;
 use crate::message::Timestamp;
 
 /// A gateway that has seen less than another waits so long for its own publisher before it asks.
 const BEHIND: Duration = Duration::from_millis(100);
+/// All gateways read everything anew when an era begins, at random times: only one that could not by then asks others.
+const EARLIER_ERA: Duration = Duration::from_millis(1_200);
 // The sum that a configuration has 2 s for, from the first telling of it: `LONGEST_WAIT`, which bounds
 // the own read's patience and `BETWEEN` together (1,000 ms), `FIRST_CHUNK` of a peer that is silent
 // (400 ms), and the transfer from another, half a megabyte at 10 Mbit/s (400 ms): 1,800 ms. What a
@@ -114,7 +117,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Ahead {
     peer: SocketAddr,
-    revision: u64,
+    position: Position,
     since: Timestamp,
 }
 
@@ -162,10 +165,15 @@
         let lacks_list = complete && !own.complete;
         if lacks_list || seen.endpoints > own.seen.endpoints {
             let since = self.list.map_or(now, |l| l.since);
-            self.list = Some(Ahead { peer, revision: seen.endpoints, since });
+            self.list = Some(Ahead { peer, position: seen.endpoints, since });
         }
     }
 
+    /// Whether a peer has a newer configuration than this gateway.
+    pub fn knows_newer(&self) -> bool {
+        !self.newer.is_empty()
+    }
+
     /// Something came of the own read of a configuration.
     pub const fn reading(&mut self, now: Timestamp) {
         self.reading = Some(now);
@@ -239,9 +247,9 @@
             self.in_flight.push(InFlight::new(self.asked, peer, now));
             due.configuration = Some((peer, self.asked));
         }
-        let lacks = |l: &Ahead| !own.complete || l.revision > own.seen.endpoints;
+        let lacks = |l: &Ahead| !own.complete || l.position > own.seen.endpoints;
         self.list = self.list.filter(lacks);
-        if self.list_due(own.complete).is_some_and(|at| now >= at) {
+        if self.list_due(own).is_some_and(|at| now >= at) {
             due.list = self.list.take().map(|l| l.peer);
             self.list_asked = Some(now);
         }
@@ -249,9 +257,9 @@
     }
 
     /// When [`Self::due`] has something to say, as far as is known now.
-    pub fn next_wakeup(&self, complete: bool) -> Option<Timestamp> {
+    pub fn next_wakeup(&self, own: Own) -> Option<Timestamp> {
         let over = self.in_flight.iter().map(InFlight::over_at).min();
-        [over, self.configuration_due(), self.list_due(complete)].into_iter().flatten().min()
+        [over, self.configuration_due(), self.list_due(own)].into_iter().flatten().min()
     }
 
     /// When a configuration is to be asked for, be it beside one that is on its way.
@@ -298,9 +306,13 @@
         best.choose(rng).copied()
     }
 
-    fn list_due(&self, complete: bool) -> Option<Timestamp> {
+    fn list_due(&self, own: Own) -> Option<Timestamp> {
         let ahead = self.list?;
-        let patience = if complete { BEHIND } else { Duration::ZERO };
+        let patience = match own.complete {
+            false => Duration::ZERO,
+            true if own.seen.endpoints.era < ahead.position.era => EARLIER_ERA,
+            true => BEHIND,
+        };
         let asked = self.list_asked.map_or(Timestamp::ZERO, |at| at + LIST_ANSWER);
         Some((ahead.since + patience).max(asked))
     }
--- /dev/null
+++ b/src/direct/peers/without_eras.rs
@@ -0,0 +1,109 @@
+//! Messages of builds that know no eras of the store: compact forms 3 to 5 write bare revisions.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::Deserialize;
+
+use crate::direct::peers::message::PeerMessage;
+use crate::direct::published::documents::{self, Document};
+use crate::direct::published::evacuations;
+use crate::direct::published::model::{Deployment, Name};
+use crate::direct::published::position::Position;
+
+// How these messages begin: with the number of their kind.
+const HEARTBEAT: u8 = 0;
+const PULL: u8 = 1;
+const CONFIGURATION: u8 = 2;
+const DOCUMENTS: u8 = 4;
+
+/// What a sender has seen.
+#[derive(Deserialize)]
+pub(super) struct Seen {
+    version: u64,
+    endpoints: u64,
+}
+
+impl From<Seen> for documents::Seen {
+    fn from(Seen { version, endpoints }: Seen) -> Self {
+        Self { version, endpoints: Position::new(0, endpoints) }
+    }
+}
+
+/// What a sender knows of orders to evacuate data centres.
+#[derive(Deserialize)]
+pub(super) struct Evacuations {
+    read_at: u64,
+    orders: BTreeMap<Name, Order>,
+}
+
+#[derive(Deserialize)]
+struct Order {
+    revision: u64,
+    stands: bool,
+}
+
+impl From<Evacuations> for evacuations::Evacuations {
+    fn from(Evacuations { read_at, orders }: Evacuations) -> Self {
+        let order =
+            |(name, order): (Name, Order)| (name, Position::new(0, order.revision), order.stands);
+        Self::of(Position::new(0, read_at), orders.into_iter().map(order))
+    }
+}
+
+#[derive(Deserialize)]
+struct Pull {
+    seen: Seen,
+    configuration: bool,
+    number: u64,
+}
+
+#[derive(Deserialize)]
+struct Configuration {
+    revision: u64,
+    deployment: Arc<Deployment>,
+}
+
+#[derive(Deserialize)]
+struct Documents {
+    documents: Vec<Revised>,
+    complete: bool,
+    seen: u64,
+}
+
+#[derive(Deserialize)]
+struct Revised {
+    revision: u64,
+    document: Document,
+}
+
+impl From<Revised> for documents::Revised {
+    fn from(Revised { revision, document }: Revised) -> Self {
+        Self { position: Position::new(0, revision), made: 0, document }
+    }
+}
+
+/// Reads a message; `heartbeat` reads those of one form.
+pub(super) fn read(
+    message: &[u8],
+    heartbeat: impl FnOnce(&[u8]) -> Option<PeerMessage>,
+) -> Option<PeerMessage> {
+    let (&kind, fields) = message.split_first()?;
+    match kind {
+        HEARTBEAT => heartbeat(fields),
+        PULL => {
+            let Pull { seen, configuration, number } = postcard::from_bytes(fields).ok()?;
+            Some(PeerMessage::Pull { seen: seen.into(), configuration, number })
+        }
+        CONFIGURATION => {
+            let Configuration { revision, deployment } = postcard::from_bytes(fields).ok()?;
+            Some(PeerMessage::Configuration { revision, deployment, pull: 0, era: 0 })
+        }
+        DOCUMENTS => {
+            let Documents { documents, complete, seen } = postcard::from_bytes(fields).ok()?;
+            let documents = documents.into_iter().map(Into::into).collect();
+            Some(PeerMessage::Documents { documents, complete, seen, era: 0 })
+        }
+        _ => postcard::from_bytes(message).ok(),
+    }
+}
--- a/src/direct/published/mod.rs
+++ b/src/direct/published/mod.rs
@@ -9,5 +9,6 @@
 pub mod homes;
 pub mod lapse;
 pub mod model;
+pub mod position;
 pub mod store_read;
 pub mod table;
--- /dev/null
+++ b/src/direct/returning.rs
@@ -0,0 +1,94 @@
+//! The core's part for a store that comes back from an older copy, in a new era.
+//!
+//! Any answer of the store may name a newer era first, and so may any gateway: all are told at once, and whoever follows
+//! the store reads everything anew.
+
+use std::net::SocketAddr;
+
+use crate::direct::core::GatewayCore;
+use crate::direct::event::Action;
+use crate::direct::note::Note;
+use crate::direct::published::documents::{Document, Merged, Revised};
+use crate::direct::published::model::Name;
+use crate::direct::published::position::Position;
+use crate::message::Timestamp;
+
+/// Endpoints that one line names at most.
+const MOST_NAMED: usize = 16;
+
+impl GatewayCore {
+    /// An era of the store was heard of, from the store or from a peer.
+    pub(super) fn hear_era(&mut self, era: u64, source: &str) {
+        let Some(new) = self.eras.hear(era) else {
+            return;
+        };
+        crate::metrics::store_era(era);
+        self.out.push(Action::StoreEra(era));
+        if let Some(before) = new.before {
+            let revision_before = self.documents.seen().endpoints.revision;
+            let source = source.to_owned();
+            self.note(Note::StoreEra { before, revision_before, era, source });
+            self.next_beat = Timestamp::ZERO;
+        }
+    }
+
+    /// A peer told of an era; builds that know none tell 0.
+    pub(super) fn era_told(&mut self, from: SocketAddr, era: u64) {
+        if era > 0 {
+            self.hear_era(era, &from.to_string());
+        }
+    }
+
+    /// Merges a whole list as it stood at a position, and tells what a new era lost and brought back.
+    pub(super) fn merge_whole(
+        &mut self,
+        documents: Vec<Revised>,
+        at: Position,
+        source: &str,
+        now: Timestamp,
+    ) -> Merged {
+        let before = self.documents.seen().endpoints;
+        let is_first = before == Position::default();
+        let merged = self.documents.merge_list(documents, at, now);
+        if before.era < at.era && !is_first {
+            self.note_returned(before, at, &merged, source);
+        } else if at < before {
+            self.note(Note::StoreWentBack { revision: at.revision, seen: before.revision });
+        }
+        merged
+    }
+
+    fn note_returned(&mut self, before: Position, at: Position, merged: &Merged, source: &str) {
+        let some = |names: &[Name]| names.iter().take(MOST_NAMED).cloned().collect::<Vec<_>>();
+        let leaving = merged.leaving_on.iter().map(|life| life.endpoint.clone());
+        self.note(Note::StoreReturned {
+            before: before.era,
+            revision_before: before.revision,
+            era: at.era,
+            revision: at.revision,
+            source: source.to_owned(),
+            leaving: leaving.take(MOST_NAMED).collect(),
+            doubted: some(&merged.doubted),
+            lacked: some(&merged.lacked),
+        });
+    }
+
+    /// Tells once that the configuration which stands in the store is older than the one in force, and that it is not any
+    /// more.
+    pub(super) fn compare_published(&mut self, documents: &[Revised]) {
+        let version = documents.iter().rev().find_map(|revised| match &revised.document {
+            Document::Deployment(deployment) => Some(deployment.version),
+            Document::Endpoint(_) | Document::Gone(_) => None,
+        });
+        let Some(published) = version else {
+            return;
+        };
+        crate::metrics::published_version(published);
+        let in_force = self.documents.seen().version;
+        let is_older = published < in_force;
+        if is_older || self.published_older {
+            self.note(Note::PublishedVersion { published, in_force, is_older });
+        }
+        self.published_older = is_older;
+    }
+}
--- a/src/direct/shell.rs
+++ b/src/direct/shell.rs
@@ -93,13 +93,15 @@
     state: watch::Receiver<State>,
 }
 
-/// What a front end goes by.
+/// What front ends and followers of the store go by.
 #[derive(Debug, Clone, Default)]
 pub struct State {
     /// Whether the process calls itself ready.
     pub ready: bool,
     /// What callers may send.
     pub limits: CallerLimits,
+    /// The newest era of the publisher's store that was heard of.
+    pub store_era: u64,
 }
 
 impl Gateway {
@@ -108,6 +110,14 @@
         self.state.borrow().clone()
     }
 
+    /// Waits for an era of the publisher's store that is newer than one.
+    pub async fn store_era_after(&self, era: u64) {
+        let mut state = self.state.clone();
+        if state.wait_for(|state| state.store_era > era).await.is_err() {
+            std::future::pending().await
+        }
+    }
+
     /// Callers that wait for an answer or whose stream is open.
     pub fn callers(&self) -> usize {
         lock(&self.callers).len()
@@ -452,6 +462,7 @@
             Action::Spread { to, message } => self.peers.spread(&to, message),
             Action::Disconnect { from } => self.peers.disconnect(from),
             Action::Ready(ready) => self.state.send_modify(|s| s.ready = ready),
+            Action::StoreEra(era) => self.state.send_modify(|s| s.store_era = era),
             Action::Limits(limits) => self.state.send_modify(|s| s.limits = limits),
             Action::Note(note) => self.write(&note),
         }
--- a/src/direct/talking.rs
+++ b/src/direct/talking.rs
@@ -12,6 +12,8 @@
 use crate::direct::peers::build::{Build, Greeted};
 use crate::direct::peers::codec::Unread;
 use crate::direct::peers::message::{Job, JobId, JobReason, PeerMessage};
+use crate::direct::published::documents::Seen;
+use crate::direct::published::position::Position;
 use crate::direct::requests::stages::GivenUp;
 use crate::message::Timestamp;
 
@@ -38,7 +40,10 @@
                 evacuations,
                 departures,
                 limits,
+                era,
             } => {
+                self.era_told(from, era);
+                let seen = Seen { endpoints: self.eras.adopt(seen.endpoints), ..seen };
                 self.evacuations_told(from, &evacuations, now);
                 self.departures_told(from, departures, now);
                 self.limits_told(from, &limits, now);
@@ -68,12 +73,14 @@
             PeerMessage::Pull { seen, configuration, number } => {
                 self.on_pull(from, seen, configuration.then_some(number));
             }
-            PeerMessage::Configuration { revision, deployment, .. } => {
-                self.on_configuration(from, revision, deployment, now);
+            PeerMessage::Configuration { revision, deployment, era, .. } => {
+                let position = self.eras.adopt(Position::new(era, revision));
+                self.on_configuration(from, position, deployment, now);
             }
             PeerMessage::NoConfiguration => self.pull_failed(from, 0, "refused", now),
-            PeerMessage::Documents { documents, complete, seen } => {
-                self.on_documents(from, documents, complete.then_some(seen), now);
+            PeerMessage::Documents { documents, complete, seen, era } => {
+                let listed_at = complete.then_some(Position::new(era, seen));
+                self.on_documents(from, documents, listed_at, now);
             }
             PeerMessage::Submit(job) if self.takes_job(&job, from, now) => {
                 self.owners.submit(*job, &self.table, now);
@@ -184,6 +191,7 @@
             evacuations: self.evacuations.clone(),
             departures,
             limits,
+            era: self.eras.newest(),
         }
     }
 
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -63,6 +63,10 @@
 pub const UNREADABLE: &str = "stackmast_unreadable_documents_total";
 /// Headers of answers that belong to the platform and are not read, by source.
 pub const UNKNOWN_HEADERS: &str = "stackmast_unknown_headers_total";
+/// The newest era of the publisher's store that was heard of.
+pub const STORE_ERA: &str = "stackmast_store_era";
+/// The version of the configuration that was last read from the publisher's store.
+pub const PUBLISHED_VERSION: &str = "stackmast_published_version";
 /// Data centres that are evacuated.
 pub const EVACUATED: &str = "stackmast_evacuated_data_centres";
 /// Contents that are refused because endpoints crashed under them.
@@ -113,6 +117,8 @@
     describe_counter!(PEER_BYTES, "Bytes of messages between gateways, by direction and kind");
     describe_counter!(UNREADABLE, "Documents of the platform that could not be read");
     describe_counter!(UNKNOWN_HEADERS, "Headers of the platform that are not read, by source");
+    describe_gauge!(STORE_ERA, "Newest era of the publisher's store");
+    describe_gauge!(PUBLISHED_VERSION, "Version of the configuration in the publisher's store");
     describe_gauge!(EVACUATED, "Data centres that get no new work by order");
     describe_gauge!(POISON, "Contents refused because endpoints crashed under them");
     describe_counter!(WITHHELD, "Ordered messages to endpoints that were not sent, by asked");
@@ -226,6 +232,16 @@
     histogram!(CORE_TOOK).record(took.as_secs_f64());
 }
 
+/// An era of the publisher's store was heard of.
+pub fn store_era(era: u64) {
+    gauge!(STORE_ERA).set(era as f64);
+}
+
+/// A configuration was read from the publisher's store.
+pub fn published_version(version: u64) {
+    gauge!(PUBLISHED_VERSION).set(version as f64);
+}
+
 /// Counts a decision or change of belief, and what it measured.
 pub fn noted(note: &Note) {
     counter!(DECISIONS, "kind" => note.kind()).increment(1);
--- a/testbed/src/frames.rs
+++ b/testbed/src/frames.rs
@@ -27,6 +27,7 @@
     BatchSpec, CallerLimits, ColdStart, Deployment, Endpoint, EngineSpec, Name, Organisation, Pool,
     Repeat, Route, StageSpec, Target, Work,
 };
+use stackmast::direct::published::position::Position;
 use stackmast::direct::statement::{RateLimit, RequestRate};
 
 /// The frames of one form.
@@ -183,6 +184,10 @@
     }
 }
 
+const fn position(revision: u64) -> Position {
+    Position::new(2, revision)
+}
+
 fn made() -> Made {
     Made { handle: name("10.1.64.7:8080/91bd3f06e44"), endpoint: name("endpoint-2") }
 }
@@ -195,17 +200,18 @@
         state: MemberState::Serving,
         capacity: 190,
     };
-    let order = Evacuation { data_centre: name("hall-1"), revision: 31, stands: true };
+    let order = Evacuation { data_centre: name("hall-1"), position: position(31), stands: true };
     let usage = Usage { endpoint: name("endpoint-2"), bytes: 96_000 };
     PeerMessage::Gossip {
         members: vec![member],
-        seen: Seen { version: 12, endpoints: 345 },
+        seen: Seen { version: 12, endpoints: position(345) },
         complete: true,
         usage: vec![usage],
         late: Duration::from_millis(20),
-        evacuations: Evacuations::read(&[order], 40),
+        evacuations: Evacuations::read(&[order], position(40)),
         departures: vec![Departure::of(&endpoint())],
         limits: vec![limit()],
+        era: 2,
     }
 }
 
@@ -257,20 +263,24 @@
 
 fn messages() -> Vec<PeerMessage> {
     let documents = vec![
-        Revised { revision: 344, document: Document::Endpoint(Arc::new(endpoint())) },
-        Revised { revision: 345, document: Document::Gone(name("endpoint-3")) },
+        Revised {
+            position: position(344),
+            made: 341,
+            document: Document::Endpoint(Arc::new(endpoint())),
+        },
+        Revised { position: position(345), made: 0, document: Document::Gone(name("endpoint-3")) },
     ];
     let deployment = Arc::new(deployment());
     vec![
         heartbeat(),
         PeerMessage::Pull {
-            seen: Seen { version: 12, endpoints: 345 },
+            seen: Seen { version: 12, endpoints: position(345) },
             configuration: true,
             number: 4,
         },
-        PeerMessage::Configuration { revision: 344, deployment, pull: 0 },
+        PeerMessage::Configuration { revision: 344, deployment, pull: 0, era: 2 },
         PeerMessage::NoConfiguration,
-        PeerMessage::Documents { documents, complete: true, seen: 345 },
+        PeerMessage::Documents { documents, complete: true, seen: 345, era: 2 },
         submission(),
         PeerMessage::Accepted(job_id(7)),
         PeerMessage::GivenUp {
--- a/tests/direct_bulk.rs
+++ b/tests/direct_bulk.rs
@@ -35,7 +35,7 @@
 
 fn configuration(version: u64) -> PeerMessage {
     let deployment = deployment(version, Vec::new()).into();
-    PeerMessage::Configuration { revision: version, deployment, pull: version }
+    PeerMessage::Configuration { revision: version, deployment, pull: version, era: 0 }
 }
 
 /// Whether a version is in force within two seconds.
--- a/tests/direct_cells.rs
+++ b/tests/direct_cells.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use directenv::gateway::{configured, hear_of, incoming, refusal, serving, submit};
-use directenv::{address, batch, deployment, endpoint, job, job_id, ms, route};
+use directenv::{address, batch, deployment, endpoint, job, job_id, ms, position, route};
 use stackmast::actor::Core;
 use stackmast::direct::answers::{BatchOutcome, PieceOutcome};
 use stackmast::direct::core::GatewayCore;
@@ -174,7 +174,7 @@
     let mut core = configured(vec![route]);
     let documents: Vec<Revised> = fleet(&[10, 10, 10])
         .into_iter()
-        .map(|e| Revised { revision: 3, document: Document::Endpoint(e) })
+        .map(|e| Revised { position: position(3), made: 0, document: Document::Endpoint(e) })
         .collect();
     core.handle(Event::Published { documents, whole_at: None }, ms(0));
     let strong = (2..=9).map(|port| Member { capacity: 9_000, ..serving(port) }).collect();
--- a/tests/direct_departures.rs
+++ b/tests/direct_departures.rs
@@ -10,7 +10,7 @@
     LEAVES, SECONDS, departure, engine, enter, gets_any, goes_to, hear, living, pause_for, routes,
     says, told,
 };
-use directenv::{address, deployment, ms};
+use directenv::{address, deployment, ms, position};
 use stackmast::actor::Core;
 use stackmast::direct::answers::Proof;
 use stackmast::direct::backoff::Backoffs;
@@ -50,7 +50,11 @@
     changed.slots += 1;
     enter(&mut core, &Arc::new(changed), 50, 20);
     assert!(!gets_any(&mut core, "engine-1", 100, 30));
-    let gone = vec![Revised { revision: 51, document: Document::Gone("engine-1".into()) }];
+    let gone = vec![Revised {
+        position: position(51),
+        made: 0,
+        document: Document::Gone("engine-1".into()),
+    }];
     core.handle(Event::Published { documents: gone, whole_at: None }, ms(40));
     enter(&mut core, &engine(1), 52, 50);
     assert!(!gets_any(&mut core, "engine-1", 200, 60), "it had lapsed and is back");
@@ -63,7 +67,11 @@
     publish(&mut core, deployment(9, routes()), ms(20));
     assert!(!gets_any(&mut core, "engine-1", 100, 30));
     for (revision, stands) in [(70, true), (71, false)] {
-        let order = Evacuation { data_centre: engine(1).data_centre.clone(), revision, stands };
+        let order = Evacuation {
+            data_centre: engine(1).data_centre.clone(),
+            position: position(revision),
+            stands,
+        };
         let changes = vec![order];
         core.handle(Event::Evacuations { changes, whole_at: None }, ms(revision));
     }
--- /dev/null
+++ b/tests/direct_eras.rs
@@ -0,0 +1,434 @@
+//! A store that comes back from an older copy, in a new era: what is believed, by whom it is heard, and what a peer of
+//! an older build makes of it.
+
+mod directenv;
+
+use std::sync::Arc;
+
+use directenv::gateway::{Says, new_core, serving, setup};
+use directenv::{address, deployment, endpoint, endpoints, ms, route};
+use stackmast::actor::Core;
+use stackmast::direct::core::{GatewayCore, Setup};
+use stackmast::direct::event::{Action, Event};
+use stackmast::direct::note::Note;
+use stackmast::direct::peers::message::PeerMessage;
+use stackmast::direct::published::documents::{Document, Documents, EntryState, Revised, Seen};
+use stackmast::direct::published::evacuations::{Evacuation, Evacuations};
+use stackmast::direct::published::model::{Endpoint, Repeat};
+use stackmast::direct::published::position::{Eras, Position};
+use test_case::test_case;
+
+/// The eras before and after.
+const BEFORE: u64 = 4;
+const AFTER: u64 = 5;
+
+const fn before(revision: u64) -> Position {
+    Position::new(BEFORE, revision)
+}
+
+const fn after(revision: u64) -> Position {
+    Position::new(AFTER, revision)
+}
+
+fn entry(endpoint: Arc<Endpoint>, position: Position, made: u64) -> Revised {
+    Revised { position, made, document: Document::Endpoint(endpoint) }
+}
+
+/// The first endpoint in a life.
+fn living(incarnation: u64, leaving: bool) -> Arc<Endpoint> {
+    Arc::new(Endpoint { incarnation, leaving, ..(*endpoint("engine", 1)).clone() })
+}
+
+fn gone(position: Position) -> Revised {
+    Revised { position, made: 0, document: Document::Gone("engine-1".into()) }
+}
+
+/// A list that stood before: the first endpoint, created at 10 and changed at 80.
+fn listed(incarnation: u64, leaving: bool) -> Documents {
+    let mut documents = Documents::default();
+    let entry = entry(living(incarnation, leaving), before(80), 10);
+    documents.merge_list(vec![entry], before(90), ms(0));
+    documents
+}
+
+fn entry_state(documents: &Documents) -> EntryState {
+    documents.state("engine-1")
+}
+
+#[test]
+fn a_position_of_a_later_era_comes_after_all_of_an_earlier_one() {
+    assert!(after(1) > before(1_000));
+    assert!(after(2) > after(1));
+}
+
+#[test]
+fn an_era_is_news_once_and_earlier_ones_are_not() {
+    let mut eras = Eras::default();
+    assert_eq!(eras.hear(4).map(|new| new.before), Some(None));
+    assert!(eras.hear(4).is_none() && eras.hear(3).is_none());
+    assert_eq!(eras.hear(6).map(|new| new.before), Some(Some(4)));
+    assert_eq!(eras.newest(), 6);
+}
+
+// A peer of a build that knows no eras tells revisions of the only one, until another has begun.
+#[test]
+fn bare_revisions_are_of_the_only_era_and_older_than_all_after_it() {
+    let mut eras = Eras::default();
+    eras.hear(BEFORE);
+    assert_eq!(eras.adopt(Position::new(0, 7)), before(7));
+    eras.hear(AFTER);
+    assert!(eras.adopt(Position::new(0, 1_000)) < before(1));
+    assert_eq!(eras.adopt(before(7)), before(7));
+}
+
+#[test]
+fn what_is_late_from_an_earlier_era_changes_nothing() {
+    let mut documents = listed(1, false);
+    documents.merge_list(vec![entry(living(1, true), after(20), 10)], after(20), ms(10));
+    let late =
+        documents.merge_list(vec![entry(living(1, false), before(95), 10)], before(99), ms(20));
+    assert!(late.is_empty());
+    assert!(documents.merge(vec![gone(before(100))], ms(30)).is_empty());
+    assert_eq!(entry_state(&documents), EntryState::Leaving);
+}
+
+#[test_case(1, 1; "the life that left goes on leaving")]
+#[test_case(2, 0; "another life is believed")]
+fn no_life_that_leaves_stays_because_a_copy_says_so(incarnation: u64, leaving_on: usize) {
+    let mut documents = listed(1, true);
+    let copied = entry(living(incarnation, false), after(30), 10);
+    let merged = documents.merge_list(vec![copied], after(40), ms(10));
+    assert_eq!(merged.leaving_on.len(), leaving_on);
+}
+
+#[test]
+fn who_left_and_is_gone_goes_on_leaving_when_a_copy_brings_it_back() {
+    let mut documents = listed(1, true);
+    documents.merge(vec![gone(before(95))], ms(5));
+    let copied = entry(living(1, false), after(30), 10);
+    let merged = documents.merge_list(vec![copied], after(40), ms(10));
+    assert_eq!(merged.leaving_on.len(), 1);
+}
+
+#[test_case(1, 80, 10, false; "as it stood before it was gone")]
+#[test_case(1, 40, 10, false; "as it stood earlier")]
+#[test_case(1, 120, 10, true; "written again")]
+#[test_case(1, 41, 41, true; "created anew")]
+#[test_case(2, 41, 10, true; "in another life")]
+fn what_was_gone_and_a_copy_brings_back_is_believed_once_it_is_written_again(
+    incarnation: u64,
+    revision: u64,
+    made: u64,
+    is_believed: bool,
+) {
+    let mut documents = listed(1, false);
+    documents.merge(vec![gone(before(95))], ms(5));
+    let copied = entry(living(incarnation, false), after(revision), made);
+    let merged = documents.merge_list(vec![copied], after(130), ms(10));
+    assert_eq!(merged.doubted.is_empty(), is_believed);
+    assert_eq!(entry_state(&documents) == EntryState::Listed, is_believed);
+    documents.expire(ms(4_900));
+    assert_eq!(entry_state(&documents) == EntryState::Listed, is_believed);
+    documents.expire(ms(5_010));
+    assert_eq!(entry_state(&documents), EntryState::Listed, "it is renewed, or it would be gone");
+}
+
+#[test]
+fn what_a_copy_brought_back_is_gone_when_its_entry_goes_again() {
+    let mut documents = listed(1, false);
+    documents.merge(vec![gone(before(95))], ms(5));
+    documents.merge_list(vec![entry(living(1, false), after(80), 10)], after(85), ms(10));
+    documents.merge(vec![gone(after(90))], ms(3_000));
+    documents.expire(ms(6_000));
+    assert_eq!(entry_state(&documents), EntryState::Gone);
+}
+
+#[test]
+fn what_a_copy_brought_back_and_a_later_list_lacks_is_gone() {
+    let mut documents = listed(1, false);
+    documents.merge(vec![gone(before(95))], ms(5));
+    documents.merge_list(vec![entry(living(1, false), after(80), 10)], after(85), ms(10));
+    documents.merge_list(Vec::new(), after(90), ms(3_000));
+    documents.expire(ms(6_000));
+    assert_eq!(entry_state(&documents), EntryState::Gone);
+}
+
+#[test_case(10, EntryState::Gone; "the copy had it, so it was taken away since")]
+#[test_case(60, EntryState::Lapsed; "it was created after the copy")]
+#[test_case(0, EntryState::Lapsed; "nobody knows when it was created")]
+fn what_a_copy_lacks_is_used_until_it_was_due_to_be_written_again(made: u64, state: EntryState) {
+    let mut documents = Documents::default();
+    let known = entry(living(1, false), before(80), made);
+    documents.merge_list(vec![known], before(90), ms(0));
+    documents.merge_list(Vec::new(), after(50), ms(10));
+    assert_eq!(entry_state(&documents), state);
+    let mut written = documents;
+    written.expire(ms(2_900));
+    assert_eq!(entry_state(&written), state);
+    written.merge(vec![entry(living(1, false), after(52), 52)], ms(2_950));
+    assert_eq!(entry_state(&written), EntryState::Listed);
+}
+
+#[test]
+fn what_a_copy_lacks_and_nobody_writes_again_is_gone() {
+    let mut documents = listed(1, false);
+    documents.merge_list(Vec::new(), after(5), ms(10));
+    assert_eq!(entry_state(&documents), EntryState::Lapsed);
+    documents.expire(ms(3_010));
+    assert_eq!(entry_state(&documents), EntryState::Gone);
+}
+
+#[test]
+fn a_second_copy_counts_as_the_first() {
+    let mut documents = listed(1, false);
+    documents.merge_list(vec![entry(living(1, false), after(20), 10)], after(25), ms(100));
+    let merged = documents.merge_list(
+        vec![entry(living(1, true), Position::new(AFTER + 1, 12), 10)],
+        Position::new(AFTER + 1, 12),
+        ms(700),
+    );
+    assert!(!merged.is_empty());
+    assert_eq!(entry_state(&documents), EntryState::Leaving);
+    assert_eq!(documents.seen().endpoints, Position::new(AFTER + 1, 12));
+}
+
+/// Publishes a version and the usual endpoints at positions of an era.
+fn publish(core: &mut GatewayCore, version: u64, at: Position, now: u64) -> Vec<Action> {
+    let routes = vec![route("r", Repeat::Idempotent, &[])];
+    let configured = Document::Deployment(Arc::new(deployment(version, routes)));
+    let documents = vec![Revised { position: at, made: 1, document: configured }];
+    let mut actions = core.handle(Event::StoreEra { era: at.era }, ms(now));
+    actions.extend(core.handle(Event::Published { documents, whole_at: None }, ms(now)));
+    let listed = endpoints().into_iter().map(|endpoint| entry(endpoint, at, 1)).collect();
+    let event = Event::Published { documents: listed, whole_at: Some(at) };
+    actions.extend(core.handle(event, ms(now)));
+    actions
+}
+
+fn gossip(says: Says) -> Event {
+    Event::Peer { from: address(2), message: says.message() }
+}
+
+fn beat(heartbeat: u64, says: Says) -> Event {
+    let mut member = serving(2);
+    member.heartbeat = heartbeat;
+    gossip(Says { members: vec![member], complete: true, ..says })
+}
+
+fn new_eras(actions: &[Action]) -> Vec<u64> {
+    let eras = actions.iter().filter_map(|action| match action {
+        Action::StoreEra(era) => Some(*era),
+        _ => None,
+    });
+    eras.collect()
+}
+
+#[test]
+fn whoever_follows_the_store_is_told_of_an_era_that_a_peer_names() {
+    let mut core = new_core();
+    publish(&mut core, 3, before(90), 0);
+    let actions = core.handle(beat(1, Says { era: AFTER, ..Says::default() }), ms(500));
+    assert_eq!(new_eras(&actions), [AFTER]);
+    let is_line = |a: &Action| {
+        matches!(
+            a,
+            Action::Note(Note::StoreEra { before: BEFORE, era: AFTER, revision_before: 90, .. })
+        )
+    };
+    assert!(actions.iter().any(is_line), "{actions:?}");
+    let spreads = actions.iter().any(|a| {
+        matches!(a, Action::Spread { message: PeerMessage::Gossip { era: AFTER, .. }, .. })
+    });
+    assert!(spreads, "others hear at once");
+    let again = core.handle(beat(2, Says { era: AFTER, ..Says::default() }), ms(510));
+    assert!(new_eras(&again).is_empty());
+    let earlier = core.handle(beat(3, Says { era: BEFORE, ..Says::default() }), ms(520));
+    assert!(new_eras(&earlier).is_empty());
+}
+
+#[test]
+fn a_gateway_that_the_store_turns_away_takes_the_whole_list_of_an_era_from_a_peer() {
+    let mut core = new_core();
+    publish(&mut core, 3, before(90), 0);
+    let seen = Seen { version: 3, endpoints: after(40) };
+    let mut pulled = None;
+    for step in 1..200 {
+        let says = Says { era: AFTER, seen, ..Says::default() };
+        let actions = core.handle(beat(step, says), ms(500 + step * 10));
+        pulled = pulled.or(actions.into_iter().find_map(|a| match a {
+            Action::Tell { message: PeerMessage::Pull { seen, .. }, .. } => Some(seen),
+            _ => None,
+        }));
+    }
+    assert_eq!(pulled.expect("a pull").endpoints, before(90));
+    let stays = |endpoint: &Arc<Endpoint>| &*endpoint.id != "engine-2";
+    let copied = endpoints().into_iter().filter(stays);
+    let documents = copied.map(|endpoint| entry(endpoint, after(40), 1)).collect();
+    let message = PeerMessage::Documents { documents, complete: true, seen: 40, era: AFTER };
+    let actions = core.handle(Event::Peer { from: address(2), message }, ms(2_600));
+    let is_line = |a: &Action| matches!(a, Action::Note(Note::StoreReturned { era: AFTER, .. }));
+    assert!(actions.iter().any(is_line));
+    assert!(core.table().endpoint("engine-1").is_some());
+    assert!(core.table().endpoint("engine-2").is_none(), "the copy had it, and it is gone");
+}
+
+#[test]
+fn a_peer_in_an_earlier_era_is_given_all() {
+    let mut core = new_core();
+    publish(&mut core, 3, after(40), 0);
+    let pull = |endpoints| {
+        let seen = Seen { version: 3, endpoints };
+        let message = PeerMessage::Pull { seen, configuration: false, number: 0 };
+        Event::Peer { from: address(2), message }
+    };
+    let given = |actions: Vec<Action>| {
+        actions.into_iter().find_map(|a| match a {
+            Action::Tell { message: PeerMessage::Documents { documents, era, .. }, .. } => {
+                Some((documents.len(), era))
+            }
+            _ => None,
+        })
+    };
+    let all = endpoints().len();
+    assert_eq!(given(core.handle(pull(before(900)), ms(1))), Some((all, AFTER)));
+    assert_eq!(given(core.handle(pull(after(40)), ms(2))), Some((0, AFTER)));
+    // A build without eras means the only one that was heard of.
+    assert_eq!(given(core.handle(pull(Position::new(0, 40)), ms(3))), Some((0, AFTER)));
+}
+
+#[test]
+fn no_configuration_goes_back_and_on_call_is_told_while_an_older_one_stands() {
+    let mut core = new_core();
+    publish(&mut core, 9, before(90), 0);
+    let lines = |actions: &[Action]| -> Vec<(u64, bool)> {
+        let lines = actions.iter().filter_map(|a| match a {
+            Action::Note(Note::PublishedVersion { published, is_older, .. }) => {
+                Some((*published, *is_older))
+            }
+            _ => None,
+        });
+        lines.collect()
+    };
+    let actions = publish(&mut core, 6, after(40), 500);
+    assert_eq!(lines(&actions), [(6, true)]);
+    assert_eq!(core.table().deployment.version, 9);
+    let actions = publish(&mut core, 11, after(41), 900);
+    assert_eq!(lines(&actions), [(11, false)]);
+    assert_eq!(core.table().deployment.version, 11, "at a lower revision");
+    assert!(lines(&publish(&mut core, 12, after(42), 950)).is_empty());
+}
+
+fn order(position: Position, stands: bool) -> Evacuation {
+    Evacuation { data_centre: "hall-0".into(), position, stands }
+}
+
+/// Whether an endpoint of the first data centre takes no new work.
+fn is_evacuated(core: &GatewayCore) -> bool {
+    core.table().endpoint("engine-2").expect("listed").leaving
+}
+
+fn evacuations(
+    core: &mut GatewayCore,
+    changes: Vec<Evacuation>,
+    whole_at: Option<Position>,
+    now: u64,
+) {
+    core.handle(Event::Evacuations { changes, whole_at }, ms(now));
+}
+
+#[test_case(true; "an order that the copy lacks goes on")]
+#[test_case(false; "an order that was taken back does not come back with the copy")]
+fn orders_are_obeyed_as_before_until_they_are_due_to_be_written_again(stood: bool) {
+    let mut core = new_core();
+    publish(&mut core, 3, before(90), 0);
+    evacuations(&mut core, vec![order(before(91), true)], None, 10);
+    if !stood {
+        evacuations(&mut core, vec![order(before(95), false)], None, 20);
+    }
+    publish(&mut core, 3, after(40), 500);
+    let copied = if stood { Vec::new() } else { vec![order(after(35), true)] };
+    evacuations(&mut core, copied.clone(), Some(after(40)), 500);
+    assert_eq!(is_evacuated(&core), stood);
+    // Read once more, it is still the copy's.
+    evacuations(&mut core, copied, Some(after(44)), 900);
+    core.handle(Event::Tick, ms(3_400));
+    assert_eq!(is_evacuated(&core), stood);
+    core.handle(Event::Tick, ms(3_600));
+    assert_eq!(is_evacuated(&core), !stood, "nobody has written it again");
+}
+
+#[test]
+fn an_order_that_is_written_again_counts_at_once() {
+    let mut core = new_core();
+    publish(&mut core, 3, before(90), 0);
+    evacuations(&mut core, vec![order(before(91), true)], None, 10);
+    evacuations(&mut core, vec![order(before(95), false)], None, 20);
+    publish(&mut core, 3, after(40), 500);
+    evacuations(&mut core, vec![order(after(35), true)], Some(after(40)), 500);
+    assert!(!is_evacuated(&core));
+    evacuations(&mut core, vec![order(after(41), true)], None, 700);
+    assert!(is_evacuated(&core), "it is given anew");
+    evacuations(&mut core, vec![order(after(42), false)], None, 800);
+    assert!(!is_evacuated(&core));
+    core.handle(Event::Tick, ms(4_000));
+    assert!(!is_evacuated(&core));
+}
+
+/// An account of a build that knows no eras.
+fn without_era(revision: u64, stands: bool) -> Evacuations {
+    let change = order(Position::new(0, revision), stands);
+    Evacuations::read(&[change], Position::new(0, revision))
+}
+
+#[test]
+fn an_older_builds_account_counts_until_an_era_has_begun() {
+    let mut core = new_core();
+    publish(&mut core, 3, before(90), 0);
+    evacuations(&mut core, Vec::new(), Some(before(90)), 0);
+    let evacuations = without_era(95, true);
+    core.handle(beat(1, Says { evacuations, ..Says::default() }), ms(10));
+    assert!(is_evacuated(&core));
+    publish(&mut core, 3, after(40), 500);
+    core.handle(Event::Evacuations { changes: Vec::new(), whole_at: Some(after(40)) }, ms(500));
+    core.handle(Event::Tick, ms(4_000));
+    assert!(!is_evacuated(&core));
+    let evacuations = without_era(99, true);
+    core.handle(beat(2, Says { evacuations, ..Says::default() }), ms(4_010));
+    assert!(!is_evacuated(&core), "it may be of before");
+}
+
+/// A gateway that starts and hears from a peer of a version beyond the one that the store gives.
+fn starts_beside(version: u64) -> GatewayCore {
+    let mut core = GatewayCore::new(Setup { settling: ms(0), ..setup() });
+    let seen = Seen { version, endpoints: after(40) };
+    core.handle(beat(1, Says { era: AFTER, seen, ..Says::default() }), ms(0));
+    publish(&mut core, 6, after(40), 10);
+    core
+}
+
+fn is_ready(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Ready(true)))
+}
+
+#[test]
+fn a_gateway_that_starts_before_an_older_copy_waits_for_the_newest_that_peers_have() {
+    let mut core = starts_beside(9);
+    let actions = core.handle(Event::Tick, ms(200));
+    assert!(!is_ready(&actions));
+    let deployment = Arc::new(deployment(9, vec![route("r", Repeat::Idempotent, &[])]));
+    let message = PeerMessage::Configuration { revision: 95, deployment, pull: 0, era: BEFORE };
+    let actions = core.handle(Event::Peer { from: address(2), message }, ms(900));
+    assert!(is_ready(&actions));
+    assert_eq!(core.table().deployment.version, 9);
+}
+
+#[test]
+fn a_gateway_that_starts_waits_no_longer_than_that_is_worth() {
+    let mut core = starts_beside(9);
+    let mut ready_at = None;
+    for at in (20..3_000).step_by(10) {
+        let actions = core.handle(beat(at, Says::default()), ms(at));
+        ready_at = ready_at.or(is_ready(&actions).then_some(at));
+    }
+    assert_eq!(ready_at, Some(1_510));
+}
--- a/tests/direct_evacuations.rs
+++ b/tests/direct_evacuations.rs
@@ -8,7 +8,7 @@
 use directenv::gateway::{
     Says, calls, configured, incoming, listed, new_core, publish, refusal, serving, submit,
 };
-use directenv::{address, deployment, endpoint, ms, route};
+use directenv::{address, deployment, endpoint, ms, position, route};
 use proptest::prelude::*;
 use stackmast::actor::Core;
 use stackmast::direct::core::GatewayCore;
@@ -20,7 +20,7 @@
 use test_case::test_case;
 
 fn change(data_centre: &str, revision: u64, stands: bool) -> Evacuation {
-    Evacuation { data_centre: data_centre.into(), revision, stands }
+    Evacuation { data_centre: data_centre.into(), position: position(revision), stands }
 }
 
 fn ordered(core: &mut GatewayCore, change: Evacuation, now: Duration) -> Vec<Action> {
@@ -88,7 +88,7 @@
     let mut core = core();
     let mut known = Evacuations::default();
     known.change(&change("hall-0", 5, true));
-    core.handle(Event::Evacuations { changes: Vec::new(), whole_at: Some(8) }, ms(1));
+    core.handle(Event::Evacuations { changes: Vec::new(), whole_at: Some(position(8)) }, ms(1));
     told(&mut core, &known, ms(2));
     assert_eq!(reached(&mut core, 1, ms(3)), ["hall-0", "hall-1"], "at 8 it did not stand");
     known.change(&change("hall-0", 9, true));
@@ -183,7 +183,7 @@
         let read_at = |revision: u64| {
             let standing = standing_at(revision);
             let changes: Vec<_> = standing.iter().map(|(n, at)| change(n, *at, true)).collect();
-            Evacuations::read(&changes, revision)
+            Evacuations::read(&changes, position(revision))
         };
         let mut processes = vec![Evacuations::default(); 4];
         let mut talk = told.iter().cycle();
--- a/tests/direct_gates.rs
+++ b/tests/direct_gates.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use directenv::gateway::{incoming, listed, new_core};
-use directenv::{address, deployment, endpoint, ms, route};
+use directenv::{address, deployment, endpoint, ms, position, route};
 use hyper::{HeaderMap, Method, StatusCode};
 use stackmast::actor::{mailbox, run};
 use stackmast::direct::answers::{BatchOutcome, BatchReport, CallFailure, Proof};
@@ -124,8 +124,8 @@
     let routes = vec![route("r", Repeat::Idempotent, &[])];
     let document = Document::Deployment(Arc::new(deployment(1, routes)));
     let mut documents = listed(&[endpoint("engine", 1)], 2);
-    documents.push(Revised { revision: 1, document });
-    core.send(Event::Published { documents, whole_at: Some(2) }).await.expect("a core");
+    documents.push(Revised { position: position(1), made: 0, document });
+    core.send(Event::Published { documents, whole_at: Some(position(2)) }).await.expect("a core");
     let ask = async || {
         let (method, headers, body) = (Method::GET, HeaderMap::new(), Bytes::new());
         let request = Forwarded { method, target: "/r/x".to_owned(), headers, body };
--- a/tests/direct_homes.rs
+++ b/tests/direct_homes.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use directenv::gateway::{calls, incoming, listed, new_core, refusal, submit};
-use directenv::{deployment, endpoints, ms, route};
+use directenv::{deployment, endpoints, ms, position, route};
 use stackmast::actor::Core;
 use stackmast::direct::core::GatewayCore;
 use stackmast::direct::event::{Action, Event, Refused};
@@ -40,10 +40,10 @@
     }
     let mut core = new_core();
     let document = Document::Deployment(Arc::new(deployment));
-    let documents = vec![Revised { revision: 1, document }];
+    let documents = vec![Revised { position: position(1), made: 0, document }];
     core.handle(Event::Published { documents, whole_at: None }, ms(0));
     let documents = listed(&placed(), 2);
-    core.handle(Event::Published { documents, whole_at: Some(2) }, ms(0));
+    core.handle(Event::Published { documents, whole_at: Some(position(2)) }, ms(0));
     core
 }
 
--- a/tests/direct_members.rs
+++ b/tests/direct_members.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use directenv::{address, deployment, endpoint, ms};
+use directenv::{address, deployment, endpoint, ms, position};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use stackmast::direct::owner::makers::{Makers, Usage};
@@ -125,11 +125,19 @@
 }
 
 fn entry(number: u16, revision: u64) -> Revised {
-    Revised { revision, document: Document::Endpoint(endpoint("engine", number)) }
+    Revised {
+        position: position(revision),
+        made: 0,
+        document: Document::Endpoint(endpoint("engine", number)),
+    }
 }
 
 fn gone(number: u16, revision: u64) -> Revised {
-    Revised { revision, document: Document::Gone(format!("engine-{number}").into()) }
+    Revised {
+        position: position(revision),
+        made: 0,
+        document: Document::Gone(format!("engine-{number}").into()),
+    }
 }
 
 #[test]
@@ -153,7 +161,7 @@
 fn a_whole_list_takes_away_what_it_lacks_but_nothing_newer() {
     let mut documents = Documents::default();
     documents.merge(vec![entry(1, 3), entry(2, 9)], ms(0));
-    documents.merge_list(vec![entry(3, 4)], 5, ms(1));
+    documents.merge_list(vec![entry(3, 4)], position(5), ms(1));
     let ids: Vec<_> = documents.endpoints().map(|e| e.id.clone()).collect();
     assert_eq!(ids, ["engine-2".into(), "engine-3".into()]);
 }
@@ -162,10 +170,10 @@
 /// only the first and the last.
 fn lapsed_after(absence: u64) -> Documents {
     let mut documents = Documents::default();
-    documents.merge_list((1..=6).map(|n| entry(n, u64::from(n))).collect(), 6, ms(0));
+    documents.merge_list((1..=6).map(|n| entry(n, u64::from(n))).collect(), position(6), ms(0));
     documents.publisher(false, ms(1_000));
     documents.publisher(true, ms(1_000 + absence));
-    documents.merge_list(vec![entry(1, 1), entry(6, 6)], 10, ms(1_000 + absence));
+    documents.merge_list(vec![entry(1, 1), entry(6, 6)], position(10), ms(1_000 + absence));
     documents
 }
 
@@ -191,7 +199,7 @@
 #[test]
 fn a_peer_that_knows_less_brings_no_endpoint_back() {
     let mut documents = Documents::default();
-    documents.merge_list(vec![entry(1, 3)], 8, ms(0));
+    documents.merge_list(vec![entry(1, 3)], position(8), ms(0));
     assert!(documents.merge(vec![entry(2, 7)], ms(1)).is_empty(), "it had left by then");
     assert_eq!(ids(&documents), ["engine-1"]);
     documents.merge(vec![entry(2, 9)], ms(2));
@@ -216,7 +224,8 @@
     let mut leaving = (*endpoint("engine", 1)).clone();
     leaving.leaving = true;
     let leaving = Document::Endpoint(Arc::new(leaving));
-    documents.merge(vec![Revised { revision: 12, document: leaving }], ms(1_100));
+    documents
+        .merge(vec![Revised { position: position(12), made: 0, document: leaving }], ms(1_100));
     documents.publisher(false, ms(2_000));
     documents.publisher(true, ms(6_000));
     documents.merge(vec![gone(1, 13)], ms(6_000));
@@ -227,7 +236,7 @@
 #[test_case(500, &[2]; "it was away for less than an entry lasts")]
 fn one_entry_that_goes_is_gone_at_once(absence: u64, numbers: &[u16]) {
     let mut documents = Documents::default();
-    documents.merge_list((1..=6).map(|n| entry(n, u64::from(n))).collect(), 6, ms(0));
+    documents.merge_list((1..=6).map(|n| entry(n, u64::from(n))).collect(), position(6), ms(0));
     documents.publisher(false, ms(1_000));
     documents.publisher(true, ms(1_000 + absence));
     documents.merge(numbers.iter().map(|n| gone(*n, 20)).collect(), ms(1_000 + absence));
@@ -237,7 +246,7 @@
 #[test]
 fn most_entries_that_go_at_once_lapsed_though_no_absence_was_noticed() {
     let mut documents = Documents::default();
-    documents.merge_list((1..=6).map(|n| entry(n, u64::from(n))).collect(), 6, ms(0));
+    documents.merge_list((1..=6).map(|n| entry(n, u64::from(n))).collect(), position(6), ms(0));
     documents.merge((1..=5).map(|n| gone(n, 20)).collect(), ms(500));
     assert_eq!(documents.endpoints().count(), 6);
     documents.expire(ms(2_500));
@@ -248,16 +257,19 @@
 fn a_peer_gets_what_it_lacks() {
     let mut documents = Documents::default();
     let deployment = Document::Deployment(Arc::new(deployment(3, Vec::new())));
-    documents.merge(vec![Revised { revision: 2, document: deployment }], ms(0));
-    documents.merge_list(vec![entry(1, 3), entry(2, 4)], 4, ms(0));
-    let since = Seen { version: 3, endpoints: 3 };
+    documents.merge(vec![Revised { position: position(2), made: 0, document: deployment }], ms(0));
+    documents.merge_list(vec![entry(1, 3), entry(2, 4)], position(4), ms(0));
+    let since = Seen { version: 3, endpoints: position(3) };
     assert!(since.is_behind(&documents.seen()));
     assert_eq!(documents.endpoints_after(since.endpoints), [entry(2, 4)]);
     assert!(documents.deployment_after(since.version).is_none());
     let mut other = Documents::default();
-    let (revision, deployment) = documents.deployment_after(0).expect("a configuration");
-    other.merge(vec![Revised { revision, document: Document::Deployment(deployment) }], ms(0));
-    other.merge(documents.endpoints_after(0), ms(0));
+    let (stands, deployment) = documents.deployment_after(0).expect("a configuration");
+    other.merge(
+        vec![Revised { position: stands, made: 0, document: Document::Deployment(deployment) }],
+        ms(0),
+    );
+    other.merge(documents.endpoints_after(position(0)), ms(0));
     assert_eq!(other.seen(), documents.seen());
 }
 
--- a/tests/direct_pulls.rs
+++ b/tests/direct_pulls.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use directenv::gateway::Says;
-use directenv::{address, deployment, endpoint, ms, route};
+use directenv::{address, deployment, endpoint, ms, position, route};
 use stackmast::actor::Core;
 use stackmast::direct::core::{GatewayCore, Setup};
 use stackmast::direct::event::{Action, Event};
@@ -35,10 +35,18 @@
         seed: 1,
     });
     let documents = vec![
-        Revised { revision: 1, document: Document::Deployment(deployment(1, Vec::new()).into()) },
-        Revised { revision: 2, document: Document::Endpoint(endpoint("engine", 1)) },
+        Revised {
+            position: position(1),
+            made: 0,
+            document: Document::Deployment(deployment(1, Vec::new()).into()),
+        },
+        Revised {
+            position: position(2),
+            made: 0,
+            document: Document::Endpoint(endpoint("engine", 1)),
+        },
     ];
-    core.handle(Event::Published { documents, whole_at: Some(2) }, ms(0));
+    core.handle(Event::Published { documents, whole_at: Some(position(2)) }, ms(0));
     core
 }
 
@@ -81,7 +89,7 @@
     Event::PeerSends { from: address(port), progress }
 }
 
-const NEWER: Seen = Seen { version: 2, endpoints: 2 };
+const NEWER: Seen = Seen { version: 2, endpoints: position(2) };
 
 #[test]
 fn a_configuration_is_asked_of_one_peer_while_its_answer_is_on_the_way() {
@@ -136,12 +144,13 @@
 #[test]
 fn versions_between_do_not_hold_up_the_newest() {
     let mut core = gateway();
-    let newest = Seen { version: 90, endpoints: 2 };
+    let newest = Seen { version: 90, endpoints: position(2) };
     let mut found = Vec::new();
     for (step, at) in (2_000..6_200).step_by(200).enumerate() {
         if step % 7 == 6 {
             let document = Document::Deployment(deployment(step as u64, Vec::new()).into());
-            let documents = vec![Revised { revision: 3 + step as u64, document }];
+            let documents =
+                vec![Revised { position: position(3 + step as u64), made: 0, document }];
             core.handle(Event::Published { documents, whole_at: None }, ms(at));
         }
         let actions = core.handle(Event::Reading, ms(at));
@@ -157,9 +166,9 @@
     for told in (0..700).step_by(50) {
         let mut core = gateway();
         let document = Document::Deployment(deployment(2, Vec::new()).into());
-        let documents = vec![Revised { revision: 3, document }];
+        let documents = vec![Revised { position: position(3), made: 0, document }];
         core.handle(Event::Published { documents, whole_at: None }, ms(2_000));
-        let newer = Seen { version: 3, endpoints: 2 };
+        let newer = Seen { version: 3, endpoints: position(2) };
         let asked = asked(&mut core, newer, 2_005 + told, 4_000);
         let waited = asked[0].0 - ms(2_005 + told);
         assert!(waited <= ms(700), "told {told} ms after: {waited:?}");
@@ -216,12 +225,12 @@
     };
     assert!(pulls(&core.handle(Event::StoreRead(read), ms(2_300))).is_empty());
     let document = Document::Deployment(deployment(2, Vec::new()).into());
-    let documents = vec![Revised { revision: 3, document }];
+    let documents = vec![Revised { position: position(3), made: 0, document }];
     core.handle(Event::Published { documents, whole_at: None }, ms(2_301));
     assert!(asked(&mut core, NEWER, 2_305, 4_000).is_empty());
     let lost = StoreRead { outcome: "torn", ..read };
     core.handle(Event::Reading, ms(4_000));
-    let newer = Seen { version: 3, endpoints: 2 };
+    let newer = Seen { version: 3, endpoints: position(2) };
     assert!(asked(&mut core, newer, 4_000, 4_200).is_empty());
     assert_eq!(pulls(&core.handle(Event::StoreRead(lost), ms(4_200))).len(), 1, "at once");
 }
@@ -230,7 +239,7 @@
 fn entries_of_endpoints_do_not_wait_for_a_configuration() {
     let mut core = gateway();
     assert_eq!(asked(&mut core, NEWER, 2_000, 2_300).len(), 1);
-    let more = Seen { version: 2, endpoints: 3 };
+    let more = Seen { version: 2, endpoints: position(3) };
     let mut found = None;
     for at in (2_300..2_600).step_by(5) {
         let actions = core.handle(beat(5, at, more), ms(at));
@@ -242,20 +251,21 @@
         }));
     }
     let (at, endpoints, configuration) = found.expect("a pull of entries");
-    assert!(at <= 2_405 && endpoints == 2 && !configuration);
+    assert!(at <= 2_405 && endpoints == position(2) && !configuration);
 }
 
 /// Of an endpoint that is gone for long, only the revision is left.
 #[test]
 fn a_list_that_is_behind_by_forgotten_entries_is_not_asked_for_for_ever() {
     let mut core = gateway();
-    let ahead = Seen { version: 1, endpoints: 9 };
+    let ahead = Seen { version: 1, endpoints: position(9) };
     let mut count = 0;
     for at in (2_000..12_000).step_by(5) {
         let port = 2 + (at / 5 % 4) as u16;
         for to in pulls(&core.handle(beat(port, at, ahead), ms(at))) {
             count += 1;
-            let message = PeerMessage::Documents { documents: Vec::new(), complete: true, seen: 9 };
+            let message =
+                PeerMessage::Documents { documents: Vec::new(), complete: true, seen: 9, era: 0 };
             core.handle(Event::Peer { from: to, message }, ms(at));
         }
     }
@@ -267,14 +277,14 @@
     let mut core = gateway();
     let mut times = Vec::new();
     for at in (2_000..6_000).step_by(5) {
-        let seen = Seen { version: 2 + (at - 2_000) / 200, endpoints: 2 };
+        let seen = Seen { version: 2 + (at - 2_000) / 200, endpoints: position(2) };
         let actions = core.handle(beat(4, at, seen), ms(at));
         if pulls(&actions).is_empty() {
             continue;
         }
         times.push(at);
         let deployment = deployment(seen.version, Vec::new()).into();
-        let message = PeerMessage::Configuration { revision: at, deployment, pull: 0 };
+        let message = PeerMessage::Configuration { revision: at, deployment, pull: 0, era: 0 };
         core.handle(Event::Peer { from: address(4), message }, ms(at));
         assert_eq!(core.table().deployment.version, seen.version, "the newest");
     }
--- a/tests/direct_requests.rs
+++ b/tests/direct_requests.rs
@@ -9,7 +9,7 @@
     Says, answered, calls, configured, good, gossip, hear_of, incoming, is_delivered, listed,
     new_core, publish, refusal, serving, setup, submit,
 };
-use directenv::{address, deployment, endpoint, ms, route};
+use directenv::{address, deployment, endpoint, ms, position, route};
 use stackmast::actor::Core;
 use stackmast::direct::answers::{CallFailure, Proof};
 use stackmast::direct::core::{GatewayCore, Setup};
@@ -246,7 +246,7 @@
         assert_eq!(&*calls(&actions)[0].1.endpoint.id, "engine-2");
     }
     let document = Document::Gone("engine-2".into());
-    let documents = vec![Revised { revision: 4, document }];
+    let documents = vec![Revised { position: position(4), made: 0, document }];
     core.handle(Event::Published { documents, whole_at: None }, ms(3));
     let actions = submit(&mut core, 9, incoming("r", Vec::new()), ms(4));
     assert_eq!(refusal(&actions).expect("nowhere").reason, Refused::NoEndpoint);
--- a/tests/direct_restarts.rs
+++ b/tests/direct_restarts.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use directenv::gateway::{answered, calls, good, incoming, is_delivered, listed, refusal, submit};
-use directenv::{endpoint, job, ms, route, table};
+use directenv::{endpoint, job, ms, position, route, table};
 use stackmast::actor::Core;
 use stackmast::direct::answers::{BatchOutcome, BatchReport, CallFailure, PieceOutcome, Proof};
 use stackmast::direct::core::GatewayCore;
@@ -25,7 +25,11 @@
 }
 
 fn entry(incarnation: u64, revision: u64) -> Revised {
-    Revised { revision, document: Document::Endpoint(living("engine", 1, incarnation)) }
+    Revised {
+        position: position(revision),
+        made: 0,
+        document: Document::Endpoint(living("engine", 1, incarnation)),
+    }
 }
 
 #[test]
@@ -34,11 +38,13 @@
     assert!(documents.merge(vec![entry(7, 1)], ms(0)).restarted.is_empty(), "it is new");
     let mut changed = (*living("engine", 1, 7)).clone();
     changed.slots += 1;
-    let changed = Revised { revision: 2, document: Document::Endpoint(Arc::new(changed)) };
+    let changed =
+        Revised { position: position(2), made: 0, document: Document::Endpoint(Arc::new(changed)) };
     assert!(documents.merge(vec![changed], ms(1)).restarted.is_empty());
     assert_eq!(documents.merge(vec![entry(9, 3)], ms(2)).restarted, ["engine-1".into()]);
     assert!(documents.merge(vec![entry(7, 2)], ms(3)).restarted.is_empty(), "older news");
-    let gone = Revised { revision: 4, document: Document::Gone("engine-1".into()) };
+    let gone =
+        Revised { position: position(4), made: 0, document: Document::Gone("engine-1".into()) };
     assert!(documents.merge(vec![gone], ms(4)).restarted.is_empty());
     let back = documents.merge(vec![entry(8, 5)], ms(5));
     assert_eq!(back.restarted, ["engine-1".into()], "a clock may have stepped back");
@@ -47,8 +53,10 @@
 /// A gateway with one engine in its first life, whose request `r` is with it.
 fn called(repeat: Repeat) -> (GatewayCore, u64) {
     let mut core = directenv::gateway::configured(vec![route("r", repeat, &[])]);
-    let documents =
-        vec![entry(7, 3), Revised { revision: 4, document: Document::Gone("engine-2".into()) }];
+    let documents = vec![
+        entry(7, 3),
+        Revised { position: position(4), made: 0, document: Document::Gone("engine-2".into()) },
+    ];
     core.handle(Event::Published { documents, whole_at: None }, ms(1));
     let actions = submit(&mut core, 1, incoming("r", Vec::new()), ms(2));
     let attempt = calls(&actions)[0].0;
--- a/tests/direct_upgrades.rs
+++ b/tests/direct_upgrades.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use directenv::gateway::{Idle, configured, hear_of, incoming, new_core, serving, setup, submit};
-use directenv::{address, endpoint, job, job_id, ms, route};
+use directenv::{address, endpoint, job, job_id, ms, position, route};
 use futures_util::{SinkExt, StreamExt};
 use stackmast::actor::{Core, Handle, mailbox, run};
 use stackmast::direct::core::GatewayCore;
@@ -263,8 +263,8 @@
     let stated =
         Event::Stated { endpoint: leaving.clone(), asked, statement, sent: ms(1), at: ms(1) };
     core.handle(stated, ms(1));
-    let order = Evacuation { data_centre: "hall-9".into(), revision: 9, stands: true };
-    core.handle(Event::Evacuations { changes: vec![order], whole_at: Some(9) }, ms(2));
+    let order = Evacuation { data_centre: "hall-9".into(), position: position(9), stands: true };
+    core.handle(Event::Evacuations { changes: vec![order], whole_at: Some(position(9)) }, ms(2));
     // A heartbeat with nothing but what the first landing of all wrote.
     let member = serde_json::to_value(serving(5)).expect("JSON");
     let heartbeat = serde_json::json!({ "Gossip": {
--- /dev/null
+++ b/tests/directenv/eras.rs
@@ -0,0 +1,601 @@
+//! A fleet of any size in virtual time before a store that comes back from older copies, in series, beside losses of
+//! gateways: what each gateway believes of versions, endpoints and orders is checked against what was written.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use stackmast::direct::core::Setup;
+use stackmast::direct::event::{Action, Event};
+use stackmast::direct::published::documents::{Document, Revised};
+use stackmast::direct::published::evacuations::Evacuation;
+use stackmast::direct::published::model::{Endpoint, Name, Repeat};
+use stackmast::direct::published::position::Position;
+
+use super::gateway::setup;
+use super::timeline::{Gateway, Timeline, heard};
+use super::{deployment, endpoint, ms, route};
+
+/// A gateway that was cut off, turned away or started is in touch after so long, and so is all after the store's return.
+const IN_TOUCH: Duration = Duration::from_secs(4);
+/// A version is in force after so long.
+const IN_FORCE: Duration = Duration::from_secs(2);
+/// An endpoint that leaves gets nothing after so long.
+const DRAINED: Duration = Duration::from_secs(2);
+/// An endpoint that lives is lost no longer than a heartbeat and what it takes to tell.
+const LOST_AT_MOST: Duration = Duration::from_millis(2_200);
+/// An order is obeyed after so long.
+const OBEYED: Duration = Duration::from_secs(5);
+/// Whoever lives writes its entry again within that after the store's return.
+const HEARTBEAT_MS: u64 = 1_200;
+/// An entry that nobody renews lapses.
+const LAPSES: Duration = Duration::from_millis(3_600);
+/// A watch that heard nothing ends.
+const WATCH_MS: u64 = 2_000;
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+const COPY_EVERY: Duration = Duration::from_millis(100);
+const ENDPOINTS: u16 = 8;
+const DATA_CENTRES: u16 = 3;
+const END: Duration = Duration::from_secs(24);
+
+enum Happening {
+    Event(usize, u64, Box<Event>),
+    Wake(usize, u64),
+    /// A gateway reads everything from the store.
+    Read(usize, u64),
+    Copy,
+    Look,
+    /// The store is away, and comes back from a copy of so long ago.
+    Away,
+    Return(Duration),
+    /// What the operator has in mind is written, if the store has it otherwise.
+    WriteVersion,
+    WriteOrders,
+    /// An endpoint writes how it is, or its entry lapses.
+    WriteEntry(u16),
+    Configure,
+    Order(u16, bool),
+    Leave(u16),
+    End(u16),
+    Begin(u16),
+    Kill(usize),
+    Start(usize),
+    Cut(usize, bool),
+    TurnAway(usize, bool),
+}
+
+/// What the store holds.
+#[derive(Clone, Default)]
+struct Contents {
+    revision: u64,
+    version: (u64, u64),
+    /// Entries: revision, creation, what was written.
+    entries: BTreeMap<Name, (u64, u64, Arc<Endpoint>)>,
+    orders: BTreeMap<Name, u64>,
+}
+
+/// How an endpoint is.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum State {
+    Lives,
+    Leaves,
+    Ended,
+}
+
+struct Truth {
+    state: State,
+    since: Duration,
+    /// When the store first took that.
+    taken: Option<Duration>,
+    incarnation: u64,
+}
+
+/// What was seen.
+#[derive(Debug, Default, Clone)]
+pub struct Seen {
+    pub returns: usize,
+    pub looks: usize,
+    pub breaches: Vec<String>,
+}
+
+/// The fleet.
+pub struct Fleet {
+    time: Timeline<Happening>,
+    gateways: Vec<Gateway>,
+    /// Up to where each gateway follows the store.
+    follows: Vec<Position>,
+    next_delivery: Vec<Duration>,
+    versions: Vec<u64>,
+    era: u64,
+    store: Contents,
+    copies: Vec<(Duration, Contents)>,
+    is_away: bool,
+    returned: Duration,
+    endpoints: Vec<Truth>,
+    /// Since when an endpoint that lives is not used by a gateway.
+    lost: BTreeMap<(usize, u16), Duration>,
+    version: (u64, Duration),
+    orders: BTreeMap<u16, (bool, Duration)>,
+    loss: f64,
+    pub seen: Seen,
+}
+
+fn data_centre(number: u16) -> Name {
+    format!("hall-{}", number % DATA_CENTRES).into()
+}
+
+fn name(number: u16) -> Name {
+    format!("engine-{number}").into()
+}
+
+impl Fleet {
+    pub fn new(seed: u64, gateways: usize) -> Self {
+        let mut time = Timeline::new(seed);
+        let loss = time.rng.random_range(0.0..0.2);
+        let since = Duration::ZERO;
+        let lives = |_| Truth { state: State::Lives, since, taken: None, incarnation: 1 };
+        let mut fleet = Self {
+            time,
+            gateways: Vec::new(),
+            follows: vec![Position::default(); gateways],
+            next_delivery: vec![Duration::ZERO; gateways],
+            versions: vec![0; gateways],
+            era: 1,
+            store: Contents::default(),
+            copies: Vec::new(),
+            is_away: false,
+            returned: Duration::ZERO,
+            endpoints: (0..ENDPOINTS).map(lives).collect(),
+            lost: BTreeMap::new(),
+            version: (0, Duration::ZERO),
+            orders: BTreeMap::new(),
+            loss,
+            seen: Seen::default(),
+        };
+        fleet.configure();
+        (0..ENDPOINTS).for_each(|number| fleet.write_entry(number));
+        for number in 0..gateways {
+            fleet.gateways.push(Gateway::new(IN_TOUCH));
+            fleet.start(number);
+        }
+        fleet.plan();
+        fleet
+    }
+
+    fn plan(&mut self) {
+        let mut at = Duration::ZERO;
+        while at < END {
+            self.time.at(at, Happening::Copy);
+            self.time.at(at + ms(1), Happening::Look);
+            at += COPY_EVERY.min(LOOK_EVERY);
+        }
+        for _ in 0..self.time.rng.random_range(1..4) {
+            let away = self.time.time_in(3_000, 14_000);
+            let back = away + self.time.time_in(10, 2_500);
+            let age = self.time.time_in(50, 3_000);
+            self.time.at(away, Happening::Away);
+            self.time.at(back, Happening::Return(age));
+        }
+        for _ in 0..self.time.rng.random_range(2..16) {
+            let at = self.time.time_in(500, 20_000);
+            self.time.at(at, Happening::Configure);
+        }
+        for _ in 0..self.time.rng.random_range(0..4) {
+            let number = self.time.rng.random_range(0..DATA_CENTRES);
+            let at = self.time.time_in(1_000, 12_000);
+            let back = at + self.time.time_in(500, 6_000);
+            self.time.at(at, Happening::Order(number, true));
+            self.time.at(back, Happening::Order(number, false));
+        }
+        for number in 0..ENDPOINTS {
+            if self.time.rng.random_bool(0.5) {
+                let at = self.time.time_in(1_000, 14_000);
+                let ends = at + self.time.time_in(2_000, 6_000);
+                let says = self.time.rng.random_bool(0.7);
+                if says {
+                    self.time.at(at, Happening::Leave(number));
+                }
+                self.time.at(ends, Happening::End(number));
+                let begins = ends + self.time.time_in(200, 4_000);
+                self.time.at(begins, Happening::Begin(number));
+            }
+        }
+        for _ in 0..self.time.rng.random_range(0..5) {
+            let gateway = self.time.rng.random_range(0..self.gateways.len());
+            let at = self.time.time_in(2_000, 14_000);
+            let back = at + self.time.time_in(100, 4_000);
+            let (bad, good) = match self.time.rng.random_range(0..3) {
+                0 => (Happening::Kill(gateway), Happening::Start(gateway)),
+                1 => (Happening::Cut(gateway, true), Happening::Cut(gateway, false)),
+                _ => (Happening::TurnAway(gateway, true), Happening::TurnAway(gateway, false)),
+            };
+            self.time.at(at, bad);
+            self.time.at(back, good);
+        }
+    }
+
+    pub fn run(&mut self) {
+        while let Some(happening) = self.time.step(END) {
+            self.happen(happening);
+        }
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Event(gateway, life, event) if self.gateways[gateway].life == life => {
+                self.handle(gateway, *event);
+            }
+            Happening::Wake(gateway, life) if self.gateways[gateway].life == life => {
+                self.gateways[gateway].wake = None;
+                self.handle(gateway, Event::Tick);
+            }
+            Happening::Read(gateway, life) if self.gateways[gateway].life == life => {
+                self.read(gateway);
+            }
+            Happening::Event(..) | Happening::Wake(..) | Happening::Read(..) => {}
+            Happening::Copy => self.copies.push((self.time.now, self.store.clone())),
+            Happening::Look => self.look(),
+            Happening::Away => self.is_away = true,
+            Happening::Return(age) => self.come_back(age),
+            Happening::WriteVersion => self.write_version(),
+            Happening::WriteOrders => self.write_orders(),
+            Happening::WriteEntry(number) => self.write_entry(number),
+            Happening::Configure => self.configure(),
+            Happening::Order(number, stands) => {
+                self.orders.insert(number, (stands, self.time.now));
+                self.write_orders();
+            }
+            Happening::Leave(number) => self.becomes(number, State::Leaves),
+            Happening::End(number) => {
+                let was_leaving = self.endpoints[usize::from(number)].state == State::Leaves;
+                self.becomes(number, State::Ended);
+                let lapses = if was_leaving { ms(0) } else { LAPSES };
+                self.time.at(self.time.now + lapses, Happening::WriteEntry(number));
+            }
+            Happening::Begin(number) => {
+                self.endpoints[usize::from(number)].incarnation += 1;
+                self.becomes(number, State::Lives);
+            }
+            Happening::Kill(gateway) => self.gateways[gateway].kill(),
+            Happening::Start(gateway) => self.start(gateway),
+            Happening::Cut(gateway, is_cut) => {
+                self.gateways[gateway].is_cut = is_cut;
+                self.out_of_touch(gateway, is_cut);
+            }
+            Happening::TurnAway(gateway, is_away) => {
+                self.gateways[gateway].is_away = is_away;
+                self.out_of_touch(gateway, is_away);
+            }
+        }
+    }
+
+    fn out_of_touch(&mut self, gateway: usize, begins: bool) {
+        let until = if begins { Duration::MAX } else { self.time.now + IN_TOUCH };
+        self.gateways[gateway].in_touch_from = until;
+        if !begins {
+            self.reads_soon(gateway, 300);
+        }
+    }
+
+    fn becomes(&mut self, number: u16, state: State) {
+        let truth = &mut self.endpoints[usize::from(number)];
+        if state == State::Leaves && truth.state == State::Ended {
+            return;
+        }
+        (truth.state, truth.since, truth.taken) = (state, self.time.now, None);
+        if state != State::Ended {
+            self.write_entry(number);
+        }
+    }
+
+    fn configure(&mut self) {
+        self.version = (self.version.0 + 3, self.time.now);
+        self.write_version();
+    }
+
+    /// What is to be written waits for the store.
+    fn must_wait(&self) -> bool {
+        self.is_away
+    }
+
+    fn write_version(&mut self) {
+        if self.must_wait() || self.store.version.1 == self.version.0 {
+            return;
+        }
+        self.store.revision += 1;
+        self.store.version = (self.store.revision, self.version.0);
+        self.version.1 = self.time.now;
+        let documents = vec![self.configuration()];
+        self.tell_all(&|| Event::Published { documents: documents.clone(), whole_at: None });
+    }
+
+    fn write_orders(&mut self) {
+        if self.must_wait() {
+            return;
+        }
+        for (number, (stands, _)) in self.orders.clone() {
+            let data_centre = data_centre(number);
+            if self.store.orders.contains_key(&data_centre) == stands {
+                continue;
+            }
+            self.store.revision += 1;
+            let revision = self.store.revision;
+            if stands {
+                self.store.orders.insert(data_centre.clone(), revision);
+            } else {
+                self.store.orders.remove(&data_centre);
+            }
+            let position = Position::new(self.era, revision);
+            let changes = vec![Evacuation { data_centre, position, stands }];
+            self.tell_all(&|| Event::Evacuations { changes: changes.clone(), whole_at: None });
+        }
+    }
+
+    fn write_entry(&mut self, number: u16) {
+        if self.must_wait() {
+            return;
+        }
+        let truth = &mut self.endpoints[usize::from(number)];
+        truth.taken.get_or_insert(self.time.now);
+        let Truth { state, incarnation, .. } = *truth;
+        let leaving = state == State::Leaves;
+        let before = (*endpoint("engine", number)).clone();
+        let data_centre = data_centre(number);
+        let entry = Arc::new(Endpoint { incarnation, leaving, data_centre, ..before });
+        let known = self.store.entries.get(&entry.id).cloned();
+        let is_as_written = known.as_ref().is_some_and(|(_, _, written)| *written == entry);
+        let (id, is_gone) = (entry.id.clone(), state == State::Ended);
+        if is_gone && known.is_none() || !is_gone && is_as_written {
+            return;
+        }
+        self.store.revision += 1;
+        let revision = self.store.revision;
+        let position = Position::new(self.era, revision);
+        let made = known.map_or(revision, |(_, made, _)| made);
+        let revised = if is_gone {
+            self.store.entries.remove(&id);
+            Revised { position, made: 0, document: Document::Gone(id) }
+        } else {
+            self.store.entries.insert(id, (revision, made, entry.clone()));
+            Revised { position, made, document: Document::Endpoint(entry) }
+        };
+        let documents = vec![revised];
+        self.tell_all(&|| Event::Published { documents: documents.clone(), whole_at: None });
+    }
+
+    fn configuration(&self) -> Revised {
+        let (revision, version) = self.store.version;
+        let deployment = deployment(version, vec![route("r", Repeat::Idempotent, &[])]);
+        let document = Document::Deployment(Arc::new(deployment));
+        Revised { position: Position::new(self.era, revision), made: 1, document }
+    }
+
+    fn come_back(&mut self, age: Duration) {
+        let from = self.time.now.saturating_sub(age);
+        let copy = self.copies.iter().rev().find(|(at, _)| *at <= from);
+        let Some((_, copy)) = copy.cloned() else {
+            return;
+        };
+        self.store = copy;
+        self.copies.clear();
+        self.era += 1;
+        self.is_away = false;
+        self.returned = self.time.now;
+        self.seen.returns += 1;
+        for number in 0..ENDPOINTS {
+            let Truth { state, .. } = self.endpoints[usize::from(number)];
+            let within =
+                if state == State::Ended { LAPSES.as_millis() as u64 } else { HEARTBEAT_MS };
+            let at = self.time.now + self.time.time_in(0, within);
+            self.time.at(at, Happening::WriteEntry(number));
+        }
+        for happening in [Happening::WriteVersion, Happening::WriteOrders] {
+            let at = self.time.now + self.time.time_in(0, 1_500);
+            self.time.at(at, happening);
+        }
+        for gateway in 0..self.gateways.len() {
+            self.reads_soon(gateway, WATCH_MS);
+        }
+    }
+
+    fn reads_soon(&mut self, gateway: usize, within_ms: u64) {
+        let at = self.time.now + self.time.time_in(3, within_ms);
+        self.time.at(at, Happening::Read(gateway, self.gateways[gateway].life));
+    }
+
+    fn is_served(&self, gateway: usize) -> bool {
+        let Gateway { is_cut, is_away, ref core, .. } = self.gateways[gateway];
+        !self.is_away && !is_cut && !is_away && core.is_some()
+    }
+
+    /// A write is told to whoever follows: of an earlier era only once the store has passed what it waits for, and then
+    /// the answer names the era.
+    fn tell_all(&mut self, event: &dyn Fn() -> Event) {
+        for gateway in 0..self.gateways.len() {
+            if !self.is_served(gateway) {
+                continue;
+            }
+            let follows = self.follows[gateway];
+            if follows.era == self.era {
+                self.deliver(gateway, event());
+            } else if self.store.revision > follows.revision {
+                self.reads_soon(gateway, 30);
+            }
+        }
+    }
+
+    /// Answers come to a gateway in order, each a while after the one before.
+    fn deliver(&mut self, gateway: usize, event: Event) {
+        let at = self.time.now + self.time.time_in(2, 300);
+        let at = at.max(self.next_delivery[gateway]);
+        self.next_delivery[gateway] = at + ms(1);
+        let life = self.gateways[gateway].life;
+        self.time.at(at, Happening::Event(gateway, life, Box::new(event)));
+    }
+
+    fn read(&mut self, gateway: usize) {
+        if !self.is_served(gateway) {
+            if self.gateways[gateway].core.is_some() {
+                self.reads_soon(gateway, 500);
+            }
+            return;
+        }
+        let at = Position::new(self.era, self.store.revision);
+        self.follows[gateway] = at;
+        self.deliver(gateway, Event::StoreEra { era: self.era });
+        let change = |(name, revision): (&Name, &u64)| Evacuation {
+            data_centre: name.clone(),
+            position: Position::new(at.era, *revision),
+            stands: true,
+        };
+        let changes = self.store.orders.iter().map(change).collect();
+        self.deliver(gateway, Event::Evacuations { changes, whole_at: Some(at) });
+        let documents = vec![self.configuration()];
+        self.deliver(gateway, Event::Published { documents, whole_at: None });
+        let entry = |(revision, made, endpoint): &(u64, u64, Arc<Endpoint>)| Revised {
+            position: Position::new(at.era, *revision),
+            made: *made,
+            document: Document::Endpoint(endpoint.clone()),
+        };
+        let documents = self.store.entries.values().map(entry).collect();
+        self.deliver(gateway, Event::Published { documents, whole_at: Some(at) });
+    }
+
+    fn start(&mut self, number: usize) {
+        if self.gateways[number].core.is_some() {
+            return;
+        }
+        let seed = self.time.rng.random();
+        let gateway = &mut self.gateways[number];
+        gateway.in_touch_from = self.time.now + IN_TOUCH;
+        gateway.start(number, Setup { seed, ..setup() });
+        self.versions[number] = 0;
+        self.follows[number] = Position::default();
+        self.reads_soon(number, 20);
+        self.handle(number, Event::Tick);
+    }
+
+    fn handle(&mut self, number: usize, event: Event) {
+        let (actions, wake) = self.gateways[number].handle(event, self.time.now);
+        if let Some(at) = wake {
+            let life = self.gateways[number].life;
+            self.time.at(at, Happening::Wake(number, life));
+        }
+        for action in actions {
+            match action {
+                Action::StoreEra(era) if self.follows[number].era < era => {
+                    self.reads_soon(number, 300);
+                }
+                Action::Tell { .. } | Action::Spread { .. } => {
+                    for (to, event) in heard(number, action) {
+                        self.send(number, to, event);
+                    }
+                }
+                _ => {}
+            }
+        }
+        let Some(core) = self.gateways[number].core.as_ref() else {
+            return;
+        };
+        let version = core.table().deployment.version;
+        if version < self.versions[number] {
+            self.breach(number, format!("went back from {} to {version}", self.versions[number]));
+        }
+        self.versions[number] = version;
+    }
+
+    /// A message between gateways: late, or lost.
+    fn send(&mut self, from: usize, to: u16, event: Event) {
+        let to = usize::from(to) - 1;
+        if to >= self.gateways.len() || self.time.rng.random_bool(self.loss) {
+            return;
+        }
+        if !self.gateways[from].is_cut && !self.gateways[to].is_cut {
+            let at = self.time.now + self.time.time_in(1, 60);
+            let life = self.gateways[to].life;
+            self.time.at(at, Happening::Event(to, life, Box::new(event)));
+        }
+    }
+
+    fn breach(&mut self, gateway: usize, what: String) {
+        if self.seen.breaches.len() < 8 {
+            self.seen.breaches.push(format!("{:?}: gateway {gateway} {what}", self.time.now));
+        }
+    }
+
+    fn look(&mut self) {
+        let now = self.time.now;
+        for gateway in 0..self.gateways.len() {
+            let is_in_touch = now >= self.gateways[gateway].in_touch_from;
+            if !is_in_touch || self.gateways[gateway].core.is_none() {
+                self.lost.retain(|(of, _), _| *of != gateway);
+                continue;
+            }
+            self.seen.looks += 1;
+            self.look_at_version(gateway);
+            self.look_at_endpoints(gateway);
+        }
+    }
+
+    /// Whether what was written at some time is owed: the store has been back for long enough.
+    fn is_owed(&self, written: Duration, within: Duration) -> bool {
+        let stable = self.returned + IN_TOUCH;
+        !self.is_away && self.time.now >= written + within && self.time.now >= stable
+    }
+
+    fn look_at_version(&mut self, gateway: usize) {
+        let (version, written) = self.version;
+        let has = self.versions[gateway];
+        if self.is_owed(written, IN_FORCE) && has < version {
+            self.breach(gateway, format!("has version {has}, {version} was written {written:?}"));
+        }
+    }
+
+    fn look_at_endpoints(&mut self, gateway: usize) {
+        let now = self.time.now;
+        let Some(core) = self.gateways[gateway].core.as_ref() else {
+            return;
+        };
+        let table = core.table();
+        let used: BTreeSet<u16> = (0..ENDPOINTS)
+            .filter(|number| table.endpoint(&name(*number)).is_some_and(|e| !e.leaving))
+            .collect();
+        for number in 0..ENDPOINTS {
+            let Truth { state, since, taken, incarnation } = self.endpoints[usize::from(number)];
+            let taken = taken.unwrap_or(Duration::MAX);
+            let order = self.orders.get(&(number % DATA_CENTRES)).copied();
+            let is_used = used.contains(&number);
+            match order {
+                Some((true, given)) if self.is_owed(given, OBEYED) && is_used => {
+                    self.breach(gateway, format!("uses {number} against an order of {given:?}"));
+                }
+                Some((false, taken)) if now < taken + OBEYED => continue,
+                Some((true, _)) => continue,
+                _ => {}
+            }
+            let is_over = |time: Duration| taken.checked_add(time).is_some_and(|at| now >= at);
+            let has_left = state == State::Leaves && is_over(DRAINED);
+            let has_ended = state == State::Ended && is_over(DRAINED);
+            // What was heard before the store went back holds on; what was not is written again.
+            let was_heard = taken.checked_add(IN_FORCE).is_some_and(|at| at < self.returned);
+            let is_settled = has_left && (was_heard || now >= self.returned + IN_TOUCH)
+                || has_ended && now >= self.returned + IN_TOUCH + LAPSES;
+            if is_used && is_settled && !self.is_away {
+                self.breach(
+                    gateway,
+                    format!("uses {number}, which left {since:?}, life {incarnation}"),
+                );
+            }
+            let owes_use = state == State::Lives && now >= since + IN_TOUCH;
+            if is_used || !owes_use || self.is_away {
+                self.lost.remove(&(gateway, number));
+                continue;
+            }
+            let lost_since = *self.lost.entry((gateway, number)).or_insert(now);
+            if now >= lost_since + LOST_AT_MOST {
+                self.breach(gateway, format!("has lost {number} since {lost_since:?}"));
+            }
+        }
+    }
+}
--- a/tests/directenv/gateway.rs
+++ b/tests/directenv/gateway.rs
@@ -17,7 +17,7 @@
 use stackmast::direct::published::model::{Deployment, Endpoint, Route};
 use stackmast::direct::repeats::Bounds;
 
-use super::{address, deployment, endpoints, ms};
+use super::{address, deployment, endpoints, ms, position};
 
 /// Does nothing of what a core decides.
 pub struct Idle;
@@ -46,15 +46,18 @@
 
 pub fn listed(endpoints: &[Arc<Endpoint>], revision: u64) -> Vec<Revised> {
     let document = |e: &Arc<Endpoint>| Document::Endpoint(e.clone());
-    endpoints.iter().map(|e| Revised { revision, document: document(e) }).collect()
+    endpoints
+        .iter()
+        .map(|e| Revised { position: position(revision), made: 0, document: document(e) })
+        .collect()
 }
 
 pub fn publish(core: &mut GatewayCore, deployment: Deployment, now: Duration) -> Vec<Action> {
     let document = Document::Deployment(Arc::new(deployment));
-    let documents = vec![Revised { revision: 1, document }];
+    let documents = vec![Revised { position: position(1), made: 0, document }];
     let mut actions = core.handle(Event::Published { documents, whole_at: None }, now);
     let documents = listed(&endpoints(), 2);
-    actions.extend(core.handle(Event::Published { documents, whole_at: Some(2) }, now));
+    actions.extend(core.handle(Event::Published { documents, whole_at: Some(position(2)) }, now));
     actions
 }
 
@@ -130,11 +133,12 @@
     pub evacuations: Evacuations,
     pub departures: Vec<Departure>,
     pub limits: Vec<LimitTold>,
+    pub era: u64,
 }
 
 impl Says {
     pub fn message(self) -> PeerMessage {
-        let Self { members, seen, complete, late, evacuations, departures, limits } = self;
+        let Self { members, seen, complete, late, evacuations, departures, limits, era } = self;
         let usage = Vec::new();
         PeerMessage::Gossip {
             members,
@@ -145,6 +149,7 @@
             evacuations,
             departures,
             limits,
+            era,
         }
     }
 }
--- a/tests/directenv/limits.rs
+++ b/tests/directenv/limits.rs
@@ -17,7 +17,7 @@
 
 use super::gateway::{good, incoming, setup};
 use super::timeline::{Gateway, Timeline, heard};
-use super::{address, deployment, endpoint, route};
+use super::{address, deployment, endpoint, position, route};
 
 /// Spans of that length are counted.
 const SPAN: Duration = Duration::from_secs(4);
@@ -311,8 +311,10 @@
         )));
         let entries = self.endpoints.iter().map(|e| Document::Endpoint(e.clone()));
         let documents = [configured].into_iter().chain(entries);
-        let documents = documents.map(|document| Revised { revision: 5, document }).collect();
-        let event = Event::Published { documents, whole_at: Some(5) };
+        let documents = documents
+            .map(|document| Revised { position: position(5), made: 0, document })
+            .collect();
+        let event = Event::Published { documents, whole_at: Some(position(5)) };
         let at = self.time.now + self.time.time_in(4, 100);
         self.time.at(at, Happening::Event(number, life, Box::new(event)));
         self.handle(number, Event::Tick);
--- a/tests/directenv/mod.rs
+++ b/tests/directenv/mod.rs
@@ -1,6 +1,7 @@
 //! Small deployments and jobs for tests of the cores that call endpoints directly.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod eras;
 pub mod fakes;
 pub mod gateway;
 pub mod limits;
@@ -26,6 +27,7 @@
     BatchSpec, CallerLimits, Deployment, Endpoint, EngineSpec, Name, Organisation, Pool, Repeat,
     Route, StageSpec, Target, Work,
 };
+use stackmast::direct::published::position::Position;
 use stackmast::direct::published::table::Table;
 
 pub const CALL: Duration = Duration::from_millis(240);
@@ -35,6 +37,11 @@
     Duration::from_millis(n)
 }
 
+/// A revision of a store that names no era.
+pub const fn position(revision: u64) -> Position {
+    Position::new(0, revision)
+}
+
 pub fn address(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
 }
--- a/tests/directenv/orders.rs
+++ b/tests/directenv/orders.rs
@@ -15,7 +15,7 @@
 
 use super::gateway::{good, incoming, setup};
 use super::timeline::{Gateway, Timeline, heard};
-use super::{deployment, endpoint, ms, route};
+use super::{deployment, endpoint, ms, position, route};
 
 /// What a cold endpoint bears a second.
 pub const BEARS: f64 = 10.0;
@@ -205,7 +205,11 @@
                     self.down.insert(id.clone());
                     self.revision += 1;
                     let revision = self.revision;
-                    let gone = Revised { revision, document: Document::Gone(id.clone()) };
+                    let gone = Revised {
+                        position: position(revision),
+                        made: 0,
+                        document: Document::Gone(id.clone()),
+                    };
                     self.entered.insert(id, gone.clone());
                     self.spread(vec![gone]);
                 }
@@ -248,7 +252,10 @@
     fn enter(&mut self, endpoint: Arc<Endpoint>) {
         self.revision += 1;
         let (revision, document) = (self.revision, Document::Endpoint(endpoint.clone()));
-        self.entered.insert(endpoint.id.clone(), Revised { revision, document });
+        self.entered.insert(
+            endpoint.id.clone(),
+            Revised { position: position(revision), made: 0, document },
+        );
         self.endpoints.insert(endpoint.id.clone(), endpoint);
     }
 
@@ -257,7 +264,7 @@
         let revision = self.revision;
         let since = stands.then_some(self.time.now);
         self.orders.insert(data_centre.clone(), (revision, since));
-        let change = Evacuation { data_centre, revision, stands };
+        let change = Evacuation { data_centre, position: position(revision), stands };
         for gateway in 0..self.gateways.len() {
             let event = Event::Evacuations { changes: vec![change.clone()], whole_at: None };
             self.publish(gateway, event);
@@ -287,14 +294,14 @@
         let stand = self.orders.iter().filter(|(_, order)| order.1.is_some());
         let change = |(data_centre, order): (&Name, &Order)| Evacuation {
             data_centre: data_centre.clone(),
-            revision: order.0,
+            position: position(order.0),
             stands: true,
         };
         let changes = stand.map(change).collect();
-        let whole_at = Some(self.revision);
+        let whole_at = Some(position(self.revision));
         self.publish(gateway, Event::Evacuations { changes, whole_at });
         let configured = Document::Deployment(Arc::new(cold_deployment()));
-        let documents = vec![Revised { revision: 1, document: configured }];
+        let documents = vec![Revised { position: position(1), made: 0, document: configured }];
         self.publish(gateway, Event::Published { documents, whole_at: None });
         let is_entry = |r: &&Revised| matches!(r.document, Document::Endpoint(_));
         let documents = self.entered.values().filter(is_entry).cloned().collect();
--- a/tests/directenv/poison/endpoints.rs
+++ b/tests/directenv/poison/endpoints.rs
@@ -8,6 +8,7 @@
 use stackmast::direct::published::documents::{Document, Revised};
 use stackmast::direct::published::model::{Endpoint, Name};
 
+use super::super::position;
 use super::{Content, Fleet, Gateway, Happening, Running, Work};
 use crate::directenv::gateway::good;
 
@@ -140,7 +141,7 @@
         }
         self.revision += 1;
         let (revision, document) = (self.revision, Document::Gone(id.clone()));
-        let gone = Revised { revision, document };
+        let gone = Revised { position: position(revision), made: 0, document };
         self.entered.insert(id.clone(), gone.clone());
         self.spread(&[gone]);
     }
--- a/tests/directenv/poison/mod.rs
+++ b/tests/directenv/poison/mod.rs
@@ -16,7 +16,7 @@
 
 use super::gateway::{incoming, setup};
 use super::timeline::{Gateway, Timeline, heard};
-use super::{deployment, endpoint, ms, route};
+use super::{deployment, endpoint, ms, position, route};
 
 /// A gateway that was cut off, or started, is in touch after so long; and so long after the third ending
 /// each gateway in touch has heard of it.
@@ -373,7 +373,10 @@
     fn enter(&mut self, endpoint: Arc<Endpoint>) {
         self.revision += 1;
         let (revision, document) = (self.revision, Document::Endpoint(endpoint.clone()));
-        self.entered.insert(endpoint.id.clone(), Revised { revision, document });
+        self.entered.insert(
+            endpoint.id.clone(),
+            Revised { position: position(revision), made: 0, document },
+        );
         self.endpoints.insert(endpoint.id.clone(), endpoint);
     }
 
@@ -395,11 +398,11 @@
 
     fn publish_whole(&mut self, gateway: usize) {
         let configured = Document::Deployment(Arc::new(poison_deployment()));
-        let documents = vec![Revised { revision: 1, document: configured }];
+        let documents = vec![Revised { position: position(1), made: 0, document: configured }];
         self.publish(gateway, Event::Published { documents, whole_at: None });
         let is_entry = |r: &&Revised| matches!(r.document, Document::Endpoint(_));
         let documents = self.entered.values().filter(is_entry).cloned().collect();
-        let whole_at = Some(self.revision);
+        let whole_at = Some(position(self.revision));
         self.publish(gateway, Event::Published { documents, whole_at });
     }
 
--- a/tests/directenv/publisher.rs
+++ b/tests/directenv/publisher.rs
@@ -8,7 +8,7 @@
 use stackmast::direct::published::model::Endpoint;
 
 use super::world::{GATEWAYS, Happening, World};
-use super::{deployment, endpoints, ms};
+use super::{deployment, endpoints, ms, position};
 
 impl World {
     fn documents(&self) -> Vec<Revised> {
@@ -16,18 +16,25 @@
             let mut endpoint = (**e).clone();
             endpoint.leaving = self.leaving.contains(&*e.id);
             let revision = if endpoint.leaving { self.revision } else { self.listed_at };
-            Revised { revision, document: Document::Endpoint(Arc::new(endpoint)) }
+            Revised {
+                position: position(revision),
+                made: 0,
+                document: Document::Endpoint(Arc::new(endpoint)),
+            }
         };
         let mut documents: Vec<Revised> = endpoints().iter().map(entry).collect();
         let deployment = Arc::new(deployment(self.version, self.routes.clone()));
-        documents
-            .push(Revised { revision: self.revision, document: Document::Deployment(deployment) });
+        documents.push(Revised {
+            position: position(self.revision),
+            made: 0,
+            document: Document::Deployment(deployment),
+        });
         documents
     }
 
     pub fn publish_to(&mut self, number: usize) {
         let documents = self.documents();
-        let whole_at = Some(self.revision);
+        let whole_at = Some(position(self.revision));
         let life = self.lives[number];
         let delay = self.time_in(ms(1), ms(80));
         let event = Event::Published { documents, whole_at };
@@ -53,7 +60,7 @@
     /// A list with a third of the entries; the rest is written again later.
     pub(super) fn lapse(&mut self) {
         self.revision += 2;
-        let whole_at = Some(self.revision - 1);
+        let whole_at = Some(position(self.revision - 1));
         let listed = self.documents().into_iter().enumerate().filter(|(i, _)| i % 3 == 0);
         let documents: Vec<Revised> = listed.map(|(_, document)| document).collect();
         // What is written again is newer than all that was seen of the list.
--- /dev/null
+++ b/tests/era_schedules.rs
@@ -0,0 +1,51 @@
+//! Random schedules of 1 to 100 gateways before a store that comes back from older copies, in virtual time.
+//!
+//! Messages are late or lost; gateways are killed, cut off, or turned away by the store; endpoints leave, end and begin;
+//! versions and orders change. `STACKMAST_SCHEDULES` sets how many, `STACKMAST_SEED` the first seed.
+
+mod directenv;
+
+use directenv::eras::Fleet;
+
+const SCHEDULES: u64 = 24;
+
+fn number(name: &str, default: u64) -> u64 {
+    std::env::var(name).ok().and_then(|v| v.parse().ok()).unwrap_or(default)
+}
+
+/// Small fleets as well as large ones, which take longer.
+const fn gateways(seed: u64) -> usize {
+    match seed % 6 {
+        0 => 1,
+        1 => 2 + (seed / 6) as usize % 4,
+        2 | 3 => 6 + (seed / 6) as usize % 10,
+        4 => 16 + (seed / 6) as usize % 16,
+        _ => 40 + (seed / 6) as usize % 61,
+    }
+}
+
+#[test]
+fn nothing_goes_back_with_the_store_and_nobody_alive_is_lost() {
+    let first = number("STACKMAST_SEED", 1);
+    let count = number("STACKMAST_SCHEDULES", SCHEDULES);
+    let (mut returns, mut looks, mut failed) = (0, 0, Vec::new());
+    for seed in first..first + count {
+        let mut fleet = Fleet::new(seed, gateways(seed));
+        fleet.run();
+        returns += fleet.seen.returns;
+        looks += fleet.seen.looks;
+        if !fleet.seen.breaches.is_empty() {
+            failed.push(format!(
+                "seed {seed}, {} gateways: {:#?}",
+                gateways(seed),
+                fleet.seen.breaches
+            ));
+        }
+    }
+    println!(
+        "{count} schedules from seed {first}: {returns} returns, {looks} looks, {} failed",
+        failed.len()
+    );
+    assert!(failed.is_empty(), "{}", failed.join("\n"));
+    assert!(returns > 0 && looks > 0, "the checks are not idle");
+}
--- a/tests/kept_frames.rs
+++ b/tests/kept_frames.rs
@@ -2,7 +2,7 @@
 //! reads them, writes its own as they are kept, and leaves out nothing that an older one needs.
 //!
 //! Whoever changes a message: raise `FORM`, have `stackmast-testbed frames tests/frames/form-N.json` write the new file, and
-//! keep a reader of the form before beside it, as `peers/form4.rs` is.
+//! keep a reader of the form before beside it, as `peers/form5.rs` is.
 
 use std::collections::BTreeSet;
 
@@ -13,9 +13,11 @@
 use test_case::test_case;
 
 /// The form of the landing before; its compact frames are read.
-const BEFORE: u32 = 4;
+const BEFORE: u32 = 5;
 /// The form of the one before that; its compact frames are read, too.
-const EARLIER: u32 = 3;
+const EARLIER: u32 = 4;
+/// The first form whose compact frames are read.
+const FIRST: u32 = 3;
 /// A compact frame begins with so many bytes; the number of its kind follows.
 const MARK_AND_FORM: usize = 2;
 
@@ -49,6 +51,7 @@
 #[test_case(FORM)]
 #[test_case(BEFORE)]
 #[test_case(EARLIER)]
+#[test_case(FIRST)]
 #[test_case(2)]
 fn what_the_last_landings_write_as_json_is_read(form: u32) {
     for (kind, frame) in kept(form).frames {
@@ -60,6 +63,7 @@
 #[test_case(FORM)]
 #[test_case(BEFORE)]
 #[test_case(EARLIER)]
+#[test_case(FIRST)]
 fn what_the_last_landings_write_compactly_is_read_as_its_json(form: u32) {
     for (kind, frame) in kept(form).frames {
         let compact = frame.compact_bytes().expect("hexadecimal");
@@ -96,6 +100,7 @@
 
 #[test_case(BEFORE)]
 #[test_case(EARLIER)]
+#[test_case(FIRST)]
 #[test_case(2)]
 fn what_this_build_writes_fits_the_schema_of_the_last_landings(form: u32) {
     let own = own().frames;
