A frame without a mark is read of builds before the mark only

Cause: codec::read took an unmarked compact frame by the form of the peer's greeting wherever that was below this build's form, so of peers that greet with 4 or 5, whose frames are always marked. No build writes such a frame; if one did, or if a connection mixed bytes up, it would be read as that form instead of being told of as unread. Callers saw nothing of it.

The guard names the first marked form. a_frame_without_the_mark_that_its_form_has_is_not_read failed for forms 4 and 5 (an accepted job was read) and passes; 22 tests of kept frames, 7 of the codec, 10 of upgrades pass.

--- a/src/direct/peers/codec.rs
+++ b/src/direct/peers/codec.rs
@@ -18,6 +18,8 @@
 /// How a frame begins that says which form it has; the form follows as one byte. To builds that know of no such frames
 /// it is a kind of message that does not exist, so they pass it over.
 const MARK: u8 = 0xc1;
+/// The first form whose frames begin so.
+const FIRST_MARKED: u32 = 4;
 
 /// The compact form that this build writes: it grows by one whenever the fields of a message or of what it holds change.
 /// The kept frames of each form (`tests/frames`) hold it to that.
@@ -93,7 +95,7 @@
         }
         [MARK, form, rest @ ..] => read_compact(u32::from(*form), rest)?,
         // Builds before the mark wrote what they read.
-        frame if greeted < FORM => read_compact(greeted, frame)?,
+        frame if greeted < FIRST_MARKED => read_compact(greeted, frame)?,
         _ => return Err(Unread::Message { job: None }),
     };
     crate::metrics::peer_bytes("in", message.kind(), frame.len());
--- a/tests/kept_frames.rs
+++ b/tests/kept_frames.rs
@@ -71,6 +71,18 @@
     }
 }
 
+/// Guards against an unmarked frame that is read by the form of a greeting, where that form is always marked.
+#[test_case(FORM)]
+#[test_case(BEFORE)]
+#[test_case(EARLIER)]
+fn a_frame_without_the_mark_that_its_form_has_is_not_read(form: u32) {
+    for (kind, frame) in kept(form).frames {
+        let compact = frame.compact_bytes().expect("hexadecimal");
+        let unmarked = &compact[MARK_AND_FORM..];
+        assert_eq!(read(unmarked, form), Err(Unread::Message { job: None }), "{kind}");
+    }
+}
+
 #[test]
 fn what_earlier_landings_write_compactly_is_not_guessed_at() {
     for (kind, frame) in kept(2).frames {
