A gateway that starts asks its peers before it calls itself ready

Cause: it was ready as soon as it had read the store, some milliseconds before any peer could have answered, and then left its link in peace for 700 ms before it asked for the newer one, as between versions of a storm.

Its first heartbeat goes to all seeds, not to one of them; it is ready once a gateway that serves has answered, or all seeds have answered or are gone, or after 150 ms; what a peer has that is newer is asked for at once and waited for, 1.5 s at most. Ruled out: asking the store twice (it says the same), waiting for each start however few seeds there are (150 ms of readiness are only spent where seeds are silent).

--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -42,8 +42,10 @@
 
 /// What lines call the store as the source of something.
 pub(super) const PUBLISHER: &str = "publisher";
-/// A gateway that starts, and hears of a newer configuration than the store gives, waits for it for so long before it
-/// calls itself ready: the store may have come back from an older copy.
+/// The store may have come back from an older copy: a gateway that starts asks its peers before it calls itself ready, and
+/// waits so long for one to answer, ...
+const MET_WITHIN: Duration = Duration::from_millis(150);
+/// ... and so long for a newer configuration that one has.
 const NEWEST_WITHIN: Duration = Duration::from_millis(1_500);
 /// A report of how an endpoint stands is worth something for so long after it was asked for: one that lay unread while
 /// this process stood still tells how the endpoint stood then.
@@ -116,8 +118,12 @@
     waited: Duration,
     /// When the process last went on after it had stood still.
     pub(super) went_on_at: Timestamp,
+    /// Gateways to be asked before this one calls itself ready; none once one has answered that serves.
+    pub(super) unmet: BTreeSet<SocketAddr>,
     /// When the first configuration and list came.
     documented_since: Option<Timestamp>,
+    /// When it was last looked at what this gateway is ready for.
+    updated_at: Timestamp,
     /// When they were first the newest that was known of.
     pub(super) complete_since: Option<Timestamp>,
     pub(super) next_beat: Timestamp,
@@ -132,6 +138,8 @@
 impl GatewayCore {
     /// A gateway that knows nothing yet.
     pub fn new(setup: Setup) -> Self {
+        let mut unmet: BTreeSet<SocketAddr> = setup.seeds.iter().copied().collect();
+        unmet.remove(&setup.address);
         Self {
             members: Members::new(setup.address, setup.incarnation, setup.capacity, setup.seeds),
             builds: Builds::default(),
@@ -164,7 +172,9 @@
             next_ask: Timestamp::ZERO,
             waited: Duration::ZERO,
             went_on_at: Timestamp::ZERO,
+            unmet,
             documented_since: None,
+            updated_at: Timestamp::ZERO,
             complete_since: None,
             next_beat: Timestamp::ZERO,
             stop: None,
@@ -280,6 +290,15 @@
         self.requests.submit(caller, incoming, &self.table, known, arrived, now);
     }
 
+    /// When [`Self::update_state`] waits no longer for peers to answer, or for what they have.
+    fn next_completion(&self) -> impl Iterator<Item = Timestamp> {
+        let since = self.documented_since.filter(|_| self.complete_since.is_none());
+        since.into_iter().flat_map(|at| {
+            let waited = [MET_WITHIN, NEWEST_WITHIN].map(|patience| at + patience);
+            waited.into_iter().filter(|at| *at > self.updated_at)
+        })
+    }
+
     /// Whether requests are decided, by the newest configuration that is known of.
     const fn is_complete(&self) -> bool {
         self.complete_since.is_some()
@@ -379,10 +398,13 @@
     }
 
     fn update_state(&mut self, now: Timestamp) {
+        self.updated_at = now;
         let draining = self.stop.is_some();
         if self.documents.is_complete() && self.complete_since.is_none() {
             let since = *self.documented_since.get_or_insert(now);
-            if !self.pulls.knows_newer() || now >= since + NEWEST_WITHIN {
+            let has_met = self.unmet.is_empty() || now >= since + MET_WITHIN;
+            let has_newest = !self.pulls.knows_newer() || now >= since + NEWEST_WITHIN;
+            if has_met && has_newest {
                 self.complete_since = Some(now);
             }
         }
@@ -499,7 +521,7 @@
         let wakeups = [self.owners.next_wakeup(), self.requests.next_wakeup()];
         let pulls = self.pulls.next_wakeup(self.own()).into_iter();
         let behind = pulls.chain(self.documents.next_expiry()).chain(self.members.next_suspicion());
-        let behind = behind.chain(self.unconfirmed.next_expiry());
+        let behind = behind.chain(self.unconfirmed.next_expiry()).chain(self.next_completion());
         let settled =
             self.complete_since.filter(|_| !self.early.is_empty()).map(|s| s + self.settling);
         let early = self.early.next_wakeup().into_iter().chain(settled);
--- a/src/direct/following.rs
+++ b/src/direct/following.rs
@@ -141,7 +141,11 @@
 
     /// What this gateway has.
     pub(super) fn own(&self) -> Own {
-        Own { seen: self.documents.seen(), complete: self.documents.is_complete() }
+        Own {
+            seen: self.documents.seen(),
+            complete: self.documents.is_complete(),
+            is_starting: self.complete_since.is_none(),
+        }
     }
 
     /// A peer asks for what it lacks: entries of endpoints, and with `configuration`, the number of its
--- a/src/direct/peers/pulls.rs
+++ b/src/direct/peers/pulls.rs
@@ -240,7 +240,7 @@
             due.silent.push(pull.peer);
         }
         self.newer.retain(|_, version| *version > own.seen.version);
-        if self.configuration_due().is_some_and(|at| now >= at)
+        if self.configuration_due(own).is_some_and(|at| now >= at)
             && let Some(peer) = self.choose(members, rng)
         {
             self.asked += 1;
@@ -259,11 +259,11 @@
     /// When [`Self::due`] has something to say, as far as is known now.
     pub fn next_wakeup(&self, own: Own) -> Option<Timestamp> {
         let over = self.in_flight.iter().map(InFlight::over_at).min();
-        [over, self.configuration_due(), self.list_due(own)].into_iter().flatten().min()
+        [over, self.configuration_due(own), self.list_due(own)].into_iter().flatten().min()
     }
 
     /// When a configuration is to be asked for, be it beside one that is on its way.
-    fn configuration_due(&self) -> Option<Timestamp> {
+    fn configuration_due(&self, own: Own) -> Option<Timestamp> {
         if self.in_flight.len() >= AT_ONCE {
             return None;
         }
@@ -271,16 +271,16 @@
         let free = self.newer.keys().filter(|p| !self.is_asked(**p)).map(free).min()?;
         let due = match self.in_flight.first() {
             Some(pull) => pull.doubled_at(),
-            None => self.waited_until(),
+            None => self.waited_until(own),
         };
         Some(due.max(free))
     }
 
     /// Until when nothing is asked of peers, since the own read may bring it.
-    fn waited_until(&self) -> Timestamp {
+    fn waited_until(&self, own: Own) -> Timestamp {
         let since = self.told.values().map(|t| t.at).min().or(self.configured).unwrap_or_default();
         let mut at = since;
-        if let Some(configured) = self.configured {
+        if let Some(configured) = self.configured.filter(|_| !own.is_starting) {
             at = (at + BEHIND).max(configured + BETWEEN);
         }
         if let Some(reading) = self.reading {
@@ -325,4 +325,6 @@
     pub seen: Seen,
     /// Whether it has a configuration and a whole list.
     pub complete: bool,
+    /// Whether it decides nothing before it has the newest configuration that is known of.
+    pub is_starting: bool,
 }
--- a/src/direct/talking.rs
+++ b/src/direct/talking.rs
@@ -43,6 +43,7 @@
                 era,
             } => {
                 self.era_told(from, era);
+                self.met(from, complete);
                 let seen = Seen { endpoints: self.eras.adopt(seen.endpoints), ..seen };
                 self.evacuations_told(from, &evacuations, now);
                 self.departures_told(from, departures, now);
@@ -108,7 +109,17 @@
         }
     }
 
+    /// A gateway has answered: one that knows everything is enough.
+    fn met(&mut self, from: SocketAddr, complete: bool) {
+        if complete {
+            self.unmet.clear();
+        } else {
+            self.unmet.remove(&from);
+        }
+    }
+
     pub(super) fn on_unreachable(&mut self, address: SocketAddr, now: Timestamp) {
+        self.unmet.remove(&address);
         if let Some(incarnation) = self.members.life(address)
             && self.members.broke(address, incarnation, now)
         {
--- a/tests/direct_eras.rs
+++ b/tests/direct_eras.rs
@@ -432,3 +432,39 @@
     }
     assert_eq!(ready_at, Some(1_510));
 }
+
+/// A gateway with two seeds that has read everything.
+fn starts_with_seeds() -> GatewayCore {
+    let seeds = vec![address(1), address(2), address(3)];
+    let mut core = GatewayCore::new(Setup { seeds, ..setup() });
+    let actions = core.handle(Event::Tick, ms(0));
+    let asked = actions.iter().find_map(|a| match a {
+        Action::Spread { to, .. } => Some(to.clone()),
+        _ => None,
+    });
+    assert_eq!(asked.expect("a heartbeat"), [address(2), address(3)], "all that may know");
+    assert!(!is_ready(&publish(&mut core, 6, after(40), 10)));
+    core
+}
+
+#[test]
+fn a_gateway_that_starts_is_ready_once_a_peer_that_serves_has_answered() {
+    let mut core = starts_with_seeds();
+    let seen = Seen { version: 6, endpoints: after(40) };
+    let starting = Says { members: vec![serving(3)], seen, era: AFTER, ..Says::default() };
+    let event = Event::Peer { from: address(3), message: starting.message() };
+    assert!(!is_ready(&core.handle(event, ms(20))), "it knows no more itself");
+    let actions = core.handle(beat(1, Says { seen, era: AFTER, ..Says::default() }), ms(30));
+    assert!(is_ready(&actions));
+}
+
+#[test]
+fn a_gateway_that_starts_waits_for_no_peer_that_is_gone() {
+    let mut core = starts_with_seeds();
+    assert!(!is_ready(&core.handle(Event::PeerUnreachable { address: address(2) }, ms(20))));
+    assert!(is_ready(&core.handle(Event::PeerUnreachable { address: address(3) }, ms(21))));
+    let mut core = starts_with_seeds();
+    assert_eq!(core.next_wakeup().map(|at| at <= ms(160)), Some(true));
+    assert!(!is_ready(&core.handle(Event::Tick, ms(159))));
+    assert!(is_ready(&core.handle(Event::Tick, ms(160))), "silent ones");
+}
