An era that a left watch had read is told by the next answer

Found by reading the change: a reader kept the era of an answer before it had told the core; a watch that was left at that moment, since another era was heard of, would have kept it for itself, and answers of that era would never name it again. It needs a full mailbox of the core and two eras at once, so no test brings it about. A whole list names its era by itself now as well.

--- a/src/direct/following.rs
+++ b/src/direct/following.rs
@@ -72,7 +72,10 @@
             self.compare_published(&documents);
         }
         let merged = match whole_at {
-            Some(at) => self.merge_whole(documents, at, PUBLISHER, now),
+            Some(at) => {
+                self.hear_era(at.era, PUBLISHER);
+                self.merge_whole(documents, at, PUBLISHER, now)
+            }
             None => self.documents.merge(documents, now),
         };
         self.merged(&merged, PUBLISHER, true, now);
