--- a/src/direct/peers/members.rs
+++ b/src/direct/peers/members.rs
@@ -202,9 +202,9 @@
         let seeds = self.seeds.iter().copied().filter(|s| *s != self.own.address);
         let mut unheard: Vec<SocketAddr> = seeds.chain(self.dead()).collect();
         unheard.retain(|a| !alive.contains(a));
-        // Who knows nobody asks all that may tell.
+        // Who knows nobody asks several that may tell.
         if alive.is_empty() {
-            return unheard;
+            return unheard.sample(rng, FANOUT).copied().collect();
         }
         let mut to: Vec<SocketAddr> = alive.sample(rng, FANOUT).copied().collect();
         to.extend(unheard.choose(rng));
