--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -264,7 +264,7 @@
                 self.documents.publisher(answers, now);
                 self.note(Note::Publisher { answers });
             }
-            Event::StoreEra { era } => self.hear_era(era, PUBLISHER),
+            Event::StoreEra { era } => self.observe_era(era, PUBLISHER),
             Event::Reading => self.pulls.reading(now),
             Event::PeerSends { from, progress } => self.pulls.progressed(from, progress, now),
             Event::PeerBrokeOff { from, pull } => self.pull_failed(from, pull, "broken off", now),
--- a/src/direct/following.rs
+++ b/src/direct/following.rs
@@ -73,7 +73,7 @@
         }
         let merged = match whole_at {
             Some(at) => {
-                self.hear_era(at.era, PUBLISHER);
+                self.observe_era(at.era, PUBLISHER);
                 self.merge_whole(documents, at, PUBLISHER, now)
             }
             None => self.documents.merge(documents, now),
@@ -123,7 +123,7 @@
         let own = self.documents.seen().endpoints;
         let merged = match listed_at {
             Some(at) if own.era < at.era => {
-                self.hear_era(at.era, &source);
+                self.observe_era(at.era, &source);
                 self.merge_whole(documents, at, &source, now)
             }
             _ => self.documents.merge(documents, now),
--- a/src/direct/published/position.rs
+++ b/src/direct/published/position.rs
@@ -39,7 +39,7 @@
 
 impl Eras {
     /// Takes an era in; `None` unless it is newer than all before.
-    pub fn hear(&mut self, era: u64) -> Option<NewEra> {
+    pub fn observe(&mut self, era: u64) -> Option<NewEra> {
         let before = self.newest;
         if before.is_some_and(|newest| newest >= era) {
             return None;
--- a/src/direct/returning.rs
+++ b/src/direct/returning.rs
@@ -18,8 +18,8 @@
 
 impl GatewayCore {
     /// An era of the store was heard of, from the store or from a peer.
-    pub(super) fn hear_era(&mut self, era: u64, source: &str) {
-        let Some(new) = self.eras.hear(era) else {
+    pub(super) fn observe_era(&mut self, era: u64, source: &str) {
+        let Some(new) = self.eras.observe(era) else {
             return;
         };
         crate::metrics::store_era(era);
@@ -33,9 +33,9 @@
     }
 
     /// A peer told of an era; builds that know none tell 0.
-    pub(super) fn era_told(&mut self, from: SocketAddr, era: u64) {
+    pub(super) fn observe_peer_era(&mut self, from: SocketAddr, era: u64) {
         if era > 0 {
-            self.hear_era(era, &from.to_string());
+            self.observe_era(era, &from.to_string());
         }
     }
 
--- a/src/direct/talking.rs
+++ b/src/direct/talking.rs
@@ -42,7 +42,7 @@
                 limits,
                 era,
             } => {
-                self.era_told(from, era);
+                self.observe_peer_era(from, era);
                 self.met(from, complete);
                 let seen = Seen { endpoints: self.eras.adopt(seen.endpoints), ..seen };
                 self.evacuations_told(from, &evacuations, now);
--- a/tests/direct_eras.rs
+++ b/tests/direct_eras.rs
@@ -66,9 +66,9 @@
 #[test]
 fn an_era_is_news_once_and_earlier_ones_are_not() {
     let mut eras = Eras::default();
-    assert_eq!(eras.hear(4).map(|new| new.before), Some(None));
-    assert!(eras.hear(4).is_none() && eras.hear(3).is_none());
-    assert_eq!(eras.hear(6).map(|new| new.before), Some(Some(4)));
+    assert_eq!(eras.observe(4).map(|new| new.before), Some(None));
+    assert!(eras.observe(4).is_none() && eras.observe(3).is_none());
+    assert_eq!(eras.observe(6).map(|new| new.before), Some(Some(4)));
     assert_eq!(eras.newest(), 6);
 }
 
@@ -76,9 +76,9 @@
 #[test]
 fn bare_revisions_are_of_the_only_era_and_older_than_all_after_it() {
     let mut eras = Eras::default();
-    eras.hear(BEFORE);
+    eras.observe(BEFORE);
     assert_eq!(eras.adopt(Position::new(0, 7)), before(7));
-    eras.hear(AFTER);
+    eras.observe(AFTER);
     assert!(eras.adopt(Position::new(0, 1_000)) < before(1));
     assert_eq!(eras.adopt(before(7)), before(7));
 }
