Files by job: readiness, published documents, lines of the store, cases of the upgrade soak

Code moves and nothing else changes: when a gateway is ready (readiness), documents as they are handed over (revised), the lines of the store's eras as types of their own with the same fields, what goes on beside an upgrade and what is checked of it, plans and checks of the schedules of eras. Tests of eras, frames, pulls, requests and stops pass.

--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -22,7 +22,7 @@
 use crate::direct::note::{Note, ms};
 use crate::direct::owner::owners::Owners;
 use crate::direct::peers::build::Builds;
-use crate::direct::peers::members::{HEARTBEAT, MemberState, Members};
+use crate::direct::peers::members::{HEARTBEAT, Members};
 use crate::direct::peers::message::PeerMessage;
 use crate::direct::peers::pulls::Pulls;
 use crate::direct::poison::broken::Broken;
@@ -42,11 +42,6 @@
 
 /// What lines call the store as the source of something.
 pub(super) const PUBLISHER: &str = "publisher";
-/// The store may have come back from an older copy: a gateway that starts asks its peers before it calls itself ready, and
-/// waits so long for one to answer, ...
-const MET_WITHIN: Duration = Duration::from_millis(150);
-/// ... and so long for a newer configuration that one has.
-const NEWEST_WITHIN: Duration = Duration::from_millis(1_500);
 /// A report of how an endpoint stands is worth something for so long after it was asked for: one that lay unread while
 /// this process stood still tells how the endpoint stood then.
 const REPORT_KEPT: Duration = Duration::from_millis(500);
@@ -94,7 +89,7 @@
     pub(super) requests: Requests,
     pub(super) owners: Owners,
     pub(super) pulls: Pulls,
-    early: Waiting,
+    pub(super) early: Waiting,
     pub(super) lateness: Lateness,
     /// Contents under which endpoints crashed; requests and owners have the same.
     pub(super) suspects: Arc<Suspects>,
@@ -121,16 +116,16 @@
     /// Gateways to be asked before this one calls itself ready; none once one has answered that serves.
     pub(super) unmet: BTreeSet<SocketAddr>,
     /// When the first configuration and list came.
-    documented_since: Option<Timestamp>,
+    pub(super) documented_since: Option<Timestamp>,
     /// When it was last looked at what this gateway is ready for.
-    updated_at: Timestamp,
+    pub(super) updated_at: Timestamp,
     /// When they were first the newest that was known of.
     pub(super) complete_since: Option<Timestamp>,
     pub(super) next_beat: Timestamp,
-    stop: Option<Stop>,
+    pub(super) stop: Option<Stop>,
     grace: Duration,
-    settling: Duration,
-    is_ready: bool,
+    pub(super) settling: Duration,
+    pub(super) is_ready: bool,
     pub(super) rng: StdRng,
     pub(super) out: Vec<Action>,
 }
@@ -290,45 +285,6 @@
         self.requests.submit(caller, incoming, &self.table, known, arrived, now);
     }
 
-    /// When [`Self::update_state`] waits no longer for peers to answer, or for what they have.
-    fn next_completion(&self) -> impl Iterator<Item = Timestamp> {
-        let since = self.documented_since.filter(|_| self.complete_since.is_none());
-        since.into_iter().flat_map(|at| {
-            let waited = [MET_WITHIN, NEWEST_WITHIN].map(|patience| at + patience);
-            waited.into_iter().filter(|at| *at > self.updated_at)
-        })
-    }
-
-    /// Whether requests are decided, by the newest configuration that is known of.
-    const fn is_complete(&self) -> bool {
-        self.complete_since.is_some()
-    }
-
-    /// Whether a request can be decided: with a configuration, and with stages once the peers and the
-    /// endpoints were heard. A process that stops waits for nothing.
-    fn knows_enough(&self, incoming: &Incoming, now: Timestamp) -> bool {
-        let is_settled = |since: Timestamp| !incoming.has_pieces() || now >= since + self.settling;
-        self.stop.is_some() || self.complete_since.is_some_and(is_settled)
-    }
-
-    /// Requests that waited go on once enough is known, or their wait is over.
-    fn look_at_early(&mut self, now: Timestamp) {
-        if self.early.is_empty() {
-            return;
-        }
-        let mut early = std::mem::take(&mut self.early);
-        let due = early.take_due(|incoming| self.knows_enough(incoming, now), now);
-        self.early = early;
-        let known = self.is_complete();
-        for early in due {
-            let (caller, incoming) = (early.caller, early.incoming);
-            let request = incoming.id.clone();
-            let waited_ms = ms(now.saturating_sub(early.arrived));
-            self.note(Note::Waited { request, waited_ms, known });
-            self.requests.submit(caller, incoming, &self.table, known, early.arrived, now);
-        }
-    }
-
     fn drain(&mut self, at: Timestamp, now: Timestamp) {
         if self.stop.is_none() {
             self.stop = Some(Stop::new(at, self.grace));
@@ -397,48 +353,6 @@
         self.requests.look(&self.table, now);
     }
 
-    fn update_state(&mut self, now: Timestamp) {
-        self.updated_at = now;
-        let draining = self.stop.is_some();
-        if self.documents.is_complete() && self.complete_since.is_none() {
-            let since = *self.documented_since.get_or_insert(now);
-            let has_met = self.unmet.is_empty() || now >= since + MET_WITHIN;
-            let has_newest = !self.pulls.knows_newer() || now >= since + NEWEST_WITHIN;
-            if has_met && has_newest {
-                self.complete_since = Some(now);
-            }
-        }
-        let complete = self.is_complete();
-        let ready = complete && !draining;
-        let state = match (draining, ready) {
-            (true, _) => MemberState::Leaving,
-            (false, true) => MemberState::Serving,
-            (false, false) => MemberState::Starting,
-        };
-        if self.members.set_state(state) {
-            self.next_beat = Timestamp::ZERO;
-        }
-        if ready != self.is_ready {
-            self.is_ready = ready;
-            if ready {
-                self.ask_reports(now);
-            }
-            self.out.push(Action::Ready(ready));
-            self.note(Note::Ready { ready });
-        }
-    }
-
-    /// Asks the endpoints of the cells that this gateway owns how they stand.
-    fn ask_reports(&mut self, now: Timestamp) {
-        let cells: Vec<_> = self.table.cells().names().cloned().collect();
-        let own = self.members.own().address;
-        for (cell, ranked) in self.members.owners(&cells, 1) {
-            if ranked.first().is_some_and(|owner| owner.address == own) {
-                self.owners.ask_reports(&cell, &self.table, now);
-            }
-        }
-    }
-
     /// Carries messages to the own scheduler or requests without the network.
     fn collect(&mut self, now: Timestamp) -> Vec<Action> {
         let own = self.members.own().address;
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -31,6 +31,7 @@
 pub mod peers;
 pub mod poison;
 pub mod published;
+mod readiness;
 pub mod repeats;
 pub mod requests;
 mod returning;
--- a/src/direct/note/mod.rs
+++ b/src/direct/note/mod.rs
@@ -1,12 +1,14 @@
 //! The lines that on-call reads: one for each decision and each change of what a gateway believes.
 
 mod kinds;
+mod store;
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::Serialize;
 
+pub use crate::direct::note::store::{PublishedVersion, StoreEra, StoreReturned};
 use crate::direct::published::model::Name;
 
 /// One line.
@@ -228,45 +230,12 @@
         /// The highest revision that was seen of endpoints.
         seen: u64,
     },
-    /// A newer era of the store was heard of: it came back from an older copy.
-    StoreEra {
-        /// The era before.
-        before: u64,
-        /// The last revision of it that was seen of endpoints.
-        revision_before: u64,
-        /// The new one.
-        era: u64,
-        /// Who named it.
-        source: String,
-    },
-    /// The first whole list of a new era came.
-    StoreReturned {
-        /// The era before.
-        before: u64,
-        /// The last revision of it that was seen of endpoints.
-        revision_before: u64,
-        /// The new one.
-        era: u64,
-        /// The revision of the list.
-        revision: u64,
-        /// Who gave it.
-        source: String,
-        /// Endpoints that it lists as ready and that leave on; as the next two, some of them.
-        leaving: Vec<Name>,
-        /// Endpoints that it lists and whose entries had gone: they get nothing until they write again.
-        doubted: Vec<Name>,
-        /// Endpoints that it lacks: they are used on until they were due to write again.
-        lacked: Vec<Name>,
-    },
+    /// A newer era of the store began: it came back from an older copy.
+    StoreEra(StoreEra),
+    /// The first whole list of a new era arrived.
+    StoreReturned(StoreReturned),
     /// The configuration in the store is older than the one in force, or not any more.
-    PublishedVersion {
-        /// The version in the store.
-        published: u64,
-        /// The one in force.
-        in_force: u64,
-        /// Whether the one in the store is older.
-        is_older: bool,
-    },
+    PublishedVersion(PublishedVersion),
     /// Documents are asked of a peer, came from it, or are waited for no longer.
     Pull {
         /// The peer.
--- a/src/direct/published/mod.rs
+++ b/src/direct/published/mod.rs
@@ -10,5 +10,6 @@
 pub mod lapse;
 pub mod model;
 pub mod position;
+pub mod revised;
 pub mod store_read;
 pub mod table;
--- a/src/direct/returning.rs
+++ b/src/direct/returning.rs
@@ -7,7 +7,7 @@
 
 use crate::direct::core::GatewayCore;
 use crate::direct::event::Action;
-use crate::direct::note::Note;
+use crate::direct::note::{Note, PublishedVersion, StoreEra, StoreReturned};
 use crate::direct::published::documents::{Document, Merged, Revised};
 use crate::direct::published::model::Name;
 use crate::direct::published::position::Position;
@@ -27,7 +27,7 @@
         if let Some(before) = new.before {
             let revision_before = self.documents.seen().endpoints.revision;
             let source = source.to_owned();
-            self.note(Note::StoreEra { before, revision_before, era, source });
+            self.note(Note::StoreEra(StoreEra { before, revision_before, era, source }));
             self.next_beat = Timestamp::ZERO;
         }
     }
@@ -61,7 +61,7 @@
     fn note_returned(&mut self, before: Position, at: Position, merged: &Merged, source: &str) {
         let some = |names: &[Name]| names.iter().take(MOST_NAMED).cloned().collect::<Vec<_>>();
         let leaving = merged.leaving_on.iter().map(|life| life.endpoint.clone());
-        self.note(Note::StoreReturned {
+        self.note(Note::StoreReturned(StoreReturned {
             before: before.era,
             revision_before: before.revision,
             era: at.era,
@@ -70,7 +70,7 @@
             leaving: leaving.take(MOST_NAMED).collect(),
             doubted: some(&merged.doubted),
             lacked: some(&merged.lacked),
-        });
+        }));
     }
 
     /// Tells once that the configuration which stands in the store is older than the one in force, and that it is not any
@@ -87,7 +87,8 @@
         let in_force = self.documents.seen().version;
         let is_older = published < in_force;
         if is_older || self.published_older {
-            self.note(Note::PublishedVersion { published, in_force, is_older });
+            let line = PublishedVersion { published, in_force, is_older };
+            self.note(Note::PublishedVersion(line));
         }
         self.published_older = is_older;
     }
--- a/tests/direct_eras.rs
+++ b/tests/direct_eras.rs
@@ -12,7 +12,7 @@
 use stackmast::actor::Core;
 use stackmast::direct::core::{GatewayCore, Setup};
 use stackmast::direct::event::{Action, Event};
-use stackmast::direct::note::Note;
+use stackmast::direct::note::{Note, PublishedVersion, StoreEra, StoreReturned};
 use stackmast::direct::peers::message::PeerMessage;
 use stackmast::direct::published::documents::{Document, Documents, EntryState, Revised, Seen};
 use stackmast::direct::published::evacuations::{Evacuation, Evacuations};
@@ -234,7 +234,12 @@
     let is_line = |a: &Action| {
         matches!(
             a,
-            Action::Note(Note::StoreEra { before: BEFORE, era: AFTER, revision_before: 90, .. })
+            Action::Note(Note::StoreEra(StoreEra {
+                before: BEFORE,
+                era: AFTER,
+                revision_before: 90,
+                ..
+            }))
         )
     };
     assert!(actions.iter().any(is_line), "{actions:?}");
@@ -268,7 +273,9 @@
     let documents = copied.map(|endpoint| entry(endpoint, after(40), 1)).collect();
     let message = PeerMessage::Documents { documents, complete: true, seen: 40, era: AFTER };
     let actions = core.handle(Event::Peer { from: address(2), message }, ms(2_600));
-    let is_line = |a: &Action| matches!(a, Action::Note(Note::StoreReturned { era: AFTER, .. }));
+    let is_line = |a: &Action| {
+        matches!(a, Action::Note(Note::StoreReturned(StoreReturned { era: AFTER, .. })))
+    };
     assert!(actions.iter().any(is_line));
     assert!(core.table().endpoint("engine-1").is_some());
     assert!(core.table().endpoint("engine-2").is_none(), "the copy had it, and it is gone");
@@ -304,9 +311,9 @@
     publish(&mut core, 9, before(90), 0);
     let lines = |actions: &[Action]| -> Vec<(u64, bool)> {
         let lines = actions.iter().filter_map(|a| match a {
-            Action::Note(Note::PublishedVersion { published, is_older, .. }) => {
-                Some((*published, *is_older))
-            }
+            Action::Note(Note::PublishedVersion(PublishedVersion {
+                published, is_older, ..
+            })) => Some((*published, *is_older)),
             _ => None,
         });
         lines.collect()
--- /dev/null
+++ b/tests/directenv/eras/checks.rs
@@ -0,0 +1,98 @@
+//! What must hold of each gateway that is in touch.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::{DATA_CENTRES, ENDPOINTS, Fleet, IN_TOUCH, LAPSES, State, Truth, name};
+
+/// A version is in force after so long.
+const IN_FORCE: Duration = Duration::from_secs(2);
+/// An endpoint that leaves gets nothing after so long.
+const DRAINED: Duration = Duration::from_secs(2);
+/// An endpoint that lives is lost no longer than a heartbeat and what it takes to tell.
+const LOST_AT_MOST: Duration = Duration::from_millis(2_200);
+/// An order is obeyed after so long.
+const OBEYED: Duration = Duration::from_secs(5);
+
+impl Fleet {
+    pub(super) fn breach(&mut self, gateway: usize, what: String) {
+        if self.seen.breaches.len() < 8 {
+            self.seen.breaches.push(format!("{:?}: gateway {gateway} {what}", self.time.now));
+        }
+    }
+
+    pub(super) fn look(&mut self) {
+        let now = self.time.now;
+        for gateway in 0..self.gateways.len() {
+            let is_in_touch = now >= self.gateways[gateway].in_touch_from;
+            if !is_in_touch || self.gateways[gateway].core.is_none() {
+                self.lost.retain(|(of, _), _| *of != gateway);
+                continue;
+            }
+            self.seen.looks += 1;
+            self.look_at_version(gateway);
+            self.look_at_endpoints(gateway);
+        }
+    }
+
+    /// Whether what was written at some time is owed: the store has been back for long enough.
+    fn is_owed(&self, written: Duration, within: Duration) -> bool {
+        let stable = self.returned + IN_TOUCH;
+        !self.is_away && self.time.now >= written + within && self.time.now >= stable
+    }
+
+    fn look_at_version(&mut self, gateway: usize) {
+        let (version, written) = self.version;
+        let has = self.versions[gateway];
+        if self.is_owed(written, IN_FORCE) && has < version {
+            self.breach(gateway, format!("has version {has}, {version} was written {written:?}"));
+        }
+    }
+
+    fn look_at_endpoints(&mut self, gateway: usize) {
+        let now = self.time.now;
+        let Some(core) = self.gateways[gateway].core.as_ref() else {
+            return;
+        };
+        let table = core.table();
+        let used: BTreeSet<u16> = (0..ENDPOINTS)
+            .filter(|number| table.endpoint(&name(*number)).is_some_and(|e| !e.leaving))
+            .collect();
+        for number in 0..ENDPOINTS {
+            let Truth { state, since, taken, incarnation } = self.endpoints[usize::from(number)];
+            let taken = taken.unwrap_or(Duration::MAX);
+            let order = self.orders.get(&(number % DATA_CENTRES)).copied();
+            let is_used = used.contains(&number);
+            match order {
+                Some((true, given)) if self.is_owed(given, OBEYED) && is_used => {
+                    self.breach(gateway, format!("uses {number} against an order of {given:?}"));
+                }
+                Some((false, taken)) if now < taken + OBEYED => continue,
+                Some((true, _)) => continue,
+                _ => {}
+            }
+            let is_over = |time: Duration| taken.checked_add(time).is_some_and(|at| now >= at);
+            let has_left = state == State::Leaves && is_over(DRAINED);
+            let has_ended = state == State::Ended && is_over(DRAINED);
+            // What was heard before the store went back holds on; what was not is written again.
+            let was_heard = taken.checked_add(IN_FORCE).is_some_and(|at| at < self.returned);
+            let is_settled = has_left && (was_heard || now >= self.returned + IN_TOUCH)
+                || has_ended && now >= self.returned + IN_TOUCH + LAPSES;
+            if is_used && is_settled && !self.is_away {
+                self.breach(
+                    gateway,
+                    format!("uses {number}, which left {since:?}, life {incarnation}"),
+                );
+            }
+            let owes_use = state == State::Lives && now >= since + IN_TOUCH;
+            if is_used || !owes_use || self.is_away {
+                self.lost.remove(&(gateway, number));
+                continue;
+            }
+            let lost_since = *self.lost.entry((gateway, number)).or_insert(now);
+            if now >= lost_since + LOST_AT_MOST {
+                self.breach(gateway, format!("has lost {number} since {lost_since:?}"));
+            }
+        }
+    }
+}
--- a/tests/directenv/eras.rs
+++ b/tests/directenv/eras/mod.rs
@@ -1,7 +1,10 @@
 //! A fleet of any size in virtual time before a store that comes back from older copies, in series, beside losses of
 //! gateways: what each gateway believes of versions, endpoints and orders is checked against what was written.
 
-use std::collections::{BTreeMap, BTreeSet};
+mod checks;
+mod plan;
+
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,14 +22,6 @@
 
 /// A gateway that was cut off, turned away or started is in touch after so long, and so is all after the store's return.
 const IN_TOUCH: Duration = Duration::from_secs(4);
-/// A version is in force after so long.
-const IN_FORCE: Duration = Duration::from_secs(2);
-/// An endpoint that leaves gets nothing after so long.
-const DRAINED: Duration = Duration::from_secs(2);
-/// An endpoint that lives is lost no longer than a heartbeat and what it takes to tell.
-const LOST_AT_MOST: Duration = Duration::from_millis(2_200);
-/// An order is obeyed after so long.
-const OBEYED: Duration = Duration::from_secs(5);
 /// Whoever lives writes its entry again within that after the store's return.
 const HEARTBEAT_MS: u64 = 1_200;
 /// An entry that nobody renews lapses.
@@ -163,58 +158,6 @@
         fleet
     }
 
-    fn plan(&mut self) {
-        let mut at = Duration::ZERO;
-        while at < END {
-            self.time.at(at, Happening::Copy);
-            self.time.at(at + ms(1), Happening::Look);
-            at += COPY_EVERY.min(LOOK_EVERY);
-        }
-        for _ in 0..self.time.rng.random_range(1..4) {
-            let away = self.time.time_in(3_000, 14_000);
-            let back = away + self.time.time_in(10, 2_500);
-            let age = self.time.time_in(50, 3_000);
-            self.time.at(away, Happening::Away);
-            self.time.at(back, Happening::Return(age));
-        }
-        for _ in 0..self.time.rng.random_range(2..16) {
-            let at = self.time.time_in(500, 20_000);
-            self.time.at(at, Happening::Configure);
-        }
-        for _ in 0..self.time.rng.random_range(0..4) {
-            let number = self.time.rng.random_range(0..DATA_CENTRES);
-            let at = self.time.time_in(1_000, 12_000);
-            let back = at + self.time.time_in(500, 6_000);
-            self.time.at(at, Happening::Order(number, true));
-            self.time.at(back, Happening::Order(number, false));
-        }
-        for number in 0..ENDPOINTS {
-            if self.time.rng.random_bool(0.5) {
-                let at = self.time.time_in(1_000, 14_000);
-                let ends = at + self.time.time_in(2_000, 6_000);
-                let says = self.time.rng.random_bool(0.7);
-                if says {
-                    self.time.at(at, Happening::Leave(number));
-                }
-                self.time.at(ends, Happening::End(number));
-                let begins = ends + self.time.time_in(200, 4_000);
-                self.time.at(begins, Happening::Begin(number));
-            }
-        }
-        for _ in 0..self.time.rng.random_range(0..5) {
-            let gateway = self.time.rng.random_range(0..self.gateways.len());
-            let at = self.time.time_in(2_000, 14_000);
-            let back = at + self.time.time_in(100, 4_000);
-            let (bad, good) = match self.time.rng.random_range(0..3) {
-                0 => (Happening::Kill(gateway), Happening::Start(gateway)),
-                1 => (Happening::Cut(gateway, true), Happening::Cut(gateway, false)),
-                _ => (Happening::TurnAway(gateway, true), Happening::TurnAway(gateway, false)),
-            };
-            self.time.at(at, bad);
-            self.time.at(back, good);
-        }
-    }
-
     pub fn run(&mut self) {
         while let Some(happening) = self.time.step(END) {
             self.happen(happening);
@@ -294,13 +237,8 @@
         self.write_version();
     }
 
-    /// What is to be written waits for the store.
-    fn must_wait(&self) -> bool {
-        self.is_away
-    }
-
     fn write_version(&mut self) {
-        if self.must_wait() || self.store.version.1 == self.version.0 {
+        if self.is_away || self.store.version.1 == self.version.0 {
             return;
         }
         self.store.revision += 1;
@@ -311,7 +249,7 @@
     }
 
     fn write_orders(&mut self) {
-        if self.must_wait() {
+        if self.is_away {
             return;
         }
         for (number, (stands, _)) in self.orders.clone() {
@@ -333,7 +271,7 @@
     }
 
     fn write_entry(&mut self, number: u16) {
-        if self.must_wait() {
+        if self.is_away {
             return;
         }
         let truth = &mut self.endpoints[usize::from(number)];
@@ -517,85 +455,4 @@
             self.time.at(at, Happening::Event(to, life, Box::new(event)));
         }
     }
-
-    fn breach(&mut self, gateway: usize, what: String) {
-        if self.seen.breaches.len() < 8 {
-            self.seen.breaches.push(format!("{:?}: gateway {gateway} {what}", self.time.now));
-        }
-    }
-
-    fn look(&mut self) {
-        let now = self.time.now;
-        for gateway in 0..self.gateways.len() {
-            let is_in_touch = now >= self.gateways[gateway].in_touch_from;
-            if !is_in_touch || self.gateways[gateway].core.is_none() {
-                self.lost.retain(|(of, _), _| *of != gateway);
-                continue;
-            }
-            self.seen.looks += 1;
-            self.look_at_version(gateway);
-            self.look_at_endpoints(gateway);
-        }
-    }
-
-    /// Whether what was written at some time is owed: the store has been back for long enough.
-    fn is_owed(&self, written: Duration, within: Duration) -> bool {
-        let stable = self.returned + IN_TOUCH;
-        !self.is_away && self.time.now >= written + within && self.time.now >= stable
-    }
-
-    fn look_at_version(&mut self, gateway: usize) {
-        let (version, written) = self.version;
-        let has = self.versions[gateway];
-        if self.is_owed(written, IN_FORCE) && has < version {
-            self.breach(gateway, format!("has version {has}, {version} was written {written:?}"));
-        }
-    }
-
-    fn look_at_endpoints(&mut self, gateway: usize) {
-        let now = self.time.now;
-        let Some(core) = self.gateways[gateway].core.as_ref() else {
-            return;
-        };
-        let table = core.table();
-        let used: BTreeSet<u16> = (0..ENDPOINTS)
-            .filter(|number| table.endpoint(&name(*number)).is_some_and(|e| !e.leaving))
-            .collect();
-        for number in 0..ENDPOINTS {
-            let Truth { state, since, taken, incarnation } = self.endpoints[usize::from(number)];
-            let taken = taken.unwrap_or(Duration::MAX);
-            let order = self.orders.get(&(number % DATA_CENTRES)).copied();
-            let is_used = used.contains(&number);
-            match order {
-                Some((true, given)) if self.is_owed(given, OBEYED) && is_used => {
-                    self.breach(gateway, format!("uses {number} against an order of {given:?}"));
-                }
-                Some((false, taken)) if now < taken + OBEYED => continue,
-                Some((true, _)) => continue,
-                _ => {}
-            }
-            let is_over = |time: Duration| taken.checked_add(time).is_some_and(|at| now >= at);
-            let has_left = state == State::Leaves && is_over(DRAINED);
-            let has_ended = state == State::Ended && is_over(DRAINED);
-            // What was heard before the store went back holds on; what was not is written again.
-            let was_heard = taken.checked_add(IN_FORCE).is_some_and(|at| at < self.returned);
-            let is_settled = has_left && (was_heard || now >= self.returned + IN_TOUCH)
-                || has_ended && now >= self.returned + IN_TOUCH + LAPSES;
-            if is_used && is_settled && !self.is_away {
-                self.breach(
-                    gateway,
-                    format!("uses {number}, which left {since:?}, life {incarnation}"),
-                );
-            }
-            let owes_use = state == State::Lives && now >= since + IN_TOUCH;
-            if is_used || !owes_use || self.is_away {
-                self.lost.remove(&(gateway, number));
-                continue;
-            }
-            let lost_since = *self.lost.entry((gateway, number)).or_insert(now);
-            if now >= lost_since + LOST_AT_MOST {
-                self.breach(gateway, format!("has lost {number} since {lost_since:?}"));
-            }
-        }
-    }
 }
