--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -81,7 +81,7 @@
     pub(super) unconfirmed: Unconfirmed,
     /// Data centres that get no new work by order.
     pub(super) evacuated: BTreeSet<Name>,
-    /// Eras of the store that were heard of.
+    /// Known eras of the store.
     pub(super) eras: Eras,
     /// Whether the configuration in the store is older than the one in force.
     pub(super) published_older: bool,
--- a/src/direct/following.rs
+++ b/src/direct/following.rs
@@ -53,7 +53,7 @@
         SHORTEST_GATHER..=(GATHER_ENDS * watching).clamp(SHORTEST_GATHER, LONGEST_WATCH)
     }
 
-    /// Within which time gateways that hear of a new era from each other begin to read everything anew.
+    /// The random delay before a gateway reads everything again for an era that a peer reported.
     pub fn reread_within(&self) -> Duration {
         let watching = self.members.alive().count() as u32 + 1;
         (REREAD_EACH * watching).min(LONGEST_REREAD)
--- a/src/direct/peers/form4.rs
+++ b/src/direct/peers/form4.rs
@@ -1,5 +1,4 @@
-//! A compact form of an earlier landing: heartbeats without limits. Read while one build is replaced by the other; goes once no landing
-//! that writes it is upgraded from.
+//! Compact form 4: heartbeats without limits and eras. Read for upgrades from builds that write it.
 
 use std::time::Duration;
 
--- a/src/direct/peers/form5.rs
+++ b/src/direct/peers/form5.rs
@@ -1,5 +1,4 @@
-//! The compact form of the landing before: heartbeats and documents without eras. Read while one build is replaced by the other; goes once no landing
-//! that writes it is upgraded from.
+//! Compact form 5: heartbeats and documents without eras. Read for upgrades from builds that write it.
 
 use std::time::Duration;
 
--- a/src/direct/peers/members.rs
+++ b/src/direct/peers/members.rs
@@ -202,7 +202,7 @@
         let seeds = self.seeds.iter().copied().filter(|s| *s != self.own.address);
         let mut unheard: Vec<SocketAddr> = seeds.chain(self.dead()).collect();
         unheard.retain(|a| !alive.contains(a));
-        // Who knows nobody asks several that may tell.
+        // A starting gateway learns of the others from whichever answers first.
         if alive.is_empty() {
             return unheard.sample(rng, FANOUT).copied().collect();
         }
--- a/src/direct/peers/message.rs
+++ b/src/direct/peers/message.rs
@@ -148,7 +148,7 @@
         /// Limits that endpoints name, as far as the receiver may not know.
         #[serde(default)]
         limits: Vec<LimitTold>,
-        /// The newest era of the store that it has heard of; of builds that know none, 0.
+        /// The newest era of the store that it knows; 0 from builds without eras.
         #[serde(default)]
         era: u64,
     },
--- a/src/direct/peers/mod.rs
+++ b/src/direct/peers/mod.rs
@@ -1,8 +1,8 @@
 //! The other gateways: who is there, what they say, and the connections to them.
 //!
-//! `core` asks `members` who owns what and `pulls` what to ask of whom; `links` and `bulk` do the I/O for
-//! `shell`, `codec` writes and reads what they carry (`form5`, `form4` and `form3` what earlier landings write, by
-//! `without_eras`), `build` tells which peers run another build. Nothing is agreed: whoever reads `members` must bear that another gateway sees others.
+//! `core` asks `members` who owns what and `pulls` what to ask of whom; `links` and `bulk` do the I/O for `shell`. `codec`
+//! writes and reads what they carry (`form3` to `form5` and `without_eras` what earlier landings write), `build` knows which
+//! peers run another build. Nothing is agreed: whoever reads `members` must bear that another gateway sees others.
 
 pub mod build;
 pub mod bulk;
--- a/src/direct/published/documents.rs
+++ b/src/direct/published/documents.rs
@@ -281,7 +281,7 @@
         for id in missing {
             self.take_away(id, at, held_until, now, &mut merged);
         }
-        // An empty list of an era tells of that era, too.
+        // An empty list has no entry to carry its era.
         self.seen.endpoints = self.seen.endpoints.max(Position::new(at.era, 0));
         self.listed = true;
         merged
@@ -413,7 +413,7 @@
             let lacked_until = is_lacked.then(|| self.era_began.1 + WRITTEN_AGAIN_WITHIN);
             let held_until = lacked_until.filter(|until| now < *until).max(held_until);
             entry.lapsed = match &known.endpoint {
-                // Peers that read the list elsewhere tell once more that the entry is gone.
+                // Peers that read the list at another position report the same removal again.
                 None => known.lapsed.clone(),
                 Some(endpoint) => (!endpoint.leaving).then(|| endpoint.clone()).zip(held_until),
             };
--- a/src/direct/published/position.rs
+++ b/src/direct/published/position.rs
@@ -1,4 +1,4 @@
-//! Where something stands in the history of the publisher's store, and which eras of it were heard of.
+//! Where something stands in the history of the publisher's store, and which eras of it are known.
 //!
 //! A store that comes back from an older copy begins an era: it has lost what it acknowledged after the copy, and gives
 //! revisions out again. So a revision says something only within its era.
@@ -23,14 +23,14 @@
     }
 }
 
-/// The newest era that one process has heard of.
+/// The newest era that one process knows.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Eras {
     newest: Option<u64>,
     has_changed: bool,
 }
 
-/// A newer era was heard of.
+/// A newer era.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NewEra {
     /// The one before; `None` for the first.
@@ -49,13 +49,13 @@
         Some(NewEra { before })
     }
 
-    /// The newest era; 0 if none was heard of.
+    /// The newest era; 0 if none is known.
     pub fn newest(&self) -> u64 {
         self.newest.unwrap_or_default()
     }
 
-    /// What a peer means that may know of no eras: as long as there was one only, its revisions are of that one. Once
-    /// another has begun nobody can tell of which they are, and they count as older than all.
+    /// Completes the position of a build without eras: in the only known era its revision counts as it is; once another
+    /// has begun, the era is ambiguous and the position counts as older than all.
     pub fn adopt(&self, position: Position) -> Position {
         let is_of_the_only_one = position.era == 0 && !self.has_changed;
         if is_of_the_only_one { Position::new(self.newest(), position.revision) } else { position }
--- a/src/direct/returning.rs
+++ b/src/direct/returning.rs
@@ -1,7 +1,7 @@
 //! The core's part for a store that comes back from an older copy, in a new era.
 //!
-//! Any answer of the store may name a newer era first, and so may any gateway: all are told at once, and whoever follows
-//! the store reads everything anew.
+//! An era is first reported by an answer of the store or by a peer; it is passed on at once, and followers of the store
+//! read everything again.
 
 use std::net::SocketAddr;
 
@@ -17,7 +17,7 @@
 const MOST_NAMED: usize = 16;
 
 impl GatewayCore {
-    /// An era of the store was heard of, from the store or from a peer.
+    /// Takes in an era, from the store or from a peer.
     pub(super) fn observe_era(&mut self, era: u64, source: &str) {
         let Some(new) = self.eras.observe(era) else {
             return;
@@ -32,14 +32,14 @@
         }
     }
 
-    /// A peer told of an era; builds that know none tell 0.
+    /// Takes in a peer's era; 0 from builds without eras.
     pub(super) fn observe_peer_era(&mut self, from: SocketAddr, era: u64) {
         if era > 0 {
             self.observe_era(era, &from.to_string());
         }
     }
 
-    /// Merges a whole list as it stood at a position, and tells what a new era lost and brought back.
+    /// Merges a whole list as it stood at a position, and logs what a new era lost and brought back.
     pub(super) fn merge_whole(
         &mut self,
         documents: Vec<Revised>,
@@ -73,8 +73,7 @@
         }));
     }
 
-    /// Tells once that the configuration which stands in the store is older than the one in force, and that it is not any
-    /// more.
+    /// Logs when the configuration in the store becomes older than the one in force, and when it no longer is.
     pub(super) fn compare_published(&mut self, documents: &[Revised]) {
         let version = documents.iter().rev().find_map(|revised| match &revised.document {
             Document::Deployment(deployment) => Some(deployment.version),
--- a/src/direct/shell.rs
+++ b/src/direct/shell.rs
@@ -100,7 +100,7 @@
     pub ready: bool,
     /// What callers may send.
     pub limits: CallerLimits,
-    /// The newest era of the publisher's store that was heard of.
+    /// The newest known era of the publisher's store.
     pub store_era: u64,
 }
 
--- a/src/direct/talking.rs
+++ b/src/direct/talking.rs
@@ -109,7 +109,7 @@
         }
     }
 
-    /// A gateway has answered: one that knows everything is enough.
+    /// A gateway has answered; one with a complete state is enough.
     fn met(&mut self, from: SocketAddr, complete: bool) {
         if complete {
             self.unmet.clear();
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -63,7 +63,7 @@
 pub const UNREADABLE: &str = "stackmast_unreadable_documents_total";
 /// Headers of answers that belong to the platform and are not read, by source.
 pub const UNKNOWN_HEADERS: &str = "stackmast_unknown_headers_total";
-/// The newest era of the publisher's store that was heard of.
+/// The newest known era of the publisher's store.
 pub const STORE_ERA: &str = "stackmast_store_era";
 /// The version of the configuration that was last read from the publisher's store.
 pub const PUBLISHED_VERSION: &str = "stackmast_published_version";
@@ -232,7 +232,7 @@
     histogram!(CORE_TOOK).record(took.as_secs_f64());
 }
 
-/// An era of the publisher's store was heard of.
+/// Records a newer era of the publisher's store.
 pub fn store_era(era: u64) {
     gauge!(STORE_ERA).set(era as f64);
 }
--- a/tests/direct_eras.rs
+++ b/tests/direct_eras.rs
@@ -1,4 +1,4 @@
-//! A store that comes back from an older copy, in a new era: what is believed, by whom it is heard, and what a peer of
+//! A store that comes back from an older copy, in a new era: what is believed, how it spreads, and what a peer of
 //! an older build makes of it.
 
 mod directenv;
@@ -72,7 +72,7 @@
     assert_eq!(eras.newest(), 6);
 }
 
-// A peer of a build that knows no eras tells revisions of the only one, until another has begun.
+// Builds without eras send bare revisions.
 #[test]
 fn bare_revisions_are_of_the_only_era_and_older_than_all_after_it() {
     let mut eras = Eras::default();
@@ -301,7 +301,7 @@
     let all = endpoints().len();
     assert_eq!(given(core.handle(pull(before(900)), ms(1))), Some((all, AFTER)));
     assert_eq!(given(core.handle(pull(after(40)), ms(2))), Some((0, AFTER)));
-    // A build without eras means the only one that was heard of.
+    // A bare revision belongs to the only known era.
     assert_eq!(given(core.handle(pull(Position::new(0, 40)), ms(3))), Some((0, AFTER)));
 }
 
@@ -406,7 +406,7 @@
     assert!(!is_evacuated(&core), "it may be of before");
 }
 
-/// A gateway that starts and hears from a peer of a version beyond the one that the store gives.
+/// A gateway that starts beside a peer with a later version than the store has.
 fn starts_beside(version: u64) -> GatewayCore {
     let mut core = GatewayCore::new(Setup { settling: ms(0), ..setup() });
     let seen = Seen { version, endpoints: after(40) };
--- a/tests/directenv/eras/checks.rs
+++ b/tests/directenv/eras/checks.rs
@@ -9,7 +9,7 @@
 const IN_FORCE: Duration = Duration::from_secs(2);
 /// An endpoint that leaves gets nothing after so long.
 const DRAINED: Duration = Duration::from_secs(2);
-/// An endpoint that lives is lost no longer than a heartbeat and what it takes to tell.
+/// An endpoint that lives is lost no longer than a heartbeat and its propagation.
 const LOST_AT_MOST: Duration = Duration::from_millis(2_200);
 /// An order is obeyed after so long.
 const OBEYED: Duration = Duration::from_secs(5);
@@ -74,7 +74,7 @@
             let is_over = |time: Duration| taken.checked_add(time).is_some_and(|at| now >= at);
             let has_left = state == State::Leaves && is_over(DRAINED);
             let has_ended = state == State::Ended && is_over(DRAINED);
-            // What was heard before the store went back holds on; what was not is written again.
+            // What gateways had before the return holds on; the rest is written again.
             let was_heard = taken.checked_add(IN_FORCE).is_some_and(|at| at < self.returned);
             let is_settled = has_left && (was_heard || now >= self.returned + IN_TOUCH)
                 || has_ended && now >= self.returned + IN_TOUCH + LAPSES;
--- a/tests/directenv/eras/mod.rs
+++ b/tests/directenv/eras/mod.rs
@@ -26,7 +26,7 @@
 const HEARTBEAT_MS: u64 = 1_200;
 /// An entry that nobody renews lapses.
 const LAPSES: Duration = Duration::from_millis(3_600);
-/// A watch that heard nothing ends.
+/// A quiet watch ends.
 const WATCH_MS: u64 = 2_000;
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 const COPY_EVERY: Duration = Duration::from_millis(100);
@@ -347,8 +347,8 @@
         !self.is_away && !is_cut && !is_away && core.is_some()
     }
 
-    /// A write is told to whoever follows: of an earlier era only once the store has passed what it waits for, and then
-    /// the answer names the era.
+    /// A write reaches all followers; those of an earlier era only once the store has passed their position, by an
+    /// answer that names the new era.
     fn tell_all(&mut self, event: &dyn Fn() -> Event) {
         for gateway in 0..self.gateways.len() {
             if !self.is_served(gateway) {
