One reader for the compact forms without eras

Forms 3 to 5 begin their heartbeats with the same six fields; three files wrote them and the message out three times. One reader takes the six, then departures since form 4 and limits since form 5. The kept frames of all three forms are read as their JSON is: kept_frames (22), direct_codec (7) and direct_upgrades (10) pass.

--- a/src/direct/peers/codec.rs
+++ b/src/direct/peers/codec.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::direct::peers::message::{JobId, PeerMessage};
-use crate::direct::peers::{form3, form4, form5};
+use crate::direct::peers::without_eras;
 
 /// How JSON begins: with an object or a word.
 const JSON_STARTS: [u8; 2] = [b'{', b'"'];
@@ -105,9 +105,7 @@
 fn read_compact(form: u32, message: &[u8]) -> Result<PeerMessage, Unread> {
     let read = match form {
         FORM => postcard::from_bytes(message).ok(),
-        form5::FORM => form5::read(message),
-        form4::FORM => form4::read(message),
-        form3::FORM => form3::read(message),
+        form if without_eras::FORMS.contains(&form) => without_eras::read(form, message),
         _ => return Err(Unread::Form(form)),
     };
     read.ok_or(Unread::Message { job: None })
--- a/src/direct/peers/without_eras.rs
+++ b/src/direct/peers/without_eras.rs
@@ -1,16 +1,25 @@
 //! Messages of builds that know no eras of the store: compact forms 3 to 5 write bare revisions.
 
 use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::Deserialize;
 
+use crate::direct::owner::makers::Usage;
+use crate::direct::peers::members::Member;
 use crate::direct::peers::message::PeerMessage;
 use crate::direct::published::documents::{self, Document};
 use crate::direct::published::evacuations;
 use crate::direct::published::model::{Deployment, Name};
 use crate::direct::published::position::Position;
 
+/// The forms that are read here; one goes once no landing that writes it is upgraded from.
+pub(super) const FORMS: RangeInclusive<u32> = 3..=5;
+const DEPARTURES_SINCE: u32 = 4;
+const LIMITS_SINCE: u32 = 5;
+
 // How these messages begin: with the number of their kind.
 const HEARTBEAT: u8 = 0;
 const PULL: u8 = 1;
@@ -19,7 +28,7 @@
 
 /// What a sender has seen.
 #[derive(Deserialize)]
-pub(super) struct Seen {
+struct Seen {
     version: u64,
     endpoints: u64,
 }
@@ -32,7 +41,7 @@
 
 /// What a sender knows of orders to evacuate data centres.
 #[derive(Deserialize)]
-pub(super) struct Evacuations {
+struct Evacuations {
     read_at: u64,
     orders: BTreeMap<Name, Order>,
 }
@@ -83,14 +92,51 @@
     }
 }
 
-/// Reads a message; `heartbeat` reads those of one form.
-pub(super) fn read(
-    message: &[u8],
-    heartbeat: impl FnOnce(&[u8]) -> Option<PeerMessage>,
-) -> Option<PeerMessage> {
+/// The fields that heartbeats of all these forms begin with; departures follow since form 4, limits since form 5.
+#[derive(Deserialize)]
+struct Heartbeat {
+    members: Vec<Member>,
+    seen: Seen,
+    complete: bool,
+    usage: Vec<Usage>,
+    late: Duration,
+    evacuations: Evacuations,
+}
+
+fn heartbeat(form: u32, fields: &[u8]) -> Option<PeerMessage> {
+    let (first, rest) = postcard::take_from_bytes::<Heartbeat>(fields).ok()?;
+    let (departures, rest) = take_since(DEPARTURES_SINCE, form, rest)?;
+    let (limits, _) = take_since(LIMITS_SINCE, form, rest)?;
+    Some(PeerMessage::Gossip {
+        members: first.members,
+        seen: first.seen.into(),
+        complete: first.complete,
+        usage: first.usage,
+        late: first.late,
+        evacuations: first.evacuations.into(),
+        departures,
+        limits,
+        era: 0,
+    })
+}
+
+/// Takes a field that exists since a form; empty before it.
+fn take_since<'a, T: Default + Deserialize<'a>>(
+    since: u32,
+    form: u32,
+    fields: &'a [u8],
+) -> Option<(T, &'a [u8])> {
+    if form < since {
+        return Some((T::default(), fields));
+    }
+    postcard::take_from_bytes(fields).ok()
+}
+
+/// Reads a message of one of [`FORMS`].
+pub(super) fn read(form: u32, message: &[u8]) -> Option<PeerMessage> {
     let (&kind, fields) = message.split_first()?;
     match kind {
-        HEARTBEAT => heartbeat(fields),
+        HEARTBEAT => heartbeat(form, fields),
         PULL => {
             let Pull { seen, configuration, number } = postcard::from_bytes(fields).ok()?;
             Some(PeerMessage::Pull { seen: seen.into(), configuration, number })
--- a/tests/kept_frames.rs
+++ b/tests/kept_frames.rs
@@ -2,7 +2,7 @@
 //! reads them, writes its own as they are kept, and leaves out nothing that an older one needs.
 //!
 //! Whoever changes a message: raise `FORM`, have `stackmast-testbed frames tests/frames/form-N.json` write the new file, and
-//! keep a reader of the form before beside it, as `peers/form5.rs` is.
+//! keep a reader of the form before, as `peers/without_eras.rs` is.
 
 use std::collections::BTreeSet;
 
