--- a/benches/limits.rs
+++ b/benches/limits.rs
@@ -122,6 +122,8 @@
         incarnation: 1,
         capacity: 190,
         data_centre: "hall-1".into(),
+        region: "east".into(),
+        is_first_start: false,
         seeds: Vec::new(),
         repeats: RepeatBudget { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) },
         grace: Duration::from_secs(8),
--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -22,22 +22,24 @@
 use crate::direct::log_events::{LogEvent, ms};
 use crate::direct::owner::owners::Owners;
 use crate::direct::peers::build::Builds;
+use crate::direct::peers::member::Location;
 use crate::direct::peers::members::{HEARTBEAT_INTERVAL, Members};
 use crate::direct::peers::message::PeerMessage;
 use crate::direct::peers::pulls::Pulls;
 use crate::direct::poison::successes::Successes;
 use crate::direct::poison::suspects::Suspects;
 use crate::direct::poison::unanswered::UnansweredCalls;
-use crate::direct::published::documents::Documents;
+use crate::direct::published::documents::{Documents, Seen};
 use crate::direct::published::evacuations::{Evacuations, UnconfirmedOrders};
 use crate::direct::published::model::{Endpoint, Name};
 use crate::direct::published::position::Eras;
 use crate::direct::published::table::Table;
-use crate::direct::repeats::RepeatBudget;
 use crate::direct::requests::Requests;
 use crate::direct::requests::deferred::DeferredRequests;
 use crate::direct::requests::stopping::Stopping;
+pub use crate::direct::setup::Setup;
 use crate::direct::stop::{self, Stop};
+use crate::direct::store_reading::StoreReading;
 use crate::message::Timestamp;
 
 /// Name of the publisher's store as a source in log events.
@@ -46,30 +48,6 @@
 /// this process was suspended describes the endpoint as it was then.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(500);
 
-/// Parameters of a gateway core.
-#[derive(Debug, Clone)]
-pub struct Setup {
-    /// Address at which peers connect to this gateway.
-    pub address: SocketAddr,
-    /// Incarnation of the process; a later one is a larger number.
-    pub incarnation: u64,
-    /// Processor time available on the host, in thousandths of a core.
-    pub capacity: u32,
-    /// Data centre of the gateway.
-    pub data_centre: Name,
-    /// Addresses of gateways that it contacts first.
-    pub seeds: Vec<SocketAddr>,
-    /// Parameters of the repeat budget.
-    pub repeats: RepeatBudget,
-    /// Time from the signal to stop until the process is killed.
-    pub grace: Duration,
-    /// Time from the first configuration until stages are started; see
-    /// [`crate::direct::requests::deferred::SETTLING`].
-    pub settling: Duration,
-    /// Seed of the random choices.
-    pub seed: u64,
-}
-
 /// State of one gateway.
 #[derive(Debug)]
 pub struct GatewayCore {
@@ -125,6 +103,10 @@
     /// be decided.
     pub(super) complete_since: Option<Timestamp>,
     pub(super) next_heartbeat: Timestamp,
+    pub(super) heartbeat_sent_at: Timestamp,
+    /// The documents named in the last heartbeat.
+    pub(super) announced: Seen,
+    pub(super) store_reading: StoreReading,
     pub(super) stop: Option<Stop>,
     grace: Duration,
     pub(super) settling: Duration,
@@ -139,7 +121,13 @@
         let mut unanswered_peers: BTreeSet<SocketAddr> = setup.seeds.iter().copied().collect();
         unanswered_peers.remove(&setup.address);
         Self {
-            members: Members::new(setup.address, setup.incarnation, setup.capacity, setup.seeds),
+            members: Members::new(
+                setup.address,
+                setup.incarnation,
+                setup.capacity,
+                Location { data_centre: setup.data_centre.clone(), region: setup.region },
+                setup.seeds,
+            ),
             builds: Builds::default(),
             documents: Documents::default(),
             evacuations: Evacuations::default(),
@@ -175,6 +163,9 @@
             readiness_checked_at: Timestamp::ZERO,
             complete_since: None,
             next_heartbeat: Timestamp::ZERO,
+            heartbeat_sent_at: Timestamp::ZERO,
+            announced: Seen::default(),
+            store_reading: StoreReading::new(setup.is_first_start),
             stop: None,
             grace: setup.grace,
             settling: setup.settling,
@@ -189,6 +180,11 @@
         self.requests.len() + self.owners.jobs()
     }
 
+    /// Number of other gateways that are considered up.
+    pub fn members_up(&self) -> usize {
+        self.members.up().count()
+    }
+
     /// Number of peers that run another build.
     pub fn peers_of_other_builds(&self) -> usize {
         self.builds.other_count()
@@ -275,10 +271,8 @@
             Event::UnknownFields { document, fields } => {
                 self.log(LogEvent::unknown_fields(document, fields));
             }
-            Event::PublisherStatus { answers } => {
-                self.documents.set_publisher_available(answers, now);
-                self.log(LogEvent::Publisher { answers });
-            }
+            Event::PublisherStatus { answers } => self.on_publisher_status(answers, now),
+            Event::StoreChecked { part } => self.on_store_checked(part, now),
             Event::StoreEra { era } => self.observe_era(era, PUBLISHER),
             Event::ConfigurationReadProgress => self.pulls.read_progressed(now),
             Event::ConfigurationPullProgress { from, progress } => {
@@ -295,6 +289,11 @@
         }
     }
 
+    /// How long messages may wait to be handled by this process.
+    pub(super) fn delay_of_events(&self, now: Timestamp) -> Duration {
+        self.queue_delay.max(self.event_lag.estimate(now))
+    }
+
     pub(super) fn log(&mut self, event: LogEvent) {
         self.out.push(Action::Log(event));
     }
@@ -356,7 +355,13 @@
     }
 
     fn housekeeping(&mut self, now: Timestamp) {
-        for member in self.members.expire(now) {
+        let delay = self.delay_of_events(now);
+        for member in self.members.suspect_silent(delay, now) {
+            let own = self.members.own().address;
+            self.log(LogEvent::suspected(&member, own, true));
+            self.next_heartbeat = Timestamp::ZERO;
+        }
+        for member in self.members.expire(delay, now) {
             self.peer_down(member.address, member.incarnation, "silent", now);
             // If the peer is up, its connections have fallen silent, and probably the one to it as
             // well. On the recorded day with silent connections, gateways received from each other
@@ -367,11 +372,13 @@
         self.merged(&expired, "not back", false, now);
         self.confirm_orders(now);
         self.update_state(now);
+        self.update_store_reading(now);
         self.submit_deferred_requests(now);
         self.send_deferred_probes(now);
         self.process_permits(now);
         if now >= self.next_heartbeat {
             self.next_heartbeat = now + HEARTBEAT_INTERVAL;
+            self.heartbeat_sent_at = now;
             self.send_heartbeat(now);
         }
         self.pull_missing_documents(now);
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -20,6 +20,7 @@
 use crate::direct::published::position::Position;
 use crate::direct::published::store_read::StoreRead;
 use crate::direct::statement::{CallKind, Statement};
+use crate::direct::store_reading::{StorePart, StoreUse};
 use crate::message::Timestamp;
 
 /// Caller's request, as far as decisions depend on it.
@@ -241,6 +242,11 @@
         /// Whether the store responds.
         answers: bool,
     },
+    /// A call to the publisher's store succeeded; its documents were sent before.
+    StoreChecked {
+        /// The part of the store.
+        part: StorePart,
+    },
     /// A response of the publisher's store named the store's era.
     StoreEra {
         /// Era of the store.
@@ -480,6 +486,8 @@
     },
     /// Report the process as ready, or as not ready.
     SetReady(bool),
+    /// Watch the publisher's store, or follow peers.
+    SetStoreUse(StoreUse),
     /// Set the limits on requests of callers.
     SetCallerLimits(CallerLimits),
     /// The store is in a newer era; reads and watches of earlier eras are invalid.
--- a/src/direct/log_events/kinds.rs
+++ b/src/direct/log_events/kinds.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use crate::direct::log_events::{LogEvent, ms};
+use crate::direct::log_events::{LogEvent, StoreReadOutcome, ms};
 use crate::direct::peers::build::Build;
 use crate::direct::published::store_read::StoreRead;
 
@@ -20,7 +20,7 @@
 
     /// Event for a read of the publisher's store.
     pub fn store_read(read: &StoreRead) -> Self {
-        Self::StoreRead {
+        Self::StoreRead(StoreReadOutcome {
             subject: read.subject,
             watch: read.watch,
             outcome: read.outcome,
@@ -30,7 +30,7 @@
             waited_ms: ms(read.wait_time),
             took_ms: ms(read.transfer_time),
             decode_ms: ms(read.decode_time),
-        }
+        })
     }
 
     /// Name of the event in metrics; the same as in the log.
@@ -53,7 +53,9 @@
             Self::Ended { .. } => "ended",
             Self::StagesGivenUp { .. } => "stages_given_up",
             Self::Configured { .. } => "configured",
-            Self::StoreRead { .. } => "store_read",
+            Self::StoreRead(_) => "store_read",
+            Self::StoreReading(_) => "store_reading",
+            Self::MemberSuspected(_) => "member_suspected",
             Self::StoreEra(_) => "store_era",
             Self::StoreReturned(_) => "store_returned",
             Self::PublishedVersion(_) => "published_version",
--- a/src/direct/log_events/mod.rs
+++ b/src/direct/log_events/mod.rs
@@ -1,6 +1,7 @@
 //! Log events for operators: one for each decision and each change in a gateway's state.
 
 mod kinds;
+mod members;
 mod store;
 
 use std::net::SocketAddr;
@@ -8,7 +9,10 @@
 
 use serde::Serialize;
 
-pub use crate::direct::log_events::store::{PublishedVersion, StoreEra, StoreReturned};
+pub use crate::direct::log_events::members::{MemberSuspected, StoreReadingChange};
+pub use crate::direct::log_events::store::{
+    PublishedVersion, StoreEra, StoreReadOutcome, StoreReturned,
+};
 use crate::direct::published::model::Name;
 
 /// Log event, written with its name in snake case as field `event`.
@@ -205,27 +209,7 @@
         known_from: Option<SocketAddr>,
     },
     /// A response of the publisher's store was 16 KiB or more, failed, or used a second connection.
-    StoreRead {
-        /// What was read: `configuration` or `endpoints`.
-        subject: &'static str,
-        /// Whether the read was a watch.
-        watch: bool,
-        /// `whole`, or `unreachable`, `silent`, `torn`, `outdated`, `refused`, `unreadable`
-        /// or `unusable`.
-        outcome: &'static str,
-        /// Bytes received.
-        bytes: usize,
-        /// Bytes announced as the length of the response.
-        expected: Option<u64>,
-        /// Whether a second connection responded while the first one was silent.
-        again: bool,
-        /// Milliseconds from the call to the response's head, or to the failure.
-        waited_ms: u64,
-        /// Milliseconds from the head to the end of the response.
-        took_ms: u64,
-        /// Milliseconds spent decoding.
-        decode_ms: u64,
-    },
+    StoreRead(StoreReadOutcome),
     /// The publisher's store returned a complete list at a lower revision than seen before.
     StoreWentBack {
         /// Revision of the list.
@@ -393,6 +377,10 @@
         /// `heard` if it is up; otherwise `silent`, `unreachable` or `restarted`.
         cause: &'static str,
     },
+    /// A peer suspects a member, or the suspicion ended.
+    MemberSuspected(MemberSuspected),
+    /// Whether this gateway reads the publisher's store, or why, changed.
+    StoreReading(StoreReadingChange),
     /// The publisher's store became reachable or unreachable.
     Publisher {
         /// Whether the store responds.
--- a/src/direct/log_events/store.rs
+++ b/src/direct/log_events/store.rs
@@ -51,3 +51,27 @@
     /// Whether the version in the store is older than the one in force.
     pub is_older: bool,
 }
+
+/// A long, failed or repeated read of the publisher's store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct StoreReadOutcome {
+    /// What was read: `configuration` or `endpoints`.
+    pub subject: &'static str,
+    /// Whether the read was a watch.
+    pub watch: bool,
+    /// `whole`, or `unreachable`, `silent`, `torn`, `outdated`, `refused`, `unreadable`
+    /// or `unusable`.
+    pub outcome: &'static str,
+    /// Bytes received.
+    pub bytes: usize,
+    /// Bytes announced as the length of the response.
+    pub expected: Option<u64>,
+    /// Whether a second connection responded while the first one was silent.
+    pub again: bool,
+    /// Milliseconds from the call to the response's head, or to the failure.
+    pub waited_ms: u64,
+    /// Milliseconds from the head to the end of the response.
+    pub took_ms: u64,
+    /// Milliseconds spent decoding.
+    pub decode_ms: u64,
+}
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -3,7 +3,7 @@
 //! `core` makes all decisions and holds all state, without I/O or clock; `shell` does the I/O. The
 //! core's implementation continues in `publication` (published documents), `peer_messages`
 //! (messages between gateways), `endpoint_status` (status headers of endpoints),
-//! `poison_detection`, `rate_limits`, `store_restore` and `readiness`. An adapter (see `client`)
+//! `poison_detection`, `rate_limits`, `store_reading`, `store_restore` and `readiness`. An adapter (see `client`)
 //! translates the published documents, the front end's protocol and the endpoints' protocol.
 //!
 //! - `published`: routes, pools and endpoints, merged from all sources and compiled.
@@ -38,8 +38,11 @@
 mod readiness;
 pub mod repeats;
 pub mod requests;
+pub mod setup;
 pub mod shell;
+pub mod state;
 pub mod statement;
 pub mod stop;
+pub mod store_reading;
 mod store_restore;
 pub mod stream;
--- a/src/direct/owner/owners.rs
+++ b/src/direct/owner/owners.rs
@@ -101,6 +101,11 @@
         self.cells.values().flat_map(Scheduler::usage).collect()
     }
 
+    /// Whether this gateway uses endpoints as an owner.
+    pub fn uses_endpoints(&self) -> bool {
+        self.cells.values().any(|cell| !cell.usage().is_empty())
+    }
+
     /// The scheduler of a cell, created if there is none.
     fn cell(&mut self, cell: &Name, table: &Table) -> &mut Scheduler {
         let (bounds, created, event_lag) = (self.bounds, &mut self.created, self.event_lag);
--- a/src/direct/peer_messages.rs
+++ b/src/direct/peer_messages.rs
@@ -1,22 +1,31 @@
 //! Messages between gateways: handles those of peers, and sends this gateway's gossip.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::direct::core::GatewayCore;
 use crate::direct::departures::Departure;
 use crate::direct::event::Action;
+use crate::direct::event_lag::OVERLOAD_LAG;
 use crate::direct::limits::known::AnnouncedLimit;
 use crate::direct::limits::limiter::Asker;
 use crate::direct::log_events::LogEvent;
 use crate::direct::peers::build::{Build, GreetingChange};
 use crate::direct::peers::codec::Unreadable;
+use crate::direct::peers::heartbeat::{GatewayState, Heartbeat, Probe};
+use crate::direct::peers::members::MembershipChanges;
 use crate::direct::peers::message::{Job, JobId, JobReason, PeerMessage};
+use crate::direct::peers::neighbours::{News, Recipients};
 use crate::direct::published::documents::Seen;
 use crate::direct::published::position::Position;
 use crate::direct::requests::stages::CancelledJob;
 use crate::message::Timestamp;
 
+/// Minimum time between a heartbeat and one that forwards changes of members; further changes
+/// accumulate meanwhile.
+const MIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(50);
+
 impl GatewayCore {
     /// Whether this gateway accepts a job that a peer or itself submits. A job that it already has
     /// is always accepted; while the process stops, a new one only if its stages can end before the
@@ -48,35 +57,22 @@
                 limits,
                 era,
             } => {
-                self.observe_peer_era(from, era);
-                self.peer_answered(from, complete);
-                let seen = Seen { endpoints: self.eras.resolve(seen.endpoints), ..seen };
-                self.evacuations_received(from, &evacuations, now);
-                self.departures_received(from, departures, now);
-                self.limits_received(from, &limits, now);
-                self.owners.usage_announced(from, usage, &self.table);
-                self.requests.event_lag_announced(from, event_lag, now);
+                let state = GatewayState {
+                    seen,
+                    complete,
+                    usage,
+                    event_lag,
+                    evacuations,
+                    departures,
+                    limits,
+                    era,
+                };
+                let seen = self.on_peer_state(from, state, now);
                 let changes = self.members.merge(&members, now);
-                for member in changes.replaced {
-                    self.peer_down(member.address, member.incarnation, "restarted", now);
-                }
-                // A gateway that starts receives the members at once, not with the next heartbeat.
-                let is_new_peer = changes.joined.iter().any(|m| m.address == from);
-                for member in changes.joined {
-                    self.log(LogEvent::Peer {
-                        address: member.address,
-                        incarnation: member.incarnation,
-                        alive: true,
-                        cause: "heard",
-                    });
-                }
-                if is_new_peer {
-                    self.request_suspects_soon(now);
-                    let message = self.gossip(self.all_departures(), self.limits.newest(now), now);
-                    self.send(from, message);
-                }
-                self.pulls.on_announcement(from, seen, complete, self.pull_state(), now);
+                self.on_membership_changes(from, changes, now);
+                self.on_announcement(from, seen, complete, now);
             }
+            PeerMessage::Heartbeat(heartbeat) => self.on_heartbeat(from, *heartbeat, now),
             PeerMessage::Pull { seen, configuration, number } => {
                 self.on_pull(from, seen, configuration.then_some(number));
             }
@@ -115,6 +111,96 @@
         }
     }
 
+    /// Merges a peer's state, except for its members; returns the documents that the peer has seen.
+    fn on_peer_state(&mut self, from: SocketAddr, state: GatewayState, now: Timestamp) -> Seen {
+        self.observe_peer_era(from, state.era);
+        self.peer_answered(from, state.complete);
+        self.evacuations_received(from, &state.evacuations, now);
+        self.departures_received(from, state.departures, now);
+        self.limits_received(from, &state.limits, now);
+        self.owners.usage_announced(from, state.usage, &self.table);
+        self.requests.event_lag_announced(from, state.event_lag, now);
+        Seen { endpoints: self.eras.resolve(state.seen.endpoints), ..state.seen }
+    }
+
+    fn on_announcement(&mut self, from: SocketAddr, seen: Seen, complete: bool, now: Timestamp) {
+        let distance = self.members.distance_of(from);
+        self.pulls.on_announcement((from, distance), seen, complete, self.pull_state(), now);
+    }
+
+    fn on_heartbeat(&mut self, from: SocketAddr, heartbeat: Heartbeat, now: Timestamp) {
+        let Heartbeat { sender, updates, is_complete_list, state, .. } = heartbeat;
+        let complete = state.complete;
+        let seen = self.on_peer_state(from, state, now);
+        let changes = self.members.merge_updates(std::slice::from_ref(&sender), false, now);
+        if self.members.is_up(from, sender.member.incarnation) {
+            self.members.heard(from, heartbeat.is_monitor, now);
+        }
+        self.on_membership_changes(from, changes, now);
+        let changes = self.members.merge_updates(&updates, is_complete_list, now);
+        self.on_membership_changes(from, changes, now);
+        if heartbeat.probe == Some(Probe::Reconnect) {
+            self.out.push(Action::Disconnect { from });
+        }
+        if heartbeat.probe.is_some() {
+            let heartbeat = self.heartbeat(self.members.is_monitor(from), None, now);
+            self.send(from, PeerMessage::Heartbeat(Box::new(heartbeat)));
+        }
+        if !is_complete_list && self.members.compare_digest(heartbeat.members_digest, now) {
+            let message = self.complete_list(Vec::new(), Vec::new(), now);
+            self.send(from, message);
+        }
+        self.on_announcement(from, seen, complete, now);
+        if let Some(age) = heartbeat.store_age.filter(|_| !self.documents.seen().is_behind(&seen)) {
+            self.store_reading.record(now.saturating_sub(age), &mut self.rng);
+        }
+    }
+
+    /// Applies changes of the membership that a message of a peer contained.
+    fn on_membership_changes(
+        &mut self,
+        from: SocketAddr,
+        changes: MembershipChanges,
+        now: Timestamp,
+    ) {
+        for member in changes.replaced {
+            self.peer_down(member.address, member.incarnation, "restarted", now);
+        }
+        for member in changes.suspected {
+            self.log(LogEvent::suspected(&member, from, true));
+        }
+        for member in changes.refuted {
+            self.log(LogEvent::suspected(&member, from, false));
+        }
+        // A gateway that starts receives the members at once, not with the next heartbeat.
+        let is_new_peer = changes.joined.iter().any(|m| m.address == from);
+        for member in changes.joined {
+            self.log(LogEvent::Peer {
+                address: member.address,
+                incarnation: member.incarnation,
+                alive: true,
+                cause: "heard",
+            });
+        }
+        if is_new_peer {
+            self.request_suspects_soon(now);
+            let (departures, limits) = (self.all_departures(), self.limits.newest(now));
+            let message = if self.members.has_location(from) {
+                self.complete_list(departures, limits, now)
+            } else {
+                self.gossip(departures, limits, now)
+            };
+            self.send(from, message);
+        }
+        for address in changes.unconfirmed {
+            self.send_probe(address, Probe::Silent, now);
+        }
+        if changes.suspects_own || self.members.has_updates() {
+            let earliest = self.heartbeat_sent_at + MIN_HEARTBEAT_INTERVAL;
+            self.next_heartbeat = self.next_heartbeat.min(earliest);
+        }
+    }
+
     /// Records that a peer responded; one peer with a complete state is enough to become ready.
     fn peer_answered(&mut self, from: SocketAddr, complete: bool) {
         if complete {
@@ -155,7 +241,11 @@
     pub(super) fn on_greeting(&mut self, address: SocketAddr, incarnation: u64, build: &Build) {
         match self.builds.on_greeting(address, incarnation, build) {
             GreetingChange::Unchanged => {}
-            GreetingChange::OtherBuild => self.log_build(address, incarnation, build, "first"),
+            GreetingChange::OtherBuild => {
+                self.log_build(address, incarnation, build, "first");
+                // It has not read a heartbeat in the current form.
+                self.next_heartbeat = Timestamp::ZERO;
+            }
             GreetingChange::OwnBuild(before) => {
                 self.log_build(address, incarnation, &before, "last")
             }
@@ -201,14 +291,13 @@
         self.send(to, PeerMessage::Cancelled { job, reason, not_started, retry_after });
     }
 
-    fn gossip(
+    fn state(
         &self,
         departures: Vec<Departure>,
         limits: Vec<AnnouncedLimit>,
         now: Timestamp,
-    ) -> PeerMessage {
-        PeerMessage::Gossip {
-            members: self.members.digest(),
+    ) -> GatewayState {
+        GatewayState {
             seen: self.documents.seen(),
             complete: self.documents.is_complete(),
             usage: self.owners.usage(),
@@ -220,21 +309,150 @@
         }
     }
 
+    /// The heartbeat for a peer of form 6 or earlier.
+    fn gossip(
+        &self,
+        departures: Vec<Departure>,
+        limits: Vec<AnnouncedLimit>,
+        now: Timestamp,
+    ) -> PeerMessage {
+        let state = self.state(departures, limits, now);
+        PeerMessage::Gossip {
+            members: self.members.list(),
+            seen: state.seen,
+            complete: state.complete,
+            usage: state.usage,
+            event_lag: state.event_lag,
+            evacuations: state.evacuations,
+            departures: state.departures,
+            limits: state.limits,
+            era: state.era,
+        }
+    }
+
+    /// A heartbeat without news.
+    fn heartbeat(&mut self, is_monitor: bool, probe: Option<Probe>, now: Timestamp) -> Heartbeat {
+        Heartbeat {
+            sender: self.members.own_update(),
+            is_monitor,
+            probe,
+            updates: Vec::new(),
+            is_complete_list: false,
+            members_digest: self.members.digest(),
+            store_age: self.store_reading.age(now),
+            state: self.state(Vec::new(), Vec::new(), now),
+        }
+    }
+
+    /// A heartbeat with all members that are up.
+    fn complete_list(
+        &mut self,
+        departures: Vec<Departure>,
+        limits: Vec<AnnouncedLimit>,
+        now: Timestamp,
+    ) -> PeerMessage {
+        let updates = self.members.complete_list();
+        let state = self.state(departures, limits, now);
+        let heartbeat = self.heartbeat(false, None, now);
+        let heartbeat = Heartbeat { updates, is_complete_list: true, state, ..heartbeat };
+        PeerMessage::Heartbeat(Box::new(heartbeat))
+    }
+
+    /// Sends the regular heartbeat, and probes to monitored members that are silent.
     pub(super) fn send_heartbeat(&mut self, now: Timestamp) {
-        let to = self.members.next_heartbeat(&mut self.rng);
         let departures = self.departure_updates(now);
         let limits = self.limit_updates(now);
-        let message = self.gossip(departures, limits, now);
-        self.exchange_suspects(&to, now);
-        self.out.push(Action::Broadcast { to, message });
+        let updates = self.members.take_updates();
+        let has_changes = !departures.is_empty()
+            || !limits.is_empty()
+            || !updates.is_empty()
+            || self.suspects.has_changes()
+            || self.owners.uses_endpoints() && self.event_lag.estimate(now) >= OVERLOAD_LAG;
+        let seen = self.documents.seen();
+        let has_moved = std::mem::replace(&mut self.announced, seen) != seen;
+        let news = match (has_changes, has_moved) {
+            (true, _) => News::Changes,
+            (false, true) => News::Position,
+            (false, false) => News::None,
+        };
+        let mut recipients = self.members.next_heartbeat(news, &mut self.rng);
+        self.add_owners(&mut recipients);
+        self.exchange_suspects(&recipients, now);
+        self.send_gossip(&recipients, departures.clone(), limits.clone(), now);
+        let state = self.state(departures, limits, now);
+        let heartbeat = Heartbeat { updates, state, ..self.heartbeat(true, None, now) };
+        let other = Heartbeat { is_monitor: false, ..heartbeat.clone() };
+        let mut others = recipients.others;
+        let reads_heartbeats = |a: &SocketAddr| self.builds.reads_heartbeats(*a);
+        others.extend(recipients.contacts.into_iter().filter(reads_heartbeats));
+        self.broadcast(recipients.monitors, heartbeat);
+        self.broadcast(others, other);
+        self.probe_silent_members(now);
     }
 
-    /// Sends gossip to a peer whose connection failed. If the peer is down, the attempt shows that
-    /// it is unreachable. If it is up, messages in transit may be lost, so this gateway's jobs are
+    fn broadcast(&mut self, to: Vec<SocketAddr>, heartbeat: Heartbeat) {
+        if !to.is_empty() {
+            let message = PeerMessage::Heartbeat(Box::new(heartbeat));
+            self.out.push(Action::Broadcast { to, message });
+        }
+    }
+
+    /// Sends gossip to members of form 6 and earlier, and to others on their behalf.
+    fn send_gossip(
+        &mut self,
+        recipients: &Recipients,
+        departures: Vec<Departure>,
+        limits: Vec<AnnouncedLimit>,
+        now: Timestamp,
+    ) {
+        let contacts = recipients.contacts.iter().copied();
+        let earlier = contacts.filter(|address| !self.builds.reads_heartbeats(*address));
+        let to: Vec<SocketAddr> =
+            recipients.without_location.iter().copied().chain(earlier).collect();
+        if !to.is_empty() {
+            let message = self.gossip(departures, limits, now);
+            self.out.push(Action::Broadcast { to, message });
+        }
+    }
+
+    /// Adds the owners of cells to the recipients of an owner: they use the same endpoints.
+    fn add_owners(&self, recipients: &mut Recipients) {
+        if !self.owners.uses_endpoints() {
+            return;
+        }
+        let own = self.members.own().address;
+        let owners = self.requests.owner_addresses().filter(|address| *address != own);
+        let is_new =
+            |a: &SocketAddr| !recipients.monitors.contains(a) && !recipients.others.contains(a);
+        let added: BTreeSet<SocketAddr> = owners.filter(is_new).collect();
+        recipients.others.extend(added);
+    }
+
+    fn probe_silent_members(&mut self, now: Timestamp) {
+        let silent: Vec<_> = self.members.silent(self.delay_of_events(now), now).collect();
+        for (address, probe) in silent {
+            if probe == Probe::Reconnect {
+                self.out.push(Action::Disconnect { from: address });
+            }
+            self.send_probe(address, probe, now);
+        }
+    }
+
+    fn send_probe(&mut self, address: SocketAddr, probe: Probe, now: Timestamp) {
+        let message = if self.builds.reads_heartbeats(address) {
+            let is_monitor = self.members.is_monitor(address);
+            PeerMessage::Heartbeat(Box::new(self.heartbeat(is_monitor, Some(probe), now)))
+        } else {
+            self.gossip(Vec::new(), Vec::new(), now)
+        };
+        self.send(address, message);
+    }
+
+    /// Probes a peer whose connection failed. If the peer is down, the attempt shows that it is
+    /// unreachable. If it is up, messages in transit may be lost, so this gateway's jobs are
     /// submitted to it again.
     pub(super) fn probe_peer(&mut self, address: SocketAddr, now: Timestamp) {
-        let message = self.gossip(Vec::new(), Vec::new(), now);
-        self.send(address, message);
+        self.send_probe(address, Probe::Silent, now);
         self.requests.resubmit_jobs(address);
     }
 }
--- a/src/direct/peers/build.rs
+++ b/src/direct/peers/build.rs
@@ -37,6 +37,8 @@
 
 /// The first form whose builds exchange permits for endpoint limits.
 const PERMITS_SINCE: u32 = 5;
+/// The first form with heartbeats that name only what changed.
+const HEARTBEATS_SINCE: u32 = 7;
 /// Maximum number of tracked peers; bounds memory. 580 gateways are expected within two years.
 const MAX_OTHER_BUILDS: usize = 1_024;
 
@@ -105,6 +107,12 @@
         self.others.get(&address).is_none_or(|(_, build)| build.form >= PERMITS_SINCE)
     }
 
+    /// Whether a peer reads heartbeats. A peer that has not sent a greeting yet is assumed to run
+    /// this build.
+    pub fn reads_heartbeats(&self, address: SocketAddr) -> bool {
+        self.others.get(&address).is_none_or(|(_, build)| build.form >= HEARTBEATS_SINCE)
+    }
+
     /// Number of peers that run another build.
     pub fn other_count(&self) -> usize {
         self.others.len()
--- a/src/direct/peers/codec.rs
+++ b/src/direct/peers/codec.rs
@@ -25,7 +25,12 @@
 /// The compact form that this build writes. It increases by one whenever the fields of a message,
 /// or of a type that a message contains, change; the recorded frames of each form (`tests/frames`)
 /// check this.
-pub const FORM: u32 = 6;
+pub const FORM: u32 = 7;
+/// The previous form; this build only adds kinds of messages to it.
+const PREVIOUS_FORM: u32 = 6;
+
+/// Number of members or entries above which a message is long.
+const LONG_MESSAGE: usize = 16;
 
 /// A message that is encoded at most once in each form, on first use, for all its receivers.
 #[derive(Debug)]
@@ -41,6 +46,15 @@
         Self { message, compact: OnceLock::new(), json: OnceLock::new() }
     }
 
+    /// Whether the message contains many members or entries, so that its encoding matters.
+    pub fn is_long(&self) -> bool {
+        match &self.message {
+            PeerMessage::Heartbeat(heartbeat) => heartbeat.updates.len() > LONG_MESSAGE,
+            PeerMessage::Documents { documents, .. } => documents.len() > LONG_MESSAGE,
+            _ => false,
+        }
+    }
+
     /// Returns the encoding for a peer that reads `form`; JSON if the form is another one or
     /// unknown.
     pub fn encode_for(&self, form: Option<u32>) -> Bytes {
@@ -107,7 +121,7 @@
 
 fn read_compact(form: u32, message: &[u8]) -> Result<PeerMessage, Unreadable> {
     let read = match form {
-        FORM => postcard::from_bytes(message).ok(),
+        PREVIOUS_FORM | FORM => postcard::from_bytes(message).ok(),
         form if without_eras::FORMS.contains(&form) => without_eras::read(form, message),
         _ => return Err(Unreadable::Form(form)),
     };
--- a/src/direct/peers/links.rs
+++ b/src/direct/peers/links.rs
@@ -37,6 +37,9 @@
 /// which sends a heartbeat to eight random ones every 200 ms, a connection carries one every 14 s
 /// on average.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
+/// Time for which a long message waits for the peer's greeting: JSON, which all builds read, is
+/// several times as long as the compact form.
+const GREETING_TIMEOUT: Duration = Duration::from_millis(100);
 /// Capacity of the queue for one peer; messages beyond it are dropped.
 const QUEUE_CAPACITY: usize = 1_024;
 /// Size limit of a message in bytes; the largest is a complete configuration or list.
@@ -216,6 +219,21 @@
     true
 }
 
+fn parse_greeting(frame: &[u8]) -> Option<Hello> {
+    serde_json::from_slice(frame).ok()
+}
+
+/// Returns the first message, if it is still unsent, or the next one of the queue.
+async fn next_message(
+    first: &mut Option<Arc<Outgoing>>,
+    queue: &mut mpsc::Receiver<Arc<Outgoing>>,
+) -> Option<Arc<Outgoing>> {
+    match first.take() {
+        Some(message) => Some(message),
+        None => queue.recv().await,
+    }
+}
+
 async fn send_all(
     mut connection: Connection,
     mut queue: mpsc::Receiver<Arc<Outgoing>>,
@@ -223,9 +241,19 @@
 ) {
     // The form that the peer reads, once its greeting has arrived on this connection.
     let mut form = None;
+    let mut first = queue.recv().await;
+    if first.as_ref().is_some_and(|message| message.is_long())
+        && let Ok(answer) = timeout(GREETING_TIMEOUT, connection.next()).await
+    {
+        let Some(greeting) = answer.and_then(Result::ok).and_then(|a| parse_greeting(&a)) else {
+            return;
+        };
+        form = Some(greeting.form);
+        core.send(greeting.greeting_event()).await.ok();
+    }
     loop {
         tokio::select! {
-            message = queue.recv() => {
+            message = next_message(&mut first, &mut queue) => {
                 let Some(message) = message else { return };
                 if connection.feed(message.encode_for(form)).await.is_err() {
                     return;
@@ -243,8 +271,7 @@
             // ends the connection.
             answer = connection.next() => {
                 let greeting = answer.and_then(Result::ok).filter(|_| form.is_none());
-                let greeting = greeting.and_then(|a| serde_json::from_slice::<Hello>(&a).ok());
-                let Some(greeting) = greeting else { return };
+                let Some(greeting) = greeting.and_then(|a| parse_greeting(&a)) else { return };
                 form = Some(greeting.form);
                 core.send(greeting.greeting_event()).await.ok();
             }
--- a/src/direct/peers/members.rs
+++ b/src/direct/peers/members.rs
@@ -1,20 +1,22 @@
-//! Membership of gateways, by heartbeats that are gossiped from a few seeds, and the ownership
-//! derived from it.
+//! Membership of gateways, learned from a few seeds and kept by heartbeats.
+//!
+//! Each gateway sends its heartbeats to the few members that monitor it. A monitor that misses them
+//! gossips its suspicion; all consider the member down after [`SUSPICION_TIMEOUT`] unless a newer
+//! heartbeat refutes it. A gateway that can't connect to a member considers it down at once, and
+//! gossips the suspicion. Members whose location is unknown run a build of an earlier form: their
+//! heartbeats are gossiped by all, and each gateway times them out by itself.
 //!
 //! There is no consensus: two gateways may consider different members up for a while, so the
 //! consequences (such as two owners of a pool) must be harmless.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet};
-use std::net::{IpAddr, SocketAddr};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use rand::Rng;
-use rand::seq::IndexedRandom;
-use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
-
-use crate::direct::published::model::Name;
+use crate::direct::peers::member::Location;
+pub use crate::direct::peers::member::{Member, MemberState};
+use crate::direct::peers::neighbours::Monitors;
+use crate::direct::peers::updates::Updates;
 use crate::message::Timestamp;
 
 /// Time between two heartbeats of a process.
@@ -35,53 +37,30 @@
 /// up. Others may consider that member up until they, too, have missed its heartbeats for
 /// `FAILURE_TIMEOUT` and have received this from their peers.
 pub const SETTLE_TIME: Duration = Duration::from_millis(1_000);
-/// Number of members that receive each heartbeat.
-const FANOUT: usize = 8;
-
-/// Lifecycle state of a member.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum MemberState {
-    /// The member lacks data that it needs to serve.
-    Starting,
-    /// The member serves requests and may own cells.
-    Serving,
-    /// The member finishes what it has started, and owns nothing new.
-    Leaving,
-}
-
-/// Gossiped state of a member.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Member {
-    /// Address at which the member's peers connect to it.
-    pub address: SocketAddr,
-    /// Incarnation of the member; a later one is a larger number.
-    pub incarnation: u64,
-    /// Heartbeat counter; it increases within an incarnation.
-    pub heartbeat: u64,
-    /// Lifecycle state.
-    pub state: MemberState,
-    /// Processor time available to the member's host, in thousandths of a core.
-    pub capacity: u32,
-}
-
-impl Member {
-    /// Class of the host's capacity, its binary order of magnitude: hosts whose capacities are
-    /// within a factor of two count as equal.
-    const fn capacity_class(&self) -> u32 {
-        u32::BITS - self.capacity.leading_zeros()
-    }
-}
 
 #[derive(Debug, Clone)]
-struct KnownMember {
-    member: Member,
+pub(super) struct KnownMember {
+    pub(super) member: Member,
+    /// Where the member runs; `None` for a build of an earlier form.
+    pub(super) location: Option<Location>,
+    /// Whether its reads of the publisher's store fail.
+    pub(super) reads_fail: bool,
     /// Time at which its heartbeat last increased; `None` while the member is considered down.
-    last_heartbeat: Option<Timestamp>,
-    since: Timestamp,
+    pub(super) last_heartbeat: Option<Timestamp>,
+    /// Time of the last change between up and down, or of the last heartbeat.
+    pub(super) since: Timestamp,
     /// Time since which the member is in its state, within its incarnation.
-    state_since: Timestamp,
+    pub(super) state_since: Timestamp,
     /// Time since which the member is considered up, within its incarnation.
-    up_since: Timestamp,
+    pub(super) up_since: Timestamp,
+}
+
+/// Suspicion that a member is down.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Suspicion {
+    pub(super) since: Timestamp,
+    /// Whether it is gossiped; otherwise only a connection of this gateway failed.
+    pub(super) is_gossiped: bool,
 }
 
 /// Changes found in received gossip.
@@ -91,12 +70,20 @@
     pub joined: Vec<Member>,
     /// Incarnations that were considered up and whose members have restarted.
     pub replaced: Vec<Member>,
+    /// Members that a peer considers down.
+    pub suspected: Vec<Member>,
+    /// Suspected members that a newer heartbeat proves to be up.
+    pub refuted: Vec<Member>,
+    /// Members that are considered up and that a peer's complete list lacks.
+    pub unconfirmed: Vec<SocketAddr>,
+    /// Whether a peer suspects this gateway.
+    pub suspects_own: bool,
 }
 
 impl KnownMember {
     /// Incarnations are derived from clocks, which may have stepped back between two of them, so
     /// any other incarnation supersedes one that is considered down.
-    const fn is_superseded_by(&self, received: &Member) -> bool {
+    pub(super) const fn is_superseded_by(&self, received: &Member) -> bool {
         if self.member.incarnation == received.incarnation {
             return self.member.heartbeat < received.heartbeat;
         }
@@ -104,58 +91,33 @@
     }
 }
 
-/// The bytes of an address that are hashed.
-fn address_bytes(address: SocketAddr) -> [u8; 18] {
-    let ip = match address.ip() {
-        IpAddr::V4(ip) => ip.to_ipv6_mapped(),
-        IpAddr::V6(ip) => ip,
-    };
-    let mut bytes = [0; 18];
-    bytes[..16].copy_from_slice(&ip.octets());
-    bytes[16..].copy_from_slice(&address.port().to_be_bytes());
-    bytes
-}
-
-/// Whether a member serves, the capacity class of its host, and its hash weight.
-type Rank = (bool, u32, u64);
-
-/// Selects a first owner for each cell, distinct ones as far as enough members serve on hosts of
-/// the best class.
-fn first_owners<'a>(ranked: &[(&Name, Vec<(Rank, &'a Member)>)]) -> BTreeMap<Name, &'a Member> {
-    let mut candidates: Vec<(Rank, &Name, &Member)> = Vec::new();
-    for (cell, ranked) in ranked {
-        let best_class = ranked.first().map(|((serves, class, _), _)| (*serves, *class));
-        let in_best_class = ranked
-            .iter()
-            .take_while(|((serves, class, _), _)| Some((*serves, *class)) == best_class);
-        candidates.extend(in_best_class.map(|(rank, member)| (*rank, *cell, *member)));
-    }
-    candidates.sort_unstable_by_key(|(rank, cell, _)| (Reverse(*rank), *cell));
-    let mut first_owners: BTreeMap<Name, &Member> = BTreeMap::new();
-    let mut assigned = BTreeSet::new();
-    for (_, cell, member) in candidates {
-        if !first_owners.contains_key(cell) && assigned.insert(member.address) {
-            first_owners.insert(cell.clone(), member);
-        }
-    }
-    first_owners
-}
-
 /// The members that one gateway knows.
 #[derive(Debug)]
 pub struct Members {
-    own: Member,
-    others: BTreeMap<SocketAddr, KnownMember>,
-    /// Members whose connection failed and whose heartbeat has not increased since, with the time
-    /// of the failure.
-    suspected: BTreeMap<SocketAddr, Timestamp>,
-    seeds: Vec<SocketAddr>,
+    pub(super) own: Member,
+    pub(super) location: Location,
+    /// Whether this gateway's reads of the publisher's store fail.
+    pub(super) own_reads_fail: bool,
+    pub(super) others: BTreeMap<SocketAddr, KnownMember>,
+    pub(super) monitors: Monitors,
+    /// Members that this gateway monitors, with the time of their last direct heartbeat.
+    pub(super) monitored: BTreeMap<SocketAddr, Timestamp>,
+    pub(super) updates: Updates,
+    /// Digest of the members that are up, and the number of changes that it includes.
+    pub(super) digest: (Option<u64>, u64),
+    /// Digests of peers that differ from the own one, with the time of the first such heartbeat.
+    pub(super) other_digests: BTreeMap<u64, Timestamp>,
+    /// Earliest time of the next complete list.
+    pub(super) next_list: Timestamp,
+    /// Suspected members whose heartbeat has not increased since.
+    pub(super) suspected: BTreeMap<SocketAddr, Suspicion>,
+    pub(super) seeds: Vec<SocketAddr>,
     /// Earliest time at which a member times out or is forgotten.
     next_timeout: Timestamp,
     /// Number of changes to membership, states or capacities.
-    changes: u64,
+    pub(super) changes: u64,
     /// Forgotten members that may still be running, with the time at which they were forgotten.
-    partitioned: BTreeMap<SocketAddr, Timestamp>,
+    pub(super) partitioned: BTreeMap<SocketAddr, Timestamp>,
 }
 
 impl Members {
@@ -164,13 +126,22 @@
         address: SocketAddr,
         incarnation: u64,
         capacity: u32,
+        location: Location,
         seeds: Vec<SocketAddr>,
     ) -> Self {
         let state = MemberState::Starting;
         let own = Member { address, incarnation, heartbeat: 0, state, capacity };
         Self {
             own,
+            location,
+            own_reads_fail: false,
             others: BTreeMap::new(),
+            monitors: Monitors::default(),
+            monitored: BTreeMap::new(),
+            updates: Updates::default(),
+            digest: (None, 0),
+            other_digests: BTreeMap::new(),
+            next_list: Timestamp::ZERO,
             suspected: BTreeMap::new(),
             seeds,
             next_timeout: Timestamp::ZERO,
@@ -199,89 +170,114 @@
     pub fn set_state(&mut self, state: MemberState) -> bool {
         let changed = self.own.state != state;
         self.own.state = state;
-        self.changes += u64::from(changed);
+        if changed {
+            self.own_changed();
+        }
         changed
     }
 
-    /// Increases the heartbeat and returns the addresses to send it to.
-    pub fn next_heartbeat(&mut self, rng: &mut impl Rng) -> Vec<SocketAddr> {
-        self.own.heartbeat += 1;
-        let up: Vec<SocketAddr> = self.up().map(|m| m.address).collect();
-        let seeds = self.seeds.iter().copied().filter(|s| *s != self.own.address);
-        let mut unreachable: Vec<SocketAddr> = seeds.chain(self.down()).collect();
-        unreachable.retain(|a| !up.contains(a));
-        // While no other member is up, several seeds are contacted; the first response introduces
-        // the others.
-        if up.is_empty() {
-            return unreachable.sample(rng, FANOUT).copied().collect();
+    /// Sets whether this process's reads of the publisher's store fail; returns whether it changed.
+    pub fn set_reads_fail(&mut self, reads_fail: bool) -> bool {
+        let changed = std::mem::replace(&mut self.own_reads_fail, reads_fail) != reads_fail;
+        if changed {
+            self.own_changed();
         }
-        let mut to: Vec<SocketAddr> = up.sample(rng, FANOUT).copied().collect();
-        to.extend(unreachable.choose(rng));
-        to
+        changed
+    }
+
+    fn own_changed(&mut self) {
+        self.changes += 1;
+        self.updates.add(self.own.address, false);
     }
 
     /// Returns the members to gossip: all that are considered up, and this process.
-    pub fn digest(&self) -> Vec<Member> {
+    pub fn list(&self) -> Vec<Member> {
         let mut members: Vec<Member> = self.up().cloned().collect();
         members.push(self.own.clone());
         members
     }
 
-    /// Merges received gossip; returns the members that are newly up, and the incarnations that
-    /// were replaced before they were considered down.
+    /// Merges gossip of an earlier form; returns the members that are newly up, and the incarnations
+    /// that were replaced before they were considered down.
     pub fn merge(&mut self, members: &[Member], now: Timestamp) -> MembershipChanges {
         let mut merged = MembershipChanges::default();
-        for member in members.iter().filter(|m| m.address != self.own.address) {
+        let own = self.own.address;
+        for member in members.iter().filter(|m| m.address != own) {
             let known = self.others.get(&member.address);
             if known.is_some_and(|k| !k.is_superseded_by(member)) {
                 continue;
             }
-            let was_up = known.is_some_and(|k| {
-                k.last_heartbeat.is_some() && k.member.incarnation == member.incarnation
-            });
-            if !was_up {
-                merged.joined.push(member.clone());
-                let before = known.filter(|k| k.last_heartbeat.is_some()).map(|k| k.member.clone());
-                merged.replaced.extend(before);
-            }
-            let is_same = |k: &&KnownMember| {
-                k.member.incarnation == member.incarnation && k.member.state == member.state
-            };
-            let state_since = known.filter(is_same).map_or(now, |k| k.state_since);
-            let up_since = known.filter(|_| was_up).map_or(now, |k| k.up_since);
-            self.partitioned.remove(&member.address);
-            let is_as_before = was_up
-                && known.is_some_and(|k| {
-                    k.member.state == member.state && k.member.capacity == member.capacity
-                });
-            self.changes += u64::from(!is_as_before);
-            self.suspected.remove(&member.address);
-            let member = member.clone();
-            let known = KnownMember {
-                member,
-                last_heartbeat: Some(now),
-                since: now,
-                state_since,
-                up_since,
-            };
-            self.others.insert(known.member.address, known);
+            let known = known.filter(|k| k.member.incarnation == member.incarnation);
+            let location = known.and_then(|k| k.location.clone());
+            let reads_fail = known.is_some_and(|k| k.reads_fail);
+            self.store(member, location, reads_fail, now, &mut merged);
         }
         merged
     }
 
+    /// Stores a member's newer record; returns whether more than its heartbeat changed.
+    pub(super) fn store(
+        &mut self,
+        member: &Member,
+        location: Option<Location>,
+        reads_fail: bool,
+        now: Timestamp,
+        merged: &mut MembershipChanges,
+    ) -> bool {
+        let known = self.others.get(&member.address);
+        let was_up = known.is_some_and(|k| {
+            k.last_heartbeat.is_some() && k.member.incarnation == member.incarnation
+        });
+        if !was_up {
+            merged.joined.push(member.clone());
+            let before = known.filter(|k| k.last_heartbeat.is_some()).map(|k| k.member.clone());
+            merged.replaced.extend(before);
+        }
+        let is_same = |k: &&KnownMember| {
+            k.member.incarnation == member.incarnation && k.member.state == member.state
+        };
+        let state_since = known.filter(is_same).map_or(now, |k| k.state_since);
+        let up_since = known.filter(|_| was_up).map_or(now, |k| k.up_since);
+        let is_as_before = was_up
+            && known.is_some_and(|k| {
+                k.member.state == member.state
+                    && k.member.capacity == member.capacity
+                    && k.location == location
+                    && k.reads_fail == reads_fail
+            });
+        self.changes += u64::from(!is_as_before);
+        self.partitioned.remove(&member.address);
+        if self.suspected.remove(&member.address).is_some() {
+            merged.refuted.push(member.clone());
+        }
+        let known = KnownMember {
+            member: member.clone(),
+            location,
+            reads_fail,
+            last_heartbeat: Some(now),
+            since: now,
+            state_since,
+            up_since,
+        };
+        self.others.insert(member.address, known);
+        !is_as_before
+    }
+
     /// Suspects an incarnation of a member after a connection from it failed; it may be up, since
     /// connections also get reset. Returns whether it was considered up.
     pub fn suspect(&mut self, address: SocketAddr, incarnation: u64, now: Timestamp) -> bool {
         let is_up = self.is_up(address, incarnation) && address != self.own.address;
         if is_up {
-            self.suspected.entry(address).or_insert(now);
+            let suspicion = Suspicion { since: now, is_gossiped: false };
+            self.suspected.entry(address).or_insert(suspicion);
         }
         is_up
     }
 
     /// Time at which [`Self::expire`] is due for a suspected member.
     pub fn next_suspicion(&self) -> Option<Timestamp> {
-        self.suspected.values().min().map(|at| *at + SUSPICION_TIMEOUT)
+        let since = self.suspected.values().map(|suspicion| suspicion.since).min();
+        since.map(|since| since + SUSPICION_TIMEOUT)
     }
 
     /// Marks an incarnation of a member as down, since it is unreachable, until its heartbeat
@@ -301,38 +297,70 @@
         known.last_heartbeat = None;
         known.since = now;
         self.suspected.remove(&address);
+        self.monitored.remove(&address);
+        self.updates.add(address, true);
         self.changes += 1;
         true
     }
 
-    /// Marks members whose heartbeats have timed out as down and returns them. All members are
-    /// scanned only when one may have timed out, about once in `FAILURE_TIMEOUT`, however often
-    /// this is called.
-    pub fn expire(&mut self, now: Timestamp) -> Vec<Member> {
+    /// Suspects monitored members that have been silent for [`FAILURE_TIMEOUT`], extended by the time
+    /// that events of this process wait; returns those that were not suspected before.
+    pub fn suspect_silent(&mut self, extension: Duration, now: Timestamp) -> Vec<Member> {
+        let is_silent = |at: &Timestamp| now >= *at + FAILURE_TIMEOUT + extension;
+        let silent = self.monitored.iter().filter(|(_, at)| is_silent(at));
+        let silent: Vec<SocketAddr> = silent.map(|(address, _)| *address).collect();
+        let mut suspected = Vec::new();
+        for address in silent {
+            self.monitored.remove(&address);
+            let known = self.others.get(&address).filter(|k| k.last_heartbeat.is_some());
+            let Some(known) = known.filter(|_| !self.suspected.contains_key(&address)) else {
+                continue;
+            };
+            suspected.push(known.member.clone());
+            self.suspected.insert(address, Suspicion { since: now, is_gossiped: true });
+            self.updates.add(address, true);
+        }
+        suspected
+    }
+
+    /// Marks members whose heartbeats have timed out as down and returns them; `extension` is added
+    /// to the time-outs, for a process whose events wait. All members are scanned only when one may
+    /// have timed out, about once in `FAILURE_TIMEOUT`, however often this is called.
+    pub fn expire(&mut self, extension: Duration, now: Timestamp) -> Vec<Member> {
         let is_suspicion_over = self.next_suspicion().is_some_and(|at| now >= at);
         if now < self.next_timeout && !is_suspicion_over {
             return Vec::new();
         }
+        let timeout = FAILURE_TIMEOUT + extension;
         let mut failed = Vec::new();
-        for known in self.others.values_mut() {
-            let suspected = self.suspected.get(&known.member.address);
-            let is_timed_out = known.last_heartbeat.is_some_and(|h| now >= h + FAILURE_TIMEOUT);
-            let is_suspected = suspected.is_some_and(|s| now >= *s + SUSPICION_TIMEOUT);
-            if known.last_heartbeat.is_some() && (is_timed_out || is_suspected) {
+        for (address, known) in &mut self.others {
+            let Some(last_heartbeat) = known.last_heartbeat else {
+                continue;
+            };
+            let suspected = self.suspected.get(address);
+            let is_timed_out = known.location.is_none() && now >= last_heartbeat + timeout;
+            let is_suspected =
+                suspected.is_some_and(|s| now >= s.since + SUSPICION_TIMEOUT + extension);
+            if is_timed_out || is_suspected {
                 known.last_heartbeat = None;
                 known.since = now;
                 failed.push(known.member.clone());
             }
         }
         for member in &failed {
-            self.suspected.remove(&member.address);
+            let suspicion = self.suspected.remove(&member.address);
+            if !suspicion.is_some_and(|suspicion| suspicion.is_gossiped) {
+                self.updates.add(member.address, true);
+            }
+            self.monitored.remove(&member.address);
         }
         self.changes += failed.len() as u64;
         self.forget(now);
-        let next = self
-            .others
-            .values()
-            .map(|k| k.last_heartbeat.map_or(k.since + FORGET_AFTER, |h| h + FAILURE_TIMEOUT));
+        let next = self.others.values().map(|k| match k.last_heartbeat {
+            None => k.since + FORGET_AFTER,
+            Some(at) if k.location.is_none() => at + FAILURE_TIMEOUT,
+            Some(_) => Timestamp::MAX,
+        });
         // A member whose first heartbeat arrives after this scan times out later than that.
         self.next_timeout = next.chain([now + FAILURE_TIMEOUT]).min().unwrap_or_default();
         failed
@@ -362,8 +390,9 @@
         {
             *last_heartbeat = (*last_heartbeat + suspended_for).min(now);
         }
-        for suspected in self.suspected.values_mut() {
-            *suspected = (*suspected + suspended_for).min(now);
+        let suspected = self.suspected.values_mut().map(|suspicion| &mut suspicion.since);
+        for at in suspected.chain(self.monitored.values_mut()) {
+            *at = (*at + suspended_for).min(now);
         }
     }
 
@@ -372,10 +401,6 @@
         self.others.values().filter(|k| k.last_heartbeat.is_some()).map(|k| &k.member)
     }
 
-    fn down(&self) -> impl Iterator<Item = SocketAddr> + '_ {
-        self.others.iter().filter(|(_, k)| k.last_heartbeat.is_none()).map(|(a, _)| *a)
-    }
-
     /// Capacity class of a member's host; 0 if the member is unknown.
     pub fn capacity_class_of(&self, address: SocketAddr) -> u32 {
         self.others.get(&address).map_or(0, |k| k.member.capacity_class())
@@ -401,87 +426,6 @@
         1 + self.others.len().max(self.seeds.len().saturating_sub(1))
     }
 
-    /// Returns the member that decides on `key` for all gateways, among those for which `able` is
-    /// true, and the time from which no other member decides: until then other gateways may still
-    /// consider a failed or leaving member responsible.
-    /// Serving members precede leaving ones; among equals the highest hash weight wins (rendezvous
-    /// hashing).
-    ///
-    /// Takes time linear in the number of members.
-    pub fn limiter(
-        &self,
-        key: &str,
-        able: impl Fn(&Member) -> bool,
-    ) -> Option<(SocketAddr, Timestamp)> {
-        let seed = xxh3_64(key.as_bytes());
-        let weight = |m: &Member| xxh3_64_with_seed(&address_bytes(m.address), seed);
-        let rank = |m: &Member| (m.state == MemberState::Serving, weight(m));
-        let up = self.up().filter(|m| able(m)).chain([&self.own]);
-        let first = up.filter(|m| m.state != MemberState::Starting).max_by_key(|m| rank(m))?;
-        let first_rank = rank(first);
-        let ranks_higher = |known: &&KnownMember| (true, weight(&known.member)) > first_rank;
-        let predecessors =
-            self.others.values().filter(|known| known.member.address != first.address);
-        let predecessors =
-            predecessors.filter(ranks_higher).filter_map(|known| match known.last_heartbeat {
-                None => Some(known.since + SETTLE_TIME),
-                Some(_) if known.member.state == MemberState::Leaving => {
-                    Some(known.state_since + SETTLE_TIME)
-                }
-                Some(_) => None,
-            });
-        Some((first.address, predecessors.max().unwrap_or(Timestamp::ZERO)))
-    }
-
-    /// Returns the fraction of all gateways that may exist which is `able` and has been up for
-    /// [`SETTLE_TIME`], including this one. Members that can't be reached may be in another
-    /// partition and follow other decisions.
-    pub fn reachable_share(&self, able: impl Fn(&Member) -> bool, now: Timestamp) -> f64 {
-        let reachable = self.others.values().filter(|known| {
-            known.last_heartbeat.is_some()
-                && now >= known.up_since + SETTLE_TIME
-                && able(&known.member)
-        });
-        (1 + reachable.count()) as f64 / (self.known_count() + self.partitioned.len()) as f64
-    }
-
-    /// Returns the owner of `key`, ignoring the members in `skip`; see [`Self::owners`].
-    pub fn owner(&self, key: &str, skip: &[SocketAddr]) -> Option<Member> {
-        let ranked = self.ranked(key).into_iter();
-        ranked.map(|(_, m)| m).find(|m| !skip.contains(&m.address)).cloned()
-    }
-
-    /// Ranks the candidate owners of `key`, the best first: serving members before leaving ones,
-    /// then by capacity class, then by hash weight.
-    fn ranked(&self, key: &str) -> Vec<(Rank, &Member)> {
-        let seed = xxh3_64(key.as_bytes());
-        let weight = |m: &Member| xxh3_64_with_seed(m.address.to_string().as_bytes(), seed);
-        let rank = |m: &Member| (m.state == MemberState::Serving, m.capacity_class(), weight(m));
-        let members = self.up().chain([&self.own]);
-        let able = members.filter(|m| m.state != MemberState::Starting);
-        let mut ranked: Vec<_> = able.map(|m| (rank(m), m)).collect();
-        ranked.sort_unstable_by_key(|(rank, _)| Reverse(*rank));
-        ranked
-    }
-
-    /// Returns for each of `cells` its owner and the next candidates, at most `count` members. No
-    /// gateway is the first for two cells as long as another of equal rank is available. The member
-    /// with the highest weight for a cell gets it, so the loss of one owner rarely moves another
-    /// cell.
-    ///
-    /// Takes time proportional to the number of members, for each cell.
-    pub fn owners(&self, cells: &[Name], count: usize) -> BTreeMap<Name, Vec<Member>> {
-        let ranked: Vec<_> = cells.iter().map(|cell| (cell, self.ranked(cell))).collect();
-        let first_owners = first_owners(&ranked);
-        let owners = ranked.into_iter().map(|(cell, ranked)| {
-            let first = first_owners.get(cell).copied();
-            let ranked = ranked.into_iter().map(|(_, member)| member);
-            let others = ranked.filter(|m| Some(m.address) != first.map(|f| f.address));
-            (cell.clone(), first.into_iter().chain(others).take(count).cloned().collect())
-        });
-        owners.collect()
-    }
-
     /// The other members, each with the time since which it is in its state or down, and whether it
     /// is considered up.
     pub fn others(&self) -> impl Iterator<Item = (&Member, Timestamp, bool)> {
--- a/src/direct/peers/message.rs
+++ b/src/direct/peers/message.rs
@@ -9,7 +9,8 @@
 use crate::direct::departures::Departure;
 use crate::direct::limits::known::AnnouncedLimit;
 use crate::direct::owner::producers::Usage;
-use crate::direct::peers::members::Member;
+use crate::direct::peers::heartbeat::Heartbeat;
+use crate::direct::peers::member::Member;
 use crate::direct::poison::fingerprint::Fingerprint;
 use crate::direct::poison::suspects::AnnouncedSuspect;
 use crate::direct::published::documents::{Revised, Seen};
@@ -128,7 +129,7 @@
 /// A message from one gateway to another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
-    /// The heartbeat of the sender, with its view of the members and its state.
+    /// The heartbeat for builds of form 6 and earlier, with all members and the sender's state.
     Gossip {
         /// The members that the sender considers up, including itself.
         members: Vec<Member>,
@@ -252,6 +253,8 @@
         /// Expected time until a permit is available, if none was given.
         retry_after: Duration,
     },
+    /// The heartbeat of the sender.
+    Heartbeat(Box<Heartbeat>),
 }
 
 impl PeerMessage {
@@ -273,6 +276,7 @@
             Self::AskSuspects(_) => "ask_suspects",
             Self::AskPermit { .. } => "ask_permit",
             Self::Permit { .. } => "permit",
+            Self::Heartbeat(_) => "heartbeat",
         }
     }
 }
--- a/src/direct/peers/pulls.rs
+++ b/src/direct/peers/pulls.rs
@@ -6,6 +6,7 @@
 //! configuration that peers have is not delayed indefinitely. The list of endpoints is small and
 //! requested separately, so that it never waits for a configuration.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use rand::Rng;
 use rand::seq::IndexedRandom;
 
+use crate::direct::peers::member::Distance;
 use crate::direct::peers::members::Members;
 use crate::direct::published::documents::Seen;
 use crate::direct::published::position::Position;
@@ -25,6 +27,9 @@
 /// again at random times when an era begins; only one that has not succeeded by then requests the
 /// entries.
 const OWN_REREAD_GRACE: Duration = Duration::from_millis(1_200);
+/// Time that a gateway which follows its peers waits for one of its region before it requests
+/// entries from one of another region.
+const FAR_GRACE: Duration = Duration::from_millis(300);
 // A configuration must arrive within 2 s of its first announcement. The worst case is 1,800 ms:
 // `MAX_WAIT`, which bounds the wait for the own read and `MIN_INTERVAL` together (1,000 ms),
 // `FIRST_CHUNK_TIMEOUT` of a silent peer (400 ms), and the transfer from another peer, half a
@@ -51,7 +56,10 @@
 /// Time since its last progress for which the own read of a configuration is assumed to be running;
 /// a lost packet is retransmitted within this time.
 const READ_PROGRESS_TIMEOUT: Duration = Duration::from_millis(500);
-/// Minimum time between a configuration's coming into force and the next request. If versions are
+/// A configuration whose transfer takes this long saturates this host's link.
+const LONG_TRANSFER_TIME: Duration = Duration::from_millis(150);
+/// Minimum time between a configuration's coming into force and the next request of a gateway that
+/// reads the store itself, or whose link is saturated by configurations. If versions are
 /// published faster than a link transfers them, this leaves some bandwidth for requests.
 const MIN_INTERVAL: Duration = Duration::from_millis(700);
 /// Maximum number of versions whose first announcement is recorded.
@@ -123,6 +131,7 @@
 #[derive(Debug, Clone, Copy)]
 struct PeerAhead {
     peer: SocketAddr,
+    distance: Distance,
     position: Position,
     since: Timestamp,
 }
@@ -149,6 +158,8 @@
     configured_at: Option<Timestamp>,
     /// The pulls that have not ended, at most [`MAX_IN_FLIGHT`], the oldest first.
     in_flight: Vec<InFlight>,
+    /// How long the last configuration that a peer sent was in transfer.
+    last_transfer_time: Duration,
     /// Number of the last pull of a configuration.
     last_number: u64,
     /// Peers that are not asked, and the end of that time.
@@ -164,7 +175,7 @@
     /// complete list.
     pub fn on_announcement(
         &mut self,
-        peer: SocketAddr,
+        (peer, distance): (SocketAddr, Distance),
         seen: Seen,
         complete: bool,
         own: OwnState,
@@ -179,7 +190,10 @@
         let lacks_list = complete && !own.complete;
         if lacks_list || seen.endpoints > own.seen.endpoints {
             let since = self.list.map_or(now, |l| l.since);
-            self.list = Some(PeerAhead { peer, position: seen.endpoints, since });
+            let is_nearer = self.list.is_none_or(|l| distance <= l.distance);
+            if is_nearer {
+                self.list = Some(PeerAhead { peer, distance, position: seen.endpoints, since });
+            }
         }
     }
 
@@ -208,8 +222,9 @@
     }
 
     /// Records that a peer's configuration has been received.
-    pub fn answered(&mut self, peer: SocketAddr) {
-        self.in_flight.retain(|p| p.peer != peer);
+    pub fn answered(&mut self, peer: SocketAddr, now: Timestamp) {
+        let answered = self.in_flight.extract_if(.., |p| p.peer == peer).next();
+        self.last_transfer_time = answered.map_or(Duration::ZERO, |p| now.saturating_sub(p.since));
     }
 
     /// Records that a peer has no newer configuration, can't send it now, or that its connection
@@ -310,7 +325,10 @@
             .unwrap_or_default();
         let mut at = since;
         if let Some(configured) = self.configured_at.filter(|_| !own.is_starting) {
-            at = (at + OWN_READ_GRACE).max(configured + MIN_INTERVAL);
+            let grace = if own.reads_store { OWN_READ_GRACE } else { Duration::ZERO };
+            let is_short = !own.reads_store && self.last_transfer_time < LONG_TRANSFER_TIME;
+            let interval = if is_short { Duration::ZERO } else { MIN_INTERVAL };
+            at = (at + grace).max(configured + interval);
         }
         if let Some(progressed) = self.read_progressed_at {
             at = at.max(progressed + READ_PROGRESS_TIMEOUT);
@@ -322,13 +340,19 @@
         self.in_flight.iter().any(|p| p.peer == peer)
     }
 
-    /// Chooses a random one of the peers with the newest configuration on the strongest hosts.
+    /// Chooses a random one of the peers with the newest configuration: those of this region before
+    /// others, then those on the strongest hosts, then the nearest.
     fn choose(&self, members: &Members, rng: &mut impl Rng) -> Option<SocketAddr> {
         let able = self
             .newer
             .iter()
             .filter(|(p, _)| !self.backing_off.contains_key(*p) && !self.is_pulling_from(**p));
-        let ranked: Vec<_> = able.map(|(p, v)| ((*v, members.capacity_class_of(*p)), *p)).collect();
+        let rank = |(peer, version): (&SocketAddr, &u64)| {
+            let distance = members.distance_of(*peer);
+            let is_in_region = distance != Distance::OtherRegion;
+            (*version, is_in_region, members.capacity_class_of(*peer), Reverse(distance))
+        };
+        let ranked: Vec<_> = able.map(|peer| (rank(peer), *peer.0)).collect();
         let best = ranked.iter().map(|(rank, _)| *rank).max()?;
         let best: Vec<SocketAddr> =
             ranked.into_iter().filter(|(rank, _)| *rank == best).map(|(_, p)| p).collect();
@@ -339,6 +363,8 @@
         let ahead = self.list?;
         let wait_limit = match own.complete {
             false => Duration::ZERO,
+            true if !own.reads_store && ahead.distance == Distance::OtherRegion => FAR_GRACE,
+            true if !own.reads_store => Duration::ZERO,
             true if own.seen.endpoints.era < ahead.position.era => OWN_REREAD_GRACE,
             true => OWN_READ_GRACE,
         };
@@ -356,4 +382,6 @@
     pub complete: bool,
     /// Whether the gateway decides nothing before it has the newest known configuration.
     pub is_starting: bool,
+    /// Whether the gateway reads the publisher's store itself.
+    pub reads_store: bool,
 }
--- a/src/direct/poison_detection.rs
+++ b/src/direct/poison_detection.rs
@@ -12,6 +12,7 @@
 use crate::direct::log_events::LogEvent;
 use crate::direct::peers::members::HEARTBEAT_INTERVAL;
 use crate::direct::peers::message::PeerMessage;
+use crate::direct::peers::neighbours::Recipients;
 use crate::direct::poison::RunReport;
 use crate::direct::poison::fingerprint::Fingerprint;
 use crate::direct::poison::suspects::{AnnouncedSuspect, Quarantined};
@@ -152,8 +153,8 @@
     }
 
     /// Sends suspect updates with a heartbeat to the same peers, removes expired suspects, and asks
-    /// a random peer for its suspects when that is due.
-    pub(super) fn exchange_suspects(&mut self, to: &[SocketAddr], now: Timestamp) {
+    /// one of them for its suspects when that is due.
+    pub(super) fn exchange_suspects(&mut self, recipients: &Recipients, now: Timestamp) {
         self.broken.expire(now);
         if self.suspects.has_expired(now) {
             Arc::make_mut(&mut self.suspects).expire(now);
@@ -162,12 +163,11 @@
         if self.suspects.has_changes() {
             let updates = Arc::make_mut(&mut self.suspects).take_changes(now);
             let message = PeerMessage::Suspects(updates);
-            self.out.push(Action::Broadcast { to: to.to_vec(), message });
+            self.out.push(Action::Broadcast { to: recipients.members(), message });
         }
         if now >= self.next_suspects_request
-            && let Some(peer) = self.members.up().choose(&mut self.rng)
+            && let Some(to) = recipients.members().into_iter().choose(&mut self.rng)
         {
-            let to = peer.address;
             self.next_suspects_request = now + SUSPECTS_REQUEST_INTERVAL;
             self.send(to, PeerMessage::AskSuspects(self.suspects.digest()));
         }
--- a/src/direct/publication.rs
+++ b/src/direct/publication.rs
@@ -17,21 +17,21 @@
 use crate::direct::published::model::{Deployment, Endpoint, Name};
 use crate::direct::published::position::Position;
 use crate::direct::published::store_read::StoreRead;
+use crate::direct::store_reading::StoreUse;
 use crate::message::Timestamp;
 
 /// Minimum wait of a watch of the publisher's store. A change that a silent connection does not
 /// deliver is read by the next watch, soon enough even if all connections fall silent at once.
 const MIN_WATCH_TIMEOUT: Duration = Duration::from_secs(2);
-/// Average interval between the ends of two watches of a large group of gateways. The first gateway
+/// Average interval between the ends of two watches of all readers of the store. The first reader
 /// whose new watch returns a change sends it to all others.
 const WATCH_END_INTERVAL: Duration = Duration::from_millis(250);
 /// Minimum delay between a watch that returned changes and the next one. Endpoints write their
 /// entries one after the other, and each watch is a call with a cost, so changes accumulate for
 /// this long.
 pub const MIN_WATCH_DELAY: Duration = Duration::from_millis(250);
-/// Average interval at which the gateways of a large group resume watching after a change; the
-/// first one sends the changes since to the others. Beyond 133 gateways, where
-/// [`MAX_WATCH_TIMEOUT`] caps the delay, the number of calls grows with the number of gateways.
+/// Average interval at which the readers of the store resume watching after a change; the first one
+/// sends the changes since to the others.
 const WATCH_RESUME_INTERVAL: Duration = Duration::from_millis(60);
 /// Random delay before a reread of the store in a new era, per gateway, since all gateways reread
 /// everything.
@@ -42,19 +42,19 @@
 const MAX_WATCH_TIMEOUT: Duration = Duration::from_secs(8);
 
 impl GatewayCore {
-    /// How long a watch of the publisher's store waits. With 28 gateways, whose watches end at
-    /// random times every 7 s, no gateway starts a new watch within 2.3 s in one of 70,000 cases.
+    /// How long a watch of the publisher's store waits. With 28 readers, whose watches end at
+    /// random times every 7 s, none starts a new watch within 2.3 s in one of 70,000 cases.
     pub fn watch_timeout(&self) -> Duration {
-        let watching = self.members.up().count() as u32 + 1;
+        let watching = self.members.reader_count() as u32;
         (WATCH_END_INTERVAL * watching).clamp(MIN_WATCH_TIMEOUT, MAX_WATCH_TIMEOUT)
     }
 
     /// Range of the random delay between a watch that returned a change of the endpoint list and
-    /// the next watch. The gateway that resumes first sends the changes since to the others, so a
-    /// change costs one call per gateway only after a quiet period. 103 gateways made 2,714 calls
-    /// on a quiet day, and 4,051 when all of them resumed after 250 ms.
+    /// the next watch. The reader that resumes first sends the changes since to the others, so a
+    /// change costs one call per reader only after a quiet period. 103 readers made 2,714 calls on
+    /// a quiet day, and 4,051 when all of them resumed after 250 ms.
     pub fn watch_delay_range(&self) -> RangeInclusive<Duration> {
-        let watching = self.members.up().count() as u32 + 1;
+        let watching = self.members.reader_count() as u32;
         MIN_WATCH_DELAY
             ..=(WATCH_RESUME_INTERVAL * watching).clamp(MIN_WATCH_DELAY, MAX_WATCH_TIMEOUT)
     }
@@ -62,7 +62,7 @@
     /// Maximum of the random delay before this gateway rereads the store for an era that a peer
     /// reported.
     pub fn max_reread_delay(&self) -> Duration {
-        let watching = self.members.up().count() as u32 + 1;
+        let watching = self.members.reader_count() as u32;
         (REREAD_DELAY_PER_GATEWAY * watching).min(MAX_REREAD_DELAY)
     }
 
@@ -106,7 +106,7 @@
         deployment: Arc<Deployment>,
         now: Timestamp,
     ) {
-        self.pulls.answered(from);
+        self.pulls.answered(from, now);
         let document = Document::Deployment(deployment);
         let merged =
             self.documents.merge(vec![Revised { position, created_revision: 0, document }], now);
@@ -159,6 +159,7 @@
             seen: self.documents.seen(),
             complete: self.documents.is_complete(),
             is_starting: self.complete_since.is_none(),
+            reads_store: self.store_reading.store_use() != StoreUse::Follow,
         }
     }
 
--- a/src/direct/requests/owners.rs
+++ b/src/direct/requests/owners.rs
@@ -44,6 +44,11 @@
         self.ranked = members.owners(&names, MAX_OWNERS + 1);
     }
 
+    /// The owners of all cells and their first successors.
+    fn addresses(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.ranked.values().flat_map(|ranked| ranked.iter().take(2).map(|m| m.address))
+    }
+
     /// The first owner of a cell that is not among the skipped ones.
     pub(super) fn owner_of(&self, cell: &str, skipped_owners: &[SocketAddr]) -> Option<Member> {
         let ranked = self.ranked.get(cell)?;
@@ -52,6 +57,11 @@
 }
 
 impl Requests {
+    /// The owners of all cells and their first successors, as ranked for the last request.
+    pub fn owner_addresses(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.owners.addresses()
+    }
+
     /// The cell for the stages of a request that will run in `data_centre`, where their results
     /// will be fetched: that of the data centre, unless the request was moved to another cell.
     pub(super) fn cell_for(&mut self, caller: u64, data_centre: &str, table: &Table) -> Name {
--- a/src/direct/shell.rs
+++ b/src/direct/shell.rs
@@ -25,8 +25,10 @@
 use crate::direct::gates::Gates;
 use crate::direct::log_events::{LogEvent, ms};
 use crate::direct::peers::links::PeerLinks;
-use crate::direct::published::model::{CallerLimits, Endpoint};
+use crate::direct::published::model::Endpoint;
+pub use crate::direct::state::State;
 use crate::direct::statement::{CallKind, Statement};
+use crate::direct::store_reading::StoreUse;
 use crate::direct::stream::EventSplitter;
 use crate::logging::LogWriter;
 use crate::message::Timestamp;
@@ -96,17 +98,6 @@
     state: watch::Receiver<State>,
 }
 
-/// State for front ends and readers of the store.
-#[derive(Debug, Clone, Default)]
-pub struct State {
-    /// Whether the process is ready.
-    pub ready: bool,
-    /// Limits on requests of callers.
-    pub limits: CallerLimits,
-    /// Newest known era of the publisher's store.
-    pub store_era: u64,
-}
-
 impl Gateway {
     /// Current state of the gateway.
     pub fn state(&self) -> State {
@@ -121,6 +112,14 @@
         }
     }
 
+    /// Waits until the process watches the publisher's store.
+    pub async fn until_watching(&self) {
+        let mut state = self.state.clone();
+        if state.wait_for(|state| state.store_use == StoreUse::Watch).await.is_err() {
+            std::future::pending().await
+        }
+    }
+
     /// Number of callers that wait for a response or whose stream is open.
     pub fn callers(&self) -> usize {
         lock(&self.callers).len()
@@ -262,6 +261,13 @@
         (Self { core, client, peers, callers, state, lines, gates, late_logged_at: None }, gateway)
     }
 
+    /// Sets how the process uses the publisher's store at its start.
+    #[must_use]
+    pub fn with_store_use(self, store_use: StoreUse) -> Self {
+        self.state.send_modify(|state| state.store_use = store_use);
+        self
+    }
+
     fn exchange(
         &self,
         endpoint: &Arc<Endpoint>,
@@ -471,6 +477,7 @@
             Action::Broadcast { to, message } => self.peers.broadcast(&to, message),
             Action::Disconnect { from } => self.peers.disconnect(from),
             Action::SetReady(ready) => self.state.send_modify(|s| s.ready = ready),
+            Action::SetStoreUse(store_use) => self.state.send_modify(|s| s.store_use = store_use),
             Action::SetStoreEra(era) => self.state.send_modify(|s| s.store_era = era),
             Action::SetCallerLimits(limits) => self.state.send_modify(|s| s.limits = limits),
             Action::Log(event) => self.write_log(&event),
--- a/testbed/src/frames.rs
+++ b/testbed/src/frames.rs
@@ -16,7 +16,8 @@
 use stackmast::direct::limits::known::AnnouncedLimit;
 use stackmast::direct::owner::producers::Usage;
 use stackmast::direct::peers::codec::{FORM, Outgoing};
-use stackmast::direct::peers::members::{Member, MemberState};
+use stackmast::direct::peers::heartbeat::{GatewayState, Heartbeat, Probe};
+use stackmast::direct::peers::member::{Location, Member, MemberState, MemberUpdate};
 use stackmast::direct::peers::message::{
     Job, JobId, JobReason, JobStage, PeerMessage, StoredResult,
 };
@@ -194,19 +195,21 @@
     StoredResult { handle: name("10.1.64.7:8080/91bd3f06e44"), endpoint: name("endpoint-2") }
 }
 
-fn heartbeat() -> PeerMessage {
-    let member = Member {
+fn member() -> Member {
+    Member {
         address: address(8_628),
         incarnation: 1_790_000_000_000_001,
         heartbeat: 300,
         state: MemberState::Serving,
         capacity: 190,
-    };
+    }
+}
+
+fn state() -> GatewayState {
     let order =
         EvacuationChange { data_centre: name("hall-1"), position: position(31), in_force: true };
     let usage = Usage { endpoint: name("endpoint-2"), bytes: 96_000 };
-    PeerMessage::Gossip {
-        members: vec![member],
+    GatewayState {
         seen: Seen { version: 12, endpoints: position(345) },
         complete: true,
         usage: vec![usage],
@@ -218,6 +221,37 @@
     }
 }
 
+fn gossip() -> PeerMessage {
+    let state = state();
+    PeerMessage::Gossip {
+        members: vec![member()],
+        seen: state.seen,
+        complete: state.complete,
+        usage: state.usage,
+        event_lag: state.event_lag,
+        evacuations: state.evacuations,
+        departures: state.departures,
+        limits: state.limits,
+        era: state.era,
+    }
+}
+
+fn heartbeat() -> PeerMessage {
+    let location = Location { data_centre: name("hall-1"), region: name("region-1") };
+    let sender = MemberUpdate { member: member(), location, reads_fail: true, is_suspected: false };
+    let suspected = MemberUpdate { is_suspected: true, ..sender.clone() };
+    PeerMessage::Heartbeat(Box::new(Heartbeat {
+        sender,
+        is_monitor: true,
+        probe: Some(Probe::Reconnect),
+        updates: vec![suspected],
+        is_complete_list: true,
+        members_digest: 0x7216_d334_0145_feea,
+        store_age: Some(Duration::from_millis(730)),
+        state: state(),
+    }))
+}
+
 fn limit() -> AnnouncedLimit {
     AnnouncedLimit {
         endpoint: name("endpoint-2"),
@@ -284,7 +318,7 @@
     ];
     let deployment = Arc::new(deployment());
     vec![
-        heartbeat(),
+        gossip(),
         PeerMessage::Pull {
             seen: Seen { version: 12, endpoints: position(345) },
             configuration: true,
@@ -313,5 +347,6 @@
             wait: Duration::from_millis(700),
         },
         PeerMessage::Permit { number: 9, granted: false, retry_after: Duration::from_millis(340) },
+        heartbeat(),
     ]
 }
--- a/testbed/src/options.rs
+++ b/testbed/src/options.rs
@@ -13,6 +13,7 @@
   hop                   added latency, compared with calling the endpoints directly
   capacity [N...]       measurements for docs/CAPACITY.md, with N processes
   load FILE [POLICY...] a scenario under several policies, paired
+  group N...            traffic and delays in groups of N gateways, in virtual time
   frames FILE           writes encoded messages between gateways, one of each kind
   soak                  real processes under random faults, with a check of all outcomes
   stackmastd ARGS       the daemon, as part of this program
@@ -55,6 +56,11 @@
             let counts: Vec<_> = counts.iter().filter_map(|c| c.parse().ok()).collect();
             run(crate::capacity::run(&this_program(), &counts))
         }
+        ["group", counts @ ..] => {
+            let counts: Vec<usize> = counts.iter().filter_map(|c| c.parse().ok()).collect();
+            print!("{}", crate::group_table::table(&counts, number(&matches, "seed", 1.0) as u64));
+            exit::OK
+        }
         ["frames", file] => run(std::future::ready(crate::frames::write(file))),
         ["soak"] => {
             let (seconds, seed) =
--- a/tests/direct_cells.rs
+++ b/tests/direct_cells.rs
@@ -13,6 +13,7 @@
 use stackmast::direct::core::GatewayCore;
 use stackmast::direct::event::{Action, Event};
 use stackmast::direct::owner::owners::Owners;
+use stackmast::direct::peers::member::Location;
 use stackmast::direct::peers::members::{Member, MemberState, Members};
 use stackmast::direct::peers::message::{Job, JobReason, PeerMessage};
 use stackmast::direct::published::documents::{Document, Revised};
@@ -75,7 +76,7 @@
 }
 
 fn members(count: u16, strong: u16) -> Members {
-    let mut members = Members::new(address(1), 1, 100, Vec::new());
+    let mut members = Members::new(address(1), 1, 100, Location::default(), Vec::new());
     members.set_state(MemberState::Serving);
     let others: Vec<Member> = (2..=count)
         .map(|port| {
--- a/tests/direct_come_back.rs
+++ b/tests/direct_come_back.rs
@@ -7,6 +7,7 @@
 use directenv::{address, ms};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use stackmast::direct::peers::member::Location;
 use stackmast::direct::peers::members::{Member, MemberState, Members};
 use stackmast::direct::stop::{MIN_DURATION, Stop, retry_after};
 use test_case::test_case;
@@ -34,7 +35,7 @@
 }
 
 fn members(others: &[Other]) -> Members {
-    let mut members = Members::new(address(1), 1, 1_000, Vec::new());
+    let mut members = Members::new(address(1), 1, 1_000, Location::default(), Vec::new());
     for (number, other) in others.iter().enumerate() {
         let (state, since) = match other {
             Other::Serving(since) | Other::Dead(since) => (MemberState::Serving, *since),
@@ -77,7 +78,7 @@
 #[test_case(50_000; "fifty seconds ago")]
 fn a_gateway_that_failed_long_ago_is_not_expected_back_soon(ago: i64) {
     let signal = Duration::from_secs(100);
-    let mut members = Members::new(address(1), 1, 1_000, Vec::new());
+    let mut members = Members::new(address(1), 1, 1_000, Location::default(), Vec::new());
     let lost = signal - ms(ago as u64);
     let state = MemberState::Serving;
     let member =
--- a/tests/direct_eras.rs
+++ b/tests/direct_eras.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use directenv::gateway::{Heartbeat, new_core, serving, setup};
+use directenv::gateway::{Heartbeat, announced_states, new_core, serving, setup};
 use directenv::{address, deployment, endpoint, endpoints, ms, route};
 use stackmast::actor::Core;
 use stackmast::direct::core::{GatewayCore, Setup};
@@ -253,9 +253,7 @@
         )
     };
     assert!(actions.iter().any(is_line), "{actions:?}");
-    let spreads = actions.iter().any(|a| {
-        matches!(a, Action::Broadcast { message: PeerMessage::Gossip { era: AFTER, .. }, .. })
-    });
+    let spreads = announced_states(&actions).iter().any(|state| state.era == AFTER);
     assert!(spreads, "the era is broadcast at once");
     let again = core.handle(beat(2, Heartbeat { era: AFTER, ..Heartbeat::default() }), ms(510));
     assert!(new_eras(&again).is_empty());
--- a/tests/direct_evacuations.rs
+++ b/tests/direct_evacuations.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use directenv::gateway::{
-    Heartbeat, calls, configured, incoming, listed, new_core, publish, refusal, serving, submit,
+    Heartbeat, announced_states, calls, configured, incoming, listed, new_core, publish,
+    receive_gossip, refusal, serving, submit,
 };
 use directenv::{address, deployment, endpoint, ms, position, route};
 use proptest::prelude::*;
@@ -14,7 +15,7 @@
 use stackmast::direct::core::GatewayCore;
 use stackmast::direct::event::{Action, Event, Refused};
 use stackmast::direct::log_events::LogEvent;
-use stackmast::direct::peers::message::PeerMessage;
+use stackmast::direct::peers::heartbeat::GatewayState;
 use stackmast::direct::published::evacuations::{EvacuationChange, Evacuations};
 use stackmast::direct::published::model::{Endpoint, Repeat};
 use test_case::test_case;
@@ -54,14 +55,20 @@
 #[test]
 fn an_order_is_in_force_at_once_until_it_is_withdrawn() {
     let mut core = core();
+    receive_gossip(&mut core, vec![serving(2)], ms(1));
     assert_eq!(reached(&mut core, 1, ms(1)), ["hall-0", "hall-1"]);
     let actions = ordered(&mut core, change("hall-0", 5, true), ms(2));
     let noted = |a: &&Action| {
         matches!(a, Action::Log(LogEvent::Evacuation { stands: true, endpoints: 4, .. }))
     };
     assert_eq!(actions.iter().filter(noted).count(), 1, "logged once");
-    let spread = |a: &&Action| matches!(a, Action::Broadcast { message: PeerMessage::Gossip { evacuations, .. }, .. } if evacuations.evacuated().contains("hall-0"));
-    assert_eq!(actions.iter().filter(spread).count(), 1, "and broadcast at once");
+    let announced = announced_states(&actions);
+    let is_named = |state: &GatewayState| state.evacuations.evacuated().contains("hall-0");
+    assert_eq!(
+        announced.iter().filter(|state| is_named(state)).count(),
+        1,
+        "and announced at once"
+    );
     assert_eq!(reached(&mut core, 10, ms(3)), ["hall-1"]);
     ordered(&mut core, change("hall-0", 4, false), ms(4));
     assert_eq!(reached(&mut core, 20, ms(5)), ["hall-1"], "older changes are ignored");
--- a/tests/direct_limits.rs
+++ b/tests/direct_limits.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use directenv::gateway::{
-    Heartbeat, calls, configured, good, incoming, publish, receive_gossip, refusal, serving, setup,
-    submit,
+    Heartbeat, announced_states, calls, configured, good, incoming, publish, receive_gossip,
+    refusal, serving, setup, submit,
 };
 use directenv::status_headers::{
     SECONDS, batches, engine, enter, pause_for, receive_status, routes, with_incarnation,
@@ -21,6 +21,7 @@
 use stackmast::direct::limits::known::{AnnouncedLimit, KnownLimits};
 use stackmast::direct::limits::limiter::{Asker, Limiter, Pace, PermitDecision, PermitRequest};
 use stackmast::direct::peers::build::Build;
+use stackmast::direct::peers::member::Location;
 use stackmast::direct::peers::members::{Member, MemberState, Members};
 use stackmast::direct::peers::message::PeerMessage;
 use stackmast::direct::statement::{CallKind, RateLimit, RequestRate, Statement};
@@ -338,12 +339,7 @@
 }
 
 fn sent_limits(actions: &[Action]) -> Vec<AnnouncedLimit> {
-    let messages = actions.iter().filter_map(|a| match a {
-        Action::Broadcast { message: PeerMessage::Gossip { limits, .. }, .. }
-        | Action::Send { message: PeerMessage::Gossip { limits, .. }, .. } => Some(limits),
-        _ => None,
-    });
-    messages.flatten().cloned().collect()
+    announced_states(actions).into_iter().flat_map(|state| state.limits).collect()
 }
 
 #[test]
@@ -426,7 +422,7 @@
 }
 
 fn settled(others: u16) -> Members {
-    let mut members = Members::new(address(1), 1, 1_000, Vec::new());
+    let mut members = Members::new(address(1), 1, 1_000, Location::default(), Vec::new());
     members.set_state(MemberState::Serving);
     let alive: Vec<Member> = (2..2 + others).map(serving).collect();
     members.merge(&alive, ms(0));
@@ -450,7 +446,7 @@
     let heartbeat = |port| Member { heartbeat: 900, ..serving(port) };
     let alive: Vec<Member> = (6..=10).map(heartbeat).collect();
     members.merge(&alive, ms(70_000));
-    members.expire(ms(70_100));
+    members.expire(Duration::ZERO, ms(70_100));
     assert!((members.reachable_share(all, ms(72_000)) - 0.6).abs() < 1e-9);
 }
 
--- a/tests/direct_members.rs
+++ b/tests/direct_members.rs
@@ -9,7 +9,9 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use stackmast::direct::owner::producers::{Producers, Usage};
+use stackmast::direct::peers::member::Location;
 use stackmast::direct::peers::members::{Member, MemberState, Members, MembershipChanges};
+use stackmast::direct::peers::neighbours::News;
 use stackmast::direct::published::documents::{Document, Documents, EntryState, Revised, Seen};
 use stackmast::direct::repeats::{RepeatBudget, RepeatLimiter};
 use stackmast::direct::stop::others_serve;
@@ -21,7 +23,7 @@
 }
 
 fn three() -> Members {
-    let mut members = Members::new(address(1), 1, 1_000, Vec::new());
+    let mut members = Members::new(address(1), 1, 1_000, Location::default(), Vec::new());
     members.set_state(MemberState::Serving);
     let serving = MemberState::Serving;
     members.merge(&[member(2, 5, 1, serving), member(3, 5, 1, serving)], ms(0));
@@ -70,8 +72,8 @@
 #[test]
 fn silent_members_are_unreachable_until_their_next_heartbeat() {
     let mut members = three();
-    assert!(members.expire(ms(900)).is_empty());
-    assert_eq!(members.expire(ms(1_000)).len(), 2);
+    assert!(members.expire(Duration::ZERO, ms(900)).is_empty());
+    assert_eq!(members.expire(Duration::ZERO, ms(1_000)).len(), 2);
     assert_eq!(members.up().count(), 0);
     assert_eq!(members.known_count(), 3, "silence does not raise the share of the budget");
     let back = members.merge(&[member(2, 5, 9, MemberState::Serving)], ms(1_100));
@@ -104,8 +106,8 @@
     assert!(!members.suspect(address(3), 4, ms(100)), "the connection of another incarnation");
     members.merge(&[member(2, 5, 2, MemberState::Serving)], ms(300));
     assert_eq!(members.next_suspicion(), Some(ms(700)));
-    assert!(members.expire(ms(699)).is_empty());
-    let lost = members.expire(ms(700));
+    assert!(members.expire(Duration::ZERO, ms(699)).is_empty());
+    let lost = members.expire(Duration::ZERO, ms(700));
     assert_eq!(lost.iter().map(|m| m.address).collect::<Vec<_>>(), [address(3)]);
     assert!(members.is_up(address(2), 5));
 }
@@ -120,11 +122,16 @@
 
 #[test]
 fn seeds_get_heartbeats_until_they_are_members() {
-    let mut members = Members::new(address(1), 1, 1_000, vec![address(1), address(2)]);
+    let mut members =
+        Members::new(address(1), 1, 1_000, Location::default(), vec![address(1), address(2)]);
     let mut rng = StdRng::seed_from_u64(1);
-    assert_eq!(members.next_heartbeat(&mut rng), [address(2)]);
+    let first = members.next_heartbeat(News::None, &mut rng);
+    assert_eq!(first.contacts, [address(2)]);
+    assert!(first.members().is_empty());
     members.merge(&[member(2, 1, 1, MemberState::Starting)], ms(0));
-    assert_eq!(members.next_heartbeat(&mut rng), [address(2)], "as a member now, only once");
+    let next = members.next_heartbeat(News::None, &mut rng);
+    assert!(next.contacts.is_empty());
+    assert_eq!(next.members(), [address(2)], "as a member now, only once");
 }
 
 fn entry(number: u16, revision: u64) -> Revised {
--- a/tests/direct_pulls.rs
+++ b/tests/direct_pulls.rs
@@ -28,6 +28,8 @@
         incarnation: 1,
         capacity: 90,
         data_centre: "hall-1".into(),
+        region: "east".into(),
+        is_first_start: false,
         seeds: Vec::new(),
         repeats: RepeatBudget { ratio: 0.2, slack: 20.0, window: ms(10_000) },
         grace: ms(8_000),
--- a/tests/direct_stops.rs
+++ b/tests/direct_stops.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use directenv::gateway::{
-    calls, configured, good, incoming, receive_gossip, refusal, serving, submit,
+    announced_state, calls, configured, good, incoming, receive_gossip, refusal, serving, submit,
 };
 use directenv::{address, job, ms, route};
 use stackmast::actor::Core;
@@ -311,7 +311,7 @@
         Action::Send { to, message } if *to == address(port) => Some(message),
         _ => None,
     });
-    told.filter(|m| !matches!(m, PeerMessage::Gossip { .. })).collect()
+    told.filter(|m| announced_state(m).is_none()).collect()
 }
 
 fn is_refused_as_not_owned(told: &[&PeerMessage], job: JobId) -> bool {
--- a/tests/direct_upgrades.rs
+++ b/tests/direct_upgrades.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use directenv::gateway::{
-    Idle, configured, incoming, new_core, receive_gossip, serving, setup, submit,
+    Idle, announced_state, configured, incoming, new_core, receive_gossip, serving, setup, submit,
 };
 use directenv::{address, endpoint, job, job_id, ms, position, route};
 use futures_util::{SinkExt, StreamExt};
@@ -185,7 +185,7 @@
         Action::Send { to, message } => Some((*to, message.clone())),
         _ => None,
     });
-    sent_messages.filter(|(_, m)| !matches!(m, PeerMessage::Gossip { .. })).collect()
+    sent_messages.filter(|(_, m)| announced_state(m).is_none()).collect()
 }
 
 #[test]
--- a/tests/directenv/gateway.rs
+++ b/tests/directenv/gateway.rs
@@ -9,6 +9,8 @@
 use stackmast::direct::departures::Departure;
 use stackmast::direct::event::{Action, CallParams, Event, IncomingRequest, Refusal};
 use stackmast::direct::limits::known::AnnouncedLimit;
+use stackmast::direct::peers::heartbeat::{self, GatewayState};
+use stackmast::direct::peers::member::MemberUpdate;
 use stackmast::direct::peers::members::{Member, MemberState};
 use stackmast::direct::peers::message::PeerMessage;
 use stackmast::direct::poison::fingerprint::Fingerprint;
@@ -32,6 +34,8 @@
         incarnation: 1,
         capacity: 1_000,
         data_centre: "hall-1".into(),
+        region: "east".into(),
+        is_first_start: false,
         seeds: Vec::new(),
         repeats: RepeatBudget { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) },
         grace: Duration::from_secs(8),
@@ -164,6 +168,63 @@
     Heartbeat { members, complete: true, ..Heartbeat::default() }.message()
 }
 
+/// A heartbeat without news of a member whose location is known.
+pub fn heartbeat_of(sender: MemberUpdate) -> heartbeat::Heartbeat {
+    heartbeat::Heartbeat {
+        sender,
+        is_monitor: false,
+        probe: None,
+        updates: Vec::new(),
+        is_complete_list: false,
+        members_digest: 0,
+        store_age: None,
+        state: GatewayState::default(),
+    }
+}
+
+/// The event by which a heartbeat arrives.
+pub fn arrival(heartbeat: heartbeat::Heartbeat) -> Event {
+    let from = heartbeat.sender.member.address;
+    Event::PeerMessage { from, message: PeerMessage::Heartbeat(Box::new(heartbeat)) }
+}
+
+/// The state that a heartbeat announces, in the current form or in an earlier one.
+pub fn announced_state(message: &PeerMessage) -> Option<GatewayState> {
+    match message.clone() {
+        PeerMessage::Heartbeat(heartbeat) => Some(heartbeat.state),
+        PeerMessage::Gossip {
+            seen,
+            complete,
+            usage,
+            event_lag,
+            evacuations,
+            departures,
+            limits,
+            era,
+            ..
+        } => Some(GatewayState {
+            seen,
+            complete,
+            usage,
+            event_lag,
+            evacuations,
+            departures,
+            limits,
+            era,
+        }),
+        _ => None,
+    }
+}
+
+/// The states that are announced by heartbeats among the actions.
+pub fn announced_states(actions: &[Action]) -> Vec<GatewayState> {
+    let messages = actions.iter().filter_map(|a| match a {
+        Action::Broadcast { message, .. } | Action::Send { message, .. } => Some(message),
+        _ => None,
+    });
+    messages.filter_map(announced_state).collect()
+}
+
 /// Handles gossip about `members`, sent by the first of them.
 pub fn receive_gossip(core: &mut GatewayCore, members: Vec<Member>, now: Duration) {
     let from = members[0].address;
--- a/tests/directenv/status_headers.rs
+++ b/tests/directenv/status_headers.rs
@@ -8,11 +8,10 @@
 use stackmast::direct::core::GatewayCore;
 use stackmast::direct::departures::Departure;
 use stackmast::direct::event::{Action, Event};
-use stackmast::direct::peers::message::PeerMessage;
 use stackmast::direct::published::model::{Endpoint, Repeat, Route};
 use stackmast::direct::statement::{Backoff, CallKind, Statement};
 
-use super::gateway::{Heartbeat, calls, good, incoming, listed, serving, submit};
+use super::gateway::{Heartbeat, announced_states, calls, good, incoming, listed, serving, submit};
 use super::{address, endpoint, ms, route};
 
 pub const LEAVING: Statement = Statement { leaving: true, backoff: None, cold: None, limit: None };
@@ -122,10 +121,5 @@
 
 /// Departures that are sent with a heartbeat or with an answer to one.
 pub fn sent_departures(actions: &[Action]) -> Vec<Departure> {
-    let messages = actions.iter().filter_map(|a| match a {
-        Action::Broadcast { message: PeerMessage::Gossip { departures, .. }, .. }
-        | Action::Send { message: PeerMessage::Gossip { departures, .. }, .. } => Some(departures),
-        _ => None,
-    });
-    messages.flatten().cloned().collect()
+    announced_states(actions).into_iter().flat_map(|state| state.departures).collect()
 }
--- a/tests/directenv/world.rs
+++ b/tests/directenv/world.rs
@@ -234,6 +234,8 @@
             incarnation: self.incarnations[number],
             capacity: 1_000,
             data_centre: format!("hall-{}", number % 2).into(),
+            region: "east".into(),
+            is_first_start: false,
             seeds,
             repeats: RepeatBudget { ratio: 0.2, slack: 60.0, window: Duration::from_secs(10) },
             grace: Duration::from_secs(8),
--- a/tests/kept_frames.rs
+++ b/tests/kept_frames.rs
@@ -14,9 +14,10 @@
 use test_case::test_case;
 
 /// The form of the previous release; its compact frames are read.
-const BEFORE: u32 = 5;
-/// The form of the release before that; its compact frames are read, too.
-const EARLIER: u32 = 4;
+const BEFORE: u32 = 6;
+/// The forms of the releases before that; their compact frames are read, too.
+const EARLIER: u32 = 5;
+const EARLIEST_MARKED: u32 = 4;
 /// The first form whose compact frames are read.
 const FIRST: u32 = 3;
 /// Number of bytes before the message kind in a compact frame.
@@ -52,6 +53,7 @@
 #[test_case(FORM)]
 #[test_case(BEFORE)]
 #[test_case(EARLIER)]
+#[test_case(EARLIEST_MARKED)]
 #[test_case(FIRST)]
 #[test_case(2)]
 fn json_of_earlier_releases_is_read(form: u32) {
@@ -64,6 +66,7 @@
 #[test_case(FORM)]
 #[test_case(BEFORE)]
 #[test_case(EARLIER)]
+#[test_case(EARLIEST_MARKED)]
 #[test_case(FIRST)]
 fn compact_frames_of_earlier_releases_are_read_like_their_json(form: u32) {
     for (kind, frame) in kept(form).frames {
@@ -77,6 +80,7 @@
 #[test_case(FORM)]
 #[test_case(BEFORE)]
 #[test_case(EARLIER)]
+#[test_case(EARLIEST_MARKED)]
 fn an_unmarked_frame_of_a_marked_form_is_not_read(form: u32) {
     for (kind, frame) in kept(form).frames {
         let compact = frame.compact_bytes().expect("hexadecimal");
@@ -114,6 +118,7 @@
 
 #[test_case(BEFORE)]
 #[test_case(EARLIER)]
+#[test_case(EARLIEST_MARKED)]
 #[test_case(FIRST)]
 #[test_case(2)]
 fn json_of_this_build_fits_the_schema_of_earlier_releases(form: u32) {
