--- a/src/direct/departures.rs
+++ b/src/direct/departures.rs
@@ -25,8 +25,7 @@
 /// Maximum number of departures that are kept; bounds memory. 3,000 endpoints are expected in two
 /// years, few of which leave at the same time.
 const MAX_DEPARTURES: usize = 4_096;
-/// Number of heartbeats with which each gateway gossips a departure, to eight peers each. By
-/// calculation, one departure in 9,000,000 is then gossiped by none of 580 gateways.
+/// Number of heartbeats with which each gateway gossips a departure, to eight random peers each.
 const HEARTBEATS_PER_CHANGE: u8 = 2;
 /// Maximum number of departures in one heartbeat; the others follow with the next ones.
 const MAX_PER_HEARTBEAT: usize = 256;
--- a/src/direct/peers/links.rs
+++ b/src/direct/peers/links.rs
@@ -33,9 +33,9 @@
 pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time after which a connection with unacknowledged data is closed (`TCP_USER_TIMEOUT`).
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Time without a message after which a connection is considered silent. With 580 gateways, each of
-/// which sends a heartbeat to eight random ones every 200 ms, a connection carries one every 14 s
-/// on average.
+/// Time without a message after which a connection is considered silent. Each gateway sends every
+/// heartbeat, one in 200 ms, to a random member of its data centre: with 150 members, a connection
+/// carries one every 30 s on average.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
 /// Time for which a long message waits for the peer's greeting: JSON, which all builds read, is
 /// several times as long as the compact form.
