Interfaces for decisions under load

Both deployments with hard load need four parts that are built side by side: order of service, placement of stages, engine load, returning callers. This commit agrees on what they share and changes no decision:

- form 8: a submission names the organisation, a heartbeat carries load reports; forms 6 and 7 are read by peers/before_loads, their frames are kept and tested;
- the load that a response states is a type, with the time that work takes;
- refusal, displacement and placement of an owner are modules of their own;
- StageLoad::reserved: capacity kept for callers that return;
- log events of decisions under load.

tests/kept_frames.rs: form 7 is now an earlier form, read like forms 6 and 5.

--- a/src/direct/answers.rs
+++ b/src/direct/answers.rs
@@ -1,5 +1,6 @@
 //! Outcomes of calls to endpoints: responses, failures, and outcomes of pieces.
 
+use crate::direct::engines::load::Load;
 use crate::direct::peers::message::Handle;
 
 /// What a response proves about the request and the endpoint.
@@ -15,8 +16,8 @@
     pub not_run: bool,
     /// Whether the endpoint at this address is another one than the one that was called.
     pub from_other_endpoint: bool,
-    /// Numbers of running and waiting requests at the endpoint, and of its slots.
-    pub load: Option<(u32, u32, u32)>,
+    /// Load of the endpoint, if the response states it.
+    pub load: Option<Load>,
 }
 
 /// How a call failed without a response.
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -306,6 +306,9 @@
     pub connections: usize,
     /// When the permit expires, for an endpoint with a rate limit.
     pub permit: Option<Timestamp>,
+    /// Address of the engine from which the endpoint fetches the parts of the prompt that it lacks;
+    /// `None` if it computes them.
+    pub prompt_source: Option<SocketAddr>,
 }
 
 /// One piece of a batch call.
--- a/src/direct/log_events/kinds.rs
+++ b/src/direct/log_events/kinds.rs
@@ -85,6 +85,7 @@
             Self::Overloaded { .. } => "short_of_time",
             Self::Stopped { .. } => "stopped",
             Self::Reloaded { .. } => "reloaded",
+            Self::Load(event) => event.kind(),
         }
     }
 }
--- /dev/null
+++ b/src/direct/log_events/load.rs
@@ -0,0 +1,71 @@
+//! Log events about decisions under load.
+
+use serde::Serialize;
+
+use crate::direct::published::model::Name;
+
+/// Decision under load, written with its name in snake case as field `event`.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum LoadEvent {
+    /// An admitted job of which nothing had started was cancelled for a more urgent one.
+    GaveWay {
+        /// Id of the cancelled request, given by its caller.
+        request: Name,
+        /// Priority of the cancelled request.
+        priority: u8,
+        /// Id of the more urgent request.
+        for_request: Name,
+        /// Priority of the more urgent request.
+        for_priority: u8,
+        /// Pool that lacked capacity.
+        pool: Name,
+        /// Milliseconds after which the caller may retry.
+        retry_after_ms: u64,
+    },
+    /// A place was booked for the return of a refused caller.
+    PlaceBooked {
+        /// Id of the refused request.
+        request: Name,
+        /// Fingerprint of the request, by which its return is recognized.
+        fingerprint: String,
+        /// Organisation of the caller.
+        organisation: Option<Name>,
+        /// Milliseconds until the place is available.
+        in_ms: u64,
+        /// Number of places that are booked now.
+        booked: usize,
+    },
+    /// A booked place was used, or released unused.
+    PlaceEnded {
+        /// Fingerprint of the request that the place was booked for.
+        fingerprint: String,
+        /// `used`, `early` (the caller returned too early to use it) or `unused`.
+        outcome: &'static str,
+        /// Milliseconds since the place was booked.
+        after_ms: u64,
+    },
+    /// A request was sent with the address of an engine that has parts of its prompt.
+    PromptFetch {
+        /// Request id given by the caller.
+        request: Name,
+        /// Engine that runs the request.
+        endpoint: Name,
+        /// Engine that has parts of the prompt.
+        source: Name,
+        /// Number of tokens that are fetched instead of computed.
+        tokens: u64,
+    },
+}
+
+impl LoadEvent {
+    /// Name of the event in metrics; the same as in the log.
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::GaveWay { .. } => "gave_way",
+            Self::PlaceBooked { .. } => "place_booked",
+            Self::PlaceEnded { .. } => "place_ended",
+            Self::PromptFetch { .. } => "prompt_fetch",
+        }
+    }
+}
--- a/src/direct/log_events/mod.rs
+++ b/src/direct/log_events/mod.rs
@@ -1,6 +1,7 @@
 //! Log events for operators: one for each decision and each change in a gateway's state.
 
 mod kinds;
+mod load;
 mod members;
 mod store;
 
@@ -9,6 +10,7 @@
 
 use serde::Serialize;
 
+pub use crate::direct::log_events::load::LoadEvent;
 pub use crate::direct::log_events::members::{MemberSuspected, StoreReadingChange};
 pub use crate::direct::log_events::store::{
     PublishedVersion, StoreEra, StoreReadOutcome, StoreReturned,
@@ -480,6 +482,9 @@
         /// `taken`, or why the new settings were refused.
         outcome: String,
     },
+    /// See [`LoadEvent`], which names the event itself.
+    #[serde(untagged)]
+    Load(LoadEvent),
 }
 
 /// Whole milliseconds, at most `u64::MAX`.
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -8,6 +8,7 @@
 //!
 //! - `published`: routes, pools and endpoints, merged from all sources and compiled.
 //! - `peers`: the other gateways, their messages, and pulls from them.
+//! - `engines`: load of the model engines.
 //! - `requests`: requests of this gateway's callers, each with one final response.
 //! - `poison`: requests that crash the endpoints that run them.
 //! - `limits`: rate limits of endpoints and the permits for them.
@@ -22,6 +23,7 @@
 pub mod core;
 pub mod departures;
 mod endpoint_status;
+pub mod engines;
 pub mod event;
 pub mod event_lag;
 pub mod gates;
--- a/src/direct/owner/admission.rs
+++ b/src/direct/owner/admission.rs
@@ -18,7 +18,7 @@
 use crate::direct::published::regions::AllowedRegions;
 use crate::direct::published::table::Table;
 use crate::message::Timestamp;
-use crate::policy::path::{PathDecision, PathRefusal, StageLoad, admit_path};
+use crate::policy::path::{PathDecision, Reserved, StageLoad, admit_path};
 use crate::policy::timeline::Timeline;
 
 /// Share of the backlog, computed for full calls, that is ahead of a new job: admitted jobs reach
@@ -43,17 +43,10 @@
         }
         self.last_submit = Some(now);
         let decision = self.admit(&job, table, now);
-        if let Some(refusal) = decision.refusal {
-            let reason = match refusal {
-                PathRefusal::NoEndpoint => JobReason::NoEndpoint,
-                PathRefusal::WouldBeLate => JobReason::WouldBeLate,
-                PathRefusal::InsufficientMemory => JobReason::NoRoom,
-            };
-            let needed = job.stages.iter().filter(|s| s.pieces > s.done.len());
-            let needed = needed.filter(|_| refusal == PathRefusal::NoEndpoint);
-            let pauses = needed.filter_map(|s| self.pool_pause(&s.pool, table, now));
-            let retry_after = pauses.max().unwrap_or(decision.retry_after);
-            return self.send_given_up(id, reason, true, retry_after);
+        if let Some(refusal) = decision.refusal
+            && !self.displace_for(&job, refusal, table, now)
+        {
+            return self.refuse(&job, refusal, decision.retry_after, table, now);
         }
         let excess_wait = self.excess_turn_wait(&job, table, now).filter(|_| !job.resubmitted);
         if let Some(retry_after) = excess_wait {
@@ -145,6 +138,7 @@
             result_memory: 0.0,
             memory_in_use,
             required_memory: (stage.pieces as u64 * stage.result_bytes) as f64,
+            reserved: Reserved::default(),
         };
         let (Some(spec), Some(pool)) =
             (table.batch_spec(&stage.pool), self.ledger.get(&stage.pool))
--- a/src/direct/owner/batching.rs
+++ b/src/direct/owner/batching.rs
@@ -12,6 +12,7 @@
 use crate::direct::owner::endpoints::Endpoints;
 use crate::direct::owner::jobs::{JobRun, Piece};
 use crate::direct::owner::ledger::PoolLedger;
+use crate::direct::owner::placement::flexible_until;
 use crate::direct::owner::queue::{Candidate, Rank, Search};
 use crate::direct::owner::scheduler::Scheduler;
 use crate::direct::owner::timers::Timer;
@@ -27,10 +28,6 @@
 const OVERDUE_FACTOR: f64 = 2.0;
 /// See [`OVERDUE_FACTOR`].
 const OVERDUE_MARGIN: Duration = Duration::from_millis(250);
-/// A piece waits for an endpoint in its preferred data centre only while its slack is larger than
-/// this. With 350 ms, results that are transferred between data centres cost two fifths less, but
-/// as much is lost by late responses.
-const PLACEMENT_SLACK: Duration = Duration::from_millis(600);
 /// Number of full calls for which the most urgent pieces of each data centre are examined: pieces
 /// that don't fit into the remaining memory of a call are skipped in favour of later ones.
 const CALLS_EXAMINED: usize = 2;
@@ -167,7 +164,7 @@
     }
     let search = Search {
         now_ms: ms(now) as i64,
-        flexible_until_ms: ms(now + PLACEMENT_SLACK) as i64,
+        flexible_until_ms: ms(flexible_until(now)) as i64,
         max_pieces: spec.pieces * CALLS_EXAMINED,
     };
     let candidates = pool.queue.candidates(
--- a/src/direct/owner/mod.rs
+++ b/src/direct/owner/mod.rs
@@ -6,7 +6,10 @@
 //! - `owners`: one scheduler for each cell that this gateway owns.
 //! - `scheduler`: jobs and calls of one cell, and the handling of events.
 //! - `admission`: the decision whether a job is admitted.
+//! - `displacement`: admitted jobs that give way to more urgent ones.
+//! - `places`: refusals, and the places that are kept for callers that return.
 //! - `batching`: the choice of pieces and endpoint for each call.
+//! - `placement`: whether a piece waits for an endpoint near the consumer of its result.
 //! - `outcomes`: the handling of calls that end.
 //! - `restarts`: the recovery of work that was lost with an endpoint's previous incarnation.
 //! - `pauses`: endpoints that asked for a pause.
@@ -26,6 +29,7 @@
 mod batching;
 mod bookings;
 mod calls;
+mod displacement;
 mod endpoints;
 mod entry;
 pub mod inspect;
@@ -35,6 +39,8 @@
 pub mod owners;
 mod pauses;
 mod permits;
+mod placement;
+mod places;
 mod plan;
 mod poison;
 pub mod producers;
--- a/src/direct/peer_messages.rs
+++ b/src/direct/peer_messages.rs
@@ -66,6 +66,7 @@
                     departures,
                     limits,
                     era,
+                    engine_loads: Vec::new(),
                 };
                 let seen = self.on_peer_state(from, state, now);
                 let changes = self.members.merge(&members, now);
@@ -306,6 +307,7 @@
             departures,
             limits,
             era: self.eras.newest(),
+            engine_loads: Vec::new(),
         }
     }
 
--- a/src/direct/peers/codec.rs
+++ b/src/direct/peers/codec.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::direct::peers::message::{JobId, PeerMessage};
-use crate::direct::peers::without_eras;
+use crate::direct::peers::{before_loads, without_eras};
 
 /// First bytes of JSON messages: an object or a string.
 const JSON_FIRST_BYTES: [u8; 2] = [b'{', b'"'];
@@ -25,9 +25,7 @@
 /// The compact form that this build writes. It increases by one whenever the fields of a message,
 /// or of a type that a message contains, change; the recorded frames of each form (`tests/frames`)
 /// check this.
-pub const FORM: u32 = 7;
-/// The previous form; this build only adds kinds of messages to it.
-const PREVIOUS_FORM: u32 = 6;
+pub const FORM: u32 = 8;
 
 /// Number of members or entries above which a message is long.
 const LONG_MESSAGE: usize = 16;
@@ -121,7 +119,8 @@
 
 fn read_compact(form: u32, message: &[u8]) -> Result<PeerMessage, Unreadable> {
     let read = match form {
-        PREVIOUS_FORM | FORM => postcard::from_bytes(message).ok(),
+        FORM => postcard::from_bytes(message).ok(),
+        form if before_loads::FORMS.contains(&form) => before_loads::read(message),
         form if without_eras::FORMS.contains(&form) => without_eras::read(form, message),
         _ => return Err(Unreadable::Form(form)),
     };
--- a/src/direct/peers/heartbeat.rs
+++ b/src/direct/peers/heartbeat.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::direct::departures::Departure;
+use crate::direct::engines::load::SharedLoad;
 use crate::direct::limits::known::AnnouncedLimit;
 use crate::direct::owner::producers::Usage;
 use crate::direct::peers::member::MemberUpdate;
@@ -30,6 +31,9 @@
     pub limits: Vec<AnnouncedLimit>,
     /// Newest era of the store that the sender knows; 0 from builds without eras.
     pub era: u64,
+    /// Recent load reports of engines; empty from builds before form 8.
+    #[serde(default)]
+    pub engine_loads: Vec<SharedLoad>,
 }
 
 /// Request for a heartbeat in return.
--- a/src/direct/peers/message.rs
+++ b/src/direct/peers/message.rs
@@ -86,6 +86,9 @@
     /// Fingerprint of the request's content and its caller.
     #[serde(default)]
     pub fingerprint: Fingerprint,
+    /// Organisation of the caller; `None` without one, and from builds before form 8.
+    #[serde(default)]
+    pub organisation: Option<Name>,
 }
 
 fn no_name() -> Name {
--- a/src/direct/peers/without_eras.rs
+++ b/src/direct/peers/without_eras.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 
 use crate::direct::owner::producers::Usage;
+use crate::direct::peers::before_loads;
 use crate::direct::peers::members::Member;
 use crate::direct::peers::message::PeerMessage;
 use crate::direct::published::documents::{self, Document};
@@ -153,6 +154,6 @@
             let documents = documents.into_iter().map(Into::into).collect();
             Some(PeerMessage::Documents { documents, complete, seen, era: 0 })
         }
-        _ => postcard::from_bytes(message).ok(),
+        _ => before_loads::read(message),
     }
 }
--- a/src/direct/requests/attempts.rs
+++ b/src/direct/requests/attempts.rs
@@ -111,6 +111,7 @@
             streams: request.route.streams,
             connections,
             permit,
+            prompt_source: None,
         };
         self.out.push(Action::Call { caller, attempt: number, params });
     }
@@ -151,8 +152,8 @@
         let endpoint = open.endpoint.clone();
         // A misdirected request was answered by another endpoint, so its load report does not
         // apply.
-        if let Some((running, waiting, _)) = proof.load.filter(|_| !proof.from_other_endpoint) {
-            self.observations.reported(&endpoint, running + waiting, now);
+        if let Some(load) = proof.load.filter(|_| !proof.from_other_endpoint) {
+            self.observations.reported(&endpoint, load.running + load.waiting, now);
         }
         if proof.not_run || proof.from_other_endpoint {
             return self.attempt_not_run(caller, proof, table, now);
--- a/src/direct/requests/stages.rs
+++ b/src/direct/requests/stages.rs
@@ -298,5 +298,6 @@
         allowed_regions: request.allowed_regions.clone(),
         resubmitted,
         fingerprint: request.fingerprint,
+        organisation: request.organisation.clone(),
     }
 }
--- a/src/policy/path.rs
+++ b/src/policy/path.rs
@@ -59,6 +59,17 @@
     pub memory_in_use: Arc<Timeline>,
     /// Result memory that this stage needs, in bytes.
     pub required_memory: f64,
+    /// Capacity that is kept for others while the stage waits and runs.
+    pub reserved: Reserved,
+}
+
+/// Capacity of a pool that is kept for callers that were refused and are expected to return.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Reserved {
+    /// Slot time of their pieces.
+    pub slot_time: Duration,
+    /// Result memory in bytes.
+    pub memory: f64,
 }
 
 /// Why the stages of a request are not started.
@@ -142,8 +153,8 @@
             + next.map_or(after.min(FINAL_RESULT_HOLD_TIME), |expected_wait| {
                 expected_wait + INPUT_FETCH_TIME
             });
-        let bound =
-            (stage.result_memory * PLANNED_MEMORY_SHARE * available).max(stage.required_memory);
+        let planned = stage.result_memory * PLANNED_MEMORY_SHARE * available;
+        let bound = (planned - stage.reserved.memory).max(stage.required_memory);
         let start = stage
             .memory_in_use
             .earliest_fit(can_start_at, length, stage.required_memory, bound)
@@ -167,7 +178,8 @@
 impl StageLoad {
     /// Expected time that the stage waits for a free slot.
     fn expected_wait(&self) -> Duration {
-        self.backlog.div_f64(self.slots.max(0.01)).min(MAX_PREDICTED_WAIT)
+        let ahead = self.backlog + self.reserved.slot_time;
+        ahead.div_f64(self.slots.max(0.01)).min(MAX_PREDICTED_WAIT)
     }
 }
 
--- a/testbed/src/frames.rs
+++ b/testbed/src/frames.rs
@@ -13,6 +13,7 @@
 use snafu::{ResultExt, Snafu};
 use stackmast::config::Selector;
 use stackmast::direct::departures::Departure;
+use stackmast::direct::engines::load::{Load, SharedLoad};
 use stackmast::direct::limits::known::AnnouncedLimit;
 use stackmast::direct::owner::producers::Usage;
 use stackmast::direct::peers::codec::{FORM, Outgoing};
@@ -218,6 +219,16 @@
         departures: vec![Departure::of(&endpoint())],
         limits: vec![limit()],
         era: 2,
+        engine_loads: vec![shared_load()],
+    }
+}
+
+fn shared_load() -> SharedLoad {
+    SharedLoad {
+        endpoint: name("endpoint-1"),
+        incarnation: 1_790_000_000_002,
+        load: Load { running: 40, waiting: 2, slots: 64, work_time_percent: Some(130) },
+        age: Duration::from_millis(120),
     }
 }
 
@@ -284,6 +295,7 @@
         allowed_regions: AllowedRegions::of(&[name("region-1")], &[]),
         resubmitted: true,
         fingerprint: Fingerprint::of_content("POST", "/a/b", b"body"),
+        organisation: Some(name("organisation-1")),
     }))
 }
 
--- a/testbed/src/owner_load.rs
+++ b/testbed/src/owner_load.rs
@@ -282,6 +282,7 @@
             allowed_regions: AllowedRegions::default(),
             resubmitted: false,
             fingerprint: Fingerprint::of_content("POST", &number.to_string(), b""),
+            organisation: None,
         }
     }
 
--- a/tests/direct_departures.rs
+++ b/tests/direct_departures.rs
@@ -15,6 +15,7 @@
 use stackmast::direct::answers::AnswerProof;
 use stackmast::direct::backoff::Backoffs;
 use stackmast::direct::departures::{Departure, Departures};
+use stackmast::direct::engines::load::Load;
 use stackmast::direct::event::{Action, Event};
 use stackmast::direct::log_events::LogEvent;
 use stackmast::direct::published::documents::{Document, Revised};
@@ -176,7 +177,7 @@
     let mut core = configured(routes());
     let actions = submit(&mut core, 1, incoming("r", Vec::new()), ms(0));
     let (attempt, order) = calls(&actions)[0].clone();
-    let load = Some((60, 60, 64));
+    let load = Some(Load { running: 60, waiting: 60, slots: 64, work_time_percent: None });
     let proof = AnswerProof {
         status: 421,
         not_run: true,
--- a/tests/direct_restarts.rs
+++ b/tests/direct_restarts.rs
@@ -12,6 +12,7 @@
     AnswerProof, BatchOutcome, BatchReport, CallFailure, PieceOutcome,
 };
 use stackmast::direct::core::GatewayCore;
+use stackmast::direct::engines::load::Load;
 use stackmast::direct::event::{Action, Event, Refused};
 use stackmast::direct::log_events::LogEvent;
 use stackmast::direct::owner::scheduler::Scheduler;
@@ -116,7 +117,10 @@
 #[test]
 fn load_and_failures_of_the_previous_incarnation_are_forgotten() {
     let (mut core, attempt) = called(Repeat::Idempotent);
-    let full = AnswerProof { load: Some((64, 64, 64)), ..good() };
+    let full = AnswerProof {
+        load: Some(Load { running: 64, waiting: 64, slots: 64, work_time_percent: None }),
+        ..good()
+    };
     core.handle(answered(attempt, full), ms(5));
     let documents = listed(&[with_incarnation("engine", 2, 3)], 6);
     core.handle(Event::Published { documents, snapshot_at: None }, ms(6));
--- a/tests/directenv/gateway.rs
+++ b/tests/directenv/gateway.rs
@@ -211,6 +211,7 @@
             departures,
             limits,
             era,
+            engine_loads: Vec::new(),
         }),
         _ => None,
     }
--- a/tests/directenv/mod.rs
+++ b/tests/directenv/mod.rs
@@ -167,5 +167,6 @@
         allowed_regions: AllowedRegions::default(),
         resubmitted: false,
         fingerprint: Fingerprint::of_content("POST", &number.to_string(), b""),
+        organisation: Some("org".into()),
     }
 }
--- a/tests/directenv/recount.rs
+++ b/tests/directenv/recount.rs
@@ -14,7 +14,7 @@
 use stackmast::direct::peers::message::{Job, JobId};
 use stackmast::direct::published::model::{BatchSpec, Name};
 use stackmast::direct::published::table::Table;
-use stackmast::policy::path::{DEFERRAL_MARGIN, StageLoad, admit_path};
+use stackmast::policy::path::{DEFERRAL_MARGIN, Reserved, StageLoad, admit_path};
 use stackmast::policy::timeline::Timeline;
 
 /// Share of the time that all started work needs in full calls that is planned ahead of a new job.
@@ -299,5 +299,6 @@
         result_memory: endpoints * spec.result_memory_bytes as f64 - kept.used_by_others as f64,
         memory_in_use: Arc::new(memory_in_use),
         required_memory: (stage.pieces as u64 * stage.result_bytes) as f64,
+        reserved: Reserved::default(),
     }
 }
--- a/tests/kept_frames.rs
+++ b/tests/kept_frames.rs
@@ -14,9 +14,10 @@
 use test_case::test_case;
 
 /// The form of the previous release; its compact frames are read.
-const BEFORE: u32 = 6;
+const BEFORE: u32 = 7;
 /// The forms of the releases before that; their compact frames are read, too.
-const EARLIER: u32 = 5;
+const EARLIER: u32 = 6;
+const WITHOUT_ERAS: u32 = 5;
 const EARLIEST_MARKED: u32 = 4;
 /// The first form whose compact frames are read.
 const FIRST: u32 = 3;
@@ -53,6 +54,7 @@
 #[test_case(FORM)]
 #[test_case(BEFORE)]
 #[test_case(EARLIER)]
+#[test_case(WITHOUT_ERAS)]
 #[test_case(EARLIEST_MARKED)]
 #[test_case(FIRST)]
 #[test_case(2)]
@@ -66,6 +68,7 @@
 #[test_case(FORM)]
 #[test_case(BEFORE)]
 #[test_case(EARLIER)]
+#[test_case(WITHOUT_ERAS)]
 #[test_case(EARLIEST_MARKED)]
 #[test_case(FIRST)]
 fn compact_frames_of_earlier_releases_are_read_like_their_json(form: u32) {
@@ -80,6 +83,7 @@
 #[test_case(FORM)]
 #[test_case(BEFORE)]
 #[test_case(EARLIER)]
+#[test_case(WITHOUT_ERAS)]
 #[test_case(EARLIEST_MARKED)]
 fn an_unmarked_frame_of_a_marked_form_is_not_read(form: u32) {
     for (kind, frame) in kept(form).frames {
@@ -118,6 +122,7 @@
 
 #[test_case(BEFORE)]
 #[test_case(EARLIER)]
+#[test_case(WITHOUT_ERAS)]
 #[test_case(EARLIEST_MARKED)]
 #[test_case(FIRST)]
 #[test_case(2)]
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use stackmast::policy::path::{PathRefusal, StageLoad, admit_path};
+use stackmast::policy::path::{PathRefusal, Reserved, StageLoad, admit_path};
 use stackmast::policy::timeline::Timeline;
 use test_case::test_case;
 
@@ -25,6 +25,7 @@
         result_memory: 100.0,
         memory_in_use: Arc::default(),
         required_memory: 10.0,
+        reserved: Reserved::default(),
     }
 }
 
