--- a/src/direct/cold.rs
+++ b/src/direct/cold.rs
@@ -25,16 +25,14 @@
 use crate::message::Timestamp;
 
 /// Share of a cold endpoint's capacity that is used. Gateways with random slots send at random
-/// moments: with a capacity of 10 per second, 6 are sent on average, and by calculation more than
-/// 15 within one second once in 2,000 seconds.
+/// moments, so that some seconds have more requests than the average.
 const USED_SHARE: f64 = 0.6;
 /// How long a process sends to no cold endpoint after its start, since it knows too few other
 /// gateways to calculate its share. A heartbeat reaches all of 100 gateways in four rounds of 200
 /// ms.
 const STARTUP_DELAY: Duration = Duration::from_millis(1_500);
 /// How long a slot stays open; afterwards it is lost. Slots that were not used, while an endpoint
-/// was evacuated or no requests arrived, must not be used all at once: in a simulated schedule of
-/// 97 gateways, 23 requests were sent that way in the following second.
+/// was evacuated or no requests arrived, must not be used all at once.
 const SLOT_OPEN: Duration = Duration::from_millis(500);
 /// An unreachable endpoint is retried within this time, and may have started in between.
 const RETRY_INTERVAL: Duration = Duration::from_secs(4);
--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -364,8 +364,7 @@
         for member in self.members.expire(delay, now) {
             self.peer_down(member.address, member.incarnation, "silent", now);
             // If the peer is up, its connections have fallen silent, and probably the one to it as
-            // well. On the recorded day with silent connections, gateways received from each other
-            // again 0.01 to 0.2 s later with this, instead of 0.6 to 1.0 s.
+            // well.
             self.out.push(Action::Disconnect { from: member.address });
         }
         let expired = self.documents.expire(now);
--- a/src/direct/peers/codec.rs
+++ b/src/direct/peers/codec.rs
@@ -3,8 +3,7 @@
 //!
 //! The compact form contains no field names, so each frame names its form; a frame in an unknown
 //! form is reported, never decoded by guess. The form that a peer reads is a property of a
-//! connection, not of an address, since a process that replaces a peer may be another build. A
-//! heartbeat of 103 gateways takes 1,970 bytes instead of 11,289.
+//! connection, not of an address, since a process that replaces a peer may be another build.
 
 use std::sync::OnceLock;
 
--- a/src/direct/requests/deferred.rs
+++ b/src/direct/requests/deferred.rs
@@ -9,14 +9,11 @@
 use crate::direct::event::IncomingRequest;
 use crate::message::Timestamp;
 
-/// Maximum wait for a configuration, which arrives 10 to 20 ms after a process starts. After a
-/// restart of all processes, 40 to 60 callers connect before it.
+/// Maximum wait for a configuration, which usually arrives 10 to 20 ms after a process starts.
 const MAX_WAIT: Duration = Duration::from_millis(150);
 /// Time after the first configuration until a process has received the state of its peers and
 /// endpoints. Stages that start earlier compete with those of other owners for result memory that
-/// is already in use. Together with the reports of endpoints, this wait raised the benchmark score
-/// by 0.010 of 0.680 in fifteen pairs of test days with bursts and losses; waiting for the
-/// configuration alone lowered it by as much.
+/// is already in use.
 pub const SETTLING: Duration = Duration::from_millis(25);
 /// A request waits for at most its timeout divided by this.
 const TIMEOUT_DIVISOR: u32 = 8;
--- a/src/direct/requests/fetch_times.rs
+++ b/src/direct/requests/fetch_times.rs
@@ -14,7 +14,7 @@
 const MIN_FIRST_EVENTS: u32 = 8;
 /// Growth of the minimum with each first event, so that it adapts after a change.
 const MINIMUM_GROWTH: f64 = 1.02;
-/// Minimum time for which results are kept. The gain of early freeing was measured with this bound.
+/// Minimum time for which results are kept, however quick the first events were.
 const MIN_RETENTION: Duration = Duration::from_millis(60);
 
 /// First events of one pool.
