Owner: memory of lost owners expires as published, full endpoints rest

After the loss of all gateways an owner subtracted results of lost owners for longer than endpoints keep them: the retention was a constant of 5 s where the configuration states 4 s, and each report restarted the lifetime of what it found again (docs/incidents/room-after-losses.md). The retention is now that of the configuration and the last call, and bytes that a report finds again expire as they would have.

An endpoint that was full is now called again after half of the call's duration, the mean time until a running call ends, instead of 40 ms.

--- a/src/direct/owner/outcomes.rs
+++ b/src/direct/owner/outcomes.rs
@@ -48,7 +48,7 @@
                 self.handle_pieces(&call, id, outcomes, table, now);
             }
             BatchOutcome::Full | BatchOutcome::Failed(CallFailure::TurnedAway) => {
-                self.producers.full(&call.endpoint.id, now);
+                self.producers.full(&call.endpoint.id, call.expected, now);
                 self.requeue_pieces(&call, id, false, table, now);
             }
             BatchOutcome::Failed(CallFailure::Withheld) => {
--- a/src/direct/owner/producers.rs
+++ b/src/direct/owner/producers.rs
@@ -7,11 +7,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::direct::published::model::{Endpoint, Name};
+use crate::direct::published::model::{BatchSpec, Endpoint, Name};
+use crate::direct::published::table::Table;
 use crate::message::Timestamp;
 
-/// Time without calls to an endpoint that was full.
-const FULL_PAUSE: Duration = Duration::from_millis(40);
 /// Time without calls to an endpoint that had no memory for a result.
 const NO_MEMORY_PAUSE: Duration = Duration::from_millis(150);
 /// Time for which an endpoint is avoided after its first failure; doubles with each failure in a
@@ -30,25 +29,39 @@
 /// Time for which the cached median slowness of a pool is used.
 const MEDIAN_MAX_AGE: Duration = Duration::from_secs(1);
 
-/// Time after which endpoints have dropped results that are not freed.
-const RESULT_EXPIRY: Duration = Duration::from_secs(5);
+/// Time after which endpoints have dropped results that are not freed, until the configuration
+/// states it.
+const DEFAULT_RETENTION: Duration = Duration::from_secs(5);
+
+/// Bytes of results that no owner frees. They expire evenly over time, since they were produced at
+/// different times before they were observed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Expiring {
+    bytes: u64,
+    observed_at: Timestamp,
+    /// Time when the last of them has expired.
+    expires_at: Timestamp,
+}
 
-/// Bytes that are left of results that expire from `at` on, evenly over [`RESULT_EXPIRY`].
-fn unexpired(bytes: u64, at: Timestamp, now: Timestamp) -> u64 {
-    let expired = now.saturating_sub(at).as_secs_f64() / RESULT_EXPIRY.as_secs_f64();
-    (bytes as f64 * (1.0 - expired).max(0.0)) as u64
+impl Expiring {
+    /// Bytes that have not expired.
+    fn left(&self, now: Timestamp) -> u64 {
+        let lasts = self.expires_at.saturating_sub(self.observed_at).as_secs_f64();
+        let left = self.expires_at.saturating_sub(now.max(self.observed_at)).as_secs_f64();
+        (self.bytes as f64 * (left / lasts.max(f64::EPSILON))) as u64
+    }
 }
 
 /// What is recorded of one endpoint.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Producer {
     /// Calls running at the endpoint.
     pub running: u32,
     /// Bytes of this owner's results that the endpoint keeps or produces.
     pub used: u64,
-    /// Bytes used by unknown owners, and when they were observed: the endpoint had less free memory
-    /// than expected.
-    unattributed: Option<(u64, Timestamp)>,
+    /// Bytes used by unknown owners, the first observed ones first: the endpoint had less free
+    /// memory than expected.
+    unattributed: Vec<Expiring>,
     /// No calls are sent before this time.
     pub blocked_until: Timestamp,
     /// No calls are sent before this time unless all endpoints are avoided.
@@ -59,6 +72,35 @@
     slowness: Option<f64>,
 }
 
+impl Producer {
+    /// Bytes of unknown owners that have not expired.
+    fn unattributed_bytes(&self, now: Timestamp) -> u64 {
+        self.unattributed.iter().map(|expiring| expiring.left(now)).sum()
+    }
+
+    /// Replaces the bytes of unknown owners by those observed now. Bytes that were observed before
+    /// expire as they would have: their results are found again, not produced anew.
+    fn observe_unattributed(&mut self, bytes: u64, retention: Duration, now: Timestamp) {
+        self.unattributed.retain(|expiring| now < expiring.expires_at);
+        let mut new = bytes;
+        for expiring in self.unattributed.iter_mut().rev() {
+            expiring.bytes = expiring.bytes.min(new);
+            expiring.observed_at = now;
+            new -= expiring.bytes;
+        }
+        self.unattributed.retain(|expiring| expiring.bytes > 0);
+        self.add_unattributed(new, retention, now);
+    }
+
+    /// Adds bytes of unknown owners that were not observed before.
+    fn add_unattributed(&mut self, bytes: u64, retention: Duration, now: Timestamp) {
+        if bytes > 0 {
+            let expires_at = now + retention;
+            self.unattributed.push(Expiring { bytes, observed_at: now, expires_at });
+        }
+    }
+}
+
 /// Bytes of results that an owner keeps at an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Usage {
@@ -77,8 +119,10 @@
 }
 
 /// What an owner records of all its endpoints.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Producers {
+    /// Time after which endpoints have dropped the results of a lost owner.
+    retention: Duration,
     producers: HashMap<Name, Producer>,
     /// Usage announced by other owners, by peer address.
     announced: HashMap<SocketAddr, AnnouncedUsage>,
@@ -88,10 +132,32 @@
     changed: BTreeSet<Name>,
 }
 
+impl Default for Producers {
+    fn default() -> Self {
+        Self {
+            retention: DEFAULT_RETENTION,
+            producers: HashMap::new(),
+            announced: HashMap::new(),
+            medians: HashMap::new(),
+            changed: BTreeSet::new(),
+        }
+    }
+}
+
 impl Producers {
+    /// Sets the time after which endpoints have dropped the results of a lost owner, from the
+    /// configuration: the duration of its last call, and the retention of the results.
+    pub fn set_retention(&mut self, table: &Table) {
+        let pools = table.deployment.pools.iter().filter_map(|p| table.batch_spec(&p.name));
+        let retention = |spec: &BatchSpec| {
+            spec.call_overhead + spec.piece_time * spec.pieces as u32 + spec.result_retention
+        };
+        self.retention = pools.map(retention).max().unwrap_or(DEFAULT_RETENTION);
+    }
+
     /// What is recorded of an endpoint.
     pub fn get(&self, endpoint: &str) -> Producer {
-        self.producers.get(endpoint).copied().unwrap_or_default()
+        self.producers.get(endpoint).cloned().unwrap_or_default()
     }
 
     /// Marks an endpoint as changed.
@@ -106,13 +172,13 @@
 
     /// Whether the state of an endpoint changes with time alone.
     pub fn changes_with_time(&self, endpoint: &str, now: Timestamp) -> bool {
-        let is_expiring = |at: Timestamp| now < at + RESULT_EXPIRY;
+        let is_expiring = |removed: Timestamp| now < removed + self.retention;
         let removed = self.announced.values().filter(|t| t.usage.contains_key(endpoint));
         removed.filter_map(|t| t.removed_at).any(is_expiring)
             || self.producers.get(endpoint).is_some_and(|producer| {
                 producer.blocked_until > now
                     || producer.avoided_until > now
-                    || producer.unattributed.is_some_and(|(_, at)| is_expiring(at))
+                    || producer.unattributed.iter().any(|u| now < u.expires_at)
             })
     }
 
@@ -156,26 +222,29 @@
         producer.slowness = Some(before + (ratio - before) * NEW_SAMPLE_WEIGHT);
     }
 
-    /// Records that an endpoint is full.
-    pub fn full(&mut self, endpoint: &Name, now: Timestamp) {
-        self.entry(endpoint).blocked_until = now + FULL_PAUSE;
+    /// Records that an endpoint refused a call of the `expected` duration because it is full. It is
+    /// not called for half of that, the mean time until a running call ends; each refused call
+    /// counts against the repeat budget.
+    pub fn full(&mut self, endpoint: &Name, expected: Duration, now: Timestamp) {
+        self.entry(endpoint).blocked_until = now + expected / 2;
     }
 
     /// Records that an endpoint had no memory for a result though `expected_free` bytes were
     /// thought to be free: they are used by an unknown owner.
     pub fn no_result_memory(&mut self, endpoint: &Name, expected_free: u64, now: Timestamp) {
+        let retention = self.retention;
         let producer = self.entry(endpoint);
         producer.blocked_until = now + NO_MEMORY_PAUSE;
-        let before = producer.unattributed.map_or(0, |(bytes, at)| unexpired(bytes, at, now));
-        producer.unattributed = Some((before + expected_free, now));
+        producer.add_unattributed(expected_free, retention, now);
     }
 
     /// Records a report that `free` of `capacity` bytes are free at an endpoint; what this owner
     /// does not use of the rest is used by others.
     pub fn reported(&mut self, endpoint: &Name, capacity: u64, free: u64, now: Timestamp) {
+        let retention = self.retention;
         let producer = self.entry(endpoint);
         let others = capacity.saturating_sub(free).saturating_sub(producer.used);
-        producer.unattributed = (others > 0).then_some((others, now));
+        producer.observe_unattributed(others, retention, now);
     }
 
     /// Replaces the usage announced by another owner.
@@ -219,12 +288,15 @@
     /// Bytes of result memory that other owners use at an endpoint.
     pub fn used_by_others(&self, endpoint: &str, now: Timestamp) -> u64 {
         let producer = self.producers.get(endpoint);
-        let unattributed = producer
-            .and_then(|m| m.unattributed)
-            .map_or(0, |(bytes, at)| unexpired(bytes, at, now));
+        let unattributed = producer.map_or(0, |m| m.unattributed_bytes(now));
         let from_announcements = self.announced.values().filter_map(|t| {
             let bytes = *t.usage.get(endpoint)?;
-            Some(t.removed_at.map_or(bytes, |removed| unexpired(bytes, removed, now)))
+            let expiring = |removed_at| Expiring {
+                bytes,
+                observed_at: removed_at,
+                expires_at: removed_at + self.retention,
+            };
+            Some(t.removed_at.map_or(bytes, |removed_at| expiring(removed_at).left(now)))
         });
         unattributed.max(from_announcements.sum())
     }
@@ -277,8 +349,9 @@
 
     /// Removes the usage of removed owners once it has expired.
     pub fn expire(&mut self, now: Timestamp) {
+        let retention = self.retention;
         let has_expired =
-            |t: &AnnouncedUsage| t.removed_at.is_some_and(|removed| now >= removed + RESULT_EXPIRY);
+            |t: &AnnouncedUsage| t.removed_at.is_some_and(|removed| now >= removed + retention);
         for (_, expired) in self.announced.extract_if(|_, t| has_expired(t)) {
             self.changed.extend(expired.usage.into_keys());
         }
--- a/src/direct/owner/scheduler.rs
+++ b/src/direct/owner/scheduler.rs
@@ -38,7 +38,6 @@
 
 /// Interval between two runs of timers, and between two checks of endpoints that change with time.
 const CHECK_INTERVAL: Duration = Duration::from_millis(25);
-
 /// Minimum interval between requests for reports of all endpoints.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -361,6 +360,7 @@
 
     fn list_endpoints(&mut self, table: &Table, now: Timestamp) {
         self.is_listed = true;
+        self.producers.set_retention(table);
         self.ledger.clear_endpoints();
         let pools = table.deployment.pools.iter().map(|pool| &pool.name);
         for pool in pools.filter(|pool| table.batch_spec(pool).is_some()) {
