Gateway: try silent agents again while the time allows

requests_are_served_while_the_platform_is_down and both_sides_of_a_partition_keep_serving answered 503 no_endpoint beside load.

Cause: an agent without a reply within 150 ms has its attempt revoked, and its endpoint counts as tried for the rest of the stage. The 150 ms include opening the first connection. When every endpoint of a pool was slow (two in these tests), the request was refused with 1.4 s of its 2 s left, though the attempts were proved not to have run (last=revoked), had been probes, or could be repeated (last=agent_unreachable). Now such endpoints become eligible again while a further attempt fits into the deadline. Agents that refuse the work or the connection do not.

A request that has met a silent agent now avoids endpoints that failed and have not replied since.

Ruled out by reading: the agents' configuration (an attempt waits in the queue until it is in force, and is acknowledged), the gateway's (its refusal has a reason of its own), the retry budget (likewise).

The retry budget now counts a first attempt once. It counted a probe and the attempt after it as two, since it looked at the list of tried endpoints.

The checks of tests/spread.rs are unchanged.

The untouched code was not run beside load here.

--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -82,6 +82,7 @@
                 rules: &[0, 1],
                 size: SizeClass::of(0),
                 tried: &[],
+                avoid_failed: false,
                 turn: 0,
                 now,
             };
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -38,7 +38,7 @@
 pub(super) const RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// An attempt is revoked if its agent has not replied within this time.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(150);
+pub(super) const REPLY_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Interval between removals of the state of unused endpoints.
 const FORGET_INTERVAL: Duration = Duration::from_secs(60);
@@ -273,12 +273,14 @@
             rules: &request.rules,
             size: request.size(),
             tried: &request.tried,
+            avoid_failed: request.met_silence,
             turn: self.next_sequence,
             now,
         };
         let decision = choose(&context, &self.fleet, &mut self.rng);
         match decision.endpoint().cloned() {
             Some(endpoint) => self.send(caller, endpoint, decision, now),
+            None if self.readmit_unanswered(caller, now) => self.dispatch(caller, now),
             None => self.refuse_no_endpoint(caller, &decision, now),
         }
     }
@@ -298,7 +300,7 @@
         if !invariant!(!request.stage_begun || request.may_repeat_stage(), violation) {
             return;
         }
-        if request.tried.is_empty() {
+        if !std::mem::replace(&mut request.is_retry, true) {
             self.budget.earn(request.view.config.policy.retry_fraction);
         }
         request.record.steps.push((now, Step::Sent(decision)));
@@ -358,6 +360,8 @@
         request.stage += 1;
         request.input = result;
         request.tried.clear();
+        request.unanswered.clear();
+        request.is_retry = false;
         request.stage_begun = false;
         request.last_reason = None;
         self.dispatch(caller, now);
--- a/src/gateway/recovery.rs
+++ b/src/gateway/recovery.rs
@@ -5,9 +5,10 @@
 
 use std::time::Duration;
 
-use super::core::{GatewayCore, RETRY_AFTER, Timer};
+use super::core::{GatewayCore, REPLY_TIMEOUT, RETRY_AFTER, Timer};
 use super::event::{Action, EndpointChange};
 use super::request::{Progress, run_request, wait_limit};
+use super::shell::REVOKE_TIMEOUT;
 use crate::message::{AgentReason, AttemptId, Incarnation, Revocation, Timestamp};
 use crate::metrics as m;
 use crate::policy::explain::Step;
@@ -94,6 +95,36 @@
         self.dispatch(caller, now);
     }
 
+    /// Makes the endpoints whose agents did not answer in time eligible for the current stage again:
+    /// they may be slow rather than down. Returns whether there were any and a further attempt can
+    /// end before the deadline, or be proved not to have run if that is still possible. Each of their
+    /// attempts has lasted for a timeout, which bounds the rate of repetitions.
+    pub(super) fn readmit_unanswered(&mut self, caller: u64, now: Timestamp) -> bool {
+        let Some(request) = self.requests.get_mut(&caller) else {
+            return false;
+        };
+        let proof =
+            if request.stage_begun { Duration::ZERO } else { REPLY_TIMEOUT + REVOKE_TIMEOUT };
+        let required = proof + request.expected_time();
+        if request.unanswered.is_empty() || now + required > request.deadline {
+            return false;
+        }
+        let unanswered = std::mem::take(&mut request.unanswered);
+        request.tried.retain(|name| !unanswered.contains(name));
+        true
+    }
+
+    /// Records that the agent of the open attempt did not answer in time.
+    fn note_unanswered(&mut self, caller: u64) {
+        let Some(request) = self.requests.get_mut(&caller) else {
+            return;
+        };
+        if let Some(attempt) = &request.attempt {
+            request.unanswered.push(attempt.endpoint.name.clone());
+            request.met_silence = true;
+        }
+    }
+
     /// Handles an attempt whose outcome can't be determined: retries a repeatable stage, otherwise
     /// refuses the request.
     pub(super) fn on_outcome_unknown(&mut self, caller: u64, reason: AgentReason, now: Timestamp) {
@@ -203,6 +234,7 @@
             rules: &request.rules,
             size: request.size(),
             tried: &tried,
+            avoid_failed: request.met_silence,
             turn: 0,
             now,
         };
@@ -243,6 +275,7 @@
                 if let Some(request) = self.requests.get_mut(&caller) {
                     request.record.steps.push((now, Step::Revoked { endpoint }));
                 }
+                self.note_unanswered(caller);
                 self.on_not_run(caller, AgentReason::Revoked, RETRY_AFTER, false, now);
             }
             Revocation::Begun => self.on_begun(caller, now),
@@ -261,6 +294,7 @@
     /// stage elsewhere. Other stages wait, because only the agent knows whether the attempt ran.
     fn on_unreachable(&mut self, caller: u64, now: Timestamp) {
         if self.is_probe(caller) {
+            self.note_unanswered(caller);
             return self.on_not_run(caller, AgentReason::AgentUnreachable, RETRY_AFTER, false, now);
         }
         let Some(request) = self.requests.get(&caller) else {
@@ -271,6 +305,7 @@
         };
         let endpoint = attempt.endpoint.name.clone();
         if request.may_repeat_stage() {
+            self.note_unanswered(caller);
             return self.on_outcome_unknown(caller, AgentReason::AgentUnreachable, now);
         }
         self.suspect(endpoint, now);
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -99,6 +99,13 @@
     pub attempt: Option<Attempt>,
     /// Endpoints that earlier attempts of the current stage were sent to.
     pub tried: Vec<String>,
+    /// Those of `tried` whose agents did not answer in time, or revoked the attempt.
+    pub unanswered: Vec<String>,
+    /// Whether an attempt of the current stage was sent before.
+    pub is_retry: bool,
+    /// Whether an agent did not answer an attempt of any stage in time. Such a request has no time
+    /// left to try whether an endpoint that failed is back.
+    pub met_silence: bool,
     /// Whether an earlier, closed attempt of the current stage may have run.
     pub stage_begun: bool,
     /// Reason of the last failed attempt of the current stage.
@@ -132,6 +139,12 @@
         SizeClass::of(self.input.len())
     }
 
+    /// Configured service time of the current stage and those after it.
+    pub fn expected_time(&self) -> Duration {
+        let stages = &self.pipeline.stages[self.stage..];
+        Duration::from_millis(stages.iter().map(|s| s.stage.expected_ms).sum())
+    }
+
     /// How much of the request has run, as reported if it is refused now.
     pub fn ran(&self) -> Ran {
         if self.stage_begun {
@@ -184,6 +197,9 @@
         stage: 0,
         attempt: None,
         tried: Vec::new(),
+        unanswered: Vec::new(),
+        is_retry: false,
+        met_silence: false,
         stage_begun: false,
         last_reason: None,
         retry_after: RETRY_AFTER,
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -21,7 +21,7 @@
 use crate::wire::{MAX_MESSAGE_LEN, reply_from_wire, run_to_wire, v1};
 
 /// Timeout of a revocation.
-const REVOKE_TIMEOUT: Duration = Duration::from_millis(150);
+pub(super) const REVOKE_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// A message to a waiting caller.
 #[derive(Debug, Clone, PartialEq)]
--- a/src/policy/admit.rs
+++ b/src/policy/admit.rs
@@ -134,6 +134,7 @@
             rules,
             size: admission.size,
             tried: &[],
+            avoid_failed: false,
             turn: 0,
             now,
         };
--- a/src/policy/route.rs
+++ b/src/policy/route.rs
@@ -31,6 +31,9 @@
     pub size: SizeClass,
     /// Names of the endpoints to which this stage was already sent.
     pub tried: &'a [String],
+    /// Whether endpoints that failed and have not replied since are treated as suspected, even after
+    /// the time of their suspicion.
+    pub avoid_failed: bool,
     /// Sequence number of the gateway's routing decisions, for round-robin routing.
     pub turn: u64,
     /// Current time.
@@ -46,7 +49,9 @@
     if state.is_leaving(context.now) {
         return Some(Verdict::Leaving);
     }
-    state.is_suspected(context.now).then_some(Verdict::Suspected)
+    let is_suspected =
+        state.is_suspected(context.now) || (context.avoid_failed && state.failures > 0);
+    is_suspected.then_some(Verdict::Suspected)
 }
 
 /// Chooses the endpoint for a stage; the decision lists every candidate with its verdict.
--- a/src/tool.rs
+++ b/src/tool.rs
@@ -388,6 +388,7 @@
             rules: &admitted.rules,
             size: admission.size,
             tried: &[],
+            avoid_failed: false,
             turn: 0,
             now,
         };
