Cells follow the calls that one owner would handle

MIN_ENDPOINTS_FOR_SPLIT (90 endpoints of batch pools) split by a count that says nothing of the work of an owner. Cells now follow data centres where the endpoints can complete more than 220 full calls a second: slots by the duration of a full call, summed over the pools. Every data centre counts as having as many endpoints as the fullest, so single endpoints that come and go change nothing, without a memory that would differ between gateways.

Existing tests are unchanged; three are new: single endpoints that leave, calls of twice the duration, and cells that change while a job runs.

--- a/src/direct/published/cells.rs
+++ b/src/direct/published/cells.rs
@@ -1,19 +1,22 @@
 //! Cells: groups of data centres whose endpoints of batch pools have one owner.
 //!
-//! A single owner can fill each call from all pieces, but it makes every call and handles every
-//! piece, so its host is a bottleneck and a single point of failure. A small deployment is
-//! therefore one cell, and a large one has a cell for each data centre; a job moves to another cell
-//! only if its own lacks capacity. With 120 endpoints and 620 requests a second the busiest gateway
-//! used 0.12 of a core with one owner and 0.03 with six.
+//! A single owner can fill each call from all pieces and decides for each piece in which data
+//! centre it runs, but it makes every call and handles every piece, so its host is a bottleneck.
+//! The cells follow data centres only where the endpoints can complete more calls than one owner
+//! is to handle; a job then moves to another cell only if its own lacks capacity. All gateways
+//! compute the same cells from the configuration and the endpoints' entries.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
-use crate::direct::published::model::{Endpoint, Name, Pool};
+use crate::direct::published::model::{BatchSpec, Endpoint, Name, Pool, Work};
 
-/// Number of endpoints of batch pools from which cells follow data centres. With calls of 0.3 s, 90
-/// endpoints complete 300 calls a second, by calculation; fleets of 53 and 120 endpoints were
-/// measured, none in between.
-const MIN_ENDPOINTS_FOR_SPLIT: usize = 90;
+/// Full calls a second that one owner is to handle. An owner of 120 endpoints, which complete 270
+/// full calls a second, used 0.12 of a core; this bound keeps it at 0.1 of a core, which a host of
+/// a gateway has to spare.
+const MAX_CALLS_PER_SECOND: f64 = 220.0;
+/// Shortest duration of a call that is computed with, for configurations that state none.
+const MIN_CALL: Duration = Duration::from_millis(1);
 /// Minimum number of endpoints of each pool in a cell; with one, its failure would leave none.
 const MIN_ENDPOINTS_PER_POOL: usize = 2;
 /// Name of the only cell of a deployment, and prefix of the names of several.
@@ -43,15 +46,15 @@
     /// included, so that cells don't change while endpoints are replaced.
     pub fn of<'a>(batch: impl Iterator<Item = (&'a Pool, &'a Endpoint)>) -> Self {
         let mut counts: Counts<'_> = BTreeMap::new();
+        let mut pools: BTreeMap<&Name, &Pool> = BTreeMap::new();
         for (pool, endpoint) in batch {
+            pools.insert(&pool.name, pool);
             let per_pool = counts.entry(endpoint.data_centre.clone()).or_default();
             *per_pool.entry(&pool.name).or_default() += 1;
         }
-        let pools: BTreeSet<&Name> =
-            counts.values().flat_map(|per_pool| per_pool.keys().copied()).collect();
-        let all: usize = counts.values().flat_map(|per_pool| per_pool.values()).sum();
-        let groups =
-            if all < MIN_ENDPOINTS_FOR_SPLIT { Vec::new() } else { groups(&counts, &pools) };
+        let calls: f64 = pools.values().map(|pool| calls_per_second(pool, &counts)).sum();
+        let is_split = calls > MAX_CALLS_PER_SECOND;
+        let groups = if is_split { groups(&counts, &pools) } else { Vec::new() };
         if groups.len() < 2 {
             let all: BTreeSet<Name> = counts.into_keys().collect();
             return Self::new([(SINGLE_CELL.into(), all)].into());
@@ -93,9 +96,23 @@
     }
 }
 
+/// Full calls a second that the endpoints of a pool can complete.
+///
+/// Each data centre counts as having as many endpoints as the one with the most, so that the cells
+/// remain the same while single endpoints are replaced, fail or are added.
+fn calls_per_second(pool: &Pool, counts: &Counts<'_>) -> f64 {
+    let Work::Batch(BatchSpec { slots, pieces, call_overhead, piece_time, .. }) = pool.work else {
+        return 0.0;
+    };
+    let most = counts.values().filter_map(|per_pool| per_pool.get(&pool.name)).max();
+    let endpoints = most.copied().unwrap_or_default() * counts.len();
+    let full_call = (call_overhead + piece_time * pieces as u32).max(MIN_CALL);
+    endpoints as f64 * f64::from(slots) / full_call.as_secs_f64()
+}
+
 /// Groups data centres so that each group has enough endpoints of every pool: one with too few is
 /// joined with the next ones in the order of names.
-fn groups(counts: &Counts<'_>, pools: &BTreeSet<&Name>) -> Vec<BTreeSet<Name>> {
+fn groups(counts: &Counts<'_>, pools: &BTreeMap<&Name, &Pool>) -> Vec<BTreeSet<Name>> {
     let mut groups: Vec<BTreeSet<Name>> = Vec::new();
     let mut group = BTreeSet::new();
     for data_centre in counts.keys() {
@@ -103,7 +120,7 @@
         let count = |pool: &Name| -> usize {
             group.iter().filter_map(|data_centre| counts[data_centre].get(pool)).sum()
         };
-        if pools.iter().all(|pool| count(pool) >= MIN_ENDPOINTS_PER_POOL) {
+        if pools.keys().all(|pool| count(pool) >= MIN_ENDPOINTS_PER_POOL) {
             groups.push(std::mem::take(&mut group));
         }
     }
--- a/tests/direct_cells.rs
+++ b/tests/direct_cells.rs
@@ -16,8 +16,9 @@
 use stackmast::direct::peers::member::Location;
 use stackmast::direct::peers::members::{Member, MemberState, Members};
 use stackmast::direct::peers::message::{Job, JobReason, PeerMessage};
+use stackmast::direct::published::documents::Merged;
 use stackmast::direct::published::documents::{Document, Revised};
-use stackmast::direct::published::model::{Endpoint, Name, Pool, Repeat};
+use stackmast::direct::published::model::{Endpoint, Name, Pool, Repeat, Work};
 use stackmast::direct::published::table::Table;
 use stackmast::direct::repeats::RepeatBudget;
 use test_case::test_case;
@@ -64,6 +65,62 @@
     assert_eq!(names(&table(counts)), expected);
 }
 
+// Single endpoints that are replaced, fail or are added while the others serve.
+#[test_case(&[7, 7, 7], &[7, 6, 7]; "one owner")]
+#[test_case(&[10, 10, 10], &[10, 9, 8]; "one owner in each data centre")]
+fn cells_remain_when_single_endpoints_leave(before: &[usize], after: &[usize]) {
+    assert_eq!(names(&table(before)), names(&table(after)));
+}
+
+// The same endpoints with calls of 0.28 s and of 0.56 s: what counts is the work of the owner.
+#[test]
+fn cells_follow_the_calls_that_one_owner_would_handle() {
+    let with_calls_of = |factor: u32| {
+        let mut deployment = deployment(1, Vec::new());
+        for pool in &mut deployment.pools {
+            if let Work::Batch(spec) = &mut pool.work {
+                spec.call_overhead *= factor;
+                spec.piece_time *= factor;
+            }
+        }
+        names(&Table::new(Arc::new(deployment), fleet(&[9, 9, 9]).iter()))
+    };
+    assert_eq!(with_calls_of(1).len(), 3, "289 calls a second");
+    assert_eq!(with_calls_of(2), ["stages"], "145 calls a second");
+}
+
+// Endpoints are added while a job runs, so that the only cell is split: its owner keeps the job and
+// its results, and finishes it at the endpoints of the job's cell.
+#[test]
+fn a_job_that_runs_while_the_cells_change_is_finished() {
+    let (small, large) = (table(&[5, 5, 5]), table(&[10, 10, 10]));
+    let mut owners = Owners::new(address(1), bounds());
+    owners.submit(job_of(1, "stages"), &small, ms(0));
+    let mut ready = false;
+    let mut sent = 0;
+    for step in 0..4 {
+        let now = ms(300 * step);
+        let table = if step == 0 { &small } else { &large };
+        if step == 1 {
+            owners.table_changed(table, &Merged::default(), &[], now);
+        }
+        for action in owners.actions(table, now) {
+            match action {
+                Action::CallBatch { call, pieces, .. } => {
+                    sent += pieces.len();
+                    let made = (0..pieces.len()).map(|i| PieceOutcome::Made(format!("{i}").into()));
+                    let outcome = BatchOutcome::Pieces(made.collect());
+                    owners.batch_ended(call, outcome, table, now + ms(260));
+                }
+                Action::Send { message: PeerMessage::Ready(_), .. } => ready = true,
+                _ => {}
+            }
+        }
+    }
+    assert!(ready);
+    assert_eq!(sent, 4, "two stages of two pieces, each produced once");
+}
+
 #[test]
 fn a_single_cell_has_all_endpoints_and_each_of_several_its_own() {
     let small = table(&[5, 4, 4]);
