Placement: pieces that may not run or have no memory nearby

With the rule by expected starts, a piece whose preferred data centre lies outside its allowed regions would wait until its request was late, and a late one for as long as results keep the memory nearby full. Both now accept an endpoint elsewhere at once. Found by reading; a test for each, and one each for a lost data centre and for a queue of several calls' worth.

--- a/src/direct/owner/endpoints.rs
+++ b/src/direct/owner/endpoints.rs
@@ -147,6 +147,11 @@
         local.is_some_and(|local| allowed_regions.allows_region(local.region.as_deref()))
     }
 
+    /// Region of a data centre, if that is known and it has endpoints in use.
+    pub(super) fn region_of(&self, data_centre: &str) -> Option<&str> {
+        self.in_use().by_data_centre.get(data_centre)?.region.as_deref()
+    }
+
     fn in_regions<'a>(
         &'a self,
         allowed_regions: &'a AllowedRegions,
--- a/src/direct/owner/placement.rs
+++ b/src/direct/owner/placement.rs
@@ -14,6 +14,7 @@
 use crate::direct::owner::calls::Call;
 use crate::direct::owner::endpoints::Endpoints;
 use crate::direct::published::model::{BatchSpec, Name};
+use crate::direct::published::regions::AllowedRegions;
 use crate::message::Timestamp;
 
 /// Time by which a call may exceed its expected duration before it no longer counts as a call that
@@ -29,8 +30,10 @@
     /// The calls nearby that start within a full call from now are taken; waiting for later ones
     /// would keep endpoints elsewhere idle.
     LongWait,
-    /// No endpoint of the preferred data centre is in use.
+    /// No endpoint of the preferred data centre is in use, or the piece may not run there.
     NoEndpoint,
+    /// Its request is late in any case, and the free endpoints nearby lack result memory.
+    NoMemory,
 }
 
 impl AwayReason {
@@ -40,6 +43,7 @@
             Self::Late => "late",
             Self::LongWait => "long_wait",
             Self::NoEndpoint => "no_endpoint",
+            Self::NoMemory => "no_memory",
         }
     }
 }
@@ -133,6 +137,7 @@
 pub(super) struct NearStarts<'a> {
     spec: &'a BatchSpec,
     now: Timestamp,
+    region: Option<&'a str>,
     /// Free result memory of the free endpoint with the most, in bytes.
     free_bytes: Option<u64>,
     /// Starts of the first calls of all slots; infinite, with later rounds after the first one.
@@ -161,7 +166,21 @@
         let has_calls = free > 0 || in_flight.ends(data_centre, endpoints, now).next().is_some();
         let current = if has_calls { starts.next().map(|start| (0, start)) } else { None };
         let free_bytes = endpoints.most_free_in(data_centre, 0).map(|(bytes, _)| bytes);
-        Self { spec, now, free_bytes, starts: Box::new(starts), current, calls: calls.max(1) }
+        let region = endpoints.region_of(data_centre);
+        Self {
+            spec,
+            now,
+            region,
+            free_bytes,
+            starts: Box::new(starts),
+            current,
+            calls: calls.max(1),
+        }
+    }
+
+    /// Whether pieces with these allowed regions may run in the data centre.
+    pub(super) fn is_allowed(&self, allowed_regions: &AllowedRegions) -> bool {
+        allowed_regions.allows_region(self.region)
     }
 
     /// Whether an endpoint is free that has result memory for a piece of `bytes`.
@@ -188,6 +207,9 @@
         latest_start: Option<Timestamp>,
     ) -> Option<AwayReason> {
         let lacks_memory = self.free_bytes.is_some_and(|free| free < bytes);
+        if lacks_memory && latest_start.is_none() {
+            return Some(AwayReason::NoMemory);
+        }
         // Memory is freed when the consumers of results have fetched them, a call later.
         let memory_at = if lacks_memory { self.now + full_call(self.spec) } else { self.now };
         let near_start = self.start(ahead).map(|start| start.max(memory_at));
--- a/src/direct/owner/queue.rs
+++ b/src/direct/owner/queue.rs
@@ -225,6 +225,11 @@
     let in_time = group.in_time(search.now_ms).map(|entry| (entry, true));
     let missed = group.missed(search.now_ms).map(|entry| (entry, false));
     for ((rank, queued), is_in_time) in in_time.chain(missed) {
+        if !near.is_allowed(&queued.allowed_regions) {
+            found += queued.pieces;
+            candidates.push(queued.candidate(*rank, Some(preferred), Some(AwayReason::NoEndpoint)));
+            continue;
+        }
         let is_free = near.is_free_for(queued.bytes);
         let latest_start = is_in_time.then(|| rank.latest_start());
         let all_wait = latest_start.is_some_and(|latest| near.all_wait(latest, group.pieces));
--- a/tests/direct_placement.rs
+++ b/tests/direct_placement.rs
@@ -13,6 +13,7 @@
 use stackmast::direct::owner::scheduler::Scheduler;
 use stackmast::direct::peers::message::Job;
 use stackmast::direct::published::model::{BatchSpec, Endpoint, Pool, Repeat, Route, Work};
+use stackmast::direct::published::regions::AllowedRegions;
 use stackmast::direct::published::table::Table;
 use stackmast::direct::repeats::RepeatBudget;
 use test_case::test_case;
@@ -176,3 +177,82 @@
     let wait = expected_wait(pieces, endpoints, &spec);
     assert!(wait.abs_diff(ms(expected_ms)) < ms(1), "{wait:?}");
 }
+
+// The preferred data centre loses its endpoints while a queue waits for them.
+#[test]
+fn pieces_of_a_lost_data_centre_run_elsewhere_at_once() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], HEAVY)]);
+    let table = table(&route, 50_000_000, 1);
+    let mut scheduler = scheduler();
+    scheduler.submit(job_with(1, &route, 4, 2_000), &table, ms(0));
+    sent(&mut scheduler, &table, 0);
+    scheduler.submit(job_with(2, &route, 4, 2_000), &table, ms(20));
+    assert!(sent(&mut scheduler, &table, 20).is_empty(), "waits for the call in flight");
+    let rest: Vec<_> = table
+        .pool_endpoints("first")
+        .iter()
+        .chain(table.pool_endpoints("second"))
+        .filter(|endpoint| &*endpoint.data_centre != "hall-1")
+        .cloned()
+        .collect();
+    let table = table.with_deployment(table.deployment.clone(), rest.iter());
+    scheduler.table_changed(&table);
+    assert_eq!(sent(&mut scheduler, &table, 30), [(2, "hall-0".to_owned(), 4)]);
+}
+
+// Many callers of one data centre at once, with a queue of several calls' worth: the other data
+// centre helps from the first call on, and calls are full.
+#[test]
+fn a_queue_that_the_next_calls_nearby_do_not_hold_fills_calls_elsewhere() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], HEAVY)]);
+    let table = table(&route, 50_000_000, 1);
+    let mut scheduler = scheduler();
+    for number in 1..=8 {
+        scheduler.submit(job_with(number, &route, 2, 2_000), &table, ms(0));
+    }
+    let actions = scheduler.actions(&table, ms(0));
+    let sizes = actions.iter().filter_map(|action| match action {
+        Action::CallBatch { endpoint, pieces, .. } => {
+            Some((endpoint.data_centre.to_string(), pieces.len()))
+        }
+        _ => None,
+    });
+    let mut sizes: Vec<_> = sizes.collect();
+    sizes.sort();
+    assert_eq!(sizes, [("hall-0".to_owned(), 4), ("hall-1".to_owned(), 4)]);
+}
+
+// A request that must stay in a region in which its preferred data centre does not lie.
+#[test]
+fn a_piece_that_may_not_run_nearby_runs_elsewhere() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], HEAVY)]);
+    let table = table(&route, 50_000_000, 1);
+    let regional = table.pool_endpoints("first").iter().map(|endpoint| {
+        let mut endpoint = Endpoint::clone(endpoint);
+        let region = format!("of-{}", endpoint.data_centre);
+        endpoint.labels.insert("region".to_owned(), region);
+        Arc::new(endpoint)
+    });
+    let regional: Vec<_> = regional.collect();
+    let table = table.with_deployment(table.deployment.clone(), regional.iter());
+    let mut scheduler = scheduler();
+    let allowed_regions = AllowedRegions::of(&["of-hall-0".into()], &[]);
+    let barred = Job { allowed_regions, ..job_with(1, &route, 4, 2_000) };
+    scheduler.submit(barred, &table, ms(0));
+    assert_eq!(sent(&mut scheduler, &table, 0), [(1, "hall-0".to_owned(), 4)]);
+}
+
+// Results that nothing fetches keep the memory nearby full, and the request is late already.
+#[test]
+fn a_late_piece_does_not_wait_for_result_memory() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], HEAVY)]);
+    let table = table(&route, 4 * HEAVY, 1);
+    let mut scheduler = scheduler();
+    scheduler.submit(job_with(1, &route, 4, 2_000), &table, ms(0));
+    sent(&mut scheduler, &table, 0);
+    end(&mut scheduler, &table, 1, 4, 280);
+    sent(&mut scheduler, &table, 280);
+    let late = Job { resubmitted: true, ..job_with(2, &route, 4, 100) };
+    scheduler.submit(late, &table, ms(300));
+    assert_eq!(sent(&mut scheduler, &table, 300), [(2, "hall-0".to_owned(), 4)]);
+}
--- a/tests/directenv/recount.rs
+++ b/tests/directenv/recount.rs
@@ -234,7 +234,10 @@
         let now_ms = ms(now) as i64;
         let latest_ms = now_ms + stage[0].slack_ms;
         let latest = (stage[0].slack_ms >= 0).then(|| Duration::from_millis(latest_ms as u64));
-        let waits_here = away_reason(near, latest, spec, now).is_none();
+        let rooms = free.iter().filter(|place| place.0 == *home).map(|place| place.1);
+        let lacks_memory = rooms.max().is_some_and(|room| room < stage[0].bytes);
+        let is_stuck = lacks_memory && latest.is_none();
+        let waits_here = !is_stuck && away_reason(near, latest, spec, now).is_none();
         *before += if waits_here { stage.len() } else { 0 };
         waits.extend(stage.iter().map(|_| waits_here));
     }
