Placement: a long wait nearby uses only idle capacity elsewhere

Pieces whose start nearby is more than a full call away competed by rank for endpoints elsewhere and displaced pieces there, which then ran away from their own data centre. They now take an endpoint, or the rest of a call, only after the pieces that need it now, which also fills calls while much waits.

--- a/src/direct/owner/placement.rs
+++ b/src/direct/owner/placement.rs
@@ -27,8 +27,8 @@
 pub enum AwayReason {
     /// The calls nearby would make its request late, a call elsewhere does not.
     Late,
-    /// The calls nearby that start within a full call from now are taken; waiting for later ones
-    /// would keep endpoints elsewhere idle.
+    /// The start nearby is more than a full call away: the piece accepts an endpoint elsewhere that
+    /// nothing else needs, which would be idle otherwise.
     LongWait,
     /// No endpoint of the preferred data centre is in use, or the piece may not run there.
     NoEndpoint,
--- a/src/direct/owner/queue.rs
+++ b/src/direct/owner/queue.rs
@@ -77,9 +77,16 @@
 
 impl Search {
     /// Orders stages that can no longer meet their objective after all that can.
-    fn order(&self, rank: Rank) -> (bool, Rank) {
+    const fn order(&self, rank: Rank) -> (bool, Rank) {
         (rank.latest_start_ms < self.now_ms, rank)
     }
+
+    /// Orders pieces that leave their data centre only because the wait there is long after those
+    /// that need a call now: they use endpoints, and capacity of calls, that would be idle.
+    const fn candidate_order(&self, candidate: &Candidate) -> (bool, bool, Rank) {
+        let (is_missed, rank) = self.order(candidate.rank);
+        (is_missed, matches!(candidate.away, Some(AwayReason::LongWait)), rank)
+    }
 }
 
 /// Waiting pieces of a stage, stored by rank.
@@ -194,7 +201,7 @@
                 None => add_unbound(group, search, &mut candidates),
             }
         }
-        candidates.sort_unstable_by_key(|c| search.order(c.rank));
+        candidates.sort_unstable_by_key(|c| search.candidate_order(c));
         candidates
     }
 }
--- a/tests/direct_ledger.rs
+++ b/tests/direct_ledger.rs
@@ -39,8 +39,8 @@
 
 // Admission reads the planned result memory from a clock of discrete steps, and plans are up to one
 // step old: 65 of 1,697 decisions differ from those of recomputed plans, near the limit and about
-// as often in either direction. A deferred stage is checked every 25 ms, and only two full calls of
-// the waiting pieces are considered: 18 of 1,480 calls hold other pieces.
+// as often in either direction. A deferred stage is checked every 25 ms; the recomputed calls hold
+// only pieces that the owner has queued: 2 of 1,452 calls hold other pieces.
 #[test]
 fn decisions_equal_the_recomputed_ones_within_a_time_step() {
     let mut all = Compared::default();
@@ -54,7 +54,7 @@
     assert!(differing * 100 <= all.decisions * 5, "more than 5 in 100 differ: {all:?}");
     let imbalance = all.refused_only_recomputed.abs_diff(all.refused_only_kept);
     assert!(imbalance * 100 <= all.decisions * 4, "biased to one side: {all:?}");
-    assert!(all.differing_calls * 100 <= all.calls * 2, "more than 2 calls in 100 differ: {all:?}");
+    assert!(all.differing_calls * 100 <= all.calls, "more than 1 call in 100 differs: {all:?}");
 }
 
 // The cost of a job doesn't depend on the number of held jobs; the test counts the checked jobs
--- a/tests/direct_placement.rs
+++ b/tests/direct_placement.rs
@@ -256,3 +256,28 @@
     scheduler.submit(late, &table, ms(300));
     assert_eq!(sent(&mut scheduler, &table, 300), [(2, "hall-0".to_owned(), 4)]);
 }
+
+// Two data centres with a queue each: the longer one doesn't displace pieces of the other, and its
+// last pieces fill the call there.
+#[test]
+fn pieces_with_a_long_wait_use_only_what_others_leave_of_a_call_elsewhere() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], HEAVY)]);
+    let table = table(&route, 50_000_000, 1);
+    let mut scheduler = scheduler();
+    scheduler.submit(job_with(1, &route, 4, 2_000), &table, ms(0));
+    assert_eq!(sent(&mut scheduler, &table, 0).len(), 1, "nearby");
+    for number in 2..=5 {
+        scheduler.submit(job_with(number, &route, 2, 1_800), &table, ms(0));
+    }
+    let other = Job { data_centre: "hall-0".into(), ..job_with(6, &route, 2, 2_000) };
+    scheduler.submit(other, &table, ms(0));
+    let actions = scheduler.actions(&table, ms(0));
+    let requests = actions.iter().find_map(|action| match action {
+        Action::CallBatch { pieces, .. } => {
+            Some(pieces.iter().map(|piece| piece.request.to_string()).collect::<Vec<_>>())
+        }
+        _ => None,
+    });
+    let expected = ["request-6", "request-6", "request-4", "request-4"];
+    assert_eq!(requests.expect("a call in the other data centre"), expected);
+}
--- a/tests/directenv/recount.rs
+++ b/tests/directenv/recount.rs
@@ -10,7 +10,7 @@
 use stackmast::direct::log_events::{LogEvent, ms};
 use stackmast::direct::owner::inspect::PoolState;
 use stackmast::direct::owner::jobs::{JobRun, Piece};
-use stackmast::direct::owner::placement::{away_reason, full_call};
+use stackmast::direct::owner::placement::{AwayReason, away_reason, full_call};
 use stackmast::direct::owner::scheduler::Scheduler;
 use stackmast::direct::peers::message::{Job, JobId};
 use stackmast::direct::published::model::{BatchSpec, Name};
@@ -27,6 +27,9 @@
 /// A call that should have ended longer ago than this is not expected to end soon.
 const OVERRUN: Duration = Duration::from_millis(50);
 
+/// Number of full calls for which waiting pieces are examined.
+const CALLS_EXAMINED: usize = 2;
+
 type Pieces = Vec<(JobId, usize, usize)>;
 
 /// Differences between the two computations.
@@ -84,6 +87,10 @@
             };
             let waiting = waiting(owner, &pool.name, now);
             self.compare(&kept, owner, &pool.name, &waiting, table, now);
+            let is_queued = |w: &WaitingPiece| {
+                kept.queued.iter().any(|r| (r.job, r.stage) == (w.piece.0, w.piece.1))
+            };
+            let waiting: Vec<_> = waiting.into_iter().filter(is_queued).collect();
             let batch = next_batch(&kept, spec, waiting, table, now);
             let named = batch.into_iter().map(|(id, stage, piece)| {
                 let run = owner.active_jobs().find(|(held, _)| **held == id);
@@ -212,21 +219,23 @@
         && run.remaining_time(Some(stage), now) > run.calls[stage] + DEFERRAL_MARGIN
 }
 
-/// For each piece, whether it accepts only its home; decided for all pieces of a stage at once.
-fn waits_for_home(
+/// For each piece, why it accepts an endpoint away from its home; decided for all pieces of a stage
+/// at once.
+fn placements(
     kept: &PoolState,
     spec: &BatchSpec,
     waiting: &[WaitingPiece],
     free: &[(Name, u64)],
     now: Duration,
-) -> Vec<bool> {
+) -> Vec<Option<AwayReason>> {
     let mut ahead: HashMap<&Name, usize> = HashMap::new();
-    let mut waits = Vec::new();
+    let mut examined: HashMap<&Name, usize> = HashMap::new();
+    let mut placed = Vec::new();
     let same_stage =
         |a: &WaitingPiece, b: &WaitingPiece| a.piece.0 == b.piece.0 && a.piece.1 == b.piece.1;
     for stage in waiting.chunk_by(same_stage) {
         let Some(home) = &stage[0].home else {
-            waits.extend(stage.iter().map(|_| false));
+            placed.extend(stage.iter().map(|_| None));
             continue;
         };
         let before = ahead.entry(home).or_default();
@@ -237,11 +246,21 @@
         let rooms = free.iter().filter(|place| place.0 == *home).map(|place| place.1);
         let lacks_memory = rooms.max().is_some_and(|room| room < stage[0].bytes);
         let is_stuck = lacks_memory && latest.is_none();
-        let waits_here = !is_stuck && away_reason(near, latest, spec, now).is_none();
-        *before += if waits_here { stage.len() } else { 0 };
-        waits.extend(stage.iter().map(|_| waits_here));
+        let away = if is_stuck {
+            Some(AwayReason::NoMemory)
+        } else {
+            away_reason(near, latest, spec, now)
+        };
+        *before += if away.is_none() { stage.len() } else { 0 };
+        // Only two full calls of the pieces of a home are examined; further ones wait.
+        let is_home_free = free.iter().any(|f| f.0 == *home && f.1 >= stage[0].bytes);
+        let examined = examined.entry(home).or_default();
+        let is_examined = *examined < CALLS_EXAMINED * spec.pieces;
+        *examined += if away.is_some() || is_home_free { stage.len() } else { 0 };
+        let away = away.filter(|_| is_examined);
+        placed.extend(stage.iter().map(|_| away));
     }
-    waits
+    placed
 }
 
 /// When the last of the first `pieces` pieces of a home, which has this many bytes, is expected to
@@ -277,7 +296,17 @@
 ) -> Pieces {
     let place = |id: &Name| table.endpoint(id).map(|e| e.data_centre.clone()).unwrap_or_default();
     let free: Vec<(Name, u64)> = kept.free.iter().map(|(id, room)| (place(id), *room)).collect();
-    let waits_for_home = waits_for_home(kept, spec, &waiting, &free, now);
+    let mut placed = placements(kept, spec, &waiting, &free, now);
+    // Pieces that only use idle capacity elsewhere are examined after the others.
+    let mut waiting: Vec<_> = waiting.into_iter().zip(placed.drain(..)).collect();
+    waiting.sort_by_key(|(w, placed)| (w.slack_ms < 0, *placed == Some(AwayReason::LongWait)));
+    let (waiting, waits_for_home): (Vec<_>, Vec<bool>) = waiting
+        .into_iter()
+        .map(|(w, placed)| {
+            let waits = w.home.is_some() && placed.is_none();
+            (w, waits)
+        })
+        .unzip();
     let suits = |index: usize, place: &(Name, u64)| {
         let w = &waiting[index];
         let is_home = w.home.as_ref().is_none_or(|home| *home == place.0);
