Serve stages by urgency, from admission to the calls

Admission took 0.3 of the backlog, whatever the load; the queue ordered by latest start alone; nothing that was admitted gave way.

- policy::urgency ranks by the priority of the job, then by that of its route, which the owner reads from its configuration.
Messages and what engines get are unchanged.
- Prediction is a fluid plan: a pool works from now on on the waiting pieces that are at least as urgent; more urgent arrivals, measured over the last second, take their share of slots and result memory.
The fixed reserve per level, its floor and BACKLOG_SHARE are gone.
- The queue serves stages that can be in time by urgency, then by latest start; an eighth of each call is kept for those overdue by a second.
- Jobs of which nothing was sent give way to more urgent ones that lack result memory, and are rejected as not run once their start has passed.

--- a/src/direct/log_events/load.rs
+++ b/src/direct/log_events/load.rs
@@ -3,6 +3,7 @@
 use serde::Serialize;
 
 use crate::direct::published::model::Name;
+use crate::policy::urgency::Urgency;
 
 /// Decision under load, written with its name in snake case as field `event`.
 #[derive(Debug, Clone, PartialEq, Serialize)]
@@ -12,12 +13,24 @@
     GaveWay {
         /// Id of the cancelled request, given by its caller.
         request: Name,
-        /// Priority of the cancelled request.
-        priority: u8,
+        /// Urgency of the cancelled request.
+        urgency: Urgency,
         /// Id of the more urgent request.
         for_request: Name,
-        /// Priority of the more urgent request.
-        for_priority: u8,
+        /// Urgency of the more urgent request.
+        for_urgency: Urgency,
+        /// Pool that lacked capacity.
+        pool: Name,
+        /// Milliseconds after which the caller may retry.
+        retry_after_ms: u64,
+    },
+    /// An admitted job of which nothing had started was rejected, since it could no longer start in
+    /// time.
+    MissedStart {
+        /// Id of the rejected request, given by its caller.
+        request: Name,
+        /// Urgency of the request.
+        urgency: Urgency,
         /// Pool that lacked capacity.
         pool: Name,
         /// Milliseconds after which the caller may retry.
@@ -63,6 +76,7 @@
     pub const fn kind(&self) -> &'static str {
         match self {
             Self::GaveWay { .. } => "gave_way",
+            Self::MissedStart { .. } => "missed_start",
             Self::PlaceBooked { .. } => "place_booked",
             Self::PlaceEnded { .. } => "place_ended",
             Self::PromptFetch { .. } => "prompt_fetch",
--- a/src/direct/log_events/mod.rs
+++ b/src/direct/log_events/mod.rs
@@ -16,6 +16,7 @@
     PublishedVersion, StoreEra, StoreReadOutcome, StoreReturned,
 };
 use crate::direct::published::model::Name;
+use crate::policy::urgency::Urgency;
 
 /// Log event, written with its name in snake case as field `event`.
 #[derive(Debug, Clone, PartialEq, Serialize)]
@@ -60,6 +61,8 @@
     StagesDecided {
         /// Request id given by the caller.
         request: Name,
+        /// Priority of the request and that of its route; `0.0` is the most urgent.
+        urgency: Urgency,
         /// Whether the stages were admitted.
         admitted: bool,
         /// Pool with the least spare capacity for this request; empty if unknown.
--- a/src/direct/owner/admission.rs
+++ b/src/direct/owner/admission.rs
@@ -9,23 +9,17 @@
 use crate::direct::event::Action;
 use crate::direct::log_events::{LogEvent, ms};
 use crate::direct::owner::calls::TAKEOVER_PERIOD;
-use crate::direct::owner::jobs::{JobRun, Piece, expected_calls};
+use crate::direct::owner::jobs::{JobRun, Piece, expected_call, urgency};
 use crate::direct::owner::scheduler::Scheduler;
 use crate::direct::owner::timers::Timer;
 use crate::direct::peers::message::{Job, JobId, JobReason, JobStage, PeerMessage};
 use crate::direct::poison::suspects::RETENTION;
 use crate::direct::published::model::{BatchSpec, Name};
-use crate::direct::published::regions::AllowedRegions;
 use crate::direct::published::table::Table;
 use crate::message::Timestamp;
 use crate::policy::path::{PathDecision, Reserved, StageLoad, admit_path};
 use crate::policy::timeline::Timeline;
-
-/// Share of the backlog, computed for full calls, that is ahead of a new job: admitted jobs reach
-/// their stages one after the other, and calls get fuller under load.
-const BACKLOG_SHARE: f64 = 0.3;
-/// Average share of its call's duration that a running piece still needs.
-const RUNNING_SHARE: f64 = 0.5;
+use crate::policy::urgency::Urgency;
 
 impl Scheduler {
     /// Handles a job submitted by a gateway: admits it, or refuses it at once.
@@ -42,18 +36,28 @@
             self.ask_reports(table, now);
         }
         self.last_submit = Some(now);
-        let decision = self.admit(&job, table, now);
-        if let Some(refusal) = decision.refusal
-            && !self.displace_for(&job, refusal, table, now)
-        {
+        let urgency = urgency(&job, table);
+        self.record_arrival(&job, urgency, now);
+        self.update_ledger(table, now);
+        let mut decision = self.decide(&job, urgency, table, now);
+        let excess_wait = self.excess_turn_wait(&job, table, now).filter(|_| !job.resubmitted);
+        let displaced = if excess_wait.is_none() {
+            self.displace_for(&job, urgency, &decision, table, now)
+        } else {
+            Vec::new()
+        };
+        if !displaced.is_empty() {
+            decision = self.decide(&job, urgency, table, now);
+        }
+        self.log_decision(&job, urgency, &decision);
+        if let Some(refusal) = decision.refusal {
             return self.refuse(&job, refusal, decision.retry_after, table, now);
         }
-        let excess_wait = self.excess_turn_wait(&job, table, now).filter(|_| !job.resubmitted);
         if let Some(retry_after) = excess_wait {
             return self.send_given_up(id, JobReason::WouldBeLate, true, retry_after);
         }
         self.send_to_gateway(id, PeerMessage::Accepted(id));
-        let mut run = JobRun::new(job, table, now);
+        let mut run = JobRun::new(job, table, &self.timings, now);
         run.heavy_data_centre = self.least_loaded_data_centre(&run);
         for (spec, stage) in run.job.stages.iter().zip(&run.stages) {
             for made in stage.results() {
@@ -63,27 +67,47 @@
         self.timers.add(run.deadline, Timer::Deadline(id));
         self.jobs.insert(id, run);
         self.advance(id, table);
+        self.refuse_displaced(displaced, id, table, now);
     }
 
-    /// Decides on admission; a resubmitted job, which another owner has admitted before, is not
-    /// refused.
-    fn admit(&mut self, job: &Job, table: &Table, now: Timestamp) -> PathDecision {
-        self.update_ledger(table, now);
-        let loads = self.loads(job, table, now);
+    /// Records the pieces and results that a job needs as demand for its pools.
+    fn record_arrival(&mut self, job: &Job, urgency: Urgency, now: Timestamp) {
+        for stage in &job.stages {
+            let pieces = stage.pieces.saturating_sub(stage.done.len());
+            let bytes = pieces as u64 * stage.result_bytes;
+            let arrivals = &mut self.ledger.pool(&stage.pool).arrivals;
+            arrivals.record(urgency, pieces as f64, bytes as f64, now);
+        }
+    }
+
+    /// Decides on admission with the ledger as it is; a resubmitted job, which another owner has
+    /// admitted before, is not refused.
+    pub(super) fn decide(
+        &mut self,
+        job: &Job,
+        urgency: Urgency,
+        table: &Table,
+        now: Timestamp,
+    ) -> PathDecision {
+        let loads = self.loads(job, urgency, table, now);
         // Each stage ends with an event, which this process handles with its event lag.
         let after = job.after_stages + self.event_lag * job.stages.len() as u32;
-        let mut decision = admit_path(&loads, after, job.to_objective, job.priority);
+        let mut decision = admit_path(&loads, after, job.to_objective);
         decision.refusal = decision.refusal.filter(|_| !job.resubmitted);
+        decision
+    }
+
+    fn log_decision(&mut self, job: &Job, urgency: Urgency, decision: &PathDecision) {
         let bottleneck = job.stages.get(decision.bottleneck);
         self.out.push(Action::Log(LogEvent::StagesDecided {
             request: job.request.clone(),
+            urgency,
             admitted: decision.refusal.is_none(),
             pool: bottleneck.map_or_else(|| "".into(), |s| s.pool.clone()),
             predicted_ms: ms(decision.predicted),
             objective_ms: ms(job.to_objective),
             room_share: (decision.memory_share * 100.0).round() / 100.0,
         }));
-        decision
     }
 
     /// Sends the state of a job to its gateway again, because earlier messages may be lost.
@@ -105,39 +129,51 @@
     }
 
     /// Current load of each stage's pool.
-    fn loads(&mut self, job: &Job, table: &Table, now: Timestamp) -> Vec<StageLoad> {
-        let calls = expected_calls(job, table);
+    fn loads(
+        &mut self,
+        job: &Job,
+        urgency: Urgency,
+        table: &Table,
+        now: Timestamp,
+    ) -> Vec<StageLoad> {
         let mut taken: HashMap<&Name, Arc<Timeline>> = HashMap::new();
         for stage in &job.stages {
             let bookings = self.ledger.get_mut(&stage.pool).map(|pool| &mut pool.bookings);
             let timeline = || Arc::new(bookings.map(|b| b.timeline(now)).unwrap_or_default());
             taken.entry(&stage.pool).or_insert_with(timeline);
         }
-        let stages = job.stages.iter().zip(calls);
+        let stages = job.stages.iter();
         stages
-            .map(|(stage, call)| {
-                self.load(stage, &job.allowed_regions, call, taken[&stage.pool].clone(), table)
+            .map(|stage| {
+                let memory_in_use = taken[&stage.pool].clone();
+                self.load(job, urgency, stage, memory_in_use, table, now)
             })
             .collect()
     }
 
     fn load(
         &self,
+        job: &Job,
+        urgency: Urgency,
         stage: &JobStage,
-        allowed_regions: &AllowedRegions,
-        call: Duration,
         memory_in_use: Arc<Timeline>,
         table: &Table,
+        now: Timestamp,
     ) -> StageLoad {
+        let call = expected_call(stage, table, &self.timings);
         let mut load = StageLoad {
             after: stage.after.clone(),
             is_done: stage.pieces == 0 || stage.done.len() == stage.pieces,
             slots: 0.0,
             backlog: Duration::ZERO,
+            slot_share: 1.0,
+            usual_wait: Duration::ZERO,
             call,
+            full_call: call,
             result_memory: 0.0,
             memory_in_use,
             required_memory: (stage.pieces as u64 * stage.result_bytes) as f64,
+            urgent_memory_rate: 0.0,
             reserved: Reserved::default(),
         };
         let (Some(spec), Some(pool)) =
@@ -145,11 +181,20 @@
         else {
             return load;
         };
-        let endpoints = pool.endpoints.count_in_regions(allowed_regions) as f64;
+        let endpoints = pool.endpoints.count_in_regions(&job.allowed_regions) as f64;
         load.slots = endpoints * f64::from(spec.slots);
         load.result_memory = (spec.result_memory_bytes as f64)
             .mul_add(endpoints, -(pool.endpoints.used_by_others() as f64));
-        load.backlog = backlog(pool.waiting, pool.running, spec);
+        let piece = slot_time_per_piece(spec);
+        let urgent = pool.arrivals.more_urgent_than(urgency, now);
+        let all = pool.arrivals.total(now);
+        let busy_share =
+            |pieces: f64| (piece.as_secs_f64() * pieces / load.slots.max(0.01)).min(1.0);
+        load.backlog = piece.mul_f64(pool.waiting_before(urgency) as f64);
+        load.slot_share = 1.0 - busy_share(urgent.pieces);
+        load.usual_wait = call.mul_f64(busy_share(all.pieces) / load.slots.max(1.0));
+        load.full_call = spec.call_overhead + spec.piece_time * spec.pieces as u32;
+        load.urgent_memory_rate = urgent.bytes;
         load
     }
 
@@ -178,9 +223,7 @@
     }
 }
 
-/// Slot time that is ahead of a new job.
-fn backlog(waiting: usize, running: usize, spec: &BatchSpec) -> Duration {
-    let full_call = spec.call_overhead.div_f64(spec.pieces as f64) + spec.piece_time;
-    let pieces = (running as f64).mul_add(RUNNING_SHARE, waiting as f64);
-    full_call.mul_f64(BACKLOG_SHARE).mul_f64(pieces)
+/// Slot time that a piece takes in a full call.
+fn slot_time_per_piece(spec: &BatchSpec) -> Duration {
+    spec.call_overhead.div_f64(spec.pieces as f64) + spec.piece_time
 }
--- a/src/direct/owner/batching.rs
+++ b/src/direct/owner/batching.rs
@@ -21,7 +21,7 @@
 use crate::invariant;
 use crate::invariant::Violation;
 use crate::message::Timestamp;
-use crate::policy::path::INPUT_FETCH_TIME;
+use crate::policy::path::{GUARANTEED_SHARE, INPUT_FETCH_TIME};
 
 /// A call is abandoned after its expected duration multiplied by this factor, plus
 /// [`OVERDUE_MARGIN`].
@@ -151,6 +151,11 @@
     }
 }
 
+/// Number of pieces of a call that are kept for overdue stages: at least one.
+fn overdue_pieces(spec: &BatchSpec) -> usize {
+    ((spec.pieces as f64 * GUARANTEED_SHARE) as usize).max(1)
+}
+
 /// Chooses the next call: an endpoint for the most urgent pieces that fit anywhere, all pieces of
 /// the call, and the number of candidates examined.
 fn choose_call(
@@ -166,6 +171,7 @@
         now_ms: ms(now) as i64,
         flexible_until_ms: ms(flexible_until(now)) as i64,
         max_pieces: spec.pieces * CALLS_EXAMINED,
+        overdue_pieces: overdue_pieces(spec),
     };
     let candidates = pool.queue.candidates(
         search,
--- a/src/direct/owner/entry.rs
+++ b/src/direct/owner/entry.rs
@@ -5,7 +5,7 @@
 use crate::direct::log_events::ms;
 use crate::direct::owner::bookings::Booking;
 use crate::direct::owner::jobs::{HEAVY_BYTES, JobRun};
-use crate::direct::owner::ledger::{Entry, StageEntry};
+use crate::direct::owner::ledger::{Displaceable, Entry, StageEntry};
 use crate::direct::owner::plan::{Occupancy, PlanContext, expected_runs, occupancies};
 use crate::direct::owner::queue::{Rank, Waiting};
 use crate::message::Timestamp;
@@ -59,15 +59,23 @@
     let waiting = run.stages[stage].waiting();
     // On average, an entry that moves with the clock is refreshed this late.
     let late = if moves_with_time(run) { STEP / 2 } else { Duration::ZERO };
+    let unfinished = run.stages[stage].unfinished();
+    let displaceable = (unfinished > 0 && run.is_untouched()).then(|| displaceable(run, stage));
     StageEntry {
+        urgency: run.urgency,
         waiting,
-        running: run.stages[stage].unfinished() - waiting,
+        running: unfinished - waiting,
         heavy_data_centre: run.heavy_data_centre.clone().filter(|_| run.is_heavy(stage)),
         queued: (deferral == Some(Duration::ZERO)).then(|| queued(run, stage, waiting)),
         booking: occupancy.map(|f| Booking::new(f.from + late, f.until + late, f.bytes, now)),
+        displaceable,
     }
 }
 
+const fn displaceable(run: &JobRun, stage: usize) -> Displaceable {
+    Displaceable { urgency: run.urgency, objective: run.objective, job: run.job.id, stage }
+}
+
 /// Whether the expected times of a job move with the clock: it waits for a call, or for its results
 /// to be fetched.
 fn moves_with_time(run: &JobRun) -> bool {
@@ -80,7 +88,7 @@
     let latest_start_ms = ms(run.objective) as i64 - ms(rest) as i64;
     let preferred =
         run.preferred_data_centre(stage).filter(|_| run.moved_bytes(stage) >= HEAVY_BYTES).cloned();
-    let rank = Rank { latest_start_ms, job: run.job.id, stage };
+    let rank = Rank { urgency: run.urgency, latest_start_ms, job: run.job.id, stage };
     let (bytes, allowed_regions) =
         (run.job.stages[stage].result_bytes, run.job.allowed_regions.clone());
     Waiting { rank, pieces, bytes, preferred, allowed_regions }
--- a/src/direct/owner/jobs.rs
+++ b/src/direct/owner/jobs.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use crate::direct::owner::ledger::Entry;
+use crate::direct::owner::timings::Timings;
 use crate::direct::peers::message::{Job, JobStage, StoredResult};
 use crate::direct::published::model::Name;
 use crate::direct::published::table::Table;
 use crate::message::Timestamp;
+use crate::policy::urgency::Urgency;
 
 /// Minimum size of a transfer between data centres, in bytes, for which a piece waits for an
 /// endpoint in its preferred data centre.
@@ -94,6 +96,8 @@
 pub struct JobRun {
     /// The job as submitted.
     pub job: Job,
+    /// Order of service among jobs.
+    pub urgency: Urgency,
     /// Time until which a response meets the objective.
     pub objective: Timestamp,
     /// Time until which the caller waits.
@@ -104,8 +108,7 @@
     pub ready: bool,
     /// Data centre of the stages that exchange large results.
     pub heavy_data_centre: Option<Name>,
-    /// For each stage, the expected duration of a call with all its pieces, or as many as a call
-    /// can hold.
+    /// For each stage, the expected duration of its call.
     pub calls: Vec<Duration>,
     /// Current entry in the ledgers of the job's pools.
     pub(super) entry: Entry,
@@ -113,7 +116,7 @@
 
 impl JobRun {
     /// Starts an admitted job; results of stages that were finished under another owner are kept.
-    pub fn new(job: Job, table: &Table, now: Timestamp) -> Self {
+    pub(super) fn new(job: Job, table: &Table, timings: &Timings, now: Timestamp) -> Self {
         let stages = job
             .stages
             .iter()
@@ -129,9 +132,28 @@
             .collect();
         let objective = now + job.to_objective;
         let deadline = now + job.to_deadline;
-        let calls = expected_calls(&job, table);
+        let calls = expected_calls(&job, table, timings);
+        let urgency = urgency(&job, table);
         let (heavy_data_centre, entry) = (None, Entry::default());
-        Self { job, objective, deadline, stages, ready: false, heavy_data_centre, calls, entry }
+        Self {
+            job,
+            urgency,
+            objective,
+            deadline,
+            stages,
+            ready: false,
+            heavy_data_centre,
+            calls,
+            entry,
+        }
+    }
+
+    /// Whether no piece was ever sent, here or under another owner.
+    pub fn is_untouched(&self) -> bool {
+        let is_new = |piece: &Piece| *piece == Piece::Waiting { attempts: 0 };
+        let is_unsent =
+            |stage: &StageRun| stage.started.is_none() && stage.pieces.iter().all(is_new);
+        !self.job.resubmitted && self.stages.iter().all(is_unsent)
     }
 
     /// Whether all stages are done.
@@ -251,12 +273,24 @@
     }
 }
 
-/// For each stage of a job, the expected duration of a call with all its pieces, or as many as a
-/// call can hold.
-pub(super) fn expected_calls(job: &Job, table: &Table) -> Vec<Duration> {
-    let call = |stage: &JobStage| {
-        let spec = table.batch_spec(&stage.pool)?;
-        Some(spec.call_overhead + spec.piece_time * stage.pieces.min(spec.pieces) as u32)
+/// Urgency of a job. A route that is not in this gateway's configuration is taken for one with the
+/// priority of the job.
+pub(super) fn urgency(job: &Job, table: &Table) -> Urgency {
+    let route = table.deployment.routes.iter().find(|route| route.name == job.route);
+    Urgency { priority: job.priority, route: route.map_or(job.priority, |r| r.priority) }
+}
+
+/// For each stage of a job, the expected duration of its call.
+pub(super) fn expected_calls(job: &Job, table: &Table, timings: &Timings) -> Vec<Duration> {
+    job.stages.iter().map(|stage| expected_call(stage, table, timings)).collect()
+}
+
+/// Expected duration of a stage's call: as long as the pool's recent calls, which hold pieces of
+/// other jobs, but at least as long as its own pieces take, or as many as a call can hold.
+pub(super) fn expected_call(stage: &JobStage, table: &Table, timings: &Timings) -> Duration {
+    let Some(spec) = table.batch_spec(&stage.pool) else {
+        return Duration::ZERO;
     };
-    job.stages.iter().map(|stage| call(stage).unwrap_or_default()).collect()
+    let own = spec.call_overhead + spec.piece_time * stage.pieces.min(spec.pieces) as u32;
+    own.max(timings.get(&stage.pool, spec).call())
 }
--- a/src/direct/owner/ledger.rs
+++ b/src/direct/owner/ledger.rs
@@ -5,18 +5,34 @@
 //! and memory use are read, not recomputed: 1,400 jobs a second take 0.06 of a core, against 2.7
 //! cores with recomputation.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use crate::direct::owner::bookings::{Booking, Bookings};
 use crate::direct::owner::endpoints::Endpoints;
 use crate::direct::owner::jobs::JobRun;
 use crate::direct::owner::queue::{Queue, Waiting};
+use crate::direct::peers::message::JobId;
 use crate::direct::published::model::Name;
 use crate::message::Timestamp;
+use crate::policy::arrivals::Arrivals;
+use crate::policy::urgency::Urgency;
+
+/// A stage of a job of which no piece was ever sent, in the order in which jobs give way: from the
+/// last one on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Displaceable {
+    pub(super) urgency: Urgency,
+    /// Time until which a response meets the objective.
+    pub(super) objective: Timestamp,
+    pub(super) job: JobId,
+    /// Index of the stage in the job.
+    pub(super) stage: usize,
+}
 
 /// Entry of one stage of a job in the ledger of its pool.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(super) struct StageEntry {
+    pub(super) urgency: Urgency,
     /// Waiting pieces, including those that may not be sent yet.
     pub(super) waiting: usize,
     /// Pieces in running calls.
@@ -27,6 +43,8 @@
     pub(super) queued: Option<Waiting>,
     /// Result memory that the results occupy or will occupy.
     pub(super) booking: Option<Booking>,
+    /// The stage, if its job can give way to others.
+    pub(super) displaceable: Option<Displaceable>,
 }
 
 /// Entry of a job in the ledgers of its pools.
@@ -42,6 +60,12 @@
 pub(super) struct PoolLedger {
     pub(super) waiting: usize,
     pub(super) running: usize,
+    /// Waiting pieces by urgency.
+    waiting_by_urgency: BTreeMap<Urgency, usize>,
+    /// Stages of jobs that can give way to more urgent ones.
+    displaceable: BTreeSet<Displaceable>,
+    /// Rates at which pieces arrive, those of refused jobs included.
+    pub(super) arrivals: Arrivals,
     /// Unfinished pieces by the data centre that they are bound to.
     unfinished_in: HashMap<Name, usize>,
     pub(super) queue: Queue,
@@ -55,8 +79,21 @@
         self.unfinished_in.get(data_centre).copied().unwrap_or_default()
     }
 
+    /// Waiting pieces that are at least as urgent as `urgency`. The cost depends on the number of
+    /// different urgencies alone.
+    pub(super) fn waiting_before(&self, urgency: Urgency) -> usize {
+        self.waiting_by_urgency.range(..=urgency).map(|(_, waiting)| waiting).sum()
+    }
+
+    /// The stage whose job gives way first, if it is less urgent than `urgency`.
+    pub(super) fn first_to_displace(&self, urgency: Urgency) -> Option<Displaceable> {
+        self.displaceable.last().copied().filter(|stage| stage.urgency > urgency)
+    }
+
     fn add_entry(&mut self, entry: &StageEntry) {
         self.waiting += entry.waiting;
+        *self.waiting_by_urgency.entry(entry.urgency).or_default() += entry.waiting;
+        self.displaceable.extend(entry.displaceable);
         self.running += entry.running;
         if let Some(data_centre) = &entry.heavy_data_centre {
             *self.unfinished_in.entry(data_centre.clone()).or_default() +=
@@ -72,6 +109,12 @@
 
     fn remove_entry(&mut self, entry: &StageEntry) {
         self.waiting -= entry.waiting;
+        if let Some(waiting) = self.waiting_by_urgency.get_mut(&entry.urgency) {
+            *waiting -= entry.waiting;
+        }
+        if let Some(displaceable) = &entry.displaceable {
+            self.displaceable.remove(displaceable);
+        }
         self.running -= entry.running;
         let open = entry
             .heavy_data_centre
--- a/src/direct/owner/scheduler.rs
+++ b/src/direct/owner/scheduler.rs
@@ -297,7 +297,7 @@
         while let Some(due) = self.timers.take(now) {
             match due {
                 Timer::Deadline(job) => self.cancel_job(job, JobReason::DeadlinePassed, table),
-                Timer::Refresh(job) => self.changed_jobs.push(job),
+                Timer::Refresh(job) => self.refresh_due(job, table, now),
                 Timer::InputsFetched(call) => self.inputs_fetched(call, table, now),
                 Timer::Overdue(call) => self.abandon_call(call, table, now),
             }
@@ -369,7 +369,7 @@
             }
         }
         for (id, run) in &mut self.jobs {
-            run.calls = expected_calls(&run.job, table);
+            run.calls = expected_calls(&run.job, table, &self.timings);
             self.changed_jobs.push(*id);
         }
     }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -2,6 +2,7 @@
 //! states and the time. Each decision includes its explanation.
 
 pub mod admit;
+pub mod arrivals;
 pub mod budget;
 pub mod demand;
 pub mod explain;
@@ -11,3 +12,4 @@
 pub mod predict;
 pub mod route;
 pub mod timeline;
+pub mod urgency;
--- a/src/policy/path.rs
+++ b/src/policy/path.rs
@@ -11,9 +11,6 @@
 
 use super::timeline::Timeline;
 
-/// Share of the time to the objective that the predicted time may use. It is above 1 because
-/// predictions are too high under load, when calls are filled with more pieces.
-const PREDICTED_TIME_SHARE: f64 = 1.1;
 /// Share of a pool's result memory that may be planned for; the rest is a margin for uneven use of
 /// the endpoints and for prediction errors.
 const PLANNED_MEMORY_SHARE: f64 = 0.7;
@@ -29,10 +26,10 @@
 /// How long the final results are kept after the last stage: until the request has been sent to an
 /// endpoint that has fetched them.
 pub const FINAL_RESULT_HOLD_TIME: Duration = Duration::from_millis(90);
-/// Share of time and result memory that is reserved for more urgent requests, per priority level.
-const RESERVED_SHARE_PER_PRIORITY: f64 = 0.12;
-/// Smallest share that is available to any priority.
-const MIN_AVAILABLE_SHARE: f64 = 0.6;
+/// Share of a pool's slots and planned result memory that every priority can claim, whatever more
+/// urgent callers need. With an eighth of a pool, work that fills one call of a third of a second
+/// ends within 3 s; callers wait at least twice as long before they give up.
+pub const GUARANTEED_SHARE: f64 = 0.125;
 /// Minimum retry delay.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Upper limit of predicted waiting times.
@@ -49,16 +46,25 @@
     pub is_done: bool,
     /// Number of calls that the pool's endpoints run concurrently.
     pub slots: f64,
-    /// Slot time of already admitted work that has not been used yet.
+    /// Slot time of the waiting pieces, at any stage of their jobs, that are served before this
+    /// stage: those of the same and of more urgent priorities.
     pub backlog: Duration,
-    /// Duration of the call that runs the stage.
+    /// Share of the slots that arrivals of more urgent priorities leave.
+    pub slot_share: f64,
+    /// Expected time until a call ends, if nothing waits.
+    pub usual_wait: Duration,
+    /// Duration of the call that runs the stage, if nothing waits.
     pub call: Duration,
+    /// Duration of a full call.
+    pub full_call: Duration,
     /// Result memory of the pool, in bytes.
     pub result_memory: f64,
     /// Expected use of the result memory over time, in bytes.
     pub memory_in_use: Arc<Timeline>,
     /// Result memory that this stage needs, in bytes.
     pub required_memory: f64,
+    /// Result memory that more urgent arrivals need, in bytes per second.
+    pub urgent_memory_rate: f64,
     /// Capacity that is kept for others while the stage waits and runs.
     pub reserved: Reserved,
 }
@@ -100,11 +106,6 @@
     pub retry_after: Duration,
 }
 
-/// Share of time and result memory that is available to a priority; 0 is the most urgent.
-pub fn available_share(priority: u8) -> f64 {
-    (1.0 - RESERVED_SHARE_PER_PRIORITY * f64::from(priority)).max(MIN_AVAILABLE_SHARE)
-}
-
 /// Planned run of a stage.
 #[derive(Debug, Clone, Copy, Default)]
 struct Run {
@@ -124,11 +125,7 @@
 }
 
 /// Plans each stage after the stages that it depends on; deferred stages are planned last.
-fn plan(
-    stages: &[StageLoad],
-    after: Duration,
-    available: f64,
-) -> Result<Vec<Run>, InsufficientMemory> {
+fn plan(stages: &[StageLoad], after: Duration) -> Result<Vec<Run>, InsufficientMemory> {
     let mut runs = vec![Run::default(); stages.len()];
     let (deferred, others): (Vec<usize>, Vec<usize>) =
         (0..stages.len()).partition(|&index| is_isolated(stages, index));
@@ -145,16 +142,16 @@
         } else {
             ready
         };
-        let can_start_at = earliest.max(ready + stage.expected_wait());
+        let can_start_at = earliest.max(ready + stage.expected_wait(ready));
+        let call = stage.expected_call(ready);
         // Results are kept until the next stage has fetched them or the response starts.
-        let next =
-            stages.iter().filter(|s| s.after.contains(&index)).map(StageLoad::expected_wait).max();
-        let length = stage.call
+        let next = stages.iter().filter(|s| s.after.contains(&index));
+        let next = next.map(|s| s.expected_wait(can_start_at + call)).max();
+        let length = call
             + next.map_or(after.min(FINAL_RESULT_HOLD_TIME), |expected_wait| {
                 expected_wait + INPUT_FETCH_TIME
             });
-        let planned = stage.result_memory * PLANNED_MEMORY_SHARE * available;
-        let bound = (planned - stage.reserved.memory).max(stage.required_memory);
+        let bound = stage.memory_bound(length);
         let start = stage
             .memory_in_use
             .earliest_fit(can_start_at, length, stage.required_memory, bound)
@@ -165,7 +162,7 @@
         if memory_wait > MAX_MEMORY_WAIT {
             return Err(InsufficientMemory { stage: index, wait: Some(memory_wait) });
         }
-        runs[index] = Run { end: start + stage.call, memory_wait, memory_share: share };
+        runs[index] = Run { end: start + call, memory_wait, memory_share: share };
     }
     Ok(runs)
 }
@@ -176,10 +173,32 @@
 }
 
 impl StageLoad {
-    /// Expected time that the stage waits for a free slot.
-    fn expected_wait(&self) -> Duration {
+    /// Expected time, from `at` on, in which the pool still works on what is served before the
+    /// stage. The pool works on it from now on, not only once the stage is ready.
+    fn backlog_wait(&self, at: Duration) -> Duration {
         let ahead = self.backlog + self.reserved.slot_time;
-        ahead.div_f64(self.slots.max(0.01)).min(MAX_PREDICTED_WAIT)
+        let slots = (self.slots * self.slot_share.max(GUARANTEED_SHARE)).max(0.01);
+        ahead.div_f64(slots).min(MAX_PREDICTED_WAIT).saturating_sub(at)
+    }
+
+    /// Expected time that the stage waits for a free slot if it is ready at `at`.
+    fn expected_wait(&self, at: Duration) -> Duration {
+        self.backlog_wait(at) + self.usual_wait
+    }
+
+    /// Expected duration of the call that runs the stage: a call is full if pieces wait for it.
+    fn expected_call(&self, ready: Duration) -> Duration {
+        let is_full = !self.backlog_wait(ready).is_zero();
+        if is_full { self.call.max(self.full_call) } else { self.call }
+    }
+
+    /// Result memory that may be in use while the stage keeps its results for `length`. More urgent
+    /// arrivals meanwhile need none at the beginning and that of the whole time at the end.
+    fn memory_bound(&self, length: Duration) -> f64 {
+        let planned = self.result_memory * PLANNED_MEMORY_SHARE;
+        let urgent = self.urgent_memory_rate * length.as_secs_f64() / 2.0;
+        let available = (planned - urgent).max(planned * GUARANTEED_SHARE);
+        (available - self.reserved.memory).max(self.required_memory)
     }
 }
 
@@ -195,14 +214,8 @@
 
 /// Decides whether the stages of a request are started; `after` is the time from the end of the
 /// last stage to the start of the response.
-pub fn admit_path(
-    stages: &[StageLoad],
-    after: Duration,
-    to_objective: Duration,
-    priority: u8,
-) -> PathDecision {
-    let available = available_share(priority);
-    let runs = plan(stages, after, available);
+pub fn admit_path(stages: &[StageLoad], after: Duration, to_objective: Duration) -> PathDecision {
+    let runs = plan(stages, after);
     let needed = || (0..stages.len()).filter(|&i| !stages[i].is_done);
     let has_memory = runs.is_ok();
     let by_share = |runs: &[Run]| {
@@ -215,12 +228,7 @@
     let memory_share = runs.get(bottleneck).map_or(0.0, |r| r.memory_share);
     let predicted = runs.iter().map(|r| r.end).max().unwrap_or_default() + after;
     let memory_wait = runs.iter().map(|r| r.memory_wait).sum();
-    // The reserved share applies to the waiting time only; the work takes the same time at every
-    // priority.
-    let budget = to_objective.mul_f64(PREDICTED_TIME_SHARE);
-    let time_without_waiting = time_without_waiting(stages) + after;
-    let allowed =
-        time_without_waiting + budget.saturating_sub(time_without_waiting).mul_f64(available);
+    let allowed = to_objective.max(time_without_waiting(stages) + after);
     let refusal = if needed().any(|i| stages[i].slots <= 0.0) {
         Some(PathRefusal::NoEndpoint)
     } else if !has_memory {
--- a/testbed/src/owner_load.rs
+++ b/testbed/src/owner_load.rs
@@ -3,7 +3,7 @@
 //!
 //! Each job has three sequential stages of 1, 4 and 6 pieces; a call takes 240 ms plus a short time
 //! per piece. This is the pattern of a guest's question, for which a record, permits and notices
-//! are fetched before the response is generated.
+//! are fetched before the response is generated. Jobs have three priorities in equal parts.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -277,7 +277,7 @@
             to_objective: Duration::from_millis(2_200),
             to_deadline: Duration::from_secs(12),
             after_stages: Duration::from_millis(100),
-            priority: 0,
+            priority: (number / 3 % 3) as u8,
             data_centre,
             allowed_regions: AllowedRegions::default(),
             resubmitted: false,
--- a/tests/direct_ledger.rs
+++ b/tests/direct_ledger.rs
@@ -21,6 +21,7 @@
         Checkpoint::Fills => recount.fills(scheduler, table, now),
         Checkpoint::Acts(actions) => recount.acts(actions),
     });
+    println!("{} jobs gave way", recount.gave_way);
     recount.compared
 }
 
@@ -38,9 +39,8 @@
 }
 
 // Admission reads the planned result memory from a clock of discrete steps, and plans are up to one
-// step old: 65 of 1,697 decisions differ from those of recomputed plans, near the limit and about
-// as often in either direction. A deferred stage is checked every 25 ms, and only two full calls of
-// the waiting pieces are considered: 18 of 1,480 calls hold other pieces.
+// step old: 22 of 1,711 decisions differ from those of recomputed plans, near the limit. Calls are
+// recomputed with the deferred stages that are queued, which may be 25 ms late; none differs.
 #[test]
 fn decisions_equal_the_recomputed_ones_within_a_time_step() {
     let mut all = Compared::default();
@@ -54,7 +54,7 @@
     assert!(differing * 100 <= all.decisions * 5, "more than 5 in 100 differ: {all:?}");
     let imbalance = all.refused_only_recomputed.abs_diff(all.refused_only_kept);
     assert!(imbalance * 100 <= all.decisions * 4, "biased to one side: {all:?}");
-    assert!(all.differing_calls * 100 <= all.calls * 2, "more than 2 calls in 100 differ: {all:?}");
+    assert!(all.differing_calls * 200 <= all.calls, "more than 1 call in 200 differs: {all:?}");
 }
 
 // The cost of a job doesn't depend on the number of held jobs; the test counts the checked jobs
--- a/tests/directenv/recount.rs
+++ b/tests/directenv/recount.rs
@@ -1,7 +1,7 @@
 //! Recomputes an owner's decisions from all jobs, slowly and simply, to check the state that the
 //! owner keeps incrementally.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::ops::AddAssign;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,13 +14,20 @@
 use stackmast::direct::peers::message::{Job, JobId};
 use stackmast::direct::published::model::{BatchSpec, Name};
 use stackmast::direct::published::table::Table;
-use stackmast::policy::path::{DEFERRAL_MARGIN, Reserved, StageLoad, admit_path};
+use stackmast::policy::path::{
+    DEFERRAL_MARGIN, PathDecision, PathRefusal, Reserved, StageLoad, admit_path,
+};
 use stackmast::policy::timeline::Timeline;
+use stackmast::policy::urgency::Urgency;
 
-/// Share of the time that all started work needs in full calls that is planned ahead of a new job.
-const BEFORE_NEWCOMER: f64 = 0.3;
-/// Share of its call's time that a piece in a call still needs.
-const RUNNING_REST: f64 = 0.5;
+/// Seconds after which the weight of an arrival has fallen to 1 / e.
+const ARRIVAL_DECAY_S: f64 = 1.0;
+/// Share of a call that is kept for pieces that missed their latest start long ago.
+const KEPT_FOR_OVERDUE: f64 = 0.125;
+/// Milliseconds after its latest start from which a piece belongs to them.
+const OVERDUE_MS: i64 = 1_000;
+/// Maximum number of jobs that give way to one.
+const MAX_GIVING_WAY: usize = 4;
 /// Results of this many bytes bind a piece to a data centre.
 const HEAVY: u64 = 100_000;
 /// A piece waits for its data centre only if it has at least this much time to spare.
@@ -60,18 +67,45 @@
     pub compared: Compared,
     /// Whether the job that was just submitted is admitted.
     decided: Option<bool>,
+    /// All jobs submitted so far, and when.
+    arrived: Vec<(Duration, Job)>,
+    /// Number of jobs that gave way, as recomputed.
+    pub gave_way: usize,
     /// The first call of each pool as recomputed.
     next: HashMap<Name, Vec<(Name, usize, usize)>>,
 }
 
 impl Recount {
     pub fn submits(&mut self, owner: &mut Scheduler, job: &Job, table: &Table, now: Duration) {
-        let loads: Vec<StageLoad> =
-            (0..job.stages.len()).map(|stage| load(owner, job, stage, table, now)).collect();
-        let decision = admit_path(&loads, job.after_stages, job.to_objective, job.priority);
+        self.arrived.push((now, job.clone()));
+        let mut without = BTreeSet::new();
+        let mut decision = self.decide(owner, job, &without, table, now);
+        while decision.refusal == Some(PathRefusal::InsufficientMemory)
+            && without.len() < MAX_GIVING_WAY
+        {
+            let Some(next) = gives_way(owner, job, decision.bottleneck, &without) else {
+                break;
+            };
+            without.insert(next);
+            decision = self.decide(owner, job, &without, table, now);
+        }
+        self.gave_way += if decision.refusal.is_none() { without.len() } else { 0 };
         self.decided = Some(decision.refusal.is_none());
     }
 
+    fn decide(
+        &self,
+        owner: &mut Scheduler,
+        job: &Job,
+        without: &BTreeSet<JobId>,
+        table: &Table,
+        now: Duration,
+    ) -> PathDecision {
+        let load = |stage| load(owner, job, stage, without, &self.arrived, table, now);
+        let loads: Vec<StageLoad> = (0..job.stages.len()).map(load).collect();
+        admit_path(&loads, job.after_stages, job.to_objective)
+    }
+
     pub fn fills(&mut self, owner: &mut Scheduler, table: &Table, now: Duration) {
         self.next.clear();
         for pool in &table.deployment.pools {
@@ -83,6 +117,12 @@
             };
             let waiting = waiting(owner, &pool.name, now);
             self.compare(&kept, owner, &pool.name, &waiting, table, now);
+            // Only deferred stages that are queued: `compare` allows a delay of 25 ms for them.
+            let queued = |w: &WaitingPiece| {
+                is_prompt(owner, w.piece.0, w.piece.1)
+                    || kept.queued.iter().any(|r| (r.job, r.stage) == (w.piece.0, w.piece.1))
+            };
+            let waiting = waiting.into_iter().filter(queued).collect();
             let batch = next_batch(&kept, spec, waiting, table);
             let named = batch.into_iter().map(|(id, stage, piece)| {
                 let run = owner.active_jobs().find(|(held, _)| **held == id);
@@ -155,12 +195,9 @@
             waiting.iter().map(|w| (w.piece.0, w.piece.1)).collect();
         queued.dedup();
         let kept_queue: Vec<_> = kept.queued.iter().map(|r| (r.job, r.stage)).collect();
-        let is_prompt = |job: &JobId, stage: usize| {
-            let run = owner.active_jobs().find(|(id, _)| *id == job);
-            run.is_none_or(|(_, run)| !run.is_independent(stage))
-        };
-        queued
-            .retain(|(job, stage)| is_prompt(job, *stage) || kept_queue.contains(&(*job, *stage)));
+        queued.retain(|(job, stage)| {
+            is_prompt(owner, *job, *stage) || kept_queue.contains(&(*job, *stage))
+        });
         let free: Vec<&Name> = kept.free.keys().collect();
         let listed = free.iter().all(|id| table.pool_endpoints(pool).iter().any(|e| e.id == **id));
         let same = (kept.waiting, kept.waiting + kept.running) == (waits, open)
@@ -174,8 +211,15 @@
     }
 }
 
+/// Whether a stage is never deferred.
+fn is_prompt(owner: &Scheduler, job: JobId, stage: usize) -> bool {
+    let run = owner.active_jobs().find(|(id, _)| **id == job);
+    run.is_none_or(|(_, run)| !run.is_independent(stage))
+}
+
 /// A piece that may be sent.
 struct WaitingPiece {
+    urgency: Urgency,
     piece: (JobId, usize, usize),
     slack_ms: i64,
     bytes: u64,
@@ -195,6 +239,7 @@
             let pieces = run.stages[stage].pieces.iter().enumerate();
             let open = pieces.filter(|(_, p)| matches!(p, Piece::Waiting { .. }));
             waiting.extend(open.map(|(piece, _)| WaitingPiece {
+                urgency: run.urgency,
                 piece: (*id, stage, piece),
                 slack_ms,
                 bytes: spec.result_bytes,
@@ -202,7 +247,7 @@
             }));
         }
     }
-    waiting.sort_unstable_by_key(|w| (w.slack_ms < 0, w.slack_ms, w.piece));
+    waiting.sort_unstable_by_key(|w| (w.slack_ms < 0, w.urgency, w.slack_ms, w.piece));
     waiting
 }
 
@@ -219,6 +264,7 @@
     waiting: Vec<WaitingPiece>,
     table: &Table,
 ) -> Pieces {
+    let waiting = overdue_first(waiting, spec);
     let place = |id: &Name| table.endpoint(id).map(|e| e.data_centre.clone()).unwrap_or_default();
     let free: Vec<(Name, u64)> = kept.free.iter().map(|(id, room)| (place(id), *room)).collect();
     let next_calls = kept.usable.iter().map(|(dc, count)| (dc.clone(), count * spec.pieces));
@@ -268,37 +314,125 @@
     batch
 }
 
-fn load(owner: &mut Scheduler, job: &Job, index: usize, table: &Table, now: Duration) -> StageLoad {
+/// Moves the stages that missed their latest start long ago to the front, the oldest first, until
+/// the part of the call that is kept for them is full.
+fn overdue_first(waiting: Vec<WaitingPiece>, spec: &BatchSpec) -> Vec<WaitingPiece> {
+    let kept = ((spec.pieces as f64 * KEPT_FOR_OVERDUE) as usize).max(1);
+    let (mut overdue, rest): (Vec<_>, Vec<_>) =
+        waiting.into_iter().partition(|w| w.slack_ms < -OVERDUE_MS);
+    overdue.sort_by_key(|w| (w.slack_ms, w.urgency, w.piece));
+    let mut stages: Vec<(JobId, usize)> = Vec::new();
+    for (pieces, w) in overdue.iter().enumerate() {
+        let stage = (w.piece.0, w.piece.1);
+        if !stages.contains(&stage) {
+            if pieces >= kept {
+                break;
+            }
+            stages.push(stage);
+        }
+    }
+    let (mut front, mut back): (Vec<_>, Vec<_>) =
+        overdue.into_iter().partition(|w| stages.contains(&(w.piece.0, w.piece.1)));
+    back.extend(rest);
+    front.sort_by_key(|w| (w.urgency, w.slack_ms, w.piece));
+    back.sort_by_key(|w| (w.slack_ms < 0, w.urgency, w.slack_ms, w.piece));
+    front.into_iter().chain(back).collect()
+}
+
+/// The job that gives way first in the pool of a stage: of those of which nothing was sent, the
+/// least urgent with the latest objective.
+fn gives_way(
+    owner: &Scheduler,
+    job: &Job,
+    stage: usize,
+    without: &BTreeSet<JobId>,
+) -> Option<JobId> {
+    let pool = &job.stages[stage].pool;
+    let waits = |run: &JobRun| {
+        let stages = run.job.stages.iter().zip(&run.stages);
+        let mut in_pool = stages.filter(|(spec, state)| spec.pool == *pool && state.waiting() > 0);
+        in_pool.next().is_some()
+    };
+    let less_urgent = owner.active_jobs().filter(|(id, run)| {
+        let is_less_urgent = run.urgency > urgency(job);
+        is_less_urgent && run.is_untouched() && waits(run) && !without.contains(*id)
+    });
+    let last = less_urgent.max_by_key(|(id, run)| (run.urgency, run.objective, **id));
+    last.map(|(id, _)| *id)
+}
+
+/// Urgency of a job whose route is in no configuration.
+const fn urgency(job: &Job) -> Urgency {
+    Urgency { priority: job.priority, route: job.priority }
+}
+
+/// Pieces and bytes per second that arrive at a pool, of jobs for which `counts` holds.
+fn arrivals(
+    arrived: &[(Duration, Job)],
+    pool: &Name,
+    now: Duration,
+    counts: impl Fn(&Job) -> bool,
+) -> (f64, f64) {
+    let (mut pieces, mut bytes) = (0.0, 0.0);
+    for (at, job) in arrived.iter().filter(|(_, job)| counts(job)) {
+        let weight = (-(now - *at).as_secs_f64() / ARRIVAL_DECAY_S).exp() / ARRIVAL_DECAY_S;
+        for stage in job.stages.iter().filter(|s| s.pool == *pool) {
+            pieces += weight * stage.pieces as f64;
+            bytes += weight * stage.pieces as f64 * stage.result_bytes as f64;
+        }
+    }
+    (pieces, bytes)
+}
+
+fn load(
+    owner: &mut Scheduler,
+    job: &Job,
+    index: usize,
+    without: &BTreeSet<JobId>,
+    arrived: &[(Duration, Job)],
+    table: &Table,
+    now: Duration,
+) -> StageLoad {
     let stage = &job.stages[index];
     let spec = table.batch_spec(&stage.pool).expect("it works in batches");
     let kept = owner.pool_state(&stage.pool, table, now).expect("endpoints are listed");
     let endpoints = kept.usable.values().sum::<usize>() as f64;
-    let call = spec.call_overhead + spec.piece_time * stage.pieces.min(spec.pieces) as u32;
+    let own = spec.call_overhead + spec.piece_time * stage.pieces.min(spec.pieces) as u32;
+    let (_, recent) = owner.recent_timings(&stage.pool, table).expect("it works in batches");
+    let call = own.max(recent);
     let mut pieces = 0.0;
     let mut memory_in_use = Timeline::default();
-    for (_, run) in owner.active_jobs() {
+    for (_, run) in owner.active_jobs().filter(|(id, _)| !without.contains(*id)) {
         let fillings = owner.planned_occupancy(run, table, now);
         for ((spec, state), filling) in run.job.stages.iter().zip(&run.stages).zip(fillings) {
             if spec.pool != stage.pool {
                 continue;
             }
-            let waiting = state.waiting() as f64;
-            pieces += (state.unfinished() as f64 - waiting).mul_add(RUNNING_REST, waiting);
+            if run.urgency <= urgency(job) {
+                pieces += state.waiting() as f64;
+            }
             if let Some(filling) = filling {
                 memory_in_use.add(filling.from, filling.until, filling.bytes as f64);
             }
         }
     }
-    let full_call = spec.call_overhead.div_f64(spec.pieces as f64) + spec.piece_time;
+    let piece_time = spec.call_overhead.div_f64(spec.pieces as f64) + spec.piece_time;
+    let busy = |pieces: f64| (piece_time.as_secs_f64() * pieces / endpoints.max(0.01)).min(1.0);
+    let all = arrivals(arrived, &stage.pool, now, |_| true);
+    let urgent = arrivals(arrived, &stage.pool, now, |other| urgency(other) < urgency(job));
     StageLoad {
         after: stage.after.clone(),
         is_done: false,
         slots: endpoints,
-        backlog: full_call.mul_f64(BEFORE_NEWCOMER).mul_f64(pieces),
+        backlog: piece_time.mul_f64(pieces),
+        slot_share: 1.0 - busy(urgent.0),
+        usual_wait: call.mul_f64(busy(all.0) / endpoints.max(1.0)),
         call,
+        full_call: spec.call_overhead + spec.piece_time * spec.pieces as u32,
         result_memory: endpoints * spec.result_memory_bytes as f64 - kept.used_by_others as f64,
         memory_in_use: Arc::new(memory_in_use),
         required_memory: (stage.pieces as u64 * stage.result_bytes) as f64,
+        urgent_memory_rate: urgent.1,
         reserved: Reserved::default(),
     }
 }
