Plan with the measured duration of full calls

Cause: admission took a full call from the pool's specification. Where pieces are light, or endpoints slow, throughput was planned wrongly: on semed calls of the last pool take 319 ms at the median where 282 is specified for a full one, and the first pool's light pieces less.

--- a/src/direct/owner/admission.rs
+++ b/src/direct/owner/admission.rs
@@ -14,7 +14,7 @@
 use crate::direct::owner::timers::Timer;
 use crate::direct::peers::message::{Job, JobId, JobReason, JobStage, PeerMessage};
 use crate::direct::poison::suspects::RETENTION;
-use crate::direct::published::model::{BatchSpec, Name};
+use crate::direct::published::model::Name;
 use crate::direct::published::table::Table;
 use crate::message::Timestamp;
 use crate::policy::path::{PathDecision, Reserved, StageLoad, admit_path};
@@ -185,7 +185,8 @@
         load.slots = endpoints * f64::from(spec.slots);
         load.result_memory = (spec.result_memory_bytes as f64)
             .mul_add(endpoints, -(pool.endpoints.used_by_others() as f64));
-        let piece = slot_time_per_piece(spec);
+        let full_call = self.timings.get(&stage.pool, spec).full_call(spec);
+        let piece = full_call.div_f64(spec.pieces.max(1) as f64);
         let urgent = pool.arrivals.more_urgent_than(urgency, now);
         let all = pool.arrivals.total(now);
         let busy_share =
@@ -193,7 +194,7 @@
         load.backlog = piece.mul_f64(pool.waiting_before(urgency) as f64);
         load.slot_share = 1.0 - busy_share(urgent.pieces);
         load.usual_wait = call.mul_f64(busy_share(all.pieces) / load.slots.max(1.0));
-        load.full_call = spec.call_overhead + spec.piece_time * spec.pieces as u32;
+        load.full_call = full_call;
         load.urgent_memory_rate = urgent.bytes;
         load
     }
@@ -222,8 +223,3 @@
         data_centres.min_by_key(|h| (load(h), **h != run.job.data_centre, (*h).clone())).cloned()
     }
 }
-
-/// Slot time that a piece takes in a full call.
-fn slot_time_per_piece(spec: &BatchSpec) -> Duration {
-    spec.call_overhead.div_f64(spec.pieces as f64) + spec.piece_time
-}
--- a/src/direct/owner/inspect.rs
+++ b/src/direct/owner/inspect.rs
@@ -81,9 +81,10 @@
         occupancies(run, &expected_runs(run, context))
     }
 
-    /// Recent average wait for a call and duration of a call in a pool.
-    pub fn recent_timings(&self, pool: &str, table: &Table) -> Option<(Duration, Duration)> {
-        let pool_timings: PoolTimings = self.timings.get(pool, table.batch_spec(pool)?);
-        Some((pool_timings.wait(), pool_timings.call()))
+    /// Recent average duration of a call in a pool, and that of a full call.
+    pub fn recent_calls(&self, pool: &str, table: &Table) -> Option<(Duration, Duration)> {
+        let spec = table.batch_spec(pool)?;
+        let pool_timings: PoolTimings = self.timings.get(pool, spec);
+        Some((pool_timings.call(), pool_timings.full_call(spec)))
     }
 }
--- a/src/direct/owner/timings.rs
+++ b/src/direct/owner/timings.rs
@@ -13,13 +13,15 @@
 pub struct PoolTimings {
     wait: f64,
     call: f64,
+    /// Time that each piece adds to a call.
+    piece: f64,
 }
 
 impl PoolTimings {
     /// Defaults of a pool without measurements: calls are half full and nothing waits.
     fn defaults(spec: &BatchSpec) -> Self {
         let call = spec.call_overhead + spec.piece_time * (spec.pieces as u32 / 2);
-        Self { wait: 0.0, call: call.as_secs_f64() }
+        Self { wait: 0.0, call: call.as_secs_f64(), piece: spec.piece_time.as_secs_f64() }
     }
 
     /// Time from when a piece may be sent until it is sent.
@@ -27,15 +29,21 @@
         Duration::from_secs_f64(self.wait)
     }
 
+    /// Duration of a full call. Pieces may be lighter than the pool's specification, and endpoints
+    /// slower.
+    pub fn full_call(self, spec: &BatchSpec) -> Duration {
+        spec.call_overhead + Duration::from_secs_f64(self.piece * spec.pieces as f64)
+    }
+
     /// Time from when a piece is sent until its call ends.
     pub fn call(self) -> Duration {
         Duration::from_secs_f64(self.call)
     }
 }
 
-/// Adds a measurement to a moving average.
-fn update_average(before: &mut f64, measured: Duration) {
-    *before += (measured.as_secs_f64() - *before) * NEW_SAMPLE_WEIGHT;
+/// Adds a measurement, in seconds, to a moving average.
+fn update_average(before: &mut f64, measured: f64, weight: f64) {
+    *before += (measured - *before) * weight;
 }
 
 /// Moving averages of all pools.
@@ -56,11 +64,23 @@
 
     /// Records that a piece was sent `waited` after it first could be.
     pub(super) fn record_wait(&mut self, pool: &Name, spec: &BatchSpec, waited: Duration) {
-        update_average(&mut self.entry(pool, spec).wait, waited);
+        let wait = &mut self.entry(pool, spec).wait;
+        update_average(wait, waited.as_secs_f64(), NEW_SAMPLE_WEIGHT);
     }
 
-    /// Records that a call took `took`.
-    pub(super) fn record_call(&mut self, pool: &Name, spec: &BatchSpec, took: Duration) {
-        update_average(&mut self.entry(pool, spec).call, took);
+    /// Records that a call with `pieces` pieces took `took`. The time of a piece is measured by calls
+    /// in proportion to how full they are.
+    pub(super) fn record_call(
+        &mut self,
+        pool: &Name,
+        spec: &BatchSpec,
+        pieces: usize,
+        took: Duration,
+    ) {
+        let timings = self.entry(pool, spec);
+        update_average(&mut timings.call, took.as_secs_f64(), NEW_SAMPLE_WEIGHT);
+        let fill = pieces as f64 / spec.pieces.max(1) as f64;
+        let piece = took.saturating_sub(spec.call_overhead).as_secs_f64() / pieces.max(1) as f64;
+        update_average(&mut timings.piece, piece, NEW_SAMPLE_WEIGHT * fill.min(1.0));
     }
 }
--- a/tests/directenv/recount.rs
+++ b/tests/directenv/recount.rs
@@ -398,7 +398,7 @@
     let kept = owner.pool_state(&stage.pool, table, now).expect("endpoints are listed");
     let endpoints = kept.usable.values().sum::<usize>() as f64;
     let own = spec.call_overhead + spec.piece_time * stage.pieces.min(spec.pieces) as u32;
-    let (_, recent) = owner.recent_timings(&stage.pool, table).expect("it works in batches");
+    let (recent, full_call) = owner.recent_calls(&stage.pool, table).expect("it works in batches");
     let call = own.max(recent);
     let mut pieces = 0.0;
     let mut memory_in_use = Timeline::default();
@@ -416,7 +416,7 @@
             }
         }
     }
-    let piece_time = spec.call_overhead.div_f64(spec.pieces as f64) + spec.piece_time;
+    let piece_time = full_call.div_f64(spec.pieces as f64);
     let busy = |pieces: f64| (piece_time.as_secs_f64() * pieces / endpoints.max(0.01)).min(1.0);
     let all = arrivals(arrived, &stage.pool, now, |_| true);
     let urgent = arrivals(arrived, &stage.pool, now, |other| urgency(other) < urgency(job));
@@ -428,7 +428,7 @@
         slot_share: 1.0 - busy(urgent.0),
         usual_wait: call.mul_f64(busy(all.0) / endpoints.max(1.0)),
         call,
-        full_call: spec.call_overhead + spec.piece_time * spec.pieces as u32,
+        full_call,
         result_memory: endpoints * spec.result_memory_bytes as f64 - kept.used_by_others as f64,
         memory_in_use: Arc::new(memory_in_use),
         required_memory: (stage.pieces as u64 * stage.result_bytes) as f64,
--- a/tests/order_of_service.rs
+++ b/tests/order_of_service.rs
@@ -25,10 +25,12 @@
     Urgency { priority, route }
 }
 
-/// An owner whose calls take 240 ms and 10 ms a piece.
+/// An owner whose calls take 240 ms and some time for each piece.
 struct Owner {
     scheduler: Scheduler,
     table: Table,
+    /// Time that each piece adds to a call.
+    piece: Duration,
     /// End, number and number of pieces of each running call.
     running: Vec<(Duration, u64, usize)>,
     actions: Vec<Action>,
@@ -40,7 +42,7 @@
         let bounds = RepeatBudget { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) };
         let (scheduler, table) = (Scheduler::new(bounds), table(vec![route.clone()]));
         let (running, actions) = (Vec::new(), Vec::new());
-        Self { scheduler, table, running, actions, ready: BTreeMap::new() }
+        Self { scheduler, table, piece: ms(10), running, actions, ready: BTreeMap::new() }
     }
 
     fn submit(&mut self, job: Job, now: Duration) {
@@ -67,7 +69,7 @@
         for action in &actions {
             match action {
                 Action::CallBatch { call, pieces, .. } => {
-                    let end = now + ms(240 + 10 * pieces.len() as u64);
+                    let end = now + ms(240) + self.piece * pieces.len() as u32;
                     self.running.push((end, *call, pieces.len()));
                 }
                 Action::Send { message: PeerMessage::Ready(job), .. } => {
@@ -255,6 +257,35 @@
     assert!(ready.is_some_and(|at| at < ms(4_000)), "ready at {ready:?}");
 }
 
+// The endpoints are slower than the pool's specification says: admission plans with what its calls
+// took, and refuses what the specified times would admit.
+#[test]
+fn admission_plans_with_the_measured_duration_of_calls() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], 10)]);
+    let mut owner = Owner::new(&route);
+    owner.piece = ms(110);
+    let specified = owner.scheduler.recent_calls("first", &owner.table);
+    assert_eq!(specified.map(|(_, full_call)| full_call), Some(ms(240 + 4 * 10)));
+    let mut number = 0;
+    for now in (0..20_000).step_by(10) {
+        owner.step(ms(now));
+        if now % 500 == 0 {
+            number += 1;
+            owner.submit(job_of(URGENT, number, &route, 4), ms(now));
+        }
+    }
+    let (_, full_call) = owner.scheduler.recent_calls("first", &owner.table).expect("a pool");
+    assert!(full_call > ms(600) && full_call < ms(690), "680 ms: {full_call:?}");
+    for number in 101..=112 {
+        owner.submit(job_of(URGENT, number, &route, 4), ms(20_000));
+    }
+    // One endpoint is busy until 20.18 s. Calls end at 20.68, 20.86, 21.36 and 21.54 s; the fifth
+    // would end at 22.04 s, after the objective.
+    let cancelled = owner.cancelled();
+    assert!(cancelled.iter().all(|(_, reason, ..)| *reason == JobReason::WouldBeLate));
+    assert_eq!(cancelled.len(), 8);
+}
+
 #[test]
 fn the_rate_of_arrivals_follows_a_burst_within_a_second() {
     let mut arrivals = Arrivals::default();
