--- a/src/direct/owner/queue.rs
+++ b/src/direct/owner/queue.rs
@@ -5,8 +5,8 @@
 //! load of more urgent ones does not keep them, and the results that their jobs hold, forever.
 //!
 //! Stages are grouped by preferred data centre. Adding or removing a stage costs the logarithm of
-//! the queue's length; choosing a call costs the number of different urgencies and the size of one call and
-//! of the next calls of one data centre, whatever the length of the queue.
+//! the queue's length; choosing a call costs the number of different urgencies, the size of one
+//! call and that of the next calls of one data centre, whatever the length of the queue.
 
 use std::collections::BTreeMap;
 use std::ops::Range;
