--- a/src/direct/owner/batching.rs
+++ b/src/direct/owner/batching.rs
@@ -22,7 +22,7 @@
 use crate::invariant;
 use crate::invariant::Violation;
 use crate::message::Timestamp;
-use crate::policy::path::INPUT_FETCH_TIME;
+use crate::policy::path::{GUARANTEED_SHARE, INPUT_FETCH_TIME};
 
 /// A call is abandoned after its expected duration multiplied by this factor, plus
 /// [`OVERDUE_MARGIN`].
@@ -156,6 +156,11 @@
     }
 }
 
+/// Number of pieces of a call that are kept for overdue stages: at least one.
+fn overdue_pieces(spec: &BatchSpec) -> usize {
+    ((spec.pieces as f64 * GUARANTEED_SHARE) as usize).max(1)
+}
+
 /// Chooses the next call: an endpoint for the most urgent pieces that fit anywhere, all pieces of
 /// the call, and the number of candidates examined.
 fn choose_call(
@@ -167,7 +172,11 @@
     if pool.queue.is_empty() || !pool.endpoints.is_free() {
         return None;
     }
-    let search = Search { now_ms: ms(now) as i64, max_pieces: spec.pieces * CALLS_EXAMINED };
+    let search = Search {
+        now_ms: ms(now) as i64,
+        max_pieces: spec.pieces * CALLS_EXAMINED,
+        overdue_pieces: overdue_pieces(spec),
+    };
     let candidates = pool.queue.candidates(search, |preferred| {
         NearStarts::new(preferred, &pool.endpoints, &pool.in_flight, spec, now)
     });
--- a/src/direct/owner/queue.rs
+++ b/src/direct/owner/queue.rs
@@ -1,8 +1,12 @@
-//! Waiting pieces of one pool, stages with the least slack first.
+//! Waiting pieces of one pool in the order of service: stages that can still meet their objective
+//! by urgency, and by latest start within one; then those that can't.
+//!
+//! A part of each call is kept for stages that missed their latest start long ago, so that a steady
+//! load of more urgent ones does not keep them, and the results that their jobs hold, forever.
 //!
 //! Stages are grouped by preferred data centre. Adding or removing a stage costs the logarithm of
-//! the queue's length; choosing a call costs the size of one call and of the next calls of one data
-//! centre, whatever the length of the queue.
+//! the queue's length; choosing a call costs the number of different urgencies, the size of one
+//! call and that of the next calls of one data centre, whatever the length of the queue.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -12,10 +16,17 @@
 use crate::direct::published::model::Name;
 use crate::direct::published::regions::AllowedRegions;
 use crate::message::Timestamp;
+use crate::policy::urgency::Urgency;
+
+/// Time after its latest start from which a stage is overdue. Its caller has waited longer than
+/// its objective and keeps waiting; a begun job also holds the results of its earlier stages.
+pub const OVERDUE_AFTER: Duration = Duration::from_secs(1);
 
 /// Position of a stage in the order of urgency.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
+    /// Urgency of the job.
+    pub urgency: Urgency,
     /// Latest start with which the response meets its objective, in milliseconds of the owner's
     /// clock.
     pub latest_start_ms: i64,
@@ -58,6 +69,7 @@
     /// Why the pieces accept endpoints outside the preferred data centre; `None` if they don't, or
     /// if they have no preferred data centre.
     pub(super) away: Option<AwayReason>,
+    class: Class,
 }
 
 impl Candidate {
@@ -65,27 +77,38 @@
     pub(super) const fn only_preferred(&self) -> bool {
         self.preferred.is_some() && self.away.is_none()
     }
+
+    /// Orders pieces that leave their data centre only because the wait there is long after those
+    /// that need a call now: they use endpoints, and capacity of calls, that would be idle.
+    const fn order(&self) -> (Class, bool, Rank) {
+        (self.class, matches!(self.away, Some(AwayReason::LongWait)), self.rank)
+    }
+}
+
+/// Parts of the queue, in the order of service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Class {
+    /// Missed their latest start long ago and get the part of the call that is kept for them.
+    Overdue,
+    /// Can meet their objective.
+    InTime,
+    /// Can no longer meet their objective.
+    Missed,
 }
 
 /// Bounds of a search for candidates.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Search {
     pub(super) now_ms: i64,
-    /// Number of pieces after which the search of a group ends.
+    /// Number of pieces after which the search of one urgency in a group ends.
     pub(super) max_pieces: usize,
+    /// Number of pieces of the call that are kept for overdue stages.
+    pub(super) overdue_pieces: usize,
 }
 
 impl Search {
-    /// Orders stages that can no longer meet their objective after all that can.
-    const fn order(&self, rank: Rank) -> (bool, Rank) {
-        (rank.latest_start_ms < self.now_ms, rank)
-    }
-
-    /// Orders pieces that leave their data centre only because the wait there is long after those
-    /// that need a call now: they use endpoints, and capacity of calls, that would be idle.
-    const fn candidate_order(&self, candidate: &Candidate) -> (bool, bool, Rank) {
-        let (is_missed, rank) = self.order(candidate.rank);
-        (is_missed, matches!(candidate.away, Some(AwayReason::LongWait)), rank)
+    const fn is_overdue(&self, rank: Rank) -> bool {
+        rank.latest_start_ms < self.now_ms - OVERDUE_AFTER.as_millis() as i64
     }
 }
 
@@ -98,15 +121,11 @@
 }
 
 impl Queued {
-    fn candidate(
-        &self,
-        rank: Rank,
-        preferred: Option<&Name>,
-        away: Option<AwayReason>,
-    ) -> Candidate {
+    /// A candidate without a preferred data centre.
+    fn candidate(&self, rank: Rank, class: Class) -> Candidate {
         let Self { pieces, bytes, ref allowed_regions } = *self;
-        let (preferred, allowed_regions) = (preferred.cloned(), allowed_regions.clone());
-        Candidate { rank, pieces, bytes, preferred, allowed_regions, away }
+        let allowed_regions = allowed_regions.clone();
+        Candidate { rank, pieces, bytes, preferred: None, allowed_regions, away: None, class }
     }
 }
 
@@ -115,24 +134,38 @@
 struct Group {
     stages: BTreeMap<Rank, Queued>,
     pieces: usize,
+    /// Pieces by urgency.
+    pieces_of: BTreeMap<Urgency, usize>,
 }
 
 type Entry<'a> = (&'a Rank, &'a Queued);
 
 impl Group {
-    /// Lower bound of the ranks of stages that can still meet their objective.
-    const fn first_in_time(now_ms: i64) -> Rank {
-        Rank { latest_start_ms: now_ms, job: JobId::LOWEST, stage: 0 }
+    /// Lower bound of the ranks of one urgency whose latest start is not before `latest_start_ms`.
+    const fn first_of(urgency: Urgency, latest_start_ms: i64) -> Rank {
+        Rank { urgency, latest_start_ms, job: JobId::LOWEST, stage: 0 }
+    }
+
+    /// The urgencies of the waiting pieces, the highest first.
+    fn urgencies(&self) -> impl Iterator<Item = Urgency> + '_ {
+        self.pieces_of.iter().filter(|(_, pieces)| **pieces > 0).map(|(urgency, _)| *urgency)
     }
 
-    /// Stages that can meet their objective, most urgent first.
-    fn in_time(&self, now_ms: i64) -> impl Iterator<Item = Entry<'_>> {
-        self.stages.range(Self::first_in_time(now_ms)..)
+    /// Number of pieces of one urgency.
+    fn pieces_of(&self, urgency: Urgency) -> usize {
+        self.pieces_of.get(&urgency).copied().unwrap_or_default()
     }
 
-    /// Stages that can no longer meet their objective.
-    fn missed(&self, now_ms: i64) -> impl Iterator<Item = Entry<'_>> {
-        self.stages.range(..Self::first_in_time(now_ms))
+    /// Stages of one urgency that can meet their objective, most urgent first.
+    fn in_time(&self, urgency: Urgency, now_ms: i64) -> impl Iterator<Item = Entry<'_>> {
+        let from_first = self.stages.range(Self::first_of(urgency, now_ms)..);
+        from_first.take_while(move |(rank, _)| rank.urgency == urgency)
+    }
+
+    /// Stages of one urgency that can no longer meet their objective, the oldest first.
+    fn missed(&self, urgency: Urgency, now_ms: i64) -> impl Iterator<Item = Entry<'_>> {
+        let first = Self::first_of(urgency, i64::MIN);
+        self.stages.range(first..Self::first_of(urgency, now_ms))
     }
 }
 
@@ -151,6 +184,7 @@
             Queued { pieces, bytes, allowed_regions: allowed_regions.clone() },
         );
         group.pieces += waiting.pieces;
+        *group.pieces_of.entry(waiting.rank.urgency).or_default() += waiting.pieces;
     }
 
     pub(super) fn remove(&mut self, waiting: &Waiting) {
@@ -159,6 +193,9 @@
         };
         if let Some(queued) = group.stages.remove(&waiting.rank) {
             group.pieces -= queued.pieces;
+            if let Some(pieces) = group.pieces_of.get_mut(&waiting.rank.urgency) {
+                *pieces -= queued.pieces;
+            }
         }
         if group.stages.is_empty() {
             self.groups.remove(&waiting.preferred);
@@ -176,10 +213,9 @@
 
     /// The waiting stages, most urgent first.
     pub(super) fn in_order(&self, now_ms: i64) -> Vec<Rank> {
-        let search = Search { now_ms, max_pieces: 0 };
         let mut ranks: Vec<Rank> =
             self.groups.values().flat_map(|g| g.stages.keys().copied()).collect();
-        ranks.sort_unstable_by_key(|rank| search.order(*rank));
+        ranks.sort_unstable_by_key(|rank| (rank.latest_start_ms < now_ms, *rank));
         ranks
     }
 
@@ -201,21 +237,52 @@
                 None => add_unbound(group, search, &mut candidates),
             }
         }
-        candidates.sort_unstable_by_key(|c| search.candidate_order(c));
+        keep_part_for_overdue(&mut candidates, search);
+        candidates.sort_unstable_by_key(Candidate::order);
         candidates
     }
 }
 
+/// Moves the oldest overdue stages to the front, up to the part of the call that is kept for them.
+fn keep_part_for_overdue(candidates: &mut [Candidate], search: Search) {
+    let overdue = candidates.iter_mut().filter(|c| search.is_overdue(c.rank));
+    let mut overdue: Vec<&mut Candidate> = overdue.collect();
+    overdue.sort_unstable_by_key(|c| (c.rank.latest_start_ms, c.rank));
+    let mut kept = 0;
+    for candidate in overdue {
+        if kept >= search.overdue_pieces {
+            return;
+        }
+        candidate.class = Class::Overdue;
+        kept += candidate.pieces;
+    }
+}
+
 /// Adds the candidates of the stages without a preferred data centre.
 fn add_unbound(group: &Group, search: Search, candidates: &mut Vec<Candidate>) {
+    for urgency in group.urgencies() {
+        let in_time = group.in_time(urgency, search.now_ms);
+        let in_time = in_time.map(|(rank, queued)| queued.candidate(*rank, Class::InTime));
+        add_up_to(search.max_pieces, in_time, candidates);
+        let missed = group.missed(urgency, search.now_ms);
+        let missed = missed.map(|(rank, queued)| queued.candidate(*rank, Class::Missed));
+        add_up_to(search.max_pieces, missed, candidates);
+    }
+}
+
+/// Adds candidates until they have at least `max_pieces` pieces.
+fn add_up_to(
+    max_pieces: usize,
+    from: impl Iterator<Item = Candidate>,
+    candidates: &mut Vec<Candidate>,
+) {
     let mut found = 0;
-    let missed = group.missed(search.now_ms);
-    for (rank, queued) in group.in_time(search.now_ms).chain(missed) {
-        if found >= search.max_pieces {
+    for candidate in from {
+        if found >= max_pieces {
             return;
         }
-        found += queued.pieces;
-        candidates.push(queued.candidate(*rank, None, None));
+        found += candidate.pieces;
+        candidates.push(candidate);
     }
 }
 
@@ -224,33 +291,71 @@
 fn add_bound(
     group: &Group,
     preferred: &Name,
-    mut near: NearStarts<'_>,
+    near: NearStarts<'_>,
     search: Search,
     candidates: &mut Vec<Candidate>,
 ) {
-    let (mut ahead, mut found) = (0, 0);
-    let in_time = group.in_time(search.now_ms).map(|entry| (entry, true));
-    let missed = group.missed(search.now_ms).map(|entry| (entry, false));
-    for ((rank, queued), is_in_time) in in_time.chain(missed) {
-        if !near.is_allowed(&queued.allowed_regions) {
-            found += queued.pieces;
-            candidates.push(queued.candidate(*rank, Some(preferred), Some(AwayReason::NoEndpoint)));
-            continue;
-        }
-        let is_free = near.is_free_for(queued.bytes);
-        let latest_start = is_in_time.then(|| rank.latest_start());
-        let all_wait = latest_start.is_some_and(|latest| near.all_wait(latest, group.pieces));
-        if found >= search.max_pieces || all_wait && !is_free {
-            return;
-        }
-        let last = ahead + queued.pieces.saturating_sub(1);
-        let away = near.away_reason(last, queued.bytes, latest_start);
-        if away.is_none() {
-            ahead += queued.pieces;
+    let mut search = BoundSearch { group, preferred, near, search, ahead: 0, candidates };
+    for urgency in group.urgencies() {
+        search.add(urgency, Class::InTime, group.in_time(urgency, search.search.now_ms));
+    }
+    for urgency in group.urgencies() {
+        search.add(urgency, Class::Missed, group.missed(urgency, search.search.now_ms));
+    }
+}
+
+/// Search of a group with a preferred data centre.
+struct BoundSearch<'a, 'b> {
+    group: &'a Group,
+    preferred: &'a Name,
+    near: NearStarts<'b>,
+    search: Search,
+    /// Pieces that wait for the preferred data centre before those that are examined next.
+    ahead: usize,
+    candidates: &'a mut Vec<Candidate>,
+}
+
+impl BoundSearch<'_, '_> {
+    /// Adds stages of one urgency and class.
+    fn add<'c>(
+        &mut self,
+        urgency: Urgency,
+        class: Class,
+        entries: impl Iterator<Item = Entry<'c>>,
+    ) {
+        let (mut found, mut examined) = (0, 0);
+        let mut is_complete = true;
+        for (rank, queued) in entries {
+            let candidate = Candidate {
+                preferred: Some(self.preferred.clone()),
+                ..queued.candidate(*rank, class)
+            };
+            let pieces = queued.pieces;
+            if !self.near.is_allowed(&queued.allowed_regions) {
+                found += pieces;
+                examined += pieces;
+                self.candidates.push(Candidate { away: Some(AwayReason::NoEndpoint), ..candidate });
+                continue;
+            }
+            let is_free = self.near.is_free_for(queued.bytes);
+            let latest_start = (class == Class::InTime).then(|| rank.latest_start());
+            let all_wait =
+                latest_start.is_some_and(|latest| self.near.all_wait(latest, self.group.pieces));
+            if found >= self.search.max_pieces || all_wait && !is_free {
+                is_complete = false;
+                break;
+            }
+            let last = self.ahead + pieces.saturating_sub(1);
+            let away = self.near.away_reason(last, queued.bytes, latest_start);
+            self.ahead += if away.is_none() { pieces } else { 0 };
+            examined += pieces;
+            if away.is_some() || is_free {
+                found += pieces;
+                self.candidates.push(Candidate { away, ..candidate });
+            }
         }
-        if away.is_some() || is_free {
-            found += queued.pieces;
-            candidates.push(queued.candidate(*rank, Some(preferred), away));
+        if !is_complete && class == Class::InTime {
+            self.ahead += self.group.pieces_of(urgency).saturating_sub(examined);
         }
     }
 }
--- a/tests/directenv/recount.rs
+++ b/tests/directenv/recount.rs
@@ -1,7 +1,7 @@
 //! Recomputes an owner's decisions from all jobs, slowly and simply, to check the state that the
 //! owner keeps incrementally.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::ops::AddAssign;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,13 +15,20 @@
 use stackmast::direct::peers::message::{Job, JobId};
 use stackmast::direct::published::model::{BatchSpec, Name};
 use stackmast::direct::published::table::Table;
-use stackmast::policy::path::{DEFERRAL_MARGIN, Reserved, StageLoad, admit_path};
+use stackmast::policy::path::{
+    DEFERRAL_MARGIN, PathDecision, PathRefusal, Reserved, StageLoad, admit_path,
+};
 use stackmast::policy::timeline::Timeline;
+use stackmast::policy::urgency::Urgency;
 
-/// Share of the time that all started work needs in full calls that is planned ahead of a new job.
-const BEFORE_NEWCOMER: f64 = 0.3;
-/// Share of its call's time that a piece in a call still needs.
-const RUNNING_REST: f64 = 0.5;
+/// Seconds after which the weight of an arrival has fallen to 1 / e.
+const ARRIVAL_DECAY_S: f64 = 1.0;
+/// Share of a call that is kept for pieces that missed their latest start long ago.
+const KEPT_FOR_OVERDUE: f64 = 0.125;
+/// Milliseconds after its latest start from which a piece belongs to them.
+const OVERDUE_MS: i64 = 1_000;
+/// Maximum number of jobs that give way to one.
+const MAX_GIVING_WAY: usize = 4;
 /// Results of this many bytes bind a piece to a data centre.
 const HEAVY: u64 = 100_000;
 /// A call that should have ended longer ago than this is not expected to end soon.
@@ -64,18 +71,45 @@
     pub compared: Compared,
     /// Whether the job that was just submitted is admitted.
     decided: Option<bool>,
+    /// All jobs submitted so far, and when.
+    arrived: Vec<(Duration, Job)>,
+    /// Number of jobs that gave way, as recomputed.
+    pub gave_way: usize,
     /// The first call of each pool as recomputed.
     next: HashMap<Name, Vec<(Name, usize, usize)>>,
 }
 
 impl Recount {
     pub fn submits(&mut self, owner: &mut Scheduler, job: &Job, table: &Table, now: Duration) {
-        let loads: Vec<StageLoad> =
-            (0..job.stages.len()).map(|stage| load(owner, job, stage, table, now)).collect();
-        let decision = admit_path(&loads, job.after_stages, job.to_objective, job.priority);
+        self.arrived.push((now, job.clone()));
+        let mut without = BTreeSet::new();
+        let mut decision = self.decide(owner, job, &without, table, now);
+        while decision.refusal == Some(PathRefusal::InsufficientMemory)
+            && without.len() < MAX_GIVING_WAY
+        {
+            let Some(next) = gives_way(owner, job, decision.bottleneck, &without) else {
+                break;
+            };
+            without.insert(next);
+            decision = self.decide(owner, job, &without, table, now);
+        }
+        self.gave_way += if decision.refusal.is_none() { without.len() } else { 0 };
         self.decided = Some(decision.refusal.is_none());
     }
 
+    fn decide(
+        &self,
+        owner: &mut Scheduler,
+        job: &Job,
+        without: &BTreeSet<JobId>,
+        table: &Table,
+        now: Duration,
+    ) -> PathDecision {
+        let load = |stage| load(owner, job, stage, without, &self.arrived, table, now);
+        let loads: Vec<StageLoad> = (0..job.stages.len()).map(load).collect();
+        admit_path(&loads, job.after_stages, job.to_objective)
+    }
+
     pub fn fills(&mut self, owner: &mut Scheduler, table: &Table, now: Duration) {
         self.next.clear();
         for pool in &table.deployment.pools {
@@ -87,10 +121,12 @@
             };
             let waiting = waiting(owner, &pool.name, now);
             self.compare(&kept, owner, &pool.name, &waiting, table, now);
-            let is_queued = |w: &WaitingPiece| {
-                kept.queued.iter().any(|r| (r.job, r.stage) == (w.piece.0, w.piece.1))
+            // Only deferred stages that are queued: `compare` allows a delay of 25 ms for them.
+            let queued = |w: &WaitingPiece| {
+                is_prompt(owner, w.piece.0, w.piece.1)
+                    || kept.queued.iter().any(|r| (r.job, r.stage) == (w.piece.0, w.piece.1))
             };
-            let waiting: Vec<_> = waiting.into_iter().filter(is_queued).collect();
+            let waiting = waiting.into_iter().filter(queued).collect();
             let batch = next_batch(&kept, spec, waiting, table, now);
             let named = batch.into_iter().map(|(id, stage, piece)| {
                 let run = owner.active_jobs().find(|(held, _)| **held == id);
@@ -163,12 +199,9 @@
             waiting.iter().map(|w| (w.piece.0, w.piece.1)).collect();
         queued.dedup();
         let kept_queue: Vec<_> = kept.queued.iter().map(|r| (r.job, r.stage)).collect();
-        let is_prompt = |job: &JobId, stage: usize| {
-            let run = owner.active_jobs().find(|(id, _)| *id == job);
-            run.is_none_or(|(_, run)| !run.is_independent(stage))
-        };
-        queued
-            .retain(|(job, stage)| is_prompt(job, *stage) || kept_queue.contains(&(*job, *stage)));
+        queued.retain(|(job, stage)| {
+            is_prompt(owner, *job, *stage) || kept_queue.contains(&(*job, *stage))
+        });
         let free: Vec<&Name> = kept.free.keys().collect();
         let listed = free.iter().all(|id| table.pool_endpoints(pool).iter().any(|e| e.id == **id));
         let same = (kept.waiting, kept.waiting + kept.running) == (waits, open)
@@ -182,8 +215,15 @@
     }
 }
 
+/// Whether a stage is never deferred.
+fn is_prompt(owner: &Scheduler, job: JobId, stage: usize) -> bool {
+    let run = owner.active_jobs().find(|(id, _)| **id == job);
+    run.is_none_or(|(_, run)| !run.is_independent(stage))
+}
+
 /// A piece that may be sent.
 struct WaitingPiece {
+    urgency: Urgency,
     piece: (JobId, usize, usize),
     slack_ms: i64,
     bytes: u64,
@@ -203,6 +243,7 @@
             let pieces = run.stages[stage].pieces.iter().enumerate();
             let open = pieces.filter(|(_, p)| matches!(p, Piece::Waiting { .. }));
             waiting.extend(open.map(|(piece, _)| WaitingPiece {
+                urgency: run.urgency,
                 piece: (*id, stage, piece),
                 slack_ms,
                 bytes: spec.result_bytes,
@@ -210,7 +251,7 @@
             }));
         }
     }
-    waiting.sort_unstable_by_key(|w| (w.slack_ms < 0, w.slack_ms, w.piece));
+    waiting.sort_unstable_by_key(|w| (w.slack_ms < 0, w.urgency, w.slack_ms, w.piece));
     waiting
 }
 
@@ -229,7 +270,7 @@
     now: Duration,
 ) -> Vec<Option<AwayReason>> {
     let mut ahead: HashMap<&Name, usize> = HashMap::new();
-    let mut examined: HashMap<&Name, usize> = HashMap::new();
+    let mut examined: BTreeMap<(&Name, Urgency, bool), usize> = BTreeMap::new();
     let mut placed = Vec::new();
     let same_stage =
         |a: &WaitingPiece, b: &WaitingPiece| a.piece.0 == b.piece.0 && a.piece.1 == b.piece.1;
@@ -252,9 +293,10 @@
             away_reason(near, latest, spec, now)
         };
         *before += if away.is_none() { stage.len() } else { 0 };
-        // Only two full calls of the pieces of a home are examined; further ones wait.
-        let is_home_free = free.iter().any(|f| f.0 == *home && f.1 >= stage[0].bytes);
-        let examined = examined.entry(home).or_default();
+        // Only two full calls of each urgency of a home are examined; further ones wait.
+        let is_home_free = is_home_free(&stage[0], free);
+        let class = (home, stage[0].urgency, stage[0].slack_ms < 0);
+        let examined = examined.entry(class).or_default();
         let is_examined = *examined < CALLS_EXAMINED * spec.pieces;
         *examined += if away.is_some() || is_home_free { stage.len() } else { 0 };
         let away = away.filter(|_| is_examined);
@@ -296,10 +338,9 @@
 ) -> Pieces {
     let place = |id: &Name| table.endpoint(id).map(|e| e.data_centre.clone()).unwrap_or_default();
     let free: Vec<(Name, u64)> = kept.free.iter().map(|(id, room)| (place(id), *room)).collect();
-    let mut placed = placements(kept, spec, &waiting, &free, now);
-    // Pieces that only use idle capacity elsewhere are examined after the others.
-    let mut waiting: Vec<_> = waiting.into_iter().zip(placed.drain(..)).collect();
-    waiting.sort_by_key(|(w, placed)| (w.slack_ms < 0, *placed == Some(AwayReason::LongWait)));
+    let placed = placements(kept, spec, &waiting, &free, now);
+    let waiting = waiting.into_iter().zip(placed).collect();
+    let waiting = overdue_first(waiting, &free, spec);
     let (waiting, waits_for_home): (Vec<_>, Vec<bool>) = waiting
         .into_iter()
         .map(|(w, placed)| {
@@ -339,37 +380,144 @@
     batch
 }
 
-fn load(owner: &mut Scheduler, job: &Job, index: usize, table: &Table, now: Duration) -> StageLoad {
+/// Whether the home of a piece has a free endpoint with room for it.
+fn is_home_free(w: &WaitingPiece, free: &[(Name, u64)]) -> bool {
+    free.iter().any(|f| Some(&f.0) == w.home.as_ref() && f.1 >= w.bytes)
+}
+
+/// Moves the stages that missed their latest start long ago to the front, the oldest first, until
+/// the part of the call that is kept for them is full. Pieces that only use idle capacity elsewhere
+/// are examined after the others.
+fn overdue_first(
+    waiting: Vec<(WaitingPiece, Option<AwayReason>)>,
+    free: &[(Name, u64)],
+    spec: &BatchSpec,
+) -> Vec<(WaitingPiece, Option<AwayReason>)> {
+    let kept = ((spec.pieces as f64 * KEPT_FOR_OVERDUE) as usize).max(1);
+    let is_overdue = |(w, placed): &(WaitingPiece, Option<AwayReason>)| {
+        let may_be_sent = w.home.is_none() || placed.is_some() || is_home_free(w, free);
+        may_be_sent && w.slack_ms < -OVERDUE_MS
+    };
+    let (mut overdue, rest): (Vec<_>, Vec<_>) = waiting.into_iter().partition(is_overdue);
+    overdue.sort_by_key(|(w, _)| (w.slack_ms, w.urgency, w.piece));
+    let mut stages: Vec<(JobId, usize)> = Vec::new();
+    for (pieces, (w, _)) in overdue.iter().enumerate() {
+        let stage = (w.piece.0, w.piece.1);
+        if !stages.contains(&stage) {
+            if pieces >= kept {
+                break;
+            }
+            stages.push(stage);
+        }
+    }
+    let (mut front, mut back): (Vec<_>, Vec<_>) =
+        overdue.into_iter().partition(|(w, _)| stages.contains(&(w.piece.0, w.piece.1)));
+    back.extend(rest);
+    let order = |(w, placed): &(WaitingPiece, Option<AwayReason>)| {
+        let is_last = *placed == Some(AwayReason::LongWait);
+        (w.slack_ms < 0, is_last, w.urgency, w.slack_ms, w.piece)
+    };
+    front.sort_by_key(order);
+    back.sort_by_key(order);
+    front.into_iter().chain(back).collect()
+}
+
+/// The job that gives way first in the pool of a stage: of those of which nothing was sent, the
+/// least urgent with the latest objective.
+fn gives_way(
+    owner: &Scheduler,
+    job: &Job,
+    stage: usize,
+    without: &BTreeSet<JobId>,
+) -> Option<JobId> {
+    let pool = &job.stages[stage].pool;
+    let waits = |run: &JobRun| {
+        let stages = run.job.stages.iter().zip(&run.stages);
+        let mut in_pool = stages.filter(|(spec, state)| spec.pool == *pool && state.waiting() > 0);
+        in_pool.next().is_some()
+    };
+    let less_urgent = owner.active_jobs().filter(|(id, run)| {
+        let is_less_urgent = run.urgency > urgency(job);
+        is_less_urgent && run.is_untouched() && waits(run) && !without.contains(*id)
+    });
+    let last = less_urgent.max_by_key(|(id, run)| (run.urgency, run.objective, **id));
+    last.map(|(id, _)| *id)
+}
+
+/// Urgency of a job whose route is in no configuration.
+const fn urgency(job: &Job) -> Urgency {
+    Urgency { priority: job.priority, route: job.priority }
+}
+
+/// Pieces and bytes per second that arrive at a pool, of jobs for which `counts` holds.
+fn arrivals(
+    arrived: &[(Duration, Job)],
+    pool: &Name,
+    now: Duration,
+    counts: impl Fn(&Job) -> bool,
+) -> (f64, f64) {
+    let (mut pieces, mut bytes) = (0.0, 0.0);
+    for (at, job) in arrived.iter().filter(|(_, job)| counts(job)) {
+        let weight = (-(now - *at).as_secs_f64() / ARRIVAL_DECAY_S).exp() / ARRIVAL_DECAY_S;
+        for stage in job.stages.iter().filter(|s| s.pool == *pool) {
+            pieces += weight * stage.pieces as f64;
+            bytes += weight * stage.pieces as f64 * stage.result_bytes as f64;
+        }
+    }
+    (pieces, bytes)
+}
+
+fn load(
+    owner: &mut Scheduler,
+    job: &Job,
+    index: usize,
+    without: &BTreeSet<JobId>,
+    arrived: &[(Duration, Job)],
+    table: &Table,
+    now: Duration,
+) -> StageLoad {
     let stage = &job.stages[index];
     let spec = table.batch_spec(&stage.pool).expect("it works in batches");
     let kept = owner.pool_state(&stage.pool, table, now).expect("endpoints are listed");
     let endpoints = kept.usable.values().sum::<usize>() as f64;
-    let call = spec.call_overhead + spec.piece_time * stage.pieces.min(spec.pieces) as u32;
+    let own = spec.call_overhead + spec.piece_time * stage.pieces.min(spec.pieces) as u32;
+    let (recent, full_call) = owner.recent_calls(&stage.pool, table).expect("it works in batches");
+    let call = own.max(recent);
     let mut pieces = 0.0;
     let mut memory_in_use = Timeline::default();
-    for (_, run) in owner.active_jobs() {
+    for (_, run) in owner.active_jobs().filter(|(id, _)| !without.contains(*id)) {
         let fillings = owner.planned_occupancy(run, table, now);
-        for ((spec, state), filling) in run.job.stages.iter().zip(&run.stages).zip(fillings) {
+        let stages = run.job.stages.iter().zip(&run.stages).zip(fillings).enumerate();
+        for (index, ((spec, state), filling)) in stages {
             if spec.pool != stage.pool {
                 continue;
             }
-            let waiting = state.waiting() as f64;
-            pieces += (state.unfinished() as f64 - waiting).mul_add(RUNNING_REST, waiting);
+            let is_deferred = run.is_runnable(index) && is_held_back(run, index, now);
+            if run.urgency <= urgency(job) && !is_deferred {
+                pieces += state.waiting() as f64;
+            }
             if let Some(filling) = filling {
                 memory_in_use.add(filling.from, filling.until, filling.bytes as f64);
             }
         }
     }
-    let full_call = spec.call_overhead.div_f64(spec.pieces as f64) + spec.piece_time;
+    let piece_time = full_call.div_f64(spec.pieces as f64);
+    let busy = |pieces: f64| (piece_time.as_secs_f64() * pieces / endpoints.max(0.01)).min(1.0);
+    let all = arrivals(arrived, &stage.pool, now, |_| true);
+    let urgent = arrivals(arrived, &stage.pool, now, |other| urgency(other) < urgency(job));
     StageLoad {
         after: stage.after.clone(),
         is_done: false,
         slots: endpoints,
-        backlog: full_call.mul_f64(BEFORE_NEWCOMER).mul_f64(pieces),
+        backlog: piece_time.mul_f64(pieces),
+        slot_share: 1.0 - busy(urgent.0),
+        usual_wait: call.mul_f64(busy(all.0) / endpoints.max(1.0)),
         call,
+        full_call,
         result_memory: endpoints * spec.result_memory_bytes as f64 - kept.used_by_others as f64,
         memory_in_use: Arc::new(memory_in_use),
         required_memory: (stage.pieces as u64 * stage.result_bytes) as f64,
+        urgent_memory_rate: urgent.1,
         reserved: Reserved::default(),
     }
 }
