Engines order requests by the urgency of their routes

A request was sent to its engine with its priority alone. The level at an engine is now the priority, and among equals the priority of the route, in the ten levels that engines know.

--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -296,8 +296,8 @@
     pub inputs: Vec<Handle>,
     /// Id of the last forwarded event if the call resumes a stream.
     pub after_event: Option<String>,
-    /// Priority; 0 is the most urgent.
-    pub priority: u8,
+    /// Level of the request at an engine; see [`crate::policy::urgency`].
+    pub level: u8,
     /// Whether an already used connection to the endpoint may be reused.
     pub reuse_connection: bool,
     /// Whether the response is a stream of events.
--- a/src/direct/requests/attempts.rs
+++ b/src/direct/requests/attempts.rs
@@ -106,7 +106,7 @@
             organisation: request.organisation.clone(),
             inputs: request.inputs().into_iter().map(|m| m.handle).collect(),
             after_event: request.last_event.clone(),
-            priority: request.priority,
+            level: request.urgency().engine_level(),
             reuse_connection: request.may_repeat(),
             streams: request.route.streams,
             connections,
--- a/src/direct/requests/request.rs
+++ b/src/direct/requests/request.rs
@@ -11,6 +11,7 @@
 use crate::direct::published::regions::AllowedRegions;
 use crate::direct::requests::permits::AwaitedPermit;
 use crate::message::Timestamp;
+use crate::policy::urgency::Urgency;
 
 /// Initial estimate of the time to the first event, excluding the time to read the prompt.
 const INITIAL_START_TIME: Duration = Duration::from_millis(80);
@@ -107,6 +108,11 @@
 }
 
 impl Request {
+    /// Urgency of the request.
+    pub fn urgency(&self) -> Urgency {
+        Urgency { priority: self.priority, route: self.route.priority }
+    }
+
     /// Whether the request has stages with pieces.
     pub fn has_stages(&self) -> bool {
         !self.route.stages.is_empty() && self.incoming.has_pieces()
--- a/tests/order_of_service.rs
+++ b/tests/order_of_service.rs
@@ -17,6 +17,7 @@
 use stackmast::direct::repeats::RepeatBudget;
 use stackmast::policy::arrivals::Arrivals;
 use stackmast::policy::urgency::Urgency;
+use test_case::test_case;
 
 const URGENT: u8 = 0;
 const PATIENT: u8 = 2;
@@ -300,3 +301,21 @@
     assert!(arrivals.more_urgent_than(urgency(0, 0), ms(1_000)).pieces.abs() < f64::EPSILON);
     assert!(arrivals.total(ms(4_000)).pieces < 15.0, "the burst is over");
 }
+
+// Organisations of equal priority send all routes to the same engines, which order by level.
+#[test_case((0, 0), (0, 1); "routes of one priority")]
+#[test_case((1, 2), (2, 0); "priorities before routes")]
+#[test_case((2, 2), (3, 0); "the last level")]
+fn engines_prefer_the_more_urgent(first: (u8, u8), second: (u8, u8)) {
+    let level = |(priority, route)| Urgency { priority, route }.engine_level();
+    assert!(level(first) < level(second));
+}
+
+#[test]
+fn engine_levels_are_within_their_range_and_in_order() {
+    let urgencies = (0..=u8::MAX).flat_map(|p| (0..=4).map(move |r| (p, r)));
+    let levels: Vec<u8> =
+        urgencies.map(|(priority, route)| Urgency { priority, route }.engine_level()).collect();
+    assert!(levels.is_sorted());
+    assert_eq!(levels.last(), Some(&9));
+}
