Count more urgent arrivals from now on again

Cause: counting them only while a stage waits, and deferred pieces not at all, made the plan right at the median and too low at the onset of bursts, where pieces in earlier stages count as work that later pools can do at once.

--- a/tests/directenv/recount.rs
+++ b/tests/directenv/recount.rs
@@ -404,13 +404,11 @@
     let mut memory_in_use = Timeline::default();
     for (_, run) in owner.active_jobs().filter(|(id, _)| !without.contains(*id)) {
         let fillings = owner.planned_occupancy(run, table, now);
-        let stages = run.job.stages.iter().zip(&run.stages).zip(fillings).enumerate();
-        for (index, ((spec, state), filling)) in stages {
+        for ((spec, state), filling) in run.job.stages.iter().zip(&run.stages).zip(fillings) {
             if spec.pool != stage.pool {
                 continue;
             }
-            let is_deferred = run.is_runnable(index) && is_held_back(run, index, now);
-            if run.urgency <= urgency(job) && !is_deferred {
+            if run.urgency <= urgency(job) {
                 pieces += state.waiting() as f64;
             }
             if let Some(filling) = filling {
