Place prompts by the engines' load that gateways share

A gateway compared engines whose load it knew with engines whose load it did not know, so prompts left the engine that has their shared part for no reason, and that part was computed again elsewhere.

Load reports travel in heartbeats; a prompt leaves its first choice by hash only if another engine is expected to start it earlier, including the read of the shared part. An engine that lacks shared parts fetches them from one that probably has them. A request that no engine starts before its deadline is refused before its stages run. It applies to engine pools whose responses state the load, and to prompts with shared parts.

--- a/src/direct/peer_messages.rs
+++ b/src/direct/peer_messages.rs
@@ -121,6 +121,7 @@
         self.limits_received(from, &state.limits, now);
         self.owners.usage_announced(from, state.usage, &self.table);
         self.requests.event_lag_announced(from, state.event_lag, now);
+        self.requests.loads_received(state.engine_loads, &self.table, now);
         Seen { endpoints: self.eras.resolve(state.seen.endpoints), ..state.seen }
     }
 
@@ -381,12 +382,14 @@
         self.add_owners(&mut recipients);
         self.exchange_suspects(&recipients, now);
         self.send_gossip(&recipients, departures.clone(), limits.clone(), now);
-        let state = self.state(departures, limits, now);
-        let heartbeat = Heartbeat { updates, state, ..self.heartbeat(true, None, now) };
-        let other = Heartbeat { is_monitor: false, ..heartbeat.clone() };
         let mut others = recipients.others;
         let reads_heartbeats = |a: &SocketAddr| self.builds.reads_heartbeats(*a);
         others.extend(recipients.contacts.into_iter().filter(reads_heartbeats));
+        let receivers = recipients.monitors.len() + others.len();
+        let engine_loads = self.requests.loads_to_send(receivers, now);
+        let state = GatewayState { engine_loads, ..self.state(departures, limits, now) };
+        let heartbeat = Heartbeat { updates, state, ..self.heartbeat(true, None, now) };
+        let other = Heartbeat { is_monitor: false, ..heartbeat.clone() };
         self.broadcast(recipients.monitors, heartbeat);
         self.broadcast(others, other);
         self.probe_silent_members(now);
--- a/src/direct/requests/attempts.rs
+++ b/src/direct/requests/attempts.rs
@@ -83,6 +83,10 @@
         if !invariant!(request.uncertain_attempts == 0 || request.may_repeat(), violation) {
             return;
         }
+        let (prompt, prompt_source) = self.prepare_prompt(caller, &endpoint, table, now);
+        let Some(request) = self.requests.get_mut(&caller) else {
+            return;
+        };
         self.last_attempt += 1;
         let number = self.last_attempt;
         if request.sends == 0 {
@@ -91,8 +95,13 @@
         request.sends += 1;
         request.round = round;
         request.tried.push(endpoint.id.clone());
-        request.attempt =
-            Some(Attempt { number, endpoint: endpoint.clone(), ordered_at: now, sent_at: None });
+        request.attempt = Some(Attempt {
+            number,
+            endpoint: endpoint.clone(),
+            ordered_at: now,
+            sent_at: None,
+            prompt,
+        });
         if request.may_repeat() && request.uncertain_attempts + 1 < request.route.max_attempts {
             let timeout_at = now + request.response_timeout();
             self.timers.insert((timeout_at, caller, Timer::Response(number)));
@@ -111,7 +120,7 @@
             streams: request.route.streams,
             connections,
             permit,
-            prompt_source: None,
+            prompt_source,
         };
         self.out.push(Action::Call { caller, attempt: number, params });
     }
@@ -126,6 +135,9 @@
     pub(super) fn close_attempt(&mut self, caller: u64) -> Option<Attempt> {
         let attempt = self.requests.get_mut(&caller)?.attempt.take()?;
         self.observations.ended(&attempt.endpoint);
+        if attempt.prompt.as_ref().is_some_and(|prompt| prompt.fetches) {
+            crate::metrics::prompt_fetched("not_started");
+        }
         self.ramps.ended(&attempt.endpoint, attempt.ordered_at);
         Some(attempt)
     }
@@ -154,6 +166,7 @@
         // apply.
         if let Some(load) = proof.load.filter(|_| !proof.from_other_endpoint) {
             self.observations.reported(&endpoint, load.running + load.waiting, now);
+            self.record_engine_load(caller, &endpoint, load, table, now);
         }
         if proof.not_run || proof.from_other_endpoint {
             return self.attempt_not_run(caller, proof, table, now);
@@ -228,6 +241,7 @@
         {
             self.fetch_times.first_event(&request.pool, took);
         }
+        self.prompt_read(caller, now);
         self.release(caller);
     }
 
--- a/src/direct/requests/changes.rs
+++ b/src/direct/requests/changes.rs
@@ -26,11 +26,17 @@
     ) {
         self.cold.apply_changes(table, entered, now);
         self.observations.retain(|id| table.endpoint(id).is_some());
+        self.engines.loads.retain(|id| table.endpoint(id).is_some());
+        self.engines.parts.retain(|id| table.endpoint(id).is_some());
+        for restarted in &merged.restarted {
+            self.engines.parts.emptied(restarted, now);
+        }
         self.ramps.retain(|id| table.endpoint(id).is_some());
         self.retry_times.retain(|id| table.endpoint(id).is_some());
         if merged.previous_version.is_some() {
             self.durations.retain(table.deployment.routes.iter().map(|r| &r.name));
             self.fetch_times.retain(|pool| table.pool(pool).is_some());
+            self.engines.read_times.retain(|pool| table.pool(pool).is_some());
         }
         self.endpoints_restarted(&merged.restarted, table, now);
     }
@@ -44,6 +50,7 @@
         now: Timestamp,
     ) {
         self.cold.evacuation_ended(data_centres, table, now);
+        self.engines_emptied(data_centres, table, now);
     }
 
     /// An endpoint reported at `at` for how long it stays cold. Returns whether it counted as cold
--- a/src/direct/requests/choice.rs
+++ b/src/direct/requests/choice.rs
@@ -3,8 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::direct::event::Refused;
-use crate::direct::published::model::{ColdStart, Endpoint, Name};
+use crate::direct::published::model::{ColdStart, Endpoint, Name, Route};
 use crate::direct::published::table::Table;
 use crate::direct::requests::request::Request;
 use crate::direct::requests::{RETRY_SOON, Requests};
@@ -30,6 +32,11 @@
     NoEndpoint,
     /// No endpoint that accepts requests is in one of the request's allowed regions.
     NotInAllowedRegion,
+    /// No engine is expected to start the request before its deadline.
+    AllBusy {
+        /// Time until the queue of one is expected to be short enough for the objective.
+        min_wait: Duration,
+    },
     /// All suitable endpoints are cold, and this gateway has used its share of their capacity.
     AllCold {
         /// Time until this gateway may next send to one of them.
@@ -102,7 +109,11 @@
         let is_limited = |e: &Endpoint| self.limits.rate(e, now).is_some();
         let are_all_limited = !available.is_empty() && available.iter().all(|e| is_limited(e));
         let wait = if are_all_limited { request.max_permit_wait(now) } else { Duration::ZERO };
-        match place(&places, prefix) {
+        let by_load = match isolation_key {
+            None => self.select_engine(request, &available, &places, table, now)?,
+            Some(_) => None,
+        };
+        match by_load.or_else(|| place(&places, prefix)) {
             Some((chosen, reason)) => Ok(Choice {
                 endpoint: available[chosen].clone(),
                 reason: if isolation_key.is_some() { "set_apart" } else { reason.as_str() },
@@ -192,6 +203,7 @@
         let (reason, retry_after) = match unplaced {
             Unplaced::NoEndpoint => (Refused::NoEndpoint, RETRY_SOON),
             Unplaced::NotInAllowedRegion => (Refused::NoEndpointAtHome, RETRY_SOON),
+            Unplaced::AllBusy { min_wait } => (Refused::Overloaded, min_wait.max(RETRY_SOON)),
             Unplaced::AllCold { min_wait } => (Refused::AllCold, min_wait.max(RETRY_SOON)),
             Unplaced::AllPaused { min_wait } => (Refused::AllPaused, min_wait.max(RETRY_SOON)),
             Unplaced::AllLimited { min_wait } => (Refused::AllLimited, min_wait.max(RETRY_SOON)),
@@ -206,3 +218,17 @@
         (bound / self.gateway_count.max(1)).max(1)
     }
 }
+
+/// Selects the pool of a request from the weighted targets of its route by a hash of its id.
+pub(super) fn select_pool(route: &Route, id: &str) -> Name {
+    let total: u64 = route.targets.iter().map(|t| u64::from(t.weight)).sum();
+    let mut left = xxh3_64(id.as_bytes()) % total.max(1);
+    for target in &route.targets {
+        let weight = u64::from(target.weight);
+        if left < weight {
+            return target.pool.clone();
+        }
+        left -= weight;
+    }
+    route.targets.first().map_or_else(|| "".into(), |t| t.pool.clone())
+}
--- a/src/direct/requests/endpoints.rs
+++ b/src/direct/requests/endpoints.rs
@@ -130,6 +130,11 @@
         !was_avoided
     }
 
+    /// Whether an endpoint is avoided after failures.
+    pub fn is_avoided(&self, endpoint: &Endpoint, now: Timestamp) -> bool {
+        self.get(endpoint).is_some_and(|observed| observed.avoided_until > now)
+    }
+
     /// Whether an endpoint is assumed to have a free slot.
     pub fn has_free_slot(&self, endpoint: &Endpoint, now: Timestamp) -> bool {
         self.load(endpoint, now) < endpoint.slots
--- a/src/direct/requests/mod.rs
+++ b/src/direct/requests/mod.rs
@@ -4,8 +4,9 @@
 //! is repeatable, and only within the shared repeat budget.
 //!
 //! `core` passes in events of callers, endpoints and owners. `stages` and `owners` have the stages
-//! run; `dispatch` and `choice` send requests to endpoints, selected by `policy::place`; `attempts`
-//! tracks the calls; `permits` and `ramp` limit the load after endpoints asked for it; `changes`
+//! run; `dispatch` and `choice` send requests to endpoints, selected by `policy::place`, or by
+//! `engine_choice` if engines state their load; `prompt_source` names the engine that has parts of a
+//! prompt; `attempts` tracks the calls; `permits` and `ramp` limit the load after endpoints asked for it; `changes`
 //! applies changed endpoints; `deferred`, `stopping`, `overload` and `poison` handle startup,
 //! shutdown, overload and requests that crash endpoints.
 
@@ -16,11 +17,13 @@
 mod dispatch;
 pub mod durations;
 pub mod endpoints;
+mod engine_choice;
 pub mod fetch_times;
 mod overload;
 mod owners;
 mod permits;
 mod poison;
+mod prompt_source;
 mod ramp;
 pub mod request;
 pub(super) mod stages;
@@ -32,10 +35,10 @@
 use std::time::Duration;
 
 use rand::{Rng, RngExt};
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::direct::backoff::Backoffs;
 use crate::direct::cold::ColdEndpoints;
+use crate::direct::engines::Engines;
 use crate::direct::event::{Action, IncomingRequest, Refusal, Refused};
 use crate::direct::limits::known::KnownLimits;
 use crate::direct::limits::retry_times::RetryTimes;
@@ -47,6 +50,7 @@
 use crate::direct::published::regions::AllowedRegions;
 use crate::direct::published::table::Table;
 use crate::direct::repeats::{RepeatBudget, RepeatLimiter};
+use crate::direct::requests::choice::select_pool;
 use crate::direct::requests::durations::DurationHistory;
 use crate::direct::requests::endpoints::Observations;
 use crate::direct::requests::fetch_times::FetchTimes;
@@ -88,6 +92,8 @@
     pub(super) by_job: HashMap<JobId, u64>,
     pub(super) timers: BTreeSet<(Timestamp, u64, Timer)>,
     pub(super) observations: Observations,
+    /// Load of the engines, and the parts of prompts that they have.
+    pub(super) engines: Engines,
     pub(super) cold: ColdEndpoints,
     /// Pauses that endpoints asked for.
     pub(super) backoffs: Arc<Backoffs>,
@@ -137,6 +143,7 @@
             by_job: HashMap::new(),
             timers: BTreeSet::new(),
             observations: Observations::default(),
+            engines: Engines::default(),
             cold: ColdEndpoints::new(own),
             backoffs: Arc::new(Backoffs::new(own)),
             limits: Arc::default(),
@@ -483,17 +490,3 @@
     }
     Ok((route, organisation))
 }
-
-/// Selects the pool of a request from the weighted targets of its route by a hash of its id.
-fn select_pool(route: &Route, id: &str) -> Name {
-    let total: u64 = route.targets.iter().map(|t| u64::from(t.weight)).sum();
-    let mut left = xxh3_64(id.as_bytes()) % total.max(1);
-    for target in &route.targets {
-        let weight = u64::from(target.weight);
-        if left < weight {
-            return target.pool.clone();
-        }
-        left -= weight;
-    }
-    route.targets.first().map_or_else(|| "".into(), |t| t.pool.clone())
-}
--- a/src/direct/requests/request.rs
+++ b/src/direct/requests/request.rs
@@ -40,6 +40,15 @@
     Streaming,
 }
 
+/// What an engine does with the prompt of a call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PromptRead {
+    /// Number of tokens that it is expected to read.
+    pub tokens: u64,
+    /// Whether it fetches parts from another engine.
+    pub fetches: bool,
+}
+
 /// One call to an endpoint for a request.
 #[derive(Debug, Clone)]
 pub struct Attempt {
@@ -51,6 +60,9 @@
     pub ordered_at: Timestamp,
     /// When the call was sent over an established connection; set only for calls that need results.
     pub sent_at: Option<Timestamp>,
+    /// What the engine does with the prompt; `None` after the first event, and if there is no prompt
+    /// with shared parts.
+    pub prompt: Option<PromptRead>,
 }
 
 /// A caller's request.
@@ -134,6 +146,23 @@
         Some(&shared.0)
     }
 
+    /// The part before the last shared one, which prompts with other shared parts have as well, and
+    /// the number of tokens up to its end.
+    pub fn common_prompt_part(&self) -> Option<(&str, u64)> {
+        let parts = &self.incoming.generation.as_ref()?.parts;
+        let common = &parts[..parts.len().checked_sub(2)?];
+        Some((&common.last()?.0, common.iter().map(|part| part.1).sum()))
+    }
+
+    /// Number of tokens in the parts of the prompt that other requests share, and in the rest.
+    pub fn prompt_tokens(&self) -> (u64, u64) {
+        let parts = self.incoming.generation.as_ref().map_or(&[][..], |g| &g.parts);
+        let Some((own, shared)) = parts.split_last() else {
+            return (0, 0);
+        };
+        (shared.iter().map(|part| part.1).sum(), own.1)
+    }
+
     /// Expected time from the call of an engine to the first event.
     pub fn expected_start(&self) -> Duration {
         let generation = self.incoming.generation.as_ref();
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -4,6 +4,7 @@
 
 use metrics::{counter, describe_counter, describe_gauge, describe_histogram, gauge, histogram};
 
+use crate::direct::engines::load::SharedLoad;
 use crate::direct::log_events::LogEvent;
 use crate::direct::peers::build::Build;
 use crate::direct::statement::CallKind;
@@ -79,6 +80,12 @@
 pub const BATCH_SECONDS: &str = "stackmast_batch_seconds";
 /// Pieces in a batch call.
 pub const BATCH_PIECES: &str = "stackmast_batch_pieces";
+/// Mean age of the fresh load reports of engines, in seconds.
+pub const ENGINE_LOAD_AGE: &str = "stackmast_engine_load_age_seconds";
+/// Bytes of load reports of engines that were sent to other gateways.
+pub const LOAD_REPORT_BYTES: &str = "stackmast_engine_load_report_bytes_total";
+/// Requests sent with the address of an engine that has parts of their prompt, by outcome.
+pub const PROMPT_FETCHES: &str = "stackmast_prompt_fetches_total";
 
 /// Requests accepted or refused after the order to stop, by place of the decision.
 pub const STOP_DECIDED: &str = "stackmast_stop_decided_total";
@@ -128,6 +135,12 @@
     describe_counter!(DECISIONS, "Decisions and changes of belief, by kind");
     describe_histogram!(BATCH_SECONDS, "Seconds of calls with pieces");
     describe_histogram!(BATCH_PIECES, "Pieces in a call");
+    describe_gauge!(ENGINE_LOAD_AGE, "Mean age of the load reports of engines in use, in seconds");
+    describe_counter!(LOAD_REPORT_BYTES, "Bytes of load reports sent to other gateways");
+    describe_counter!(
+        PROMPT_FETCHES,
+        "Requests whose engine was to fetch prompt parts, by outcome"
+    );
     describe_counter!(
         STOP_DECIDED,
         "Requests taken or turned away while stopping, by at and taken"
@@ -195,6 +208,23 @@
     counter!(RESULT_MISMATCHES).increment(1);
 }
 
+/// Records the mean age of the load reports of engines.
+pub fn engine_load_age(age: Duration) {
+    gauge!(ENGINE_LOAD_AGE).set(age.as_secs_f64());
+}
+
+/// Adds the bytes of load reports that are sent to a number of gateways.
+pub fn load_reports_sent(reports: &[SharedLoad], receivers: usize) {
+    let bytes = postcard::to_allocvec(reports).map_or(0, |bytes| bytes.len() * receivers);
+    counter!(LOAD_REPORT_BYTES).increment(bytes as u64);
+}
+
+/// Counts a request whose engine was to fetch prompt parts; `started` if its first event arrived,
+/// `not_started` if the call ended without one.
+pub fn prompt_fetched(outcome: &'static str) {
+    counter!(PROMPT_FETCHES, "outcome" => outcome).increment(1);
+}
+
 /// Adds document bytes in a direction, `in` or `out`.
 pub fn control_bytes(direction: &'static str, bytes: usize) {
     counter!(CONTROL_BYTES, "direction" => direction).increment(bytes as u64);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -10,4 +10,5 @@
 pub mod place;
 pub mod predict;
 pub mod route;
+pub mod start_time;
 pub mod timeline;
--- a/src/policy/place.rs
+++ b/src/policy/place.rs
@@ -69,8 +69,7 @@
     };
     let mean = usable.iter().map(|&i| candidates[i].load).sum::<f64>() / usable.len() as f64;
     let bound = mean * LOAD_BOUND + LOAD_SLACK;
-    let seed = xxh3_64(prefix.as_bytes());
-    let (choice, second_choice) = preferred(candidates, &usable, seed);
+    let (choice, second_choice) = preferred(candidates, &usable, prefix);
     for (choice, reason) in
         [(choice, PlacementReason::Prefix), (second_choice, PlacementReason::SecondChoice)]
     {
@@ -81,13 +80,19 @@
     least_loaded(candidates, &usable).map(|i| (i, PlacementReason::LeastLoad))
 }
 
+/// Rendezvous hash weight of an endpoint for a prefix; the endpoint with the highest weight is the
+/// first choice.
+pub fn hash_weight(endpoint: &str, prefix: &str) -> u64 {
+    xxh3_64_with_seed(endpoint.as_bytes(), xxh3_64(prefix.as_bytes()))
+}
+
 /// The two candidates with the highest rendezvous hash weights for a prefix, highest first.
 fn preferred(
     candidates: &[Candidate<'_>],
     usable: &[usize],
-    seed: u64,
+    prefix: &str,
 ) -> (Option<usize>, Option<usize>) {
-    let weight = |i: usize| xxh3_64_with_seed(candidates[i].id.as_bytes(), seed);
+    let weight = |i: usize| hash_weight(candidates[i].id, prefix);
     let mut best: [Option<(u64, usize)>; 2] = [None; 2];
     for &i in usable {
         let found = Some((weight(i), i));
