Fetch shared parts at new engines and for requests that are kept apart

Kept-apart requests get a source, and are not recorded as holders. An engine that is newly listed or becomes cold counts as empty for 10 s. A first choice fetches a part that this gateway sent elsewhere. Ruled out: a source by hash whenever a part was sent elsewhere; the engine that it names usually has nothing. Parts at evacuated and leaving engines are still read again.

--- a/src/direct/engines/parts.rs
+++ b/src/direct/engines/parts.rs
@@ -9,6 +9,8 @@
 /// Time for which an engine is assumed to keep a part after its last use by this gateway. The parts
 /// that are unused longest are evicted first, after a time that engines do not state.
 const PART_RETENTION: Duration = Duration::from_secs(10);
+/// Time after the first listing within which listed engines are assumed to have been there before.
+const FIRST_LISTING: Duration = Duration::from_secs(2);
 /// Maximum number of engines that are kept for one part. Parts at the beginning of many prompts are
 /// at many engines.
 const MAX_HOLDERS: usize = 64;
@@ -29,6 +31,10 @@
     holders: HashMap<String, Vec<Holder>>,
     /// Engines that were empty at this time.
     emptied: HashMap<Name, Timestamp>,
+    /// Incarnations of the listed endpoints.
+    incarnations: HashMap<Name, u64>,
+    /// When the first endpoint was listed.
+    first_listed: Option<Timestamp>,
 }
 
 impl PartHolders {
@@ -66,6 +72,16 @@
         self.emptied.insert(endpoint.clone(), now);
     }
 
+    /// An endpoint was listed. A new one, or a new incarnation, has no parts.
+    pub fn listed(&mut self, endpoint: &Endpoint, now: Timestamp) {
+        let first_listed = *self.first_listed.get_or_insert(now);
+        match self.incarnations.insert(endpoint.id.clone(), endpoint.incarnation) {
+            Some(incarnation) if incarnation == endpoint.incarnation => {}
+            None if now < first_listed + FIRST_LISTING => {}
+            Some(_) | None => self.emptied(&endpoint.id, now),
+        }
+    }
+
     /// Whether an engine was empty a short time ago, so that it lacks parts that it should have.
     pub fn was_emptied(&self, endpoint: &str, now: Timestamp) -> bool {
         self.emptied.get(endpoint).is_some_and(|at| now < *at + PART_RETENTION)
@@ -85,5 +101,6 @@
     /// Removes engines that are not listed any more.
     pub fn retain(&mut self, listed: impl Fn(&str) -> bool) {
         self.emptied.retain(|id, _| listed(id));
+        self.incarnations.retain(|id, _| listed(id));
     }
 }
--- a/src/direct/engines/read_times.rs
+++ b/src/direct/engines/read_times.rs
@@ -1,4 +1,5 @@
-//! How long the engines of a pool take to read prompts, estimated from the times to the first event.
+//! How long the engines of a pool take to read prompts, estimated from the times to the first
+//! event.
 
 use std::collections::HashMap;
 use std::time::Duration;
--- a/src/direct/requests/changes.rs
+++ b/src/direct/requests/changes.rs
@@ -28,8 +28,8 @@
         self.observations.retain(|id| table.endpoint(id).is_some());
         self.engines.loads.retain(|id| table.endpoint(id).is_some());
         self.engines.parts.retain(|id| table.endpoint(id).is_some());
-        for restarted in &merged.restarted {
-            self.engines.parts.emptied(restarted, now);
+        for endpoint in entered {
+            self.engines.parts.listed(endpoint, now);
         }
         self.ramps.retain(|id| table.endpoint(id).is_some());
         self.retry_times.retain(|id| table.endpoint(id).is_some());
@@ -64,6 +64,9 @@
     ) -> bool {
         let was_cold = self.cold.is_cold(&endpoint.id, now);
         self.cold.reported(endpoint, left, at);
+        if !was_cold && !left.is_zero() {
+            self.engines.parts.emptied(&endpoint.id, now);
+        }
         was_cold
     }
 
--- a/src/direct/requests/engine_choice.rs
+++ b/src/direct/requests/engine_choice.rs
@@ -29,12 +29,16 @@
         is_engine && table.pool_endpoints(pool).iter().any(has_stated)
     }
 
-    /// The shared part of a request's prompt, if the request is sent by the load of engines.
-    pub(super) fn part_to_place<'a>(&self, request: &'a Request, table: &Table) -> Option<&'a str> {
+    /// The last shared part of a request's prompt, if the request is sent by the load of engines.
+    fn part_to_place<'a>(&self, request: &'a Request, table: &Table) -> Option<&'a str> {
+        self.part_to_fetch(request, table).filter(|_| self.isolation_key(request).is_none())
+    }
+
+    /// The last shared part of a request's prompt, if the engines of its pool state their load.
+    pub(super) fn part_to_fetch<'a>(&self, request: &'a Request, table: &Table) -> Option<&'a str> {
         let has_shared_part = request.prompt_tokens().0 > 0;
         let part = request.shared_prompt_part().filter(|_| has_shared_part)?;
-        (self.states_load(&request.pool, table) && self.isolation_key(request).is_none())
-            .then_some(part)
+        self.states_load(&request.pool, table).then_some(part)
     }
 
     /// Selects an engine by the expected time to the first event; `None` if the request is not sent
--- a/src/direct/requests/mod.rs
+++ b/src/direct/requests/mod.rs
@@ -5,10 +5,10 @@
 //!
 //! `core` passes in events of callers, endpoints and owners. `stages` and `owners` have the stages
 //! run; `dispatch` and `choice` send requests to endpoints, selected by `policy::place`, or by
-//! `engine_choice` if engines state their load; `prompt_source` names the engine that has parts of a
-//! prompt; `attempts` tracks the calls; `permits` and `ramp` limit the load after endpoints asked for it; `changes`
-//! applies changed endpoints; `deferred`, `stopping`, `overload` and `poison` handle startup,
-//! shutdown, overload and requests that crash endpoints.
+//! `engine_choice` if engines state their load; `prompt_source` names the engine that has parts of
+//! a prompt; `attempts` tracks the calls; `permits` and `ramp` limit the load after endpoints asked
+//! for it; `changes` applies changed endpoints; `deferred`, `stopping`, `overload` and `poison`
+//! handle startup, shutdown, overload and requests that crash endpoints.
 
 mod attempts;
 mod changes;
--- a/src/direct/requests/prompt_source.rs
+++ b/src/direct/requests/prompt_source.rs
@@ -45,7 +45,7 @@
         let Some(request) = self.requests.get(&caller) else {
             return (None, None);
         };
-        let Some(part) = self.part_to_place(request, table).map(ToOwned::to_owned) else {
+        let Some(part) = self.part_to_fetch(request, table).map(ToOwned::to_owned) else {
             return (None, None);
         };
         let (shared, own) = request.prompt_tokens();
@@ -53,7 +53,7 @@
         let source = if lacks_part {
             self.source(request, &part, endpoint, table, now)
         } else {
-            self.common_source(request, &part, endpoint, table, now)
+            self.last_source(request, &part, endpoint, table, now)
         };
         let tokens = if lacks_part { shared + own } else { own };
         if let Some(source) = &source {
@@ -65,9 +65,12 @@
             })));
         }
         self.engines.loads.sent(endpoint, now);
-        let common = request.common_prompt_part().map(|(common, _)| common);
-        for part in [Some(&*part), common].into_iter().flatten() {
-            self.engines.parts.sent(part, endpoint, now);
+        // Other requests are not to follow one that may crash its engine.
+        if self.isolation_key(request).is_none() {
+            let common = request.common_prompt_part().map(|(common, _)| common);
+            for part in [Some(&*part), common].into_iter().flatten() {
+                self.engines.parts.sent(part, endpoint, now);
+            }
         }
         let prompt = PromptRead { tokens, fetches: source.is_some() };
         (Some(prompt), source.map(|source| source.endpoint.address))
@@ -136,9 +139,9 @@
         Some(Source { endpoint, tokens })
     }
 
-    /// The engine from which the first choice by hash of `part` fetches the parts before it, if this
-    /// gateway sent neither there recently: the one that it last sent them to.
-    fn common_source(
+    /// The engine from which the first choice by hash of `part` fetches that part or those before it,
+    /// if this gateway sent neither there recently: the one that it last sent them to.
+    fn last_source(
         &self,
         request: &Request,
         part: &str,
@@ -146,14 +149,20 @@
         table: &Table,
         now: Timestamp,
     ) -> Option<Source> {
-        let (common, tokens) = request.common_prompt_part()?;
+        let (shared, _) = request.prompt_tokens();
+        let common = request.common_prompt_part();
+        let parts = [Some((part, shared)), common].into_iter().flatten();
         let has = |part: &str| self.engines.parts.last_sent(part, receiver, now).is_some();
-        if has(part) || has(common) || !self.is_worth_fetching(request, tokens) {
+        if parts.clone().any(|(part, _)| has(part)) {
             return None;
         }
         let candidates = self.source_candidates(request, receiver, table, now);
-        let endpoint = Arc::clone(self.last_holder(&candidates, common, now)?);
-        Some(Source { endpoint, tokens })
+        let mut worth_fetching =
+            parts.filter(|(_, tokens)| self.is_worth_fetching(request, *tokens));
+        worth_fetching.find_map(|(part, tokens)| {
+            let endpoint = Arc::clone(self.last_holder(&candidates, part, now)?);
+            Some(Source { endpoint, tokens })
+        })
     }
 
     /// Whether callers would wait longer for these tokens to be read than to be fetched.
--- a/tests/direct_prompt_fetch.rs
+++ b/tests/direct_prompt_fetch.rs
@@ -29,7 +29,7 @@
 const ENGINES: u16 = 4;
 
 fn engine(number: u16) -> Endpoint {
-    Endpoint { slots: 64, incarnation: 1, ..(*endpoint("engine", number)).clone() }
+    Endpoint { slots: 64, ..(*endpoint("engine", number)).clone() }
 }
 
 /// The engines in the order by hash of the shared part.
@@ -207,6 +207,32 @@
     assert_eq!(call.prompt_source, Some(engines[1].address));
 }
 
+// Load pattern: a cold return. The first choice is new, and the second one had its prompts.
+#[test]
+fn a_first_choice_that_is_new_fetches_from_the_second() {
+    let mut engines = engines();
+    let mut core = gateway(&engines[1..]);
+    engines[0].incarnation = 7;
+    publish_engines(&mut core, &engines[..1], 4, ms(4_000));
+    loads_arrive(&mut core, &engines, &[0; 4], ms(4_010));
+    let call = call(&submit(&mut core, 1, long_prompt(), ms(4_020)));
+    assert_eq!(call.endpoint.id, engines[0].id);
+    assert_eq!(call.prompt_source, Some(engines[1].address));
+}
+
+// The first choice changes while the previous one is in use: the part was sent to the second one.
+#[test]
+fn a_first_choice_fetches_a_part_that_was_sent_elsewhere() {
+    let engines = engines();
+    let mut core = gateway(&engines);
+    send_elsewhere(&mut core, &engines, ms(10));
+    loads_arrive(&mut core, &engines, &[0, 20, 20, 20], ms(100));
+    let request = IncomingRequest { id: "id-2".into(), ..long_prompt() };
+    let call = call(&submit(&mut core, 2, request, ms(110)));
+    assert_eq!(call.endpoint.id, engines[0].id);
+    assert_eq!(call.prompt_source, Some(engines[1].address));
+}
+
 #[test]
 fn an_unreachable_source_is_not_used() {
     let engines = engines();
