--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -11,5 +11,6 @@
 pub mod place;
 pub mod predict;
 pub mod route;
+pub mod start_time;
 pub mod timeline;
 pub mod urgency;
