--- a/src/direct/owner/entry.rs
+++ b/src/direct/owner/entry.rs
@@ -64,6 +64,7 @@
     StageEntry {
         urgency: run.urgency,
         waiting,
+        deferred: if deferral.is_some_and(|time| !time.is_zero()) { waiting } else { 0 },
         running: unfinished - waiting,
         heavy_data_centre: run.heavy_data_centre.clone().filter(|_| run.is_heavy(stage)),
         queued: (deferral == Some(Duration::ZERO)).then(|| queued(run, stage, waiting)),
--- a/src/direct/owner/ledger.rs
+++ b/src/direct/owner/ledger.rs
@@ -35,6 +35,8 @@
     pub(super) urgency: Urgency,
     /// Waiting pieces, including those that may not be sent yet.
     pub(super) waiting: usize,
+    /// Those among the waiting pieces that are deferred; new jobs are not behind them.
+    pub(super) deferred: usize,
     /// Pieces in running calls.
     pub(super) running: usize,
     /// Data centre that the pieces are bound to, if the stage exchanges large results.
@@ -60,7 +62,7 @@
 pub(super) struct PoolLedger {
     pub(super) waiting: usize,
     pub(super) running: usize,
-    /// Waiting pieces by urgency.
+    /// Waiting pieces by urgency, without deferred ones.
     waiting_by_urgency: BTreeMap<Urgency, usize>,
     /// Stages of jobs that can give way to more urgent ones.
     displaceable: BTreeSet<Displaceable>,
@@ -79,7 +81,7 @@
         self.unfinished_in.get(data_centre).copied().unwrap_or_default()
     }
 
-    /// Waiting pieces that are at least as urgent as `urgency`. The cost depends on the number of
+    /// Waiting pieces, without deferred ones, that are at least as urgent as `urgency`. The cost depends on the number of
     /// different urgencies alone.
     pub(super) fn waiting_before(&self, urgency: Urgency) -> usize {
         self.waiting_by_urgency.range(..=urgency).map(|(_, waiting)| waiting).sum()
@@ -92,7 +94,8 @@
 
     fn add_entry(&mut self, entry: &StageEntry) {
         self.waiting += entry.waiting;
-        *self.waiting_by_urgency.entry(entry.urgency).or_default() += entry.waiting;
+        *self.waiting_by_urgency.entry(entry.urgency).or_default() +=
+            entry.waiting - entry.deferred;
         self.displaceable.extend(entry.displaceable);
         self.running += entry.running;
         if let Some(data_centre) = &entry.heavy_data_centre {
@@ -110,7 +113,7 @@
     fn remove_entry(&mut self, entry: &StageEntry) {
         self.waiting -= entry.waiting;
         if let Some(waiting) = self.waiting_by_urgency.get_mut(&entry.urgency) {
-            *waiting -= entry.waiting;
+            *waiting -= entry.waiting - entry.deferred;
         }
         if let Some(displaceable) = &entry.displaceable {
             self.displaceable.remove(displaceable);
--- a/src/policy/path.rs
+++ b/src/policy/path.rs
@@ -174,11 +174,12 @@
 
 impl StageLoad {
     /// Expected time, from `at` on, in which the pool still works on what is served before the
-    /// stage. The pool works on it from now on, not only once the stage is ready.
+    /// stage. The pool works on it from now on, not only once the stage is ready; only while the
+    /// stage waits do more urgent requests that arrive later get ahead of it.
     fn backlog_wait(&self, at: Duration) -> Duration {
         let ahead = self.backlog + self.reserved.slot_time;
-        let slots = (self.slots * self.slot_share.max(GUARANTEED_SHARE)).max(0.01);
-        ahead.div_f64(slots).min(MAX_PREDICTED_WAIT).saturating_sub(at)
+        let rest = ahead.div_f64(self.slots.max(0.01)).saturating_sub(at);
+        rest.div_f64(self.slot_share.max(GUARANTEED_SHARE)).min(MAX_PREDICTED_WAIT)
     }
 
     /// Expected time that the stage waits for a free slot if it is ready at `at`.
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -150,6 +150,17 @@
     assert_eq!(decision.predicted, ms(until_done) + AFTER);
 }
 
+// More urgent requests that arrive later reach the last pool later, too: they get ahead only while
+// the request waits there.
+#[test_case(1_000, 300 + 300 + 300; "no wait, so nothing gets ahead")]
+#[test_case(2_000, 300 + 300 + 800 + 400; "the rest of the backlog takes twice as long")]
+fn more_urgent_arrivals_get_ahead_only_during_the_wait(backlog: u64, until_done: u64) {
+    let mut last = stage(&[1]);
+    (last.backlog, last.full_call, last.slot_share) = (ms(backlog), ms(400), 0.5);
+    let decision = admit_path(&[stage(&[]), stage(&[0]), last], AFTER, OBJECTIVE);
+    assert_eq!(decision.predicted, ms(until_done) + AFTER);
+}
+
 #[test]
 fn a_pool_without_endpoints_refuses_all_requests() {
     let mut empty = stage(&[]);
