Places for callers that return after a refusal

An owner named a guess as Retry-After and kept nothing for those who obeyed it; new callers took the capacity first. A refusal for lack of time or result memory now books a place: a time, and capacity of each pool that is reserved against new callers of the same or a lower priority while it is due. The gateway no longer adds jitter of up to a half to such a time, which would make callers miss it.

tests/directenv/recount.rs: the recomputed admission reads what open places reserve, recomputed by iterating over them; without it decisions near the limit differ by what is reserved.

--- a/src/direct/log_events/load.rs
+++ b/src/direct/log_events/load.rs
@@ -40,10 +40,14 @@
     PlaceEnded {
         /// Fingerprint of the request that the place was booked for.
         fingerprint: String,
-        /// `used`, `early` (the caller returned too early to use it) or `unused`.
+        /// `used`; `refused` (the caller returned in time, but there was no capacity); `early` (the
+        /// request was admitted before); `elsewhere` (another cell admitted it); `unused`; or
+        /// `released` (the owner stops, or a pool has no endpoint left).
         outcome: &'static str,
         /// Milliseconds since the place was booked.
         after_ms: u64,
+        /// Number of places that are still booked.
+        booked: usize,
     },
     /// A request was sent with the address of an engine that has parts of its prompt.
     PromptFetch {
--- a/src/direct/owner/admission.rs
+++ b/src/direct/owner/admission.rs
@@ -8,6 +8,7 @@
 
 use crate::direct::event::Action;
 use crate::direct::log_events::{LogEvent, ms};
+use crate::direct::owner::booked::PlaceOutcome;
 use crate::direct::owner::calls::TAKEOVER_PERIOD;
 use crate::direct::owner::jobs::{JobRun, Piece, expected_calls};
 use crate::direct::owner::scheduler::Scheduler;
@@ -42,16 +43,21 @@
             self.ask_reports(table, now);
         }
         self.last_submit = Some(now);
-        let decision = self.admit(&job, table, now);
+        let place = self.places.take_due(job.fingerprint, now);
+        let decision = self.admit(&job, place.is_some(), table, now);
         if let Some(refusal) = decision.refusal
             && !self.displace_for(&job, refusal, table, now)
         {
+            self.end_place(place, PlaceOutcome::Refused, now);
             return self.refuse(&job, refusal, decision.retry_after, table, now);
         }
         let excess_wait = self.excess_turn_wait(&job, table, now).filter(|_| !job.resubmitted);
         if let Some(retry_after) = excess_wait {
+            self.end_place(place, PlaceOutcome::Refused, now);
             return self.send_given_up(id, JobReason::WouldBeLate, true, retry_after);
         }
+        self.end_place(place, PlaceOutcome::Used, now);
+        self.release_place(job.fingerprint, PlaceOutcome::Early, now);
         self.send_to_gateway(id, PeerMessage::Accepted(id));
         let mut run = JobRun::new(job, table, now);
         run.heavy_data_centre = self.least_loaded_data_centre(&run);
@@ -66,13 +72,16 @@
     }
 
     /// Decides on admission; a resubmitted job, which another owner has admitted before, is not
-    /// refused.
-    fn admit(&mut self, job: &Job, table: &Table, now: Timestamp) -> PathDecision {
+    /// refused. A job that `has_place` is only held back by what is reserved for more urgent ones.
+    fn admit(&mut self, job: &Job, has_place: bool, table: &Table, now: Timestamp) -> PathDecision {
         self.update_ledger(table, now);
-        let loads = self.loads(job, table, now);
+        let mut loads = self.loads(job, table, now);
+        self.reserve_places(job, has_place, &mut loads, now);
+        // A place counts with all of the capacity, so that new callers can't take it first.
+        let priority = if has_place { 0 } else { job.priority };
         // Each stage ends with an event, which this process handles with its event lag.
         let after = job.after_stages + self.event_lag * job.stages.len() as u32;
-        let mut decision = admit_path(&loads, after, job.to_objective, job.priority);
+        let mut decision = admit_path(&loads, after, job.to_objective, priority);
         decision.refusal = decision.refusal.filter(|_| !job.resubmitted);
         let bottleneck = job.stages.get(decision.bottleneck);
         self.out.push(Action::Log(LogEvent::StagesDecided {
--- a/src/direct/owner/inspect.rs
+++ b/src/direct/owner/inspect.rs
@@ -13,6 +13,7 @@
 use crate::direct::published::model::Name;
 use crate::direct::published::table::Table;
 use crate::message::Timestamp;
+use crate::policy::places::Amount;
 use crate::policy::timeline::Timeline;
 
 /// State of one pool.
@@ -81,6 +82,16 @@
         occupancies(run, &expected_runs(run, context))
     }
 
+    /// Capacity of a pool that open places reserve against new callers of a priority, computed
+    /// anew.
+    pub fn reserved_by_places(&self, pool: &str, priority: u8, now: Timestamp) -> Amount {
+        let mut reserved = Amount::default();
+        for place in self.places.open() {
+            reserved.add(place.reserved(pool, priority, now));
+        }
+        reserved
+    }
+
     /// Recent average wait for a call and duration of a call in a pool.
     pub fn recent_timings(&self, pool: &str, table: &Table) -> Option<(Duration, Duration)> {
         let pool_timings: PoolTimings = self.timings.get(pool, table.batch_spec(pool)?);
--- a/src/direct/owner/mod.rs
+++ b/src/direct/owner/mod.rs
@@ -7,11 +7,12 @@
 //! - `scheduler`: jobs and calls of one cell, and the handling of events.
 //! - `admission`: the decision whether a job is admitted.
 //! - `displacement`: admitted jobs that give way to more urgent ones.
-//! - `places`: refusals, and the places that are kept for callers that return.
+//! - `places` and `booked`: refusals, and the places that are kept for callers that return.
 //! - `batching`: the choice of pieces and endpoint for each call.
 //! - `placement`: whether a piece waits for an endpoint near the consumer of its result.
 //! - `outcomes`: the handling of calls that end.
 //! - `restarts`: the recovery of work that was lost with an endpoint's previous incarnation.
+//! - `gateways`: jobs of gateways that were removed or stop.
 //! - `pauses`: endpoints that asked for a pause.
 //! - `permits`: permits for endpoints with a rate limit.
 //! - `poison`: the isolation of jobs under which endpoints crashed.
@@ -27,11 +28,13 @@
 
 mod admission;
 mod batching;
+mod booked;
 mod bookings;
 mod calls;
 mod displacement;
 mod endpoints;
 mod entry;
+mod gateways;
 pub mod inspect;
 pub mod jobs;
 mod ledger;
--- a/src/direct/owner/owners.rs
+++ b/src/direct/owner/owners.rs
@@ -132,8 +132,13 @@
 
     /// Handles a job submitted by a gateway.
     pub fn submit(&mut self, job: Job, table: &Table, now: Timestamp) {
-        let cell = job.cell.clone();
-        self.cell(&cell, table).submit(job, table, now);
+        let (cell, id, fingerprint) = (job.cell.clone(), job.id, job.fingerprint);
+        let owner = self.cell(&cell, table);
+        owner.submit(job, table, now);
+        if owner.has(&id) {
+            let others = self.cells.iter_mut().filter(|(name, _)| **name != cell);
+            others.for_each(|(_, owner)| owner.served_elsewhere(fingerprint, now));
+        }
     }
 
     /// Handles the end of a call.
--- a/src/direct/owner/scheduler.rs
+++ b/src/direct/owner/scheduler.rs
@@ -16,6 +16,7 @@
 use crate::direct::event::Action;
 use crate::direct::limits::known::KnownLimits;
 use crate::direct::log_events::LogEvent;
+use crate::direct::owner::booked::Places;
 use crate::direct::owner::calls::{Calls, TAKEOVER_PERIOD};
 use crate::direct::owner::endpoints::EndpointState;
 use crate::direct::owner::entry::entry;
@@ -61,6 +62,8 @@
     pub(super) suspects: Arc<Suspects>,
     pub(super) next_call: u64,
     pub(super) timings: Timings,
+    /// Places of refused callers.
+    pub(super) places: Places,
     /// Totals of each pool, up to date except for changed jobs and endpoints.
     pub(super) ledger: Ledger,
     /// Jobs that changed since their ledger entries were computed.
@@ -75,7 +78,7 @@
     pub(super) to_free: BTreeMap<Name, (Arc<Endpoint>, Vec<Handle>)>,
     /// Pools for which calls may be filled.
     pub(super) dirty: BTreeSet<Name>,
-    last_check: Timestamp,
+    pub(super) last_check: Timestamp,
     /// Time when all endpoints were last asked for reports.
     reports_asked_at: Option<Timestamp>,
     pub(super) event_lag: Duration,
@@ -104,6 +107,7 @@
             suspects: Arc::default(),
             next_call: 0,
             timings: Timings::default(),
+            places: Places::default(),
             ledger: Ledger::default(),
             changed_jobs: Vec::new(),
             is_listed: false,
@@ -169,6 +173,7 @@
     /// Time when timers must be run next; `None` if there is nothing to do.
     pub fn next_wakeup(&self) -> Option<Timestamp> {
         let is_busy = !self.jobs.is_empty() || !self.calls.is_empty() || !self.to_free.is_empty();
+        let is_busy = is_busy || !self.places.is_empty();
         is_busy.then_some(self.last_check + CHECK_INTERVAL)
     }
 
@@ -260,31 +265,13 @@
         }
     }
 
-    /// Notifies other gateways, before this process ends, that it no longer owns their jobs.
-    pub fn hand_back_jobs(&mut self, own: SocketAddr) {
-        let others = self.jobs.keys().filter(|id| id.gateway != own).copied();
-        for id in others.collect::<Vec<_>>() {
-            self.send_given_up(id, JobReason::NotOwner, false, Duration::ZERO);
-        }
-    }
-
-    /// Releases all jobs of a gateway that was removed.
-    pub fn release_jobs_of(&mut self, gateway: SocketAddr, incarnation: u64, table: &Table) {
-        let first = JobId { gateway, incarnation, number: 0 };
-        let from_first = self.jobs.range(first..).map(|(id, _)| *id);
-        let of_removed =
-            from_first.take_while(|id| (id.gateway, id.incarnation) == (gateway, incarnation));
-        for id in of_removed.collect::<Vec<_>>() {
-            self.release(id, table);
-        }
-    }
-
     /// Handles changes of endpoints or of the configuration.
     pub fn table_changed(&mut self, table: &Table) {
         self.producers.retain(|id| table.endpoint(id).is_some());
         self.permits.retain(|id| table.endpoint(id).is_some());
         self.dirty.extend(table.deployment.pools.iter().map(|p| p.name.clone()));
         self.is_listed = false;
+        self.release_unservable_places(table);
     }
 
     /// Runs timers that are due.
@@ -300,6 +287,7 @@
                 Timer::Refresh(job) => self.changed_jobs.push(job),
                 Timer::InputsFetched(call) => self.inputs_fetched(call, table, now),
                 Timer::Overdue(call) => self.abandon_call(call, table, now),
+                Timer::PlaceExpired(fingerprint) => self.expire_place(fingerprint, now),
             }
         }
         self.update_ledger(table, now);
--- a/src/direct/owner/timers.rs
+++ b/src/direct/owner/timers.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use crate::direct::peers::message::JobId;
+use crate::direct::poison::fingerprint::Fingerprint;
 use crate::message::Timestamp;
 
 /// Event for which a timer is set.
@@ -16,6 +17,8 @@
     InputsFetched(u64),
     /// A call should have ended.
     Overdue(u64),
+    /// A place is not kept any longer.
+    PlaceExpired(Fingerprint),
 }
 
 /// All timers, ordered by time.
--- a/src/direct/requests/mod.rs
+++ b/src/direct/requests/mod.rs
@@ -7,7 +7,7 @@
 //! run; `dispatch` and `choice` send requests to endpoints, selected by `policy::place`; `attempts`
 //! tracks the calls; `permits` and `ramp` limit the load after endpoints asked for it; `changes`
 //! applies changed endpoints; `deferred`, `stopping`, `overload` and `poison` handle startup,
-//! shutdown, overload and requests that crash endpoints.
+//! shutdown, overload and requests that crash endpoints; `jitter` spreads the retries of callers.
 
 mod attempts;
 mod changes;
@@ -17,6 +17,7 @@
 pub mod durations;
 pub mod endpoints;
 pub mod fetch_times;
+mod jitter;
 mod overload;
 mod owners;
 mod permits;
@@ -31,7 +32,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::{Rng, RngExt};
+use rand::Rng;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::direct::backoff::Backoffs;
@@ -50,6 +51,7 @@
 use crate::direct::requests::durations::DurationHistory;
 use crate::direct::requests::endpoints::Observations;
 use crate::direct::requests::fetch_times::FetchTimes;
+use crate::direct::requests::jitter::RetryJitter;
 use crate::direct::requests::owners::OwnerRanking;
 use crate::direct::requests::ramp::Ramps;
 use crate::direct::requests::request::{Phase, Request};
@@ -60,9 +62,6 @@
 pub(super) const RETRY_SOON: Duration = Duration::from_millis(250);
 /// Delay after which callers should retry, at another gateway, while this one has no configuration.
 pub(super) const RETRY_ELSEWHERE: Duration = Duration::from_millis(100);
-/// Upper bound of the jitter added to `retry_after` if all endpoints are paused or rate-limited.
-/// Without it they would wait up to half a pause longer, though the gradual refill limits the load.
-const MAX_PAUSE_JITTER: Duration = Duration::from_millis(500);
 /// Timeout of a request that states none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
 /// After the process was suspended, timers are deferred by this time so that responses which
@@ -95,6 +94,7 @@
     pub(super) limits: Arc<KnownLimits>,
     /// Earliest time to ask again for a permit, by endpoint and priority, after a refusal.
     retry_times: RetryTimes,
+    retry_jitter: RetryJitter,
     /// Number of the last permit that was asked for.
     last_permit: u64,
     ramps: Ramps,
@@ -141,6 +141,7 @@
             backoffs: Arc::new(Backoffs::new(own)),
             limits: Arc::default(),
             retry_times: RetryTimes::default(),
+            retry_jitter: RetryJitter::default(),
             last_permit: 0,
             ramps: Ramps::default(),
             durations: DurationHistory::default(),
@@ -207,12 +208,7 @@
             self.resubmit(caller, now);
         }
         let mut actions = std::mem::take(&mut self.out);
-        for action in &mut actions {
-            if let Action::Refuse { refusal, .. } = action {
-                let jitter = refusal.retry_after.mul_f64(rng.random_range(0.0..0.5));
-                refusal.retry_after += jitter.min(max_jitter(&refusal.reason));
-            }
-        }
+        self.retry_jitter.add(&mut actions, rng);
         actions
     }
 
@@ -453,14 +449,6 @@
     }
 }
 
-/// Upper bound of the jitter that keeps callers refused together from retrying together.
-const fn max_jitter(reason: &Refused) -> Duration {
-    match reason {
-        Refused::AllPaused | Refused::AllLimited | Refused::NoEndpoint => MAX_PAUSE_JITTER,
-        _ => Duration::MAX,
-    }
-}
-
 type Admissible<'a> = (&'a Route, Option<&'a Organisation>);
 
 /// Finds route and organisation of a request, or the reason to refuse it before anything runs.
--- a/src/direct/requests/stages.rs
+++ b/src/direct/requests/stages.rs
@@ -196,7 +196,10 @@
             JobReason::NoEndpoint => self.refuse(caller, Refused::NoEndpoint, retry_after, now),
             JobReason::DeadlinePassed => self.refuse(caller, Refused::TimedOut, RETRY_SOON, now),
             _ if self.refuse_if_poison(caller, now) => {}
-            _ => self.refuse(caller, Refused::Overloaded, retry_after, now),
+            _ => {
+                self.retry_jitter.owner_refused(caller, reason);
+                self.refuse(caller, Refused::Overloaded, retry_after, now);
+            }
         }
     }
 
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -4,7 +4,7 @@
 
 use metrics::{counter, describe_counter, describe_gauge, describe_histogram, gauge, histogram};
 
-use crate::direct::log_events::LogEvent;
+use crate::direct::log_events::{LoadEvent, LogEvent};
 use crate::direct::peers::build::Build;
 use crate::direct::statement::CallKind;
 use crate::message::Ran;
@@ -75,6 +75,12 @@
 pub const MESSAGES_WITHHELD: &str = "stackmast_messages_withheld_total";
 /// Decisions and changes of estimated state, by kind.
 pub const DECISIONS: &str = "stackmast_decisions_total";
+/// Places booked for refused callers.
+pub const PLACES_BOOKED: &str = "stackmast_places_booked_total";
+/// Places that ended, by outcome.
+pub const PLACES_ENDED: &str = "stackmast_places_ended_total";
+/// Places that are booked now, in the cell that changed last.
+pub const PLACES: &str = "stackmast_places";
 /// Duration of batch calls, in seconds.
 pub const BATCH_SECONDS: &str = "stackmast_batch_seconds";
 /// Pieces in a batch call.
@@ -120,6 +126,9 @@
     describe_gauge!(STORE_ERA, "Newest era of the publisher's store");
     describe_gauge!(PUBLISHED_VERSION, "Version of the configuration in the publisher's store");
     describe_gauge!(EVACUATED_DATA_CENTRES, "Data centres that get no new work by order");
+    describe_counter!(PLACES_BOOKED, "Places booked for callers that were refused");
+    describe_counter!(PLACES_ENDED, "Places of refused callers that ended, by outcome");
+    describe_gauge!(PLACES, "Places of refused callers that are booked now");
     describe_gauge!(POISON_REQUESTS, "Contents refused because endpoints crashed under them");
     describe_counter!(
         MESSAGES_WITHHELD,
@@ -254,6 +263,14 @@
         LogEvent::BatchEnded { took_ms, .. } => {
             histogram!(BATCH_SECONDS).record(*took_ms as f64 / 1_000.0);
         }
+        LogEvent::Load(LoadEvent::PlaceBooked { booked, .. }) => {
+            counter!(PLACES_BOOKED).increment(1);
+            gauge!(PLACES).set(*booked as f64);
+        }
+        LogEvent::Load(LoadEvent::PlaceEnded { outcome, booked, .. }) => {
+            counter!(PLACES_ENDED, "outcome" => *outcome).increment(1);
+            gauge!(PLACES).set(*booked as f64);
+        }
         LogEvent::BatchSent { pieces, .. } => histogram!(BATCH_PIECES).record(pieces.len() as f64),
         LogEvent::StopDecided { at, taken, .. } => {
             let taken = if *taken { "true" } else { "false" };
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -8,6 +8,7 @@
 pub mod limit;
 pub mod path;
 pub mod place;
+pub mod places;
 pub mod predict;
 pub mod route;
 pub mod timeline;
--- a/tests/directenv/recount.rs
+++ b/tests/directenv/recount.rs
@@ -290,6 +290,7 @@
         }
     }
     let full_call = spec.call_overhead.div_f64(spec.pieces as f64) + spec.piece_time;
+    let reserved = owner.reserved_by_places(&stage.pool, job.priority, now);
     StageLoad {
         after: stage.after.clone(),
         is_done: false,
@@ -299,6 +300,6 @@
         result_memory: endpoints * spec.result_memory_bytes as f64 - kept.used_by_others as f64,
         memory_in_use: Arc::new(memory_in_use),
         required_memory: (stage.pieces as u64 * stage.result_bytes) as f64,
-        reserved: Reserved::default(),
+        reserved: Reserved { slot_time: reserved.slot_time, memory: reserved.memory as f64 },
     }
 }
