Places fit into the result memory that admitted work leaves

A place was booked within a share of the pool's memory without regard to what admitted work and other owners use at that time; callers that returned in time lacked memory.

--- a/src/direct/owner/booked.rs
+++ b/src/direct/owner/booked.rs
@@ -183,10 +183,9 @@
         for need in &wish.needs {
             self.calendars.entry(need.pool.clone()).or_default().forget_before(now);
         }
-        let demands = wish
-            .needs
-            .iter()
-            .filter_map(|need| Some((self.calendars.get(&need.pool)?, need.demand, need.capacity)));
+        let demands = wish.needs.iter().filter_map(|need| {
+            Some((self.calendars.get(&need.pool)?, need.demand, &need.capacity))
+        });
         let demands: Vec<_> = demands.collect();
         let found = first_fit(&demands, wish.priority, wish.from, wish.horizon);
         let Some((time, bookings)) = found else {
--- a/src/direct/owner/places.rs
+++ b/src/direct/owner/places.rs
@@ -1,5 +1,6 @@
 //! Refusal of jobs, and the places that are kept for callers that return after one.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::direct::event::Action;
@@ -76,7 +77,13 @@
 
     /// The place that a refused job needs; `None` for a job that can't be recognized when it
     /// returns, or for which no capacity is known.
-    fn wish(&self, job: &Job, free_after: Duration, table: &Table, now: Timestamp) -> Option<Wish> {
+    fn wish(
+        &mut self,
+        job: &Job,
+        free_after: Duration,
+        table: &Table,
+        now: Timestamp,
+    ) -> Option<Wish> {
         if job.fingerprint == Fingerprint::default() {
             return None;
         }
@@ -84,7 +91,7 @@
         let mut needs: Vec<Need> = Vec::new();
         for (stage, call) in job.stages.iter().zip(&calls) {
             if stage.pieces > stage.done.len() {
-                add_need(&mut needs, self.need(stage, *call, job, table)?);
+                add_need(&mut needs, self.need(stage, *call, job, table, now)?);
             }
         }
         let shortest = shortest_path(&job.stages, &calls) + job.after_stages;
@@ -105,18 +112,29 @@
         })
     }
 
-    fn need(&self, stage: &JobStage, call: Duration, job: &Job, table: &Table) -> Option<Need> {
+    fn need(
+        &mut self,
+        stage: &JobStage,
+        call: Duration,
+        job: &Job,
+        table: &Table,
+        now: Timestamp,
+    ) -> Option<Need> {
         let spec = table.batch_spec(&stage.pool)?;
         let endpoints = &self.ledger.get(&stage.pool)?.endpoints;
         let count = endpoints.count_in_regions(&job.allowed_regions) as f64;
+        let others = endpoints.used_by_others() as f64;
         let piece = spec.call_overhead.div_f64(spec.pieces as f64) + spec.piece_time;
         let amount = Amount {
             slot_time: piece * stage.pieces as u32,
             memory: stage.pieces as u64 * stage.result_bytes,
         };
+        let pool = self.ledger.get_mut(&stage.pool)?;
         let capacity = Capacity {
             slots: count * f64::from(spec.slots),
-            memory: count * spec.result_memory_bytes as f64,
+            memory: (spec.result_memory_bytes as f64).mul_add(count, -others),
+            in_use: Arc::new(pool.bookings.timeline(now)),
+            now,
         };
         let timings = self.timings.get(&stage.pool, spec);
         let hold = call.max(timings.call()) + timings.wait() + FINAL_RESULT_HOLD_TIME;
--- a/src/policy/path.rs
+++ b/src/policy/path.rs
@@ -16,7 +16,7 @@
 const PREDICTED_TIME_SHARE: f64 = 1.1;
 /// Share of a pool's result memory that may be planned for; the rest is a margin for uneven use of
 /// the endpoints and for prediction errors.
-const PLANNED_MEMORY_SHARE: f64 = 0.7;
+pub const PLANNED_MEMORY_SHARE: f64 = 0.7;
 /// Longest time that a stage may be planned to wait for result memory.
 const MAX_MEMORY_WAIT: Duration = Duration::from_millis(100);
 /// Retry delay if no result memory is expected to be free within the timeline.
--- a/src/policy/places.rs
+++ b/src/policy/places.rs
@@ -6,10 +6,12 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::hash::Hash;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::message::Timestamp;
-use crate::policy::path::available_share;
+use crate::policy::path::{PLANNED_MEMORY_SHARE, available_share};
+use crate::policy::timeline::Timeline;
 
 /// Length of one step of a calendar.
 pub const STEP: Duration = Duration::from_millis(100);
@@ -69,27 +71,35 @@
 }
 
 /// What a pool has.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Capacity {
     /// Number of calls that run concurrently.
     pub slots: f64,
     /// Result memory in bytes.
     pub memory: f64,
+    /// Result memory that admitted work is expected to use over time, from [`Self::now`] on.
+    pub in_use: Arc<Timeline>,
+    /// Time of the forecast.
+    pub now: Timestamp,
 }
 
 impl Capacity {
     /// Slot time of one step that may be booked at a priority.
-    fn bookable_slot_time(self, priority: u8) -> Duration {
+    fn bookable_slot_time(&self, priority: u8) -> Duration {
         STEP.mul_f64((self.slots * SLOT_SHARE * available_share(priority)).max(0.0))
     }
 
-    /// Result memory that may be booked at a priority.
-    fn bookable_memory(self, priority: u8) -> f64 {
-        self.memory * MEMORY_SHARE * available_share(priority)
+    /// Result memory that may be booked for a demand at a priority from `time` on: a share of all
+    /// of it, or the demand if that is larger, and no more than admitted work leaves.
+    fn bookable_memory(&self, demand: Demand, priority: u8, time: Timestamp) -> f64 {
+        let available = self.memory * available_share(priority);
+        let share = (available * MEMORY_SHARE).max(demand.amount.memory as f64);
+        let in_use = self.in_use.peak(time.saturating_sub(self.now), demand.hold);
+        share.min(available.mul_add(PLANNED_MEMORY_SHARE, -in_use))
     }
 
     /// Share of what may be booked within [`HORIZON`] that a demand takes.
-    pub fn share_of(self, demand: Demand) -> f64 {
+    pub fn share_of(&self, demand: Demand) -> f64 {
         let slot_time = HORIZON.mul_f64((self.slots * SLOT_SHARE).max(0.01));
         let by_time = demand.amount.slot_time.div_duration_f64(slot_time);
         let memory = (self.memory * MEMORY_SHARE).max(1.0);
@@ -143,7 +153,7 @@
         &self,
         time: Timestamp,
         demand: Demand,
-        capacity: Capacity,
+        capacity: &Capacity,
         priority: u8,
     ) -> Option<Booking> {
         let bookable = capacity.bookable_slot_time(priority);
@@ -154,18 +164,18 @@
         let slot_steps = amount.slot_time.div_duration_f64(bookable).ceil().max(1.0) as u64;
         let memory_steps = demand.hold.div_duration_f64(STEP).ceil().max(1.0) as u64;
         let booking = Booking { step: step_at(time), slot_steps, memory_steps, amount, priority };
-        let bound = capacity.bookable_memory(priority).max(amount.memory as f64);
+        let bookable_memory = capacity.bookable_memory(demand, priority, time);
         let mut parts = booking.parts();
         let fits = parts.all(|(step, part)| {
             let booked = self.booked.get(&step).copied().unwrap_or_default();
             booked.slot_time + part.slot_time <= bookable
-                && (booked.memory + part.memory) as f64 <= bound
+                && (booked.memory + part.memory) as f64 <= bookable_memory
         });
         fits.then_some(booking)
     }
 
     /// Share of a step's slot time that is booked.
-    fn fill(&self, step: u64, capacity: Capacity) -> f64 {
+    fn fill(&self, step: u64, capacity: &Capacity) -> f64 {
         let booked = self.booked.get(&step).copied().unwrap_or_default();
         let bookable = capacity.bookable_slot_time(0).max(Duration::from_millis(1));
         booked.slot_time.div_duration_f64(bookable).min(1.0)
@@ -233,7 +243,7 @@
 /// The earliest time within `from..=until` at which every demand fits into its calendar, with the
 /// bookings in the order of the demands. Places of one step are spread over it.
 pub fn first_fit(
-    demands: &[(&Calendar, Demand, Capacity)],
+    demands: &[(&Calendar, Demand, &Capacity)],
     priority: u8,
     from: Timestamp,
     until: Timestamp,
@@ -241,9 +251,9 @@
     (step_at(from)..=step_at(until)).find_map(|step| {
         let start = STEP * step as u32;
         let fits =
-            demands.iter().map(|(c, demand, capacity)| c.fit(start, *demand, *capacity, priority));
+            demands.iter().map(|(c, demand, capacity)| c.fit(start, *demand, capacity, priority));
         let bookings: Vec<Booking> = fits.collect::<Option<_>>()?;
-        let fill = demands.iter().map(|(c, _, capacity)| c.fill(step, *capacity));
+        let fill = demands.iter().map(|(c, _, capacity)| c.fill(step, capacity));
         let time = start + STEP.mul_f64(fill.fold(0.0, f64::max));
         Some((time.max(from), bookings)).filter(|(time, _)| *time <= until)
     })
--- a/tests/direct_returns.rs
+++ b/tests/direct_returns.rs
@@ -29,6 +29,11 @@
 /// Pieces that fill the pool until admission refuses; each job has one.
 const FILL: u64 = 400;
 
+/// An idle pool.
+fn capacity(slots: f64, memory: f64) -> Capacity {
+    Capacity { slots, memory, in_use: Arc::default(), now: ms(0) }
+}
+
 fn one_stage() -> Route {
     route("r", Repeat::AtMostOnce, &[("first", &[], 1)])
 }
@@ -332,13 +337,13 @@
 
 #[test]
 fn places_stay_within_throughput_and_result_memory() {
-    let capacity = Capacity { slots: 4.0, memory: 10_000.0 };
+    let capacity = capacity(4.0, 10_000.0);
     for (slot_time, memory) in [(ms(30), 1), (ms(1), 900), (ms(700), 400), (ms(25), 100)] {
         let demand = Demand { amount: Amount { slot_time, memory }, hold: ms(300) };
         let mut calendar = Calendar::default();
         let mut times = Vec::new();
         while let Some((time, bookings)) =
-            first_fit(&[(&calendar, demand, capacity)], 0, ms(100), HORIZON)
+            first_fit(&[(&calendar, demand, &capacity)], 0, ms(100), HORIZON)
         {
             calendar.book(bookings[0]);
             times.push(time);
@@ -360,12 +365,12 @@
 
 #[test]
 fn places_are_reserved_while_they_are_due_but_not_against_more_urgent_callers() {
-    let capacity = Capacity { slots: 4.0, memory: 10_000.0 };
+    let capacity = capacity(4.0, 10_000.0);
     let amount = Amount { slot_time: ms(50), memory: 10 };
     let demand = Demand { amount, hold: ms(300) };
     let mut calendar = Calendar::default();
     let (time, bookings) =
-        first_fit(&[(&calendar, demand, capacity)], 1, ms(2_000), HORIZON).expect("an empty pool");
+        first_fit(&[(&calendar, demand, &capacity)], 1, ms(2_000), HORIZON).expect("an empty pool");
     calendar.book(bookings[0]);
     let none = Amount::default();
     assert_eq!(calendar.reserved(1, time - LEAD - STEP), none, "not due yet");
@@ -378,12 +383,12 @@
 
 #[test]
 fn released_places_leave_no_rest_in_the_totals() {
-    let capacity = Capacity { slots: 1.0, memory: 1_000.0 };
+    let capacity = capacity(1.0, 1_000.0);
     let mut calendar = Calendar::default();
     let all = |calendar: &mut Calendar| {
         let mut bookings = Vec::new();
         let demand = Demand { amount: Amount { slot_time: ms(77), memory: 7 }, hold: ms(333) };
-        while let Some((_, booked)) = first_fit(&[(calendar, demand, capacity)], 1, ms(0), HORIZON)
+        while let Some((_, booked)) = first_fit(&[(calendar, demand, &capacity)], 1, ms(0), HORIZON)
         {
             calendar.book(booked[0]);
             bookings.push(booked[0]);
