Result memory of places is reserved half a second ahead

New callers that were admitted shortly before a place was due planned their results for the time at which the returned caller needed the memory. Slot time stays reserved from 0.1 s before. Callers of an organisation above its share are sent the latest time instead of one at which others are served.

--- a/src/direct/owner/booked.rs
+++ b/src/direct/owner/booked.rs
@@ -195,7 +195,11 @@
         let shares = wish.needs.iter().map(|need| need.capacity.share_of(need.demand));
         let share = shares.fold(0.0, f64::max);
         let is_fair = self.shares.request(&wish.organisation, share, wait, now);
-        if time > wish.until || !is_fair || self.open.len() >= MAX_PLACES {
+        if !is_fair || self.open.len() >= MAX_PLACES {
+            // The room is left to others.
+            return ReturnTime::Expected(wish.horizon);
+        }
+        if time > wish.until {
             return ReturnTime::Expected(time);
         }
         let pools = wish.needs.into_iter().map(|need| need.pool);
--- a/src/policy/places.rs
+++ b/src/policy/places.rs
@@ -26,9 +26,12 @@
 /// Time over which the rate is measured at which an organisation asks for places. It is a fraction
 /// of [`HORIZON`], so that a burst does not take the places of others before its rate is known.
 const RATE_WINDOW: Duration = Duration::from_millis(500);
-/// Time before a place from which its capacity is reserved against new callers: about half of a
+/// Time before a place from which its slot time is reserved against new callers: about half of a
 /// call, after which on average a running call ends.
 pub const LEAD: Duration = Duration::from_millis(100);
+/// Time before a place from which its result memory is reserved: results that are planned earlier
+/// are no longer kept when the place is due. They are kept for a call and the wait for the next.
+pub const MEMORY_LEAD: Duration = Duration::from_millis(500);
 /// How much earlier than its time a place may be used: callers may round their delay.
 pub const EARLY_MARGIN: Duration = Duration::from_millis(50);
 /// How long a place is kept after its time: a caller connects again, and its gateway may be busy.
@@ -134,6 +137,16 @@
     (time.as_millis() / STEP.as_millis()) as u64
 }
 
+/// The part of the open places of a step that is reserved at `now`.
+fn due_part(amount: Amount, step: u64, now: Timestamp) -> Amount {
+    let has_slot_time = step <= step_at(now + LEAD);
+    let has_memory = step <= step_at(now + MEMORY_LEAD);
+    Amount {
+        slot_time: if has_slot_time { amount.slot_time } else { Duration::ZERO },
+        memory: if has_memory { amount.memory } else { 0 },
+    }
+}
+
 fn add(totals: &mut BTreeMap<u64, Amount>, step: u64, amount: Amount) {
     totals.entry(step).or_default().add(amount);
 }
@@ -209,8 +222,8 @@
     pub fn reserved(&self, priority: u8, now: Timestamp) -> Amount {
         let mut reserved = Amount::default();
         for open in self.open.range(..=priority).map(|(_, open)| open) {
-            for amount in open.range(..=step_at(now + LEAD)).map(|(_, amount)| amount) {
-                reserved.add(*amount);
+            for (step, amount) in open.range(..=step_at(now + MEMORY_LEAD)) {
+                reserved.add(due_part(*amount, *step, now));
             }
         }
         reserved
@@ -225,8 +238,8 @@
 impl Booking {
     /// Capacity that this open place reserves at `now` against new callers of a priority.
     pub fn reserved(self, priority: u8, now: Timestamp) -> Amount {
-        let is_reserved = self.priority <= priority && self.step <= step_at(now + LEAD);
-        if is_reserved { self.amount } else { Amount::default() }
+        let is_ahead = self.priority <= priority;
+        if is_ahead { due_part(self.amount, self.step, now) } else { Amount::default() }
     }
 
     /// The booked amounts by step.
--- a/tests/direct_returns.rs
+++ b/tests/direct_returns.rs
@@ -20,8 +20,8 @@
 use stackmast::direct::published::table::Table;
 use stackmast::direct::repeats::RepeatBudget;
 use stackmast::policy::places::{
-    Amount, Calendar, Capacity, Demand, HORIZON, LEAD, MEMORY_SHARE, SLOT_SHARE, STEP, Shares,
-    TOLERANCE, fair_share, first_fit,
+    Amount, Calendar, Capacity, Demand, HORIZON, LEAD, MEMORY_LEAD, MEMORY_SHARE, SLOT_SHARE, STEP,
+    Shares, TOLERANCE, fair_share, first_fit,
 };
 
 const BUDGET: RepeatBudget =
@@ -373,7 +373,9 @@
         first_fit(&[(&calendar, demand, &capacity)], 1, ms(2_000), HORIZON).expect("an empty pool");
     calendar.book(bookings[0]);
     let none = Amount::default();
-    assert_eq!(calendar.reserved(1, time - LEAD - STEP), none, "not due yet");
+    assert_eq!(calendar.reserved(1, time - MEMORY_LEAD - STEP), none, "not due yet");
+    let memory = Amount { slot_time: ms(0), memory: 10 };
+    assert_eq!(calendar.reserved(1, time - LEAD - STEP), memory, "results are kept for long");
     assert_eq!(calendar.reserved(1, time), amount);
     assert_eq!(calendar.reserved(2, time), amount);
     assert_eq!(calendar.reserved(0, time), none);
