--- a/src/direct/owner/places.rs
+++ b/src/direct/owner/places.rs
@@ -13,7 +13,7 @@
 use crate::direct::poison::fingerprint::Fingerprint;
 use crate::direct::published::table::Table;
 use crate::message::Timestamp;
-use crate::policy::path::{FINAL_RESULT_HOLD_TIME, PathRefusal, StageLoad};
+use crate::policy::path::{FINAL_RESULT_HOLD_TIME, PREDICTED_TIME_SHARE, PathRefusal, StageLoad};
 use crate::policy::places::{Amount, Capacity, Demand, HORIZON};
 
 /// Share of its remaining time that a refused caller waits before it returns.
@@ -63,6 +63,12 @@
             return time.saturating_sub(now);
         }
         let spread = SPREAD_SHARE * (job.id.number % SPREAD_STEPS) as f64 / SPREAD_STEPS as f64;
+        let calls = expected_calls(job, table);
+        let shortest = shortest_path(&job.stages, &calls) + job.after_stages;
+        if shortest > job.to_objective.mul_f64(PREDICTED_TIME_SHARE) {
+            // It would be late without any other work, too.
+            return HORIZON.mul_f64(1.0 + spread);
+        }
         let Some(wish) = self.wish(job, free_after, table, now) else {
             return free_after.mul_f64(1.0 + spread);
         };
--- a/src/policy/path.rs
+++ b/src/policy/path.rs
@@ -13,7 +13,7 @@
 
 /// Share of the time to the objective that the predicted time may use. It is above 1 because
 /// predictions are too high under load, when calls are filled with more pieces.
-const PREDICTED_TIME_SHARE: f64 = 1.1;
+pub const PREDICTED_TIME_SHARE: f64 = 1.1;
 /// Share of a pool's result memory that may be planned for; the rest is a margin for uneven use of
 /// the endpoints and for prediction errors.
 pub const PLANNED_MEMORY_SHARE: f64 = 0.7;
