--- a/src/direct/owner/booked.rs
+++ b/src/direct/owner/booked.rs
@@ -67,8 +67,6 @@
     pub(super) from: Timestamp,
     /// Latest time at which the caller can return.
     pub(super) until: Timestamp,
-    /// Latest time that is searched to tell the caller when capacity is free.
-    pub(super) horizon: Timestamp,
 }
 
 /// Capacity that is kept for one refused request.
@@ -111,15 +109,6 @@
     shares: Shares<Option<Name>>,
 }
 
-/// Time at which a refused caller should return.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum ReturnTime {
-    /// A place is kept, booked by this refusal.
-    Booked(Timestamp),
-    /// Capacity is expected to be free, but no place is kept.
-    Expected(Timestamp),
-}
-
 impl Places {
     pub(super) fn len(&self) -> usize {
         self.open.len()
@@ -177,31 +166,24 @@
         open.into_values().collect()
     }
 
-    /// Books a place for a refused request that has none, if there is one that its caller can wait
-    /// for.
-    pub(super) fn book(&mut self, wish: Wish, now: Timestamp) -> ReturnTime {
+    /// Books a place for a refused request that has none, and returns its time; `None` if there is
+    /// no place that its caller can wait for.
+    pub(super) fn book(&mut self, wish: Wish, now: Timestamp) -> Option<Timestamp> {
         for need in &wish.needs {
             self.calendars.entry(need.pool.clone()).or_default().forget_before(now);
         }
-        let demands = wish.needs.iter().filter_map(|need| {
-            Some((self.calendars.get(&need.pool)?, need.demand, &need.capacity))
-        });
-        let demands: Vec<_> = demands.collect();
-        let found = first_fit(&demands, wish.priority, wish.from, wish.horizon);
-        let Some((time, bookings)) = found else {
-            return ReturnTime::Expected(wish.horizon.max(wish.from));
-        };
-        let wait = wish.until.saturating_sub(now);
         let shares = wish.needs.iter().map(|need| need.capacity.share_of(need.demand));
         let share = shares.fold(0.0, f64::max);
+        let wait = wish.until.saturating_sub(now);
         let is_fair = self.shares.request(&wish.organisation, share, wait, now);
         if !is_fair || self.open.len() >= MAX_PLACES {
-            // The room is left to others.
-            return ReturnTime::Expected(wish.horizon);
-        }
-        if time > wish.until {
-            return ReturnTime::Expected(time);
+            return None;
         }
+        let demands = wish.needs.iter().filter_map(|need| {
+            Some((self.calendars.get(&need.pool)?, need.demand, &need.capacity))
+        });
+        let demands: Vec<_> = demands.collect();
+        let (time, bookings) = first_fit(&demands, wish.priority, wish.from, wish.until)?;
         let pools = wish.needs.into_iter().map(|need| need.pool);
         let bookings: Vec<_> = pools.zip(bookings).collect();
         for (pool, booking) in &bookings {
@@ -213,7 +195,7 @@
         let Wish { fingerprint, organisation, .. } = wish;
         let place = Place { fingerprint, organisation, booked_at: now, time, share, bookings };
         self.open.insert(fingerprint, place);
-        ReturnTime::Booked(time)
+        Some(time)
     }
 
     /// Capacity of a pool that is reserved against new callers of a priority.
--- a/src/direct/owner/places.rs
+++ b/src/direct/owner/places.rs
@@ -5,7 +5,7 @@
 
 use crate::direct::event::Action;
 use crate::direct::log_events::{LoadEvent, LogEvent, ms};
-use crate::direct::owner::booked::{Need, Place, PlaceOutcome, ReturnTime, Wish};
+use crate::direct::owner::booked::{Need, Place, PlaceOutcome, Wish};
 use crate::direct::owner::jobs::expected_calls;
 use crate::direct::owner::scheduler::Scheduler;
 use crate::direct::owner::timers::Timer;
@@ -14,7 +14,7 @@
 use crate::direct::published::table::Table;
 use crate::message::Timestamp;
 use crate::policy::path::{FINAL_RESULT_HOLD_TIME, PREDICTED_TIME_SHARE, PathRefusal, StageLoad};
-use crate::policy::places::{Amount, Capacity, Demand, HORIZON};
+use crate::policy::places::{Amount, Capacity, Demand, HORIZON, MAX_WAIT};
 
 /// Share of its remaining time that a refused caller waits before it returns.
 const MAX_WAIT_SHARE: f64 = 1.0 / 3.0;
@@ -51,7 +51,7 @@
     }
 
     /// Time until the caller of a refused job should return: to its place if it has one or if one
-    /// can be booked.
+    /// can be booked. If there is none, capacity is short for longer than callers wait.
     fn return_after(
         &mut self,
         job: &Job,
@@ -63,26 +63,19 @@
             return time.saturating_sub(now);
         }
         let spread = SPREAD_SHARE * (job.id.number % SPREAD_STEPS) as f64 / SPREAD_STEPS as f64;
-        let calls = expected_calls(job, table);
-        let shortest = shortest_path(&job.stages, &calls) + job.after_stages;
-        if shortest > job.to_objective.mul_f64(PREDICTED_TIME_SHARE) {
-            // It would be late without any other work, too.
-            return HORIZON.mul_f64(1.0 + spread);
-        }
-        let Some(wish) = self.wish(job, free_after, table, now) else {
+        if job.fingerprint == Fingerprint::default() {
             return free_after.mul_f64(1.0 + spread);
-        };
-        match self.places.book(wish, now) {
-            ReturnTime::Booked(time) => {
-                self.place_booked(job, time, now);
-                time.saturating_sub(now)
-            }
-            ReturnTime::Expected(time) => time.saturating_sub(now).mul_f64(1.0 + spread),
         }
+        let wish = self.wish(job, free_after, table, now);
+        let Some(time) = wish.and_then(|wish| self.places.book(wish, now)) else {
+            return HORIZON.mul_f64(1.0 + spread);
+        };
+        self.place_booked(job, time, now);
+        time.saturating_sub(now)
     }
 
-    /// The place that a refused job needs; `None` for a job that can't be recognized when it
-    /// returns, or for which no capacity is known.
+    /// The place that a refused job needs; `None` if no capacity is known, or if the request would
+    /// be late without any other work, too.
     fn wish(
         &mut self,
         job: &Job,
@@ -90,9 +83,6 @@
         table: &Table,
         now: Timestamp,
     ) -> Option<Wish> {
-        if job.fingerprint == Fingerprint::default() {
-            return None;
-        }
         let calls = expected_calls(job, table);
         let mut needs: Vec<Need> = Vec::new();
         for (stage, call) in job.stages.iter().zip(&calls) {
@@ -101,12 +91,13 @@
             }
         }
         let shortest = shortest_path(&job.stages, &calls) + job.after_stages;
-        if needs.is_empty() || shortest > job.to_deadline {
+        let in_time = job.to_objective.mul_f64(PREDICTED_TIME_SHARE).min(job.to_deadline);
+        if needs.is_empty() || shortest > in_time {
             return None;
         }
         let call_ends = needs.iter().map(|need| need.call_interval).max().unwrap_or_default();
         let patience = job.to_deadline.mul_f64(MAX_WAIT_SHARE);
-        let longest_wait = patience.min(job.to_deadline.saturating_sub(shortest));
+        let longest_wait = patience.min(MAX_WAIT).min(job.to_deadline.saturating_sub(shortest));
         Some(Wish {
             fingerprint: job.fingerprint,
             organisation: job.organisation.clone(),
@@ -114,7 +105,6 @@
             needs,
             from: now + free_after + call_ends,
             until: now + longest_wait,
-            horizon: now + HORIZON,
         })
     }
 
--- a/src/policy/places.rs
+++ b/src/policy/places.rs
@@ -15,14 +15,18 @@
 
 /// Length of one step of a calendar.
 pub const STEP: Duration = Duration::from_millis(100);
-/// Latest time of a place, from its booking. A caller waits at most a third of its time, and
-/// requests with stages time out after 8 to 12 s.
+/// Time until a caller without a place should return. A caller waits at most a third of its time,
+/// and requests with stages time out after 8 to 12 s: it returns only if it can wait longer.
 pub const HORIZON: Duration = Duration::from_secs(4);
-/// Share of a pool's slot time that may be booked. The other half serves new callers at their first
-/// attempt; with more, a burst would turn every later caller into one that has to return.
-pub const SLOT_SHARE: f64 = 0.5;
-/// Share of a pool's result memory that may be booked: half of what admission plans for.
-pub const MEMORY_SHARE: f64 = 0.35;
+/// Longest wait for a place. A longer queue of places serves no more callers, only later ones: each
+/// then waits for the whole queue, and more of the forecasts turn out wrong.
+pub const MAX_WAIT: Duration = Duration::from_secs(1);
+/// Share of a pool's slot time that may be booked. New callers can still be served within their
+/// objective, while those that return have lost the time until then; most of the capacity is left
+/// to the former.
+pub const SLOT_SHARE: f64 = 0.25;
+/// Share of a pool's result memory that may be booked: a quarter of what admission plans for.
+pub const MEMORY_SHARE: f64 = 0.175;
 /// Time over which the rate is measured at which an organisation asks for places. It is a fraction
 /// of [`HORIZON`], so that a burst does not take the places of others before its rate is known.
 const RATE_WINDOW: Duration = Duration::from_millis(500);
