--- a/src/policy/places.rs
+++ b/src/policy/places.rs
@@ -30,9 +30,9 @@
 /// Time over which the rate is measured at which an organisation asks for places. It is a fraction
 /// of [`HORIZON`], so that a burst does not take the places of others before its rate is known.
 const RATE_WINDOW: Duration = Duration::from_millis(500);
-/// Time before a place from which its slot time is reserved against new callers: about half of a
-/// call, after which on average a running call ends.
-pub const LEAD: Duration = Duration::from_millis(100);
+/// Time before a place from which its slot time is reserved against new callers: about one call,
+/// so that each slot becomes free once.
+pub const LEAD: Duration = Duration::from_millis(300);
 /// Time before a place from which its result memory is reserved: results that are planned earlier
 /// are no longer kept when the place is due. They are kept for a call and the wait for the next.
 pub const MEMORY_LEAD: Duration = Duration::from_millis(500);
