--- a/src/direct/owner/admission.rs
+++ b/src/direct/owner/admission.rs
@@ -8,6 +8,7 @@
 
 use crate::direct::event::Action;
 use crate::direct::log_events::{LogEvent, ms};
+use crate::direct::owner::booked::PlaceOutcome;
 use crate::direct::owner::calls::TAKEOVER_PERIOD;
 use crate::direct::owner::jobs::{JobRun, Piece, expected_call, urgency};
 use crate::direct::owner::placement::expected_wait;
@@ -38,25 +39,31 @@
         }
         self.last_submit = Some(now);
         let urgency = urgency(&job, table);
+        let place = self.places.take_due(job.fingerprint, now);
+        let has_place = place.is_some();
         self.record_arrival(&job, urgency, now);
         self.update_ledger(table, now);
-        let mut decision = self.decide(&job, urgency, table, now);
+        let mut decision = self.decide(&job, urgency, has_place, table, now);
         let excess_wait = self.excess_turn_wait(&job, table, now).filter(|_| !job.resubmitted);
         let displaced = if excess_wait.is_none() {
-            self.displace_for(&job, urgency, &decision, table, now)
+            self.displace_for(&job, (urgency, has_place), &decision, table, now)
         } else {
             Vec::new()
         };
         if !displaced.is_empty() {
-            decision = self.decide(&job, urgency, table, now);
+            decision = self.decide(&job, urgency, has_place, table, now);
         }
         self.log_decision(&job, urgency, &decision);
         if let Some(refusal) = decision.refusal {
+            self.end_place(place, PlaceOutcome::Refused, now);
             return self.refuse(&job, refusal, decision.retry_after, table, now);
         }
         if let Some(retry_after) = excess_wait {
+            self.end_place(place, PlaceOutcome::Refused, now);
             return self.send_given_up(id, JobReason::WouldBeLate, true, retry_after);
         }
+        self.end_place(place, PlaceOutcome::Used, now);
+        self.release_place(job.fingerprint, PlaceOutcome::Early, now);
         self.send_to_gateway(id, PeerMessage::Accepted(id));
         let mut run = JobRun::new(job, table, &self.timings, now);
         run.heavy_data_centre = self.least_loaded_data_centre(&run, table);
@@ -82,15 +89,18 @@
     }
 
     /// Decides on admission with the ledger as it is; a resubmitted job, which another owner has
-    /// admitted before, is not refused.
+    /// admitted before, is not refused. A job that has a place is not held back by more urgent
+    /// arrivals, and only by the places of more urgent callers.
     pub(super) fn decide(
         &mut self,
         job: &Job,
         urgency: Urgency,
+        has_place: bool,
         table: &Table,
         now: Timestamp,
     ) -> PathDecision {
-        let loads = self.loads(job, urgency, table, now);
+        let mut loads = self.loads(job, urgency, table, now);
+        self.reserve_places(job, urgency, has_place, &mut loads, now);
         // Each stage ends with an event, which this process handles with its event lag.
         let after = job.after_stages + self.event_lag * job.stages.len() as u32;
         let mut decision = admit_path(&loads, after, job.to_objective);
--- a/src/direct/owner/displacement.rs
+++ b/src/direct/owner/displacement.rs
@@ -34,7 +34,7 @@
     pub(super) fn displace_for(
         &mut self,
         job: &Job,
-        urgency: Urgency,
+        (urgency, has_place): (Urgency, bool),
         decision: &PathDecision,
         table: &Table,
         now: Timestamp,
@@ -48,7 +48,7 @@
             };
             self.set_counted(next.job, false);
             displaced.push(next);
-            let decision = self.decide(job, urgency, table, now);
+            let decision = self.decide(job, urgency, has_place, table, now);
             (refusal, bottleneck) = (decision.refusal, decision.bottleneck);
         }
         if refusal.is_some() {
@@ -56,7 +56,7 @@
                 self.set_counted(unneeded.job, true);
             }
         }
-        self.keep_needed(displaced, job, urgency, table, now)
+        self.keep_needed(displaced, job, (urgency, has_place), table, now)
     }
 
     /// Restores each job, except for the last, without which the more urgent one is admitted.
@@ -64,14 +64,14 @@
         &mut self,
         mut displaced: Vec<Displaced>,
         job: &Job,
-        urgency: Urgency,
+        (urgency, has_place): (Urgency, bool),
         table: &Table,
         now: Timestamp,
     ) -> Vec<Displaced> {
         let last = displaced.pop();
         displaced.retain(|earlier| {
             self.set_counted(earlier.job, true);
-            let is_needed = self.decide(job, urgency, table, now).refusal.is_some();
+            let is_needed = self.decide(job, urgency, has_place, table, now).refusal.is_some();
             if is_needed {
                 self.set_counted(earlier.job, false);
             }
@@ -114,7 +114,7 @@
             };
             self.release(job, table);
             self.update_ledger(table, now);
-            let retry_after = self.decide(&run.job, run.urgency, table, now).retry_after;
+            let retry_after = self.decide(&run.job, run.urgency, false, table, now).retry_after;
             if let Some(for_run) = self.jobs.get(&admitted) {
                 let event = LoadEvent::GaveWay {
                     request: run.job.request.clone(),
@@ -143,7 +143,7 @@
         let run = run.clone();
         self.release(id, table);
         self.update_ledger(table, now);
-        let retry_after = self.decide(&run.job, run.urgency, table, now).retry_after;
+        let retry_after = self.decide(&run.job, run.urgency, false, table, now).retry_after;
         self.out.push(Action::Log(LogEvent::Load(LoadEvent::MissedStart {
             request: run.job.request.clone(),
             urgency: run.urgency,
--- a/src/direct/owner/inspect.rs
+++ b/src/direct/owner/inspect.rs
@@ -13,6 +13,7 @@
 use crate::direct::published::model::Name;
 use crate::direct::published::table::Table;
 use crate::message::Timestamp;
+use crate::policy::places::Amount;
 use crate::policy::timeline::Timeline;
 
 /// State of one pool.
@@ -89,6 +90,16 @@
         occupancies(run, &expected_runs(run, context))
     }
 
+    /// Capacity of a pool that open places reserve against new callers at a level, computed
+    /// anew.
+    pub fn reserved_by_places(&self, pool: &str, level: u8, now: Timestamp) -> Amount {
+        let mut reserved = Amount::default();
+        for place in self.places.open() {
+            reserved.add(place.reserved(pool, level, now));
+        }
+        reserved
+    }
+
     /// Recent average duration of a call in a pool, and that of a full call.
     pub fn recent_calls(&self, pool: &str, table: &Table) -> Option<(Duration, Duration)> {
         let spec = table.batch_spec(pool)?;
--- a/src/direct/requests/mod.rs
+++ b/src/direct/requests/mod.rs
@@ -8,7 +8,8 @@
 //! `engine_choice` if engines state their load; `prompt_source` names the engine that has parts of
 //! a prompt; `attempts` tracks the calls; `permits` and `ramp` limit the load after endpoints asked
 //! for it; `changes` applies changed endpoints; `deferred`, `stopping`, `overload` and `poison`
-//! handle startup, shutdown, overload and requests that crash endpoints.
+//! handle startup, shutdown, overload and requests that crash endpoints; `jitter`
+//! spreads the retries of callers.
 
 mod attempts;
 mod changes;
@@ -19,6 +20,7 @@
 pub mod endpoints;
 mod engine_choice;
 pub mod fetch_times;
+mod jitter;
 mod overload;
 mod owners;
 mod permits;
@@ -34,7 +36,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::{Rng, RngExt};
+use rand::Rng;
 
 use crate::direct::backoff::Backoffs;
 use crate::direct::cold::ColdEndpoints;
@@ -54,6 +56,7 @@
 use crate::direct::requests::durations::DurationHistory;
 use crate::direct::requests::endpoints::Observations;
 use crate::direct::requests::fetch_times::FetchTimes;
+use crate::direct::requests::jitter::RetryJitter;
 use crate::direct::requests::owners::OwnerRanking;
 use crate::direct::requests::ramp::Ramps;
 use crate::direct::requests::request::{Phase, Request};
@@ -64,9 +67,6 @@
 pub(super) const RETRY_SOON: Duration = Duration::from_millis(250);
 /// Delay after which callers should retry, at another gateway, while this one has no configuration.
 pub(super) const RETRY_ELSEWHERE: Duration = Duration::from_millis(100);
-/// Upper bound of the jitter added to `retry_after` if all endpoints are paused or rate-limited.
-/// Without it they would wait up to half a pause longer, though the gradual refill limits the load.
-const MAX_PAUSE_JITTER: Duration = Duration::from_millis(500);
 /// Timeout of a request that states none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
 /// After the process was suspended, timers are deferred by this time so that responses which
@@ -101,6 +101,7 @@
     pub(super) limits: Arc<KnownLimits>,
     /// Earliest time to ask again for a permit, by endpoint and priority, after a refusal.
     retry_times: RetryTimes,
+    retry_jitter: RetryJitter,
     /// Number of the last permit that was asked for.
     last_permit: u64,
     ramps: Ramps,
@@ -148,6 +149,7 @@
             backoffs: Arc::new(Backoffs::new(own)),
             limits: Arc::default(),
             retry_times: RetryTimes::default(),
+            retry_jitter: RetryJitter::default(),
             last_permit: 0,
             ramps: Ramps::default(),
             durations: DurationHistory::default(),
@@ -214,12 +216,7 @@
             self.resubmit(caller, now);
         }
         let mut actions = std::mem::take(&mut self.out);
-        for action in &mut actions {
-            if let Action::Refuse { refusal, .. } = action {
-                let jitter = refusal.retry_after.mul_f64(rng.random_range(0.0..0.5));
-                refusal.retry_after += jitter.min(max_jitter(&refusal.reason));
-            }
-        }
+        self.retry_jitter.add(&mut actions, rng);
         actions
     }
 
@@ -460,14 +457,6 @@
     }
 }
 
-/// Upper bound of the jitter that keeps callers refused together from retrying together.
-const fn max_jitter(reason: &Refused) -> Duration {
-    match reason {
-        Refused::AllPaused | Refused::AllLimited | Refused::NoEndpoint => MAX_PAUSE_JITTER,
-        _ => Duration::MAX,
-    }
-}
-
 type Admissible<'a> = (&'a Route, Option<&'a Organisation>);
 
 /// Finds route and organisation of a request, or the reason to refuse it before anything runs.
--- a/tests/directenv/recount.rs
+++ b/tests/directenv/recount.rs
@@ -505,6 +505,8 @@
     let busy = |pieces: f64| (piece_time.as_secs_f64() * pieces / endpoints.max(0.01)).min(1.0);
     let all = arrivals(arrived, &stage.pool, now, |_| true);
     let urgent = arrivals(arrived, &stage.pool, now, |other| urgency(other) < urgency(job));
+    let level = urgency(job).engine_level();
+    let reserved = owner.reserved_by_places(&stage.pool, level, now);
     StageLoad {
         after: stage.after.clone(),
         is_done: false,
@@ -518,6 +520,6 @@
         memory_in_use: Arc::new(memory_in_use),
         required_memory: (stage.pieces as u64 * stage.result_bytes) as f64,
         urgent_memory_rate: urgent.1,
-        reserved: Reserved::default(),
+        reserved: Reserved { slot_time: reserved.slot_time, memory: reserved.memory as f64 },
     }
 }
