Admission: an idle pool refuses no job, and late starts are those it allowed

A job's own arrival was recorded before its decision, so that its usual wait was never zero, and a job whose objective is shorter than its work was refused as late by an empty pool. With measured durations of calls this closed a pool for good: no call ran, and the average of slow calls never changed.

- The decision does not count the job's own arrival, and the usual wait counts on both sides of the comparison.
- Measured durations return to the specification two seconds after the last call.
- Arrivals of jobs refused for lack of endpoints or of turns are not recorded: they reduced the share of pools that they never use.
- `JobRun::admitted_end` is the time that admission allowed.
The latest start of a stage follows from it; by the objective alone such a job had missed its start on admission and was rejected 50 ms later.

`recent_calls` takes the time.

--- a/src/direct/owner/admission.rs
+++ b/src/direct/owner/admission.rs
@@ -18,7 +18,7 @@
 use crate::direct::published::model::Name;
 use crate::direct::published::table::Table;
 use crate::message::Timestamp;
-use crate::policy::path::{PathDecision, Reserved, StageLoad, admit_path};
+use crate::policy::path::{PathDecision, PathRefusal, Reserved, StageLoad, admit_path};
 use crate::policy::timeline::Timeline;
 use crate::policy::urgency::Urgency;
 
@@ -38,7 +38,6 @@
         }
         self.last_submit = Some(now);
         let urgency = urgency(&job, table);
-        self.record_arrival(&job, urgency, now);
         self.update_ledger(table, now);
         let mut decision = self.decide(&job, urgency, table, now);
         let excess_wait = self.excess_turn_wait(&job, table, now).filter(|_| !job.resubmitted);
@@ -51,6 +50,9 @@
             decision = self.decide(&job, urgency, table, now);
         }
         self.log_decision(&job, urgency, &decision);
+        if excess_wait.is_none() && decision.refusal != Some(PathRefusal::NoEndpoint) {
+            self.record_arrival(&job, urgency, now);
+        }
         if let Some(refusal) = decision.refusal {
             return self.refuse(&job, refusal, decision.retry_after, table, now);
         }
@@ -58,7 +60,7 @@
             return self.send_given_up(id, JobReason::WouldBeLate, true, retry_after);
         }
         self.send_to_gateway(id, PeerMessage::Accepted(id));
-        let mut run = JobRun::new(job, table, &self.timings, now);
+        let mut run = JobRun::new(job, decision.allowed, table, &self.timings, now);
         run.heavy_data_centre = self.least_loaded_data_centre(&run, table);
         for (spec, stage) in run.job.stages.iter().zip(&run.stages) {
             for made in stage.results() {
@@ -71,7 +73,8 @@
         self.refuse_displaced(displaced, id, table, now);
     }
 
-    /// Records the pieces and results that a job needs as demand for its pools.
+    /// Records the pieces and results that a job needs as demand for its pools. The decision on a
+    /// job does not count its own arrival, and jobs that no pool can run are no demand.
     fn record_arrival(&mut self, job: &Job, urgency: Urgency, now: Timestamp) {
         for stage in &job.stages {
             let pieces = stage.pieces.saturating_sub(stage.done.len());
@@ -161,7 +164,7 @@
         table: &Table,
         now: Timestamp,
     ) -> StageLoad {
-        let call = expected_call(stage, table, &self.timings);
+        let call = expected_call(stage, table, &self.timings, now);
         let mut load = StageLoad {
             after: stage.after.clone(),
             is_done: stage.pieces == 0 || stage.done.len() == stage.pieces,
@@ -186,7 +189,7 @@
         load.slots = endpoints * f64::from(spec.slots);
         load.result_memory = (spec.result_memory_bytes as f64)
             .mul_add(endpoints, -(pool.endpoints.used_by_others() as f64));
-        let full_call = self.timings.get(&stage.pool, spec).full_call(spec);
+        let full_call = self.timings.get(&stage.pool, spec, now).full_call(spec);
         let piece = full_call.div_f64(spec.pieces.max(1) as f64);
         let urgent = pool.arrivals.more_urgent_than(urgency, now);
         let all = pool.arrivals.total(now);
--- a/src/direct/owner/entry.rs
+++ b/src/direct/owner/entry.rs
@@ -85,7 +85,7 @@
 
 fn queued(run: &JobRun, stage: usize, pieces: usize) -> Waiting {
     let rest = run.critical_path_from(stage) + run.job.after_stages;
-    let latest_start_ms = ms(run.objective) as i64 - ms(rest) as i64;
+    let latest_start_ms = ms(run.admitted_end) as i64 - ms(rest) as i64;
     let preferred =
         run.preferred_data_centre(stage).filter(|_| run.moved_bytes(stage) >= HEAVY_BYTES).cloned();
     let rank = Rank { urgency: run.urgency, latest_start_ms, job: run.job.id, stage };
--- a/src/direct/owner/inspect.rs
+++ b/src/direct/owner/inspect.rs
@@ -90,9 +90,14 @@
     }
 
     /// Recent average duration of a call in a pool, and that of a full call.
-    pub fn recent_calls(&self, pool: &str, table: &Table) -> Option<(Duration, Duration)> {
+    pub fn recent_calls(
+        &self,
+        pool: &str,
+        table: &Table,
+        now: Timestamp,
+    ) -> Option<(Duration, Duration)> {
         let spec = table.batch_spec(pool)?;
-        let pool_timings: PoolTimings = self.timings.get(pool, spec);
+        let pool_timings: PoolTimings = self.timings.get(pool, spec, now);
         Some((pool_timings.call(), pool_timings.full_call(spec)))
     }
 }
--- a/src/direct/owner/jobs.rs
+++ b/src/direct/owner/jobs.rs
@@ -100,6 +100,9 @@
     pub urgency: Urgency,
     /// Time until which a response meets the objective.
     pub objective: Timestamp,
+    /// Time until which admission allowed the response to start: later than the objective if that is
+    /// shorter than the work.
+    pub admitted_end: Timestamp,
     /// Time until which the caller waits.
     pub deadline: Timestamp,
     /// State of each stage.
@@ -115,8 +118,14 @@
 }
 
 impl JobRun {
-    /// Starts an admitted job; results of stages that were finished under another owner are kept.
-    pub(super) fn new(job: Job, table: &Table, timings: &Timings, now: Timestamp) -> Self {
+    /// Starts a job that may take the time `allowed` until its response starts; results of stages that were finished under another owner are kept.
+    pub(super) fn new(
+        job: Job,
+        allowed: Duration,
+        table: &Table,
+        timings: &Timings,
+        now: Timestamp,
+    ) -> Self {
         let stages = job
             .stages
             .iter()
@@ -131,14 +140,16 @@
             })
             .collect();
         let objective = now + job.to_objective;
+        let admitted_end = now + allowed;
         let deadline = now + job.to_deadline;
-        let calls = expected_calls(&job, table, timings);
+        let calls = expected_calls(&job, table, timings, now);
         let urgency = urgency(&job, table);
         let (heavy_data_centre, entry) = (None, Entry::default());
         Self {
             job,
             urgency,
             objective,
+            admitted_end,
             deadline,
             stages,
             ready: false,
@@ -281,16 +292,26 @@
 }
 
 /// For each stage of a job, the expected duration of its call.
-pub(super) fn expected_calls(job: &Job, table: &Table, timings: &Timings) -> Vec<Duration> {
-    job.stages.iter().map(|stage| expected_call(stage, table, timings)).collect()
+pub(super) fn expected_calls(
+    job: &Job,
+    table: &Table,
+    timings: &Timings,
+    now: Timestamp,
+) -> Vec<Duration> {
+    job.stages.iter().map(|stage| expected_call(stage, table, timings, now)).collect()
 }
 
 /// Expected duration of a stage's call: as long as the pool's recent calls, which hold pieces of
 /// other jobs, but at least as long as its own pieces take, or as many as a call can hold.
-pub(super) fn expected_call(stage: &JobStage, table: &Table, timings: &Timings) -> Duration {
+pub(super) fn expected_call(
+    stage: &JobStage,
+    table: &Table,
+    timings: &Timings,
+    now: Timestamp,
+) -> Duration {
     let Some(spec) = table.batch_spec(&stage.pool) else {
         return Duration::ZERO;
     };
     let own = spec.call_overhead + spec.piece_time * stage.pieces.min(spec.pieces) as u32;
-    own.max(timings.get(&stage.pool, spec).call())
+    own.max(timings.get(&stage.pool, spec, now).call())
 }
--- a/src/direct/owner/outcomes.rs
+++ b/src/direct/owner/outcomes.rs
@@ -41,7 +41,7 @@
             BatchOutcome::Pieces(outcomes) => {
                 if call.sent >= self.resumed_at {
                     if let Some(spec) = table.batch_spec(&call.pool) {
-                        self.timings.record_call(&call.pool, spec, call.pieces.len(), took);
+                        self.timings.record_call(&call.pool, spec, call.pieces.len(), took, now);
                     }
                     self.check_speed(&call, took, table, now);
                 }
--- a/src/direct/owner/plan.rs
+++ b/src/direct/owner/plan.rs
@@ -52,7 +52,7 @@
             runs.push(ExpectedRun { start: Duration::ZERO, end: ready });
             continue;
         };
-        let pool_timings = context.timings.get(&spec.pool, batch);
+        let pool_timings = context.timings.get(&spec.pool, batch, context.now);
         let waiting = ready + pool_timings.wait() + pool_timings.call();
         let running = remaining_call_time(stage, context);
         runs.push(match running {
--- a/src/direct/owner/queue.rs
+++ b/src/direct/owner/queue.rs
@@ -27,8 +27,8 @@
 pub struct Rank {
     /// Urgency of the job.
     pub urgency: Urgency,
-    /// Latest start with which the response meets its objective, in milliseconds of the owner's
-    /// clock.
+    /// Latest start with which the response starts within the time that admission allowed, in
+    /// milliseconds of the owner's clock.
     pub latest_start_ms: i64,
     /// Job of the stage.
     pub job: JobId,
--- a/src/direct/owner/scheduler.rs
+++ b/src/direct/owner/scheduler.rs
@@ -369,7 +369,7 @@
             }
         }
         for (id, run) in &mut self.jobs {
-            run.calls = expected_calls(&run.job, table, &self.timings);
+            run.calls = expected_calls(&run.job, table, &self.timings, now);
             self.changed_jobs.push(*id);
         }
     }
--- a/src/direct/owner/timings.rs
+++ b/src/direct/owner/timings.rs
@@ -4,9 +4,15 @@
 use std::time::Duration;
 
 use crate::direct::published::model::{BatchSpec, Name};
+use crate::message::Timestamp;
 
 /// Weight of a new measurement in the moving averages.
 const NEW_SAMPLE_WEIGHT: f64 = 0.1;
+/// Time after the end of a pool's last call in which the measured durations count in full.
+const MEASUREMENT_VALIDITY: Duration = Duration::from_secs(2);
+/// Time constant with which the durations return to the pool's specification afterwards: without
+/// calls nothing measures whether slow endpoints have recovered.
+const MEASUREMENT_DECAY: Duration = Duration::from_secs(1);
 
 /// Moving averages of a pool's durations, in seconds.
 #[derive(Debug, Clone, Copy)]
@@ -15,13 +21,30 @@
     call: f64,
     /// Time that each piece adds to a call.
     piece: f64,
+    /// End of the last call.
+    measured_at: Timestamp,
 }
 
 impl PoolTimings {
     /// Defaults of a pool without measurements: calls are half full and nothing waits.
     fn defaults(spec: &BatchSpec) -> Self {
         let call = spec.call_overhead + spec.piece_time * (spec.pieces as u32 / 2);
-        Self { wait: 0.0, call: call.as_secs_f64(), piece: spec.piece_time.as_secs_f64() }
+        let (call, piece) = (call.as_secs_f64(), spec.piece_time.as_secs_f64());
+        Self { wait: 0.0, call, piece, measured_at: Timestamp::ZERO }
+    }
+
+    /// The durations as they count at `now`, if no call has ended since they were measured.
+    fn decayed(self, spec: &BatchSpec, now: Timestamp) -> Self {
+        let age = now.saturating_sub(self.measured_at).saturating_sub(MEASUREMENT_VALIDITY);
+        let weight = (-age.as_secs_f64() / MEASUREMENT_DECAY.as_secs_f64()).exp();
+        let specified = Self::defaults(spec);
+        let decay =
+            |measured: f64, specified: f64| (measured - specified).mul_add(weight, specified);
+        Self {
+            call: decay(self.call, specified.call),
+            piece: decay(self.piece, specified.piece),
+            ..self
+        }
     }
 
     /// Time from when a piece may be sent until it is sent.
@@ -54,8 +77,9 @@
 
 impl Timings {
     /// Moving averages of a pool.
-    pub fn get(&self, pool: &str, spec: &BatchSpec) -> PoolTimings {
-        self.pools.get(pool).copied().unwrap_or_else(|| PoolTimings::defaults(spec))
+    pub fn get(&self, pool: &str, spec: &BatchSpec, now: Timestamp) -> PoolTimings {
+        let measured = self.pools.get(pool);
+        measured.map_or_else(|| PoolTimings::defaults(spec), |m| m.decayed(spec, now))
     }
 
     fn entry(&mut self, pool: &Name, spec: &BatchSpec) -> &mut PoolTimings {
@@ -68,7 +92,7 @@
         update_average(wait, waited.as_secs_f64(), NEW_SAMPLE_WEIGHT);
     }
 
-    /// Records that a call with `pieces` pieces took `took`. The time of a piece is measured by calls
+    /// Records that a call with `pieces` pieces, which ended at `now`, took `took`. The time of a piece is measured by calls
     /// in proportion to how full they are.
     pub(super) fn record_call(
         &mut self,
@@ -76,8 +100,10 @@
         spec: &BatchSpec,
         pieces: usize,
         took: Duration,
+        now: Timestamp,
     ) {
         let timings = self.entry(pool, spec);
+        *timings = PoolTimings { measured_at: now, ..timings.decayed(spec, now) };
         update_average(&mut timings.call, took.as_secs_f64(), NEW_SAMPLE_WEIGHT);
         let fill = pieces as f64 / spec.pieces.max(1) as f64;
         let piece = took.saturating_sub(spec.call_overhead).as_secs_f64() / pieces.max(1) as f64;
--- a/src/policy/path.rs
+++ b/src/policy/path.rs
@@ -97,6 +97,9 @@
     /// Index of the stage whose results don't fit, or else of the stage whose pool has the highest
     /// share of its result memory in use.
     pub bottleneck: usize,
+    /// Longest time until the response starts with which the request is admitted: the time to its
+    /// objective, or the time that an empty backlog allows if that is longer.
+    pub allowed: Duration,
     /// Predicted time until the response starts.
     pub predicted: Duration,
     /// Share of that pool's result memory in use when the stage runs, including this request; 0 if
@@ -202,12 +205,12 @@
     }
 }
 
-/// Time until the last stage ends, from now, if no stage has to wait.
-fn time_without_waiting(stages: &[StageLoad]) -> Duration {
+/// Time until the last stage ends, from now, if no stage waits for pieces or memory.
+fn time_without_backlog(stages: &[StageLoad]) -> Duration {
     let mut ends: Vec<Duration> = Vec::with_capacity(stages.len());
     for stage in stages {
         let ready = stage.after.iter().map(|&a| ends[a]).max().unwrap_or_default();
-        ends.push(if stage.is_done { ready } else { ready + stage.call });
+        ends.push(if stage.is_done { ready } else { ready + stage.usual_wait + stage.call });
     }
     ends.into_iter().max().unwrap_or_default()
 }
@@ -228,7 +231,7 @@
     let memory_share = runs.get(bottleneck).map_or(0.0, |r| r.memory_share);
     let predicted = runs.iter().map(|r| r.end).max().unwrap_or_default() + after;
     let memory_wait = runs.iter().map(|r| r.memory_wait).sum();
-    let allowed = to_objective.max(time_without_waiting(stages) + after);
+    let allowed = to_objective.max(time_without_backlog(stages) + after);
     let refusal = if needed().any(|i| stages[i].slots <= 0.0) {
         Some(PathRefusal::NoEndpoint)
     } else if !has_memory {
@@ -244,5 +247,5 @@
         _ => wait.unwrap_or_else(|| predicted.saturating_sub(allowed)),
     };
     let retry_after = excess.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
-    PathDecision { refusal, bottleneck, predicted, memory_share, retry_after }
+    PathDecision { refusal, bottleneck, allowed, predicted, memory_share, retry_after }
 }
