A job is rejected only for what other jobs take from it

- A job with two stages that wait in one pool counted each of them as other work for the other one, and was rejected though nothing else waited: all its pieces in the pool are subtracted.
- A job whose latest start had passed was rejected as lacking capacity beside a free endpoint: no allowed endpoint with enough result memory may be free.
- The expected end of a call that is overdue by up to 50 ms was now, which counted as a free endpoint nearby, so that a piece with little time did not take a free one elsewhere.
It is now at least a millisecond ahead, in `directenv/recount.rs` as well.

The three tests fail on the code before.

--- a/src/direct/owner/displacement.rs
+++ b/src/direct/owner/displacement.rs
@@ -7,6 +7,7 @@
 use crate::direct::log_events::{LoadEvent, LogEvent, ms};
 use crate::direct::owner::jobs::JobRun;
 use crate::direct::owner::ledger::Entry;
+use crate::direct::owner::queue::Waiting;
 use crate::direct::owner::scheduler::Scheduler;
 use crate::direct::peers::message::{Job, JobId};
 use crate::direct::published::model::Name;
@@ -154,20 +155,31 @@
     }
 
     /// The pool whose lack of capacity keeps a job from starting in time: all its pieces still
-    /// wait, their latest start has passed, and pieces of other jobs wait there as well.
+    /// wait, their latest start has passed, pieces of other jobs wait there as well, and no endpoint
+    /// is free for them.
     fn missed_start(&self, run: &JobRun, now: Timestamp) -> Option<Name> {
         if !run.is_untouched() {
             return None;
         }
         let stages = run.job.stages.iter().zip(&run.entry.stages);
         let mut missed = stages.filter(|(spec, entry)| {
-            let queued = entry.queued.as_ref();
-            queued.is_some_and(|queued| {
-                let is_late = queued.rank.latest_start_ms < ms(now) as i64;
-                let pool = self.ledger.get(&spec.pool);
-                is_late && pool.is_some_and(|pool| pool.queue.pieces() > queued.pieces)
-            })
+            let late = entry.queued.as_ref().filter(|q| q.rank.latest_start_ms < ms(now) as i64);
+            late.is_some_and(|queued| self.lacks_capacity(run, &spec.pool, queued))
         });
         missed.next().map(|(spec, _)| spec.pool.clone())
     }
+
+    /// Whether pieces of other jobs wait in the pool of a waiting stage, and no endpoint in the
+    /// allowed regions is free that has result memory for a piece.
+    fn lacks_capacity(&self, run: &JobRun, pool: &Name, queued: &Waiting) -> bool {
+        let Some(ledger) = self.ledger.get(pool) else {
+            return false;
+        };
+        let stages = run.job.stages.iter().zip(&run.entry.stages);
+        let own =
+            stages.filter(|(spec, _)| spec.pool == *pool).filter_map(|(_, e)| e.queued.as_ref());
+        let own_pieces: usize = own.map(|queued| queued.pieces).sum();
+        let free = ledger.endpoints.most_free_in_regions(&queued.allowed_regions, queued.bytes);
+        ledger.queue.pieces() > own_pieces && free.is_none()
+    }
 }
--- a/src/direct/owner/placement.rs
+++ b/src/direct/owner/placement.rs
@@ -22,6 +22,9 @@
 /// is slow.
 const MAX_OVERRUN: Duration = Duration::from_millis(50);
 
+/// Minimum expected remaining time of a call: until it has ended, its endpoint is not free.
+const MIN_REMAINING: Duration = Duration::from_millis(1);
+
 /// Why a piece accepts an endpoint outside its preferred data centre.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum AwayReason {
@@ -128,7 +131,7 @@
         let calls = self.by_data_centre.get(data_centre).into_iter();
         let calls = calls.flat_map(move |local| local.range(first..));
         let calls = calls.filter(|(_, endpoint)| endpoints.is_in_use(endpoint));
-        calls.map(move |((end, _), _)| (*end).max(now))
+        calls.map(move |((end, _), _)| (*end).max(now + MIN_REMAINING))
     }
 }
 
--- a/tests/direct_placement.rs
+++ b/tests/direct_placement.rs
@@ -124,6 +124,46 @@
     assert_eq!(sent(&mut scheduler, &table, 340), [(2, "hall-0".to_owned(), 4)]);
 }
 
+// The call nearby should have ended 5 ms ago: its endpoint is not free yet, and a piece with 20 ms to
+// spare takes the free one elsewhere.
+#[test]
+fn an_endpoint_whose_call_is_overdue_does_not_count_as_free() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], HEAVY)]);
+    let table = table(&route, 50_000_000, 1);
+    let mut scheduler = scheduler();
+    scheduler.submit(job_with(1, &route, 4, 2_000), &table, ms(0));
+    sent(&mut scheduler, &table, 0);
+    let tight = Job { resubmitted: true, ..job_with(2, &route, 4, 400) };
+    scheduler.submit(tight, &table, ms(285));
+    assert_eq!(sent(&mut scheduler, &table, 285), [(2, "hall-0".to_owned(), 4)]);
+}
+
+// Two jobs wait for the end of a call nearby, and their latest start passes. An endpoint elsewhere
+// is free meanwhile, so that capacity is not what they lack.
+#[test]
+fn a_job_is_not_rejected_while_an_endpoint_is_free() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], HEAVY)]);
+    let table = table(&route, 50_000_000, 1);
+    let mut scheduler = scheduler();
+    let both = Job { resubmitted: true, ..job_with(1, &route, 8, 400) };
+    scheduler.submit(both, &table, ms(0));
+    assert_eq!(sent(&mut scheduler, &table, 0).len(), 2, "both endpoints are busy");
+    scheduler.submit(job_with(2, &route, 2, 440), &table, ms(150));
+    let other = Job { resubmitted: true, ..job_with(3, &route, 2, 440) };
+    scheduler.submit(other, &table, ms(150));
+    for now in (150..=225).step_by(25) {
+        scheduler.run_timers(&table, ms(now));
+        assert!(sent(&mut scheduler, &table, now).is_empty());
+    }
+    end(&mut scheduler, &table, 2, 4, 240);
+    assert!(sent(&mut scheduler, &table, 240).is_empty(), "the call nearby ends in 40 ms");
+    for now in [250, 275] {
+        scheduler.run_timers(&table, ms(now));
+        sent(&mut scheduler, &table, now);
+        assert!(scheduler.has(&directenv::job_id(2)), "rejected at {now} ms");
+    }
+}
+
 // Large results fill the memory of the endpoints nearby: a free slot there is of no use.
 #[test]
 fn a_piece_does_not_wait_for_result_memory_that_is_freed_too_late() {
--- a/tests/directenv/recount.rs
+++ b/tests/directenv/recount.rs
@@ -320,7 +320,7 @@
     let rooms: Vec<u64> = free.iter().filter(|f| f.0 == *home).map(|f| f.1).collect();
     let mut round = vec![now; rooms.len()];
     let ends = kept.in_flight.iter().filter(|(place, end)| place == home && *end + OVERRUN >= now);
-    round.extend(ends.map(|(_, end)| (*end).max(now)));
+    round.extend(ends.map(|(_, end)| (*end).max(now + Duration::from_millis(1))));
     round.sort_unstable();
     let call = (pieces - 1) / spec.pieces;
     let start = round.get(call % round.len().max(1))?;
--- a/tests/order_of_service_refusals.rs
+++ b/tests/order_of_service_refusals.rs
@@ -141,3 +141,18 @@
     assert_eq!(owner.cancelled, []);
     assert!(owner.has_run(6));
 }
+
+// The endpoints are busy for longer than the job can wait, but it competes with its own stages
+// alone.
+#[test]
+fn two_stages_of_a_job_do_not_count_as_other_work_for_each_other() {
+    let twice = route("twice", Repeat::AtMostOnce, &[("first", &[], 10), ("first", &[], 10)]);
+    let mut owner = Owner::new(vec![one_stage(), twice.clone()]);
+    owner.piece = ms(110);
+    owner.submit(job_of(URGENT, 1, 4, 2_000), 0);
+    owner.submit(job_of(URGENT, 2, 4, 2_000), 0);
+    owner.submit(Job { to_objective: ms(600), ..job(3, &twice, 2) }, 10);
+    owner.run(15, 800);
+    assert_eq!(owner.cancelled, []);
+    assert!(owner.has_run(3));
+}
