A refusal as not started holds for a resubmission that crosses it

The owner cancelled a job as not started while the gateway, whose connection had failed, submitted it again: resubmitted jobs are never refused, so its pieces were sent though the caller was refused as not run. `owner::ends` takes the handling of jobs without results from `scheduler`. The test fails on the code before.

--- a/src/direct/owner/admission.rs
+++ b/src/direct/owner/admission.rs
@@ -32,6 +32,9 @@
         if self.poison_in(&job).is_some() {
             return self.send_given_up(id, JobReason::Failed, true, RETENTION);
         }
+        if let Some(refusal) = self.earlier_refusal(&job, now) {
+            return self.refuse_not_started(&job, refusal, table, now);
+        }
         if self.last_submit.is_none_or(|last| now >= last + TAKEOVER_PERIOD) {
             self.active_since = now;
             self.ask_reports(table, now);
@@ -54,10 +57,12 @@
             self.record_arrival(&job, urgency, now);
         }
         if let Some(refusal) = decision.refusal {
-            return self.refuse(&job, refusal, decision.retry_after, table, now);
+            let refusal = (refusal, decision.retry_after);
+            return self.refuse_not_started(&job, refusal, table, now);
         }
         if let Some(retry_after) = excess_wait {
-            return self.send_given_up(id, JobReason::WouldBeLate, true, retry_after);
+            let refusal = (PathRefusal::WouldBeLate, retry_after);
+            return self.refuse_not_started(&job, refusal, table, now);
         }
         self.send_to_gateway(id, PeerMessage::Accepted(id));
         let mut run = JobRun::new(job, decision.allowed, table, &self.timings, now);
--- a/src/direct/owner/displacement.rs
+++ b/src/direct/owner/displacement.rs
@@ -127,7 +127,8 @@
                 };
                 self.out.push(Action::Log(LogEvent::Load(event)));
             }
-            self.refuse(&run.job, PathRefusal::InsufficientMemory, retry_after, table, now);
+            let refusal = (PathRefusal::InsufficientMemory, retry_after);
+            self.refuse_not_started(&run.job, refusal, table, now);
         }
     }
 
@@ -151,7 +152,7 @@
             pool,
             retry_after_ms: ms(retry_after),
         })));
-        self.refuse(&run.job, PathRefusal::WouldBeLate, retry_after, table, now);
+        self.refuse_not_started(&run.job, (PathRefusal::WouldBeLate, retry_after), table, now);
     }
 
     /// The pool whose lack of capacity keeps a job from starting in time: all its pieces still
--- a/src/direct/owner/mod.rs
+++ b/src/direct/owner/mod.rs
@@ -7,6 +7,8 @@
 //! - `scheduler`: jobs and calls of one cell, and the handling of events.
 //! - `admission`: the decision whether a job is admitted.
 //! - `displacement`: admitted jobs that give way to more urgent ones.
+//! - `not_started`: recent refusals, for jobs that are resubmitted meanwhile.
+//! - `ends`: jobs that end without results.
 //! - `places`: refusals, and the places that are kept for callers that return.
 //! - `batching`: the choice of pieces and endpoint for each call.
 //! - `placement`: whether a piece waits for an endpoint near the consumer of its result.
@@ -31,10 +33,12 @@
 mod calls;
 mod displacement;
 mod endpoints;
+mod ends;
 mod entry;
 pub mod inspect;
 pub mod jobs;
 mod ledger;
+mod not_started;
 mod outcomes;
 pub mod owners;
 mod pauses;
--- a/src/direct/owner/scheduler.rs
+++ b/src/direct/owner/scheduler.rs
@@ -21,6 +21,7 @@
 use crate::direct::owner::entry::entry;
 use crate::direct::owner::jobs::{JobRun, Piece, expected_calls};
 use crate::direct::owner::ledger::{Entry, Ledger};
+use crate::direct::owner::not_started::NotStarted;
 use crate::direct::owner::outcomes::OWNERS_PER_CELL;
 use crate::direct::owner::permits::Permits;
 use crate::direct::owner::plan::PlanContext;
@@ -56,6 +57,8 @@
     pub(super) limits: Arc<KnownLimits>,
     pub(super) permits: Permits,
     pub(super) repeats: RepeatLimiter,
+    /// Jobs that were recently refused as not started.
+    pub(super) not_started: NotStarted,
     /// Fingerprints under which endpoints crashed.
     pub(super) suspects: Arc<Suspects>,
     pub(super) next_call: u64,
@@ -100,6 +103,7 @@
             limits: Arc::default(),
             permits: Permits::default(),
             repeats: RepeatLimiter::new(bounds),
+            not_started: NotStarted::default(),
             suspects: Arc::default(),
             next_call: 0,
             timings: Timings::default(),
@@ -259,25 +263,6 @@
         }
     }
 
-    /// Notifies other gateways, before this process ends, that it no longer owns their jobs.
-    pub fn hand_back_jobs(&mut self, own: SocketAddr) {
-        let others = self.jobs.keys().filter(|id| id.gateway != own).copied();
-        for id in others.collect::<Vec<_>>() {
-            self.send_given_up(id, JobReason::NotOwner, false, Duration::ZERO);
-        }
-    }
-
-    /// Releases all jobs of a gateway that was removed.
-    pub fn release_jobs_of(&mut self, gateway: SocketAddr, incarnation: u64, table: &Table) {
-        let first = JobId { gateway, incarnation, number: 0 };
-        let from_first = self.jobs.range(first..).map(|(id, _)| *id);
-        let of_removed =
-            from_first.take_while(|id| (id.gateway, id.incarnation) == (gateway, incarnation));
-        for id in of_removed.collect::<Vec<_>>() {
-            self.release(id, table);
-        }
-    }
-
     /// Handles changes of endpoints or of the configuration.
     pub fn table_changed(&mut self, table: &Table) {
         self.producers.retain(|id| table.endpoint(id).is_some());
@@ -429,24 +414,6 @@
         self.dirty.extend(waits.map(|(stage, _)| run.job.stages[stage].pool.clone()));
     }
 
-    pub(super) fn cancel_job(&mut self, id: JobId, reason: JobReason, table: &Table) {
-        if !self.jobs.contains_key(&id) {
-            return;
-        }
-        self.release(id, table);
-        self.send_given_up(id, reason, false, Duration::from_millis(300));
-    }
-
-    pub(super) fn send_given_up(
-        &mut self,
-        job: JobId,
-        reason: JobReason,
-        not_started: bool,
-        retry_after: Duration,
-    ) {
-        self.send_to_gateway(job, PeerMessage::Cancelled { job, reason, not_started, retry_after });
-    }
-
     pub(super) fn send_to_gateway(&mut self, job: JobId, message: PeerMessage) {
         self.out.push(Action::Send { to: job.gateway, message });
     }
--- a/tests/order_of_service_refusals.rs
+++ b/tests/order_of_service_refusals.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use directenv::{job, ms, route, table};
+use directenv::{job, job_id, ms, route, table};
 use stackmast::direct::answers::{BatchOutcome, PieceOutcome};
 use stackmast::direct::event::Action;
 use stackmast::direct::owner::scheduler::Scheduler;
@@ -156,3 +156,18 @@
     assert_eq!(owner.cancelled, []);
     assert!(owner.has_run(3));
 }
+
+// The message that a job gave way is under way while its gateway submits the job again.
+#[test]
+fn a_job_that_gave_way_is_not_started_by_a_resubmission() {
+    let large = route("r", Repeat::AtMostOnce, &[("first", &[], 300)]);
+    let mut owner = Owner::new(vec![large.clone()]);
+    let of = |priority, number| Job { priority, ..job(number, &large, 2) };
+    owner.scheduler.submit(of(PATIENT, 1), &owner.table, ms(0));
+    owner.scheduler.submit(of(PATIENT, 2), &owner.table, ms(1));
+    owner.submit(of(URGENT, 3), 2);
+    owner.submit(Job { resubmitted: true, ..of(PATIENT, 2) }, 10);
+    owner.run(15, 3_000);
+    assert_eq!(owner.cancelled, [(job_id(2), JobReason::NoRoom, true); 2]);
+    assert!(!owner.has_run(2));
+}
