The cost of a call is bounded for stages that may not run nearby

- All stages that may not run in the region of their data centre were cloned for each call: the number of pieces found is checked before.
- The expected start of a piece is computed from the first call of its slot instead of by stepping through all calls ahead.
Ending the steps beyond a full call was ruled out: a piece that is late with the true start would count as one with a long wait, which has a lower rank.
- After an incomplete search, only pieces that can meet their objective count as ahead of the others, by seconds of their latest start.

The test of the first point fails on the code before; the other two are compared with the recomputation in `direct_ledger`.

--- a/src/direct/owner/placement.rs
+++ b/src/direct/owner/placement.rs
@@ -6,7 +6,7 @@
 //! fetches all its inputs, so a stage that runs elsewhere transfers them many times over. A piece
 //! that the calls nearby would make late takes an endpoint elsewhere. The estimate of the start
 //! uses the expected ends of the calls in flight, the pieces ahead, and the size of a full call; it
-//! costs as many steps as there are calls ahead of the pieces that are examined.
+//! costs at most as many steps as the data centre has slots.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -126,7 +126,7 @@
         data_centre: &str,
         endpoints: &'a Endpoints,
         now: Timestamp,
-    ) -> impl Iterator<Item = Timestamp> + Clone + 'a {
+    ) -> impl Iterator<Item = Timestamp> + 'a {
         let first = (now.saturating_sub(MAX_OVERRUN), 0);
         let calls = self.by_data_centre.get(data_centre).into_iter();
         let calls = calls.flat_map(move |local| local.range(first..));
@@ -135,18 +135,17 @@
     }
 }
 
-/// Expected starts of the next calls in one data centre. Positions must be asked for in ascending
-/// order.
+/// Expected starts of the next calls in one data centre.
 pub(super) struct NearStarts<'a> {
     spec: &'a BatchSpec,
     now: Timestamp,
     region: Option<&'a str>,
     /// Free result memory of the free endpoint with the most, in bytes.
     free_bytes: Option<u64>,
-    /// Starts of the first calls of all slots; infinite, with later rounds after the first one.
-    starts: Box<dyn Iterator<Item = Timestamp> + 'a>,
-    /// The current call and its start.
-    current: Option<(usize, Timestamp)>,
+    /// Starts of the first calls of all slots, as far as they were needed.
+    first_starts: Vec<Timestamp>,
+    /// The further ones.
+    further_starts: Box<dyn Iterator<Item = Timestamp> + 'a>,
     /// Number of calls that start within the duration of a full call.
     calls: usize,
 }
@@ -161,13 +160,9 @@
     ) -> Self {
         let free = endpoints.free_in(data_centre);
         let ends = in_flight.ends(data_centre, endpoints, now);
-        let first_round = std::iter::repeat_n(now, free).chain(ends);
+        let mut starts = std::iter::repeat_n(now, free).chain(ends);
         let calls = endpoints.count_in(data_centre) * spec.slots as usize;
-        let rounds = (0..).map(move |round| full_call(spec) * round);
-        let mut starts =
-            rounds.flat_map(move |later| first_round.clone().map(move |start| start + later));
-        let has_calls = free > 0 || in_flight.ends(data_centre, endpoints, now).next().is_some();
-        let current = if has_calls { starts.next().map(|start| (0, start)) } else { None };
+        let first_starts = starts.next().into_iter().collect();
         let free_bytes = endpoints.most_free_in(data_centre, 0).map(|(bytes, _)| bytes);
         let region = endpoints.region_of(data_centre);
         Self {
@@ -175,8 +170,8 @@
             now,
             region,
             free_bytes,
-            starts: Box::new(starts),
-            current,
+            first_starts,
+            further_starts: Box::new(starts),
             calls: calls.max(1),
         }
     }
@@ -191,15 +186,15 @@
         self.free_bytes.is_some_and(|free| free >= bytes)
     }
 
-    /// Expected start of the piece that has `ahead` pieces ahead of it.
+    /// Expected start of the piece that has `ahead` pieces ahead of it. Each slot runs full calls
+    /// one after the other from its first start on.
     fn start(&mut self, ahead: usize) -> Option<Timestamp> {
         let call = ahead / self.spec.pieces.max(1);
-        while let Some((current, _)) = self.current
-            && current < call
-        {
-            self.current = self.starts.next().map(|start| (current + 1, start));
-        }
-        self.current.map(|(_, start)| start)
+        let missing = (call + 1).saturating_sub(self.first_starts.len());
+        self.first_starts.extend(self.further_starts.by_ref().take(missing));
+        let slots = self.first_starts.len();
+        let first = *self.first_starts.get(call.checked_rem(slots)?)?;
+        Some(first + full_call(self.spec) * (call / slots) as u32)
     }
 
     /// Why pieces accept an endpoint elsewhere, see [`away_reason`].
@@ -224,7 +219,7 @@
     pub(super) fn all_wait(&self, latest_start: Timestamp, pieces: usize) -> bool {
         let in_next_calls = pieces <= self.calls * self.spec.pieces;
         let last_start = self.now + full_call(self.spec);
-        let is_known = self.current.is_some();
+        let is_known = !self.first_starts.is_empty();
         is_known && in_next_calls && last_start + shared_call_margin(self.spec) <= latest_start
     }
 }
--- a/src/direct/owner/queue.rs
+++ b/src/direct/owner/queue.rs
@@ -5,8 +5,9 @@
 //! load of more urgent ones does not keep them, and the results that their jobs hold, forever.
 //!
 //! Stages are grouped by preferred data centre. Adding or removing a stage costs the logarithm of
-//! the queue's length; choosing a call costs the number of different urgencies, the size of one
-//! call and that of the next calls of one data centre, whatever the length of the queue.
+//! the queue's length; choosing a call costs the number of different urgencies and of the seconds over
+//! which their latest starts are spread, the size of one call and that of the next calls of one data
+//! centre, whatever the length of the queue.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -22,6 +23,9 @@
 /// its objective and keeps waiting; a begun job also holds the results of its earlier stages.
 pub const OVERDUE_AFTER: Duration = Duration::from_secs(1);
 
+/// Length of the intervals of latest starts by which waiting pieces are counted, in milliseconds.
+const START_INTERVAL_MS: i64 = 1_000;
+
 /// Position of a stage in the order of urgency.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
@@ -134,8 +138,18 @@
 struct Group {
     stages: BTreeMap<Rank, Queued>,
     pieces: usize,
-    /// Pieces by urgency.
-    pieces_of: BTreeMap<Urgency, usize>,
+    /// Pieces by urgency and interval of the latest start.
+    pieces_by_start: BTreeMap<(Urgency, i64), usize>,
+}
+
+/// Interval of a latest start.
+const fn start_interval(latest_start_ms: i64) -> i64 {
+    latest_start_ms.div_euclid(START_INTERVAL_MS)
+}
+
+/// Key under which the pieces of a stage are counted.
+const fn start_key(rank: Rank) -> (Urgency, i64) {
+    (rank.urgency, start_interval(rank.latest_start_ms))
 }
 
 type Entry<'a> = (&'a Rank, &'a Queued);
@@ -148,12 +162,17 @@
 
     /// The urgencies of the waiting pieces, the highest first.
     fn urgencies(&self) -> impl Iterator<Item = Urgency> + '_ {
-        self.pieces_of.iter().filter(|(_, pieces)| **pieces > 0).map(|(urgency, _)| *urgency)
+        let mut last = None;
+        let urgencies = self.pieces_by_start.keys().map(|(urgency, _)| *urgency);
+        urgencies.filter(move |urgency| last.replace(*urgency) != Some(*urgency))
     }
 
-    /// Number of pieces of one urgency.
-    fn pieces_of(&self, urgency: Urgency) -> usize {
-        self.pieces_of.get(&urgency).copied().unwrap_or_default()
+    /// Number of pieces of one urgency that can meet their objective; those whose latest start has
+    /// passed in the current interval are included.
+    fn pieces_in_time(&self, urgency: Urgency, now_ms: i64) -> usize {
+        let first = (urgency, start_interval(now_ms));
+        let in_time = self.pieces_by_start.range(first..=(urgency, i64::MAX));
+        in_time.map(|(_, pieces)| pieces).sum()
     }
 
     /// Stages of one urgency that can meet their objective, most urgent first.
@@ -184,7 +203,7 @@
             Queued { pieces, bytes, allowed_regions: allowed_regions.clone() },
         );
         group.pieces += waiting.pieces;
-        *group.pieces_of.entry(waiting.rank.urgency).or_default() += waiting.pieces;
+        *group.pieces_by_start.entry(start_key(waiting.rank)).or_default() += waiting.pieces;
     }
 
     pub(super) fn remove(&mut self, waiting: &Waiting) {
@@ -193,8 +212,12 @@
         };
         if let Some(queued) = group.stages.remove(&waiting.rank) {
             group.pieces -= queued.pieces;
-            if let Some(pieces) = group.pieces_of.get_mut(&waiting.rank.urgency) {
+            let key = start_key(waiting.rank);
+            if let Some(pieces) = group.pieces_by_start.get_mut(&key) {
                 *pieces -= queued.pieces;
+                if *pieces == 0 {
+                    group.pieces_by_start.remove(&key);
+                }
             }
         }
         if group.stages.is_empty() {
@@ -326,6 +349,10 @@
         let (mut found, mut examined) = (0, 0);
         let mut is_complete = true;
         for (rank, queued) in entries {
+            if found >= self.search.max_pieces {
+                is_complete = false;
+                break;
+            }
             let candidate = Candidate {
                 preferred: Some(self.preferred.clone()),
                 ..queued.candidate(*rank, class)
@@ -341,7 +368,7 @@
             let latest_start = (class == Class::InTime).then(|| rank.latest_start());
             let all_wait =
                 latest_start.is_some_and(|latest| self.near.all_wait(latest, self.group.pieces));
-            if found >= self.search.max_pieces || all_wait && !is_free {
+            if all_wait && !is_free {
                 is_complete = false;
                 break;
             }
@@ -355,7 +382,8 @@
             }
         }
         if !is_complete && class == Class::InTime {
-            self.ahead += self.group.pieces_of(urgency).saturating_sub(examined);
+            let in_time = self.group.pieces_in_time(urgency, self.search.now_ms);
+            self.ahead += in_time.saturating_sub(examined);
         }
     }
 }
--- a/tests/direct_placement.rs
+++ b/tests/direct_placement.rs
@@ -64,6 +64,18 @@
     Table::new(Arc::new(deployment), endpoints.iter())
 }
 
+/// The table with only the endpoints of "first", each in a region of its data centre.
+fn regional(table: &Table) -> Table {
+    let regional = table.pool_endpoints("first").iter().map(|endpoint| {
+        let mut endpoint = Endpoint::clone(endpoint);
+        let region = format!("of-{}", endpoint.data_centre);
+        endpoint.labels.insert("region".to_owned(), region);
+        Arc::new(endpoint)
+    });
+    let regional: Vec<_> = regional.collect();
+    table.with_deployment(table.deployment.clone(), regional.iter())
+}
+
 fn scheduler() -> Scheduler {
     Scheduler::new(RepeatBudget { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) })
 }
@@ -266,15 +278,7 @@
 #[test]
 fn a_piece_that_may_not_run_nearby_runs_elsewhere() {
     let route = route("r", Repeat::AtMostOnce, &[("first", &[], HEAVY)]);
-    let table = table(&route, 50_000_000, 1);
-    let regional = table.pool_endpoints("first").iter().map(|endpoint| {
-        let mut endpoint = Endpoint::clone(endpoint);
-        let region = format!("of-{}", endpoint.data_centre);
-        endpoint.labels.insert("region".to_owned(), region);
-        Arc::new(endpoint)
-    });
-    let regional: Vec<_> = regional.collect();
-    let table = table.with_deployment(table.deployment.clone(), regional.iter());
+    let table = regional(&table(&route, 50_000_000, 1));
     let mut scheduler = scheduler();
     let allowed_regions = AllowedRegions::of(&["of-hall-0".into()], &[]);
     let barred = Job { allowed_regions, ..job_with(1, &route, 4, 2_000) };
@@ -297,6 +301,27 @@
     assert_eq!(sent(&mut scheduler, &table, 300), [(2, "hall-0".to_owned(), 4)]);
 }
 
+// The requests must not run in the region of their data centre, and wait for the only endpoint
+// elsewhere: a call examines as many of them as two calls hold, and the jobs that changed.
+#[test]
+fn a_call_does_not_examine_all_stages_that_may_not_run_nearby() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], HEAVY)]);
+    let table = regional(&table(&route, 50_000_000, 1));
+    let mut scheduler = scheduler();
+    let allowed_regions = AllowedRegions::of(&["of-hall-0".into()], &[]);
+    for number in 1..=100 {
+        let allowed_regions = allowed_regions.clone();
+        let resubmitted = true;
+        let job = job_with(number, &route, 4, 2_000);
+        scheduler.submit(Job { allowed_regions, resubmitted, ..job }, &table, ms(0));
+    }
+    assert_eq!(sent(&mut scheduler, &table, 0), [(1, "hall-0".to_owned(), 4)]);
+    end(&mut scheduler, &table, 1, 4, 280);
+    let before = scheduler.examined();
+    assert_eq!(sent(&mut scheduler, &table, 280).len(), 1);
+    assert!(scheduler.examined() - before <= 8, "{}", scheduler.examined() - before);
+}
+
 // Two data centres with a queue each: the longer one doesn't displace pieces of the other, and its
 // last pieces fill the call there.
 #[test]
