Overdue stages lead an eighth of the calls and no more

The part of a call that is kept for overdue stages was no bound: a whole stage leads a call, so that stages as large as a call took every call while any was overdue. After an overdue stage has led a call, the next one does so once seven other pieces were sent for each of its own. The queue of a pool counts them.

`directenv/recount.rs` follows: while other pieces are due, which it reads from the owner, it orders all pieces by rank. The test fails on the code before (10 of 10 overdue stages are sent; the test allows 3 or 4).

--- a/src/direct/owner/batching.rs
+++ b/src/direct/owner/batching.rs
@@ -14,7 +14,7 @@
 use crate::direct::owner::jobs::{JobRun, Piece};
 use crate::direct::owner::ledger::PoolLedger;
 use crate::direct::owner::placement::{AwayReason, NearStarts};
-use crate::direct::owner::queue::{Candidate, Rank, Search};
+use crate::direct::owner::queue::{Candidate, Queue, Rank, Search};
 use crate::direct::owner::scheduler::Scheduler;
 use crate::direct::owner::timers::Timer;
 use crate::direct::published::model::{BatchSpec, Endpoint, Name};
@@ -40,6 +40,8 @@
     pieces: usize,
     /// Why the pieces run outside their preferred data centre; `None` if they don't.
     away: Option<AwayReason>,
+    /// Whether the pieces lead the call because they are overdue.
+    is_overdue: bool,
 }
 
 impl Scheduler {
@@ -59,11 +61,21 @@
                 return;
             };
             self.examined += examined as u64;
+            self.record_share(pool, &taken);
             let batch = taken.iter().flat_map(|taken| self.pieces(taken)).collect();
             self.send_call(pool, spec, endpoint, batch, count_away(&taken), now);
         }
     }
 
+    /// Records how many pieces of a call are overdue.
+    fn record_share(&mut self, pool: &Name, taken: &[Selected]) {
+        let pieces = |is_overdue| {
+            let selected = taken.iter().filter(|selected| selected.is_overdue == is_overdue);
+            selected.map(|selected| selected.pieces).sum()
+        };
+        self.ledger.pool(pool).queue.record_sent(pieces(true), pieces(false));
+    }
+
     /// Ids of the selected pieces.
     fn pieces(&self, taken: &Selected) -> Vec<PieceId> {
         let Rank { job, stage, .. } = taken.rank;
@@ -156,8 +168,12 @@
     }
 }
 
-/// Number of pieces of a call that are kept for overdue stages: at least one.
-fn overdue_pieces(spec: &BatchSpec) -> usize {
+/// Number of pieces of the next call that are kept for overdue stages: none until others have had
+/// their share, and at least one then.
+fn overdue_pieces(queue: &Queue, spec: &BatchSpec) -> usize {
+    if queue.owes_others() {
+        return 0;
+    }
     ((spec.pieces as f64 * GUARANTEED_SHARE) as usize).max(1)
 }
 
@@ -175,7 +191,7 @@
     let search = Search {
         now_ms: ms(now) as i64,
         max_pieces: spec.pieces * CALLS_EXAMINED,
-        overdue_pieces: overdue_pieces(spec),
+        overdue_pieces: overdue_pieces(&pool.queue, spec),
     };
     let candidates = pool.queue.candidates(search, |preferred| {
         NearStarts::new(preferred, &pool.endpoints, &pool.in_flight, spec, now)
@@ -246,7 +262,8 @@
             pieces_left -= pieces;
             free_bytes -= pieces as u64 * candidate.bytes;
             let away = candidate.away.filter(|_| !is_preferred);
-            taken.push(Selected { rank, pieces, away });
+            let is_overdue = candidate.leads_as_overdue();
+            taken.push(Selected { rank, pieces, away, is_overdue });
             if isolated.is_none() && taken.len() == 1 && is_isolated(rank) {
                 isolated = Some(rank);
             }
--- a/src/direct/owner/inspect.rs
+++ b/src/direct/owner/inspect.rs
@@ -34,6 +34,8 @@
     pub in_flight: Vec<(Name, Timestamp)>,
     /// Bytes of result memory that other owners use at these endpoints.
     pub used_by_others: u64,
+    /// Whether overdue stages have had their share of the pool for now.
+    pub owes_others: bool,
     /// Free result memory of the free endpoints in use, by endpoint id, in bytes.
     pub free: BTreeMap<Name, u64>,
 }
@@ -74,6 +76,7 @@
             in_flight,
             taken: pool.bookings.timeline(now),
             used_by_others: pool.endpoints.used_by_others(),
+            owes_others: pool.queue.owes_others(),
             free: pool.endpoints.all_free(),
         })
     }
--- a/src/direct/owner/queue.rs
+++ b/src/direct/owner/queue.rs
@@ -1,8 +1,9 @@
 //! Waiting pieces of one pool in the order of service: stages that can still meet their objective
 //! by urgency, and by latest start within one; then those that can't.
 //!
-//! A part of each call is kept for stages that missed their latest start long ago, so that a steady
-//! load of more urgent ones does not keep them, and the results that their jobs hold, forever.
+//! Stages that missed their latest start long ago lead a part of the calls, so that a steady load of
+//! more urgent ones does not keep them, and the results that their jobs hold, forever. A stage is
+//! sent as a whole; the part is kept on average over calls.
 //!
 //! Stages are grouped by preferred data centre. Adding or removing a stage costs the logarithm of
 //! the queue's length; choosing a call costs the number of different urgencies and of the seconds over
@@ -17,12 +18,15 @@
 use crate::direct::published::model::Name;
 use crate::direct::published::regions::AllowedRegions;
 use crate::message::Timestamp;
+use crate::policy::path::GUARANTEED_SHARE;
 use crate::policy::urgency::Urgency;
 
 /// Time after its latest start from which a stage is overdue. Its caller has waited longer than
 /// its objective and keeps waiting; a begun job also holds the results of its earlier stages.
 pub const OVERDUE_AFTER: Duration = Duration::from_secs(1);
 
+/// Number of other pieces that are sent for each piece of an overdue stage that led a call.
+const OTHERS_PER_OVERDUE: usize = (1.0 / GUARANTEED_SHARE) as usize - 1;
 /// Length of the intervals of latest starts by which waiting pieces are counted, in milliseconds.
 const START_INTERVAL_MS: i64 = 1_000;
 
@@ -77,6 +81,11 @@
 }
 
 impl Candidate {
+    /// Whether the pieces lead the call because they are overdue.
+    pub(super) const fn leads_as_overdue(&self) -> bool {
+        matches!(self.class, Class::Overdue)
+    }
+
     /// Whether the pieces accept only endpoints in the preferred data centre for now.
     pub(super) const fn only_preferred(&self) -> bool {
         self.preferred.is_some() && self.away.is_none()
@@ -106,7 +115,8 @@
     pub(super) now_ms: i64,
     /// Number of pieces after which the search of one urgency in a group ends.
     pub(super) max_pieces: usize,
-    /// Number of pieces of the call that are kept for overdue stages.
+    /// Number of pieces of the call that are kept for overdue stages, which may exceed it by the
+    /// rest of the last stage.
     pub(super) overdue_pieces: usize,
 }
 
@@ -192,6 +202,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Queue {
     groups: BTreeMap<Option<Name>, Group>,
+    /// Number of other pieces to send before an overdue stage leads a call again.
+    others_due: usize,
 }
 
 impl Queue {
@@ -229,6 +241,17 @@
         self.groups.is_empty()
     }
 
+    /// Whether overdue stages have had their share of the pool for now.
+    pub(super) const fn owes_others(&self) -> bool {
+        self.others_due > 0
+    }
+
+    /// Records the pieces of a call: those of overdue stages that led it, and others.
+    pub(super) fn record_sent(&mut self, overdue: usize, others: usize) {
+        self.others_due += overdue * OTHERS_PER_OVERDUE;
+        self.others_due = self.others_due.saturating_sub(others);
+    }
+
     /// Number of waiting pieces.
     pub(super) fn pieces(&self) -> usize {
         self.groups.values().map(|g| g.pieces).sum()
--- a/tests/directenv/recount.rs
+++ b/tests/directenv/recount.rs
@@ -342,7 +342,8 @@
     let free: Vec<(Name, u64)> = kept.free.iter().map(|(id, room)| (place(id), *room)).collect();
     let placed = placements(kept, spec, &waiting, &free, now);
     let waiting = waiting.into_iter().zip(placed).collect();
-    let waiting = overdue_first(waiting, &free, spec);
+    let waiting =
+        if kept.owes_others { by_rank(waiting) } else { overdue_first(waiting, &free, spec) };
     let (waiting, waits_for_home): (Vec<_>, Vec<bool>) = waiting
         .into_iter()
         .map(|(w, placed)| {
@@ -415,13 +416,21 @@
     let (mut front, mut back): (Vec<_>, Vec<_>) =
         overdue.into_iter().partition(|(w, _)| stages.contains(&(w.piece.0, w.piece.1)));
     back.extend(rest);
-    let order = |(w, placed): &(WaitingPiece, Option<AwayReason>)| {
+    front = by_rank(front);
+    back = by_rank(back);
+    front.into_iter().chain(back).collect()
+}
+
+/// Orders pieces by rank; those that only use idle capacity elsewhere are examined after the
+/// others.
+fn by_rank(
+    mut waiting: Vec<(WaitingPiece, Option<AwayReason>)>,
+) -> Vec<(WaitingPiece, Option<AwayReason>)> {
+    waiting.sort_by_key(|(w, placed)| {
         let is_last = *placed == Some(AwayReason::LongWait);
         (w.slack_ms < 0, is_last, w.urgency, w.slack_ms, w.piece)
-    };
-    front.sort_by_key(order);
-    back.sort_by_key(order);
-    front.into_iter().chain(back).collect()
+    });
+    waiting
 }
 
 /// The job that gives way first in the pool of a stage: of those of which nothing was sent, the
--- a/tests/order_of_service.rs
+++ b/tests/order_of_service.rs
@@ -258,6 +258,32 @@
     assert!(ready.is_some_and(|at| at < ms(4_000)), "ready at {ready:?}");
 }
 
+// Each overdue stage fills a call, and more urgent pieces wait all the time: the overdue ones get an
+// eighth of the pool, not every call.
+#[test]
+fn overdue_stages_get_their_share_of_the_calls_and_no_more() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], 10)]);
+    let mut owner = Owner::new(&route);
+    let begun = |priority, number, objective| Job {
+        resubmitted: true,
+        to_objective: ms(objective),
+        to_deadline: ms(200_000),
+        ..job_of(priority, number, &route, 4)
+    };
+    for number in 1..=200 {
+        owner.submit(begun(URGENT, number, 100_000), ms(0));
+    }
+    for number in 201..=210 {
+        owner.submit(begun(PATIENT, number, 0), ms(0));
+    }
+    for now in (5..5_500).step_by(5) {
+        owner.step(ms(now));
+    }
+    // Two endpoints complete 29 calls from 1.4 s on.
+    let patient = (201..=210).filter(|number| owner.has_run(&format!("request-{number}"))).count();
+    assert!((3..=4).contains(&patient), "{patient} of 10 overdue stages");
+}
+
 // The endpoints are slower than the pool's specification says: admission plans with what its calls
 // took, and refuses what the specified times would admit.
 #[test]
