Producers drop expired assumptions and are read without a copy

Assumed use of result memory by unknown owners was dropped only with the next report, so that an endpoint without one gathered an entry for each refusal, and every computation of its state copied all of them. The test fails on the code before (100 entries, against 1).

--- a/src/direct/owner/producers.rs
+++ b/src/direct/owner/producers.rs
@@ -72,6 +72,17 @@
     slowness: Option<f64>,
 }
 
+/// An endpoint of which nothing is recorded.
+static UNUSED: Producer = Producer {
+    running: 0,
+    used: 0,
+    unattributed: Vec::new(),
+    blocked_until: Timestamp::ZERO,
+    avoided_until: Timestamp::ZERO,
+    failures: 0,
+    slowness: None,
+};
+
 impl Producer {
     /// Bytes of unknown owners that have not expired.
     fn unattributed_bytes(&self, now: Timestamp) -> u64 {
@@ -95,6 +106,7 @@
     /// Adds bytes of unknown owners that were not observed before.
     fn add_unattributed(&mut self, bytes: u64, retention: Duration, now: Timestamp) {
         if bytes > 0 {
+            self.unattributed.retain(|expiring| now < expiring.expires_at);
             let expires_at = now + retention;
             self.unattributed.push(Expiring { bytes, observed_at: now, expires_at });
         }
@@ -156,8 +168,8 @@
     }
 
     /// What is recorded of an endpoint.
-    pub fn get(&self, endpoint: &str) -> Producer {
-        self.producers.get(endpoint).cloned().unwrap_or_default()
+    pub fn get(&self, endpoint: &str) -> &Producer {
+        self.producers.get(endpoint).unwrap_or(&UNUSED)
     }
 
     /// Marks an endpoint as changed.
--- a/tests/direct_producers.rs
+++ b/tests/direct_producers.rs
@@ -68,3 +68,14 @@
     producers.full(&id, call, ms(0));
     assert_eq!(producers.get(&id).blocked_until, call / 2);
 }
+
+// An endpoint that lacks memory again and again, without any report in between.
+#[test]
+fn what_was_assumed_of_unknown_owners_is_dropped_once_it_has_expired() {
+    let mut producers = producers();
+    for number in 0..100 {
+        producers.no_result_memory(&"m".into(), 10, RETENTION * number);
+    }
+    let kept = format!("{:?}", producers.get("m")).matches("Expiring").count();
+    assert_eq!(kept, 1);
+}
