--- a/src/direct/owner/batching.rs
+++ b/src/direct/owner/batching.rs
@@ -134,7 +134,7 @@
         self.repeats.record_first_sends(pool, first_attempts, now);
         self.producers.sent(&endpoint.id, total);
         self.cold.record_sent(&endpoint, pieces.len(), now);
-        let expected = spec.call_overhead + spec.piece_time * call_params.len() as u32;
+        let expected = spec.call_with(call_params.len());
         let wait_limit = expected.mul_f64(OVERDUE_FACTOR) + OVERDUE_MARGIN;
         let queued = self.ledger.get(pool).map_or(0, |ledger| ledger.queue.pieces());
         self.out.push(Action::Log(LogEvent::BatchSent {
@@ -225,9 +225,7 @@
 /// Pieces of a stage that don't fit together into a call that others have begun to fill wait for
 /// the next call: spread over two calls, the first results would occupy memory for a whole call
 /// until the last ones are produced, and nothing can start with them alone. Result memory is what
-/// pools lack in bursts: with 70 pieces waiting, calls for 18 pieces were sent with 14. Benchmark
-/// gain: 0.011 to 0.021 on scores of 0.56 to 0.76 on six of eight deployments, in 2 to 15 paired
-/// day runs with bursts and losses; within noise (-0.003, 0.001) on the two others.
+/// pools lack in bursts.
 ///
 /// A call with pieces of an isolated stage holds nothing else; see [`super::poison`].
 fn select_pieces(
--- a/src/direct/owner/jobs.rs
+++ b/src/direct/owner/jobs.rs
@@ -312,6 +312,6 @@
     let Some(spec) = table.batch_spec(&stage.pool) else {
         return Duration::ZERO;
     };
-    let own = spec.call_overhead + spec.piece_time * stage.pieces.min(spec.pieces) as u32;
+    let own = spec.call_with(stage.pieces.min(spec.pieces));
     own.max(timings.get(&stage.pool, spec, now).call())
 }
--- a/src/direct/owner/ledger.rs
+++ b/src/direct/owner/ledger.rs
@@ -2,8 +2,7 @@
 //!
 //! Each job stores its current entry; when the job changes, the entry is removed and a new one is
 //! added. The cost of a change depends on the stages of the job alone, and a pool's backlog, load
-//! and memory use are read, not recomputed: 1,400 jobs a second take 0.06 of a core, against 2.7
-//! cores with recomputation.
+//! and memory use are read, not recomputed.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
--- a/src/direct/owner/placement.rs
+++ b/src/direct/owner/placement.rs
@@ -74,7 +74,7 @@
     if latest_start.is_some_and(|latest| near_start + shared_call_margin(spec) > latest) {
         return Some(AwayReason::Late);
     }
-    (near_start > now + full_call(spec)).then_some(AwayReason::LongWait)
+    (near_start > now + spec.full_call()).then_some(AwayReason::LongWait)
 }
 
 /// Time by which pieces of other requests can prolong a call.
@@ -82,17 +82,12 @@
     spec.piece_time * spec.pieces as u32
 }
 
-/// Duration of a full call.
-pub fn full_call(spec: &BatchSpec) -> Duration {
-    spec.call_overhead + spec.piece_time * spec.pieces as u32
-}
-
 /// Time that `endpoints` endpoints need for `pieces` pieces in full calls: the wait that a new job
 /// can expect in the pool of a data centre. The load of pools with calls of different sizes is
 /// comparable only as time.
 pub fn expected_wait(pieces: usize, endpoints: usize, spec: &BatchSpec) -> Duration {
     let per_round = endpoints.max(1) * spec.slots.max(1) as usize * spec.pieces.max(1);
-    full_call(spec).mul_f64(pieces as f64 / per_round as f64)
+    spec.full_call().mul_f64(pieces as f64 / per_round as f64)
 }
 
 /// Calls in flight of one pool, by data centre.
@@ -194,7 +189,7 @@
         self.first_starts.extend(self.further_starts.by_ref().take(missing));
         let slots = self.first_starts.len();
         let first = *self.first_starts.get(call.checked_rem(slots)?)?;
-        Some(first + full_call(self.spec) * (call / slots) as u32)
+        Some(first + self.spec.full_call() * (call / slots) as u32)
     }
 
     /// Why pieces accept an endpoint elsewhere, see [`away_reason`].
@@ -209,7 +204,7 @@
             return Some(AwayReason::NoMemory);
         }
         // Memory is freed when the consumers of results have fetched them, a call later.
-        let memory_at = if lacks_memory { self.now + full_call(self.spec) } else { self.now };
+        let memory_at = if lacks_memory { self.now + self.spec.full_call() } else { self.now };
         let near_start = self.start(ahead).map(|start| start.max(memory_at));
         away_reason(near_start, latest_start, self.spec, self.now)
     }
@@ -218,7 +213,7 @@
     /// with this latest start.
     pub(super) fn all_wait(&self, latest_start: Timestamp, pieces: usize) -> bool {
         let in_next_calls = pieces <= self.calls * self.spec.pieces;
-        let last_start = self.now + full_call(self.spec);
+        let last_start = self.now + self.spec.full_call();
         let is_known = !self.first_starts.is_empty();
         is_known && in_next_calls && last_start + shared_call_margin(self.spec) <= latest_start
     }
--- a/src/direct/owner/plan.rs
+++ b/src/direct/owner/plan.rs
@@ -83,8 +83,7 @@
 }
 
 /// Moves deferred stages that have not started to where the others end: counted from the start,
-/// their results would seem to occupy half as much memory again as they do. Benchmark gain: 0.015
-/// on a score of 0.655, in fifteen paired day runs with bursts and losses.
+/// their results would seem to occupy half as much memory again as they do.
 fn defer(run: &JobRun, runs: &mut [ExpectedRun]) {
     let others = (0..runs.len()).filter(|&s| !run.is_independent(s)).map(|s| runs[s].end).max();
     let Some(others) = others else {
--- a/src/direct/owner/producers.rs
+++ b/src/direct/owner/producers.rs
@@ -161,9 +161,7 @@
     /// configuration: the duration of its last call, and the retention of the results.
     pub fn set_retention(&mut self, table: &Table) {
         let pools = table.deployment.pools.iter().filter_map(|p| table.batch_spec(&p.name));
-        let retention = |spec: &BatchSpec| {
-            spec.call_overhead + spec.piece_time * spec.pieces as u32 + spec.result_retention
-        };
+        let retention = |spec: &BatchSpec| spec.full_call() + spec.result_retention;
         self.retention = pools.map(retention).max().unwrap_or(DEFAULT_RETENTION);
     }
 
--- a/src/direct/owner/timings.rs
+++ b/src/direct/owner/timings.rs
@@ -28,7 +28,7 @@
 impl PoolTimings {
     /// Defaults of a pool without measurements: calls are half full and nothing waits.
     fn defaults(spec: &BatchSpec) -> Self {
-        let call = spec.call_overhead + spec.piece_time * (spec.pieces as u32 / 2);
+        let call = spec.call_with(spec.pieces / 2);
         let (call, piece) = (call.as_secs_f64(), spec.piece_time.as_secs_f64());
         Self { wait: 0.0, call, piece, measured_at: Timestamp::ZERO }
     }
--- a/src/direct/published/cells.rs
+++ b/src/direct/published/cells.rs
@@ -9,11 +9,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use crate::direct::published::model::{BatchSpec, Endpoint, Name, Pool, Work};
+use crate::direct::published::model::{Endpoint, Name, Pool, Work};
 
-/// Full calls a second that one owner is to handle. An owner of 120 endpoints, which complete 270
-/// full calls a second, used 0.12 of a core; this bound keeps it at 0.1 of a core, which a host of
-/// a gateway has to spare.
+/// Full calls a second that one owner is to handle, so that it needs no more processor time than the
+/// host of a gateway has to spare.
 const MAX_CALLS_PER_SECOND: f64 = 220.0;
 /// Shortest duration of a call that is computed with, for configurations that state none.
 const MIN_CALL: Duration = Duration::from_millis(1);
@@ -101,13 +100,13 @@
 /// Each data centre counts as having as many endpoints as the one with the most, so that the cells
 /// remain the same while single endpoints are replaced, fail or are added.
 fn calls_per_second(pool: &Pool, counts: &Counts<'_>) -> f64 {
-    let Work::Batch(BatchSpec { slots, pieces, call_overhead, piece_time, .. }) = pool.work else {
+    let Work::Batch(spec) = &pool.work else {
         return 0.0;
     };
     let most = counts.values().filter_map(|per_pool| per_pool.get(&pool.name)).max();
     let endpoints = most.copied().unwrap_or_default() * counts.len();
-    let full_call = (call_overhead + piece_time * pieces as u32).max(MIN_CALL);
-    endpoints as f64 * f64::from(slots) / full_call.as_secs_f64()
+    let full_call = spec.full_call().max(MIN_CALL);
+    endpoints as f64 * f64::from(spec.slots) / full_call.as_secs_f64()
 }
 
 /// Groups data centres so that each group has enough endpoints of every pool: one with too few is
--- a/src/direct/published/model.rs
+++ b/src/direct/published/model.rs
@@ -162,6 +162,18 @@
     pub result_retention: Duration,
 }
 
+impl BatchSpec {
+    /// Specified duration of a call with `pieces` pieces.
+    pub fn call_with(&self, pieces: usize) -> Duration {
+        self.call_overhead + self.piece_time * pieces as u32
+    }
+
+    /// Specified duration of a full call.
+    pub fn full_call(&self) -> Duration {
+        self.call_with(self.pieces)
+    }
+}
+
 /// An organisation whose callers are accepted, and its keys.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Organisation {
--- a/tests/directenv/recount.rs
+++ b/tests/directenv/recount/mod.rs
@@ -1,28 +1,26 @@
 //! Recomputes an owner's decisions from all jobs, slowly and simply, to check the state that the
 //! owner keeps incrementally.
 
+mod loads;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::ops::AddAssign;
-use std::sync::Arc;
 use std::time::Duration;
 
 use stackmast::direct::event::Action;
 use stackmast::direct::log_events::{LogEvent, ms};
 use stackmast::direct::owner::inspect::PoolState;
 use stackmast::direct::owner::jobs::{JobRun, Piece};
-use stackmast::direct::owner::placement::{AwayReason, away_reason, full_call};
+use stackmast::direct::owner::placement::{AwayReason, away_reason};
 use stackmast::direct::owner::scheduler::Scheduler;
 use stackmast::direct::peers::message::{Job, JobId};
 use stackmast::direct::published::model::{BatchSpec, Name};
 use stackmast::direct::published::table::Table;
-use stackmast::policy::path::{
-    DEFERRAL_MARGIN, PathDecision, PathRefusal, Reserved, StageLoad, admit_path,
-};
-use stackmast::policy::timeline::Timeline;
+use stackmast::policy::path::{DEFERRAL_MARGIN, PathDecision, PathRefusal, StageLoad, admit_path};
 use stackmast::policy::urgency::Urgency;
 
-/// Seconds after which the weight of an arrival has fallen to 1 / e.
-const ARRIVAL_DECAY_S: f64 = 1.0;
+use loads::{gives_way, load};
+
 /// Share of a call that is kept for pieces that missed their latest start long ago.
 const KEPT_FOR_OVERDUE: f64 = 0.125;
 /// Milliseconds after its latest start from which a piece belongs to them.
@@ -324,9 +322,9 @@
     round.sort_unstable();
     let call = (pieces - 1) / spec.pieces;
     let start = round.get(call % round.len().max(1))?;
-    let start = *start + full_call(spec) * (call / round.len()) as u32;
+    let start = *start + spec.full_call() * (call / round.len()) as u32;
     let lacks_memory = rooms.iter().max().is_some_and(|room| *room < bytes);
-    Some(if lacks_memory { start.max(now + full_call(spec)) } else { start })
+    Some(if lacks_memory { start.max(now + spec.full_call()) } else { start })
 }
 
 /// Computes the first call: the endpoint for the most urgent piece that fits anywhere, and the
@@ -432,102 +430,3 @@
     });
     waiting
 }
-
-/// The job that gives way first in the pool of a stage: of those of which nothing was sent, the
-/// least urgent with the latest objective.
-fn gives_way(
-    owner: &Scheduler,
-    job: &Job,
-    stage: usize,
-    without: &BTreeSet<JobId>,
-) -> Option<JobId> {
-    let pool = &job.stages[stage].pool;
-    let waits = |run: &JobRun| {
-        let stages = run.job.stages.iter().zip(&run.stages);
-        let mut in_pool = stages.filter(|(spec, state)| spec.pool == *pool && state.waiting() > 0);
-        in_pool.next().is_some()
-    };
-    let less_urgent = owner.active_jobs().filter(|(id, run)| {
-        let is_less_urgent = run.urgency > urgency(job);
-        is_less_urgent && run.is_untouched() && waits(run) && !without.contains(*id)
-    });
-    let last = less_urgent.max_by_key(|(id, run)| (run.urgency, run.objective, **id));
-    last.map(|(id, _)| *id)
-}
-
-/// Urgency of a job whose route is in no configuration.
-const fn urgency(job: &Job) -> Urgency {
-    Urgency { priority: job.priority, route: job.priority }
-}
-
-/// Pieces and bytes per second that arrive at a pool, of jobs for which `counts` holds.
-fn arrivals(
-    arrived: &[(Duration, Job)],
-    pool: &Name,
-    now: Duration,
-    counts: impl Fn(&Job) -> bool,
-) -> (f64, f64) {
-    let (mut pieces, mut bytes) = (0.0, 0.0);
-    for (at, job) in arrived.iter().filter(|(_, job)| counts(job)) {
-        let weight = (-(now - *at).as_secs_f64() / ARRIVAL_DECAY_S).exp() / ARRIVAL_DECAY_S;
-        for stage in job.stages.iter().filter(|s| s.pool == *pool) {
-            pieces += weight * stage.pieces as f64;
-            bytes += weight * stage.pieces as f64 * stage.result_bytes as f64;
-        }
-    }
-    (pieces, bytes)
-}
-
-fn load(
-    owner: &mut Scheduler,
-    job: &Job,
-    index: usize,
-    without: &BTreeSet<JobId>,
-    arrived: &[(Duration, Job)],
-    table: &Table,
-    now: Duration,
-) -> StageLoad {
-    let stage = &job.stages[index];
-    let spec = table.batch_spec(&stage.pool).expect("it works in batches");
-    let kept = owner.pool_state(&stage.pool, table, now).expect("endpoints are listed");
-    let endpoints = kept.usable.values().sum::<usize>() as f64;
-    let own = spec.call_overhead + spec.piece_time * stage.pieces.min(spec.pieces) as u32;
-    let recent = owner.recent_calls(&stage.pool, table, now);
-    let (recent, full_call) = recent.expect("it works in batches");
-    let call = own.max(recent);
-    let mut pieces = 0.0;
-    let mut memory_in_use = Timeline::default();
-    for (_, run) in owner.active_jobs().filter(|(id, _)| !without.contains(*id)) {
-        let fillings = owner.planned_occupancy(run, table, now);
-        for ((spec, state), filling) in run.job.stages.iter().zip(&run.stages).zip(fillings) {
-            if spec.pool != stage.pool {
-                continue;
-            }
-            if run.urgency <= urgency(job) {
-                pieces += state.waiting() as f64;
-            }
-            if let Some(filling) = filling {
-                memory_in_use.add(filling.from, filling.until, filling.bytes as f64);
-            }
-        }
-    }
-    let piece_time = full_call.div_f64(spec.pieces as f64);
-    let busy = |pieces: f64| (piece_time.as_secs_f64() * pieces / endpoints.max(0.01)).min(1.0);
-    let all = arrivals(arrived, &stage.pool, now, |_| true);
-    let urgent = arrivals(arrived, &stage.pool, now, |other| urgency(other) < urgency(job));
-    StageLoad {
-        after: stage.after.clone(),
-        is_done: false,
-        slots: endpoints,
-        backlog: piece_time.mul_f64(pieces),
-        slot_share: 1.0 - busy(urgent.0),
-        usual_wait: call.mul_f64(busy(all.0) / endpoints.max(1.0)),
-        call,
-        full_call,
-        result_memory: endpoints * spec.result_memory_bytes as f64 - kept.used_by_others as f64,
-        memory_in_use: Arc::new(memory_in_use),
-        required_memory: (stage.pieces as u64 * stage.result_bytes) as f64,
-        urgent_memory_rate: urgent.1,
-        reserved: Reserved::default(),
-    }
-}
