--- a/src/direct/owner/admission.rs
+++ b/src/direct/owner/admission.rs
@@ -19,7 +19,7 @@
 use crate::direct::published::model::Name;
 use crate::direct::published::table::Table;
 use crate::message::Timestamp;
-use crate::policy::path::{PathDecision, Reserved, StageLoad, admit_path};
+use crate::policy::path::{PathDecision, PathRefusal, Reserved, StageLoad, admit_path};
 use crate::policy::timeline::Timeline;
 use crate::policy::urgency::Urgency;
 
@@ -33,6 +33,9 @@
         if self.poison_in(&job).is_some() {
             return self.send_given_up(id, JobReason::Failed, true, RETENTION);
         }
+        if let Some(refusal) = self.earlier_refusal(&job, now) {
+            return self.refuse_not_started(&job, refusal, table, now);
+        }
         if self.last_submit.is_none_or(|last| now >= last + TAKEOVER_PERIOD) {
             self.active_since = now;
             self.ask_reports(table, now);
@@ -41,7 +44,6 @@
         let urgency = urgency(&job, table);
         let place = self.places.take_due(job.fingerprint, now);
         let has_place = place.is_some();
-        self.record_arrival(&job, urgency, now);
         self.update_ledger(table, now);
         let mut decision = self.decide(&job, urgency, has_place, table, now);
         let excess_wait = self.excess_turn_wait(&job, table, now).filter(|_| !job.resubmitted);
@@ -54,18 +56,23 @@
             decision = self.decide(&job, urgency, has_place, table, now);
         }
         self.log_decision(&job, urgency, &decision);
+        if excess_wait.is_none() && decision.refusal != Some(PathRefusal::NoEndpoint) {
+            self.record_arrival(&job, urgency, now);
+        }
         if let Some(refusal) = decision.refusal {
             self.end_place(place, PlaceOutcome::Refused, now);
-            return self.refuse(&job, refusal, decision.retry_after, table, now);
+            let refusal = (refusal, decision.retry_after);
+            return self.refuse_not_started(&job, refusal, table, now);
         }
         if let Some(retry_after) = excess_wait {
             self.end_place(place, PlaceOutcome::Refused, now);
+            self.keep_refusal(id, (PathRefusal::WouldBeLate, retry_after), now);
             return self.send_given_up(id, JobReason::WouldBeLate, true, retry_after);
         }
         self.end_place(place, PlaceOutcome::Used, now);
         self.release_place(job.fingerprint, PlaceOutcome::Early, now);
         self.send_to_gateway(id, PeerMessage::Accepted(id));
-        let mut run = JobRun::new(job, table, &self.timings, now);
+        let mut run = JobRun::new(job, decision.allowed, table, &self.timings, now);
         run.heavy_data_centre = self.least_loaded_data_centre(&run, table);
         for (spec, stage) in run.job.stages.iter().zip(&run.stages) {
             for made in stage.results() {
@@ -78,7 +85,8 @@
         self.refuse_displaced(displaced, id, table, now);
     }
 
-    /// Records the pieces and results that a job needs as demand for its pools.
+    /// Records the pieces and results that a job needs as demand for its pools. The decision on a
+    /// job does not count its own arrival, and jobs that no pool can run are no demand.
     fn record_arrival(&mut self, job: &Job, urgency: Urgency, now: Timestamp) {
         for stage in &job.stages {
             let pieces = stage.pieces.saturating_sub(stage.done.len());
@@ -171,7 +179,7 @@
         table: &Table,
         now: Timestamp,
     ) -> StageLoad {
-        let call = expected_call(stage, table, &self.timings);
+        let call = expected_call(stage, table, &self.timings, now);
         let mut load = StageLoad {
             after: stage.after.clone(),
             is_done: stage.pieces == 0 || stage.done.len() == stage.pieces,
@@ -196,7 +204,7 @@
         load.slots = endpoints * f64::from(spec.slots);
         load.result_memory = (spec.result_memory_bytes as f64)
             .mul_add(endpoints, -(pool.endpoints.used_by_others() as f64));
-        let full_call = self.timings.get(&stage.pool, spec).full_call(spec);
+        let full_call = self.timings.get(&stage.pool, spec, now).full_call(spec);
         let piece = full_call.div_f64(spec.pieces.max(1) as f64);
         let urgent = pool.arrivals.more_urgent_than(urgency, now);
         let all = pool.arrivals.total(now);
--- a/src/direct/owner/inspect.rs
+++ b/src/direct/owner/inspect.rs
@@ -35,6 +35,8 @@
     pub in_flight: Vec<(Name, Timestamp)>,
     /// Bytes of result memory that other owners use at these endpoints.
     pub used_by_others: u64,
+    /// Whether overdue stages have had their share of the pool for now.
+    pub owes_others: bool,
     /// Free result memory of the free endpoints in use, by endpoint id, in bytes.
     pub free: BTreeMap<Name, u64>,
 }
@@ -75,6 +77,7 @@
             in_flight,
             taken: pool.bookings.timeline(now),
             used_by_others: pool.endpoints.used_by_others(),
+            owes_others: pool.queue.owes_others(),
             free: pool.endpoints.all_free(),
         })
     }
@@ -101,9 +104,14 @@
     }
 
     /// Recent average duration of a call in a pool, and that of a full call.
-    pub fn recent_calls(&self, pool: &str, table: &Table) -> Option<(Duration, Duration)> {
+    pub fn recent_calls(
+        &self,
+        pool: &str,
+        table: &Table,
+        now: Timestamp,
+    ) -> Option<(Duration, Duration)> {
         let spec = table.batch_spec(pool)?;
-        let pool_timings: PoolTimings = self.timings.get(pool, spec);
+        let pool_timings: PoolTimings = self.timings.get(pool, spec, now);
         Some((pool_timings.call(), pool_timings.full_call(spec)))
     }
 }
--- a/src/direct/owner/mod.rs
+++ b/src/direct/owner/mod.rs
@@ -8,6 +8,8 @@
 //! - `admission`: the decision whether a job is admitted.
 //! - `displacement`: admitted jobs that give way to more urgent ones.
 //! - `places` and `booked`: refusals, and the places that are kept for callers that return.
+//! - `not_started`: recent refusals, for jobs that are resubmitted meanwhile.
+//! - `ends`: jobs that are cancelled; `gateways`: the jobs of gateways that end.
 //! - `batching`: the choice of pieces and endpoint for each call.
 //! - `placement`: whether a piece waits for an endpoint near the consumer of its result.
 //! - `outcomes`: the handling of calls that end.
@@ -33,11 +35,13 @@
 mod calls;
 mod displacement;
 mod endpoints;
+mod ends;
 mod entry;
 mod gateways;
 pub mod inspect;
 pub mod jobs;
 mod ledger;
+mod not_started;
 mod outcomes;
 pub mod owners;
 mod pauses;
--- a/src/direct/owner/placement.rs
+++ b/src/direct/owner/placement.rs
@@ -6,7 +6,7 @@
 //! fetches all its inputs, so a stage that runs elsewhere transfers them many times over. A piece
 //! that the calls nearby would make late takes an endpoint elsewhere. The estimate of the start
 //! uses the expected ends of the calls in flight, the pieces ahead, and the size of a full call; it
-//! costs as many steps as there are calls ahead of the pieces that are examined.
+//! costs at most as many steps as the data centre has slots.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -22,6 +22,9 @@
 /// is slow.
 const MAX_OVERRUN: Duration = Duration::from_millis(50);
 
+/// Minimum expected remaining time of a call: until it has ended, its endpoint is not free.
+const MIN_REMAINING: Duration = Duration::from_millis(1);
+
 /// Why a piece accepts an endpoint outside its preferred data centre.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum AwayReason {
@@ -71,7 +74,7 @@
     if latest_start.is_some_and(|latest| near_start + shared_call_margin(spec) > latest) {
         return Some(AwayReason::Late);
     }
-    (near_start > now + full_call(spec)).then_some(AwayReason::LongWait)
+    (near_start > now + spec.full_call()).then_some(AwayReason::LongWait)
 }
 
 /// Time by which pieces of other requests can prolong a call.
@@ -79,17 +82,12 @@
     spec.piece_time * spec.pieces as u32
 }
 
-/// Duration of a full call.
-pub fn full_call(spec: &BatchSpec) -> Duration {
-    spec.call_overhead + spec.piece_time * spec.pieces as u32
-}
-
 /// Time that `endpoints` endpoints need for `pieces` pieces in full calls: the wait that a new job
 /// can expect in the pool of a data centre. The load of pools with calls of different sizes is
 /// comparable only as time.
 pub fn expected_wait(pieces: usize, endpoints: usize, spec: &BatchSpec) -> Duration {
     let per_round = endpoints.max(1) * spec.slots.max(1) as usize * spec.pieces.max(1);
-    full_call(spec).mul_f64(pieces as f64 / per_round as f64)
+    spec.full_call().mul_f64(pieces as f64 / per_round as f64)
 }
 
 /// Calls in flight of one pool, by data centre.
@@ -123,27 +121,26 @@
         data_centre: &str,
         endpoints: &'a Endpoints,
         now: Timestamp,
-    ) -> impl Iterator<Item = Timestamp> + Clone + 'a {
+    ) -> impl Iterator<Item = Timestamp> + 'a {
         let first = (now.saturating_sub(MAX_OVERRUN), 0);
         let calls = self.by_data_centre.get(data_centre).into_iter();
         let calls = calls.flat_map(move |local| local.range(first..));
         let calls = calls.filter(|(_, endpoint)| endpoints.is_in_use(endpoint));
-        calls.map(move |((end, _), _)| (*end).max(now))
+        calls.map(move |((end, _), _)| (*end).max(now + MIN_REMAINING))
     }
 }
 
-/// Expected starts of the next calls in one data centre. Positions must be asked for in ascending
-/// order.
+/// Expected starts of the next calls in one data centre.
 pub(super) struct NearStarts<'a> {
     spec: &'a BatchSpec,
     now: Timestamp,
     region: Option<&'a str>,
     /// Free result memory of the free endpoint with the most, in bytes.
     free_bytes: Option<u64>,
-    /// Starts of the first calls of all slots; infinite, with later rounds after the first one.
-    starts: Box<dyn Iterator<Item = Timestamp> + 'a>,
-    /// The current call and its start.
-    current: Option<(usize, Timestamp)>,
+    /// Starts of the first calls of all slots, as far as they were needed.
+    first_starts: Vec<Timestamp>,
+    /// The further ones.
+    further_starts: Box<dyn Iterator<Item = Timestamp> + 'a>,
     /// Number of calls that start within the duration of a full call.
     calls: usize,
 }
@@ -158,13 +155,9 @@
     ) -> Self {
         let free = endpoints.free_in(data_centre);
         let ends = in_flight.ends(data_centre, endpoints, now);
-        let first_round = std::iter::repeat_n(now, free).chain(ends);
+        let mut starts = std::iter::repeat_n(now, free).chain(ends);
         let calls = endpoints.count_in(data_centre) * spec.slots as usize;
-        let rounds = (0..).map(move |round| full_call(spec) * round);
-        let mut starts =
-            rounds.flat_map(move |later| first_round.clone().map(move |start| start + later));
-        let has_calls = free > 0 || in_flight.ends(data_centre, endpoints, now).next().is_some();
-        let current = if has_calls { starts.next().map(|start| (0, start)) } else { None };
+        let first_starts = starts.next().into_iter().collect();
         let free_bytes = endpoints.most_free_in(data_centre, 0).map(|(bytes, _)| bytes);
         let region = endpoints.region_of(data_centre);
         Self {
@@ -172,8 +165,8 @@
             now,
             region,
             free_bytes,
-            starts: Box::new(starts),
-            current,
+            first_starts,
+            further_starts: Box::new(starts),
             calls: calls.max(1),
         }
     }
@@ -188,15 +181,15 @@
         self.free_bytes.is_some_and(|free| free >= bytes)
     }
 
-    /// Expected start of the piece that has `ahead` pieces ahead of it.
+    /// Expected start of the piece that has `ahead` pieces ahead of it. Each slot runs full calls
+    /// one after the other from its first start on.
     fn start(&mut self, ahead: usize) -> Option<Timestamp> {
         let call = ahead / self.spec.pieces.max(1);
-        while let Some((current, _)) = self.current
-            && current < call
-        {
-            self.current = self.starts.next().map(|start| (current + 1, start));
-        }
-        self.current.map(|(_, start)| start)
+        let missing = (call + 1).saturating_sub(self.first_starts.len());
+        self.first_starts.extend(self.further_starts.by_ref().take(missing));
+        let slots = self.first_starts.len();
+        let first = *self.first_starts.get(call.checked_rem(slots)?)?;
+        Some(first + self.spec.full_call() * (call / slots) as u32)
     }
 
     /// Why pieces accept an endpoint elsewhere, see [`away_reason`].
@@ -211,7 +204,7 @@
             return Some(AwayReason::NoMemory);
         }
         // Memory is freed when the consumers of results have fetched them, a call later.
-        let memory_at = if lacks_memory { self.now + full_call(self.spec) } else { self.now };
+        let memory_at = if lacks_memory { self.now + self.spec.full_call() } else { self.now };
         let near_start = self.start(ahead).map(|start| start.max(memory_at));
         away_reason(near_start, latest_start, self.spec, self.now)
     }
@@ -220,8 +213,8 @@
     /// with this latest start.
     pub(super) fn all_wait(&self, latest_start: Timestamp, pieces: usize) -> bool {
         let in_next_calls = pieces <= self.calls * self.spec.pieces;
-        let last_start = self.now + full_call(self.spec);
-        let is_known = self.current.is_some();
+        let last_start = self.now + self.spec.full_call();
+        let is_known = !self.first_starts.is_empty();
         is_known && in_next_calls && last_start + shared_call_margin(self.spec) <= latest_start
     }
 }
--- a/src/direct/owner/places.rs
+++ b/src/direct/owner/places.rs
@@ -84,7 +84,7 @@
         table: &Table,
         now: Timestamp,
     ) -> Option<Wish> {
-        let calls = expected_calls(job, table, &self.timings);
+        let calls = expected_calls(job, table, &self.timings, now);
         let mut needs: Vec<Need> = Vec::new();
         for (stage, call) in job.stages.iter().zip(&calls) {
             if stage.pieces > stage.done.len() {
@@ -133,7 +133,7 @@
             in_use: Arc::new(pool.bookings.timeline(now)),
             now,
         };
-        let timings = self.timings.get(&stage.pool, spec);
+        let timings = self.timings.get(&stage.pool, spec, now);
         let hold = call.max(timings.call()) + timings.wait() + FINAL_RESULT_HOLD_TIME;
         let demand = Demand { amount, hold };
         let call_interval = call.div_f64(capacity.slots.max(1.0));
--- a/src/direct/owner/plan.rs
+++ b/src/direct/owner/plan.rs
@@ -52,7 +52,7 @@
             runs.push(ExpectedRun { start: Duration::ZERO, end: ready });
             continue;
         };
-        let pool_timings = context.timings.get(&spec.pool, batch);
+        let pool_timings = context.timings.get(&spec.pool, batch, context.now);
         let waiting = ready + pool_timings.wait() + pool_timings.call();
         let running = remaining_call_time(stage, context);
         runs.push(match running {
@@ -83,8 +83,7 @@
 }
 
 /// Moves deferred stages that have not started to where the others end: counted from the start,
-/// their results would seem to occupy half as much memory again as they do. Benchmark gain: 0.015
-/// on a score of 0.655, in fifteen paired day runs with bursts and losses.
+/// their results would seem to occupy half as much memory again as they do.
 fn defer(run: &JobRun, runs: &mut [ExpectedRun]) {
     let others = (0..runs.len()).filter(|&s| !run.is_independent(s)).map(|s| runs[s].end).max();
     let Some(others) = others else {
--- a/src/direct/owner/queue.rs
+++ b/src/direct/owner/queue.rs
@@ -1,12 +1,14 @@
 //! Waiting pieces of one pool in the order of service: stages that can still meet their objective
 //! by urgency, and by latest start within one; then those that can't.
 //!
-//! A part of each call is kept for stages that missed their latest start long ago, so that a steady
-//! load of more urgent ones does not keep them, and the results that their jobs hold, forever.
+//! Stages that missed their latest start long ago lead a part of the calls, so that a steady load of
+//! more urgent ones does not keep them, and the results that their jobs hold, forever. A stage is
+//! sent as a whole; the part is kept on average over calls.
 //!
 //! Stages are grouped by preferred data centre. Adding or removing a stage costs the logarithm of
-//! the queue's length; choosing a call costs the number of different urgencies, the size of one
-//! call and that of the next calls of one data centre, whatever the length of the queue.
+//! the queue's length; choosing a call costs the number of different urgencies and of the seconds over
+//! which their latest starts are spread, the size of one call and that of the next calls of one data
+//! centre, whatever the length of the queue.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -16,19 +18,25 @@
 use crate::direct::published::model::Name;
 use crate::direct::published::regions::AllowedRegions;
 use crate::message::Timestamp;
+use crate::policy::path::GUARANTEED_SHARE;
 use crate::policy::urgency::Urgency;
 
 /// Time after its latest start from which a stage is overdue. Its caller has waited longer than
 /// its objective and keeps waiting; a begun job also holds the results of its earlier stages.
 pub const OVERDUE_AFTER: Duration = Duration::from_secs(1);
 
+/// Number of other pieces that are sent for each piece of an overdue stage that led a call.
+const OTHERS_PER_OVERDUE: usize = (1.0 / GUARANTEED_SHARE) as usize - 1;
+/// Length of the intervals of latest starts by which waiting pieces are counted, in milliseconds.
+const START_INTERVAL_MS: i64 = 1_000;
+
 /// Position of a stage in the order of urgency.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
     /// Urgency of the job.
     pub urgency: Urgency,
-    /// Latest start with which the response meets its objective, in milliseconds of the owner's
-    /// clock.
+    /// Latest start with which the response starts within the time that admission allowed, in
+    /// milliseconds of the owner's clock.
     pub latest_start_ms: i64,
     /// Job of the stage.
     pub job: JobId,
@@ -73,6 +81,11 @@
 }
 
 impl Candidate {
+    /// Whether the pieces lead the call because they are overdue.
+    pub(super) const fn leads_as_overdue(&self) -> bool {
+        matches!(self.class, Class::Overdue)
+    }
+
     /// Whether the pieces accept only endpoints in the preferred data centre for now.
     pub(super) const fn only_preferred(&self) -> bool {
         self.preferred.is_some() && self.away.is_none()
@@ -102,7 +115,8 @@
     pub(super) now_ms: i64,
     /// Number of pieces after which the search of one urgency in a group ends.
     pub(super) max_pieces: usize,
-    /// Number of pieces of the call that are kept for overdue stages.
+    /// Number of pieces of the call that are kept for overdue stages, which may exceed it by the
+    /// rest of the last stage.
     pub(super) overdue_pieces: usize,
 }
 
@@ -134,8 +148,18 @@
 struct Group {
     stages: BTreeMap<Rank, Queued>,
     pieces: usize,
-    /// Pieces by urgency.
-    pieces_of: BTreeMap<Urgency, usize>,
+    /// Pieces by urgency and interval of the latest start.
+    pieces_by_start: BTreeMap<(Urgency, i64), usize>,
+}
+
+/// Interval of a latest start.
+const fn start_interval(latest_start_ms: i64) -> i64 {
+    latest_start_ms.div_euclid(START_INTERVAL_MS)
+}
+
+/// Key under which the pieces of a stage are counted.
+const fn start_key(rank: Rank) -> (Urgency, i64) {
+    (rank.urgency, start_interval(rank.latest_start_ms))
 }
 
 type Entry<'a> = (&'a Rank, &'a Queued);
@@ -148,12 +172,17 @@
 
     /// The urgencies of the waiting pieces, the highest first.
     fn urgencies(&self) -> impl Iterator<Item = Urgency> + '_ {
-        self.pieces_of.iter().filter(|(_, pieces)| **pieces > 0).map(|(urgency, _)| *urgency)
+        let mut last = None;
+        let urgencies = self.pieces_by_start.keys().map(|(urgency, _)| *urgency);
+        urgencies.filter(move |urgency| last.replace(*urgency) != Some(*urgency))
     }
 
-    /// Number of pieces of one urgency.
-    fn pieces_of(&self, urgency: Urgency) -> usize {
-        self.pieces_of.get(&urgency).copied().unwrap_or_default()
+    /// Number of pieces of one urgency that can meet their objective; those whose latest start has
+    /// passed in the current interval are included.
+    fn pieces_in_time(&self, urgency: Urgency, now_ms: i64) -> usize {
+        let first = (urgency, start_interval(now_ms));
+        let in_time = self.pieces_by_start.range(first..=(urgency, i64::MAX));
+        in_time.map(|(_, pieces)| pieces).sum()
     }
 
     /// Stages of one urgency that can meet their objective, most urgent first.
@@ -173,6 +202,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Queue {
     groups: BTreeMap<Option<Name>, Group>,
+    /// Number of other pieces to send before an overdue stage leads a call again.
+    others_due: usize,
 }
 
 impl Queue {
@@ -184,7 +215,7 @@
             Queued { pieces, bytes, allowed_regions: allowed_regions.clone() },
         );
         group.pieces += waiting.pieces;
-        *group.pieces_of.entry(waiting.rank.urgency).or_default() += waiting.pieces;
+        *group.pieces_by_start.entry(start_key(waiting.rank)).or_default() += waiting.pieces;
     }
 
     pub(super) fn remove(&mut self, waiting: &Waiting) {
@@ -193,8 +224,12 @@
         };
         if let Some(queued) = group.stages.remove(&waiting.rank) {
             group.pieces -= queued.pieces;
-            if let Some(pieces) = group.pieces_of.get_mut(&waiting.rank.urgency) {
+            let key = start_key(waiting.rank);
+            if let Some(pieces) = group.pieces_by_start.get_mut(&key) {
                 *pieces -= queued.pieces;
+                if *pieces == 0 {
+                    group.pieces_by_start.remove(&key);
+                }
             }
         }
         if group.stages.is_empty() {
@@ -206,6 +241,17 @@
         self.groups.is_empty()
     }
 
+    /// Whether overdue stages have had their share of the pool for now.
+    pub(super) const fn owes_others(&self) -> bool {
+        self.others_due > 0
+    }
+
+    /// Records the pieces of a call: those of overdue stages that led it, and others.
+    pub(super) fn record_sent(&mut self, overdue: usize, others: usize) {
+        self.others_due += overdue * OTHERS_PER_OVERDUE;
+        self.others_due = self.others_due.saturating_sub(others);
+    }
+
     /// Number of waiting pieces.
     pub(super) fn pieces(&self) -> usize {
         self.groups.values().map(|g| g.pieces).sum()
@@ -326,6 +372,10 @@
         let (mut found, mut examined) = (0, 0);
         let mut is_complete = true;
         for (rank, queued) in entries {
+            if found >= self.search.max_pieces {
+                is_complete = false;
+                break;
+            }
             let candidate = Candidate {
                 preferred: Some(self.preferred.clone()),
                 ..queued.candidate(*rank, class)
@@ -341,7 +391,7 @@
             let latest_start = (class == Class::InTime).then(|| rank.latest_start());
             let all_wait =
                 latest_start.is_some_and(|latest| self.near.all_wait(latest, self.group.pieces));
-            if found >= self.search.max_pieces || all_wait && !is_free {
+            if all_wait && !is_free {
                 is_complete = false;
                 break;
             }
@@ -355,7 +405,8 @@
             }
         }
         if !is_complete && class == Class::InTime {
-            self.ahead += self.group.pieces_of(urgency).saturating_sub(examined);
+            let in_time = self.group.pieces_in_time(urgency, self.search.now_ms);
+            self.ahead += in_time.saturating_sub(examined);
         }
     }
 }
--- a/src/direct/owner/scheduler.rs
+++ b/src/direct/owner/scheduler.rs
@@ -22,6 +22,7 @@
 use crate::direct::owner::entry::entry;
 use crate::direct::owner::jobs::{JobRun, Piece, expected_calls};
 use crate::direct::owner::ledger::{Entry, Ledger};
+use crate::direct::owner::not_started::NotStarted;
 use crate::direct::owner::outcomes::OWNERS_PER_CELL;
 use crate::direct::owner::permits::Permits;
 use crate::direct::owner::plan::PlanContext;
@@ -57,6 +58,8 @@
     pub(super) limits: Arc<KnownLimits>,
     pub(super) permits: Permits,
     pub(super) repeats: RepeatLimiter,
+    /// Jobs that were recently refused as not started.
+    pub(super) not_started: NotStarted,
     /// Fingerprints under which endpoints crashed.
     pub(super) suspects: Arc<Suspects>,
     pub(super) next_call: u64,
@@ -103,6 +106,7 @@
             limits: Arc::default(),
             permits: Permits::default(),
             repeats: RepeatLimiter::new(bounds),
+            not_started: NotStarted::default(),
             suspects: Arc::default(),
             next_call: 0,
             timings: Timings::default(),
@@ -357,7 +361,7 @@
             }
         }
         for (id, run) in &mut self.jobs {
-            run.calls = expected_calls(&run.job, table, &self.timings);
+            run.calls = expected_calls(&run.job, table, &self.timings, now);
             self.changed_jobs.push(*id);
         }
     }
@@ -417,24 +421,6 @@
         self.dirty.extend(waits.map(|(stage, _)| run.job.stages[stage].pool.clone()));
     }
 
-    pub(super) fn cancel_job(&mut self, id: JobId, reason: JobReason, table: &Table) {
-        if !self.jobs.contains_key(&id) {
-            return;
-        }
-        self.release(id, table);
-        self.send_given_up(id, reason, false, Duration::from_millis(300));
-    }
-
-    pub(super) fn send_given_up(
-        &mut self,
-        job: JobId,
-        reason: JobReason,
-        not_started: bool,
-        retry_after: Duration,
-    ) {
-        self.send_to_gateway(job, PeerMessage::Cancelled { job, reason, not_started, retry_after });
-    }
-
     pub(super) fn send_to_gateway(&mut self, job: JobId, message: PeerMessage) {
         self.out.push(Action::Send { to: job.gateway, message });
     }
--- a/tests/direct_placement.rs
+++ b/tests/direct_placement.rs
@@ -64,6 +64,18 @@
     Table::new(Arc::new(deployment), endpoints.iter())
 }
 
+/// The table with only the endpoints of "first", each in a region of its data centre.
+fn regional(table: &Table) -> Table {
+    let regional = table.pool_endpoints("first").iter().map(|endpoint| {
+        let mut endpoint = Endpoint::clone(endpoint);
+        let region = format!("of-{}", endpoint.data_centre);
+        endpoint.labels.insert("region".to_owned(), region);
+        Arc::new(endpoint)
+    });
+    let regional: Vec<_> = regional.collect();
+    table.with_deployment(table.deployment.clone(), regional.iter())
+}
+
 fn scheduler() -> Scheduler {
     Scheduler::new(RepeatBudget { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) })
 }
@@ -124,6 +136,46 @@
     assert_eq!(sent(&mut scheduler, &table, 340), [(2, "hall-0".to_owned(), 4)]);
 }
 
+// The call nearby should have ended 5 ms ago: its endpoint is not free yet, and a piece with 20 ms to
+// spare takes the free one elsewhere.
+#[test]
+fn an_endpoint_whose_call_is_overdue_does_not_count_as_free() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], HEAVY)]);
+    let table = table(&route, 50_000_000, 1);
+    let mut scheduler = scheduler();
+    scheduler.submit(job_with(1, &route, 4, 2_000), &table, ms(0));
+    sent(&mut scheduler, &table, 0);
+    let tight = Job { resubmitted: true, ..job_with(2, &route, 4, 400) };
+    scheduler.submit(tight, &table, ms(285));
+    assert_eq!(sent(&mut scheduler, &table, 285), [(2, "hall-0".to_owned(), 4)]);
+}
+
+// Two jobs wait for the end of a call nearby, and their latest start passes. An endpoint elsewhere
+// is free meanwhile, so that capacity is not what they lack.
+#[test]
+fn a_job_is_not_rejected_while_an_endpoint_is_free() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], HEAVY)]);
+    let table = table(&route, 50_000_000, 1);
+    let mut scheduler = scheduler();
+    let both = Job { resubmitted: true, ..job_with(1, &route, 8, 400) };
+    scheduler.submit(both, &table, ms(0));
+    assert_eq!(sent(&mut scheduler, &table, 0).len(), 2, "both endpoints are busy");
+    scheduler.submit(job_with(2, &route, 2, 440), &table, ms(150));
+    let other = Job { resubmitted: true, ..job_with(3, &route, 2, 440) };
+    scheduler.submit(other, &table, ms(150));
+    for now in (150..=225).step_by(25) {
+        scheduler.run_timers(&table, ms(now));
+        assert!(sent(&mut scheduler, &table, now).is_empty());
+    }
+    end(&mut scheduler, &table, 2, 4, 240);
+    assert!(sent(&mut scheduler, &table, 240).is_empty(), "the call nearby ends in 40 ms");
+    for now in [250, 275] {
+        scheduler.run_timers(&table, ms(now));
+        sent(&mut scheduler, &table, now);
+        assert!(scheduler.has(&directenv::job_id(2)), "rejected at {now} ms");
+    }
+}
+
 // Large results fill the memory of the endpoints nearby: a free slot there is of no use.
 #[test]
 fn a_piece_does_not_wait_for_result_memory_that_is_freed_too_late() {
@@ -226,15 +278,7 @@
 #[test]
 fn a_piece_that_may_not_run_nearby_runs_elsewhere() {
     let route = route("r", Repeat::AtMostOnce, &[("first", &[], HEAVY)]);
-    let table = table(&route, 50_000_000, 1);
-    let regional = table.pool_endpoints("first").iter().map(|endpoint| {
-        let mut endpoint = Endpoint::clone(endpoint);
-        let region = format!("of-{}", endpoint.data_centre);
-        endpoint.labels.insert("region".to_owned(), region);
-        Arc::new(endpoint)
-    });
-    let regional: Vec<_> = regional.collect();
-    let table = table.with_deployment(table.deployment.clone(), regional.iter());
+    let table = regional(&table(&route, 50_000_000, 1));
     let mut scheduler = scheduler();
     let allowed_regions = AllowedRegions::of(&["of-hall-0".into()], &[]);
     let barred = Job { allowed_regions, ..job_with(1, &route, 4, 2_000) };
@@ -257,6 +301,27 @@
     assert_eq!(sent(&mut scheduler, &table, 300), [(2, "hall-0".to_owned(), 4)]);
 }
 
+// The requests must not run in the region of their data centre, and wait for the only endpoint
+// elsewhere: a call examines as many of them as two calls hold, and the jobs that changed.
+#[test]
+fn a_call_does_not_examine_all_stages_that_may_not_run_nearby() {
+    let route = route("r", Repeat::AtMostOnce, &[("first", &[], HEAVY)]);
+    let table = regional(&table(&route, 50_000_000, 1));
+    let mut scheduler = scheduler();
+    let allowed_regions = AllowedRegions::of(&["of-hall-0".into()], &[]);
+    for number in 1..=100 {
+        let allowed_regions = allowed_regions.clone();
+        let resubmitted = true;
+        let job = job_with(number, &route, 4, 2_000);
+        scheduler.submit(Job { allowed_regions, resubmitted, ..job }, &table, ms(0));
+    }
+    assert_eq!(sent(&mut scheduler, &table, 0), [(1, "hall-0".to_owned(), 4)]);
+    end(&mut scheduler, &table, 1, 4, 280);
+    let before = scheduler.examined();
+    assert_eq!(sent(&mut scheduler, &table, 280).len(), 1);
+    assert!(scheduler.examined() - before <= 8, "{}", scheduler.examined() - before);
+}
+
 // Two data centres with a queue each: the longer one doesn't displace pieces of the other, and its
 // last pieces fill the call there.
 #[test]
--- a/tests/directenv/recount.rs
+++ b/tests/directenv/recount/mod.rs
@@ -1,28 +1,26 @@
 //! Recomputes an owner's decisions from all jobs, slowly and simply, to check the state that the
 //! owner keeps incrementally.
 
+mod loads;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::ops::AddAssign;
-use std::sync::Arc;
 use std::time::Duration;
 
 use stackmast::direct::event::Action;
 use stackmast::direct::log_events::{LogEvent, ms};
 use stackmast::direct::owner::inspect::PoolState;
 use stackmast::direct::owner::jobs::{JobRun, Piece};
-use stackmast::direct::owner::placement::{AwayReason, away_reason, full_call};
+use stackmast::direct::owner::placement::{AwayReason, away_reason};
 use stackmast::direct::owner::scheduler::Scheduler;
 use stackmast::direct::peers::message::{Job, JobId};
 use stackmast::direct::published::model::{BatchSpec, Name};
 use stackmast::direct::published::table::Table;
-use stackmast::policy::path::{
-    DEFERRAL_MARGIN, PathDecision, PathRefusal, Reserved, StageLoad, admit_path,
-};
-use stackmast::policy::timeline::Timeline;
+use stackmast::policy::path::{DEFERRAL_MARGIN, PathDecision, PathRefusal, StageLoad, admit_path};
 use stackmast::policy::urgency::Urgency;
 
-/// Seconds after which the weight of an arrival has fallen to 1 / e.
-const ARRIVAL_DECAY_S: f64 = 1.0;
+use loads::{gives_way, load};
+
 /// Share of a call that is kept for pieces that missed their latest start long ago.
 const KEPT_FOR_OVERDUE: f64 = 0.125;
 /// Milliseconds after its latest start from which a piece belongs to them.
@@ -81,7 +79,6 @@
 
 impl Recount {
     pub fn submits(&mut self, owner: &mut Scheduler, job: &Job, table: &Table, now: Duration) {
-        self.arrived.push((now, job.clone()));
         let mut without = BTreeSet::new();
         let mut decision = self.decide(owner, job, &without, table, now);
         while decision.refusal == Some(PathRefusal::InsufficientMemory)
@@ -95,6 +92,9 @@
         }
         self.gave_way += if decision.refusal.is_none() { without.len() } else { 0 };
         self.decided = Some(decision.refusal.is_none());
+        if decision.refusal != Some(PathRefusal::NoEndpoint) {
+            self.arrived.push((now, job.clone()));
+        }
     }
 
     fn decide(
@@ -238,7 +238,7 @@
                 continue;
             }
             let rest = run.critical_path_from(stage) + run.job.after_stages;
-            let slack_ms = ms(run.objective) as i64 - ms(rest) as i64 - ms(now) as i64;
+            let slack_ms = ms(run.admitted_end) as i64 - ms(rest) as i64 - ms(now) as i64;
             let home = run.preferred_data_centre(stage).filter(|_| run.moved_bytes(stage) >= HEAVY);
             let pieces = run.stages[stage].pieces.iter().enumerate();
             let open = pieces.filter(|(_, p)| matches!(p, Piece::Waiting { .. }));
@@ -318,13 +318,13 @@
     let rooms: Vec<u64> = free.iter().filter(|f| f.0 == *home).map(|f| f.1).collect();
     let mut round = vec![now; rooms.len()];
     let ends = kept.in_flight.iter().filter(|(place, end)| place == home && *end + OVERRUN >= now);
-    round.extend(ends.map(|(_, end)| (*end).max(now)));
+    round.extend(ends.map(|(_, end)| (*end).max(now + Duration::from_millis(1))));
     round.sort_unstable();
     let call = (pieces - 1) / spec.pieces;
     let start = round.get(call % round.len().max(1))?;
-    let start = *start + full_call(spec) * (call / round.len()) as u32;
+    let start = *start + spec.full_call() * (call / round.len()) as u32;
     let lacks_memory = rooms.iter().max().is_some_and(|room| *room < bytes);
-    Some(if lacks_memory { start.max(now + full_call(spec)) } else { start })
+    Some(if lacks_memory { start.max(now + spec.full_call()) } else { start })
 }
 
 /// Computes the first call: the endpoint for the most urgent piece that fits anywhere, and the
@@ -340,7 +340,8 @@
     let free: Vec<(Name, u64)> = kept.free.iter().map(|(id, room)| (place(id), *room)).collect();
     let placed = placements(kept, spec, &waiting, &free, now);
     let waiting = waiting.into_iter().zip(placed).collect();
-    let waiting = overdue_first(waiting, &free, spec);
+    let waiting =
+        if kept.owes_others { by_rank(waiting) } else { overdue_first(waiting, &free, spec) };
     let (waiting, waits_for_home): (Vec<_>, Vec<bool>) = waiting
         .into_iter()
         .map(|(w, placed)| {
@@ -413,113 +414,19 @@
     let (mut front, mut back): (Vec<_>, Vec<_>) =
         overdue.into_iter().partition(|(w, _)| stages.contains(&(w.piece.0, w.piece.1)));
     back.extend(rest);
-    let order = |(w, placed): &(WaitingPiece, Option<AwayReason>)| {
-        let is_last = *placed == Some(AwayReason::LongWait);
-        (w.slack_ms < 0, is_last, w.urgency, w.slack_ms, w.piece)
-    };
-    front.sort_by_key(order);
-    back.sort_by_key(order);
+    front = by_rank(front);
+    back = by_rank(back);
     front.into_iter().chain(back).collect()
 }
 
-/// The job that gives way first in the pool of a stage: of those of which nothing was sent, the
-/// least urgent with the latest objective.
-fn gives_way(
-    owner: &Scheduler,
-    job: &Job,
-    stage: usize,
-    without: &BTreeSet<JobId>,
-) -> Option<JobId> {
-    let pool = &job.stages[stage].pool;
-    let waits = |run: &JobRun| {
-        let stages = run.job.stages.iter().zip(&run.stages);
-        let mut in_pool = stages.filter(|(spec, state)| spec.pool == *pool && state.waiting() > 0);
-        in_pool.next().is_some()
-    };
-    let less_urgent = owner.active_jobs().filter(|(id, run)| {
-        let is_less_urgent = run.urgency > urgency(job);
-        is_less_urgent && run.is_untouched() && waits(run) && !without.contains(*id)
+/// Orders pieces by rank; those that only use idle capacity elsewhere are examined after the
+/// others.
+fn by_rank(
+    mut waiting: Vec<(WaitingPiece, Option<AwayReason>)>,
+) -> Vec<(WaitingPiece, Option<AwayReason>)> {
+    waiting.sort_by_key(|(w, placed)| {
+        let is_last = *placed == Some(AwayReason::LongWait);
+        (w.slack_ms < 0, is_last, w.urgency, w.slack_ms, w.piece)
     });
-    let last = less_urgent.max_by_key(|(id, run)| (run.urgency, run.objective, **id));
-    last.map(|(id, _)| *id)
-}
-
-/// Urgency of a job whose route is in no configuration.
-const fn urgency(job: &Job) -> Urgency {
-    Urgency { priority: job.priority, route: job.priority }
-}
-
-/// Pieces and bytes per second that arrive at a pool, of jobs for which `counts` holds.
-fn arrivals(
-    arrived: &[(Duration, Job)],
-    pool: &Name,
-    now: Duration,
-    counts: impl Fn(&Job) -> bool,
-) -> (f64, f64) {
-    let (mut pieces, mut bytes) = (0.0, 0.0);
-    for (at, job) in arrived.iter().filter(|(_, job)| counts(job)) {
-        let weight = (-(now - *at).as_secs_f64() / ARRIVAL_DECAY_S).exp() / ARRIVAL_DECAY_S;
-        for stage in job.stages.iter().filter(|s| s.pool == *pool) {
-            pieces += weight * stage.pieces as f64;
-            bytes += weight * stage.pieces as f64 * stage.result_bytes as f64;
-        }
-    }
-    (pieces, bytes)
-}
-
-fn load(
-    owner: &mut Scheduler,
-    job: &Job,
-    index: usize,
-    without: &BTreeSet<JobId>,
-    arrived: &[(Duration, Job)],
-    table: &Table,
-    now: Duration,
-) -> StageLoad {
-    let stage = &job.stages[index];
-    let spec = table.batch_spec(&stage.pool).expect("it works in batches");
-    let kept = owner.pool_state(&stage.pool, table, now).expect("endpoints are listed");
-    let endpoints = kept.usable.values().sum::<usize>() as f64;
-    let own = spec.call_overhead + spec.piece_time * stage.pieces.min(spec.pieces) as u32;
-    let (recent, full_call) = owner.recent_calls(&stage.pool, table).expect("it works in batches");
-    let call = own.max(recent);
-    let mut pieces = 0.0;
-    let mut memory_in_use = Timeline::default();
-    for (_, run) in owner.active_jobs().filter(|(id, _)| !without.contains(*id)) {
-        let fillings = owner.planned_occupancy(run, table, now);
-        let stages = run.job.stages.iter().zip(&run.stages).zip(fillings).enumerate();
-        for (index, ((spec, state), filling)) in stages {
-            if spec.pool != stage.pool {
-                continue;
-            }
-            let is_deferred = run.is_runnable(index) && is_held_back(run, index, now);
-            if run.urgency <= urgency(job) && !is_deferred {
-                pieces += state.waiting() as f64;
-            }
-            if let Some(filling) = filling {
-                memory_in_use.add(filling.from, filling.until, filling.bytes as f64);
-            }
-        }
-    }
-    let piece_time = full_call.div_f64(spec.pieces as f64);
-    let busy = |pieces: f64| (piece_time.as_secs_f64() * pieces / endpoints.max(0.01)).min(1.0);
-    let all = arrivals(arrived, &stage.pool, now, |_| true);
-    let urgent = arrivals(arrived, &stage.pool, now, |other| urgency(other) < urgency(job));
-    let level = urgency(job).engine_level();
-    let reserved = owner.reserved_by_places(&stage.pool, level, now);
-    StageLoad {
-        after: stage.after.clone(),
-        is_done: false,
-        slots: endpoints,
-        backlog: piece_time.mul_f64(pieces),
-        slot_share: 1.0 - busy(urgent.0),
-        usual_wait: call.mul_f64(busy(all.0) / endpoints.max(1.0)),
-        call,
-        full_call,
-        result_memory: endpoints * spec.result_memory_bytes as f64 - kept.used_by_others as f64,
-        memory_in_use: Arc::new(memory_in_use),
-        required_memory: (stage.pieces as u64 * stage.result_bytes) as f64,
-        urgent_memory_rate: urgent.1,
-        reserved: Reserved { slot_time: reserved.slot_time, memory: reserved.memory as f64 },
-    }
+    waiting
 }
