--- a/tests/order_of_service_refusals.rs
+++ b/tests/order_of_service_refusals.rs
@@ -11,6 +11,7 @@
 use stackmast::direct::owner::scheduler::Scheduler;
 use stackmast::direct::peers::message::{Job, JobId, JobReason, PeerMessage};
 use stackmast::direct::published::model::{Repeat, Route};
+use stackmast::direct::published::regions::AllowedRegions;
 use stackmast::direct::published::table::Table;
 use stackmast::direct::repeats::RepeatBudget;
 
@@ -109,6 +110,25 @@
     assert!(owner.has_run(1));
 }
 
+// Urgent callers that may run nowhere are refused; the pool is as large for the others as without
+// them.
+#[test]
+fn jobs_that_no_endpoint_may_run_take_no_share_of_a_pool() {
+    let admitted = |refused: u64| {
+        let mut owner = Owner::new(vec![one_stage()]);
+        for number in 1..=refused {
+            let allowed_regions = AllowedRegions::of(&["nowhere".into()], &[]);
+            owner.submit(Job { allowed_regions, ..job_of(URGENT, number, 4, 2_000) }, 0);
+        }
+        assert_eq!(owner.cancelled.len() as u64, refused);
+        for number in 101..=140 {
+            owner.scheduler.submit(job_of(PATIENT, number, 4, 2_000), &owner.table, ms(0));
+        }
+        owner.scheduler.jobs()
+    };
+    assert_eq!(admitted(100), admitted(0));
+}
+
 // Calls take 680 ms of the 600 ms that the callers have, and 280 ms later on.
 #[test]
 fn a_pool_is_used_again_after_its_endpoints_were_slow() {
