--- a/tests/directenv/recount/loads.rs
+++ b/tests/directenv/recount/loads.rs
@@ -13,6 +13,8 @@
 use stackmast::policy::timeline::Timeline;
 use stackmast::policy::urgency::Urgency;
 
+use super::is_held_back;
+
 /// Seconds after which the weight of an arrival has fallen to 1 / e.
 const ARRIVAL_DECAY_S: f64 = 1.0;
 
@@ -83,11 +85,13 @@
     let mut memory_in_use = Timeline::default();
     for (_, run) in owner.active_jobs().filter(|(id, _)| !without.contains(*id)) {
         let fillings = owner.planned_occupancy(run, table, now);
-        for ((spec, state), filling) in run.job.stages.iter().zip(&run.stages).zip(fillings) {
+        let stages = run.job.stages.iter().zip(&run.stages).zip(fillings).enumerate();
+        for (index, ((spec, state), filling)) in stages {
             if spec.pool != stage.pool {
                 continue;
             }
-            if run.urgency <= urgency(job) {
+            let is_deferred = run.is_runnable(index) && is_held_back(run, index, now);
+            if run.urgency <= urgency(job) && !is_deferred {
                 pieces += state.waiting() as f64;
             }
             if let Some(filling) = filling {
