--- a/src/direct/log_events/members.rs
+++ b/src/direct/log_events/members.rs
@@ -22,6 +22,17 @@
     pub suspected: bool,
 }
 
+/// A peer sent a message that this build can't read.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct PeerUnread {
+    /// Address of the peer.
+    pub address: SocketAddr,
+    /// Version of the compact message format.
+    pub form: u32,
+    /// `unknown form` or `unknown message`.
+    pub cause: &'static str,
+}
+
 /// This gateway started or stopped to read the publisher's store, or the reason for it changed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct StoreReadingChange {
--- a/src/direct/log_events/mod.rs
+++ b/src/direct/log_events/mod.rs
@@ -12,7 +12,7 @@
 use serde::Serialize;
 
 pub use crate::direct::log_events::load::LoadEvent;
-pub use crate::direct::log_events::members::{MemberSuspected, StoreReadingChange};
+pub use crate::direct::log_events::members::{MemberSuspected, PeerUnread, StoreReadingChange};
 pub use crate::direct::log_events::store::{
     PublishedVersion, StoreEra, StoreReadOutcome, StoreReturned,
 };
@@ -428,14 +428,7 @@
         heard: &'static str,
     },
     /// A peer sent a message that this build can't read; logged once for each peer and form.
-    PeerUnread {
-        /// Address of the peer.
-        address: SocketAddr,
-        /// Version of the compact message format.
-        form: u32,
-        /// `unknown form` or `unknown message`.
-        cause: &'static str,
-    },
+    PeerUnread(PeerUnread),
     /// The process received the signal to stop.
     Stopping {
         /// Grace period in milliseconds: from the signal until the process is killed.
@@ -490,7 +483,7 @@
         /// `taken`, or why the new settings were refused.
         outcome: String,
     },
-    /// See [`LoadEvent`], which names the event itself.
+    /// See [`LoadEvent`].
     #[serde(untagged)]
     Load(LoadEvent),
 }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -3,8 +3,9 @@
 //! `core` makes all decisions and holds all state, without I/O or clock; `shell` does the I/O. The
 //! core's implementation continues in `publication` (published documents), `peer_messages`
 //! (messages between gateways), `endpoint_status` (status headers of endpoints),
-//! `poison_detection`, `rate_limits`, `store_reading`, `store_restore` and `readiness`. An adapter (see `client`)
-//! translates the published documents, the front end's protocol and the endpoints' protocol.
+//! `poison_detection`, `rate_limits`, `store_reading`, `store_restore` and `readiness`. An adapter
+//! (see `client`) translates the published documents, the front end's protocol and the endpoints'
+//! protocol.
 //!
 //! - `published`: routes, pools and endpoints, merged from all sources and compiled.
 //! - `peers`: the other gateways, their messages, and pulls from them.
--- a/src/direct/owner/displacement.rs
+++ b/src/direct/owner/displacement.rs
@@ -156,8 +156,8 @@
     }
 
     /// The pool whose lack of capacity keeps a job from starting in time: all its pieces still
-    /// wait, their latest start has passed, pieces of other jobs wait there as well, and no endpoint
-    /// is free for them.
+    /// wait, their latest start has passed, pieces of other jobs wait there as well, and no
+    /// endpoint is free for them.
     fn missed_start(&self, run: &JobRun, now: Timestamp) -> Option<Name> {
         if !run.is_untouched() {
             return None;
--- a/src/direct/owner/jobs.rs
+++ b/src/direct/owner/jobs.rs
@@ -100,8 +100,8 @@
     pub urgency: Urgency,
     /// Time until which a response meets the objective.
     pub objective: Timestamp,
-    /// Time until which admission allowed the response to start: later than the objective if that is
-    /// shorter than the work.
+    /// Time until which admission allowed the response to start: later than the objective if that
+    /// is shorter than the work.
     pub admitted_end: Timestamp,
     /// Time until which the caller waits.
     pub deadline: Timestamp,
@@ -118,7 +118,8 @@
 }
 
 impl JobRun {
-    /// Starts a job that may take the time `allowed` until its response starts; results of stages that were finished under another owner are kept.
+    /// Starts a job that may take the time `allowed` until its response starts; results of stages
+    /// that were finished under another owner are kept.
     pub(super) fn new(
         job: Job,
         allowed: Duration,
--- a/src/direct/owner/ledger.rs
+++ b/src/direct/owner/ledger.rs
@@ -83,8 +83,8 @@
         self.unfinished_in.get(data_centre).copied().unwrap_or_default()
     }
 
-    /// Waiting pieces, without deferred ones, that are at least as urgent as `urgency`. The cost depends on the number of
-    /// different urgencies alone.
+    /// Waiting pieces, without deferred ones, that are at least as urgent as `urgency`. The cost
+    /// depends on the number of different urgencies alone.
     pub(super) fn waiting_before(&self, urgency: Urgency) -> usize {
         self.waiting_by_urgency.range(..=urgency).map(|(_, waiting)| waiting).sum()
     }
--- a/src/direct/owner/not_started.rs
+++ b/src/direct/owner/not_started.rs
@@ -1,7 +1,8 @@
 //! Jobs that were refused or cancelled as not started, kept for a few seconds.
 //!
-//! Such a refusal and a resubmission of its job may cross: the gateway submits the job again because
-//! its connection failed. The job must not start then, since its caller is refused as not run.
+//! Such a refusal and a resubmission of its job may cross: the gateway submits the job again
+//! because its connection failed. The job must not start then, since its caller is refused as not
+//! run.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
--- a/src/direct/owner/queue.rs
+++ b/src/direct/owner/queue.rs
@@ -1,14 +1,14 @@
 //! Waiting pieces of one pool in the order of service: stages that can still meet their objective
 //! by urgency, and by latest start within one; then those that can't.
 //!
-//! Stages that missed their latest start long ago lead a part of the calls, so that a steady load of
-//! more urgent ones does not keep them, and the results that their jobs hold, forever. A stage is
-//! sent as a whole; the part is kept on average over calls.
+//! Stages that missed their latest start long ago lead a part of the calls, so that a steady load
+//! of more urgent ones does not keep them, and the results that their jobs hold, forever. A stage
+//! is sent as a whole; the part is kept on average over calls.
 //!
 //! Stages are grouped by preferred data centre. Adding or removing a stage costs the logarithm of
-//! the queue's length; choosing a call costs the number of different urgencies and of the seconds over
-//! which their latest starts are spread, the size of one call and that of the next calls of one data
-//! centre, whatever the length of the queue.
+//! the queue's length; choosing a call costs the number of different urgencies and of the seconds
+//! over which their latest starts are spread, the size of one call and that of the next calls of
+//! one data centre, whatever the length of the queue.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/src/direct/owner/timings.rs
+++ b/src/direct/owner/timings.rs
@@ -92,8 +92,8 @@
         update_average(wait, waited.as_secs_f64(), NEW_SAMPLE_WEIGHT);
     }
 
-    /// Records that a call with `pieces` pieces, which ended at `now`, took `took`. The time of a piece is measured by calls
-    /// in proportion to how full they are.
+    /// Records that a call with `pieces` pieces, which ended at `now`, took `took`. The time of a
+    /// piece is measured by calls in proportion to how full they are.
     pub(super) fn record_call(
         &mut self,
         pool: &Name,
--- a/src/direct/peer_messages.rs
+++ b/src/direct/peer_messages.rs
@@ -10,7 +10,7 @@
 use crate::direct::event_lag::OVERLOAD_LAG;
 use crate::direct::limits::known::AnnouncedLimit;
 use crate::direct::limits::limiter::Asker;
-use crate::direct::log_events::LogEvent;
+use crate::direct::log_events::{LogEvent, PeerUnread};
 use crate::direct::peers::build::{Build, GreetingChange};
 use crate::direct::peers::codec::Unreadable;
 use crate::direct::peers::heartbeat::{GatewayState, Heartbeat, Probe};
@@ -280,7 +280,7 @@
             Unreadable::Message { .. } => (announced_form, "unknown message"),
         };
         if self.builds.report_unreadable(from, form) {
-            self.log(LogEvent::PeerUnread { address: from, form, cause });
+            self.log(LogEvent::PeerUnread(PeerUnread { address: from, form, cause }));
         }
         if let Unreadable::Message { job: Some(job) } = unread {
             self.refuse_job(job, from);
--- a/src/direct/peers/members.rs
+++ b/src/direct/peers/members.rs
@@ -197,8 +197,8 @@
         members
     }
 
-    /// Merges gossip of an earlier form; returns the members that are newly up, and the incarnations
-    /// that were replaced before they were considered down.
+    /// Merges gossip of an earlier form; returns the members that are newly up, and the
+    /// incarnations that were replaced before they were considered down.
     pub fn merge(&mut self, members: &[Member], now: Timestamp) -> MembershipChanges {
         let mut merged = MembershipChanges::default();
         let own = self.own.address;
@@ -303,8 +303,8 @@
         true
     }
 
-    /// Suspects monitored members that have been silent for [`FAILURE_TIMEOUT`], extended by the time
-    /// that events of this process wait; returns those that were not suspected before.
+    /// Suspects monitored members that have been silent for [`FAILURE_TIMEOUT`], extended by the
+    /// time that events of this process wait; returns those that were not suspected before.
     pub fn suspect_silent(&mut self, extension: Duration, now: Timestamp) -> Vec<Member> {
         let is_silent = |at: &Timestamp| now >= *at + FAILURE_TIMEOUT + extension;
         let silent = self.monitored.iter().filter(|(_, at)| is_silent(at));
--- a/src/direct/peers/mod.rs
+++ b/src/direct/peers/mod.rs
@@ -1,12 +1,12 @@
 //! The other gateways: membership, the messages exchanged with them, and the connections to them.
 //!
-//! `core` asks `members` for the members that are up and `pulls` for the documents to request from a
-//! peer. `member` describes one member; `updates` merges what peers gossip of members, `neighbours`
-//! selects the receivers of a heartbeat, and `ownership` derives duties, such as the owner of a
-//! cell. `links` and `bulk` do the I/O for `shell`. `codec` encodes and decodes messages
-//! (`before_loads` and `without_eras` those of earlier releases), and `build` tracks peers that run another build.
-//! There is no consensus: callers of `members` must tolerate that another gateway has a different
-//! view.
+//! `core` asks `members` for the members that are up and `pulls` for the documents to request from
+//! a peer. `member` describes one member; `updates` merges what peers gossip of members,
+//! `neighbours` selects the receivers of a heartbeat, and `ownership` derives duties, such as the
+//! owner of a cell. `links` and `bulk` do the I/O for `shell`. `codec` encodes and decodes messages
+//! (`before_loads` and `without_eras` those of earlier releases), and `build` tracks peers that run
+//! another build. There is no consensus: callers of `members` must tolerate that another gateway
+//! has a different view.
 
 mod before_loads;
 pub mod build;
--- a/src/direct/peers/updates.rs
+++ b/src/direct/peers/updates.rs
@@ -1,7 +1,7 @@
 //! Updates of members that gateways gossip, and the repair of what gossip does not deliver.
 //!
-//! A heartbeat names the members that have changed, each in two heartbeats. What that does not deliver
-//! is found by the digest in each heartbeat, and repaired by a complete list.
+//! A heartbeat names the members that have changed, each in two heartbeats. What that does not
+//! deliver is found by the digest in each heartbeat, and repaired by a complete list.
 
 use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
--- a/src/direct/published/cells.rs
+++ b/src/direct/published/cells.rs
@@ -11,8 +11,8 @@
 
 use crate::direct::published::model::{Endpoint, Name, Pool, Work};
 
-/// Full calls a second that one owner is to handle, so that it needs no more processor time than the
-/// host of a gateway has to spare.
+/// Full calls a second that one owner is to handle, so that it needs no more processor time than
+/// the host of a gateway has to spare.
 const MAX_CALLS_PER_SECOND: f64 = 220.0;
 /// Shortest duration of a call that is computed with, for configurations that state none.
 const MIN_CALL: Duration = Duration::from_millis(1);
--- a/src/direct/requests/prompt_source.rs
+++ b/src/direct/requests/prompt_source.rs
@@ -139,8 +139,8 @@
         Some(Source { endpoint, tokens })
     }
 
-    /// The engine from which the first choice by hash of `part` fetches that part or those before it,
-    /// if this gateway sent neither there recently: the one that it last sent them to.
+    /// The engine from which the first choice by hash of `part` fetches that part or those before
+    /// it, if this gateway sent neither there recently: the one that it last sent them to.
     fn last_source(
         &self,
         request: &Request,
--- a/src/direct/requests/request.rs
+++ b/src/direct/requests/request.rs
@@ -61,8 +61,8 @@
     pub ordered_at: Timestamp,
     /// When the call was sent over an established connection; set only for calls that need results.
     pub sent_at: Option<Timestamp>,
-    /// What the engine does with the prompt; `None` after the first event, and if there is no prompt
-    /// with shared parts.
+    /// What the engine does with the prompt; `None` after the first event, and if there is no
+    /// prompt with shared parts.
     pub prompt: Option<PromptRead>,
 }
 
--- a/src/direct/store_reading.rs
+++ b/src/direct/store_reading.rs
@@ -1,8 +1,9 @@
 //! Whether this gateway reads the publisher's store itself or follows its peers.
 //!
-//! Each call to the store has a cost, so only a few gateways of each data centre read it; the others
-//! receive the documents from peers. Each heartbeat states how long ago the sender's documents were
-//! known to be current, so a gateway notices when no reader succeeds any more, and reads by itself.
+//! Each call to the store has a cost, so only a few gateways of each data centre read it; the
+//! others receive the documents from peers. Each heartbeat states how long ago the sender's
+//! documents were known to be current, so a gateway notices when no reader succeeds any more, and
+//! reads by itself.
 
 use std::time::Duration;
 
@@ -104,8 +105,9 @@
 }
 
 impl StoreReading {
-    /// Creates the state of a gateway that starts; `is_first_start` is whether the whole group starts
-    /// for the first time. There are no callers yet, so only the readers need to read the store.
+    /// Creates the state of a gateway that starts; `is_first_start` is whether the whole group
+    /// starts for the first time. There are no callers yet, so only the readers need to read the
+    /// store.
     pub(super) const fn new(is_first_start: bool) -> Self {
         Self {
             own: [None; 2],
--- a/src/gateway/recovery.rs
+++ b/src/gateway/recovery.rs
@@ -95,10 +95,10 @@
         self.dispatch(caller, now);
     }
 
-    /// Makes the endpoints whose agents did not answer in time eligible for the current stage again:
-    /// they may be slow rather than down. Returns whether there were any and a further attempt can
-    /// end before the deadline, or be proved not to have run if that is still possible. Each of their
-    /// attempts has lasted for a timeout, which bounds the rate of repetitions.
+    /// Makes the endpoints whose agents did not answer in time eligible for the current stage
+    /// again: they may be slow rather than down. Returns whether there were any and a further
+    /// attempt can end before the deadline, or be proved not to have run if that is still possible.
+    /// Each of their attempts has lasted for a timeout, which bounds the rate of repetitions.
     pub(super) fn readmit_unanswered(&mut self, caller: u64, now: Timestamp) -> bool {
         let Some(request) = self.requests.get_mut(&caller) else {
             return false;
--- a/src/policy/route.rs
+++ b/src/policy/route.rs
@@ -31,8 +31,8 @@
     pub size: SizeClass,
     /// Names of the endpoints to which this stage was already sent.
     pub tried: &'a [String],
-    /// Whether endpoints that failed and have not replied since are treated as suspected, even after
-    /// the time of their suspicion.
+    /// Whether endpoints that failed and have not replied since are treated as suspected, even
+    /// after the time of their suspicion.
     pub avoid_failed: bool,
     /// Sequence number of the gateway's routing decisions, for round-robin routing.
     pub turn: u64,
--- a/src/policy/start_time.rs
+++ b/src/policy/start_time.rs
@@ -1,8 +1,8 @@
 //! Selection of an engine by the expected time to a prompt's first event.
 //!
 //! The first choice by the hash of the shared part is assumed to have that part; all others read it
-//! first. A prompt leaves its first choice only if another engine is expected to start it earlier by
-//! a margin, or if the first choice would miss the objective.
+//! first. A prompt leaves its first choice only if another engine is expected to start it earlier
+//! by a margin, or if the first choice would miss the objective.
 
 use std::cmp::Reverse;
 use std::time::Duration;
--- a/src/policy/urgency.rs
+++ b/src/policy/urgency.rs
@@ -23,8 +23,8 @@
 const LEVELS_PER_PRIORITY: u8 = 3;
 
 impl Urgency {
-    /// The level at an engine, 0 for the most urgent. A more urgent request never has a higher level
-    /// than a less urgent one.
+    /// The level at an engine, 0 for the most urgent. A more urgent request never has a higher
+    /// level than a less urgent one.
     pub fn engine_level(self) -> u8 {
         let route = self.route.min(LEVELS_PER_PRIORITY - 1);
         let level = self.priority.saturating_mul(LEVELS_PER_PRIORITY).saturating_add(route);
--- a/tests/direct_group.rs
+++ b/tests/direct_group.rs
@@ -1,5 +1,5 @@
-//! Groups of gateways in virtual time: what a gateway sends and how often the store is called do not
-//! grow with the group, and changes and failures reach all gateways in time.
+//! Groups of gateways in virtual time: what a gateway sends and how often the store is called do
+//! not grow with the group, and changes and failures reach all gateways in time.
 //!
 //! `STACKMAST_GROUPS` sets the number of seeds of the random tests.
 
--- a/tests/direct_placement.rs
+++ b/tests/direct_placement.rs
@@ -136,8 +136,8 @@
     assert_eq!(sent(&mut scheduler, &table, 340), [(2, "hall-0".to_owned(), 4)]);
 }
 
-// The call nearby should have ended 5 ms ago: its endpoint is not free yet, and a piece with 20 ms to
-// spare takes the free one elsewhere.
+// The call nearby should have ended 5 ms ago: its endpoint is not free yet, and a piece with 20 ms
+// to spare takes the free one elsewhere.
 #[test]
 fn an_endpoint_whose_call_is_overdue_does_not_count_as_free() {
     let route = route("r", Repeat::AtMostOnce, &[("first", &[], HEAVY)]);
--- a/tests/order_of_service.rs
+++ b/tests/order_of_service.rs
@@ -258,8 +258,8 @@
     assert!(ready.is_some_and(|at| at < ms(4_000)), "ready at {ready:?}");
 }
 
-// Each overdue stage fills a call, and more urgent pieces wait all the time: the overdue ones get an
-// eighth of the pool, not every call.
+// Each overdue stage fills a call, and more urgent pieces wait all the time: the overdue ones get
+// an eighth of the pool, not every call.
 #[test]
 fn overdue_stages_get_their_share_of_the_calls_and_no_more() {
     let route = route("r", Repeat::AtMostOnce, &[("first", &[], 10)]);
