--- a/src/direct/requests/choice.rs
+++ b/src/direct/requests/choice.rs
@@ -13,6 +13,10 @@
 use crate::message::Timestamp;
 use crate::policy::place::place;
 
+/// Maximum retry delay, without jitter, if the queues of all engines are too long: how long the
+/// requests in them take beyond this depends on callers that leave and engines that are added.
+const MAX_BUSY_DELAY: Duration = Duration::from_secs(6);
+
 /// The selected endpoint of a request.
 #[derive(Debug)]
 pub(super) struct Choice {
@@ -203,7 +207,9 @@
         let (reason, retry_after) = match unplaced {
             Unplaced::NoEndpoint => (Refused::NoEndpoint, RETRY_SOON),
             Unplaced::NotInAllowedRegion => (Refused::NoEndpointAtHome, RETRY_SOON),
-            Unplaced::AllBusy { min_wait } => (Refused::Overloaded, min_wait.max(RETRY_SOON)),
+            Unplaced::AllBusy { min_wait } => {
+                (Refused::Overloaded, min_wait.clamp(RETRY_SOON, MAX_BUSY_DELAY))
+            }
             Unplaced::AllCold { min_wait } => (Refused::AllCold, min_wait.max(RETRY_SOON)),
             Unplaced::AllPaused { min_wait } => (Refused::AllPaused, min_wait.max(RETRY_SOON)),
             Unplaced::AllLimited { min_wait } => (Refused::AllLimited, min_wait.max(RETRY_SOON)),
--- a/tests/direct_prompt_fetch.rs
+++ b/tests/direct_prompt_fetch.rs
@@ -282,6 +282,17 @@
     assert_eq!(calls(&actions).len(), 1, "old reports refuse nothing");
 }
 
+// Queues of minutes: callers return within ten seconds all the same.
+#[test]
+fn the_retry_delay_of_long_queues_is_bounded() {
+    let engines = engines();
+    let mut core = gateway(&engines);
+    loads_arrive(&mut core, &engines, &[20_000; 4], ms(10));
+    let actions = submit(&mut core, 1, long_prompt(), ms(10));
+    let refusal = refusal(&actions).expect("refused");
+    assert!(refusal.retry_after <= Duration::from_secs(10), "{:?}", refusal.retry_after);
+}
+
 #[test]
 fn one_engine_of_unknown_load_is_enough_to_send() {
     let engines = engines();
