Log the stream that a caller resumes, and the software versions of endpoints

The incident of two versions can't be told apart by the lines that exist: none says that a request takes a stream up, nor which version an endpoint has. Now `arrived` has `resumes` (the id of the request that began the stream), and `sent` and `endpoint` have `software_version`. No decision changes.

--- a/benches/limits.rs
+++ b/benches/limits.rs
@@ -168,6 +168,7 @@
             pieces: Vec::new(),
             piece_key: None,
             after_event: None,
+            resumes: None,
             content: Fingerprint::default(),
         };
         for action in core.handle(Event::Submit { caller, incoming }, now) {
--- a/src/direct/endpoint_status.rs
+++ b/src/direct/endpoint_status.rs
@@ -114,8 +114,7 @@
         if !is_new {
             return;
         }
-        let state = EntryState::Leaving.as_str();
-        self.log(LogEvent::Endpoint { endpoint: id.clone(), state, source: source.to_owned() });
+        self.log(LogEvent::endpoint(&id, EntryState::Leaving, listed.as_deref(), source));
         self.requests.table_changed(&self.table, &Merged::default(), &[], now);
         self.owners.table_changed(&self.table, &Merged::default(), &[], now);
         self.check_entries_for_crashes(&[id], now);
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -44,6 +44,8 @@
     pub piece_key: Option<Name>,
     /// Id of the last stream event that the caller has received.
     pub after_event: Option<String>,
+    /// Id of the caller's request that received the first event of that stream.
+    pub resumes: Option<Name>,
     /// Fingerprint of method, path and body.
     pub content: Fingerprint,
 }
--- a/src/direct/log_events/kinds.rs
+++ b/src/direct/log_events/kinds.rs
@@ -2,8 +2,11 @@
 
 use std::collections::BTreeSet;
 
-use crate::direct::log_events::{LogEvent, StoreReadOutcome, ms};
+use crate::direct::log_events::{EndpointEntry, LogEvent, StoreReadOutcome, ms};
 use crate::direct::peers::build::Build;
+use crate::direct::published::documents::EntryState;
+use crate::direct::published::model::{Endpoint, Name};
+use crate::direct::published::software::version_of;
 use crate::direct::published::store_read::StoreRead;
 
 impl LogEvent {
@@ -18,6 +21,21 @@
         Self::UnknownFields { document, fields: fields.into_iter().collect() }
     }
 
+    /// Event for an endpoint whose entry, if there is one, is `entry`.
+    pub fn endpoint(
+        endpoint: &Name,
+        state: EntryState,
+        entry: Option<&Endpoint>,
+        source: &str,
+    ) -> Self {
+        Self::Endpoint(EndpointEntry {
+            endpoint: endpoint.clone(),
+            state: state.as_str(),
+            source: source.to_owned(),
+            software_version: entry.and_then(version_of).map(ToOwned::to_owned),
+        })
+    }
+
     /// Event for a read of the publisher's store.
     pub fn store_read(read: &StoreRead) -> Self {
         Self::StoreRead(StoreReadOutcome {
@@ -63,7 +81,7 @@
             Self::Pull { .. } => "pull",
             Self::Pulled { .. } => "pulled",
             Self::CoreLate { .. } => "core_late",
-            Self::Endpoint { .. } => "endpoint",
+            Self::Endpoint(_) => "endpoint",
             Self::EndpointStatus { .. } => "stated",
             Self::Limit { .. } => "limit",
             Self::Permit { .. } => "permit",
--- a/src/direct/log_events/mod.rs
+++ b/src/direct/log_events/mod.rs
@@ -14,7 +14,7 @@
 pub use crate::direct::log_events::load::LoadEvent;
 pub use crate::direct::log_events::members::{MemberSuspected, PeerUnread, StoreReadingChange};
 pub use crate::direct::log_events::store::{
-    PublishedVersion, StoreEra, StoreReadOutcome, StoreReturned,
+    EndpointEntry, PublishedVersion, StoreEra, StoreReadOutcome, StoreReturned,
 };
 use crate::direct::published::model::Name;
 use crate::policy::urgency::Urgency;
@@ -37,6 +37,9 @@
         version: u64,
         /// Milliseconds until the deadline.
         left_ms: u64,
+        /// Id of the request that began the stream, if the caller resumes one.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        resumes: Option<Name>,
     },
     /// A request waited for the first configuration, or for peers and endpoints to be known.
     Waited {
@@ -129,6 +132,8 @@
         candidates: usize,
         /// Milliseconds until the deadline.
         left_ms: u64,
+        /// Software version of the endpoint.
+        software_version: Option<String>,
     },
     /// An endpoint is proven to have crashed while calls from this gateway were running there.
     EndpointCrashed {
@@ -263,14 +268,7 @@
         took_ms: u64,
     },
     /// The state of an endpoint's list entry changed.
-    Endpoint {
-        /// Id of the endpoint.
-        endpoint: Name,
-        /// `listed`, `leaving`, `gone` (removed) or `lapsed` (expired, store unavailable).
-        state: &'static str,
-        /// `publisher`, a gateway's address, or the kind of call that announced a departure.
-        source: String,
-    },
+    Endpoint(EndpointEntry),
     /// A response contained status headers with something new about its endpoint, or a backoff.
     #[serde(rename = "stated")]
     EndpointStatus {
--- a/src/direct/log_events/store.rs
+++ b/src/direct/log_events/store.rs
@@ -4,6 +4,19 @@
 
 use crate::direct::published::model::Name;
 
+/// An endpoint's entry was added, changed or removed, or the endpoint announced its departure.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct EndpointEntry {
+    /// Id of the endpoint.
+    pub endpoint: Name,
+    /// `listed`, `leaving`, `gone` (removed) or `lapsed` (expired, store unavailable).
+    pub state: &'static str,
+    /// `publisher`, a gateway's address, or the kind of call that announced a departure.
+    pub source: String,
+    /// Software version in its entry; `None` if it has no entry.
+    pub software_version: Option<String>,
+}
+
 /// A newer era of the store began: the store was restored from an older copy.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct StoreEra {
--- a/src/direct/publication.rs
+++ b/src/direct/publication.rs
@@ -223,9 +223,9 @@
             self.out.push(Action::SetCallerLimits(self.documents.deployment().limits.clone()));
         }
         for id in &merged.endpoints {
-            let state = self.documents.entry_state(id).as_str();
-            let (endpoint, source) = (id.clone(), source.to_owned());
-            self.out.push(Action::Log(LogEvent::Endpoint { endpoint, state, source }));
+            let state = self.documents.entry_state(id);
+            let entry = self.documents.endpoint(id).map(|endpoint| &**endpoint);
+            self.out.push(Action::Log(LogEvent::endpoint(id, state, entry, source)));
         }
         if merged.is_empty() {
             return;
--- a/src/direct/published/mod.rs
+++ b/src/direct/published/mod.rs
@@ -12,5 +12,6 @@
 pub mod position;
 pub mod regions;
 pub mod revised;
+pub mod software;
 pub mod store_read;
 pub mod table;
--- a/src/direct/requests/dispatch.rs
+++ b/src/direct/requests/dispatch.rs
@@ -4,6 +4,7 @@
 
 use crate::direct::event::{Action, Refused};
 use crate::direct::log_events::{LogEvent, ms};
+use crate::direct::published::software::version_of;
 use crate::direct::published::table::Table;
 use crate::direct::requests::choice::Choice;
 use crate::direct::requests::{RETRY_SOON, Requests};
@@ -68,6 +69,7 @@
             attempt: self.last_attempt + 1,
             selector: selector.unwrap_or_default(),
             endpoint: endpoint.id.clone(),
+            software_version: version_of(&endpoint).map(ToOwned::to_owned),
             because: reason.to_owned(),
             candidates,
             left_ms: ms(request.deadline.saturating_sub(now)),
--- a/src/direct/requests/mod.rs
+++ b/src/direct/requests/mod.rs
@@ -252,6 +252,7 @@
             fingerprint: request.fingerprint.to_string(),
             version: table.deployment.version,
             left_ms: ms(request.deadline.saturating_sub(now)),
+            resumes: request.incoming.resumes.clone(),
         }));
         if let Some(fingerprint) = self.find_poison(&request) {
             return self.refuse_poison_on_arrival(caller, &request, fingerprint);
--- a/tests/direct_departures.rs
+++ b/tests/direct_departures.rs
@@ -17,7 +17,7 @@
 use stackmast::direct::departures::{Departure, Departures};
 use stackmast::direct::engines::load::Load;
 use stackmast::direct::event::{Action, Event};
-use stackmast::direct::log_events::LogEvent;
+use stackmast::direct::log_events::{EndpointEntry, LogEvent};
 use stackmast::direct::published::documents::{Document, Revised};
 use stackmast::direct::published::evacuations::EvacuationChange;
 use stackmast::direct::published::model::Endpoint;
@@ -39,8 +39,9 @@
         at: ms(20),
     };
     let actions = core.handle(event, ms(20));
-    let is_told =
-        |a: &Action| matches!(a, Action::Log(LogEvent::Endpoint { state: "leaving", .. }));
+    let is_told = |a: &Action| {
+        matches!(a, Action::Log(LogEvent::Endpoint(EndpointEntry { state: "leaving", .. })))
+    };
     assert!(actions.iter().any(is_told), "the change is logged");
     let withheld = |a: &Action| matches!(a, Action::BlockSends { until: None, .. });
     assert!(actions.iter().any(withheld), "also calls ordered before");
--- a/tests/directenv/gateway.rs
+++ b/tests/directenv/gateway.rs
@@ -87,6 +87,7 @@
         pieces,
         piece_key: Some("k".into()),
         after_event: None,
+        resumes: None,
         content: Fingerprint::default(),
     }
 }
