--- /dev/null
+++ b/tests/directenv/group.rs
@@ -0,0 +1,167 @@
+//! A few gateway cores that exchange messages without delay, in virtual time.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use stackmast::actor::Core;
+use stackmast::direct::core::{GatewayCore, Setup};
+use stackmast::direct::event::{Action, CallParams, Event, IncomingRequest, Refusal};
+use stackmast::direct::peers::message::PeerMessage;
+use stackmast::direct::published::documents::{Document, Revised};
+use stackmast::direct::published::model::{Deployment, Endpoint};
+
+use super::gateway::{calls, listed, refusal, setup};
+use super::{address, ms, position};
+
+/// Time between two ticks of all gateways.
+const TICK: Duration = Duration::from_millis(10);
+
+/// What became of a request: the call to an endpoint, or the refusal.
+#[derive(Debug, Default)]
+pub struct Outcome {
+    pub call: Option<(u64, CallParams)>,
+    pub refusal: Option<Refusal>,
+}
+
+/// The gateways; their numbers are their indexes.
+pub struct Group {
+    cores: Vec<Option<GatewayCore>>,
+    incarnations: Vec<u64>,
+    deployment: Arc<Deployment>,
+    endpoints: Vec<Arc<Endpoint>>,
+    revision: u64,
+    /// Gateways whose messages to and from other gateways are lost.
+    pub silent: Vec<usize>,
+    pub now: Duration,
+}
+
+impl Group {
+    /// Starts gateways that know the same documents and each other.
+    pub fn new(gateways: usize, deployment: Deployment, endpoints: Vec<Arc<Endpoint>>) -> Self {
+        let mut group = Self {
+            cores: (0..gateways).map(|_| None).collect(),
+            incarnations: vec![0; gateways],
+            deployment: Arc::new(deployment),
+            endpoints,
+            revision: 1,
+            silent: Vec::new(),
+            now: Duration::ZERO,
+        };
+        (0..gateways).for_each(|gateway| group.start(gateway));
+        group.run_for(ms(2_000));
+        group
+    }
+
+    fn address_of(gateway: usize) -> SocketAddr {
+        address(gateway as u16 + 1)
+    }
+
+    /// Starts a gateway without any state; it reads the documents at once.
+    pub fn start(&mut self, gateway: usize) {
+        self.incarnations[gateway] += 1;
+        let seeds = (0..self.cores.len()).map(Self::address_of).collect();
+        let setup = Setup {
+            address: Self::address_of(gateway),
+            incarnation: self.incarnations[gateway],
+            seeds,
+            ..setup()
+        };
+        self.cores[gateway] = Some(GatewayCore::new(setup));
+        let document = Document::Deployment(self.deployment.clone());
+        let deployment = Revised { position: position(1), created_revision: 0, document };
+        let documents = Event::Published { documents: vec![deployment], snapshot_at: None };
+        self.handle(gateway, documents);
+        self.read_list(gateway);
+    }
+
+    /// Ends a gateway's process; its state is gone, and connections to it are refused.
+    pub fn kill(&mut self, gateway: usize) {
+        self.cores[gateway] = None;
+    }
+
+    /// Replaces the list of endpoints, which all gateways read at once.
+    pub fn list(&mut self, endpoints: Vec<Arc<Endpoint>>) {
+        self.endpoints = endpoints;
+        self.revision += 1;
+        (0..self.cores.len()).for_each(|gateway| self.read_list(gateway));
+    }
+
+    fn read_list(&mut self, gateway: usize) {
+        let at = self.revision + 1;
+        let documents = listed(&self.endpoints, at);
+        self.handle(gateway, Event::Published { documents, snapshot_at: Some(position(at)) });
+    }
+
+    /// Lets time pass.
+    pub fn run_for(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while self.now < end {
+            self.now += TICK;
+            (0..self.cores.len()).for_each(|gateway| {
+                self.handle(gateway, Event::Tick);
+            });
+        }
+    }
+
+    /// Handles an event of a gateway and all messages that follow from it. Returns the other
+    /// actions of that gateway.
+    pub fn handle(&mut self, gateway: usize, event: Event) -> Vec<Action> {
+        let mut kept = Vec::new();
+        let mut events = VecDeque::from([(gateway, event)]);
+        while let Some((at, event)) = events.pop_front() {
+            let Some(core) = &mut self.cores[at] else {
+                continue;
+            };
+            for action in core.handle(event, self.now) {
+                match action {
+                    Action::Send { to, message } => events.push_back(self.sent(at, to, message)),
+                    Action::Broadcast { to, message } => {
+                        let sent = to.into_iter().map(|to| self.sent(at, to, message.clone()));
+                        events.extend(sent.collect::<Vec<_>>());
+                    }
+                    action if at == gateway => kept.push(action),
+                    _ => {}
+                }
+            }
+        }
+        kept
+    }
+
+    /// The event that a message causes at its receiver, or at its sender if there is none.
+    fn sent(&self, from: usize, to: SocketAddr, message: PeerMessage) -> (usize, Event) {
+        let receiver = usize::from(to.port()) - 1;
+        if self.silent.contains(&from) || self.silent.contains(&receiver) {
+            return (from, Event::Tick);
+        }
+        if self.cores[receiver].is_none() {
+            return (from, Event::PeerUnreachable { address: to });
+        }
+        (receiver, Event::PeerMessage { from: Self::address_of(from), message })
+    }
+
+    /// Submits a request and waits for its call or refusal, for at most `wait`.
+    pub fn submit(
+        &mut self,
+        gateway: usize,
+        caller: u64,
+        incoming: IncomingRequest,
+        wait: Duration,
+    ) -> Outcome {
+        let end = self.now + wait;
+        let mut actions = self.handle(gateway, Event::Submit { caller, incoming });
+        loop {
+            let call = calls(&actions).into_iter().next();
+            let refusal = refusal(&actions);
+            if call.is_some() || refusal.is_some() || self.now >= end {
+                return Outcome { call, refusal };
+            }
+            self.now += TICK;
+            for other in (0..self.cores.len()).filter(|other| *other != gateway) {
+                self.handle(other, Event::Tick);
+            }
+            actions = self.handle(gateway, Event::Tick);
+        }
+    }
+}
--- a/tests/directenv/mod.rs
+++ b/tests/directenv/mod.rs
@@ -4,6 +4,7 @@
 pub mod eras;
 pub mod fakes;
 pub mod gateway;
+pub mod group;
 pub mod limits;
 pub mod orders;
 pub mod poison;
