A gateway continues a broken stream only at the version that began it

What callers saw: events of two software versions in one response, which don't fit together. Cause: after a stream broke, `stream_ended` sent the request like any other, and `choose` filtered by region, pause and limit, but not by the software version of the endpoint whose events were already forwarded. Now the request keeps the origin of its stream (pool and software version) once an event was forwarded, and `may_run_at` is the one condition for a suitable endpoint: candidates, waits for an endpoint to become available, and sources of prompt parts. Without an endpoint of the version the stream is aborted (`NoEndpointOfVersion`).

--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -349,6 +349,8 @@
     NoEndpoint,
     /// No endpoint that accepts the request is in an allowed region.
     NoEndpointAtHome,
+    /// No endpoint that accepts the request has the software version that began its stream.
+    NoEndpointOfVersion,
     /// Every endpoint that accepts the request is cold, and their reduced capacity is used up.
     AllCold,
     /// Every endpoint that accepts the request asked this gateway for a pause, or receives a
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -13,6 +13,7 @@
 //! - `requests`: requests of this gateway's callers, each with one final response.
 //! - `poison`: requests that crash the endpoints that run them.
 //! - `limits`: rate limits of endpoints and the permits for them.
+//! - `origins`: software versions that began streams.
 //! - `owner`: batch pools, while this gateway owns them.
 //!
 //! `requests` and `owner` communicate by messages only, also within one gateway.
@@ -30,6 +31,7 @@
 pub mod gates;
 pub mod limits;
 pub mod log_events;
+pub mod origins;
 pub mod owner;
 mod peer_messages;
 pub mod peers;
--- a/src/direct/requests/attempts.rs
+++ b/src/direct/requests/attempts.rs
@@ -5,6 +5,7 @@
 use crate::direct::answers::{AnswerProof, CallFailure};
 use crate::direct::event::{Action, CallParams, Refused};
 use crate::direct::log_events::{LogEvent, ms};
+use crate::direct::origins::Origin;
 use crate::direct::poison::Unanswered;
 use crate::direct::published::model::{Endpoint, Name};
 use crate::direct::published::table::Table;
@@ -427,6 +428,9 @@
             return;
         };
         request.uncertain_attempts += 1;
+        if last_event.is_some() {
+            request.origin.get_or_insert_with(|| Origin::of(&request.pool, &closed.endpoint));
+        }
         request.last_event = last_event.or_else(|| request.last_event.take());
         let pool = request.pool.clone();
         let will_retry = may_retry
--- a/src/direct/requests/choice.rs
+++ b/src/direct/requests/choice.rs
@@ -36,6 +36,8 @@
     NoEndpoint,
     /// No endpoint that accepts requests is in one of the request's allowed regions.
     NotInAllowedRegion,
+    /// No endpoint that accepts requests has the software version that began the stream.
+    NoEndpointOfVersion,
     /// No engine is expected to start the request before its deadline.
     AllBusy {
         /// Time until the queue of one is expected to be short enough for the objective.
@@ -97,9 +99,8 @@
         let endpoints = table.pool_endpoints(&request.pool);
         let is_candidate = |e: &&Arc<Endpoint>| !e.leaving && !request.tried.contains(&e.id);
         let accepting: Vec<&Arc<Endpoint>> = endpoints.iter().filter(is_candidate).collect();
-        let allowed = accepting.iter().copied().filter(|e| request.allowed_regions.allows(e));
+        let allowed = accepting.iter().copied().filter(|e| request.may_run_at(e));
         let cold_start = table.pool(&request.pool).and_then(|pool| pool.cold);
-        let is_any_allowed = allowed.clone().next().is_some();
         let unavailability = |e: &Endpoint| self.unavailability(e, request, cold_start, now);
         let available: Vec<_> = allowed.clone().filter(|e| unavailability(e).is_none()).collect();
         let median = self.observations.median_response_time(endpoints.iter().map(|e| &**e));
@@ -127,8 +128,7 @@
             None if let Some(turn) = self.first_turn(allowed, request, cold_start, now) => Ok(turn),
             None => Err(match self.earliest_availability(request, endpoints, cold_start, now) {
                 Some(unavailable) => unavailable.unplaced(now),
-                None if accepting.is_empty() || is_any_allowed => Unplaced::NoEndpoint,
-                None => Unplaced::NotInAllowedRegion,
+                None => without_endpoint(request, &accepting),
             }),
         }
     }
@@ -162,8 +162,7 @@
         cold_start: Option<ColdStart>,
         now: Timestamp,
     ) -> Option<Unavailable> {
-        let accepting =
-            endpoints.iter().filter(|e| !e.leaving && request.allowed_regions.allows(e));
+        let accepting = endpoints.iter().filter(|e| !e.leaving && request.may_run_at(e));
         let unavailable: Option<Vec<Unavailable>> =
             accepting.map(|e| self.unavailability(e, request, cold_start, now)).collect();
         unavailable?.into_iter().min()
@@ -207,6 +206,7 @@
         let (reason, retry_after) = match unplaced {
             Unplaced::NoEndpoint => (Refused::NoEndpoint, RETRY_SOON),
             Unplaced::NotInAllowedRegion => (Refused::NoEndpointAtHome, RETRY_SOON),
+            Unplaced::NoEndpointOfVersion => (Refused::NoEndpointOfVersion, RETRY_SOON),
             Unplaced::AllBusy { min_wait } => {
                 (Refused::Overloaded, min_wait.clamp(RETRY_SOON, MAX_BUSY_DELAY))
             }
@@ -225,6 +225,22 @@
     }
 }
 
+/// Why none of the endpoints that accept requests is suitable for a request.
+fn without_endpoint(request: &Request, accepting: &[&Arc<Endpoint>]) -> Unplaced {
+    let origin = request.origin.as_ref();
+    let is_of_origin = |e: &&&Arc<Endpoint>| origin.is_none_or(|origin| origin.allows(e));
+    let mut of_origin = accepting.iter().filter(is_of_origin).peekable();
+    if accepting.is_empty() {
+        Unplaced::NoEndpoint
+    } else if of_origin.peek().is_none() {
+        Unplaced::NoEndpointOfVersion
+    } else if of_origin.any(|e| request.allowed_regions.allows(e)) {
+        Unplaced::NoEndpoint
+    } else {
+        Unplaced::NotInAllowedRegion
+    }
+}
+
 /// Selects the pool of a request from the weighted targets of its route by a hash of its id.
 pub(super) fn select_pool(route: &Route, id: &str) -> Name {
     let total: u64 = route.targets.iter().map(|t| u64::from(t.weight)).sum();
--- a/src/direct/requests/mod.rs
+++ b/src/direct/requests/mod.rs
@@ -302,6 +302,7 @@
             round: 0,
             tried: Vec::new(),
             last_event: incoming.after_event.clone(),
+            origin: None,
             holds_results: false,
             incoming,
             route: route.clone(),
--- a/src/direct/requests/prompt_source.rs
+++ b/src/direct/requests/prompt_source.rs
@@ -107,7 +107,7 @@
     ) -> bool {
         let cold_start = table.pool(&request.pool).and_then(|pool| pool.cold);
         !endpoint.leaving
-            && request.allowed_regions.allows(endpoint)
+            && request.may_run_at(endpoint)
             && !self.observations.is_avoided(endpoint, now)
             && !self.cold.is_cold(&endpoint.id, now)
             && self.unavailability_for_all(endpoint, cold_start, now).is_none()
--- a/src/direct/requests/request.rs
+++ b/src/direct/requests/request.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::direct::event::IncomingRequest;
+use crate::direct::origins::Origin;
 use crate::direct::peers::message::{JobId, StoredResult};
 use crate::direct::poison::fingerprint::Fingerprint;
 use crate::direct::published::model::{Endpoint, Name, Repeat, Route};
@@ -115,6 +116,8 @@
     pub tried: Vec<Name>,
     /// Id of the last stream event that was forwarded.
     pub last_event: Option<String>,
+    /// Origin of the stream, once an event of it was forwarded.
+    pub origin: Option<Origin>,
     /// Whether owners hold results of the stages for this request.
     pub holds_results: bool,
 }
@@ -145,6 +148,13 @@
         self.route.repeat == Repeat::Idempotent || self.route.streams && self.route.resumable
     }
 
+    /// Whether the request may run at an endpoint of its pool: in an allowed region and, once its
+    /// stream has begun, of the software version that began it.
+    pub fn may_run_at(&self, endpoint: &Endpoint) -> bool {
+        let is_of_origin = self.origin.as_ref().is_none_or(|origin| origin.allows(endpoint));
+        is_of_origin && self.allowed_regions.allows(endpoint)
+    }
+
     /// The last part of the prompt that other requests share: the last but one, or the only one.
     pub fn shared_prompt_part(&self) -> Option<&str> {
         let parts = &self.incoming.generation.as_ref()?.parts;
