A resumption waits for no holder that can't change the decision

Cause: the lookup of a stream's origin waited for each gateway that was asked, up to 300 ms, also for one that had just ended (100 ms until the next round), and for silent ones although gateways had listed one version only. Now a gateway that is known to be down counts as having responded, and the first response decides while own and received versions are one.

The group of the tests dropped actions that a gateway took while another one was handled; it keeps them.

--- a/src/direct/peer_messages.rs
+++ b/src/direct/peer_messages.rs
@@ -244,6 +244,7 @@
         self.owners.release_jobs_of(address, incarnation, &self.table);
         self.owners.owner_removed(address, now);
         self.requests.owner_removed(address, incarnation);
+        self.requests.holder_removed(address);
         self.limiter_down(address, now);
     }
 
--- a/src/direct/requests/resumption.rs
+++ b/src/direct/requests/resumption.rs
@@ -191,20 +191,46 @@
         let is_last = lookup.answered.len() == lookup.asked.len();
         match origin {
             Some(origin) => self.origin_found(number, origin, Source::Holder, table, now),
-            None if is_last => self.decide_by_versions(number, table, now),
+            None if is_last || self.possible_versions(number, now).len() < 2 => {
+                self.decide_by_versions(number, table, now);
+            }
             None => {}
         }
     }
 
+    /// A gateway is down, so it does not respond to lookups.
+    pub fn holder_removed(&mut self, address: SocketAddr) {
+        let is_waiting = |request: &Request| {
+            let lookup = request.lookup.as_ref();
+            lookup.is_some_and(|l| l.asked.contains(&address) && !l.answered.contains(&address))
+        };
+        for caller in self.callers_where(is_waiting) {
+            let lookup = self.requests.get_mut(&caller).and_then(|request| request.lookup.as_mut());
+            if let Some(lookup) = lookup {
+                lookup.answered.insert(address);
+                self.pending_lookups.push(caller);
+            }
+        }
+    }
+
+    /// The versions that can have begun the stream of a request without a record: those that this
+    /// gateway and the holders which responded have listed recently.
+    fn possible_versions(&self, caller: u64, now: Timestamp) -> BTreeSet<Version> {
+        let Some(request) = self.requests.get(&caller) else {
+            return BTreeSet::new();
+        };
+        let own = self.origins.versions.of(&request.pool, now).cloned();
+        let of_holders = request.lookup.iter().flat_map(|lookup| lookup.versions.iter().cloned());
+        own.chain(of_holders).collect()
+    }
+
     /// No record was found. If the pool has had one version only, that version began the stream.
     fn decide_by_versions(&mut self, caller: u64, table: &Table, now: Timestamp) {
-        let Some(request) = self.requests.get_mut(&caller) else {
+        let Some(request) = self.requests.get(&caller) else {
             return;
         };
         let pool = request.pool.clone();
-        let mut versions =
-            request.lookup.as_ref().map_or_else(BTreeSet::new, |l| l.versions.clone());
-        versions.extend(self.origins.versions.of(&pool, now).cloned());
+        let mut versions = self.possible_versions(caller, now);
         match (versions.pop_first(), versions.is_empty()) {
             (Some(version), true) => {
                 let origin = Origin { pool, version };
--- a/tests/direct_resumed_streams.rs
+++ b/tests/direct_resumed_streams.rs
@@ -278,3 +278,27 @@
     assert_eq!(refusal(&actions).map(|refusal| refusal.reason), Some(Refused::UnknownOrigin));
     assert_eq!(group.sent_of_kind("submit"), 0);
 }
+
+// Guards against a caller that waits for a gateway which has ended, or for all holders although
+// only one version can have begun its stream.
+#[test]
+fn a_resumption_waits_for_one_holder_only_while_a_pool_has_one_version() {
+    let one = (1..=6).map(|number| engine(number, "v1")).collect();
+    let mut group = Group::new(5, deployment(1, vec![resumable()]), one);
+    begin(&mut group, 0);
+    group.kill(0);
+    group.silent = vec![2, 3];
+    let before = group.now;
+    assert_eq!(resume(&mut group, 1, 0), Ok("v1".to_owned()));
+    assert_eq!(group.now, before, "gateway 4 responds at once");
+}
+
+// Guards against a caller that waits for the time-out of a gateway whose port is closed.
+#[test]
+fn a_resumption_does_not_wait_for_a_gateway_that_has_ended() {
+    let mut group = Group::new(3, deployment(1, vec![resumable()]), engines());
+    group.kill(0);
+    let before = group.now;
+    assert_eq!(resume(&mut group, 1, 0), Err(Refused::UnknownOrigin));
+    assert!(group.now - before < ms(100), "took {:?}", group.now - before);
+}
--- a/tests/directenv/group.rs
+++ b/tests/directenv/group.rs
@@ -35,6 +35,8 @@
     /// Gateways whose messages to and from other gateways are lost.
     pub silent: Vec<usize>,
     pub now: Duration,
+    /// Actions of each gateway other than messages, until they are taken.
+    actions: Vec<Vec<Action>>,
     /// Number of messages that were sent, by kind.
     sent: HashMap<&'static str, usize>,
 }
@@ -50,6 +52,7 @@
             revision: 1,
             silent: Vec::new(),
             now: Duration::ZERO,
+            actions: (0..gateways).map(|_| Vec::new()).collect(),
             sent: HashMap::new(),
         };
         (0..gateways).for_each(|gateway| group.start(gateway));
@@ -109,9 +112,8 @@
     }
 
     /// Handles an event of a gateway and all messages that follow from it. Returns the other
-    /// actions of that gateway.
+    /// actions of that gateway since the last call for it.
     pub fn handle(&mut self, gateway: usize, event: Event) -> Vec<Action> {
-        let mut kept = Vec::new();
         let mut events = VecDeque::from([(gateway, event)]);
         while let Some((at, event)) = events.pop_front() {
             let Some(core) = &mut self.cores[at] else {
@@ -126,12 +128,11 @@
                             events.push_back(self.sent(at, to, message.clone()));
                         }
                     }
-                    action if at == gateway => kept.push(action),
-                    _ => {}
+                    action => self.actions[at].push(action),
                 }
             }
         }
-        kept
+        std::mem::take(&mut self.actions[gateway])
     }
 
     /// The event that a message causes at its receiver, or at its sender if there is none.
