--- a/src/direct/requests/mod.rs
+++ b/src/direct/requests/mod.rs
@@ -62,7 +62,7 @@
 use crate::direct::requests::owners::OwnerRanking;
 use crate::direct::requests::ramp::Ramps;
 use crate::direct::requests::request::{Phase, Request};
-use crate::direct::requests::resumption::StreamOrigins;
+use crate::direct::requests::resumption::{StreamOrigins, stream_of};
 use crate::direct::requests::stopping::Stopping;
 use crate::message::Timestamp;
 
@@ -293,7 +293,7 @@
         let priority = organisation.and_then(|o| o.priority).unwrap_or(route.priority);
         let regions = organisation.map_or(&[][..], |o| &o.allowed_regions);
         Request {
-            pool: select_pool(route, &incoming.id),
+            pool: select_pool(route, stream_of(&incoming, route).unwrap_or(&incoming.id)),
             fingerprint: incoming.content.for_organisation(organisation.map(|o| &*o.name)),
             organisation: organisation.map(|o| o.name.clone()),
             allowed_regions: AllowedRegions::of(&route.allowed_regions, regions),
--- a/src/direct/requests/resumption.rs
+++ b/src/direct/requests/resumption.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::direct::event::{Action, Refused};
+use crate::direct::event::{Action, IncomingRequest, Refused};
 use crate::direct::log_events::{LogEvent, StreamEvent, ms};
 use crate::direct::origins::Origin;
 use crate::direct::origins::holders::Holders;
@@ -16,7 +16,7 @@
 use crate::direct::peers::members::Members;
 use crate::direct::peers::message::{BegunStream, PeerMessage};
 use crate::direct::published::documents::Merged;
-use crate::direct::published::model::{Endpoint, Name};
+use crate::direct::published::model::{Endpoint, Name, Route};
 use crate::direct::published::table::Table;
 use crate::direct::requests::request::Request;
 use crate::direct::requests::{DEFAULT_TIMEOUT, RETRY_SOON, Requests, Timer};
@@ -85,16 +85,21 @@
     }
 }
 
-impl Request {
-    /// Whether the caller resumes a stream.
-    pub(super) fn is_resumption(&self) -> bool {
-        self.route.streams && self.route.resumable && self.incoming.after_event.is_some()
-    }
+/// Whether the caller of a request resumes a stream.
+fn is_resumption(incoming: &IncomingRequest, route: &Route) -> bool {
+    route.streams && route.resumable && incoming.after_event.is_some()
+}
 
-    /// Id of the request that received the first event of this request's stream, or will receive
-    /// it; `None` if the caller resumes a stream and does not name it.
+/// Id of the request that received the first event of a request's stream, or will receive it;
+/// `None` if the caller resumes a stream and does not name it.
+pub(super) fn stream_of<'a>(incoming: &'a IncomingRequest, route: &Route) -> Option<&'a Name> {
+    if is_resumption(incoming, route) { incoming.resumes.as_ref() } else { Some(&incoming.id) }
+}
+
+impl Request {
+    /// See [`stream_of`].
     fn stream(&self) -> Option<&Name> {
-        if self.is_resumption() { self.incoming.resumes.as_ref() } else { Some(&self.incoming.id) }
+        stream_of(&self.incoming, &self.route)
     }
 
     /// When the caller stops waiting for the stream, over all its tries.
@@ -109,7 +114,7 @@
         let Some(request) = self.requests.get_mut(&caller) else {
             return;
         };
-        if request.is_resumption() {
+        if is_resumption(&request.incoming, &request.route) {
             request.lookup = Some(OriginLookup { began: now, ..OriginLookup::default() });
             self.pending_lookups.push(caller);
         } else {
--- a/tests/direct_resumed_streams.rs
+++ b/tests/direct_resumed_streams.rs
@@ -12,10 +12,11 @@
 use directenv::group::Group;
 use directenv::{deployment, endpoint, endpoints, ms, position, route};
 use stackmast::actor::Core;
+use stackmast::config::Selector;
 use stackmast::direct::core::GatewayCore;
 use stackmast::direct::event::{Action, CallParams, Event, IncomingRequest, Refused};
 use stackmast::direct::log_events::LogEvent;
-use stackmast::direct::published::model::{Endpoint, Repeat, Route};
+use stackmast::direct::published::model::{Endpoint, Repeat, Route, Target};
 use stackmast::direct::published::software::{VERSION_LABEL, version_of};
 use test_case::test_case;
 
@@ -302,3 +303,25 @@
     assert_eq!(resume(&mut group, 1, 0), Err(Refused::UnknownOrigin));
     assert!(group.now - before < ms(100), "took {:?}", group.now - before);
 }
+
+// Guards against a resumption that is sent to another pool of its route than the stream began in:
+// the pool was selected by a hash of the id of the new request.
+#[test]
+fn a_stream_is_resumed_in_the_pool_that_began_it() {
+    let targets = ["engine", "other"].map(|pool| Target { pool: pool.into(), weight: 1 });
+    let split = Route { targets: targets.to_vec(), ..resumable() };
+    let mut split = deployment(1, vec![split]);
+    let mut other = split.pools.last().expect("engines").clone();
+    other.name = "other".into();
+    other.endpoints = Selector::parse("service=other").expect("a selector");
+    split.pools.push(other);
+    let engines =
+        (1..=4).flat_map(|number| [endpoint("engine", number), endpoint("other", number)]);
+    let mut group = Group::new(3, split, engines.collect());
+    let pool_of = |call: &CallParams| call.endpoint.labels["service"].clone();
+    for number in 0..STREAMS {
+        let began = group.submit(0, number, stream(number), WAIT).call.expect("sent").1;
+        let resumed = group.submit(1, number, resumption(number), WAIT).call.expect("sent").1;
+        assert_eq!(pool_of(&resumed), pool_of(&began), "stream {number}");
+    }
+}
