An engine fetches prompt parts only from one of its own software version

What two versions write does not fit together, and endpoints don't check it; yet the source of a fetch was selected by hash or by this gateway's last call, whatever its version. Without a source of its own version an engine reads the parts itself.

Test: a_prompt_is_fetched, the case of another version, failed before (source was the first choice, v1, for an engine of v2).

--- a/src/direct/requests/prompt_source.rs
+++ b/src/direct/requests/prompt_source.rs
@@ -4,6 +4,8 @@
 //! part. At the first choice, a new part may follow one that many prompts begin with, and that this
 //! engine has not read yet.
 //!
+//! Both run the same software version: the memory that one version writes does not fit another one.
+//!
 //! The source only saves time: an engine that can't reach it, or does not find the parts there,
 //! reads them itself.
 
@@ -16,6 +18,7 @@
 use crate::direct::log_events::{LoadEvent, LogEvent};
 use crate::direct::published::model::Endpoint;
 use crate::direct::published::regions::region_of;
+use crate::direct::published::software::version_of;
 use crate::direct::published::table::Table;
 use crate::direct::requests::Requests;
 use crate::direct::requests::request::{PromptRead, Request};
@@ -132,9 +135,11 @@
         candidates.sort_by_cached_key(|e| Reverse(hash_weight(&e.id, part)));
         let by_hash = || {
             let mut preferred = candidates.iter().take(2);
-            preferred.find(|e| !self.engines.parts.was_emptied(&e.id, now))
+            preferred.find(|e| {
+                version_of(e) == version_of(receiver) && !self.engines.parts.was_emptied(&e.id, now)
+            })
         };
-        let last_holder = self.last_holder(&candidates, part, now);
+        let last_holder = self.last_holder(&candidates, part, receiver, now);
         let endpoint = Arc::clone(last_holder.or_else(by_hash)?);
         Some(Source { endpoint, tokens })
     }
@@ -160,7 +165,7 @@
         let mut worth_fetching =
             parts.filter(|(_, tokens)| self.is_worth_fetching(request, *tokens));
         worth_fetching.find_map(|(part, tokens)| {
-            let endpoint = Arc::clone(self.last_holder(&candidates, part, now)?);
+            let endpoint = Arc::clone(self.last_holder(&candidates, part, receiver, now)?);
             Some(Source { endpoint, tokens })
         })
     }
@@ -186,15 +191,17 @@
         table.pool_endpoints(&request.pool).iter().filter(is_candidate).collect()
     }
 
-    /// The engine to which this gateway last sent a part.
+    /// The engine to which this gateway last sent a part, of those with the receiver's version.
     fn last_holder<'a, 'b>(
         &self,
         candidates: &'a [&'b Arc<Endpoint>],
         part: &str,
+        receiver: &Endpoint,
         now: Timestamp,
     ) -> Option<&'a &'b Arc<Endpoint>> {
         let sent = |e: &Endpoint| self.engines.parts.last_sent(part, e, now);
-        candidates.iter().filter(|e| sent(e).is_some()).max_by_key(|e| sent(e))
+        let compatible = candidates.iter().filter(|e| version_of(e) == version_of(receiver));
+        compatible.filter(|e| sent(e).is_some()).max_by_key(|e| sent(e))
     }
 
     /// The engine of a call has read the prompt: its first event arrived.
--- a/tests/direct_prompt_fetch.rs
+++ b/tests/direct_prompt_fetch.rs
@@ -23,7 +23,9 @@
 use stackmast::direct::peers::members::{Member, MemberState};
 use stackmast::direct::published::model::{Endpoint, Repeat};
 use stackmast::direct::published::regions::REGION_LABEL;
+use stackmast::direct::published::software::VERSION_LABEL;
 use stackmast::policy::place::hash_weight;
+use test_case::test_case;
 
 const PART: &str = "shared";
 const ENGINES: u16 = 4;
@@ -110,6 +112,21 @@
     assert!(is_logged);
 }
 
+// Guards against an engine that continues from the memory of another software version.
+#[test_case("v1", 2; "not from the first choice if that has another version")]
+#[test_case("v2", 0; "from the first choice if that has the same version")]
+fn a_prompt_is_fetched(first_version: &str, source: usize) {
+    let mut engines = engines();
+    for engine in &mut engines {
+        engine.labels.insert(VERSION_LABEL.to_owned(), "v2".to_owned());
+    }
+    engines[0].labels.insert(VERSION_LABEL.to_owned(), first_version.to_owned());
+    let mut core = gateway(&engines);
+    let call = call(&send_elsewhere(&mut core, &engines, ms(10)));
+    assert_eq!(call.endpoint.id, engines[1].id);
+    assert_eq!(call.prompt_source, Some(engines[source].address));
+}
+
 #[test]
 fn the_first_choice_fetches_nothing() {
     let engines = engines();
