--- a/src/direct/requests/mod.rs
+++ b/src/direct/requests/mod.rs
@@ -7,7 +7,8 @@
 //! run; `dispatch` and `choice` send requests to endpoints, selected by `policy::place`, or by
 //! `engine_choice` if engines state their load; `prompt_source` names the engine that has parts of
 //! a prompt; `attempts` tracks the calls; `permits` and `ramp` limit the load after endpoints asked
-//! for it; `changes` applies changed endpoints; `deferred`, `stopping`, `overload` and `poison`
+//! for it; `resumption` finds out which software version continues a stream, `stream_origins` records
+//! it; `changes` applies changed endpoints; `deferred`, `stopping`, `overload` and `poison`
 //! handle startup, shutdown, overload and requests that crash endpoints; `jitter`
 //! spreads the retries of callers.
 
@@ -31,6 +32,7 @@
 pub mod resumption;
 pub(super) mod stages;
 pub(super) mod stopping;
+mod stream_origins;
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -62,8 +64,9 @@
 use crate::direct::requests::owners::OwnerRanking;
 use crate::direct::requests::ramp::Ramps;
 use crate::direct::requests::request::{Phase, Request};
-use crate::direct::requests::resumption::{StreamOrigins, stream_of};
+use crate::direct::requests::resumption::stream_of;
 use crate::direct::requests::stopping::Stopping;
+use crate::direct::requests::stream_origins::StreamOrigins;
 use crate::message::Timestamp;
 
 /// Delay after which refused callers should retry, unless a better estimate is available.
--- a/tests/direct_resumed_streams.rs
+++ b/tests/direct_resumed_streams.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use directenv::gateway::{
-    calls, configured, good, incoming, listed, new_core, publish, refusal, submit,
+    begins, calls, configured, incoming, listed, new_core, publish, refusal, resumable, submit,
 };
 use directenv::group::Group;
 use directenv::{deployment, endpoint, endpoints, ms, position, route};
@@ -39,11 +39,6 @@
     (1..=6).map(|number| engine(number, if number % 2 == 0 { "v1" } else { "v2" })).collect()
 }
 
-/// A route whose streams may be resumed.
-fn resumable() -> Route {
-    Route { streams: true, resumable: true, ..route("r", Repeat::AtMostOnce, &[]) }
-}
-
 fn stream(number: u64) -> IncomingRequest {
     IncomingRequest { id: format!("stream-{number}").into(), ..incoming("r", Vec::new()) }
 }
@@ -68,11 +63,6 @@
     version_of(&call.endpoint).expect("each engine has a version").to_owned()
 }
 
-/// The event by which the endpoint of an attempt begins its stream.
-fn begins(caller: u64, attempt: u64) -> Event {
-    Event::Answered { caller, attempt, proof: good(), is_open: true }
-}
-
 fn with_engines(route: Route) -> GatewayCore {
     let mut core = configured(vec![route]);
     let documents = listed(&engines(), 3);
@@ -258,10 +248,10 @@
     let one = (1..=6).map(|number| engine(number, "v1")).collect();
     let mut group = Group::new(3, deployment(1, vec![resumable()]), one);
     (0..STREAMS).for_each(|number| drop(begin(&mut group, number)));
-    assert_eq!(group.sent_of_kind("streams_began"), 0);
+    assert_eq!(group.sent_of_kind("streams_began").0, 0);
     let mut group = Group::new(3, deployment(1, vec![resumable()]), engines());
     (0..STREAMS).for_each(|number| drop(begin(&mut group, number)));
-    assert!(group.sent_of_kind("streams_began") > 0);
+    assert!(group.sent_of_kind("streams_began").0 > 0);
 }
 
 // Guards against a stage that runs for a stream which no endpoint can continue.
@@ -277,7 +267,7 @@
     let event = Event::Submit { caller: 1, incoming: with_pieces(resumption(1)) };
     let actions = group.handle(1, event);
     assert_eq!(refusal(&actions).map(|refusal| refusal.reason), Some(Refused::UnknownOrigin));
-    assert_eq!(group.sent_of_kind("submit"), 0);
+    assert_eq!(group.sent_of_kind("submit").0, 0);
 }
 
 // Guards against a caller that waits for a gateway which has ended, or for all holders although
--- a/tests/directenv/gateway.rs
+++ b/tests/directenv/gateway.rs
@@ -16,10 +16,10 @@
 use stackmast::direct::poison::fingerprint::Fingerprint;
 use stackmast::direct::published::documents::{Document, Revised, Seen};
 use stackmast::direct::published::evacuations::Evacuations;
-use stackmast::direct::published::model::{Deployment, Endpoint, Route};
+use stackmast::direct::published::model::{Deployment, Endpoint, Repeat, Route};
 use stackmast::direct::repeats::RepeatBudget;
 
-use super::{address, deployment, endpoints, ms, position};
+use super::{address, deployment, endpoints, ms, position, route};
 
 /// Shell that ignores all actions of a core.
 pub struct Idle;
@@ -128,6 +128,16 @@
     Event::Answered { caller: 1, attempt, proof, is_open: false }
 }
 
+/// The event by which the endpoint of an attempt begins its stream.
+pub fn begins(caller: u64, attempt: u64) -> Event {
+    Event::Answered { caller, attempt, proof: good(), is_open: true }
+}
+
+/// A route without stages whose streams may be resumed.
+pub fn resumable() -> Route {
+    Route { streams: true, resumable: true, ..route("r", Repeat::AtMostOnce, &[]) }
+}
+
 pub fn serving(port: u16) -> Member {
     let state = MemberState::Serving;
     Member { address: address(port), incarnation: 5, heartbeat: 1, state, capacity: 1_000 }
--- a/tests/directenv/group.rs
+++ b/tests/directenv/group.rs
@@ -8,6 +8,7 @@
 use stackmast::actor::Core;
 use stackmast::direct::core::{GatewayCore, Setup};
 use stackmast::direct::event::{Action, CallParams, Event, IncomingRequest, Refusal};
+use stackmast::direct::peers::codec::{FORM, Outgoing};
 use stackmast::direct::peers::message::PeerMessage;
 use stackmast::direct::published::documents::{Document, Revised};
 use stackmast::direct::published::model::{Deployment, Endpoint};
@@ -37,8 +38,8 @@
     pub now: Duration,
     /// Actions of each gateway other than messages, until they are taken.
     actions: Vec<Vec<Action>>,
-    /// Number of messages that were sent, by kind.
-    sent: HashMap<&'static str, usize>,
+    /// Number of messages that were sent and their bytes in the compact form, by kind.
+    sent: HashMap<&'static str, (usize, usize)>,
 }
 
 impl Group {
@@ -138,7 +139,9 @@
     /// The event that a message causes at its receiver, or at its sender if there is none.
     fn sent(&mut self, from: usize, to: SocketAddr, message: PeerMessage) -> (usize, Event) {
         let receiver = usize::from(to.port()) - 1;
-        *self.sent.entry(message.kind()).or_default() += 1;
+        let bytes = Outgoing::new(message.clone()).encode_for(Some(FORM)).len();
+        let sent = self.sent.entry(message.kind()).or_default();
+        *sent = (sent.0 + 1, sent.1 + bytes);
         if self.silent.contains(&from) || self.silent.contains(&receiver) {
             return (from, Event::Tick);
         }
@@ -148,8 +151,8 @@
         (receiver, Event::PeerMessage { from: Self::address_of(from), message })
     }
 
-    /// Number of messages of a kind that were sent.
-    pub fn sent_of_kind(&self, kind: &str) -> usize {
+    /// Number of messages of a kind that were sent, and their bytes.
+    pub fn sent_of_kind(&self, kind: &str) -> (usize, usize) {
         self.sent.get(kind).copied().unwrap_or_default()
     }
 
