--- a/src/direct/origins/holders.rs
+++ b/src/direct/origins/holders.rs
@@ -20,7 +20,7 @@
 /// a holder since the record was sent.
 const ASKED_PER_STREAM: usize = HOLDERS_PER_STREAM + 1;
 /// Maximum number of gateways among which holders are selected.
-const MAX_CANDIDATES: usize = 32;
+const MAX_CANDIDATES: usize = 128;
 /// Key by which these gateways are ranked.
 const CANDIDATES: &str = "holders of the origins of streams";
 
--- a/tests/direct_origins.rs
+++ b/tests/direct_origins.rs
@@ -51,8 +51,8 @@
     let mut holders = Holders::default();
     assert!(holders.update(&members(600), &Builds::default()));
     let all: BTreeSet<SocketAddr> =
-        (0..1_000).flat_map(|n| addresses(&holders.asked(&format!("stream-{n}")))).collect();
-    assert_eq!(all.len(), 32);
+        (0..5_000).flat_map(|n| addresses(&holders.asked(&format!("stream-{n}")))).collect();
+    assert_eq!(all.len(), 128);
 }
 
 // Guards against records that are not found, since the asked gateways are others than the holders.
