Bounded lifetime of stream records; shorter updates of versions and holders

A caller's deadline is its own word: a record of an own stream now lasts for 60 s at most, as at the holders. Otherwise no change of behaviour: one loop for changed and for all endpoints, has_several for are_several, no indexing that can fail.

--- a/src/direct/origins/holders.rs
+++ b/src/direct/origins/holders.rs
@@ -58,7 +58,9 @@
         let seed = xxh3_64(CANDIDATES.as_bytes());
         candidates.sort_by_cached_key(|holder| Reverse(weight(*holder, seed)));
         candidates.truncate(MAX_CANDIDATES);
-        std::mem::replace(&mut self.candidates, candidates.clone()) != candidates
+        let has_changed = self.candidates != candidates;
+        self.candidates = candidates;
+        has_changed
     }
 
     /// The gateways that hold the record of a stream.
--- a/src/direct/origins/records.rs
+++ b/src/direct/origins/records.rs
@@ -58,8 +58,9 @@
     /// deterministic.
     pub fn streams_of(&self, is_pool: impl Fn(&Name) -> bool) -> Vec<Name> {
         let is_of_pool =
-            |(_, stream): &&(Timestamp, Name)| is_pool(&self.records[stream].origin.pool);
-        self.expiries.iter().filter(is_of_pool).map(|(_, stream)| stream.clone()).collect()
+            |stream: &&Name| self.records.get(*stream).is_some_and(|r| is_pool(&r.origin.pool));
+        let streams = self.expiries.iter().map(|(_, stream)| stream);
+        streams.filter(is_of_pool).cloned().collect()
     }
 
     /// Removes the record of a stream, which is complete.
--- a/src/direct/origins/versions.rs
+++ b/src/direct/origins/versions.rs
@@ -4,6 +4,7 @@
 //! record it.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::direct::published::model::{Endpoint, Name, Work};
@@ -52,17 +53,11 @@
             let uses = self.pools.entry(pool.name.clone()).or_default();
             let before: Vec<Version> = uses.keys().cloned().collect();
             let listed = table.pool_endpoints(&pool.name);
-            if is_new_configuration {
-                let known = uses.values().flat_map(|used| used.listed.iter().cloned());
-                let known: Vec<Name> = known.collect();
-                known.iter().for_each(|id| remove(uses, id, now));
-                listed.iter().for_each(|endpoint| add(uses, endpoint));
-            } else {
-                for id in changed {
-                    remove(uses, id, now);
-                    let at = listed.binary_search_by(|endpoint| endpoint.id.cmp(id));
-                    at.into_iter().for_each(|at| add(uses, &listed[at]));
-                }
+            let ids = if is_new_configuration { all_ids(uses, listed) } else { changed.to_vec() };
+            for id in &ids {
+                remove(uses, id, now);
+                let at = listed.binary_search_by(|endpoint| endpoint.id.cmp(id));
+                at.into_iter().for_each(|at| add(uses, &listed[at]));
             }
             uses.retain(|_, used| !used.listed.is_empty() || now < used.until);
             if !uses.keys().eq(&before) {
@@ -79,11 +74,17 @@
     }
 
     /// Whether a pool has or had several versions.
-    pub fn are_several(&self, pool: &str, now: Timestamp) -> bool {
+    pub fn has_several(&self, pool: &str, now: Timestamp) -> bool {
         self.of(pool, now).nth(1).is_some()
     }
 }
 
+/// Ids of the endpoints that were or are listed.
+fn all_ids(uses: &BTreeMap<Version, Use>, listed: &[Arc<Endpoint>]) -> Vec<Name> {
+    let before = uses.values().flat_map(|used| used.listed.iter().cloned());
+    before.chain(listed.iter().map(|endpoint| endpoint.id.clone())).collect()
+}
+
 fn add(uses: &mut BTreeMap<Version, Use>, endpoint: &Endpoint) {
     let version = version_of(endpoint).map(Name::from);
     uses.entry(version).or_default().listed.insert(endpoint.id.clone());
--- a/src/direct/requests/stream_origins.rs
+++ b/src/direct/requests/stream_origins.rs
@@ -43,7 +43,7 @@
     /// Has the records of own streams sent to the holders that lack them, for pools with several
     /// versions.
     fn report_again(&mut self, now: Timestamp) {
-        let streams = self.own.streams_of(|pool| self.versions.are_several(pool, now));
+        let streams = self.own.streams_of(|pool| self.versions.has_several(pool, now));
         self.pending_reports.extend(streams);
     }
 }
@@ -51,7 +51,7 @@
 impl Request {
     /// When the caller stops waiting for the stream, over all its tries.
     fn resumable_until(&self) -> Timestamp {
-        self.arrived + self.incoming.timeout.unwrap_or(DEFAULT_TIMEOUT)
+        self.arrived + self.incoming.timeout.unwrap_or(DEFAULT_TIMEOUT).min(DEFAULT_TIMEOUT)
     }
 }
 
@@ -63,7 +63,7 @@
             return;
         };
         let origin = Origin::of(&request.pool, endpoint);
-        if self.origins.versions.are_several(&origin.pool, now) {
+        if self.origins.versions.has_several(&origin.pool, now) {
             self.origins.pending_reports.push(stream.clone());
         }
         self.origins.own.insert(stream, origin, request.resumable_until(), now);
--- a/tests/direct_origins.rs
+++ b/tests/direct_origins.rs
@@ -130,12 +130,12 @@
     ids.iter().for_each(|id| table.replace_endpoint(id, None));
     table.replace_endpoint(&id, Some(&of_version(1, "v1")));
     assert_eq!(versions.update(&table, true, &[], ms(0)), [Name::from("engine")]);
-    assert!(!versions.are_several("engine", ms(0)));
+    assert!(!versions.has_several("engine", ms(0)));
     // The endpoint starts again under its id, with another version.
     table.replace_endpoint(&id, Some(&of_version(1, "v2")));
     assert_eq!(versions.update(&table, false, &ids, 10 * SECOND), [Name::from("engine")]);
-    assert!(versions.are_several("engine", 69 * SECOND));
-    assert!(!versions.are_several("engine", 70 * SECOND));
+    assert!(versions.has_several("engine", 69 * SECOND));
+    assert!(!versions.has_several("engine", 70 * SECOND));
     assert_eq!(versions.of("engine", 70 * SECOND).collect::<Vec<_>>(), [&Some("v2".into())]);
     assert_eq!(versions.update(&table, true, &[], 71 * SECOND), [Name::from("engine")]);
 }
