--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -41,6 +41,7 @@
 pub mod published;
 mod rate_limits;
 mod readiness;
+pub mod refusal;
 pub mod repeats;
 pub mod requests;
 pub mod setup;
