Red: records of streams that are lost with connections to their holders

A record of the version that began a stream is one message. If the connections to the holders fail silently, the messages of up to 1.5 s are lost.

--- a/tests/direct_resumed_streams.rs
+++ b/tests/direct_resumed_streams.rs
@@ -158,6 +158,20 @@
     }
 }
 
+// Guards against records that are lost with the connections to their holders.
+#[test]
+fn records_are_sent_again_after_the_connections_to_their_holders_failed() {
+    let mut group = Group::new(3, deployment(1, vec![resumable()]), engines());
+    group.silent = vec![0];
+    let began: Vec<String> = (0..STREAMS).map(|number| begin(&mut group, number)).collect();
+    group.silent.clear();
+    [1, 2].into_iter().for_each(|peer| group.connection_failed(0, peer));
+    group.kill(0);
+    for (number, first) in began.into_iter().enumerate() {
+        assert_eq!(resume(&mut group, 1, number as u64), Ok(first), "stream {number}");
+    }
+}
+
 // Guards against a restarted gateway that takes the versions which are listed now for those that
 // were listed when the stream began.
 #[test]
--- a/tests/directenv/group.rs
+++ b/tests/directenv/group.rs
@@ -88,6 +88,11 @@
         self.cores[gateway] = None;
     }
 
+    /// A gateway notices that its connection to another one has failed.
+    pub fn connection_failed(&mut self, gateway: usize, peer: usize) {
+        self.handle(gateway, Event::PeerOutboundFailed { address: Self::address_of(peer) });
+    }
+
     /// Replaces the list of endpoints, which all gateways read at once.
     pub fn list(&mut self, endpoints: Vec<Arc<Endpoint>>) {
         self.endpoints = endpoints;
