A pause of the host does not make engines busy for a second

Cause: a request is refused if no engine is expected to start it before its deadline. The wait for a slot was computed with the 95th percentile of 64 runs. Four runs that a pause prolonged made it 690 ms instead of 165 ms, so a queue of 41 counted as 7 s. No request was sent while all were refused, so no newer report arrived, and the queue counted in full until its report expired after a second. Class: a belief that prevents its own correction.

A queue is served at the mean duration of runs, and from the time of its report on: the part that the engine stated is reduced by the age of the report, calls since then are not. Placement compares engines with the full queue, as before. A refusal now logs the report, its age and the expected time (engines_busy).

runs_that_a_pause_prolonged_do_not_make_an_engine_busy fails with the percentile.

--- a/src/direct/log_events/load.rs
+++ b/src/direct/log_events/load.rs
@@ -62,6 +62,27 @@
         /// Number of places that are still booked.
         booked: usize,
     },
+    /// A request was refused, since no engine is expected to start it before its deadline.
+    EnginesBusy {
+        /// Request id given by the caller.
+        request: Name,
+        /// Engine that is expected to start the request first.
+        endpoint: Name,
+        /// Number of requests that ran there by its newest load report.
+        running: u32,
+        /// Number of requests that waited there by this report.
+        waiting: u32,
+        /// Number of requests that it runs concurrently.
+        slots: u32,
+        /// Number of calls of this gateway to the engine since then.
+        sent_since: usize,
+        /// Age of the report in milliseconds.
+        report_age_ms: u64,
+        /// Expected milliseconds until the first event.
+        start_ms: u64,
+        /// Milliseconds until the deadline.
+        left_ms: u64,
+    },
     /// A request was sent with the address of an engine that has parts of its prompt.
     PromptFetch {
         /// Request id given by the caller.
@@ -83,6 +104,7 @@
             Self::MissedStart { .. } => "missed_start",
             Self::PlaceBooked { .. } => "place_booked",
             Self::PlaceEnded { .. } => "place_ended",
+            Self::EnginesBusy { .. } => "engines_busy",
             Self::PromptFetch { .. } => "prompt_fetch",
         }
     }
--- a/src/direct/requests/choice.rs
+++ b/src/direct/requests/choice.rs
@@ -8,15 +8,12 @@
 use crate::direct::event::Refused;
 use crate::direct::published::model::{ColdStart, Endpoint, Name, Route};
 use crate::direct::published::table::Table;
+use crate::direct::requests::engine_choice::BusyEngine;
 use crate::direct::requests::request::Request;
 use crate::direct::requests::{RETRY_SOON, Requests};
 use crate::message::Timestamp;
 use crate::policy::place::place;
 
-/// Maximum retry delay, without jitter, if the queues of all engines are too long: how long the
-/// requests in them take beyond this depends on callers that leave and engines that are added.
-const MAX_BUSY_DELAY: Duration = Duration::from_secs(6);
-
 /// The selected endpoint of a request.
 #[derive(Debug)]
 pub(super) struct Choice {
@@ -30,7 +27,7 @@
 }
 
 /// Why no endpoint can be selected for a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Unplaced {
     /// No endpoint of the pool accepts requests, or the request was sent to all that do.
     NoEndpoint,
@@ -39,10 +36,7 @@
     /// No endpoint that accepts requests has the software version that began the stream.
     NoEndpointOfVersion,
     /// No engine is expected to start the request before its deadline.
-    AllBusy {
-        /// Time until the queue of one is expected to be short enough for the objective.
-        min_wait: Duration,
-    },
+    AllBusy(BusyEngine),
     /// All suitable endpoints are cold, and this gateway has used its share of their capacity.
     AllCold {
         /// Time until this gateway may next send to one of them.
@@ -207,9 +201,7 @@
             Unplaced::NoEndpoint => (Refused::NoEndpoint, RETRY_SOON),
             Unplaced::NotInAllowedRegion => (Refused::NoEndpointAtHome, RETRY_SOON),
             Unplaced::NoEndpointOfVersion => (Refused::NoEndpointOfVersion, RETRY_SOON),
-            Unplaced::AllBusy { min_wait } => {
-                (Refused::Overloaded, min_wait.clamp(RETRY_SOON, MAX_BUSY_DELAY))
-            }
+            Unplaced::AllBusy(busy) => return self.refuse_all_busy(caller, busy, now),
             Unplaced::AllCold { min_wait } => (Refused::AllCold, min_wait.max(RETRY_SOON)),
             Unplaced::AllPaused { min_wait } => (Refused::AllPaused, min_wait.max(RETRY_SOON)),
             Unplaced::AllLimited { min_wait } => (Refused::AllLimited, min_wait.max(RETRY_SOON)),
--- a/src/direct/requests/durations.rs
+++ b/src/direct/requests/durations.rs
@@ -113,18 +113,30 @@
         }
     }
 
+    /// Mean duration of requests of about this size; `None` without samples.
+    pub fn mean(&self, route: &Name, span: Span, size: u64) -> Option<Duration> {
+        let times = similar_times(self.classes(route, span)?, size_class(size));
+        let sum: Duration = times.iter().sum();
+        sum.checked_div(u32::try_from(times.len()).ok()?)
+    }
+
     fn classes(&self, route: &Name, span: Span) -> Option<&Classes> {
         self.samples.get(route)?.get(&span)
     }
 }
 
-/// Typical duration in a size class, or over all classes if this class has too few samples.
-fn typical(classes: &Classes, class: u32) -> Option<Duration> {
+/// Durations in a size class, or in all classes if this class has too few samples.
+fn similar_times(classes: &Classes, class: u32) -> Vec<Duration> {
     let own = classes.get(&class).filter(|samples| samples.len() >= MIN_SAMPLES);
-    let mut times: Vec<Duration> = match own {
+    match own {
         Some(samples) => samples.iter().map(|s| s.time).collect(),
         None => classes.values().flatten().map(|s| s.time).collect(),
-    };
+    }
+}
+
+/// Duration that nearly all requests of a size class don't exceed.
+fn typical(classes: &Classes, class: u32) -> Option<Duration> {
+    let mut times = similar_times(classes, class);
     times.sort_unstable();
     times.get((times.len() as f64 * TYPICAL_QUANTILE) as usize).copied()
 }
--- a/src/direct/requests/engine_choice.rs
+++ b/src/direct/requests/engine_choice.rs
@@ -7,20 +7,38 @@
 
 use crate::direct::engines::load::{Load, SharedLoad};
 use crate::direct::engines::view::{KnownLoad, REPORT_TTL};
+use crate::direct::event::{Action, Refused};
+use crate::direct::log_events::{LoadEvent, LogEvent, ms};
 use crate::direct::published::model::{Endpoint, Name, Work};
 use crate::direct::published::table::Table;
-use crate::direct::requests::Requests;
 use crate::direct::requests::choice::Unplaced;
-use crate::direct::requests::durations::{Confidence, Span};
+use crate::direct::requests::durations::Span;
 use crate::direct::requests::request::Request;
+use crate::direct::requests::{RETRY_SOON, Requests};
 use crate::message::Timestamp;
 use crate::policy::place::{Candidate, PlacementReason};
-use crate::policy::start_time::{Engine, PromptTimes, select, shortest_start};
+use crate::policy::start_time::{Engine, PromptTimes, earliest_start, select};
 
 /// Range of the work time of an engine relative to its pool that is used. Observed response times
 /// include queues, which the expected time to start counts by itself.
 const SLOWNESS_RANGE: (f64, f64) = (0.5, 4.0);
 
+/// Maximum retry delay, without jitter, if the queues of all engines are too long: how long the
+/// requests in them take beyond this depends on callers that leave and engines that are added.
+const MAX_BUSY_DELAY: Duration = Duration::from_secs(6);
+
+/// The engine that is expected to start a request first, if none starts it before its deadline.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct BusyEngine {
+    endpoint: Name,
+    load: Load,
+    /// Number of calls of this gateway since the engine stated its load.
+    sent_since: usize,
+    report_age: Duration,
+    /// Expected time to the first event.
+    start: Duration,
+}
+
 impl Requests {
     /// Whether a pool has engines that state their load.
     fn states_load(&self, pool: &str, table: &Table) -> bool {
@@ -66,11 +84,17 @@
         let times = self.prompt_times(request, &engines);
         let mut known = engines.iter().zip(&loads).filter(|(engine, _)| !engine.avoided);
         if known.all(|(_, load)| load.is_some())
-            && let Some(start) = shortest_start(&engines, part, &times)
+            && let Some((first, start)) = earliest_start(&engines, part, &times)
+            && let Some(load) = loads[first]
             && now + start > request.deadline
         {
-            let min_wait = start.saturating_sub(request.route.objective);
-            return Err(Unplaced::AllBusy { min_wait });
+            return Err(Unplaced::AllBusy(BusyEngine {
+                endpoint: available[first].id.clone(),
+                load: load.load,
+                sent_since: load.sent_since,
+                report_age: now.saturating_sub(load.stated_at),
+                start,
+            }));
         }
         let left = (request.arrived + request.route.objective).saturating_sub(now);
         let selected = select(&engines, part, &times, left);
@@ -95,7 +119,9 @@
         Engine {
             id: &endpoint.id,
             running,
-            waiting: waiting + sent as f64,
+            waiting,
+            sent_since: sent as f64,
+            report_age: load.map_or(Duration::ZERO, |l| now.saturating_sub(l.stated_at)),
             slots: f64::from(endpoint.slots),
             slowness: (place.slowness * work_time).clamp(min, max),
             avoided: place.avoided,
@@ -106,8 +132,8 @@
     fn prompt_times(&self, request: &Request, engines: &[Engine<'_>]) -> PromptTimes {
         let (shared, own) = request.prompt_tokens();
         let read_times = &self.engines.read_times;
-        let is_full = |e: &Engine<'_>| e.running + e.waiting + 1.0 > e.slots;
-        let run = engines.iter().any(is_full).then(|| self.typical_run(request));
+        let is_full = |e: &Engine<'_>| e.running + e.waiting + e.sent_since + 1.0 > e.slots;
+        let run = engines.iter().any(is_full).then(|| self.mean_run(request));
         PromptTimes {
             shared: read_times.time_for(&request.pool, shared),
             own: read_times.time_for(&request.pool, own),
@@ -116,9 +142,29 @@
         }
     }
 
-    fn typical_run(&self, request: &Request) -> Option<Duration> {
-        let (route, size) = (&request.route.name, request.size());
-        self.durations.expected(route, Span::Run, size, Confidence::Typical)
+    fn mean_run(&self, request: &Request) -> Option<Duration> {
+        self.durations.mean(&request.route.name, Span::Run, request.size())
+    }
+
+    /// Refuses a request that no engine starts before its deadline.
+    pub(super) fn refuse_all_busy(&mut self, caller: u64, busy: BusyEngine, now: Timestamp) {
+        let Some(request) = self.requests.get(&caller) else {
+            return;
+        };
+        let retry_after = busy.start.saturating_sub(request.route.objective);
+        self.out.push(Action::Log(LogEvent::Load(LoadEvent::EnginesBusy {
+            request: request.incoming.id.clone(),
+            endpoint: busy.endpoint,
+            running: busy.load.running,
+            waiting: busy.load.waiting,
+            slots: busy.load.slots,
+            sent_since: busy.sent_since,
+            report_age_ms: ms(busy.report_age),
+            start_ms: ms(busy.start),
+            left_ms: ms(request.deadline.saturating_sub(now)),
+        })));
+        let retry_after = retry_after.clamp(RETRY_SOON, MAX_BUSY_DELAY);
+        self.refuse(caller, Refused::Overloaded, retry_after, now);
     }
 
     /// Records the load that the response to a request stated, if its pool has engines.
--- a/src/policy/start_time.rs
+++ b/src/policy/start_time.rs
@@ -20,8 +20,12 @@
     pub id: &'a str,
     /// Number of requests that run.
     pub running: f64,
-    /// Number of requests whose prompt is not read yet, including those that were sent since.
+    /// Number of requests whose prompt is not read yet.
     pub waiting: f64,
+    /// Number of requests that were sent since the engine stated its load.
+    pub sent_since: f64,
+    /// Time since the engine stated its load; zero if its load is unknown.
+    pub report_age: Duration,
     /// Number of requests that the engine runs concurrently.
     pub slots: f64,
     /// Work time relative to that of the pool.
@@ -41,7 +45,7 @@
     pub own: Duration,
     /// Time to read one of the prompts that wait.
     pub waiting: Duration,
-    /// Duration of a run, for which a slot is in use.
+    /// Mean duration of a run, for which a slot is in use.
     pub run: Duration,
 }
 
@@ -50,10 +54,23 @@
     /// the slots, requests have to end before it starts.
     pub fn start_time(&self, times: &PromptTimes, has_part: bool) -> Duration {
         let shared = if has_part { Duration::ZERO } else { times.shared };
-        let read = shared + times.own + times.waiting.mul_f64(self.waiting);
+        let read = (shared + times.own).mul_f64(self.slowness);
+        read + self.queue_time(times, self.waiting + self.sent_since)
+    }
+
+    /// Like [`Self::start_time`], if the engine has received no requests but those that are known:
+    /// it has served the queue that it stated since then.
+    fn earliest_start_time(&self, times: &PromptTimes, has_part: bool) -> Duration {
+        let served = self.queue_time(times, self.waiting).min(self.report_age);
+        self.start_time(times, has_part).saturating_sub(served)
+    }
+
+    /// Time that the engine takes for the requests before one that is sent now.
+    fn queue_time(&self, times: &PromptTimes, waiting: f64) -> Duration {
         let slots = self.slots.max(1.0);
-        let beyond = (self.running + self.waiting + 1.0 - slots).max(0.0);
-        (read + times.run.mul_f64(beyond / slots)).mul_f64(self.slowness)
+        let beyond = (self.running + waiting + 1.0 - slots).max(0.0);
+        let time = times.waiting.mul_f64(waiting) + times.run.mul_f64(beyond / slots);
+        time.mul_f64(self.slowness)
     }
 }
 
@@ -75,15 +92,19 @@
     order
 }
 
-/// The shortest expected time to the first event of a prompt; `None` if all engines are avoided.
-pub fn shortest_start(engines: &[Engine<'_>], part: &str, times: &PromptTimes) -> Option<Duration> {
-    start_times(engines, &order_by_hash(engines, part), times).into_iter().min()
-}
-
-/// Expected times to the first event, in the order by hash.
-fn start_times(engines: &[Engine<'_>], order: &[usize], times: &PromptTimes) -> Vec<Duration> {
-    let ranked = order.iter().map(|&i| &engines[i]).enumerate();
-    ranked.map(|(rank, e)| e.start_time(times, rank == 0 || e.has_part)).collect()
+/// The engine that is expected to start a prompt first, if engines have received no requests but
+/// those that are known, and the time until then; `None` if all engines are avoided.
+pub fn earliest_start(
+    engines: &[Engine<'_>],
+    part: &str,
+    times: &PromptTimes,
+) -> Option<(usize, Duration)> {
+    let ranked = order_by_hash(engines, part).into_iter().enumerate();
+    let starts = ranked.map(|(rank, i)| {
+        let engine = &engines[i];
+        (i, engine.earliest_start_time(times, rank == 0 || engine.has_part))
+    });
+    starts.min_by_key(|(_, start)| *start)
 }
 
 /// Selects an engine for a prompt with a shared part: the first one by hash whose start time is
@@ -96,7 +117,9 @@
     left: Duration,
 ) -> Option<Selected> {
     let order = order_by_hash(engines, part);
-    let starts = start_times(engines, &order, times);
+    let ranked = order.iter().map(|&i| &engines[i]).enumerate();
+    let starts: Vec<Duration> =
+        ranked.map(|(rank, e)| e.start_time(times, rank == 0 || e.has_part)).collect();
     let shortest = starts.iter().min().copied()?;
     let is_first_in_time = starts.first().is_some_and(|first| *first <= left);
     let margin = if is_first_in_time { MARGIN } else { Duration::ZERO };
--- a/tests/direct_engine_placement.rs
+++ b/tests/direct_engine_placement.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use stackmast::policy::place::PlacementReason;
-use stackmast::policy::start_time::{Engine, PromptTimes, order_by_hash, select, shortest_start};
+use stackmast::policy::start_time::{Engine, PromptTimes, earliest_start, order_by_hash, select};
 
 const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
@@ -20,6 +20,8 @@
         id,
         running: 2.0,
         waiting: 0.0,
+        sent_since: 0.0,
+        report_age: Duration::ZERO,
         slots: 64.0,
         slowness: 1.0,
         avoided: false,
@@ -91,10 +93,24 @@
 fn requests_beyond_the_slots_wait_for_the_end_of_others() {
     let full = Engine { running: 64.0, waiting: 32.0, ..engine("e-0") };
     let expected = ms(70) + ms(60) * 32 + ms(800).mul_f64(33.0 / 64.0);
-    let start = shortest_start(&[full], "p", &TIMES).expect("an engine");
+    let (_, start) = earliest_start(&[full], "p", &TIMES).expect("an engine");
     assert!(start.abs_diff(expected) < ms(1), "{start:?}");
 }
 
+// Guards against refusals by a queue that was served since the engine stated it.
+#[test]
+fn a_queue_is_served_from_the_time_of_its_report_on() {
+    let start = |sent_since, report_age| {
+        let full = Engine { running: 64.0, waiting: 32.0, sent_since, report_age, ..engine("e-0") };
+        earliest_start(&[full], "p", &TIMES).expect("an engine").1
+    };
+    let queue = start(0.0, ms(0)) - ms(70);
+    assert!(start(0.0, ms(600)).abs_diff(queue + ms(70) - ms(600)) < ms(1));
+    assert!(start(0.0, queue * 2).abs_diff(ms(70)) < ms(1), "the own prompt is read all the same");
+    let later = ms(60) + ms(800) / 64;
+    assert!(start(1.0, queue * 2).abs_diff(ms(70) + later) < ms(1), "sent since the report");
+}
+
 #[test]
 fn avoided_engines_are_not_selected() {
     let mut engines = engines();
--- a/tests/direct_experience.rs
+++ b/tests/direct_experience.rs
@@ -44,6 +44,13 @@
     assert_eq!(experience().expected(&route(), Span::Run, size, sure), Some(ms(expected)));
 }
 
+#[test_case(100, 1_100; "a known size")]
+#[test_case(100_000, 3_050; "an unknown size, of the whole route")]
+fn the_mean_includes_all_durations(size: u64, expected: u64) {
+    assert_eq!(experience().mean(&route(), Span::Run, size), Some(ms(expected)));
+    assert_eq!(experience().mean(&"other".into(), Span::Run, size), None);
+}
+
 // Regression test (issue 18): much smaller requests, or a single one, counted as evidence for every
 // size.
 #[test_case(100_000; "much larger than any recorded size")]
--- a/tests/direct_prompt_fetch.rs
+++ b/tests/direct_prompt_fetch.rs
@@ -299,6 +299,37 @@
     assert_eq!(calls(&actions).len(), 1, "old reports refuse nothing");
 }
 
+// Guards against refusals after a pause of the host: the wait for a slot was estimated by the
+// longest runs, and the refusals lasted until the report expired.
+#[test]
+fn runs_that_a_pause_prolonged_do_not_make_an_engine_busy() {
+    let engines: Vec<Endpoint> =
+        [1, 2].map(|number| Endpoint { slots: 4, ..engine(number) }).into();
+    let mut core = gateway(&engines);
+    let mut now = ms(10);
+    for number in 0..64 {
+        let (attempt, _) = calls(&submit(&mut core, 1, long_prompt(), now)).remove(0);
+        now += if number % 16 == 0 { ms(700) } else { ms(160) };
+        core.handle(answered(attempt, good()), now);
+    }
+    loads_arrive(&mut core, &engines, &[40; 2], now);
+    assert_eq!(calls(&submit(&mut core, 1, long_prompt(), now)).len(), 1);
+}
+
+#[test]
+fn a_refusal_for_busy_engines_names_the_report_that_it_follows_from() {
+    let engines = engines();
+    let mut core = gateway(&engines);
+    loads_arrive(&mut core, &engines, &[200; 4], ms(10));
+    let actions = submit(&mut core, 1, long_prompt(), ms(30));
+    let is_logged = actions.iter().any(|action| {
+        matches!(action, Action::Log(LogEvent::Load(LoadEvent::EnginesBusy {
+            waiting: 200, report_age_ms: 25, left_ms: 5_000, start_ms, ..
+        })) if *start_ms > 5_000)
+    });
+    assert!(is_logged, "{actions:?}");
+}
+
 // Queues of minutes: callers return within ten seconds all the same.
 #[test]
 fn the_retry_delay_of_long_queues_is_bounded() {
