Records of streams are sent again when a connection to their holder fails

What callers saw: after inter-gateway connections had fallen silent, streams that began within the last 1.5 s were refused (UnknownOrigin) once their gateway was lost, while several software versions served. Suspected, not seen: if an earlier attempt of the request was recorded and the later record is lost, the stream goes on at the version of the earlier attempt.

Cause: a record counts as delivered once it is sent. Jobs of owners are submitted again when a connection fails (probe_peer); records were not. Class: a message whose loss nothing notices.

A failed connection now makes the gateway send its records again to the holder at the other end: those of its unfinished streams only. Ruled out: acknowledgements, which double the messages, for what the transport acknowledges already.

--- a/src/direct/origins/records.rs
+++ b/src/direct/origins/records.rs
@@ -1,6 +1,7 @@
 //! Records of the origins of streams, each until its caller no longer resumes the stream.
 
 use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
 
 use crate::direct::origins::Origin;
 use crate::direct::origins::holders::Holder;
@@ -63,6 +64,22 @@
         streams.filter(is_of_pool).cloned().collect()
     }
 
+    /// Records that a holder may have lost what was sent to it. Returns the streams of these records.
+    pub fn forget_holder(&mut self, address: SocketAddr) -> Vec<Name> {
+        let mut lost = Vec::new();
+        for (_, stream) in &self.expiries {
+            let Some(record) = self.records.get_mut(stream) else {
+                continue;
+            };
+            let count = record.holders.len();
+            record.holders.retain(|holder| holder.address != address);
+            if record.holders.len() < count {
+                lost.push(stream.clone());
+            }
+        }
+        lost
+    }
+
     /// Removes the record of a stream, which is complete.
     pub fn remove(&mut self, stream: &str) {
         if let Some((stream, record)) = self.records.remove_entry(stream) {
--- a/src/direct/peer_messages.rs
+++ b/src/direct/peer_messages.rs
@@ -464,9 +464,10 @@
 
     /// Probes a peer whose connection failed. If the peer is down, the attempt shows that it is
     /// unreachable. If it is up, messages in transit may be lost, so this gateway's jobs are
-    /// submitted to it again.
+    /// submitted to it again, and so are the records of streams that it holds.
     pub(super) fn probe_peer(&mut self, address: SocketAddr, now: Timestamp) {
         self.send_probe(address, Probe::Silent, now);
         self.requests.resubmit_jobs(address);
+        self.requests.report_streams_again(address);
     }
 }
--- a/src/direct/requests/stream_origins.rs
+++ b/src/direct/requests/stream_origins.rs
@@ -105,6 +105,12 @@
         }
     }
 
+    /// Messages to this gateway may be lost: sends it the records that it holds again.
+    pub fn report_streams_again(&mut self, holder: SocketAddr) {
+        let streams = self.origins.own.forget_holder(holder);
+        self.origins.pending_reports.extend(streams);
+    }
+
     /// Stores records of another gateway, for which this one is a holder.
     pub fn streams_began(&mut self, streams: Vec<BegunStream>, now: Timestamp) {
         for BegunStream { stream, origin, expires_in } in streams {
