The lookup of a stream's origin in two steps, its response as a type

Decisions are unchanged: look_up decides, ask_holders sends. The comment says why a gateway that knows no other one in service waits.

--- a/src/direct/peer_messages.rs
+++ b/src/direct/peer_messages.rs
@@ -19,6 +19,7 @@
 use crate::direct::peers::neighbours::{News, Recipients};
 use crate::direct::published::documents::Seen;
 use crate::direct::published::position::Position;
+use crate::direct::requests::resumption::OriginResponse;
 use crate::direct::requests::stages::CancelledJob;
 use crate::message::Timestamp;
 
@@ -110,8 +111,8 @@
                 self.requests.origin_requested(from, number, stream, &pool, now);
             }
             PeerMessage::StreamOrigin { number, stream, origin, versions } => {
-                let asked = (number, &stream);
-                self.requests.origin_received(from, asked, origin, versions, &self.table, now);
+                let response = OriginResponse { number, stream, origin, versions };
+                self.requests.origin_received(from, response, &self.table, now);
             }
             PeerMessage::Cancelled { job, reason, not_started, retry_after } => {
                 let cancelled = CancelledJob { reason, not_started, retry_after };
--- a/src/direct/requests/resumption.rs
+++ b/src/direct/requests/resumption.rs
@@ -33,6 +33,19 @@
     began: Timestamp,
 }
 
+/// The response of a holder to a lookup.
+#[derive(Debug)]
+pub struct OriginResponse {
+    /// Number of the resuming request.
+    pub number: u64,
+    /// Id of the request that received the first event of the stream.
+    pub stream: Name,
+    /// Origin of the stream, if the holder knows it.
+    pub origin: Option<Origin>,
+    /// Versions of the pool that the holder has listed recently.
+    pub versions: Vec<Version>,
+}
+
 /// How the origin of a stream was determined.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Source {
@@ -96,35 +109,49 @@
     /// Looks up the origin of a stream: in the own records, then at holders that have not
     /// responded.
     pub(super) fn look_up(&mut self, caller: u64, table: &Table, now: Timestamp) {
-        let own = self.own;
-        let may_know_peers = self.gateway_count > 1;
-        let Some(request) = self.requests.get_mut(&caller) else {
+        let Some(request) = self.requests.get(&caller) else {
             return;
         };
-        let stream = request.stream().cloned();
-        let Some(lookup) = &mut request.lookup else {
+        let Some(lookup) = &request.lookup else {
             return;
         };
-        let Some(stream) = stream else {
+        let Some(stream) = request.stream().cloned() else {
             return self.decide_by_versions(caller, table, now);
         };
-        if let Some(origin) = self.origins.get(&stream, now) {
-            let origin = origin.clone();
+        if let Some(origin) = self.origins.get(&stream, now).cloned() {
             return self.origin_found(caller, origin, Source::Own, table, now);
         }
         let holders = self.origins.holders.asked(&stream).into_iter().map(|h| h.address);
-        let unasked: Vec<SocketAddr> =
-            holders.filter(|h| *h != own && !lookup.answered.contains(h)).collect();
-        let is_answered = unasked.is_empty() && (!lookup.answered.is_empty() || !may_know_peers);
-        if is_answered || lookup.rounds == MAX_ROUNDS {
+        let is_unanswered = |h: &SocketAddr| *h != self.own && !lookup.answered.contains(h);
+        let unanswered: Vec<SocketAddr> = holders.filter(is_unanswered).collect();
+        // A gateway that knows others, none of which is up, waits for one to be up.
+        let is_alone = self.gateway_count <= 1;
+        let is_complete = unanswered.is_empty() && (is_alone || !lookup.answered.is_empty());
+        if is_complete || lookup.rounds == MAX_ROUNDS {
             return self.decide_by_versions(caller, table, now);
         }
+        self.ask_holders(caller, &stream, unanswered, now);
+    }
+
+    /// Asks holders for the origin of a stream, and again if they don't respond in time.
+    fn ask_holders(
+        &mut self,
+        caller: u64,
+        stream: &Name,
+        holders: Vec<SocketAddr>,
+        now: Timestamp,
+    ) {
+        let Some(request) = self.requests.get_mut(&caller) else {
+            return;
+        };
+        let Some(lookup) = &mut request.lookup else {
+            return;
+        };
         lookup.rounds += 1;
-        lookup.asked.extend(unasked.iter().copied());
+        lookup.asked.extend(holders.iter().copied());
         self.timers.insert((now + ROUND, caller, Timer::OriginLookup(lookup.rounds)));
-        let pool = request.pool.clone();
-        for to in unasked {
-            let (stream, pool) = (stream.clone(), pool.clone());
+        for to in holders {
+            let (stream, pool) = (stream.clone(), request.pool.clone());
             let message = PeerMessage::AskOrigin { number: caller, stream, pool };
             self.out.push(Action::Send { to, message });
         }
@@ -142,13 +169,12 @@
     pub fn origin_received(
         &mut self,
         from: SocketAddr,
-        (number, stream): (u64, &Name),
-        origin: Option<Origin>,
-        versions: Vec<Version>,
+        response: OriginResponse,
         table: &Table,
         now: Timestamp,
     ) {
-        let request = self.requests.get_mut(&number).filter(|r| r.stream() == Some(stream));
+        let OriginResponse { number, stream, origin, versions } = response;
+        let request = self.requests.get_mut(&number).filter(|r| r.stream() == Some(&stream));
         let lookup = request.and_then(|request| request.lookup.as_mut());
         let Some(lookup) = lookup.filter(|lookup| lookup.asked.contains(&from)) else {
             return;
