Red: a gateway that is cut off guesses which version began a stream

A gateway that no other one responds to takes the only software version of its own list for the one that began a stream. If it is cut off from the store and from the other gateways while a release begins, its list is outdated, and it continues streams of the new version at the old one: the test's stream begins at v2 and goes on at v1.

--- a/tests/direct_resumed_streams.rs
+++ b/tests/direct_resumed_streams.rs
@@ -268,6 +268,32 @@
     assert!(group.sent_of_kind("streams_began").0 > 0);
 }
 
+// Guards against a gateway that takes the only version of an outdated list for the one that began a
+// stream, while it is cut off from the store and from the gateways that know another version.
+#[test]
+fn a_gateway_that_is_cut_off_does_not_guess_the_version_of_a_stream() {
+    let old: Vec<_> = (1..=3).map(|number| engine(number, "v1")).collect();
+    let mut group = Group::new(3, deployment(1, vec![resumable()]), old);
+    group.check_store(1);
+    group.silent = vec![1];
+    group.list_at(&[0, 2], (4..=6).map(|number| engine(number, "v2")).collect());
+    group.run_for(ms(4_000));
+    assert_eq!(begin(&mut group, 0), "v2");
+    assert_eq!(resume(&mut group, 1, 0), Err(Refused::UnknownOrigin));
+}
+
+// Guards against refusals by a gateway that no other one responds to, but whose list is current.
+#[test]
+fn the_only_gateway_left_resumes_streams_while_it_reads_the_store() {
+    let one: Vec<_> = (1..=3).map(|number| engine(number, "v1")).collect();
+    let mut group = Group::new(3, deployment(1, vec![resumable()]), one);
+    begin(&mut group, 0);
+    group.silent = vec![1];
+    group.run_for(ms(4_000));
+    group.check_store(1);
+    assert_eq!(resume(&mut group, 1, 0), Ok("v1".to_owned()));
+}
+
 // Guards against a stage that runs for a stream which no endpoint can continue.
 #[test]
 fn stages_of_a_resumption_run_only_if_the_stream_can_be_continued() {
--- a/tests/directenv/group.rs
+++ b/tests/directenv/group.rs
@@ -12,6 +12,7 @@
 use stackmast::direct::peers::message::PeerMessage;
 use stackmast::direct::published::documents::{Document, Revised};
 use stackmast::direct::published::model::{Deployment, Endpoint};
+use stackmast::direct::store_reading::StorePart;
 
 use super::gateway::{calls, listed, refusal, setup};
 use super::{address, ms, position};
@@ -95,9 +96,22 @@
 
     /// Replaces the list of endpoints, which all gateways read at once.
     pub fn list(&mut self, endpoints: Vec<Arc<Endpoint>>) {
+        let all: Vec<usize> = (0..self.cores.len()).collect();
+        self.list_at(&all, endpoints);
+    }
+
+    /// Replaces the list of endpoints, which only these gateways read.
+    pub fn list_at(&mut self, gateways: &[usize], endpoints: Vec<Arc<Endpoint>>) {
         self.endpoints = endpoints;
         self.revision += 1;
-        (0..self.cores.len()).for_each(|gateway| self.read_list(gateway));
+        gateways.iter().for_each(|gateway| self.read_list(*gateway));
+    }
+
+    /// A gateway reads the store, which has nothing new.
+    pub fn check_store(&mut self, gateway: usize) {
+        for part in [StorePart::Operator, StorePart::Endpoints] {
+            self.handle(gateway, Event::StoreChecked { part });
+        }
     }
 
     fn read_list(&mut self, gateway: usize) {
