A gateway that is cut off does not guess which version began a stream

What callers would get: a stream that joins events of two software versions, if a gateway that is cut off from the store and from all other gateways takes it up while a release begins elsewhere.

Cause: without a record, the only version of the asking gateway's list counted as the one that began the stream, however old the list was. Class: a decision from a belief without its age.

A gateway that no other one responds to now continues such a stream only if its list was known to be current within 3 s (readers confirm it every 2 s), or if it knows no other gateway. Otherwise the request is refused as not run. The line stream_origin states the age of the list. Ruled out: waiting for each asked holder, since a silent one would delay each resumption by 300 ms while a pool has one version.

--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -390,6 +390,7 @@
     fn collect(&mut self, now: Timestamp) -> Vec<Action> {
         let own = self.members.own().address;
         let mut actions = Vec::new();
+        self.requests.set_list_current_at(self.store_reading.current_at());
         loop {
             let mut produced = std::mem::take(&mut self.out);
             produced.extend(self.requests.actions(
--- a/src/direct/log_events/streams.rs
+++ b/src/direct/log_events/streams.rs
@@ -24,8 +24,11 @@
         source: &'static str,
         /// Number of gateways that were asked.
         asked: usize,
-        /// Number of gateways that responded.
+        /// Number of gateways that responded or are down.
         answered: usize,
+        /// Milliseconds since this gateway's list of endpoints was known to be current; `None` if
+        /// it was not yet.
+        list_age_ms: Option<u64>,
         /// Milliseconds that the request waited.
         took_ms: u64,
     },
--- a/src/direct/requests/resumption.rs
+++ b/src/direct/requests/resumption.rs
@@ -26,7 +26,9 @@
 #[derive(Debug, Clone, Default)]
 pub struct OriginLookup {
     asked: BTreeSet<SocketAddr>,
+    /// Those of them that responded or are down.
     answered: BTreeSet<SocketAddr>,
+    has_response: bool,
     /// Versions of the pool that the gateways which responded have listed recently.
     versions: BTreeSet<Version>,
     rounds: u32,
@@ -180,6 +182,7 @@
             return;
         };
         lookup.answered.insert(from);
+        lookup.has_response = true;
         lookup.versions.extend(versions);
         let is_last = lookup.answered.len() == lookup.asked.len();
         match origin {
@@ -217,23 +220,31 @@
         own.chain(of_holders).collect()
     }
 
+    /// Whether another gateway has confirmed the versions that are known here, or none is needed.
+    fn are_versions_confirmed(&self, request: &Request, now: Timestamp) -> bool {
+        let has_response = request.lookup.as_ref().is_some_and(|lookup| lookup.has_response);
+        let is_alone = self.gateway_count <= 1;
+        has_response || is_alone || self.origins.is_list_current(now)
+    }
+
     /// No record was found. If the pool has had one version only, that version began the stream.
     fn decide_by_versions(&mut self, caller: u64, table: &Table, now: Timestamp) {
         let Some(request) = self.requests.get(&caller) else {
             return;
         };
         let pool = request.pool.clone();
+        let are_confirmed = self.are_versions_confirmed(request, now);
         let mut versions = self.possible_versions(caller, now);
-        match (versions.pop_first(), versions.is_empty()) {
-            (Some(version), true) => {
+        match versions.pop_first() {
+            Some(version) if versions.is_empty() && are_confirmed => {
                 let origin = Origin { pool, version };
                 self.origin_found(caller, origin, Source::OnlyVersion, table, now);
             }
-            (None, _) => self.refuse(caller, Refused::NoEndpoint, RETRY_SOON, now),
-            (Some(_), false) => {
+            Some(_) => {
                 self.log_origin(caller, None, "unknown", now);
                 self.refuse(caller, Refused::UnknownOrigin, RETRY_SOON, now);
             }
+            None => self.refuse(caller, Refused::NoEndpoint, RETRY_SOON, now),
         }
     }
 
@@ -280,6 +291,7 @@
             source,
             asked: lookup.asked.len(),
             answered: lookup.answered.len(),
+            list_age_ms: self.origins.list_age(now).map(ms),
             took_ms: ms(now.saturating_sub(lookup.began)),
         })));
     }
--- a/src/direct/requests/stream_origins.rs
+++ b/src/direct/requests/stream_origins.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::direct::event::Action;
 use crate::direct::log_events::{LogEvent, StreamEvent};
@@ -21,6 +22,10 @@
 use crate::direct::requests::{DEFAULT_TIMEOUT, Requests};
 use crate::message::Timestamp;
 
+/// Maximum age of the list of endpoints by which a gateway decides alone which version began a
+/// stream. Readers of the store confirm the list at least every 2 s.
+const MAX_LIST_AGE: Duration = Duration::from_secs(3);
+
 /// What a gateway knows of the origins of streams.
 #[derive(Debug, Default)]
 pub(super) struct StreamOrigins {
@@ -30,6 +35,8 @@
     received: Records,
     pub(super) versions: RecentVersions,
     pub(super) holders: Holders,
+    /// When the list of endpoints was last known to be current.
+    list_current_at: Option<Timestamp>,
     /// Own streams whose records are sent by the next call of [`Requests::report_streams`].
     pending_reports: Vec<Name>,
 }
@@ -40,6 +47,16 @@
         self.own.origin(stream, now).or_else(|| self.received.origin(stream, now))
     }
 
+    /// Time since the list of endpoints was known to be current.
+    pub(super) fn list_age(&self, now: Timestamp) -> Option<Duration> {
+        self.list_current_at.map(|at| now.saturating_sub(at))
+    }
+
+    /// Whether the list of endpoints, and so its versions, were current a short time ago.
+    pub(super) fn is_list_current(&self, now: Timestamp) -> bool {
+        self.list_age(now).is_some_and(|age| age < MAX_LIST_AGE)
+    }
+
     /// Has the records of own streams sent to the holders that lack them, for pools with several
     /// versions.
     fn report_again(&mut self, now: Timestamp) {
@@ -120,6 +137,11 @@
         crate::metrics::stream_origins_held(self.origins.received.len());
     }
 
+    /// Sets when the list of endpoints was last known to be current.
+    pub const fn set_list_current_at(&mut self, at: Option<Timestamp>) {
+        self.origins.list_current_at = at;
+    }
+
     /// Responds to a gateway at which a caller resumes a stream.
     pub fn origin_requested(
         &mut self,
--- a/src/direct/store_reading.rs
+++ b/src/direct/store_reading.rs
@@ -128,6 +128,11 @@
         }
     }
 
+    /// When the documents were last known to be current.
+    pub(super) const fn current_at(&self) -> Option<Timestamp> {
+        self.current_at
+    }
+
     /// Time since the documents were known to be current.
     pub(super) fn age(&self, now: Timestamp) -> Option<Duration> {
         self.current_at.map(|at| now.saturating_sub(at))
