Arrived requests name the shared parts of their prompts

Cause: of the hypotheses for endpoints that crash one after the other, the lines could not tell whether the runs share an organisation, a route or a part of the prompt: `arrived` named the first two only, which sound requests share as well.

Change: the field `shared_parts`, left out for requests without a prompt. Nothing is decided by it.

--- a/src/direct/log_events/mod.rs
+++ b/src/direct/log_events/mod.rs
@@ -35,6 +35,9 @@
         organisation: Option<Name>,
         /// Digest of content and organisation; a repeat under another id has the same.
         fingerprint: String,
+        /// Ids of the parts of the prompt that other requests may share, in order.
+        #[serde(skip_serializing_if = "Vec::is_empty")]
+        shared_parts: Vec<String>,
         /// Version of the configuration.
         version: u64,
         /// Milliseconds until the deadline.
--- a/src/direct/requests/mod.rs
+++ b/src/direct/requests/mod.rs
@@ -270,6 +270,7 @@
             route: request.route.name.clone(),
             organisation: request.organisation.clone(),
             fingerprint: request.fingerprint.to_string(),
+            shared_parts: request.shared_prompt_parts().map(ToOwned::to_owned).collect(),
             version: table.deployment.version,
             left_ms: ms(request.deadline.saturating_sub(now)),
             resumes: request.incoming.resumes.clone(),
--- a/src/direct/requests/request.rs
+++ b/src/direct/requests/request.rs
@@ -158,6 +158,13 @@
         is_of_origin && self.allowed_regions.allows(endpoint)
     }
 
+    /// Ids of the parts of the prompt that other requests may share, in order: all but the last one.
+    pub fn shared_prompt_parts(&self) -> impl Iterator<Item = &str> {
+        let parts = self.incoming.generation.as_ref().map_or(&[][..], |g| &g.parts);
+        let shared = &parts[..parts.len().saturating_sub(1)];
+        shared.iter().map(|(id, _)| id.as_str())
+    }
+
     /// The last part of the prompt that other requests share: the last but one, or the only one.
     pub fn shared_prompt_part(&self) -> Option<&str> {
         let parts = &self.incoming.generation.as_ref()?.parts;
