--- a/src/direct/log_events/kinds.rs
+++ b/src/direct/log_events/kinds.rs
@@ -62,9 +62,6 @@
             Self::BatchSent { .. } => "batch_sent",
             Self::BatchEnded { .. } => "batch_ended",
             Self::Sent { .. } => "sent",
-            Self::EndpointCrashed { .. } => "endpoint_crashed",
-            Self::Quarantined { .. } => "quarantined",
-            Self::Cleared { .. } => "cleared",
             Self::Suspended { .. } => "stood_still",
             Self::AttemptFailed { .. } => "attempt_failed",
             Self::ResultsGone { .. } => "results_gone",
@@ -104,6 +101,7 @@
             Self::Stopped { .. } => "stopped",
             Self::Reloaded { .. } => "reloaded",
             Self::Load(event) => event.kind(),
+            Self::Poison(event) => event.kind(),
             Self::Stream(event) => event.kind(),
         }
     }
--- a/src/direct/log_events/mod.rs
+++ b/src/direct/log_events/mod.rs
@@ -3,6 +3,7 @@
 mod kinds;
 mod load;
 mod members;
+mod poison;
 mod store;
 mod streams;
 
@@ -14,6 +15,7 @@
 
 pub use crate::direct::log_events::load::LoadEvent;
 pub use crate::direct::log_events::members::{MemberSuspected, PeerUnread, StoreReadingChange};
+pub use crate::direct::log_events::poison::PoisonEvent;
 pub use crate::direct::log_events::store::{
     EndpointEntry, PublishedVersion, StoreEra, StoreReadOutcome, StoreReturned,
 };
@@ -140,37 +142,12 @@
         /// Software version of the endpoint.
         software_version: Option<String>,
     },
-    /// An endpoint is proven to have crashed while calls from this gateway were running there.
-    EndpointCrashed {
-        /// Id of the endpoint.
-        endpoint: Name,
-        /// Incarnation that crashed.
-        incarnation: u64,
-        /// `port closed`, `another life`, `entry gone`, or `told` (reported by a gateway).
-        proof: &'static str,
-        /// Fingerprints that were running there, each with the number of its crash round.
-        suspects: Vec<(String, u8)>,
-    },
-    /// A fingerprint is refused from now on, since endpoints crashed under it.
-    Quarantined {
-        /// Fingerprint of the request or of one of its stages.
-        fingerprint: String,
-        /// Endpoints that crashed under it.
-        endpoints: Vec<Name>,
-        /// `own`, or the address of the gateway whose report was decisive.
-        source: String,
-    },
     /// The process was suspended or got no processor time, and has resumed.
     #[serde(rename = "stood_still")]
     Suspended {
         /// Milliseconds of the suspension.
         for_ms: u64,
     },
-    /// A fingerprint under which endpoints had crashed completed a run: it is no longer suspect.
-    Cleared {
-        /// Fingerprint of the request or of one of its stages.
-        fingerprint: String,
-    },
     /// An attempt ended without a response that can be passed to the caller.
     AttemptFailed {
         /// Request id given by the caller.
@@ -489,6 +466,9 @@
     /// See [`LoadEvent`].
     #[serde(untagged)]
     Load(LoadEvent),
+    /// See [`PoisonEvent`].
+    #[serde(untagged)]
+    Poison(PoisonEvent),
     /// See [`StreamEvent`].
     #[serde(untagged)]
     Stream(StreamEvent),
--- a/src/direct/owner/poison.rs
+++ b/src/direct/owner/poison.rs
@@ -16,7 +16,7 @@
 use crate::direct::peers::message::{Job, JobId, JobReason};
 use crate::direct::poison::fingerprint::Fingerprint;
 use crate::direct::poison::suspects::{Quarantined, Suspects};
-use crate::direct::poison::{Run, RunReport, Unanswered};
+use crate::direct::poison::{Run, RunReport, SubjectKind, Unanswered};
 use crate::direct::published::table::Table;
 
 impl Scheduler {
@@ -57,7 +57,9 @@
         let stage = |(job, stage)| {
             let fingerprint = self.jobs.get(&job)?.job.fingerprint.of_stage(stage);
             let round = self.suspects.rounds(fingerprint).saturating_add(1);
-            Some(CallStage { job, stage, run: Run { fingerprint, round, alone } })
+            let kind = SubjectKind::Content;
+            let run = Run { kind, fingerprint, depth: 0, round, alone };
+            Some(CallStage { job, stage, run })
         };
         stages.into_iter().filter_map(stage).collect()
     }
--- a/src/direct/peer_messages.rs
+++ b/src/direct/peer_messages.rs
@@ -17,6 +17,8 @@
 use crate::direct::peers::members::MembershipChanges;
 use crate::direct::peers::message::{Job, JobId, JobReason, PeerMessage};
 use crate::direct::peers::neighbours::{News, Recipients};
+use crate::direct::poison::SubjectKind;
+use crate::direct::poison::suspects::SuspectUpdate;
 use crate::direct::published::documents::Seen;
 use crate::direct::published::position::Position;
 use crate::direct::requests::resumption::OriginResponse;
@@ -97,8 +99,20 @@
                 self.requests.stage_done(job, from, stage, results);
             }
             PeerMessage::Ready(job) => self.requests.stages_ready(job, from, &self.table, now),
-            PeerMessage::Suspects(accounts) => self.suspects_received(from, &accounts, now),
-            PeerMessage::AskSuspects(digest) => self.suspects_requested(from, digest, now),
+            PeerMessage::Suspects(suspects) => {
+                let updates = suspects.into_iter().map(|suspect| SuspectUpdate::new(0, suspect));
+                let updates: Vec<SuspectUpdate> = updates.collect();
+                self.suspects_received(from, SubjectKind::Content, &updates, now);
+            }
+            PeerMessage::AskSuspects(digest) => {
+                self.suspects_requested(from, SubjectKind::Content, digest, now);
+            }
+            PeerMessage::SuspectParts(updates) => {
+                self.suspects_received(from, SubjectKind::PromptPart, &updates, now);
+            }
+            PeerMessage::AskSuspectParts(digest) => {
+                self.suspects_requested(from, SubjectKind::PromptPart, digest, now);
+            }
             PeerMessage::AskPermit { number, limit, priority, wait } => {
                 let asker = Asker { gateway: from, number };
                 self.permit_requested(asker, &limit, priority, wait, now);
--- a/src/direct/peers/build.rs
+++ b/src/direct/peers/build.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::direct::peers::codec::FORM;
+use crate::direct::poison::SubjectKind;
 
 /// The build of a gateway as its process reports it; the version is empty if it reports none.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
@@ -41,6 +42,8 @@
 const HEARTBEATS_SINCE: u32 = 7;
 /// The first form whose builds hold the origins of streams.
 const ORIGINS_SINCE: u32 = 9;
+/// The first form whose builds know poison parts of prompts.
+const PROMPT_PARTS_SINCE: u32 = 10;
 /// Maximum number of tracked peers; bounds memory. 580 gateways are expected within two years.
 const MAX_OTHER_BUILDS: usize = 1_024;
 
@@ -126,6 +129,13 @@
         self.others.get(&address).is_none_or(|(_, build)| build.form >= ORIGINS_SINCE)
     }
 
+    /// Whether a peer knows poison of a kind. A peer that has not sent a greeting yet is assumed to
+    /// run this build.
+    pub fn knows(&self, address: SocketAddr, kind: SubjectKind) -> bool {
+        kind == SubjectKind::Content
+            || self.others.get(&address).is_none_or(|(_, build)| build.form >= PROMPT_PARTS_SINCE)
+    }
+
     /// Increases whenever a peer begins or ceases to run another build.
     pub const fn changes(&self) -> u64 {
         self.changes
--- a/src/direct/peers/message.rs
+++ b/src/direct/peers/message.rs
@@ -13,8 +13,9 @@
 use crate::direct::owner::producers::Usage;
 use crate::direct::peers::heartbeat::Heartbeat;
 use crate::direct::peers::member::Member;
+use crate::direct::poison::SubjectKind;
 use crate::direct::poison::fingerprint::Fingerprint;
-use crate::direct::poison::suspects::AnnouncedSuspect;
+use crate::direct::poison::suspects::{AnnouncedSuspect, SuspectUpdate};
 use crate::direct::published::documents::{Revised, Seen};
 use crate::direct::published::evacuations::Evacuations;
 use crate::direct::published::model::{Deployment, Name};
@@ -293,9 +294,31 @@
         /// Versions of the pool that the sender has listed recently.
         versions: Vec<Version>,
     },
+    /// Crash records by fingerprint: the parts of prompts under which endpoints crashed.
+    SuspectParts(Vec<SuspectUpdate>),
+    /// Requests [`Self::SuspectParts`] if the receiver's records don't have this digest.
+    AskSuspectParts(u64),
 }
 
 impl PeerMessage {
+    /// Crash records of a kind.
+    pub fn suspects(kind: SubjectKind, updates: Vec<SuspectUpdate>) -> Self {
+        match kind {
+            SubjectKind::Content => {
+                Self::Suspects(updates.into_iter().map(|update| update.suspect).collect())
+            }
+            SubjectKind::PromptPart => Self::SuspectParts(updates),
+        }
+    }
+
+    /// Request for crash records of a kind, unless they have this digest.
+    pub const fn ask_suspects(kind: SubjectKind, digest: u64) -> Self {
+        match kind {
+            SubjectKind::Content => Self::AskSuspects(digest),
+            SubjectKind::PromptPart => Self::AskSuspectParts(digest),
+        }
+    }
+
     /// Name of the message kind in metrics.
     pub const fn kind(&self) -> &'static str {
         match self {
@@ -318,6 +341,8 @@
             Self::StreamsBegan(_) => "streams_began",
             Self::AskOrigin { .. } => "ask_origin",
             Self::StreamOrigin { .. } => "stream_origin",
+            Self::SuspectParts(_) => "suspect_parts",
+            Self::AskSuspectParts(_) => "ask_suspect_parts",
         }
     }
 }
--- a/src/direct/poison/fingerprint.rs
+++ b/src/direct/poison/fingerprint.rs
@@ -5,6 +5,9 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{Xxh3Default, xxh3_64_with_seed};
 
+/// Seed of the digests of prompt parts, which tells them from contents.
+const PROMPT_PART_SEED: u64 = u64::MAX;
+
 /// Digest of the organisation, the method, the path with its query, and the body of a request. The
 /// host is left out, since one route may be reached under several.
 ///
@@ -32,6 +35,12 @@
         Self(xxh3_64_with_seed(&self.0.to_le_bytes(), stage as u64 + 1))
     }
 
+    /// Fingerprint of a part of prompts, by its id. The same for all organisations, routes and
+    /// pools: the part is the same text for each of them.
+    pub fn of_prompt_part(id: &str) -> Self {
+        Self(xxh3_64_with_seed(id.as_bytes(), PROMPT_PART_SEED))
+    }
+
     /// Fingerprint of the same content for an organisation, or for callers without an API key.
     pub fn for_organisation(self, organisation: Option<&str>) -> Self {
         let Some(organisation) = organisation else {
--- a/src/direct/poison/suspects.rs
+++ b/src/direct/poison/suspects.rs
@@ -1,5 +1,5 @@
-//! Requests that were running at endpoints that crashed: kept by all gateways until they are
-//! cleared or quarantined.
+//! Requests, and parts of their prompts, that were running at endpoints that crashed: kept by all
+//! gateways until they are cleared or quarantined.
 //!
 //! Entries can be merged from any source and in any order: the crashes of a fingerprint form a set,
 //! and the entry that was cleared more often is newer.
@@ -11,30 +11,23 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::direct::poison::Run;
 use crate::direct::poison::fingerprint::Fingerprint;
+pub use crate::direct::poison::suspect::Crash;
+use crate::direct::poison::suspect::Suspect;
+use crate::direct::poison::{Run, SubjectKind};
 use crate::direct::published::model::Name;
 use crate::message::Timestamp;
 
-/// Number of endpoints that must crash under a fingerprint before it is quarantined. An endpoint
-/// may crash for many reasons and aborts everything that runs there: in 2,000 random schedules of
-/// fleets that lose one of 24 endpoints each second, one innocent request in 15,000 was running at
-/// three crashes.
-const POISON_CRASHES: usize = 3;
-/// Minimum number of rounds in which these crashes must occur: the same content may run at many
-/// endpoints that crash at once, as when a rack fails. A round ends when its crash is known, so
-/// what is sent with that knowledge belongs to the next round.
-const POISON_ROUNDS: u8 = 2;
 /// Number of crashes after which a fingerprint is isolated: it no longer shares a call with others.
 /// An innocent one then runs to completion, and only what crashes an endpoint alone can be poison.
 const ISOLATION_CRASHES: usize = 2;
 /// Number of crashes after which a fingerprint is quarantined even if another one ran at each of
 /// them.
 const UNCONDITIONAL_CRASHES: usize = 5;
-/// Maximum number of crashes that are kept per fingerprint; more would not change any decision.
-const MAX_CRASHES: usize = 6;
-/// How long an entry is kept after its request was last received; refused callers get this as their
-/// retry time. Callers that respect it are then run again, so that a repaired endpoint serves them.
+/// How long an entry is kept after its request was last received, or after the last crash under a
+/// part of a prompt; refused callers get this as their retry time. Callers that respect it are then
+/// run again, so that a repaired endpoint serves them. Requests with a part of a prompt may arrive
+/// without end, so they do not extend the time.
 pub const RETENTION: Duration = Duration::from_secs(600);
 /// Minimum difference in time for which a repeated request is gossiped: otherwise each refusal
 /// would be an update for all gateways.
@@ -50,30 +43,10 @@
 /// Maximum number of entries in the reply to a gateway that compares digests: 4 KB.
 const MAX_IN_REPLY: usize = 64;
 
-/// Crash of an endpoint while a fingerprint was running there.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Crash {
-    /// Id of the endpoint.
-    pub endpoint: Name,
-    /// Incarnation that crashed.
-    pub incarnation: u64,
-    /// One more than the number of crash rounds known when the request was sent there.
-    pub round: u8,
-    /// Whether the request was isolated: alone in its call.
-    pub alone: bool,
-}
-
-impl Crash {
-    /// Incarnation that crashed, with the endpoint's id.
-    fn endpoint_incarnation(&self) -> (&Name, u64) {
-        (&self.endpoint, self.incarnation)
-    }
-}
-
-/// Entry for one fingerprint, as gossiped between gateways.
+/// Entry for one fingerprint, as gossiped between gateways for contents.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AnnouncedSuspect {
-    /// Fingerprint of the request or stage.
+    /// Fingerprint of the request, stage or part of a prompt.
     pub fingerprint: Fingerprint,
     /// How often it was cleared; crashes before the last time no longer count.
     pub cleared: u32,
@@ -83,68 +56,41 @@
     pub crashes: Vec<Crash>,
 }
 
-#[derive(Debug, Clone)]
-struct Suspect {
-    cleared: u32,
-    crashes: Vec<Crash>,
-    last_received: Timestamp,
-    /// Number of heartbeats that still have to carry this entry.
-    heartbeats_left: u8,
-}
-
-impl Suspect {
-    fn rounds(&self) -> u8 {
-        self.crashes.iter().map(|crash| crash.round).max().unwrap_or(0)
-    }
-
-    /// Whether enough endpoints crashed under it, without regard to what else ran there.
-    fn may_be_poison(&self) -> bool {
-        let was_alone = self.crashes.iter().any(|crash| crash.alone);
-        self.crashes.len() >= POISON_CRASHES && self.rounds() >= POISON_ROUNDS && was_alone
-    }
-
-    fn contains(&self, crash: &Crash) -> bool {
-        self.crashes.iter().any(|own| own.endpoint_incarnation() == crash.endpoint_incarnation())
+impl AnnouncedSuspect {
+    /// Time since the request was last received, or since the last crash under a part of a prompt.
+    fn age(&self) -> Duration {
+        Duration::from_secs(u64::from(self.age_s))
     }
+}
 
-    /// Whether the other fingerprint was running at every crash of this one.
-    fn is_explained_by(&self, other: &Self) -> bool {
-        self.crashes.iter().all(|crash| other.contains(crash))
-    }
+/// Update of one entry, as gossiped for parts of prompts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectUpdate {
+    /// Number of parts before a part of a prompt; 0 for a content.
+    pub depth: u8,
+    /// Milliseconds since a gateway learned of the first of the crashes.
+    pub suspected_for_ms: u32,
+    /// The entry.
+    pub suspect: AnnouncedSuspect,
+}
 
-    /// Merges crashes; returns whether anything changed.
-    fn merge_crashes(&mut self, crashes: &[Crash]) -> bool {
-        let before = self.crashes.clone();
-        for crash in crashes {
-            match self
-                .crashes
-                .iter_mut()
-                .find(|known| known.endpoint_incarnation() == crash.endpoint_incarnation())
-            {
-                Some(known) => {
-                    known.round = known.round.max(crash.round);
-                    known.alone |= crash.alone;
-                }
-                None => self.crashes.push(crash.clone()),
-            }
-        }
-        // Sorted, so that all gateways keep the same crashes whatever the merge order.
-        let order = |l: &Crash| (Reverse((l.alone, l.round)), l.endpoint.clone(), l.incarnation);
-        self.crashes.sort_by_key(order);
-        self.crashes.truncate(MAX_CRASHES);
-        self.crashes != before
+impl SuspectUpdate {
+    /// An update for a crash that is known only now, or for a content.
+    pub const fn new(depth: u8, suspect: AnnouncedSuspect) -> Self {
+        Self { depth, suspected_for_ms: 0, suspect }
     }
 
-    /// Sort key when the maximum is exceeded: number of crashes, then the latest time of receipt.
-    fn retention_rank(&self) -> (usize, Timestamp) {
-        (self.crashes.len(), self.last_received)
+    fn suspected_at(&self, now: Timestamp) -> Timestamp {
+        now.saturating_sub(Duration::from_millis(u64::from(self.suspected_for_ms)))
     }
 }
 
 /// Fingerprint that has just been quarantined.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Quarantined {
-    /// Fingerprint of the request or stage.
+    /// What the fingerprint identifies.
+    pub kind: SubjectKind,
+    /// Fingerprint of the request, stage or part of a prompt.
     pub fingerprint: Fingerprint,
     /// Endpoints that crashed under it, up to `MAX_CRASHES`.
     pub endpoints: Vec<Name>,
@@ -159,6 +105,11 @@
 }
 
 impl Suspects {
+    /// Whether any fingerprint is quarantined.
+    pub fn has_poison(&self) -> bool {
+        !self.quarantined.is_empty()
+    }
+
     /// Whether a fingerprint is quarantined.
     pub fn is_poison(&self, fingerprint: Fingerprint) -> bool {
         self.quarantined.contains(&fingerprint)
@@ -188,9 +139,9 @@
         self.entries.get(&fingerprint).is_some_and(|s| s.crashes.len() >= ISOLATION_CRASHES)
     }
 
-    /// Number of quarantined fingerprints.
-    pub fn quarantined_count(&self) -> usize {
-        self.quarantined.len()
+    /// Number of quarantined fingerprints of a kind.
+    pub fn quarantined_count(&self, kind: SubjectKind) -> usize {
+        self.quarantined.iter().filter(|f| self.entries[*f].kind == kind).count()
     }
 
     /// Number of known fingerprints.
@@ -213,26 +164,25 @@
         now: Timestamp,
     ) -> Vec<Quarantined> {
         for run in runs {
-            let Run { round, alone, .. } = *run;
+            let Run { kind, fingerprint, depth, round, alone } = *run;
             let crash = Crash { endpoint: endpoint.clone(), incarnation, round, alone };
-            let cleared = self.entries.get(&run.fingerprint).map_or(0, |s| s.cleared);
-            self.merge_entry(run.fingerprint, cleared, &[crash], now);
+            let cleared = self.entries.get(&fingerprint).map_or(0, |s| s.cleared);
+            let (crashes, age_s) = (vec![crash], 0);
+            let suspect = AnnouncedSuspect { fingerprint, cleared, age_s, crashes };
+            self.merge_entry(kind, &SuspectUpdate::new(depth, suspect), now);
         }
         self.evict();
-        self.update_quarantine()
+        self.update_quarantine(now)
     }
 
     /// Whether a gossiped entry contains anything new; most have been received before.
     pub fn is_new(&self, received: &AnnouncedSuspect, now: Timestamp) -> bool {
-        let last_received = now.saturating_sub(Duration::from_secs(u64::from(received.age_s)));
+        let last_received = now.saturating_sub(received.age());
         let Some(known) = self.entries.get(&received.fingerprint) else {
             return true;
         };
         let covers = |crash: &Crash| {
-            let same = known
-                .crashes
-                .iter()
-                .find(|own| own.endpoint_incarnation() == crash.endpoint_incarnation());
+            let same = known.find(crash);
             same.is_some_and(|own| own.round >= crash.round && (own.alone || !crash.alone))
         };
         let is_later = received.cleared > known.cleared
@@ -241,34 +191,35 @@
         is_later || adds
     }
 
-    /// Merges entries from another gateway; returns what is newly quarantined.
-    pub fn merge(&mut self, announced: &[AnnouncedSuspect], now: Timestamp) -> Vec<Quarantined> {
-        for received in announced {
-            let age = Duration::from_secs(u64::from(received.age_s));
-            if age >= RETENTION {
-                continue;
-            }
-            let last_received = now.saturating_sub(age);
-            let AnnouncedSuspect { fingerprint, cleared, crashes, .. } = received;
-            self.merge_entry(*fingerprint, *cleared, crashes, last_received);
+    /// Merges entries of a kind from another gateway; returns what is newly quarantined.
+    pub fn merge(
+        &mut self,
+        kind: SubjectKind,
+        updates: &[SuspectUpdate],
+        now: Timestamp,
+    ) -> Vec<Quarantined> {
+        for update in updates.iter().filter(|update| update.suspect.age() < RETENTION) {
+            self.merge_entry(kind, update, now);
         }
         self.evict();
-        self.update_quarantine()
+        self.update_quarantine(now)
     }
 
-    fn merge_entry(
-        &mut self,
-        fingerprint: Fingerprint,
-        cleared: u32,
-        crashes: &[Crash],
-        last_received: Timestamp,
-    ) {
-        let suspect = self.entries.entry(fingerprint).or_insert_with(|| Suspect {
+    fn merge_entry(&mut self, kind: SubjectKind, update: &SuspectUpdate, now: Timestamp) {
+        let SuspectUpdate { depth, suspect: received, .. } = update;
+        let suspected_at = update.suspected_at(now);
+        let last_received = now.saturating_sub(received.age());
+        let cleared = received.cleared;
+        let suspect = self.entries.entry(received.fingerprint).or_insert_with(|| Suspect {
+            kind,
+            depth: *depth,
             cleared,
             crashes: Vec::new(),
+            suspected_at,
             last_received,
             heartbeats_left: HEARTBEATS_PER_CHANGE,
         });
+        suspect.depth = suspect.depth.max(*depth);
         if cleared < suspect.cleared {
             return;
         }
@@ -277,7 +228,7 @@
             suspect.cleared = cleared;
             suspect.crashes.clear();
         }
-        is_changed |= suspect.merge_crashes(crashes);
+        is_changed |= suspect.merge_crashes(&received.crashes, suspected_at);
         is_changed |= last_received > suspect.last_received + REFRESH_INTERVAL;
         if is_changed {
             suspect.last_received = suspect.last_received.max(last_received);
@@ -285,11 +236,25 @@
         }
     }
 
-    /// Recalculates the quarantine; returns what is new in it. If another fingerprint ran at every
-    /// crash of this one, either may be the poison: only the poison causes further crashes, so one
-    /// more crash decides.
-    fn update_quarantine(&mut self) -> Vec<Quarantined> {
-        let suspected = self.entries.iter().filter(|(_, suspect)| suspect.may_be_poison());
+    /// Whether the quarantine changes now, since a part of a prompt has been observed for long enough.
+    pub fn is_quarantine_due(&self, now: Timestamp) -> bool {
+        self.poison(now) != self.quarantined
+    }
+
+    /// Recalculates the quarantine; returns what is new in it.
+    pub fn update_quarantine(&mut self, now: Timestamp) -> Vec<Quarantined> {
+        let before = std::mem::take(&mut self.quarantined);
+        self.quarantined = self.poison(now);
+        let newly = self.quarantined.difference(&before);
+        newly.filter_map(|fingerprint| self.to_quarantined(*fingerprint)).collect()
+    }
+
+    /// The fingerprints that are poison. If another fingerprint ran at every crash of one, either may
+    /// be the poison: only the poison causes further crashes, so one more crash decides. A part of a
+    /// prompt is never poison while something else explains its crashes: that is quarantined itself,
+    /// which prevents further ones.
+    fn poison(&self, now: Timestamp) -> BTreeSet<Fingerprint> {
+        let suspected = self.entries.iter().filter(|(_, suspect)| suspect.may_be_poison(now));
         let mut at_incarnation: BTreeMap<_, Vec<&Fingerprint>> = BTreeMap::new();
         for (fingerprint, suspect) in suspected.clone() {
             for crash in &suspect.crashes {
@@ -304,20 +269,18 @@
             let mut others = others.into_iter().flatten().filter(|other| **other != fingerprint);
             others.any(|other| suspect.is_explained_by(&self.entries[*other]))
         };
-        let is_quarantined = |(fingerprint, suspect): &(&Fingerprint, &Suspect)| {
-            suspect.crashes.len() >= UNCONDITIONAL_CRASHES || !is_explained(fingerprint, suspect)
+        let is_poison = |(fingerprint, suspect): &(&Fingerprint, &Suspect)| {
+            let is_unconditional = suspect.kind == SubjectKind::Content
+                && suspect.crashes.len() >= UNCONDITIONAL_CRASHES;
+            is_unconditional || !is_explained(fingerprint, suspect)
         };
-        let quarantined = suspected.filter(is_quarantined).map(|(fingerprint, _)| *fingerprint);
-        let before = std::mem::take(&mut self.quarantined);
-        self.quarantined = quarantined.collect();
-        let newly = self.quarantined.difference(&before);
-        newly.map(|fingerprint| self.to_quarantined(*fingerprint)).collect()
+        suspected.filter(is_poison).map(|(fingerprint, _)| *fingerprint).collect()
     }
 
-    fn to_quarantined(&self, fingerprint: Fingerprint) -> Quarantined {
-        let crashes = self.entries.get(&fingerprint).map(|suspect| &suspect.crashes);
-        let endpoints = crashes.into_iter().flatten().map(|crash| crash.endpoint.clone());
-        Quarantined { fingerprint, endpoints: endpoints.collect() }
+    fn to_quarantined(&self, fingerprint: Fingerprint) -> Option<Quarantined> {
+        let suspect = self.entries.get(&fingerprint)?;
+        let endpoints = suspect.crashes.iter().map(|crash| crash.endpoint.clone());
+        Some(Quarantined { kind: suspect.kind, fingerprint, endpoints: endpoints.collect() })
     }
 
     /// Clears a fingerprint after a completed run: no endpoint crashed because of it. Returns what
@@ -328,16 +291,24 @@
         else {
             return Vec::new();
         };
-        suspect.cleared += 1;
-        suspect.crashes.clear();
+        suspect.clear();
         suspect.last_received = now;
         suspect.heartbeats_left = HEARTBEATS_PER_CHANGE;
-        self.update_quarantine()
+        self.update_quarantine(now)
+    }
+
+    /// Whether a run that began at a time, and has not crashed its endpoint, proves that this
+    /// fingerprint caused none of the known crashes. An earlier run proves nothing: the endpoints
+    /// may have begun to crash after it had begun.
+    pub fn is_exonerated(&self, fingerprint: Fingerprint, began_at: Timestamp) -> bool {
+        let suspect = self.entries.get(&fingerprint).filter(|s| !s.crashes.is_empty());
+        suspect.is_some_and(|suspect| suspect.suspected_at < began_at)
     }
 
     /// Whether a repeated request has to be recorded and gossiped.
     pub fn is_refreshed_by(&self, fingerprint: Fingerprint, now: Timestamp) -> bool {
-        self.entries.get(&fingerprint).is_some_and(|s| now > s.last_received + REFRESH_INTERVAL)
+        let content = self.entries.get(&fingerprint).filter(|s| s.kind == SubjectKind::Content);
+        content.is_some_and(|suspect| now > suspect.last_received + REFRESH_INTERVAL)
     }
 
     /// Records that a quarantined request was received again, which extends the time for which it
@@ -357,7 +328,7 @@
     /// Removes expired entries.
     pub fn expire(&mut self, now: Timestamp) {
         self.entries.retain(|_, suspect| now < suspect.last_received + RETENTION);
-        self.update_quarantine();
+        self.update_quarantine(now);
     }
 
     fn evict(&mut self) {
@@ -377,9 +348,9 @@
         self.entries.values().any(|suspect| suspect.heartbeats_left > 0)
     }
 
-    /// Updates to gossip with the next heartbeat.
-    pub fn take_changes(&mut self, now: Timestamp) -> Vec<AnnouncedSuspect> {
-        let changes = self.entries.iter().filter(|(_, suspect)| suspect.heartbeats_left > 0);
+    /// Updates of a kind to gossip with the next heartbeat.
+    pub fn take_changes(&mut self, kind: SubjectKind, now: Timestamp) -> Vec<SuspectUpdate> {
+        let changes = self.of_kind(kind).filter(|(_, suspect)| suspect.heartbeats_left > 0);
         let mut changes: Vec<_> =
             changes.map(|(f, s)| ((s.heartbeats_left, s.retention_rank()), *f)).collect();
         changes.sort_unstable_by_key(|((_, rank), f)| Reverse((*rank, *f)));
@@ -394,16 +365,20 @@
         announced
     }
 
-    /// Entries that gateways compare: fingerprints under which several endpoints crashed. Single
-    /// crashes are gossiped only once, as updates: when a rack fails there are many, and almost all
-    /// of them are irrelevant.
-    fn compared(&self) -> impl Iterator<Item = (&Fingerprint, &Suspect)> {
-        self.entries.iter().filter(|(_, suspect)| suspect.crashes.len() >= ISOLATION_CRASHES)
+    fn of_kind(&self, kind: SubjectKind) -> impl Iterator<Item = (&Fingerprint, &Suspect)> {
+        self.entries.iter().filter(move |(_, suspect)| suspect.kind == kind)
+    }
+
+    /// Entries of a kind that gateways compare: fingerprints under which several endpoints crashed.
+    /// Single crashes are gossiped only once, as updates: when a rack fails there are many, and
+    /// almost all of them are irrelevant.
+    fn compared(&self, kind: SubjectKind) -> impl Iterator<Item = (&Fingerprint, &Suspect)> {
+        self.of_kind(kind).filter(|(_, suspect)| suspect.crashes.len() >= ISOLATION_CRASHES)
     }
 
-    /// Digest of the compared entries; equal if two gateways know the same.
-    pub fn digest(&self) -> u64 {
-        let announced = self.compared().map(|(f, s)| (f, s.cleared, &s.crashes));
+    /// Digest of the compared entries of a kind; equal if two gateways know the same.
+    pub fn digest(&self, kind: SubjectKind) -> u64 {
+        let announced = self.compared(kind).map(|(f, s)| (f, s.cleared, &s.crashes));
         let announced: Vec<_> = announced.collect();
         if announced.is_empty() {
             return 0;
@@ -411,21 +386,27 @@
         xxh3_64(&postcard::to_allocvec(&announced).unwrap_or_default())
     }
 
-    /// Entries sent to a gateway whose digest differs.
-    pub fn announcements(&self, now: Timestamp) -> Vec<AnnouncedSuspect> {
-        let mut known: Vec<_> = self.compared().collect();
+    /// Entries of a kind, sent to a gateway whose digest differs.
+    pub fn announcements(&self, kind: SubjectKind, now: Timestamp) -> Vec<SuspectUpdate> {
+        let mut known: Vec<_> = self.compared(kind).collect();
         known.sort_unstable_by_key(|(_, suspect)| Reverse(suspect.retention_rank()));
         known.truncate(MAX_IN_REPLY);
         known.into_iter().map(|(f, suspect)| announcement(*f, suspect, now)).collect()
     }
 }
 
-fn announcement(fingerprint: Fingerprint, suspect: &Suspect, now: Timestamp) -> AnnouncedSuspect {
+fn announcement(fingerprint: Fingerprint, suspect: &Suspect, now: Timestamp) -> SuspectUpdate {
     let age_s = now.saturating_sub(suspect.last_received).as_secs();
-    AnnouncedSuspect {
+    let announced = AnnouncedSuspect {
         fingerprint,
         cleared: suspect.cleared,
         age_s: u32::try_from(age_s).unwrap_or(u32::MAX),
         crashes: suspect.crashes.clone(),
+    };
+    let suspected_for = now.saturating_sub(suspect.suspected_at).as_millis();
+    SuspectUpdate {
+        depth: suspect.depth,
+        suspected_for_ms: u32::try_from(suspected_for).unwrap_or(u32::MAX),
+        suspect: announced,
     }
 }
--- a/src/direct/poison/unanswered.rs
+++ b/src/direct/poison/unanswered.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::direct::poison::suspects::AnnouncedSuspect;
+use crate::direct::poison::suspects::SuspectUpdate;
 use crate::direct::poison::{Run, Unanswered};
 use crate::direct::published::model::{Endpoint, Name};
 use crate::direct::published::table::Table;
@@ -173,13 +173,13 @@
     /// from here.
     pub fn crashes_reported(
         &mut self,
-        received: &[AnnouncedSuspect],
+        received: &[SuspectUpdate],
         now: Timestamp,
     ) -> Vec<CrashedEndpoint> {
         if self.calls.is_empty() {
             return Vec::new();
         }
-        let crashes = received.iter().flat_map(|suspect| &suspect.crashes);
+        let crashes = received.iter().flat_map(|update| &update.suspect.crashes);
         let incarnations = crashes.map(|crash| (crash.endpoint.clone(), crash.incarnation));
         incarnations.filter_map(|incarnation| self.prove(&incarnation, "told", now)).collect()
     }
--- a/src/direct/poison_detection.rs
+++ b/src/direct/poison_detection.rs
@@ -9,14 +9,14 @@
 
 use crate::direct::core::GatewayCore;
 use crate::direct::event::Action;
-use crate::direct::log_events::LogEvent;
+use crate::direct::log_events::{LogEvent, PoisonEvent};
 use crate::direct::peers::members::HEARTBEAT_INTERVAL;
 use crate::direct::peers::message::PeerMessage;
 use crate::direct::peers::neighbours::Recipients;
-use crate::direct::poison::RunReport;
 use crate::direct::poison::fingerprint::Fingerprint;
-use crate::direct::poison::suspects::{AnnouncedSuspect, Quarantined};
+use crate::direct::poison::suspects::{Quarantined, SuspectUpdate};
 use crate::direct::poison::unanswered::{CrashedEndpoint, Verdict};
+use crate::direct::poison::{Run, RunReport, SubjectKind};
 use crate::direct::published::documents::EntryState;
 use crate::direct::published::model::Name;
 use crate::message::Timestamp;
@@ -38,6 +38,11 @@
                 self.successes.record(fingerprint, now);
                 self.clear(fingerprint, now);
             }
+            RunReport::Survived { parts, began_at } => {
+                let suspects = self.suspects.clone();
+                let cleared = parts.into_iter().filter(|p| suspects.is_exonerated(*p, began_at));
+                cleared.for_each(|part| self.clear(part, now));
+            }
             RunReport::Refused(fingerprint) => {
                 if self.suspects.is_refreshed_by(fingerprint, now) {
                     Arc::make_mut(&mut self.suspects).record_repeat(fingerprint, now);
@@ -52,7 +57,8 @@
             return;
         }
         let quarantined = Arc::make_mut(&mut self.suspects).clear(fingerprint, now);
-        self.log(LogEvent::Cleared { fingerprint: fingerprint.to_string() });
+        let fingerprint = fingerprint.to_string();
+        self.log(LogEvent::Poison(PoisonEvent::Cleared { fingerprint }));
         self.share_suspects(quarantined, "own", now);
     }
 
@@ -98,31 +104,36 @@
                 &runs,
                 now,
             ));
-            let rounds = runs.iter().map(|run| (run.fingerprint.to_string(), run.round));
-            self.log(LogEvent::EndpointCrashed {
+            let rounds = |kind| {
+                let of_kind = runs.iter().filter(move |run: &&Run| run.kind == kind);
+                of_kind.map(|run| (run.fingerprint.to_string(), run.round)).collect()
+            };
+            self.log(LogEvent::Poison(PoisonEvent::EndpointCrashed {
                 endpoint: endpoint.id.clone(),
                 incarnation: endpoint.incarnation,
                 proof,
-                suspects: rounds.collect(),
-            });
+                suspects: rounds(SubjectKind::Content),
+                prompt_parts: rounds(SubjectKind::PromptPart),
+            }));
         }
         self.share_suspects(quarantined, "own", now);
         self.next_heartbeat = Timestamp::ZERO;
     }
 
-    /// Merges the suspects that a peer sent.
+    /// Merges the suspects of a kind that a peer sent.
     pub(super) fn suspects_received(
         &mut self,
         from: SocketAddr,
-        accounts: &[AnnouncedSuspect],
+        kind: SubjectKind,
+        received: &[SuspectUpdate],
         now: Timestamp,
     ) {
-        let crashed = self.broken.crashes_reported(accounts, now);
-        let updates = accounts.iter().filter(|account| self.suspects.is_new(account, now));
-        let updates: Vec<AnnouncedSuspect> = updates.cloned().collect();
+        let crashed = self.broken.crashes_reported(received, now);
+        let updates = received.iter().filter(|update| self.suspects.is_new(&update.suspect, now));
+        let updates: Vec<SuspectUpdate> = updates.cloned().collect();
         if !updates.is_empty() {
-            let mut quarantined = Arc::make_mut(&mut self.suspects).merge(&updates, now);
-            let fingerprints = updates.iter().map(|account| account.fingerprint);
+            let mut quarantined = Arc::make_mut(&mut self.suspects).merge(kind, &updates, now);
+            let fingerprints = updates.iter().map(|update| update.suspect.fingerprint);
             let succeeded: Vec<_> =
                 fingerprints.filter(|f| self.successes.contains(*f, now)).collect();
             quarantined.retain(|c| !succeeded.contains(&c.fingerprint));
@@ -132,21 +143,32 @@
         self.endpoints_crashed(crashed, now);
     }
 
-    /// Responds to a peer that asks for suspects, unless its digest is the same.
-    pub(super) fn suspects_requested(&mut self, from: SocketAddr, digest: u64, now: Timestamp) {
-        if digest != self.suspects.digest() {
-            self.send(from, PeerMessage::Suspects(self.suspects.announcements(now)));
+    /// Responds to a peer that asks for suspects of a kind, unless its digest is the same.
+    pub(super) fn suspects_requested(
+        &mut self,
+        from: SocketAddr,
+        kind: SubjectKind,
+        digest: u64,
+        now: Timestamp,
+    ) {
+        if digest != self.suspects.digest(kind) {
+            let suspects = self.suspects.announcements(kind, now);
+            self.send(from, PeerMessage::suspects(kind, suspects));
         }
     }
 
     /// Distributes the current suspects to requests and owners.
     fn share_suspects(&mut self, quarantined: Vec<Quarantined>, source: &str, now: Timestamp) {
-        for Quarantined { fingerprint, endpoints } in &quarantined {
-            let (fingerprint, endpoints) = (fingerprint.to_string(), endpoints.clone());
-            let source = source.to_owned();
-            self.log(LogEvent::Quarantined { fingerprint, endpoints, source });
+        for Quarantined { kind, fingerprint, endpoints } in &quarantined {
+            self.log(LogEvent::Poison(PoisonEvent::Quarantined {
+                kind: kind.as_str(),
+                fingerprint: fingerprint.to_string(),
+                endpoints: endpoints.clone(),
+                source: source.to_owned(),
+            }));
         }
-        crate::metrics::poison_requests(self.suspects.quarantined_count());
+        let count = |kind| self.suspects.quarantined_count(kind);
+        crate::metrics::poison(count(SubjectKind::Content), count(SubjectKind::PromptPart));
         self.requests.set_suspects(self.suspects.clone());
         self.requests.quarantined(&quarantined, now);
         self.owners.set_suspects(&self.suspects, &quarantined, &self.table);
@@ -160,16 +182,40 @@
             Arc::make_mut(&mut self.suspects).expire(now);
             self.share_suspects(Vec::new(), "own", now);
         }
+        self.update_quarantine(now);
         if self.suspects.has_changes() {
-            let updates = Arc::make_mut(&mut self.suspects).take_changes(now);
-            let message = PeerMessage::Suspects(updates);
-            self.out.push(Action::Broadcast { to: recipients.members(), message });
+            SubjectKind::ALL.into_iter().for_each(|kind| self.send_changes(kind, recipients, now));
         }
         if now >= self.next_suspects_request
             && let Some(to) = recipients.members().into_iter().choose(&mut self.rng)
         {
             self.next_suspects_request = now + SUSPECTS_REQUEST_INTERVAL;
-            self.send(to, PeerMessage::AskSuspects(self.suspects.digest()));
+            SubjectKind::ALL.into_iter().for_each(|kind| self.ask_suspects(to, kind));
+        }
+    }
+
+    /// Quarantines parts of prompts that have now been observed for long enough.
+    fn update_quarantine(&mut self, now: Timestamp) {
+        if self.suspects.is_quarantine_due(now) {
+            let quarantined = Arc::make_mut(&mut self.suspects).update_quarantine(now);
+            self.share_suspects(quarantined, "own", now);
+        }
+    }
+
+    fn ask_suspects(&mut self, to: SocketAddr, kind: SubjectKind) {
+        if self.builds.knows(to, kind) {
+            self.send(to, PeerMessage::ask_suspects(kind, self.suspects.digest(kind)));
+        }
+    }
+
+    /// Sends updates of a kind to the peers that know it.
+    fn send_changes(&mut self, kind: SubjectKind, recipients: &Recipients, now: Timestamp) {
+        let updates = Arc::make_mut(&mut self.suspects).take_changes(kind, now);
+        let mut to = recipients.members();
+        to.retain(|peer| self.builds.knows(*peer, kind));
+        if !updates.is_empty() {
+            let message = PeerMessage::suspects(kind, updates);
+            self.out.push(Action::Broadcast { to, message });
         }
     }
 
--- a/src/direct/requests/attempts.rs
+++ b/src/direct/requests/attempts.rs
@@ -10,6 +10,7 @@
 use crate::direct::published::model::{Endpoint, Name};
 use crate::direct::published::table::Table;
 use crate::direct::requests::dispatch::MIN_TIME_LEFT;
+use crate::direct::requests::failure::{Failure, is_endpoint_failure};
 use crate::direct::requests::request::{Attempt, Phase};
 use crate::direct::requests::{RETRY_SOON, Requests, Timer};
 use crate::invariant;
@@ -21,44 +22,6 @@
 /// Status by which an endpoint reports that a result it needs as input is gone.
 const STATUS_RESULTS_GONE: u16 = 409;
 
-/// Failure of an attempt that may have run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Failure {
-    /// The response does not name the request, or reports success without a signature.
-    InvalidResponse,
-    /// The endpoint returned a server error.
-    ServerError,
-    /// The connection failed.
-    ConnectionFailed,
-    /// No response arrived in time.
-    NoResponse,
-    /// The endpoint has been restarted: its entry names another incarnation.
-    EndpointRestarted,
-}
-
-impl Failure {
-    /// The failure as written to log events.
-    const fn as_str(self) -> &'static str {
-        match self {
-            Self::InvalidResponse => "invalid response",
-            Self::ServerError => "server error",
-            Self::ConnectionFailed => "broken",
-            Self::NoResponse => "silent",
-            Self::EndpointRestarted => "endpoint restarted",
-        }
-    }
-
-    /// Kind of missing response, if the failure suggests that the endpoint's process may have
-    /// ended.
-    const fn unanswered(self) -> Option<Unanswered> {
-        match self {
-            Self::InvalidResponse | Self::ServerError => None,
-            Self::ConnectionFailed => Some(Unanswered::Broken),
-            Self::NoResponse | Self::EndpointRestarted => Some(Unanswered::Silent),
-        }
-    }
-}
-
 impl Requests {
     /// Starts a call to an endpoint and the timer for its response, if the request may be repeated.
     pub(super) fn start_attempt(
@@ -73,7 +36,7 @@
             return;
         };
         let connections = self.connection_share(&request.pool, table);
-        let round = self.next_round(request);
+        let runs = self.runs_of_next_call(request);
         let Some(request) = self.requests.get_mut(&caller) else {
             return;
         };
@@ -95,13 +58,14 @@
             self.repeats.record_first_sends(&request.pool, 1, now);
         }
         request.sends += 1;
-        request.round = round;
+        request.runs = runs;
         request.tried.push(endpoint.id.clone());
         request.attempt = Some(Attempt {
             number,
             endpoint: endpoint.clone(),
             ordered_at: now,
             sent_at: None,
+            began_at: None,
             prompt,
         });
         if request.may_repeat() && request.uncertain_attempts + 1 < request.route.max_attempts {
@@ -197,7 +161,7 @@
             if is_success {
                 self.record_durations(caller, true, now);
             }
-            self.report_success(caller);
+            self.report_success(caller, &open);
             self.close_attempt(caller);
             self.end(caller, &format!("answered {}", proof.status), None, now);
         }
@@ -243,6 +207,7 @@
         {
             self.fetch_times.first_event(&request.pool, took);
         }
+        self.writing_began(caller, now);
         self.prompt_read(caller, now);
         self.release(caller);
     }
@@ -333,7 +298,7 @@
         };
         self.out.push(Action::CancelAttempt { caller, attempt: attempt.number });
         if let Some(how) = failure.unanswered() {
-            self.report_unanswered(caller, &attempt, how);
+            self.report_unanswered(caller, &attempt, how, now);
         }
         if self.observations.failed(&attempt.endpoint, now) {
             self.log_avoided(&attempt.endpoint.id, "failures");
@@ -417,14 +382,14 @@
             return;
         };
         if is_complete {
-            self.report_success(caller);
+            self.report_success(caller, &closed);
             self.out.push(Action::EndStream { caller });
             return self.end(caller, "streamed", Some(&closed.endpoint.id), now);
         }
         if self.observations.failed(&closed.endpoint, now) {
             self.log_avoided(&closed.endpoint.id, "failed streams");
         }
-        self.report_unanswered(caller, &closed, Unanswered::Broken);
+        self.report_unanswered(caller, &closed, Unanswered::Broken, now);
         let may_retry = self.may_retry(caller, now);
         let Some(request) = self.requests.get_mut(&caller) else {
             return;
@@ -491,9 +456,3 @@
         }
     }
 }
-
-/// Whether a status counts as a failure of the endpoint: any server error except 504, which reports
-/// that the caller's deadline has passed.
-const fn is_endpoint_failure(status: u16) -> bool {
-    status >= 500 && status != 504
-}
--- a/src/direct/requests/changes.rs
+++ b/src/direct/requests/changes.rs
@@ -10,7 +10,7 @@
 use crate::direct::published::model::{ColdStart, Endpoint, Name};
 use crate::direct::published::table::Table;
 use crate::direct::requests::Requests;
-use crate::direct::requests::attempts::Failure;
+use crate::direct::requests::failure::Failure;
 use crate::direct::requests::request::{Phase, Request};
 use crate::message::Timestamp;
 
--- /dev/null
+++ b/src/direct/requests/failure.rs
@@ -0,0 +1,47 @@
+//! Failures of attempts, and what they show about the endpoint.
+
+use crate::direct::poison::Unanswered;
+
+/// Failure of an attempt that may have run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Failure {
+    /// The response does not name the request, or reports success without a signature.
+    InvalidResponse,
+    /// The endpoint returned a server error.
+    ServerError,
+    /// The connection failed.
+    ConnectionFailed,
+    /// No response arrived in time.
+    NoResponse,
+    /// The endpoint has been restarted: its entry names another incarnation.
+    EndpointRestarted,
+}
+
+impl Failure {
+    /// The failure as written to log events.
+    pub(super) const fn as_str(self) -> &'static str {
+        match self {
+            Self::InvalidResponse => "invalid response",
+            Self::ServerError => "server error",
+            Self::ConnectionFailed => "broken",
+            Self::NoResponse => "silent",
+            Self::EndpointRestarted => "endpoint restarted",
+        }
+    }
+
+    /// Kind of missing response, if the failure suggests that the endpoint's process may have
+    /// ended.
+    pub(super) const fn unanswered(self) -> Option<Unanswered> {
+        match self {
+            Self::InvalidResponse | Self::ServerError => None,
+            Self::ConnectionFailed => Some(Unanswered::Broken),
+            Self::NoResponse | Self::EndpointRestarted => Some(Unanswered::Silent),
+        }
+    }
+}
+
+/// Whether a status counts as a failure of the endpoint: any server error except 504, which reports
+/// that the caller's deadline has passed.
+pub(super) const fn is_endpoint_failure(status: u16) -> bool {
+    status >= 500 && status != 504
+}
--- a/src/direct/requests/mod.rs
+++ b/src/direct/requests/mod.rs
@@ -12,6 +12,7 @@
 //! handle startup, shutdown, overload and requests that crash endpoints; `jitter`
 //! spreads the retries of callers.
 
+mod admission;
 mod attempts;
 mod changes;
 mod choice;
@@ -20,6 +21,7 @@
 pub mod durations;
 pub mod endpoints;
 mod engine_choice;
+mod failure;
 pub mod fetch_times;
 mod jitter;
 mod overload;
@@ -56,6 +58,7 @@
 use crate::direct::published::regions::AllowedRegions;
 use crate::direct::published::table::Table;
 use crate::direct::repeats::{RepeatBudget, RepeatLimiter};
+use crate::direct::requests::admission::admissible;
 use crate::direct::requests::choice::select_pool;
 use crate::direct::requests::durations::DurationHistory;
 use crate::direct::requests::endpoints::Observations;
@@ -87,6 +90,7 @@
     OwnerDecision(u32),
     Response(u64),
     InputsFetched(u64),
+    Survival(u64),
     OriginLookup(u32),
 }
 
@@ -275,8 +279,8 @@
             left_ms: ms(request.deadline.saturating_sub(now)),
             resumes: request.incoming.resumes.clone(),
         }));
-        if let Some(fingerprint) = self.find_poison(&request) {
-            return self.refuse_poison_on_arrival(caller, &request, fingerprint);
+        if let Some(found) = self.find_poison(&request) {
+            return self.refuse_poison_on_arrival(caller, &request, found);
         }
         self.timers.insert((request.deadline, caller, Timer::Deadline));
         self.requests.insert(caller, request);
@@ -315,7 +319,7 @@
             permits_asked: 0,
             sends: 0,
             uncertain_attempts: 0,
-            round: 0,
+            runs: Vec::new(),
             tried: Vec::new(),
             last_event: incoming.after_event.clone(),
             lookup: None,
@@ -351,7 +355,7 @@
     /// The caller disconnected: cancels its request.
     pub fn caller_disconnected(&mut self, caller: u64, now: Timestamp) {
         self.record_durations(caller, false, now);
-        self.cancel_attempt(caller);
+        self.cancel_attempt(caller, now);
         self.out.push(Action::AbortStream { caller });
         self.end(caller, "caller disconnected", None, now);
     }
@@ -369,6 +373,7 @@
                 Timer::OwnerDecision(asked) => self.owner_timed_out(caller, asked, at, now),
                 Timer::Response(attempt) => self.response_timed_out(caller, attempt, table, now),
                 Timer::InputsFetched(attempt) => self.inputs_fetched(caller, attempt),
+                Timer::Survival(attempt) => self.survived(caller, attempt),
                 Timer::OriginLookup(round) => self.origin_lookup_timed_out(caller, round),
             }
         }
@@ -400,7 +405,7 @@
     }
 
     pub(super) fn abort(&mut self, caller: u64, cause: &str, now: Timestamp) {
-        self.cancel_attempt(caller);
+        self.cancel_attempt(caller, now);
         self.out.push(Action::AbortStream { caller });
         self.end(caller, &format!("aborted: {cause}"), None, now);
     }
@@ -420,7 +425,7 @@
             return self.abort(caller, "refused while streaming", now);
         }
         let in_doubt = request.uncertain_attempts > 0 || request.attempt.is_some();
-        self.cancel_attempt(caller);
+        self.cancel_attempt(caller, now);
         let refusal = Refusal { reason, not_run: !in_doubt, retry_after };
         let outcome = format!("refused: {:?}", refusal.reason);
         self.out.push(Action::Refuse { caller, refusal });
@@ -476,26 +481,3 @@
         }
     }
 }
-
-type Admissible<'a> = (&'a Route, Option<&'a Organisation>);
-
-/// Finds route and organisation of a request, or the reason to refuse it before anything runs.
-fn admissible<'a>(
-    incoming: &IncomingRequest,
-    table: &'a Table,
-    is_configured: bool,
-) -> Result<Admissible<'a>, Refused> {
-    if !is_configured {
-        return Err(Refused::NoConfiguration);
-    }
-    let route = table.route(&incoming.host, &incoming.path).ok_or(Refused::UnknownRoute)?;
-    let needs_key = !route.public && !table.deployment.organisations.is_empty();
-    let organisation = incoming.key.as_deref().and_then(|key| table.organisation(key));
-    if needs_key && organisation.is_none() {
-        return Err(Refused::UnknownKey);
-    }
-    if !route.stages.is_empty() && incoming.pieces.len() != route.stages.len() {
-        return Err(Refused::BadRequest("a count of pieces for each stage is required"));
-    }
-    Ok((route, organisation))
-}
--- a/src/direct/requests/poison.rs
+++ b/src/direct/requests/poison.rs
@@ -3,22 +3,53 @@
 use std::sync::Arc;
 
 use crate::direct::event::{Action, Refused};
+use crate::direct::log_events::{LogEvent, PoisonEvent};
 use crate::direct::poison::fingerprint::Fingerprint;
 use crate::direct::poison::suspects::{Quarantined, RETENTION, Suspects};
-use crate::direct::poison::{Run, RunReport, Unanswered};
-use crate::direct::requests::Requests;
+use crate::direct::poison::{Run, RunReport, SURVIVAL_TIME, SubjectKind, Unanswered};
+use crate::direct::published::model::Name;
 use crate::direct::requests::request::{Attempt, Phase, Request};
+use crate::direct::requests::{Requests, Timer};
 use crate::message::Timestamp;
 
+/// Why a request is poison.
+#[derive(Debug, Clone)]
+pub(super) struct FoundPoison {
+    /// The quarantined fingerprint.
+    fingerprint: Fingerprint,
+    /// Id of the part of the prompt that it identifies; `None` for the content or a stage.
+    prompt_part: Option<String>,
+}
+
 impl Requests {
     /// Sets the fingerprints of requests under which endpoints crashed.
     pub fn set_suspects(&mut self, suspects: Arc<Suspects>) {
         self.suspects = suspects;
     }
 
-    /// The quarantined fingerprint of a request or of one of its stages, if there is one.
-    pub(super) fn find_poison(&self, request: &Request) -> Option<Fingerprint> {
-        self.suspects.poison_in(request.fingerprint, request.route.stages.len())
+    /// What is quarantined of a request, its stages or the shared parts of its prompt, if anything.
+    pub(super) fn find_poison(&self, request: &Request) -> Option<FoundPoison> {
+        if !self.suspects.has_poison() {
+            return None;
+        }
+        let content = self.suspects.poison_in(request.fingerprint, request.route.stages.len());
+        if let Some(fingerprint) = content {
+            return Some(FoundPoison { fingerprint, prompt_part: None });
+        }
+        let part = |id| (id, Fingerprint::of_prompt_part(id));
+        let mut parts = request.shared_prompt_parts().map(part);
+        let (id, fingerprint) = parts.find(|(_, part)| self.suspects.is_poison(*part))?;
+        Some(FoundPoison { fingerprint, prompt_part: Some(id.to_owned()) })
+    }
+
+    fn report_poison(&mut self, request: Name, found: FoundPoison) {
+        let FoundPoison { fingerprint, prompt_part } = found;
+        self.out.push(Action::PoisonReport(RunReport::Refused(fingerprint)));
+        self.out.push(Action::Log(LogEvent::Poison(PoisonEvent::PoisonFound {
+            request,
+            fingerprint: fingerprint.to_string(),
+            prompt_part,
+        })));
     }
 
     /// Refuses a new request as poison. Its caller should retry when the quarantine expires; an
@@ -27,19 +58,21 @@
         &mut self,
         caller: u64,
         request: &Request,
-        fingerprint: Fingerprint,
+        found: FoundPoison,
     ) {
-        self.out.push(Action::PoisonReport(RunReport::Refused(fingerprint)));
+        self.report_poison(request.incoming.id.clone(), found);
         self.refuse_new(caller, &request.incoming.id, Refused::Poison, RETENTION);
     }
 
     /// Refuses a request if it is quarantined by now; returns whether it is.
     pub(super) fn refuse_if_poison(&mut self, caller: u64, now: Timestamp) -> bool {
-        let fingerprint = self.requests.get(&caller).and_then(|request| self.find_poison(request));
-        let Some(fingerprint) = fingerprint else {
+        let Some(request) = self.requests.get(&caller) else {
             return false;
         };
-        self.out.push(Action::PoisonReport(RunReport::Refused(fingerprint)));
+        let Some(found) = self.find_poison(request) else {
+            return false;
+        };
+        self.report_poison(request.incoming.id.clone(), found);
         self.refuse(caller, Refused::Poison, RETENTION, now);
         true
     }
@@ -56,12 +89,21 @@
         }
     }
 
-    /// The crash round of a call that is about to be sent: one more than the number of endpoints
-    /// that crashed under the request so far. Includes crashes under this request that may not be
-    /// confirmed yet.
-    pub(super) fn next_round(&self, request: &Request) -> u8 {
-        let own = if request.uncertain_attempts > 0 { request.round } else { 0 };
-        self.suspects.rounds(request.fingerprint).max(own).saturating_add(1)
+    /// The runs of a call that is about to be sent: of the content, and of each shared part of the
+    /// prompt. Their rounds are one more than the number of endpoints that crashed under them so
+    /// far, including crashes under this request that may not be confirmed yet.
+    pub(super) fn runs_of_next_call(&self, request: &Request) -> Vec<Run> {
+        let content = (SubjectKind::Content, request.fingerprint, 0);
+        let parts = request.shared_prompt_parts().map(Fingerprint::of_prompt_part);
+        let parts =
+            parts.zip(0..=u8::MAX).map(|(part, depth)| (SubjectKind::PromptPart, part, depth));
+        let previous = if request.uncertain_attempts > 0 { &request.runs[..] } else { &[] };
+        let run = |(index, (kind, fingerprint, depth))| {
+            let own = previous.get(index).map_or(0, |run: &Run| run.round);
+            let round = self.suspects.rounds(fingerprint).max(own).saturating_add(1);
+            Run { kind, fingerprint, depth, round, alone: true }
+        };
+        [content].into_iter().chain(parts).enumerate().map(run).collect()
     }
 
     /// Placement key of a request under which an endpoint may have crashed; isolates it from other
@@ -75,32 +117,80 @@
         is_isolated.then(|| request.fingerprint.to_string())
     }
 
-    /// A call ended without a response.
-    pub(super) fn report_unanswered(&mut self, caller: u64, attempt: &Attempt, how: Unanswered) {
+    /// A call ended without a response. The parts of its prompt are not the cause if the endpoint
+    /// had been writing for long enough.
+    pub(super) fn report_unanswered(
+        &mut self,
+        caller: u64,
+        attempt: &Attempt,
+        how: Unanswered,
+        now: Timestamp,
+    ) {
         let Some(request) = self.requests.get(&caller) else {
             return;
         };
-        let Request { fingerprint, round, .. } = *request;
-        let run = Run { fingerprint, round, alone: true };
+        let has_survived = attempt.began_at.is_some_and(|began| now >= began + SURVIVAL_TIME);
+        let may_be_cause = |run: &&Run| run.kind == SubjectKind::Content || !has_survived;
         self.out.push(Action::PoisonReport(RunReport::Unanswered {
             endpoint: attempt.endpoint.clone(),
-            runs: vec![run],
+            runs: request.runs.iter().filter(may_be_cause).copied().collect(),
             how,
         }));
     }
 
     /// Cancels the open call, if there is one.
-    pub(super) fn cancel_attempt(&mut self, caller: u64) {
+    pub(super) fn cancel_attempt(&mut self, caller: u64, now: Timestamp) {
         if let Some(attempt) = self.close_attempt(caller) {
             self.out.push(Action::CancelAttempt { caller, attempt: attempt.number });
-            self.report_unanswered(caller, &attempt, Unanswered::GivenUp);
+            self.report_unanswered(caller, &attempt, Unanswered::GivenUp, now);
         }
     }
 
-    /// A request was answered.
-    pub(super) fn report_success(&mut self, caller: u64) {
-        if let Some(request) = self.requests.get(&caller) {
-            self.out.push(Action::PoisonReport(RunReport::Succeeded(request.fingerprint)));
+    /// A request was answered by the call `attempt`.
+    pub(super) fn report_success(&mut self, caller: u64, attempt: &Attempt) {
+        let Some(request) = self.requests.get(&caller) else {
+            return;
+        };
+        self.out.push(Action::PoisonReport(RunReport::Succeeded(request.fingerprint)));
+        self.report_survival(caller, attempt.began_at.unwrap_or(attempt.ordered_at));
+    }
+
+    /// An endpoint began to write an answer. If a part of the prompt is suspect, the endpoint's
+    /// survival is checked later.
+    pub(super) fn writing_began(&mut self, caller: u64, now: Timestamp) {
+        let Some(request) = self.requests.get_mut(&caller) else {
+            return;
+        };
+        let Some(attempt) = request.attempt.as_mut().filter(|a| a.began_at.is_none()) else {
+            return;
+        };
+        attempt.began_at = Some(now);
+        let number = attempt.number;
+        if self.has_suspect_part(caller) {
+            self.timers.insert((now + SURVIVAL_TIME, caller, Timer::Survival(number)));
         }
     }
+
+    /// The endpoint of an attempt has not crashed for long enough after it began to write.
+    pub(super) fn survived(&mut self, caller: u64, attempt: u64) {
+        let open = self.requests.get(&caller).and_then(|request| request.attempt.as_ref());
+        if let Some(began_at) = open.filter(|a| a.number == attempt).and_then(|a| a.began_at) {
+            self.report_survival(caller, began_at);
+        }
+    }
+
+    fn report_survival(&mut self, caller: u64, began_at: Timestamp) {
+        if self.has_suspect_part(caller)
+            && let Some(request) = self.requests.get(&caller)
+        {
+            let parts = request.shared_prompt_parts().map(Fingerprint::of_prompt_part).collect();
+            self.out.push(Action::PoisonReport(RunReport::Survived { parts, began_at }));
+        }
+    }
+
+    fn has_suspect_part(&self, caller: u64) -> bool {
+        let is_suspect = |id| self.suspects.is_suspect(Fingerprint::of_prompt_part(id));
+        !self.suspects.is_empty()
+            && self.requests.get(&caller).is_some_and(|r| r.shared_prompt_parts().any(is_suspect))
+    }
 }
--- a/src/direct/requests/request.rs
+++ b/src/direct/requests/request.rs
@@ -7,6 +7,7 @@
 use crate::direct::event::IncomingRequest;
 use crate::direct::origins::Origin;
 use crate::direct::peers::message::{JobId, StoredResult};
+use crate::direct::poison::Run;
 use crate::direct::poison::fingerprint::Fingerprint;
 use crate::direct::published::model::{Endpoint, Name, Repeat, Route};
 use crate::direct::published::regions::AllowedRegions;
@@ -63,6 +64,8 @@
     pub ordered_at: Timestamp,
     /// When the call was sent over an established connection; set only for calls that need results.
     pub sent_at: Option<Timestamp>,
+    /// When the first event of the answer was forwarded.
+    pub began_at: Option<Timestamp>,
     /// What the engine does with the prompt; `None` after the first event, and if there is no
     /// prompt with shared parts.
     pub prompt: Option<PromptRead>,
@@ -111,8 +114,8 @@
     pub sends: u32,
     /// Number of calls that failed and may have run.
     pub uncertain_attempts: u32,
-    /// Crash round of the last call; see [`crate::direct::poison::Run`].
-    pub round: u8,
+    /// What the last call runs: the content, then the shared parts of the prompt.
+    pub runs: Vec<Run>,
     /// Endpoints that the request was sent to.
     pub tried: Vec<Name>,
     /// Id of the last stream event that was forwarded.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -72,6 +72,8 @@
 pub const EVACUATED_DATA_CENTRES: &str = "stackmast_evacuated_data_centres";
 /// Request contents refused because they crashed endpoints.
 pub const POISON_REQUESTS: &str = "stackmast_poison_requests";
+/// Parts of prompts refused because they crashed endpoints.
+pub const POISON_PROMPT_PARTS: &str = "stackmast_poison_prompt_parts";
 /// Ordered messages to endpoints that were withheld because the endpoint had since asked for none.
 pub const MESSAGES_WITHHELD: &str = "stackmast_messages_withheld_total";
 /// Decisions and changes of estimated state, by kind.
@@ -145,6 +147,10 @@
     describe_counter!(PLACES_ENDED, "Places of refused callers that ended, by outcome");
     describe_gauge!(PLACES, "Places of refused callers that are booked now");
     describe_gauge!(POISON_REQUESTS, "Contents refused because endpoints crashed under them");
+    describe_gauge!(
+        POISON_PROMPT_PARTS,
+        "Prompt parts refused because endpoints crashed under them"
+    );
     describe_counter!(
         MESSAGES_WITHHELD,
         "Ordered messages to endpoints that were not sent, by asked"
@@ -276,9 +282,10 @@
     gauge!(OTHER_BUILDS).set(peers as f64);
 }
 
-/// Sets the number of request contents refused because they crashed endpoints.
-pub fn poison_requests(contents: usize) {
+/// Sets the numbers of request contents and parts of prompts refused because they crashed endpoints.
+pub fn poison(contents: usize, prompt_parts: usize) {
     gauge!(POISON_REQUESTS).set(contents as f64);
+    gauge!(POISON_PROMPT_PARTS).set(prompt_parts as f64);
 }
 
 /// Records the queueing delay and handling time of an event.
--- a/testbed/src/frames.rs
+++ b/testbed/src/frames.rs
@@ -24,7 +24,7 @@
     BegunStream, Job, JobId, JobReason, JobStage, PeerMessage, StoredResult,
 };
 use stackmast::direct::poison::fingerprint::Fingerprint;
-use stackmast::direct::poison::suspects::{AnnouncedSuspect, Crash};
+use stackmast::direct::poison::suspects::{AnnouncedSuspect, Crash, SuspectUpdate};
 use stackmast::direct::published::documents::{Document, Revised, Seen};
 use stackmast::direct::published::evacuations::{EvacuationChange, Evacuations};
 use stackmast::direct::published::model::{
@@ -300,7 +300,7 @@
     }))
 }
 
-fn suspects() -> PeerMessage {
+fn suspects() -> Vec<AnnouncedSuspect> {
     let crash = Crash {
         endpoint: name("endpoint-1"),
         incarnation: 1_790_000_000_002,
@@ -308,12 +308,7 @@
         alone: true,
     };
     let fingerprint = Fingerprint::of_content("POST", "/a/b", b"body");
-    PeerMessage::Suspects(vec![AnnouncedSuspect {
-        fingerprint,
-        cleared: 1,
-        age_s: 9,
-        crashes: vec![crash],
-    }])
+    vec![AnnouncedSuspect { fingerprint, cleared: 1, age_s: 9, crashes: vec![crash] }]
 }
 
 fn origin() -> Origin {
@@ -355,7 +350,7 @@
         PeerMessage::StageDone { job: job_id(7), stage: 1, results: vec![stored_result()] },
         PeerMessage::Ready(job_id(7)),
         PeerMessage::Release(job_id(7)),
-        suspects(),
+        PeerMessage::Suspects(suspects()),
         PeerMessage::AskSuspects(0x9416_d334_0145_fee9),
         PeerMessage::AskPermit {
             number: 9,
@@ -377,5 +372,12 @@
             origin: Some(origin()),
             versions: vec![Some(name("v1")), Some(name("v1.1"))],
         },
+        PeerMessage::SuspectParts(
+            suspects()
+                .into_iter()
+                .map(|suspect| SuspectUpdate { depth: 1, suspected_for_ms: 900, suspect })
+                .collect(),
+        ),
+        PeerMessage::AskSuspectParts(0x2c80_51f7_9e3d_04ab),
     ]
 }
