A crash that ends an unframed answer is not taken for its end

What callers could see: a stream without length or chunks whose engine crashed before its first event was passed on as a complete, empty one. And an engine that crashed behind an event looked like one that had answered: the run cleared what it had crashed under, so the part or request was sent to the next engine. Cause: the end of a connection was taken for a proof that a run went well. The class of fault is the one of the poison parts: evidence that a crash gives as well is no evidence against it. Now the proof of an answer says that only its connection ends it. Such a stream is broken off if it ends inside an event or before the first one. Its run clears nothing unless the engine had been writing for 500 ms; until the entry of the engine, another call or another gateway shows a crash, it counts as unanswered, without a probe of its own.

--- a/src/direct/answers.rs
+++ b/src/direct/answers.rs
@@ -16,6 +16,8 @@
     pub not_run: bool,
     /// Whether the endpoint at this address is another one than the one that was called.
     pub from_other_endpoint: bool,
+    /// Whether only the end of the connection ends the body, as it has neither a length nor chunks.
+    pub ends_with_connection: bool,
     /// Load of the endpoint, if the response states it.
     pub load: Option<Load>,
 }
--- a/src/direct/requests/attempts.rs
+++ b/src/direct/requests/attempts.rs
@@ -65,6 +65,7 @@
             endpoint: endpoint.clone(),
             ordered_at: now,
             sent_at: None,
+            ends_with_connection: false,
             began_at: None,
             prompt,
         });
@@ -124,9 +125,11 @@
         let Some(request) = self.requests.get_mut(&caller) else {
             return;
         };
-        let Some(open) = request.attempt.clone() else {
+        let Some(open) = request.attempt.as_mut() else {
             return;
         };
+        open.ends_with_connection = proof.ends_with_connection;
+        let open = open.clone();
         let endpoint = open.endpoint.clone();
         // A misdirected request was answered by another endpoint, so its load report does not
         // apply.
@@ -161,7 +164,7 @@
             if is_success {
                 self.record_durations(caller, true, now);
             }
-            self.report_success(caller, &open);
+            self.report_answered(caller, &open, now);
             self.close_attempt(caller);
             self.end(caller, &format!("answered {}", proof.status), None, now);
         }
@@ -382,7 +385,7 @@
             return;
         };
         if is_complete {
-            self.report_success(caller, &closed);
+            self.report_answered(caller, &closed, now);
             self.out.push(Action::EndStream { caller });
             return self.end(caller, "streamed", Some(&closed.endpoint.id), now);
         }
--- a/src/direct/requests/poison.rs
+++ b/src/direct/requests/poison.rs
@@ -129,7 +129,7 @@
         let Some(request) = self.requests.get(&caller) else {
             return;
         };
-        let has_survived = attempt.began_at.is_some_and(|began| now >= began + SURVIVAL_TIME);
+        let has_survived = attempt.has_survived(now);
         let may_be_cause = |run: &&Run| run.kind == SubjectKind::Content || !has_survived;
         self.out.push(Action::PoisonReport(RunReport::Unanswered {
             endpoint: attempt.endpoint.clone(),
@@ -146,8 +146,12 @@
         }
     }
 
-    /// A request was answered by the call `attempt`.
-    pub(super) fn report_success(&mut self, caller: u64, attempt: &Attempt) {
+    /// A request was answered by the call `attempt`. If only the end of the connection ended the
+    /// answer, the endpoint may have crashed, which its entry shows later.
+    pub(super) fn report_answered(&mut self, caller: u64, attempt: &Attempt, now: Timestamp) {
+        if attempt.ends_with_connection && !attempt.has_survived(now) {
+            return self.report_unanswered(caller, attempt, Unanswered::Closed, now);
+        }
         let Some(request) = self.requests.get(&caller) else {
             return;
         };
--- a/src/direct/requests/request.rs
+++ b/src/direct/requests/request.rs
@@ -7,8 +7,8 @@
 use crate::direct::event::IncomingRequest;
 use crate::direct::origins::Origin;
 use crate::direct::peers::message::{JobId, StoredResult};
-use crate::direct::poison::Run;
 use crate::direct::poison::fingerprint::Fingerprint;
+use crate::direct::poison::{Run, SURVIVAL_TIME};
 use crate::direct::published::model::{Endpoint, Name, Repeat, Route};
 use crate::direct::published::regions::AllowedRegions;
 use crate::direct::requests::permits::AwaitedPermit;
@@ -64,6 +64,8 @@
     pub ordered_at: Timestamp,
     /// When the call was sent over an established connection; set only for calls that need results.
     pub sent_at: Option<Timestamp>,
+    /// Whether only the end of the connection ends the answer, which a crash does as well.
+    pub ends_with_connection: bool,
     /// When the first event of the answer was forwarded.
     pub began_at: Option<Timestamp>,
     /// What the engine does with the prompt; `None` after the first event, and if there is no
@@ -71,6 +73,14 @@
     pub prompt: Option<PromptRead>,
 }
 
+impl Attempt {
+    /// Whether the endpoint has been writing the answer for so long that no part of the prompt
+    /// crashes it.
+    pub fn has_survived(&self, now: Timestamp) -> bool {
+        self.began_at.is_some_and(|began_at| now >= began_at + SURVIVAL_TIME)
+    }
+}
+
 /// A caller's request.
 #[derive(Debug, Clone)]
 pub struct Request {
--- a/src/direct/shell.rs
+++ b/src/direct/shell.rs
@@ -8,7 +8,6 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::body::{Body, Frame};
 use snafu::Snafu;
 use tokio::runtime::Handle as Runtime;
@@ -22,6 +21,7 @@
 };
 use crate::direct::core::GatewayCore;
 use crate::direct::event::{Action, CallParams, Event, IncomingRequest, PieceParams, Refusal};
+use crate::direct::forwarding::forward_events;
 use crate::direct::gates::Gates;
 use crate::direct::log_events::{LogEvent, ms};
 use crate::direct::peers::links::PeerLinks;
@@ -29,7 +29,6 @@
 pub use crate::direct::state::State;
 use crate::direct::statement::{CallKind, Statement};
 use crate::direct::store_reading::StoreUse;
-use crate::direct::stream::EventSplitter;
 use crate::logging::LogWriter;
 use crate::message::Timestamp;
 
@@ -343,7 +342,10 @@
                 let Some(events) = entry.events.clone() else {
                     return;
                 };
-                let forwarding = forward_events(caller, attempt, body, events, self.core.clone());
+                let ends_with_connection = answer.proof.ends_with_connection;
+                let core = self.core.clone();
+                let forwarding =
+                    forward_events(caller, attempt, body, ends_with_connection, events, core);
                 entry.task = Some((attempt, tokio::spawn(forwarding).abort_handle()));
             }
         }
@@ -408,44 +410,6 @@
     }
 }
 
-/// Forwards the events of a stream as they arrive, complete events only.
-async fn forward_events(
-    caller: u64,
-    attempt: u64,
-    mut body: http_body_util::combinators::UnsyncBoxBody<Bytes, crate::direct::client::BodyError>,
-    events: mpsc::Sender<Bytes>,
-    core: Handle<GatewayCore>,
-) {
-    let mut splitter = EventSplitter::default();
-    let mut is_first = true;
-    let is_complete = loop {
-        match body.frame().await {
-            None => break splitter.is_at_boundary(),
-            Some(Err(_)) => break false,
-            Some(Ok(frame)) => {
-                let Ok(data) = frame.into_data() else {
-                    continue;
-                };
-                let Some(whole) = splitter.push(&data) else {
-                    if splitter.is_too_long() {
-                        break false;
-                    }
-                    continue;
-                };
-                if events.send(whole).await.is_err() {
-                    return;
-                }
-                if std::mem::take(&mut is_first) {
-                    core.send(Event::FirstEvent { caller }).await.ok();
-                }
-            }
-        }
-    };
-    drop(events);
-    let last_event = splitter.last_id().map(ToOwned::to_owned);
-    core.send(Event::StreamEnded { caller, attempt, is_complete, last_event }).await.ok();
-}
-
 impl<C: EndpointClient> Shell<GatewayCore> for GatewayShell<C> {
     fn act(&mut self, action: Action, _core: &GatewayCore) {
         match action {
--- a/tests/direct_poison_parts.rs
+++ b/tests/direct_poison_parts.rs
@@ -3,15 +3,16 @@
 
 mod directenv;
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use directenv::gateway::{
-    begins, calls, configured, incoming, listed, receive_gossip, refusal, serving, submit,
+    begins, calls, configured, good, incoming, listed, receive_gossip, refusal, serving, submit,
 };
 use directenv::{address, endpoint, ms, route};
 use stackmast::actor::Core;
-use stackmast::direct::answers::CallFailure;
+use stackmast::direct::answers::{AnswerProof, CallFailure};
 use stackmast::direct::core::GatewayCore;
 use stackmast::direct::event::{Action, Event, Generation, IncomingRequest, Refused};
 use stackmast::direct::log_events::{LogEvent, PoisonEvent};
@@ -178,6 +179,21 @@
     assert!(refusal(&refused(&mut core, 9, &[COMMON, "good"], ms(20_000))).is_none());
 }
 
+/// Guards against crashes that are taken for the end of an answer, which then clear what caused them.
+#[test]
+fn a_crash_that_ends_an_unframed_stream_behind_an_event_counts_as_one() {
+    let mut core = core();
+    for caller in 1..=3 {
+        let at = ms(2_000 * caller);
+        let (attempt, endpoint) = begin(&mut core, caller, &[COMMON, POISON], at);
+        let proof = AnswerProof { ends_with_connection: true, ..good() };
+        core.handle(Event::Answered { caller, attempt, proof, is_open: true }, at + ms(50));
+        core.handle(Event::FirstEvent { caller }, at + ms(51));
+        crash(&mut core, caller, &endpoint, stream_ended(caller, attempt, true), at + ms(60));
+    }
+    assert!(refusal(&refused(&mut core, 4, &[COMMON, POISON], ms(9_000))).is_some());
+}
+
 /// Guards against the refusal of all requests of a session or subject because of one content that is
 /// sent again and again.
 #[test]
@@ -284,13 +300,14 @@
     for tick in 1..60 {
         sent.extend(core.handle(Event::Tick, ms(1_100 + 100 * tick)));
     }
-    let is_about_parts = |a: &Action| match a {
-        Action::Send { message, .. } | Action::Broadcast { message, .. } => {
-            matches!(message, PeerMessage::SuspectParts(_) | PeerMessage::AskSuspectParts(_))
-        }
-        _ => false,
-    };
-    assert!(!sent.iter().any(is_about_parts));
+    let to_peer = sent.iter().filter_map(|action| match action {
+        Action::Send { to, message } if *to == address(2) => Some(message),
+        Action::Broadcast { to, message } if to.contains(&address(2)) => Some(message),
+        _ => None,
+    });
+    let kinds: BTreeSet<&str> = to_peer.map(PeerMessage::kind).collect();
+    assert!(kinds.contains("suspects"), "{kinds:?}");
+    assert!(!kinds.contains("suspect_parts") && !kinds.contains("ask_suspect_parts"), "{kinds:?}");
 }
 
 #[test]
