A gateway that is short of time closes new connections unread while its peers have time

What callers would see: while the balancer hands most new connections to one gateway, that one reads all of them, and refuses or answers late. Cause: reading was never limited. The event lag was looked at after a request had been read, only against its deadline, and a caller whose request was read and refused has used one of its few tries. Now, from a lag of 60 ms on, new connections are closed unread for 0.8 s at most, then taken for 0.1 s at least, as long as fewer than half of the peers that announced their lag in the last second are overloaded, the gateway is ready and does not stop. Weighed: refusing what was read, leaving connections in the backlog, not being ready (src/direct/shedding.rs). Lines `shedding`; counter stackmast_connections_shed_total.

--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -38,6 +38,7 @@
 use crate::direct::requests::deferred::DeferredRequests;
 use crate::direct::requests::stopping::Stopping;
 pub use crate::direct::setup::Setup;
+use crate::direct::shedding::Shedding;
 use crate::direct::stop::{self, Stop};
 use crate::direct::store_reading::StoreReading;
 use crate::message::Timestamp;
@@ -70,6 +71,7 @@
     pub(super) pulls: Pulls,
     pub(super) deferred_requests: DeferredRequests,
     pub(super) event_lag: EventLag,
+    pub(super) shedding: Shedding,
     /// Fingerprints of content under which endpoints crashed; shared with requests and owners.
     pub(super) suspects: Arc<Suspects>,
     pub(super) broken: UnansweredCalls,
@@ -146,6 +148,7 @@
             pulls: Pulls::default(),
             deferred_requests: DeferredRequests::default(),
             event_lag: EventLag::default(),
+            shedding: Shedding::default(),
             suspects: Arc::default(),
             broken: UnansweredCalls::default(),
             successes: Successes::default(),
@@ -372,6 +375,7 @@
         self.confirm_orders(now);
         self.update_state(now);
         self.update_store_reading(now);
+        self.update_shedding(now);
         self.submit_deferred_requests(now);
         self.send_deferred_probes(now);
         self.process_permits(now);
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -444,6 +444,8 @@
     },
     /// Report the process as ready, or as not ready.
     SetReady(bool),
+    /// Close new connections of callers unread, or serve them again.
+    SetShedding(bool),
     /// Watch the publisher's store, or follow peers.
     SetStoreUse(StoreUse),
     /// Set the limits on requests of callers.
--- a/src/direct/log_events/load.rs
+++ b/src/direct/log_events/load.rs
@@ -94,6 +94,17 @@
         /// Number of tokens that are fetched instead of computed.
         tokens: u64,
     },
+    /// New connections of callers are closed unread from now on, or served again.
+    Shedding {
+        /// Whether they are closed.
+        sheds: bool,
+        /// Average event lag of this process in milliseconds.
+        late_ms: u64,
+        /// Number of peers that announced their event lag within the last second.
+        peers: usize,
+        /// Number of those that are overloaded.
+        overloaded_peers: usize,
+    },
 }
 
 impl LoadEvent {
@@ -106,6 +117,7 @@
             Self::PlaceEnded { .. } => "place_ended",
             Self::EnginesBusy { .. } => "engines_busy",
             Self::PromptFetch { .. } => "prompt_fetch",
+            Self::Shedding { .. } => "shedding",
         }
     }
 }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -46,6 +46,7 @@
 pub mod repeats;
 pub mod requests;
 pub mod setup;
+pub mod shedding;
 pub mod shell;
 pub mod state;
 pub mod statement;
--- a/src/direct/peer_messages.rs
+++ b/src/direct/peer_messages.rs
@@ -144,6 +144,7 @@
         self.limits_received(from, &state.limits, now);
         self.owners.usage_announced(from, state.usage, &self.table);
         self.requests.event_lag_announced(from, state.event_lag, now);
+        self.shedding.announced(from, state.event_lag, now);
         self.requests.loads_received(state.engine_loads, &self.table, now);
         Seen { endpoints: self.eras.resolve(state.seen.endpoints), ..state.seen }
     }
@@ -260,6 +261,7 @@
         self.owners.owner_removed(address, now);
         self.requests.owner_removed(address, incarnation);
         self.requests.holder_removed(address);
+        self.shedding.removed(address);
         self.limiter_down(address, now);
     }
 
--- a/src/direct/shell.rs
+++ b/src/direct/shell.rs
@@ -441,6 +441,7 @@
             Action::Broadcast { to, message } => self.peers.broadcast(&to, message),
             Action::Disconnect { from } => self.peers.disconnect(from),
             Action::SetReady(ready) => self.state.send_modify(|s| s.ready = ready),
+            Action::SetShedding(sheds) => self.state.send_modify(|s| s.sheds_connections = sheds),
             Action::SetStoreUse(store_use) => self.state.send_modify(|s| s.store_use = store_use),
             Action::SetStoreEra(era) => self.state.send_modify(|s| s.store_era = era),
             Action::SetCallerLimits(limits) => self.state.send_modify(|s| s.limits = limits),
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -8,6 +8,8 @@
 pub struct State {
     /// Whether the process is ready.
     pub ready: bool,
+    /// Whether new connections of callers are closed unread.
+    pub sheds_connections: bool,
     /// Limits on requests of callers.
     pub limits: CallerLimits,
     /// Newest known era of the publisher's store.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -68,6 +68,8 @@
 pub const STORE_ERA: &str = "stackmast_store_era";
 /// Version of the configuration last read from the publisher's store.
 pub const PUBLISHED_VERSION: &str = "stackmast_published_version";
+/// Connections of callers that were closed unread.
+pub const CONNECTIONS_SHED: &str = "stackmast_connections_shed_total";
 /// Data centres that are being evacuated.
 pub const EVACUATED_DATA_CENTRES: &str = "stackmast_evacuated_data_centres";
 /// Request contents refused because they crashed endpoints.
@@ -140,6 +142,7 @@
     describe_counter!(PEER_BYTES, "Bytes of messages between gateways, by direction and kind");
     describe_counter!(UNREADABLE_DOCUMENTS, "Documents of the platform that could not be read");
     describe_counter!(UNKNOWN_HEADERS, "Headers of the platform that are not read, by source");
+    describe_counter!(CONNECTIONS_SHED, "Connections of callers that were closed unread");
     describe_gauge!(STORE_ERA, "Newest era of the publisher's store");
     describe_gauge!(PUBLISHED_VERSION, "Version of the configuration in the publisher's store");
     describe_gauge!(EVACUATED_DATA_CENTRES, "Data centres that get no new work by order");
@@ -282,6 +285,11 @@
     gauge!(OTHER_BUILDS).set(peers as f64);
 }
 
+/// Counts a connection of a caller that was closed unread.
+pub fn connection_shed() {
+    counter!(CONNECTIONS_SHED).increment(1);
+}
+
 /// Sets the numbers of request contents and parts of prompts refused because they crashed endpoints.
 pub fn poison(contents: usize, prompt_parts: usize) {
     gauge!(POISON_REQUESTS).set(contents as f64);
