An answer for which nothing ran clears no suspect

What callers could see: a poison request or part went on crashing engines after one try of it had waited in an engine's queue until its deadline: its 504 cleared the suspicion. Cause: each answer counted as a run without a crash. Now a 504 reports nothing, and parts of prompts are cleared by successes only, since an engine that refuses or fails has not written on them. Other answers clear a content as before: the request ran.

Test: an_answer_without_a_run_clears_nothing, three cases, failed before.

--- a/src/direct/requests/attempts.rs
+++ b/src/direct/requests/attempts.rs
@@ -19,6 +19,8 @@
 
 /// Maximum number of calls for one request, including refused ones.
 const MAX_SENDS: u32 = 4;
+/// Status of an answer that is a stream.
+const STATUS_OK: u16 = 200;
 /// Status by which an endpoint reports that a result it needs as input is gone.
 const STATUS_RESULTS_GONE: u16 = 409;
 
@@ -164,7 +166,7 @@
             if is_success {
                 self.record_durations(caller, true, now);
             }
-            self.report_answered(caller, &open, now);
+            self.report_answered(caller, &open, proof.status, now);
             self.close_attempt(caller);
             self.end(caller, &format!("answered {}", proof.status), None, now);
         }
@@ -385,7 +387,7 @@
             return;
         };
         if is_complete {
-            self.report_answered(caller, &closed, now);
+            self.report_answered(caller, &closed, STATUS_OK, now);
             self.out.push(Action::EndStream { caller });
             return self.end(caller, "streamed", Some(&closed.endpoint.id), now);
         }
--- a/src/direct/requests/failure.rs
+++ b/src/direct/requests/failure.rs
@@ -40,8 +40,11 @@
     }
 }
 
-/// Whether a status counts as a failure of the endpoint: any server error except 504, which reports
-/// that the caller's deadline has passed.
+/// Status by which an endpoint reports that the caller's deadline has passed, perhaps before the
+/// request ran.
+pub(super) const STATUS_DEADLINE_PASSED: u16 = 504;
+
+/// Whether a status counts as a failure of the endpoint: any server error except 504.
 pub(super) const fn is_endpoint_failure(status: u16) -> bool {
-    status >= 500 && status != 504
+    status >= 500 && status != STATUS_DEADLINE_PASSED
 }
--- a/src/direct/requests/poison.rs
+++ b/src/direct/requests/poison.rs
@@ -8,6 +8,7 @@
 use crate::direct::poison::suspects::{Quarantined, RETENTION, Suspects};
 use crate::direct::poison::{Run, RunReport, SURVIVAL_TIME, SubjectKind, Unanswered};
 use crate::direct::published::model::Name;
+use crate::direct::requests::failure::STATUS_DEADLINE_PASSED;
 use crate::direct::requests::request::{Attempt, Phase, Request};
 use crate::direct::requests::{Requests, Timer};
 use crate::message::Timestamp;
@@ -147,8 +148,18 @@
     }
 
     /// A request was answered by the call `attempt`. If only the end of the connection ended the
-    /// answer, the endpoint may have crashed, which its entry shows later.
-    pub(super) fn report_answered(&mut self, caller: u64, attempt: &Attempt, now: Timestamp) {
+    /// answer, the endpoint may have crashed, which its entry shows later. Only a success shows that
+    /// the endpoint wrote an answer on the prompt.
+    pub(super) fn report_answered(
+        &mut self,
+        caller: u64,
+        attempt: &Attempt,
+        status: u16,
+        now: Timestamp,
+    ) {
+        if status == STATUS_DEADLINE_PASSED {
+            return;
+        }
         if attempt.ends_with_connection && !attempt.has_survived(now) {
             return self.report_unanswered(caller, attempt, Unanswered::Closed, now);
         }
@@ -156,7 +167,9 @@
             return;
         };
         self.out.push(Action::PoisonReport(RunReport::Succeeded(request.fingerprint)));
-        self.report_survival(caller, attempt.began_at.unwrap_or(attempt.ordered_at));
+        if (200..300).contains(&status) {
+            self.report_survival(caller, attempt.began_at.unwrap_or(attempt.ordered_at));
+        }
     }
 
     /// An endpoint began to write an answer. If a part of the prompt is suspect, the endpoint's
--- a/tests/direct_poison_parts.rs
+++ b/tests/direct_poison_parts.rs
@@ -23,6 +23,7 @@
 use stackmast::direct::poison::suspects::{RETENTION, Suspects};
 use stackmast::direct::poison::{Run, SURVIVAL_TIME, SubjectKind};
 use stackmast::direct::published::model::{Endpoint, Repeat, Route};
+use test_case::test_case;
 
 /// Id of the part that all prompts of the tests begin with.
 const COMMON: &str = "c0";
@@ -316,3 +317,29 @@
     assert_ne!(part, Fingerprint::of_content("POST", "/", POISON.as_bytes()));
     assert_ne!(part, Fingerprint::of_prompt_part(COMMON));
 }
+
+/// Guards against a suspicion that ends with an answer for which the poison did not run.
+#[test_case(504, true; "a content whose deadline passed in the queue")]
+#[test_case(504, false; "a part whose deadline passed in the queue")]
+#[test_case(500, false; "a part on which nothing was written")]
+fn an_answer_without_a_run_clears_nothing(status: u16, is_repeated: bool) {
+    let mut core = core();
+    let request = |caller: u64| {
+        let content = if is_repeated { 0 } else { caller };
+        let content = Fingerprint::of_content("POST", "/r/x", &content.to_le_bytes());
+        IncomingRequest { content, ..prompt(caller, &[COMMON, POISON]) }
+    };
+    for caller in 1..=4 {
+        let at = ms(2_000 * caller);
+        let actions = submit(&mut core, caller, request(caller), at);
+        let (attempt, order) = calls(&actions).remove(0);
+        if caller == 3 {
+            let proof = AnswerProof { status, ..good() };
+            core.handle(Event::Answered { caller, attempt, proof, is_open: false }, at + ms(50));
+        } else {
+            crash(&mut core, caller, &order.endpoint, failed(caller, attempt), at + ms(50));
+        }
+    }
+    let actions = submit(&mut core, 5, request(5), ms(12_000));
+    assert!(refusal(&actions).is_some_and(|r| r.reason == Refused::Poison), "{actions:?}");
+}
