Shedding looks at peers only while this process is late; rounds of a run in a function of their own

Cause: on reading the change again, each event went over the announcements of all peers although only a late process needs them, so its cost grew with events times gateways. The runs of a call were built with an index into those of the call before. No decision changes: tests/hot_gateway.rs and tests/direct_poison_parts.rs pass as before.

--- a/src/direct/poison/suspects.rs
+++ b/src/direct/poison/suspects.rs
@@ -43,7 +43,7 @@
 /// Maximum number of entries in the reply to a gateway that compares digests: 4 KB.
 const MAX_IN_REPLY: usize = 64;
 
-/// Entry for one fingerprint, as gossiped between gateways for contents.
+/// Entry for one fingerprint, as gossiped between gateways.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AnnouncedSuspect {
     /// Fingerprint of the request, stage or part of a prompt.
@@ -63,7 +63,7 @@
     }
 }
 
-/// Update of one entry, as gossiped for parts of prompts.
+/// Update of one entry; gossiped in this form for parts of prompts only.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectUpdate {
     /// Number of parts before a part of a prompt; 0 for a content.
@@ -141,7 +141,8 @@
 
     /// Number of quarantined fingerprints of a kind.
     pub fn quarantined_count(&self, kind: SubjectKind) -> usize {
-        self.quarantined.iter().filter(|f| self.entries[*f].kind == kind).count()
+        let entries = self.quarantined.iter().filter_map(|f| self.entries.get(f));
+        entries.filter(|suspect| suspect.kind == kind).count()
     }
 
     /// Number of known fingerprints.
--- a/src/direct/requests/poison.rs
+++ b/src/direct/requests/poison.rs
@@ -43,6 +43,7 @@
         Some(FoundPoison { fingerprint, prompt_part: Some(id.to_owned()) })
     }
 
+    /// Reports that a request is refused as poison, to the core and to operators.
     fn report_poison(&mut self, request: Name, found: FoundPoison) {
         let FoundPoison { fingerprint, prompt_part } = found;
         self.out.push(Action::PoisonReport(RunReport::Refused(fingerprint)));
@@ -91,20 +92,27 @@
     }
 
     /// The runs of a call that is about to be sent: of the content, and of each shared part of the
-    /// prompt. Their rounds are one more than the number of endpoints that crashed under them so
-    /// far, including crashes under this request that may not be confirmed yet.
+    /// prompt.
     pub(super) fn runs_of_next_call(&self, request: &Request) -> Vec<Run> {
-        let content = (SubjectKind::Content, request.fingerprint, 0);
-        let parts = request.shared_prompt_parts().map(Fingerprint::of_prompt_part);
-        let parts =
-            parts.zip(0..=u8::MAX).map(|(part, depth)| (SubjectKind::PromptPart, part, depth));
-        let previous = if request.uncertain_attempts > 0 { &request.runs[..] } else { &[] };
-        let run = |(index, (kind, fingerprint, depth))| {
-            let own = previous.get(index).map_or(0, |run: &Run| run.round);
-            let round = self.suspects.rounds(fingerprint).max(own).saturating_add(1);
+        let run = |kind, fingerprint, depth| {
+            let round = self.next_round(request, fingerprint);
             Run { kind, fingerprint, depth, round, alone: true }
         };
-        [content].into_iter().chain(parts).enumerate().map(run).collect()
+        let content = run(SubjectKind::Content, request.fingerprint, 0);
+        let parts = request.shared_prompt_parts().map(Fingerprint::of_prompt_part);
+        let parts = parts.zip(0..=u8::MAX);
+        let parts = parts.map(|(part, depth)| run(SubjectKind::PromptPart, part, depth));
+        [content].into_iter().chain(parts).collect()
+    }
+
+    /// The crash round of a run that is about to be sent: one more than the number of rounds in
+    /// which endpoints crashed so far. Includes crashes under this request that may not be confirmed
+    /// yet.
+    fn next_round(&self, request: &Request, fingerprint: Fingerprint) -> u8 {
+        let previous = if request.uncertain_attempts > 0 { &request.runs[..] } else { &[] };
+        let own = previous.iter().find(|run| run.fingerprint == fingerprint);
+        let own = own.map_or(0, |run| run.round);
+        self.suspects.rounds(fingerprint).max(own).saturating_add(1)
     }
 
     /// Placement key of a request under which an endpoint may have crashed; isolates it from other
--- a/src/direct/shedding.rs
+++ b/src/direct/shedding.rs
@@ -50,6 +50,12 @@
         self.peers.remove(&peer);
     }
 
+    /// Whether callers whose connections are closed probably reach a gateway that is not overloaded.
+    fn peers_have_time(&self, now: Timestamp) -> bool {
+        let (recent, overloaded) = self.peers(now);
+        2 * overloaded < recent
+    }
+
     /// Number of peers that recently announced their event lag, and of those that are overloaded.
     fn peers(&self, now: Timestamp) -> (usize, usize) {
         let recent = self.peers.values().filter(|(_, at)| now < *at + ANNOUNCEMENT_TTL);
@@ -60,9 +66,7 @@
     /// Applies the event lag of this process; returns whether connections are closed from now on, if
     /// that changed. `may_shed` is false while the process must not close any.
     pub fn update(&mut self, event_lag: Duration, may_shed: bool, now: Timestamp) -> Option<bool> {
-        let (recent, overloaded) = self.peers(now);
-        let peers_have_time = 2 * overloaded < recent;
-        let has_reason = |min_lag| may_shed && peers_have_time && event_lag >= min_lag;
+        let has_reason = |min_lag| may_shed && event_lag >= min_lag && self.peers_have_time(now);
         match self.since {
             None if now >= self.open_until && has_reason(SHED_LAG) => {
                 self.since = Some(now);
