--- a/src/direct/shedding.rs
+++ b/src/direct/shedding.rs
@@ -19,8 +19,7 @@
 use crate::message::Timestamp;
 
 /// Event lag from which connections are closed unread: a request has up to five events, so it is
-/// answered more than a second late. With 60 ms, callers of a deployment under high load were sent on
-/// that would have been served in time, and used up their tries.
+/// answered more than a second late.
 const SHED_LAG: Duration = Duration::from_millis(250);
 /// Maximum time for which all new connections are closed.
 const MAX_CLOSED: Duration = Duration::from_millis(800);
