Review, case 3: a stream without a length, cut short by a crash, looks complete to its client

Claim: the end of the connection counts as the end of a stream that has neither a length nor chunks (src/direct/forwarding.rs), also if the replica's process was killed, so the client gets some of the events with a regular end: ORDER. Nothing is fixed.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and clients of the review's scripts: `review-standins CASE DIRECTORY`, from the root
 //! of the repository. DIRECTORY is the folder of the case, which gets `record.txt`.
 
+mod cut_short;
 mod gateways;
 mod http;
 mod json;
@@ -14,6 +15,10 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
+    if arguments.get(1).is_some_and(|word| word == "replica") {
+        cut_short::replica(&arguments[2..]);
+        return ExitCode::from(2);
+    }
     let [_, case, directory] = arguments.as_slice() else {
         eprintln!("usage: review-standins CASE DIRECTORY");
         return ExitCode::from(2);
@@ -21,6 +26,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = record::Record::open(&Path::new(directory).join("record.txt"));
     let verdict = match case.as_str() {
+        "cut-short" => cut_short::play(&record, trouble),
         "late-answers" => late_answers::play(&record, trouble),
         "missed-leaving" => missed_leaving::play(&record, trouble),
         _ => {
