--- a/review/standins/src/cut_short.rs
+++ b/review/standins/src/cut_short.rs
@@ -9,7 +9,7 @@
 
 use crate::gateways::{self, Bounds};
 use crate::http::{Connection, response};
-use crate::record::{Folder, Random, Record};
+use crate::record::{Dose, Folder, Random, Record};
 use crate::store::Store;
 
 const GATEWAYS: usize = 3;
@@ -45,14 +45,14 @@
         return None;
     };
     let begin: u128 = begin.parse().ok()?;
-    let random = Arc::new(Mutex::new(Random(seed.parse().ok()?)));
+    let dose = Arc::new(Mutex::new(Dose::new(DOSE, seed.parse().ok()?)));
     let listener = TcpListener::bind("127.0.0.1:0").ok()?;
     println!("{}", listener.local_addr().ok()?);
     let running = Arc::new(AtomicUsize::new(0));
     for stream in listener.incoming().flatten() {
-        let (id, random, running) = (id.clone(), random.clone(), running.clone());
+        let (id, dose, running) = (id.clone(), dose.clone(), running.clone());
         std::thread::spawn(move || {
-            serve(&id, Connection::new(stream), begin, &random, &running);
+            serve(&id, Connection::new(stream), begin, &dose, &running);
         });
     }
     None
@@ -62,7 +62,7 @@
     id: &str,
     mut connection: Connection,
     begin: u128,
-    random: &Mutex<Random>,
+    dose: &Mutex<Dose>,
     running: &AtomicUsize,
 ) {
     while let Some(request) = connection.message() {
@@ -75,7 +75,7 @@
         let at = since_epoch().saturating_sub(begin);
         let first = FIRST.as_millis();
         let garbles = begin > 0 && at >= first && (at - first) % EVERY.as_millis() < FOR_MS;
-        let unframed = garbles && random.lock().expect("random").next() < DOSE;
+        let unframed = garbles && dose.lock().expect("dose").next();
         let framing = if unframed { "connection: close" } else { "transfer-encoding: chunked" };
         let head = format!(
             "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n{framing}\r\nStackmast-Request-Id: {name}\r\nStackmast-Response-Signature: s.{name}\r\nStackmast-Replica-Load: {load}\r\n\r\n"
--- a/review/standins/src/late_answers.rs
+++ b/review/standins/src/late_answers.rs
@@ -11,7 +11,7 @@
 use crate::gateways::{self, Bounds};
 use crate::http::{Connection, Message, response};
 use crate::json::Json;
-use crate::record::{Folder, Random, Record};
+use crate::record::{Dose, Folder, Record};
 use crate::store::Store;
 
 const GATEWAYS: usize = 3;
@@ -59,6 +59,8 @@
     /// Whether answers are sent twice now.
     garbles: AtomicBool,
     next: AtomicUsize,
+    /// Answers with a second one, and those whose second one came.
+    garbled: AtomicUsize,
     late: AtomicUsize,
     calls: AtomicUsize,
     /// Runs and pieces that came with results of other requests or stages, or with some only.
@@ -130,7 +132,7 @@
     /// Tickets: the next to give out and the one at work.
     turns: Mutex<(u64, u64)>,
     turn: Condvar,
-    random: Mutex<Random>,
+    dose: Mutex<Dose>,
 }
 
 impl Stage {
@@ -154,11 +156,12 @@
             let garbled = is_run
                 && self.garbles
                 && world.garbles.load(Ordering::Relaxed)
-                && self.random.lock().expect("random").next() < DOSE;
+                && self.dose.lock().expect("dose").next();
             if !connection.write(&answer) {
                 return;
             }
             if garbled {
+                world.garbled.fetch_add(1, Ordering::Relaxed);
                 surplus = Some(answer);
             }
         }
@@ -400,6 +403,7 @@
         asked: Mutex::default(),
         garbles: AtomicBool::new(false),
         next: AtomicUsize::new(0x5c1e),
+        garbled: AtomicUsize::new(0),
         late: AtomicUsize::new(0),
         calls: AtomicUsize::new(0),
         mixed: Mutex::default(),
@@ -419,7 +423,8 @@
                 garbles: number < garbling,
                 turns: Mutex::default(),
                 turn: Condvar::new(),
-                random: Mutex::new(Random(
+                dose: Mutex::new(Dose::new(
+                    DOSE,
                     0x9e37_79b9 + (service * REPLICAS + number) as u64 * 7919,
                 )),
             });
@@ -475,11 +480,12 @@
     let mixed = world.mixed.lock().expect("mixed").len();
     let count = |counter: &AtomicUsize| counter.load(Ordering::Relaxed);
     record.line(&format!(
-        "{number} requests: {} served, {} not; {} runs at model replicas; {} calls of stages; {} second answers that came late; {mixed} runs or pieces with inputs of another request, or not with all of their own",
+        "{number} requests: {} served, {} not; {} runs at model replicas; {} calls of stages, {} with a second answer, {} of which came; {mixed} runs or pieces with inputs of another request, or not with all of their own",
         count(&world.served),
         count(&world.not_served),
         count(&world.runs),
         count(&world.calls),
+        count(&world.garbled),
         count(&world.late),
     ));
     if count(&world.served) * 2 < number {
--- a/review/standins/src/record.rs
+++ b/review/standins/src/record.rs
@@ -55,3 +55,26 @@
         (self.0 >> 11) as f64 / (1u64 << 53) as f64
     }
 }
+
+/// Which answers of a replica are spoiled: never more than a share of those that it has given.
+pub struct Dose {
+    share: f64,
+    answers: f64,
+    spoiled: f64,
+    random: Random,
+}
+
+impl Dose {
+    pub fn new(share: f64, seed: u64) -> Self {
+        Self { share, answers: 0.0, spoiled: 0.0, random: Random(seed) }
+    }
+
+    /// Counts an answer; returns whether it is spoiled.
+    pub fn next(&mut self) -> bool {
+        self.answers += 1.0;
+        let is_spoiled =
+            self.spoiled + 1.0 <= self.share * self.answers && self.random.next() < 0.5;
+        self.spoiled += f64::from(u8::from(is_spoiled));
+        is_spoiled
+    }
+}
