A log line for each merge of the endpoint list

The logs show each entry that changes, but not which position a gateway announces after it has merged entries, nor from which position a peer pulled. So a list read in pages, a lost change of a watch and an incomplete answer of a peer look alike. Change: list_merged (source, number of entries, position that the source claims, position announced before and now), and pulled has the position of the asking peer and the own one.

--- a/src/direct/log_events/kinds.rs
+++ b/src/direct/log_events/kinds.rs
@@ -71,6 +71,7 @@
             Self::StoreRead(_) => "store_read",
             Self::StoreReading(_) => "store_reading",
             Self::MemberSuspected(_) => "member_suspected",
+            Self::ListMerged(_) => "list_merged",
             Self::StoreEra(_) => "store_era",
             Self::StoreReturned(_) => "store_returned",
             Self::PublishedVersion(_) => "published_version",
--- a/src/direct/log_events/mod.rs
+++ b/src/direct/log_events/mod.rs
@@ -17,7 +17,7 @@
 pub use crate::direct::log_events::members::{MemberSuspected, PeerUnread, StoreReadingChange};
 pub use crate::direct::log_events::poison::PoisonEvent;
 pub use crate::direct::log_events::store::{
-    EndpointEntry, PublishedVersion, StoreEra, StoreReadOutcome, StoreReturned,
+    EndpointEntry, ListMerged, PublishedVersion, StoreEra, StoreReadOutcome, StoreReturned,
 };
 pub use crate::direct::log_events::streams::StreamEvent;
 use crate::direct::published::model::Name;
@@ -214,6 +214,8 @@
         /// Highest revision of endpoints seen before.
         seen: u64,
     },
+    /// See [`ListMerged`].
+    ListMerged(ListMerged),
     /// See [`StoreEra`].
     StoreEra(StoreEra),
     /// See [`StoreReturned`].
@@ -241,6 +243,10 @@
         deployment: bool,
         /// Number of endpoint entries sent.
         endpoints: usize,
+        /// Revision of the peer's list of endpoints.
+        since: u64,
+        /// Revision of this gateway's list of endpoints.
+        announced: u64,
     },
     /// An event waited long for the core, or took long to be handled; at most one per second.
     CoreLate {
--- a/src/direct/log_events/store.rs
+++ b/src/direct/log_events/store.rs
@@ -4,6 +4,24 @@
 
 use crate::direct::published::model::Name;
 
+/// Entries of endpoints from the publisher's store or a peer were merged.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct ListMerged {
+    /// `publisher`, or the address of the gateway that sent the entries.
+    pub source: String,
+    /// Number of entries and removals.
+    pub entries: usize,
+    /// Revision up to which the source states that the entries are complete; `None` for individual
+    /// entries.
+    pub complete_to: Option<u64>,
+    /// Era of the position that this gateway announces to its peers.
+    pub era: u64,
+    /// Revision that this gateway announced before.
+    pub before: u64,
+    /// Revision that this gateway announces from now on.
+    pub announced: u64,
+}
+
 /// An endpoint's entry was added, changed or removed, or the endpoint announced its departure.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct EndpointEntry {
--- a/src/direct/publication.rs
+++ b/src/direct/publication.rs
@@ -9,7 +9,7 @@
 
 use crate::direct::core::{GatewayCore, PUBLISHER};
 use crate::direct::event::Action;
-use crate::direct::log_events::{LogEvent, ms};
+use crate::direct::log_events::{ListMerged, LogEvent, ms};
 use crate::direct::peers::message::PeerMessage;
 use crate::direct::peers::pulls::OwnState;
 use crate::direct::published::documents::{Document, Merged, Revised, Seen};
@@ -41,6 +41,11 @@
 /// Maximum wait of a watch; long, since each watch is a call with a cost.
 const MAX_WATCH_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// Number of entries and removals of endpoints among documents.
+fn count_entries(documents: &[Revised]) -> usize {
+    documents.iter().filter(|revised| !revised.is_deployment()).count()
+}
+
 impl GatewayCore {
     /// How long a watch of the publisher's store waits. With 28 readers, whose watches end at
     /// random times every 7 s, none starts a new watch within 2.3 s in one of 70,000 cases.
@@ -78,6 +83,7 @@
             self.pulls.read_ended();
             self.compare_published(&documents);
         }
+        let (entries, before) = (count_entries(&documents), self.documents.seen().endpoints);
         let merged = match snapshot_at {
             Some(at) => {
                 self.observe_era(at.era, PUBLISHER);
@@ -85,6 +91,7 @@
             }
             None => self.documents.merge(documents, now),
         };
+        self.log_list_merged(PUBLISHER, entries, snapshot_at, before);
         self.merged(&merged, PUBLISHER, true, now);
     }
 
@@ -131,7 +138,7 @@
             revised.position = self.eras.resolve(revised.position);
         }
         let listed_at = listed_at.map(|at| self.eras.resolve(at));
-        let own = self.documents.seen().endpoints;
+        let (entries, own) = (count_entries(&documents), self.documents.seen().endpoints);
         let merged = match listed_at {
             Some(at) if own.era < at.era => {
                 self.observe_era(at.era, &source);
@@ -142,10 +149,34 @@
         if let Some(seen) = listed_at {
             self.documents.mark_list_complete(seen);
         }
+        self.log_list_merged(&source, entries, listed_at, own);
         self.pulls.list_received();
         self.merged(&merged, &source, false, now);
     }
 
+    /// Logs a merge of endpoint entries. `complete_to` is the position up to which the source states
+    /// that they are complete, `before` the position that this gateway announced before.
+    fn log_list_merged(
+        &mut self,
+        source: &str,
+        entries: usize,
+        complete_to: Option<Position>,
+        before: Position,
+    ) {
+        let announced = self.documents.seen().endpoints;
+        if entries == 0 && before == announced {
+            return;
+        }
+        self.log(LogEvent::ListMerged(ListMerged {
+            source: source.to_owned(),
+            entries,
+            complete_to: complete_to.map(|at| at.revision),
+            era: announced.era,
+            before: before.revision,
+            announced: announced.revision,
+        }));
+    }
+
     /// Logs the outcome of a pull.
     pub(super) fn log_pull(&mut self, peer: SocketAddr, outcome: &'static str) {
         let Seen { version, endpoints } = self.documents.seen();
@@ -172,8 +203,10 @@
         let newer =
             self.documents.deployment_after(seen.version).filter(|_| configuration.is_some());
         let (deployment, endpoints) = (newer.is_some(), documents.len());
-        self.log(LogEvent::Pulled { peer: from, deployment, endpoints });
-        let Position { era, revision: seen } = self.documents.seen().endpoints;
+        let Position { era, revision: announced } = self.documents.seen().endpoints;
+        let since = seen.endpoints.revision;
+        self.log(LogEvent::Pulled { peer: from, deployment, endpoints, since, announced });
+        let seen = announced;
         self.send(from, PeerMessage::Documents { documents, complete, seen, era });
         match newer {
             Some((Position { era, revision }, deployment)) => {
