Positions of earlier builds complete nothing, and this build doesn't follow them

Cause: builds before form 11 announce the highest revision that they have received. A gateway of this build that follows one during an upgrade would announce such a position as its own, and miss the same changes. Found by reading; not seen in a run. Change: the readers of a data centre are ranked among builds that announce what they hold, so the first two replaced gateways of each data centre read the store themselves. Entries of earlier builds are merged, but complete nothing; they are pulled once for each announcement, since the highest received position is compared. The age of their documents doesn't count. Earlier builds are served as before. Cost: up to two more readers in each data centre while an upgrade lasts. Tests: entries_of_an_earlier_build_are_used_but_not_announced and a_gateway_reads_the_store_itself_beside_earlier_builds.

--- a/src/direct/peer_messages.rs
+++ b/src/direct/peer_messages.rs
@@ -154,7 +154,12 @@
     fn on_announcement(&mut self, from: SocketAddr, seen: Seen, complete: bool, now: Timestamp) {
         let distance = self.members.distance_of(from);
         self.documents.record_announcement(seen.endpoints);
-        self.pulls.on_announcement((from, distance), seen, complete, self.pull_state(), now);
+        let mut own = self.pull_state();
+        if !self.builds.verifies_lists(from) {
+            // Its entries complete nothing, so they are pulled only once.
+            own.seen.endpoints = own.seen.endpoints.max(self.documents.received());
+        }
+        self.pulls.on_announcement((from, distance), seen, complete, own, now);
     }
 
     fn on_heartbeat(&mut self, from: SocketAddr, heartbeat: Heartbeat, now: Timestamp) {
@@ -180,7 +185,8 @@
             self.send(from, message);
         }
         self.on_announcement(from, seen, complete, now);
-        if let Some(age) = heartbeat.store_age.filter(|_| !self.documents.seen().is_behind(&seen)) {
+        let has_same = !self.documents.seen().is_behind(&seen) && self.builds.verifies_lists(from);
+        if let Some(age) = heartbeat.store_age.filter(|_| has_same) {
             self.store_reading.record(now.saturating_sub(age), &mut self.rng);
         }
     }
--- a/src/direct/peers/build.rs
+++ b/src/direct/peers/build.rs
@@ -44,6 +44,9 @@
 const ORIGINS_SINCE: u32 = 9;
 /// The first form whose builds know poison parts of prompts.
 const PROMPT_PARTS_SINCE: u32 = 10;
+/// The first form whose builds announce a position only if they hold every change of the endpoint
+/// list up to it.
+const VERIFIED_LISTS_SINCE: u32 = 11;
 /// Maximum number of tracked peers; bounds memory. 580 gateways are expected within two years.
 const MAX_OTHER_BUILDS: usize = 1_024;
 
@@ -136,6 +139,12 @@
             || self.others.get(&address).is_none_or(|(_, build)| build.form >= PROMPT_PARTS_SINCE)
     }
 
+    /// Whether a peer holds every change of the endpoint list up to the position that it announces.
+    /// A peer that has not sent a greeting yet is assumed to run this build.
+    pub fn verifies_lists(&self, address: SocketAddr) -> bool {
+        self.others.get(&address).is_none_or(|(_, build)| build.form >= VERIFIED_LISTS_SINCE)
+    }
+
     /// Increases whenever a peer begins or ceases to run another build.
     pub const fn changes(&self) -> u64 {
         self.changes
--- a/src/direct/peers/ownership.rs
+++ b/src/direct/peers/ownership.rs
@@ -139,9 +139,10 @@
 
     /// Whether this gateway is one of those that read the publisher's store for its data centre:
     /// members whose reads succeed precede others, then serving ones, then those on strong hosts.
+    /// Only members whose announced positions are reliable count.
     ///
     /// Takes time linear in the number of members.
-    pub fn is_reader(&self) -> bool {
+    pub fn is_reader(&self, is_reliable: impl Fn(SocketAddr) -> bool) -> bool {
         let seed = xxh3_64(READERS.as_bytes());
         let rank = |member: &Member, reads_fail: bool| {
             let weight = xxh3_64_with_seed(&address_bytes(member.address), seed);
@@ -151,6 +152,7 @@
         let own = rank(&self.own, self.own_reads_fail);
         let in_data_centre = self.others.values().filter(|known| {
             known.last_heartbeat.is_some()
+                && is_reliable(known.member.address)
                 && known
                     .location
                     .as_ref()
--- a/src/direct/store_reading.rs
+++ b/src/direct/store_reading.rs
@@ -99,9 +99,9 @@
     /// Time since which own reads fail; kept for [`FAILURE_RETENTION`] after other gateways read.
     failing_since: Option<Timestamp>,
     cause: Cause,
-    /// Whether this gateway is a reader by rank, and the number of membership changes that this
-    /// includes.
-    is_reader: (Option<u64>, bool),
+    /// Whether this gateway is a reader by rank, and the numbers of changes to the members and to
+    /// their builds that this includes.
+    is_reader: (Option<(u64, u64)>, bool),
 }
 
 impl StoreReading {
@@ -188,9 +188,10 @@
         if self.members.set_reads_fail(fails) {
             self.next_heartbeat = Timestamp::ZERO;
         }
-        let changes = Some(self.members.changes());
+        let changes = Some((self.members.changes(), self.builds.changes()));
         if self.store_reading.is_reader.0 != changes {
-            self.store_reading.is_reader = (changes, self.members.is_reader());
+            let is_reader = self.members.is_reader(|member| self.builds.verifies_lists(member));
+            self.store_reading.is_reader = (changes, is_reader);
         }
         let started_at = *self.store_reading.started_at.get_or_insert(now);
         let waits = self.store_reading.cause == Cause::Waits;
--- a/tests/direct_list_positions.rs
+++ b/tests/direct_list_positions.rs
@@ -5,17 +5,24 @@
 
 use std::sync::Arc;
 
-use directenv::gateway::new_core;
+use directenv::gateway::{heartbeat_of, new_core, serving};
 use directenv::group::Group;
 use directenv::{address, deployment, endpoint, ms, position, route};
 use stackmast::actor::Core;
 use stackmast::direct::core::GatewayCore;
 use stackmast::direct::event::{Action, Event};
+use stackmast::direct::peers::build::Build;
+use stackmast::direct::peers::heartbeat::{GatewayState, Heartbeat};
+use stackmast::direct::peers::member::{Location, MemberUpdate};
 use stackmast::direct::peers::message::PeerMessage;
 use stackmast::direct::published::documents::{Document, Revised, Seen};
 use stackmast::direct::published::list_position::{Extent, ListDigest, Verification};
 use stackmast::direct::published::model::{Endpoint, Repeat};
 use stackmast::direct::published::position::Position;
+use stackmast::direct::store_reading::StoreUse;
+
+/// A build before form 11.
+const EARLIER_FORM: u32 = 10;
 
 fn listed(number: u16, revision: u64) -> Revised {
     changed(number, false, revision)
@@ -219,3 +226,54 @@
     assert!(pulls(&actions).is_empty());
     assert_eq!(announced(&mut core), 12);
 }
+
+fn greeted(port: u16, form: u32) -> Event {
+    let build = Build { form, ..Build::own() };
+    Event::PeerGreeted { address: address(port), incarnation: 5, build }
+}
+
+/// A heartbeat of a gateway of the own data centre on a stronger host.
+fn beat(port: u16, heartbeat: u64, endpoints: u64) -> Event {
+    let mut member = serving(port);
+    (member.heartbeat, member.capacity) = (heartbeat, 9_000);
+    let location = Location { data_centre: "hall-1".into(), region: "east".into() };
+    let sender = MemberUpdate { member, location, reads_fail: false, is_suspected: false };
+    let seen = Seen { version: 1, endpoints: position(endpoints) };
+    let state = GatewayState { seen, complete: true, ..GatewayState::default() };
+    let message = Heartbeat { store_age: Some(ms(0)), state, ..heartbeat_of(sender) };
+    let message = PeerMessage::Heartbeat(Box::new(message));
+    Event::PeerMessage { from: address(port), message }
+}
+
+// Guards against positions of builds that announce more than they hold, while such builds and this
+// one run side by side.
+#[test]
+fn entries_of_an_earlier_build_are_used_but_not_announced() {
+    let mut core = gateway(vec![listed(1, 5)], 9);
+    core.handle(greeted(2, EARLIER_FORM), ms(2));
+    let mut pulls_sent = 0;
+    for step in 1..100 {
+        let actions = core.handle(beat(2, step, 14), ms(20 * step));
+        for since in pulls(&actions) {
+            assert_eq!(since, 5);
+            pulls_sent += 1;
+            core.handle(documents(vec![listed(2, 14)], 14, None), ms(20 * step + 1));
+        }
+    }
+    assert_eq!(pulls_sent, 1);
+    assert!(core.table().endpoint("engine-2").is_some());
+    assert_eq!(announced(&mut core), 5);
+}
+
+#[test]
+fn a_gateway_reads_the_store_itself_beside_earlier_builds() {
+    let mut core = gateway(vec![listed(1, 5)], 9);
+    for port in [2, 3] {
+        core.handle(beat(port, 1, 5), ms(1_000));
+    }
+    core.handle(Event::Tick, ms(1_100));
+    assert_eq!(core.store_use(), StoreUse::Follow);
+    core.handle(greeted(2, EARLIER_FORM), ms(1_200));
+    core.handle(Event::Tick, ms(1_300));
+    assert_eq!(core.store_use(), StoreUse::Watch);
+}
