Readability: the verification of entries in a function of its own; names

The digest's terms are named as such, a complete position of a response has one name, and an outdated complete list is explained.

--- a/src/direct/peer_messages.rs
+++ b/src/direct/peer_messages.rs
@@ -185,8 +185,9 @@
             self.send(from, message);
         }
         self.on_announcement(from, seen, complete, now);
-        let has_same = !self.documents.seen().is_behind(&seen) && self.builds.verifies_lists(from);
-        if let Some(age) = heartbeat.store_age.filter(|_| has_same) {
+        let holds_same = !self.documents.seen().is_behind(&seen);
+        let is_reliable = self.builds.verifies_lists(from);
+        if let Some(age) = heartbeat.store_age.filter(|_| holds_same && is_reliable) {
             self.store_reading.record(now.saturating_sub(age), &mut self.rng);
         }
     }
--- a/src/direct/publication.rs
+++ b/src/direct/publication.rs
@@ -149,10 +149,10 @@
             None => self.documents.merge(documents, now),
         };
         self.pulls.list_received();
-        let verified = list.filter(|list| list.verification.is_some()).map(|list| list.announced);
-        self.log_list_merged(&source, entries, verified, before);
+        let complete_to = list.filter(|list| list.verification.is_some()).map(|l| l.announced);
+        self.log_list_merged(&source, entries, complete_to, before);
         self.merged(&merged, &source, false, now);
-        if let Some(announced) = verified.filter(|at| !self.documents.is_complete_to(*at)) {
+        if let Some(announced) = complete_to.filter(|at| !self.documents.is_complete_to(*at)) {
             self.request_complete_list(from, announced, now);
         }
     }
@@ -172,6 +172,7 @@
                 let list = CompleteList { at, source, sender: ListSender::Peer };
                 self.merge_complete_list(documents, list, now)
             }
+            // An outdated list: this gateway has received later changes meanwhile.
             Some(Verification::CompleteList) => self.documents.merge(documents, now),
             Some(Verification::Digest(digest)) => {
                 self.documents.merge_verified(documents, at, digest, now)
@@ -256,10 +257,7 @@
             since: since.revision,
             announced: own.revision,
         });
-        let verification = self.documents.is_verified().then(|| match is_complete_list {
-            true => Verification::CompleteList,
-            false => Verification::Digest(self.documents.digest(own)),
-        });
+        let verification = self.verification(is_complete_list);
         let complete = self.documents.is_complete();
         let Position { era, revision: seen } = own;
         self.send(from, PeerMessage::Documents { documents, complete, seen, era, verification });
@@ -273,6 +271,18 @@
         }
     }
 
+    /// How a peer verifies entries of this gateway, which are its complete list or those after the
+    /// peer's position; `None` if this gateway's list may lack changes.
+    fn verification(&self, is_complete_list: bool) -> Option<Verification> {
+        if !self.documents.is_verified() {
+            None
+        } else if is_complete_list {
+            Some(Verification::CompleteList)
+        } else {
+            Some(Verification::Digest(self.documents.digest(self.documents.seen().endpoints)))
+        }
+    }
+
     /// Handles a pull to which a peer sends no configuration.
     pub(super) fn pull_failed(
         &mut self,
--- a/src/direct/published/documents.rs
+++ b/src/direct/published/documents.rs
@@ -3,7 +3,7 @@
 //! Documents arrive from the publisher's store and from other gateways, in any order and
 //! repeatedly. The latest position of each document wins, so both sources merge without
 //! coordination. The configuration is ordered by the operator's version instead, independent of the
-//! store's history.
+//! store's history. Entries may arrive without earlier ones: `list_position` has what is complete.
 //!
 //! An era begins when the store is restored from an older copy. Until entries are written again, or
 //! the time for that has passed, an entry that the copy restores after its removal is not used, and
--- a/src/direct/published/list_position.rs
+++ b/src/direct/published/list_position.rs
@@ -46,7 +46,7 @@
 pub struct ListDigest {
     /// Number of entries.
     pub entries: u64,
-    /// Sum of the hashes of their positions.
+    /// Sum of the terms of their positions; see [`Position::digest_term`].
     pub positions: u64,
 }
 
@@ -56,7 +56,7 @@
         let empty = Self { entries: 0, positions: 0 };
         positions.fold(empty, |digest, position| Self {
             entries: digest.entries + 1,
-            positions: digest.positions.wrapping_add(position.hash()),
+            positions: digest.positions.wrapping_add(position.digest_term()),
         })
     }
 }
--- a/src/direct/published/position.rs
+++ b/src/direct/published/position.rs
@@ -24,8 +24,8 @@
         Self { era, revision }
     }
 
-    /// Hash for digests; the same in all processes.
-    pub(super) fn hash(self) -> u64 {
+    /// Term of the position in a digest of a list; the same in all processes.
+    pub(super) fn digest_term(self) -> u64 {
         xxh3_64_with_seed(&self.revision.to_le_bytes(), self.era)
     }
 }
