A log line for each end of a stream: framing, events and ids

The incident's first two hypotheses, an end of a connection taken for the end of an answer and a wrong place in a stream, could not be told apart: `ended` says `streamed` for a stream of any framing, with any number of events. `stream_ended` has the framing, the first and the last id, the number of events, how many ids don't follow the one before, the point of a resumption, and how the body ended.

No decision changes. The end of a stream is a type of its own instead of a flag, and its handling moves to `requests/stream_end`.

--- a/src/direct/answers.rs
+++ b/src/direct/answers.rs
@@ -3,6 +3,29 @@
 use crate::direct::engines::load::Load;
 use crate::direct::peers::message::Handle;
 
+/// What determines the end of a response's body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Framing {
+    /// A stated length, or no body at all.
+    #[default]
+    Length,
+    /// The last chunk.
+    Chunks,
+    /// The end of the connection, which a crash of the endpoint causes as well.
+    Connection,
+}
+
+impl Framing {
+    /// Word for this framing in log events.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunks => "chunks",
+            Self::Connection => "connection",
+        }
+    }
+}
+
 /// What a response proves about the request and the endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct AnswerProof {
@@ -16,8 +39,8 @@
     pub not_run: bool,
     /// Whether the endpoint at this address is another one than the one that was called.
     pub from_other_endpoint: bool,
-    /// Whether only the end of the connection ends the body, as it has neither a length nor chunks.
-    pub ends_with_connection: bool,
+    /// What determines the end of the body.
+    pub framing: Framing,
     /// Load of the endpoint, if the response states it.
     pub load: Option<Load>,
 }
--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -213,15 +213,8 @@
             }
             Event::CallSent { caller, attempt } => self.requests.call_sent(caller, attempt, now),
             Event::FirstEvent { caller } => self.requests.first_event(caller, now),
-            Event::StreamEnded { caller, attempt, is_complete, last_event } => {
-                self.requests.stream_ended(
-                    caller,
-                    attempt,
-                    is_complete,
-                    last_event,
-                    &self.table,
-                    now,
-                );
+            Event::StreamEnded { caller, attempt, stream } => {
+                self.requests.stream_ended(caller, attempt, stream, &self.table, now);
             }
             Event::BatchEnded { call, outcome } => {
                 self.owners.batch_ended(call, outcome, &self.table, now);
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::direct::answers::{AnswerProof, BatchOutcome, BatchReport, CallFailure};
+use crate::direct::forwarded_stream::ForwardedStream;
 use crate::direct::limits::permits::NeededPermit;
 use crate::direct::log_events::LogEvent;
 use crate::direct::peers::build::Build;
@@ -123,10 +124,8 @@
         caller: u64,
         /// Number of the attempt.
         attempt: u64,
-        /// Whether the stream is complete.
-        is_complete: bool,
-        /// Id of the last forwarded event.
-        last_event: Option<String>,
+        /// What was forwarded, and how the stream ended.
+        stream: ForwardedStream,
     },
     /// A batch call ended.
     BatchEnded {
--- /dev/null
+++ b/src/direct/forwarded_stream.rs
@@ -0,0 +1,51 @@
+//! What was forwarded of a stream, and how the stream ended.
+
+/// How a stream of an endpoint ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StreamEnd {
+    /// The body ended between two events, as its framing states.
+    Complete,
+    /// The body ended inside an event.
+    InsideEvent,
+    /// The connection ended before the first event of a body without framing.
+    BeforeFirstEvent,
+    /// An event is too long.
+    EventTooLong,
+    /// Reading failed.
+    ReadFailed,
+}
+
+impl StreamEnd {
+    /// The end as written to log events.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::InsideEvent => "inside an event",
+            Self::BeforeFirstEvent => "before the first event",
+            Self::EventTooLong => "event too long",
+            Self::ReadFailed => "read failed",
+        }
+    }
+}
+
+/// What was forwarded of a stream of one endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ForwardedStream {
+    /// How the stream ended.
+    pub end: StreamEnd,
+    /// Number of forwarded events.
+    pub events: u64,
+    /// Id of the first forwarded event that has one.
+    pub first_event: Option<String>,
+    /// Id of the last forwarded event that has one.
+    pub last_event: Option<String>,
+    /// Number of events whose id is not one more than that of the event before.
+    pub jumps: u64,
+}
+
+impl ForwardedStream {
+    /// Whether the stream is complete.
+    pub fn is_complete(&self) -> bool {
+        self.end == StreamEnd::Complete
+    }
+}
--- a/src/direct/forwarding.rs
+++ b/src/direct/forwarding.rs
@@ -6,10 +6,12 @@
 use tokio::sync::mpsc;
 
 use crate::actor::Handle;
+use crate::direct::answers::Framing;
 use crate::direct::client::BodyError;
 use crate::direct::core::GatewayCore;
 use crate::direct::event::Event;
-use crate::direct::stream::EventSplitter;
+use crate::direct::forwarded_stream::{ForwardedStream, StreamEnd};
+use crate::direct::stream::{EventSplitter, EventSummary};
 
 /// Forwards the events of a stream as they arrive, complete events only. A stream that only the end
 /// of its connection ends is broken off if it ends inside an event or before the first one.
@@ -17,24 +19,27 @@
     caller: u64,
     attempt: u64,
     mut body: UnsyncBoxBody<Bytes, BodyError>,
-    ends_with_connection: bool,
+    framing: Framing,
     events: mpsc::Sender<Bytes>,
     core: Handle<GatewayCore>,
 ) {
     let mut splitter = EventSplitter::default();
     let mut is_first = true;
-    let is_complete = loop {
+    let end = loop {
         match body.frame().await {
-            None if is_first && ends_with_connection => break false,
-            None => break splitter.is_at_boundary(),
-            Some(Err(_)) => break false,
+            None if is_first && framing == Framing::Connection => {
+                break StreamEnd::BeforeFirstEvent;
+            }
+            None if splitter.is_at_boundary() => break StreamEnd::Complete,
+            None => break StreamEnd::InsideEvent,
+            Some(Err(_)) => break StreamEnd::ReadFailed,
             Some(Ok(frame)) => {
                 let Ok(data) = frame.into_data() else {
                     continue;
                 };
                 let Some(whole) = splitter.push(&data) else {
                     if splitter.is_too_long() {
-                        break false;
+                        break StreamEnd::EventTooLong;
                     }
                     continue;
                 };
@@ -48,6 +53,7 @@
         }
     };
     drop(events);
-    let last_event = splitter.last_id().map(ToOwned::to_owned);
-    core.send(Event::StreamEnded { caller, attempt, is_complete, last_event }).await.ok();
+    let EventSummary { events, first_id, last_id, jumps } = splitter.into_summary();
+    let stream = ForwardedStream { end, events, first_event: first_id, last_event: last_id, jumps };
+    core.send(Event::StreamEnded { caller, attempt, stream }).await.ok();
 }
--- a/src/direct/log_events/streams.rs
+++ b/src/direct/log_events/streams.rs
@@ -1,4 +1,5 @@
-//! Log events about resumed streams, and the software versions that may resume them.
+//! Log events about the ends of streams, resumed streams, and the software versions that may resume
+//! them.
 
 use serde::Serialize;
 
@@ -32,6 +33,29 @@
         /// Milliseconds that the request waited.
         took_ms: u64,
     },
+    /// A stream of an endpoint ended, or broke off.
+    StreamEnded {
+        /// Request id given by the caller.
+        request: Name,
+        /// Id of the endpoint.
+        endpoint: Name,
+        /// What determines the end of the body: `length`, `chunks` or `connection`.
+        framing: &'static str,
+        /// Id of the event after which the endpoint was asked to resume the stream.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        after_event: Option<String>,
+        /// Id of the first forwarded event that has one.
+        first_event: Option<String>,
+        /// Id of the last forwarded event that has one.
+        last_event: Option<String>,
+        /// Number of forwarded events.
+        events: u64,
+        /// Number of events whose id is not one more than that of the event before.
+        jumps: u64,
+        /// How the stream ended: `complete`, `inside an event`, `before the first event`, `event
+        /// too long` or `read failed`.
+        end: &'static str,
+    },
     /// The software versions of a pool changed.
     SoftwareVersions {
         /// Name of the pool.
@@ -46,6 +70,7 @@
     pub const fn kind(&self) -> &'static str {
         match self {
             Self::StreamOrigin { .. } => "stream_origin",
+            Self::StreamEnded { .. } => "stream_ended",
             Self::SoftwareVersions { .. } => "software_versions",
         }
     }
--- a/src/direct/requests/attempts.rs
+++ b/src/direct/requests/attempts.rs
@@ -2,11 +2,9 @@
 
 use std::sync::Arc;
 
-use crate::direct::answers::{AnswerProof, CallFailure};
+use crate::direct::answers::{AnswerProof, CallFailure, Framing};
 use crate::direct::event::{Action, CallParams, Refused};
 use crate::direct::log_events::{LogEvent, ms};
-use crate::direct::origins::Origin;
-use crate::direct::poison::Unanswered;
 use crate::direct::published::model::{Endpoint, Name};
 use crate::direct::published::table::Table;
 use crate::direct::requests::dispatch::MIN_TIME_LEFT;
@@ -19,8 +17,6 @@
 
 /// Maximum number of calls for one request, including refused ones.
 const MAX_SENDS: u32 = 4;
-/// Status of an answer that is a stream.
-const STATUS_OK: u16 = 200;
 /// Status by which an endpoint reports that a result it needs as input is gone.
 const STATUS_RESULTS_GONE: u16 = 409;
 
@@ -67,7 +63,7 @@
             endpoint: endpoint.clone(),
             ordered_at: now,
             sent_at: None,
-            ends_with_connection: false,
+            framing: Framing::default(),
             began_at: None,
             prompt,
         });
@@ -130,7 +126,7 @@
         let Some(open) = request.attempt.as_mut() else {
             return;
         };
-        open.ends_with_connection = proof.ends_with_connection;
+        open.framing = proof.framing;
         let open = open.clone();
         let endpoint = open.endpoint.clone();
         // A misdirected request was answered by another endpoint, so its load report does not
@@ -366,58 +362,6 @@
         }
     }
 
-    /// A forwarded stream ended.
-    pub fn stream_ended(
-        &mut self,
-        caller: u64,
-        attempt: u64,
-        is_complete: bool,
-        last_event: Option<String>,
-        table: &Table,
-        now: Timestamp,
-    ) {
-        if !self.is_current_attempt(caller, attempt) {
-            return;
-        }
-        if is_complete {
-            self.record_durations(caller, true, now);
-            self.stream_complete(caller);
-        }
-        let Some(closed) = self.close_attempt(caller) else {
-            return;
-        };
-        if is_complete {
-            self.report_answered(caller, &closed, STATUS_OK, now);
-            self.out.push(Action::EndStream { caller });
-            return self.end(caller, "streamed", Some(&closed.endpoint.id), now);
-        }
-        if self.observations.failed(&closed.endpoint, now) {
-            self.log_avoided(&closed.endpoint.id, "failed streams");
-        }
-        self.report_unanswered(caller, &closed, Unanswered::Broken, now);
-        let may_retry = self.may_retry(caller, now);
-        let Some(request) = self.requests.get_mut(&caller) else {
-            return;
-        };
-        request.uncertain_attempts += 1;
-        if last_event.is_some() {
-            request.origin.get_or_insert_with(|| Origin::of(&request.pool, &closed.endpoint));
-        }
-        request.last_event = last_event.or_else(|| request.last_event.take());
-        let pool = request.pool.clone();
-        let will_retry = may_retry
-            && request.route.resumable
-            && !request.has_stages()
-            && self.repeats.try_take(&pool, self.gateway_count, now);
-        let next = if will_retry { "resumed" } else { "aborted" };
-        self.log_attempt_failed(caller, &closed, "stream failed".to_owned(), next);
-        if will_retry {
-            self.dispatch(caller, table, now);
-        } else {
-            self.abort(caller, "stream failed", now);
-        }
-    }
-
     /// No response arrived in time: the call counts as failed, unless it is already being streamed.
     pub(super) fn response_timed_out(
         &mut self,
--- a/src/direct/requests/mod.rs
+++ b/src/direct/requests/mod.rs
@@ -6,7 +6,7 @@
 //! `core` passes in events of callers, endpoints and owners. `stages` and `owners` have the stages
 //! run; `dispatch` and `choice` send requests to endpoints, selected by `policy::place`, or by
 //! `engine_choice` if engines state their load; `prompt_source` names the engine that has parts of
-//! a prompt; `attempts` tracks the calls; `permits` and `ramp` limit the load after endpoints asked
+//! a prompt; `attempts` tracks the calls, `stream_end` the ends of streams; `permits` and `ramp` limit the load after endpoints asked
 //! for it; `resumption` finds out which software version continues a stream, `stream_origins` records
 //! it; `changes` applies changed endpoints; `deferred`, `stopping`, `overload` and `poison`
 //! handle startup, shutdown, overload and requests that crash endpoints; `jitter`
@@ -34,6 +34,7 @@
 pub mod resumption;
 pub(super) mod stages;
 pub(super) mod stopping;
+mod stream_end;
 mod stream_origins;
 
 use std::collections::{BTreeSet, HashMap};
--- a/src/direct/requests/poison.rs
+++ b/src/direct/requests/poison.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::direct::answers::Framing;
 use crate::direct::event::{Action, Refused};
 use crate::direct::log_events::{LogEvent, PoisonEvent};
 use crate::direct::poison::fingerprint::Fingerprint;
@@ -168,7 +169,7 @@
         if status == STATUS_DEADLINE_PASSED {
             return;
         }
-        if attempt.ends_with_connection && !attempt.has_survived(now) {
+        if attempt.framing == Framing::Connection && !attempt.has_survived(now) {
             return self.report_unanswered(caller, attempt, Unanswered::Closed, now);
         }
         let Some(request) = self.requests.get(&caller) else {
--- a/src/direct/requests/request.rs
+++ b/src/direct/requests/request.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::direct::answers::Framing;
 use crate::direct::event::IncomingRequest;
 use crate::direct::origins::Origin;
 use crate::direct::peers::message::{JobId, StoredResult};
@@ -64,8 +65,8 @@
     pub ordered_at: Timestamp,
     /// When the call was sent over an established connection; set only for calls that need results.
     pub sent_at: Option<Timestamp>,
-    /// Whether only the end of the connection ends the answer, which a crash does as well.
-    pub ends_with_connection: bool,
+    /// What determines the end of the answer.
+    pub framing: Framing,
     /// When the first event of the answer was forwarded.
     pub began_at: Option<Timestamp>,
     /// What the engine does with the prompt; `None` after the first event, and if there is no
--- a/src/direct/shell.rs
+++ b/src/direct/shell.rs
@@ -342,10 +342,9 @@
                 let Some(events) = entry.events.clone() else {
                     return;
                 };
-                let ends_with_connection = answer.proof.ends_with_connection;
+                let framing = answer.proof.framing;
                 let core = self.core.clone();
-                let forwarding =
-                    forward_events(caller, attempt, body, ends_with_connection, events, core);
+                let forwarding = forward_events(caller, attempt, body, framing, events, core);
                 entry.task = Some((attempt, tokio::spawn(forwarding).abort_handle()));
             }
         }
--- a/tests/direct_backoff.rs
+++ b/tests/direct_backoff.rs
@@ -5,7 +5,9 @@
 
 use std::time::Duration;
 
-use directenv::gateway::{answered, calls, configured, good, incoming, refusal, submit};
+use directenv::gateway::{
+    answered, calls, configured, good, incoming, refusal, stream_ended, submit,
+};
 use directenv::status_headers::{
     LEAVING, SECONDS, chosen_endpoint, engine, enter, is_chosen, pause_for, receive_departures,
     receive_status, routes, sent_departures, with_incarnation,
@@ -15,6 +17,7 @@
 use stackmast::direct::answers::{AnswerProof, CallFailure};
 use stackmast::direct::backoff::Backoffs;
 use stackmast::direct::event::{Action, Event, Refused};
+use stackmast::direct::forwarded_stream::StreamEnd;
 use stackmast::direct::log_events::LogEvent;
 use stackmast::direct::statement::{Backoff, CallKind};
 use test_case::test_case;
@@ -184,11 +187,7 @@
     let failed = if streams {
         core.handle(Event::Answered { caller: 1, attempt, proof: good(), is_open: true }, ms(5));
         receive_status(&mut core, &other, LEAVING, 10);
-        let last_event = Some("3".to_owned());
-        core.handle(
-            Event::StreamEnded { caller: 1, attempt, is_complete: false, last_event },
-            ms(20),
-        )
+        core.handle(stream_ended(1, attempt, StreamEnd::ReadFailed, Some("3")), ms(20))
     } else {
         receive_status(&mut core, &other, pause_for(ms(3 * SECONDS)), 10);
         let failure = CallFailure::Broken;
--- a/tests/direct_members.rs
+++ b/tests/direct_members.rs
@@ -353,6 +353,6 @@
     let mut splitter = EventSplitter::default();
     let events: Vec<_> = chunks.iter().filter_map(|c| splitter.push(c.as_bytes())).collect();
     assert_eq!(events, expected);
-    assert_eq!(splitter.last_id(), last);
     assert_eq!(splitter.is_at_boundary(), chunks.concat() == expected.concat());
+    assert_eq!(splitter.into_summary().last_id.as_deref(), last);
 }
--- a/tests/direct_poison_parts.rs
+++ b/tests/direct_poison_parts.rs
@@ -8,13 +8,15 @@
 use std::time::Duration;
 
 use directenv::gateway::{
-    begins, calls, configured, good, incoming, listed, receive_gossip, refusal, serving, submit,
+    begins, calls, configured, good, incoming, listed, receive_gossip, refusal, serving,
+    stream_ended, submit,
 };
 use directenv::{address, endpoint, ms, route};
 use stackmast::actor::Core;
-use stackmast::direct::answers::{AnswerProof, CallFailure};
+use stackmast::direct::answers::{AnswerProof, CallFailure, Framing};
 use stackmast::direct::core::GatewayCore;
 use stackmast::direct::event::{Action, Event, Generation, IncomingRequest, Refused};
+use stackmast::direct::forwarded_stream::StreamEnd;
 use stackmast::direct::log_events::{LogEvent, PoisonEvent};
 use stackmast::direct::peers::build::Build;
 use stackmast::direct::peers::message::PeerMessage;
@@ -70,8 +72,9 @@
     Event::CallFailed { caller, attempt, failure: CallFailure::Broken }
 }
 
-fn stream_ended(caller: u64, attempt: u64, is_complete: bool) -> Event {
-    Event::StreamEnded { caller, attempt, is_complete, last_event: Some("9".to_owned()) }
+fn ended(caller: u64, attempt: u64, is_complete: bool) -> Event {
+    let end = if is_complete { StreamEnd::Complete } else { StreamEnd::ReadFailed };
+    stream_ended(caller, attempt, end, Some("9"))
 }
 
 /// Ends a call with `ended` and reports that the port of its endpoint is closed; the endpoint
@@ -143,7 +146,7 @@
     write(&mut core, 100, attempt, ms(1_100));
     crash_elsewhere(&mut core, 1, ms(2_000));
     crash_elsewhere(&mut core, 2, ms(3_000));
-    core.handle(stream_ended(100, attempt, true), ms(3_500));
+    core.handle(ended(100, attempt, true), ms(3_500));
     crash_elsewhere(&mut core, 3, ms(4_000));
     assert!(refusal(&refused(&mut core, 4, &[COMMON, POISON], ms(5_000))).is_some());
 }
@@ -176,7 +179,7 @@
         let at = ms(3_000 * caller);
         let (attempt, endpoint) = begin(&mut core, caller, &[COMMON, "good"], at);
         write(&mut core, caller, attempt, at + ms(100));
-        let ended = stream_ended(caller, attempt, false);
+        let ended = ended(caller, attempt, false);
         crash(&mut core, caller, &endpoint, ended, at + ms(101) + SURVIVAL_TIME);
     }
     assert!(refusal(&refused(&mut core, 9, &[COMMON, "good"], ms(20_000))).is_none());
@@ -189,10 +192,10 @@
     for caller in 1..=3 {
         let at = ms(2_000 * caller);
         let (attempt, endpoint) = begin(&mut core, caller, &[COMMON, POISON], at);
-        let proof = AnswerProof { ends_with_connection: true, ..good() };
+        let proof = AnswerProof { framing: Framing::Connection, ..good() };
         core.handle(Event::Answered { caller, attempt, proof, is_open: true }, at + ms(50));
         core.handle(Event::FirstEvent { caller }, at + ms(51));
-        crash(&mut core, caller, &endpoint, stream_ended(caller, attempt, true), at + ms(60));
+        crash(&mut core, caller, &endpoint, ended(caller, attempt, true), at + ms(60));
     }
     assert!(refusal(&refused(&mut core, 4, &[COMMON, POISON], ms(9_000))).is_some());
 }
--- a/tests/direct_quarantine.rs
+++ b/tests/direct_quarantine.rs
@@ -7,13 +7,15 @@
 use std::time::Duration;
 
 use directenv::gateway::{
-    calls, configured, good, gossip, incoming, listed, receive_gossip, refusal, serving, submit,
+    calls, configured, good, gossip, incoming, listed, receive_gossip, refusal, serving,
+    stream_ended, submit,
 };
 use directenv::{address, endpoint, ms, route};
 use stackmast::actor::Core;
 use stackmast::direct::answers::CallFailure;
 use stackmast::direct::core::GatewayCore;
 use stackmast::direct::event::{Action, Event, IncomingRequest, Refused};
+use stackmast::direct::forwarded_stream::StreamEnd;
 use stackmast::direct::log_events::{LogEvent, PoisonEvent};
 use stackmast::direct::peers::members::Member;
 use stackmast::direct::peers::message::PeerMessage;
@@ -191,8 +193,7 @@
         !actions.iter().any(|a| matches!(a, Action::AbortStream { .. })),
         "it may still run well"
     );
-    let last_event = Some("3".to_owned());
-    let ended = Event::StreamEnded { caller: 1, attempt, is_complete: false, last_event };
+    let ended = stream_ended(1, attempt, StreamEnd::ReadFailed, Some("3"));
     let actions = core.handle(ended, ms(1_060));
     assert!(calls(&actions).is_empty());
     assert!(actions.iter().any(|a| matches!(a, Action::AbortStream { .. })));
--- a/tests/direct_requests.rs
+++ b/tests/direct_requests.rs
@@ -8,13 +8,14 @@
 
 use directenv::gateway::{
     Heartbeat, answered, calls, configured, good, gossip, incoming, is_delivered, listed, new_core,
-    publish, receive_gossip, refusal, serving, setup, submit,
+    publish, receive_gossip, refusal, serving, setup, stream_ended, submit,
 };
 use directenv::{address, deployment, endpoint, ms, position, route};
 use stackmast::actor::Core;
 use stackmast::direct::answers::{AnswerProof, CallFailure};
 use stackmast::direct::core::{GatewayCore, Setup};
 use stackmast::direct::event::{Action, Event, Generation, IncomingRequest, Refused};
+use stackmast::direct::forwarded_stream::StreamEnd;
 use stackmast::direct::log_events::LogEvent;
 use stackmast::direct::peers::members::MemberState;
 use stackmast::direct::peers::message::{JobId, PeerMessage, StoredResult};
@@ -284,8 +285,7 @@
     let mut core = configured(vec![streaming]);
     let attempt = calls(&submit(&mut core, 1, incoming("r", Vec::new()), ms(0)))[0].0;
     core.handle(Event::Answered { caller: 1, attempt, proof: good(), is_open: true }, ms(50));
-    let last_event = Some("7".to_owned());
-    let ended = Event::StreamEnded { caller: 1, attempt, is_complete: false, last_event };
+    let ended = stream_ended(1, attempt, StreamEnd::ReadFailed, Some("7"));
     let actions = core.handle(ended, ms(90));
     assert_eq!(actions.iter().any(|a| matches!(a, Action::AbortStream { .. })), !goes_on);
     let resumed: Vec<_> = calls(&actions).into_iter().map(|(_, o)| o.after_event).collect();
--- a/tests/direct_results.rs
+++ b/tests/direct_results.rs
@@ -5,12 +5,13 @@
 
 use std::time::Duration;
 
-use directenv::gateway::{answered, calls, configured, good, incoming, submit};
+use directenv::gateway::{answered, calls, configured, good, incoming, stream_ended, submit};
 use directenv::{ms, route};
 use stackmast::actor::Core;
 use stackmast::direct::answers::{AnswerProof, BatchOutcome, CallFailure, PieceOutcome};
 use stackmast::direct::core::GatewayCore;
 use stackmast::direct::event::{Action, Event};
+use stackmast::direct::forwarded_stream::StreamEnd;
 use stackmast::direct::log_events::LogEvent;
 use stackmast::direct::published::model::{Repeat, Route};
 
@@ -59,7 +60,7 @@
     core.handle(Event::Answered { caller: 1, attempt, proof, is_open: true }, now + ms(50));
     let actions = core.handle(Event::FirstEvent { caller: 1 }, now + ms(51));
     assert!(frees(&actions));
-    let ended = Event::StreamEnded { caller: 1, attempt, is_complete: true, last_event: None };
+    let ended = stream_ended(1, attempt, StreamEnd::Complete, None);
     let actions = core.handle(ended, now + ms(300));
     assert!(actions.iter().any(|a| matches!(a, Action::EndStream { .. })));
     assert_eq!(core.in_flight(), 0);
@@ -84,10 +85,7 @@
         let at_last = frees(&actions);
         assert_eq!(at_last, early.is_none(), "freed once");
         freed.push(early.unwrap_or(first_event));
-        core.handle(
-            Event::StreamEnded { caller, attempt, is_complete: true, last_event: None },
-            now + ms(20),
-        );
+        core.handle(stream_ended(caller, attempt, StreamEnd::Complete, None), now + ms(20));
         now += ms(300);
     }
     (freed, now)
--- a/tests/direct_resumed_streams.rs
+++ b/tests/direct_resumed_streams.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use directenv::gateway::{
-    begins, calls, configured, incoming, listed, new_core, publish, refusal, resumable, submit,
+    begins, calls, configured, incoming, listed, new_core, publish, refusal, resumable,
+    stream_ended, submit,
 };
 use directenv::group::Group;
 use directenv::{deployment, endpoint, endpoints, ms, position, route};
@@ -15,6 +16,7 @@
 use stackmast::config::Selector;
 use stackmast::direct::core::GatewayCore;
 use stackmast::direct::event::{Action, CallParams, Event, IncomingRequest, Refused};
+use stackmast::direct::forwarded_stream::StreamEnd;
 use stackmast::direct::log_events::LogEvent;
 use stackmast::direct::published::list_position::Extent;
 use stackmast::direct::published::model::{Endpoint, Repeat, Route, Target};
@@ -106,8 +108,7 @@
         let (attempt, first) = calls(&submit(&mut core, caller, stream(caller), now))[0].clone();
         core.handle(begins(caller, attempt), now);
         core.handle(Event::FirstEvent { caller }, now);
-        let last_event = Some("7".to_owned());
-        let broken = Event::StreamEnded { caller, attempt, is_complete: false, last_event };
+        let broken = stream_ended(caller, attempt, StreamEnd::ReadFailed, Some("7"));
         let continued = calls(&core.handle(broken, now));
         assert_eq!(version(&continued[0].1), version(&first), "stream {caller}");
         core.handle(Event::CallerDisconnected { caller }, now);
--- a/tests/direct_stops.rs
+++ b/tests/direct_stops.rs
@@ -6,13 +6,15 @@
 use std::time::Duration;
 
 use directenv::gateway::{
-    announced_state, calls, configured, good, incoming, receive_gossip, refusal, serving, submit,
+    announced_state, calls, configured, good, incoming, receive_gossip, refusal, serving,
+    stream_ended, submit,
 };
 use directenv::{address, job, ms, route};
 use stackmast::actor::Core;
 use stackmast::direct::answers::{AnswerProof, BatchOutcome, PieceOutcome};
 use stackmast::direct::core::GatewayCore;
 use stackmast::direct::event::{Action, Event, IncomingRequest, Refused};
+use stackmast::direct::forwarded_stream::StreamEnd;
 use stackmast::direct::peers::members::{Member, MemberState};
 use stackmast::direct::peers::message::{Job, JobId, JobReason, PeerMessage, StoredResult};
 use stackmast::direct::published::model::{Repeat, Route};
@@ -45,7 +47,7 @@
     let attempt = calls(&submit(core, caller, long_request(name, Vec::new()), now))[0].0;
     let head = Event::Answered { caller, attempt, proof: good(), is_open: true };
     core.handle(head, now + length.min(ms(100)));
-    let ended = Event::StreamEnded { caller, attempt, is_complete: true, last_event: None };
+    let ended = stream_ended(caller, attempt, StreamEnd::Complete, None);
     core.handle(ended, now + length);
     assert_eq!(core.in_flight(), 0);
 }
@@ -133,7 +135,7 @@
     let attempt = calls(&core.handle(made(&actions), ms(8_300)))[0].0;
     let head = Event::Answered { caller: 2, attempt, proof: good(), is_open: true };
     core.handle(head, ms(8_400));
-    let ended = Event::StreamEnded { caller: 2, attempt, is_complete: true, last_event: None };
+    let ended = stream_ended(2, attempt, StreamEnd::Complete, None);
     core.handle(ended, ms(10_300));
     assert_eq!(core.in_flight(), 0);
 }
@@ -224,8 +226,7 @@
     let attempt = calls(&submit(&mut core, 3, long_request("long", Vec::new()), sent))[0].0;
     let head = Event::Answered { caller: 3, attempt, proof: good(), is_open: true };
     core.handle(head, sent + ms(100));
-    let broke =
-        Event::StreamEnded { caller: 3, attempt, is_complete: false, last_event: Some("4".into()) };
+    let broke = stream_ended(3, attempt, StreamEnd::ReadFailed, Some("4"));
     let actions = core.handle(broke, SIGNAL + ms(7_000));
     assert!(calls(&actions).is_empty(), "it could not end");
     assert!(actions.iter().any(|a| matches!(a, Action::AbortStream { caller: 3 })), "at once");
--- a/tests/directenv/fakes.rs
+++ b/tests/directenv/fakes.rs
@@ -8,9 +8,11 @@
     AnswerProof, BatchOutcome, BatchReport, CallFailure, PieceOutcome,
 };
 use stackmast::direct::event::{CallParams, Event, Generation, PieceParams};
+use stackmast::direct::forwarded_stream::StreamEnd;
 use stackmast::direct::published::model::{Endpoint, Repeat, Route};
 use stackmast::direct::statement::CallKind;
 
+use super::gateway::stream_ended;
 use super::ms;
 use super::world::{SimEvent, World};
 
@@ -94,9 +96,8 @@
                 first,
                 SimEvent::Event(number, incarnation, Box::new(Event::FirstEvent { caller })),
             );
-            let is_complete = fate == 0;
-            let last_event = Some("3".to_owned());
-            let ended = Event::StreamEnded { caller, attempt, is_complete, last_event };
+            let end = if fate == 0 { StreamEnd::Complete } else { StreamEnd::ReadFailed };
+            let ended = stream_ended(caller, attempt, end, Some("3"));
             let length = self.stream_length(route);
             self.at(first + length, SimEvent::Event(number, incarnation, Box::new(ended)));
         }
--- a/tests/directenv/gateway.rs
+++ b/tests/directenv/gateway.rs
@@ -8,6 +8,7 @@
 use stackmast::direct::core::{GatewayCore, Setup};
 use stackmast::direct::departures::Departure;
 use stackmast::direct::event::{Action, CallParams, Event, IncomingRequest, Refusal};
+use stackmast::direct::forwarded_stream::{ForwardedStream, StreamEnd};
 use stackmast::direct::limits::known::AnnouncedLimit;
 use stackmast::direct::peers::heartbeat::{self, GatewayState};
 use stackmast::direct::peers::member::MemberUpdate;
@@ -248,3 +249,12 @@
     let message = gossip(members);
     core.handle(Event::PeerMessage { from, message }, now);
 }
+
+/// The end of a stream with one event, whose id is `last_event`, or without an event.
+pub fn stream_ended(caller: u64, attempt: u64, end: StreamEnd, last_event: Option<&str>) -> Event {
+    let last_event = last_event.map(ToOwned::to_owned);
+    let events = u64::from(last_event.is_some());
+    let first_event = last_event.clone();
+    let stream = ForwardedStream { end, events, first_event, last_event, jumps: 0 };
+    Event::StreamEnded { caller, attempt, stream }
+}
