Configurations carry the health check of each pool (form 12)

Gateways that follow their peers get it with the configuration: the message Configuration ends with `health_paths`, one per pool in their order, filled when the message is made and put into the pools when it is received. The encoded pools are as before, since the compact encoding has no field names: a field in each pool could not be told from what follows in frames of earlier forms. As the last field of the message it is read in forms 6 to 11 by the zero byte that appended_fields appends; forms 3 to 5 have a reader of their own, and JSON without the field has none.

Not handled: a configuration replaces another only if its version is higher. A gateway that has a version from a build before form 12 has no health checks for it, also if it reads the same version from the store afterwards, and the gateways to which it passes that version on have none either. This lasts until the next version is published, or until the gateway starts again and has the version from the store or from a gateway that knows them. From reading (Documents::install_deployment), not from a run.

--- a/benches/limits.rs
+++ b/benches/limits.rs
@@ -55,7 +55,14 @@
     };
     let work = Work::Engine(EngineSpec { slots: 64, memory_tokens: 100_000 });
     let endpoints = Selector::parse("service=engine").expect("a selector");
-    let pool = Pool { name: "engine".into(), endpoints, max_connections: 9_000, cold: None, work };
+    let pool = Pool {
+        name: "engine".into(),
+        endpoints,
+        max_connections: 9_000,
+        cold: None,
+        work,
+        health_path: None,
+    };
     Deployment {
         version: 1,
         routes: vec![route],
--- a/src/direct/peer_messages.rs
+++ b/src/direct/peer_messages.rs
@@ -81,9 +81,9 @@
             PeerMessage::Pull { seen, configuration, number } => {
                 self.on_pull(from, seen, configuration.then_some(number));
             }
-            PeerMessage::Configuration { revision, deployment, era, .. } => {
-                let position = self.eras.resolve(Position::new(era, revision));
-                self.on_configuration(from, position, deployment, now);
+            PeerMessage::Configuration { revision, deployment, era, health_paths, .. } => {
+                let at = self.eras.resolve(Position::new(era, revision));
+                self.on_configuration(from, at, deployment.with_health_paths(health_paths), now);
             }
             PeerMessage::NoConfiguration => self.pull_failed(from, 0, "refused", now),
             PeerMessage::Documents { documents, complete, seen, era, verification } => {
--- a/src/direct/peers/codec.rs
+++ b/src/direct/peers/codec.rs
@@ -24,7 +24,7 @@
 /// The compact form that this build writes. It increases by one whenever the fields of a message,
 /// or of a type that a message contains, change; the recorded frames of each form (`tests/frames`)
 /// check this.
-pub const FORM: u32 = 11;
+pub const FORM: u32 = 12;
 
 /// Number of members or entries above which a message is long.
 const LONG_MESSAGE: usize = 16;
--- a/src/direct/peers/links.rs
+++ b/src/direct/peers/links.rs
@@ -135,7 +135,7 @@
     /// Queues a message for a peer; connects to the peer if there is no connection.
     pub fn send(&self, to: SocketAddr, message: PeerMessage) {
         match message {
-            PeerMessage::Configuration { revision, ref deployment, pull, era } => {
+            PeerMessage::Configuration { revision, ref deployment, pull, era, .. } => {
                 let key = (Position::new(era, revision), deployment.version);
                 if !self.bulk.send(to, pull, key, &message) {
                     self.broadcast(&[to], PeerMessage::NoConfiguration);
--- a/src/direct/peers/message.rs
+++ b/src/direct/peers/message.rs
@@ -20,6 +20,7 @@
 use crate::direct::published::evacuations::Evacuations;
 use crate::direct::published::list_position::Verification;
 use crate::direct::published::model::{Deployment, Name};
+use crate::direct::published::position::Position;
 use crate::direct::published::regions::AllowedRegions;
 
 /// Identifies one request of one incarnation of a gateway.
@@ -200,6 +201,10 @@
         /// Era of that revision.
         #[serde(default)]
         era: u64,
+        /// Health checks of the configuration's pools, in their order; empty from builds before
+        /// form 12.
+        #[serde(default)]
+        health_paths: Vec<Option<Name>>,
     },
     /// The sender has no newer configuration, or is sending it to too many other gateways.
     NoConfiguration,
@@ -308,6 +313,13 @@
 }
 
 impl PeerMessage {
+    /// A configuration as of its last change, in response to a pull.
+    pub fn configuration(position: Position, deployment: Arc<Deployment>, pull: u64) -> Self {
+        let Position { era, revision } = position;
+        let health_paths = deployment.health_paths();
+        Self::Configuration { revision, deployment, pull, era, health_paths }
+    }
+
     /// Crash records of a kind.
     pub fn suspects(kind: SubjectKind, updates: Vec<SuspectUpdate>) -> Self {
         match kind {
--- a/src/direct/peers/without_eras.rs
+++ b/src/direct/peers/without_eras.rs
@@ -147,7 +147,8 @@
         }
         CONFIGURATION => {
             let Configuration { revision, deployment } = postcard::from_bytes(fields).ok()?;
-            Some(PeerMessage::Configuration { revision, deployment, pull: 0, era: 0 })
+            let (pull, era, health_paths) = (0, 0, Vec::new());
+            Some(PeerMessage::Configuration { revision, deployment, pull, era, health_paths })
         }
         DOCUMENTS => {
             let Documents { documents, complete, seen } = postcard::from_bytes(fields).ok()?;
--- a/src/direct/publication.rs
+++ b/src/direct/publication.rs
@@ -262,9 +262,9 @@
         let Position { era, revision: seen } = own;
         self.send(from, PeerMessage::Documents { documents, complete, seen, era, verification });
         match newer {
-            Some((Position { era, revision }, deployment)) => {
+            Some((position, deployment)) => {
                 let pull = configuration.unwrap_or_default();
-                self.send(from, PeerMessage::Configuration { revision, deployment, pull, era });
+                self.send(from, PeerMessage::configuration(position, deployment, pull));
             }
             None if configuration.is_some() => self.send(from, PeerMessage::NoConfiguration),
             None => {}
--- a/src/direct/published/model.rs
+++ b/src/direct/published/model.rs
@@ -109,6 +109,11 @@
     pub cold: Option<ColdStart>,
     /// The kind of work that the endpoints run.
     pub work: Work,
+    /// Path of the endpoints' health check, which names the endpoint that answers; `None` if the
+    /// gateway does not know it. Gateways send it beside the configuration, since a field of its
+    /// own here would change how each pool is encoded.
+    #[serde(skip)]
+    pub health_path: Option<Name>,
 }
 
 /// Load limit of an endpoint until it is warm.
@@ -293,6 +298,21 @@
         errors
     }
 
+    /// Paths of health checks, one for each pool in the order of the pools.
+    pub fn health_paths(&self) -> Vec<Option<Name>> {
+        self.pools.iter().map(|pool| pool.health_path.clone()).collect()
+    }
+
+    /// Sets the paths of health checks, in the order of the pools; pools beyond the list keep
+    /// theirs.
+    pub fn with_health_paths(self: Arc<Self>, paths: Vec<Option<Name>>) -> Arc<Self> {
+        let mut deployment = Arc::unwrap_or_clone(self);
+        for (pool, path) in deployment.pools.iter_mut().zip(paths) {
+            pool.health_path = path;
+        }
+        Arc::new(deployment)
+    }
+
     /// Returns the pool with this name.
     pub fn pool(&self, name: &str) -> Option<&Pool> {
         self.pools.iter().find(|p| &*p.name == name)
--- a/testbed/src/frames.rs
+++ b/testbed/src/frames.rs
@@ -159,6 +159,7 @@
         max_connections: 280,
         cold: Some(ColdStart { per_second: 10.0, duration: Duration::from_secs(3) }),
         work,
+        health_path: Some(name(&format!("/{label}/health"))),
     }
 }
 
@@ -337,7 +338,7 @@
             configuration: true,
             number: 4,
         },
-        PeerMessage::Configuration { revision: 344, deployment, pull: 0, era: 2 },
+        PeerMessage::configuration(position(344), deployment, 0),
         PeerMessage::NoConfiguration,
         PeerMessage::Documents {
             documents,
--- a/testbed/src/group_store.rs
+++ b/testbed/src/group_store.rs
@@ -104,6 +104,7 @@
         max_connections: 100,
         cold: None,
         work: Work::Engine(EngineSpec { slots: 8, memory_tokens: 100_000 }),
+        health_path: None,
     };
     Deployment {
         version,
--- a/testbed/src/owner_load.rs
+++ b/testbed/src/owner_load.rs
@@ -135,7 +135,7 @@
         };
         let endpoints = Selector::parse(&format!("service={name}")).unwrap_or_default();
         let (max_connections, cold, work) = (340, None, Work::Batch(spec));
-        Pool { name: name.into(), endpoints, max_connections, cold, work }
+        Pool { name: name.into(), endpoints, max_connections, cold, work, health_path: None }
     };
     STAGES.iter().map(pool).collect()
 }
--- a/tests/direct_bulk.rs
+++ b/tests/direct_bulk.rs
@@ -4,18 +4,23 @@
 mod directenv;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use directenv::gateway::{Idle, new_core};
-use directenv::{address, deployment};
+use directenv::{address, deployment, position, route};
 use stackmast::actor::{Handle, mailbox, run};
 use stackmast::direct::core::GatewayCore;
 use stackmast::direct::peers::links::{PeerLinks, accept};
 use stackmast::direct::peers::message::PeerMessage;
+use stackmast::direct::published::model::{Name, Repeat};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep, timeout};
 
+/// Size of a chunk in bytes.
+const CHUNK_BYTES: usize = 16 << 10;
+
 /// A gateway that accepts connections, and its address.
 async fn gateway() -> (Handle<GatewayCore>, SocketAddr) {
     let listener = TcpListener::bind(address(0)).await.expect("a port");
@@ -36,7 +41,7 @@
 
 fn configuration(version: u64) -> PeerMessage {
     let deployment = deployment(version, Vec::new()).into();
-    PeerMessage::Configuration { revision: version, deployment, pull: version, era: 0 }
+    PeerMessage::configuration(position(version), deployment, version)
 }
 
 /// Whether a version is in force within two seconds.
@@ -85,6 +90,22 @@
     assert!(has(&core, 2).await);
 }
 
+// Guards against paths of health checks that gateways lose which have the configuration from a peer.
+#[tokio::test]
+async fn health_paths_are_transferred_in_chunks() {
+    let routes = (0..200).map(|number| route(&format!("r{number}"), Repeat::Idempotent, &[]));
+    let paths: Vec<Option<Name>> = vec![None, Some("/b/health".into()), None, Some("/d".into())];
+    let sent = Arc::new(deployment(2, routes.collect())).with_health_paths(paths.clone());
+    let message = PeerMessage::configuration(position(2), sent, 2);
+    let length = serde_json::to_vec(&message).expect("JSON").len();
+    assert!(length > 2 * CHUNK_BYTES, "{length} bytes are at most two chunks");
+    let (core, at) = gateway().await;
+    sender().send(at, message);
+    assert!(has(&core, 2).await);
+    let found = core.inspect(|core, _| core.table().deployment.health_paths()).await;
+    assert_eq!(found.expect("a core"), paths);
+}
+
 #[tokio::test]
 async fn stalled_receivers_delay_others_only_briefly() {
     let peers = sender();
--- a/tests/direct_eras.rs
+++ b/tests/direct_eras.rs
@@ -441,7 +441,7 @@
     let actions = core.handle(Event::Tick, ms(200));
     assert!(!is_ready(&actions));
     let deployment = Arc::new(deployment(9, vec![route("r", Repeat::Idempotent, &[])]));
-    let message = PeerMessage::Configuration { revision: 95, deployment, pull: 0, era: BEFORE };
+    let message = PeerMessage::configuration(Position::new(BEFORE, 95), deployment, 0);
     let actions = core.handle(Event::PeerMessage { from: address(2), message }, ms(900));
     assert!(is_ready(&actions));
     assert_eq!(core.table().deployment.version, 9);
--- a/tests/direct_pulls.rs
+++ b/tests/direct_pulls.rs
@@ -301,7 +301,7 @@
         }
         times.push(at);
         let deployment = deployment(seen.version, Vec::new()).into();
-        let message = PeerMessage::Configuration { revision: at, deployment, pull: 0, era: 0 };
+        let message = PeerMessage::configuration(position(at), deployment, 0);
         core.handle(Event::PeerMessage { from: address(4), message }, ms(at));
         assert_eq!(core.table().deployment.version, seen.version, "the newest");
     }
--- a/tests/directenv/mod.rs
+++ b/tests/directenv/mod.rs
@@ -50,7 +50,8 @@
 
 fn pool(name: &str, work: Work) -> Pool {
     let endpoints = Selector::parse(&format!("service={name}")).expect("a selector");
-    Pool { name: name.into(), endpoints, max_connections: 100, cold: None, work }
+    let (max_connections, cold, health_path) = (100, None, None);
+    Pool { name: name.into(), endpoints, max_connections, cold, work, health_path }
 }
 
 pub fn batch(pieces: usize, result_memory_bytes: u64) -> Work {
--- a/tests/kept_frames.rs
+++ b/tests/kept_frames.rs
@@ -14,7 +14,9 @@
 use test_case::test_case;
 
 /// The form of the previous release; its compact frames are read.
-const BEFORE: u32 = 10;
+const BEFORE: u32 = 11;
+/// The form before that, without the verification of entries.
+const WITHOUT_VERIFICATION: u32 = 10;
 /// The form before that, without parts of prompts.
 const WITHOUT_PROMPT_PARTS: u32 = 9;
 /// The form before that, without origins of streams.
@@ -58,6 +60,7 @@
 
 #[test_case(FORM)]
 #[test_case(BEFORE)]
+#[test_case(WITHOUT_VERIFICATION)]
 #[test_case(WITHOUT_PROMPT_PARTS)]
 #[test_case(WITHOUT_ORIGINS)]
 #[test_case(WITHOUT_LOADS)]
@@ -75,6 +78,7 @@
 
 #[test_case(FORM)]
 #[test_case(BEFORE)]
+#[test_case(WITHOUT_VERIFICATION)]
 #[test_case(WITHOUT_PROMPT_PARTS)]
 #[test_case(WITHOUT_ORIGINS)]
 #[test_case(WITHOUT_LOADS)]
@@ -93,6 +97,7 @@
 /// always marked.
 #[test_case(FORM)]
 #[test_case(BEFORE)]
+#[test_case(WITHOUT_VERIFICATION)]
 #[test_case(WITHOUT_PROMPT_PARTS)]
 #[test_case(WITHOUT_ORIGINS)]
 #[test_case(WITHOUT_LOADS)]
@@ -135,6 +140,7 @@
 }
 
 #[test_case(BEFORE)]
+#[test_case(WITHOUT_VERIFICATION)]
 #[test_case(WITHOUT_PROMPT_PARTS)]
 #[test_case(WITHOUT_ORIGINS)]
 #[test_case(WITHOUT_LOADS)]
