Answers that a crash cuts short are not taken for whole

Cause: an answer without a length or chunks ends with its connection. A crash of the endpoint ends the connection in the same way, and the gateway took each such end, between two events, for the regular one. The class: the end of a transport taken for the end of a message.

Change: after such an end the endpoint is asked for its identity, by its health check over a new connection. Only the endpoint itself confirms the end; a closed port, another endpoint at the address, an entry with another incarnation, or no usable response within 1.5 s count as a crash. Streams are then broken off or resumed as after any other failure, whole answers are repeated where the request allows it, otherwise their outcome is unknown. A confirmed end shows that the endpoint lives, so the detection of poison requests needs no case of its own for such answers any more.

Why it works: the question is sent after the end was read, and a process that has ended doesn't answer it, whatever runs at its address by then.

--- a/src/direct/answers.rs
+++ b/src/direct/answers.rs
@@ -45,6 +45,28 @@
     pub load: Option<Load>,
 }
 
+/// Which endpoint responded at the address of the one that was called.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Identity {
+    /// The endpoint itself, so its process is still running.
+    Same,
+    /// Another endpoint, or none: the port is closed.
+    Gone,
+    /// Unknown: no response in time, or one that names no endpoint.
+    Unknown,
+}
+
+impl Identity {
+    /// Word for this identity in log events.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Same => "same",
+            Self::Gone => "gone",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// How a call failed without a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallFailure {
--- a/src/direct/client.rs
+++ b/src/direct/client.rs
@@ -9,10 +9,10 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::{HeaderMap, Method, StatusCode};
 
-use crate::direct::answers::{AnswerProof, BatchOutcome, BatchReport, CallFailure};
+use crate::direct::answers::{AnswerProof, BatchOutcome, BatchReport, CallFailure, Identity};
 use crate::direct::event::{CallParams, PieceParams};
 use crate::direct::peers::message::Handle;
-use crate::direct::published::model::Endpoint;
+use crate::direct::published::model::{Endpoint, Name};
 use crate::direct::statement::Statement;
 
 /// Caller's request as it is forwarded.
@@ -98,6 +98,15 @@
         exchange: impl Exchange,
     ) -> impl Future<Output = Option<BatchReport>> + Send;
 
+    /// Asks which endpoint runs at the address of `endpoint`, by its health check at `health_path`
+    /// or, without one, at the default path. The question is sent over a new connection.
+    fn identify(
+        &self,
+        endpoint: Arc<Endpoint>,
+        health_path: Option<Name>,
+        exchange: impl Exchange,
+    ) -> impl Future<Output = Identity> + Send;
+
     /// Whether an endpoint's port is closed, which proves that its process ended. Silence proves
     /// nothing.
     fn is_closed(&self, endpoint: &Endpoint) -> impl Future<Output = bool> + Send;
--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -216,6 +216,9 @@
             Event::StreamEnded { caller, attempt, stream } => {
                 self.requests.stream_ended(caller, attempt, stream, &self.table, now);
             }
+            Event::Identified { caller, attempt, identity } => {
+                self.requests.identified(caller, attempt, identity, &self.table, now);
+            }
             Event::BatchEnded { call, outcome } => {
                 self.owners.batch_ended(call, outcome, &self.table, now);
             }
@@ -430,6 +433,7 @@
                 | Event::EndpointStatus { .. }
                 | Event::FirstEvent { .. }
                 | Event::StreamEnded { .. }
+                | Event::Identified { .. }
                 | Event::Probed { .. }
                 | Event::Drain { .. }
                 | Event::Shutdown
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::direct::answers::{AnswerProof, BatchOutcome, BatchReport, CallFailure};
+use crate::direct::answers::{AnswerProof, BatchOutcome, BatchReport, CallFailure, Identity};
 use crate::direct::forwarded_stream::ForwardedStream;
 use crate::direct::limits::permits::NeededPermit;
 use crate::direct::log_events::LogEvent;
@@ -127,6 +127,15 @@
         /// What was forwarded, and how the stream ended.
         stream: ForwardedStream,
     },
+    /// The endpoint of an attempt was asked for its identity.
+    Identified {
+        /// Number of the caller's request.
+        caller: u64,
+        /// Number of the attempt.
+        attempt: u64,
+        /// Which endpoint responded.
+        identity: Identity,
+    },
     /// A batch call ended.
     BatchEnded {
         /// Number of the batch call.
@@ -391,6 +400,17 @@
     RequestReport(Arc<Endpoint>),
     /// Check whether an endpoint's port is closed.
     Probe(Arc<Endpoint>),
+    /// Ask which endpoint runs at the address of an attempt's endpoint.
+    Identify {
+        /// Number of the caller's request.
+        caller: u64,
+        /// Number of the attempt.
+        attempt: u64,
+        /// The endpoint.
+        endpoint: Arc<Endpoint>,
+        /// Path of its health check, if known.
+        health_path: Option<Name>,
+    },
     /// Result of a run, for the detection of poison requests; handled within the core.
     PoisonReport(RunReport),
     /// Send nothing to an endpoint until a time, not even what is already queued. Without a time,
--- a/src/direct/forwarded_stream.rs
+++ b/src/direct/forwarded_stream.rs
@@ -5,6 +5,9 @@
 pub enum StreamEnd {
     /// The body ended between two events, as its framing states.
     Complete,
+    /// The connection ended between two events of a body without framing, which a crash of the
+    /// endpoint causes as well.
+    ConnectionClosed,
     /// The body ended inside an event.
     InsideEvent,
     /// The connection ended before the first event of a body without framing.
@@ -20,6 +23,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Complete => "complete",
+            Self::ConnectionClosed => "connection closed",
             Self::InsideEvent => "inside an event",
             Self::BeforeFirstEvent => "before the first event",
             Self::EventTooLong => "event too long",
@@ -42,10 +46,3 @@
     /// Number of events whose id is not one more than that of the event before.
     pub jumps: u64,
 }
-
-impl ForwardedStream {
-    /// Whether the stream is complete.
-    pub fn is_complete(&self) -> bool {
-        self.end == StreamEnd::Complete
-    }
-}
--- a/src/direct/forwarding.rs
+++ b/src/direct/forwarding.rs
@@ -30,8 +30,9 @@
             None if is_first && framing == Framing::Connection => {
                 break StreamEnd::BeforeFirstEvent;
             }
-            None if splitter.is_at_boundary() => break StreamEnd::Complete,
-            None => break StreamEnd::InsideEvent,
+            None if !splitter.is_at_boundary() => break StreamEnd::InsideEvent,
+            None if framing == Framing::Connection => break StreamEnd::ConnectionClosed,
+            None => break StreamEnd::Complete,
             Some(Err(_)) => break StreamEnd::ReadFailed,
             Some(Ok(frame)) => {
                 let Ok(data) = frame.into_data() else {
--- a/src/direct/gates.rs
+++ b/src/direct/gates.rs
@@ -84,7 +84,8 @@
         let gate = gates.get(&(endpoint.id.clone(), endpoint.incarnation));
         gate.is_none_or(|gate| {
             let is_permitted = !gate.is_limited || permit.is_some_and(|until| now < until);
-            let is_accepted = !gate.leaving || kind == CallKind::Free;
+            let is_work = matches!(kind, CallKind::Request | CallKind::Pieces | CallKind::Report);
+            let is_accepted = !gate.leaving || !is_work;
             now >= gate.until && is_accepted && is_permitted
         })
     }
--- a/src/direct/log_events/streams.rs
+++ b/src/direct/log_events/streams.rs
@@ -52,10 +52,26 @@
         events: u64,
         /// Number of events whose id is not one more than that of the event before.
         jumps: u64,
-        /// How the stream ended: `complete`, `inside an event`, `before the first event`, `event
-        /// too long` or `read failed`.
+        /// How the stream ended: `complete`, `connection closed`, `inside an event`, `before the
+        /// first event`, `event too long` or `read failed`.
         end: &'static str,
     },
+    /// The endpoint of an answer that ended with its connection was asked for its identity.
+    EndChecked {
+        /// Request id given by the caller.
+        request: Name,
+        /// Id of the endpoint.
+        endpoint: Name,
+        /// `stream` or `answer`.
+        ended: &'static str,
+        /// `same` (the endpoint is running, so the answer is complete), `gone` (another endpoint or
+        /// none is at its address) or `unknown`.
+        identity: &'static str,
+        /// Number of questions.
+        checks: u32,
+        /// Milliseconds since the end of the connection.
+        took_ms: u64,
+    },
     /// The software versions of a pool changed.
     SoftwareVersions {
         /// Name of the pool.
@@ -71,6 +87,7 @@
         match self {
             Self::StreamOrigin { .. } => "stream_origin",
             Self::StreamEnded { .. } => "stream_ended",
+            Self::EndChecked { .. } => "end_checked",
             Self::SoftwareVersions { .. } => "software_versions",
         }
     }
--- a/src/direct/poison/mod.rs
+++ b/src/direct/poison/mod.rs
@@ -86,8 +86,6 @@
     Broken,
     /// No response arrived in time.
     Silent,
-    /// The connection ended, which may have been the end of the response.
-    Closed,
     /// This gateway cancelled the call, for any reason.
     GivenUp,
 }
--- a/src/direct/poison/unanswered.rs
+++ b/src/direct/poison/unanswered.rs
@@ -141,7 +141,7 @@
                 calls.probe = Probe::SentAndOutdated;
                 Verdict::Wait
             }
-            (Unanswered::Silent | Unanswered::Closed | Unanswered::GivenUp, _) => Verdict::Wait,
+            (Unanswered::Silent | Unanswered::GivenUp, _) => Verdict::Wait,
         }
     }
 
--- a/src/direct/requests/attempts.rs
+++ b/src/direct/requests/attempts.rs
@@ -9,7 +9,8 @@
 use crate::direct::published::table::Table;
 use crate::direct::requests::dispatch::MIN_TIME_LEFT;
 use crate::direct::requests::failure::{Failure, is_endpoint_failure};
-use crate::direct::requests::request::{Attempt, Phase};
+use crate::direct::requests::request::{Attempt, Phase, Request};
+use crate::direct::requests::unframed_end::UnframedAnswer;
 use crate::direct::requests::{RETRY_SOON, Requests, Timer};
 use crate::invariant;
 use crate::invariant::Violation;
@@ -65,6 +66,7 @@
             sent_at: None,
             framing: Framing::default(),
             began_at: None,
+            unconfirmed_end: None,
             prompt,
         });
         if request.may_repeat() && request.uncertain_attempts + 1 < request.route.max_attempts {
@@ -153,19 +155,30 @@
         } else if self.observations.failed(&endpoint, now) {
             self.log_avoided(&endpoint.id, "server errors");
         }
-        self.out.push(Action::Deliver { caller, attempt });
         if is_open {
+            self.out.push(Action::Deliver { caller, attempt });
             if let Some(request) = self.requests.get_mut(&caller) {
                 request.phase = Phase::Streaming;
             }
+        } else if proof.framing == Framing::Connection {
+            self.check_end(caller, UnframedAnswer::Whole { status: proof.status }, table, now);
         } else {
-            if is_success {
-                self.record_durations(caller, true, now);
-            }
-            self.report_answered(caller, &open, proof.status, now);
-            self.close_attempt(caller);
-            self.end(caller, &format!("answered {}", proof.status), None, now);
+            self.deliver_answer(caller, proof.status, now);
+        }
+    }
+
+    /// Delivers the complete answer of the open attempt.
+    pub(super) fn deliver_answer(&mut self, caller: u64, status: u16, now: Timestamp) {
+        let Some(attempt) = self.requests.get(&caller).and_then(|r| r.attempt.clone()) else {
+            return;
+        };
+        self.out.push(Action::Deliver { caller, attempt: attempt.number });
+        if (200..300).contains(&status) {
+            self.record_durations(caller, true, now);
         }
+        self.report_answered(caller, &attempt, status);
+        self.close_attempt(caller);
+        self.end(caller, &format!("answered {status}"), None, now);
     }
 
     /// A call that needs results is sent. An endpoint with a free slot fetches them right away.
@@ -370,8 +383,13 @@
         table: &Table,
         now: Timestamp,
     ) {
-        let is_running = self.requests.get(&caller).is_some_and(|r| r.phase == Phase::Running);
-        if is_running && self.is_current_attempt(caller, attempt) {
+        let is_unanswered = |request: &Request| {
+            let open = request.attempt.as_ref();
+            request.phase == Phase::Running && open.is_some_and(|a| a.unconfirmed_end.is_none())
+        };
+        if self.requests.get(&caller).is_some_and(is_unanswered)
+            && self.is_current_attempt(caller, attempt)
+        {
             self.attempt_may_have_run(caller, Failure::NoResponse, table, now);
         }
     }
--- a/src/direct/requests/failure.rs
+++ b/src/direct/requests/failure.rs
@@ -11,6 +11,9 @@
     ServerError,
     /// The connection failed.
     ConnectionFailed,
+    /// The connection ended an answer without framing, and the endpoint did not confirm that it is
+    /// running.
+    EndUnconfirmed,
     /// No response arrived in time.
     NoResponse,
     /// The endpoint has been restarted: its entry names another incarnation.
@@ -24,6 +27,7 @@
             Self::InvalidResponse => "invalid response",
             Self::ServerError => "server error",
             Self::ConnectionFailed => "broken",
+            Self::EndUnconfirmed => "end unconfirmed",
             Self::NoResponse => "silent",
             Self::EndpointRestarted => "endpoint restarted",
         }
@@ -34,7 +38,7 @@
     pub(super) const fn unanswered(self) -> Option<Unanswered> {
         match self {
             Self::InvalidResponse | Self::ServerError => None,
-            Self::ConnectionFailed => Some(Unanswered::Broken),
+            Self::ConnectionFailed | Self::EndUnconfirmed => Some(Unanswered::Broken),
             Self::NoResponse | Self::EndpointRestarted => Some(Unanswered::Silent),
         }
     }
--- a/src/direct/requests/mod.rs
+++ b/src/direct/requests/mod.rs
@@ -6,7 +6,8 @@
 //! `core` passes in events of callers, endpoints and owners. `stages` and `owners` have the stages
 //! run; `dispatch` and `choice` send requests to endpoints, selected by `policy::place`, or by
 //! `engine_choice` if engines state their load; `prompt_source` names the engine that has parts of
-//! a prompt; `attempts` tracks the calls, `stream_end` the ends of streams; `permits` and `ramp` limit the load after endpoints asked
+//! a prompt; `attempts` tracks the calls, `stream_end` the ends of streams, and
+//! `unframed_end` has the ends of answers without framing confirmed; `permits` and `ramp` limit the load after endpoints asked
 //! for it; `resumption` finds out which software version continues a stream, `stream_origins` records
 //! it; `changes` applies changed endpoints; `deferred`, `stopping`, `overload` and `poison`
 //! handle startup, shutdown, overload and requests that crash endpoints; `jitter`
@@ -36,6 +37,7 @@
 pub(super) mod stopping;
 mod stream_end;
 mod stream_origins;
+pub(super) mod unframed_end;
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -92,6 +94,7 @@
     Response(u64),
     InputsFetched(u64),
     Survival(u64),
+    EndCheck(u64),
     OriginLookup(u32),
 }
 
@@ -375,6 +378,7 @@
                 Timer::Response(attempt) => self.response_timed_out(caller, attempt, table, now),
                 Timer::InputsFetched(attempt) => self.inputs_fetched(caller, attempt),
                 Timer::Survival(attempt) => self.survived(caller, attempt),
+                Timer::EndCheck(attempt) => self.check_end_again(caller, attempt, table),
                 Timer::OriginLookup(round) => self.origin_lookup_timed_out(caller, round),
             }
         }
--- a/src/direct/requests/poison.rs
+++ b/src/direct/requests/poison.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use crate::direct::answers::Framing;
 use crate::direct::event::{Action, Refused};
 use crate::direct::log_events::{LogEvent, PoisonEvent};
 use crate::direct::poison::fingerprint::Fingerprint;
@@ -156,22 +155,12 @@
         }
     }
 
-    /// A request was answered by the call `attempt`. If only the end of the connection ended the
-    /// answer, the endpoint may have crashed, which its entry shows later. Only a success shows that
-    /// the endpoint wrote an answer on the prompt.
-    pub(super) fn report_answered(
-        &mut self,
-        caller: u64,
-        attempt: &Attempt,
-        status: u16,
-        now: Timestamp,
-    ) {
+    /// A request was answered by the call `attempt`. Only a success shows that the endpoint wrote an
+    /// answer on the prompt.
+    pub(super) fn report_answered(&mut self, caller: u64, attempt: &Attempt, status: u16) {
         if status == STATUS_DEADLINE_PASSED {
             return;
         }
-        if attempt.framing == Framing::Connection && !attempt.has_survived(now) {
-            return self.report_unanswered(caller, attempt, Unanswered::Closed, now);
-        }
         let Some(request) = self.requests.get(&caller) else {
             return;
         };
@@ -200,7 +189,8 @@
     /// The endpoint of an attempt has not crashed for long enough after it began to write.
     pub(super) fn survived(&mut self, caller: u64, attempt: u64) {
         let open = self.requests.get(&caller).and_then(|request| request.attempt.as_ref());
-        if let Some(began_at) = open.filter(|a| a.number == attempt).and_then(|a| a.began_at) {
+        let is_writing = |a: &&Attempt| a.number == attempt && a.unconfirmed_end.is_none();
+        if let Some(began_at) = open.filter(is_writing).and_then(|a| a.began_at) {
             self.report_survival(caller, began_at);
         }
     }
--- a/src/direct/requests/request.rs
+++ b/src/direct/requests/request.rs
@@ -14,6 +14,7 @@
 use crate::direct::published::regions::AllowedRegions;
 use crate::direct::requests::permits::AwaitedPermit;
 use crate::direct::requests::resumption::OriginLookup;
+use crate::direct::requests::unframed_end::UnconfirmedEnd;
 use crate::message::Timestamp;
 use crate::policy::urgency::Urgency;
 
@@ -69,6 +70,8 @@
     pub framing: Framing,
     /// When the first event of the answer was forwarded.
     pub began_at: Option<Timestamp>,
+    /// The end of the answer, while it is not known whether a crash of the endpoint caused it.
+    pub unconfirmed_end: Option<UnconfirmedEnd>,
     /// What the engine does with the prompt; `None` after the first event, and if there is no
     /// prompt with shared parts.
     pub prompt: Option<PromptRead>,
@@ -78,7 +81,8 @@
     /// Whether the endpoint has been writing the answer for so long that no part of the prompt
     /// crashes it.
     pub fn has_survived(&self, now: Timestamp) -> bool {
-        self.began_at.is_some_and(|began_at| now >= began_at + SURVIVAL_TIME)
+        let until = self.unconfirmed_end.as_ref().map_or(now, |end| end.at);
+        self.began_at.is_some_and(|began_at| until >= began_at + SURVIVAL_TIME)
     }
 }
 
--- a/src/direct/requests/stream_end.rs
+++ b/src/direct/requests/stream_end.rs
@@ -1,13 +1,14 @@
 //! Ends of streams that are forwarded to callers.
 
 use crate::direct::event::Action;
-use crate::direct::forwarded_stream::ForwardedStream;
+use crate::direct::forwarded_stream::{ForwardedStream, StreamEnd};
 use crate::direct::log_events::{LogEvent, StreamEvent};
 use crate::direct::origins::Origin;
 use crate::direct::poison::Unanswered;
 use crate::direct::published::table::Table;
 use crate::direct::requests::Requests;
 use crate::direct::requests::request::Attempt;
+use crate::direct::requests::unframed_end::UnframedAnswer;
 use crate::message::Timestamp;
 
 /// Status of an answer that is a stream.
@@ -27,28 +28,30 @@
             return;
         }
         self.log_stream_ended(caller, &stream);
-        if stream.is_complete() {
-            self.stream_is_complete(caller, now);
-        } else {
-            self.stream_broke(caller, stream, table, now);
+        match stream.end {
+            StreamEnd::Complete => self.stream_is_complete(caller, now),
+            StreamEnd::ConnectionClosed => {
+                self.check_end(caller, UnframedAnswer::Stream(stream), table, now);
+            }
+            _ => self.stream_broke(caller, stream, table, now),
         }
     }
 
     /// The stream of the open attempt is complete.
-    fn stream_is_complete(&mut self, caller: u64, now: Timestamp) {
+    pub(super) fn stream_is_complete(&mut self, caller: u64, now: Timestamp) {
         self.record_durations(caller, true, now);
         self.stream_complete(caller);
         let Some(closed) = self.close_attempt(caller) else {
             return;
         };
-        self.report_answered(caller, &closed, STATUS_OK, now);
+        self.report_answered(caller, &closed, STATUS_OK);
         self.out.push(Action::EndStream { caller });
         self.end(caller, "streamed", Some(&closed.endpoint.id), now);
     }
 
     /// The stream of the open attempt ended before its end. It is resumed at another endpoint if
     /// the route allows it.
-    fn stream_broke(
+    pub(super) fn stream_broke(
         &mut self,
         caller: u64,
         stream: ForwardedStream,
--- a/src/direct/shell.rs
+++ b/src/direct/shell.rs
@@ -25,7 +25,7 @@
 use crate::direct::gates::Gates;
 use crate::direct::log_events::{LogEvent, ms};
 use crate::direct::peers::links::PeerLinks;
-use crate::direct::published::model::Endpoint;
+use crate::direct::published::model::{Endpoint, Name};
 pub use crate::direct::state::State;
 use crate::direct::statement::{CallKind, Statement};
 use crate::direct::store_reading::StoreUse;
@@ -403,6 +403,21 @@
         });
     }
 
+    fn identify(
+        &self,
+        caller: u64,
+        attempt: u64,
+        endpoint: Arc<Endpoint>,
+        health_path: Option<Name>,
+    ) {
+        let (core, client) = (self.core.clone(), self.client.clone());
+        let exchange = self.exchange(&endpoint, CallKind::Health, None);
+        tokio::spawn(async move {
+            let identity = client.identify(endpoint, health_path, exchange).await;
+            core.send(Event::Identified { caller, attempt, identity }).await.ok();
+        });
+    }
+
     fn write_log(&self, event: &LogEvent) {
         crate::metrics::log_event(event);
         self.lines.write(event);
@@ -434,6 +449,9 @@
             }
             Action::RequestReport(endpoint) => self.request_report(endpoint),
             Action::Probe(endpoint) => self.probe(endpoint),
+            Action::Identify { caller, attempt, endpoint, health_path } => {
+                self.identify(caller, attempt, endpoint, health_path);
+            }
             // The core handles these itself before it returns its actions.
             Action::PoisonReport(_) | Action::RequestPermit(_) => {}
             Action::Send { to, message } => self.peers.send(to, message),
--- a/src/direct/statement.rs
+++ b/src/direct/statement.rs
@@ -83,6 +83,8 @@
     Report,
     /// Frees results.
     Free,
+    /// Asks an endpoint for its identity.
+    Health,
 }
 
 impl CallKind {
@@ -93,6 +95,7 @@
             Self::Pieces => "pieces",
             Self::Report => "report",
             Self::Free => "free",
+            Self::Health => "health",
         }
     }
 }
--- a/tests/direct_gates.rs
+++ b/tests/direct_gates.rs
@@ -10,7 +10,7 @@
 use directenv::{address, deployment, endpoint, ms, position, route};
 use hyper::{HeaderMap, Method, StatusCode};
 use stackmast::actor::{mailbox, run};
-use stackmast::direct::answers::{AnswerProof, BatchOutcome, BatchReport, CallFailure};
+use stackmast::direct::answers::{AnswerProof, BatchOutcome, BatchReport, CallFailure, Identity};
 use stackmast::direct::client::{
     Answer, AnswerBody, AnswerHead, EndpointClient, Exchange, ForwardedRequest,
 };
@@ -20,7 +20,7 @@
 use stackmast::direct::peers::message::Handle;
 use stackmast::direct::published::documents::{Document, Revised};
 use stackmast::direct::published::list_position::Extent;
-use stackmast::direct::published::model::{Endpoint, Repeat};
+use stackmast::direct::published::model::{Endpoint, Name, Repeat};
 use stackmast::direct::shell::{GatewayShell, Reply};
 use stackmast::direct::statement::{Backoff, CallKind, Statement};
 use stackmast::logging::LogWriter;
@@ -111,6 +111,15 @@
         None
     }
 
+    async fn identify(
+        &self,
+        _endpoint: Arc<Endpoint>,
+        _health_path: Option<Name>,
+        _exchange: impl Exchange,
+    ) -> Identity {
+        Identity::Unknown
+    }
+
     async fn is_closed(&self, _endpoint: &Endpoint) -> bool {
         false
     }
--- a/tests/direct_poison_parts.rs
+++ b/tests/direct_poison_parts.rs
@@ -13,7 +13,7 @@
 };
 use directenv::{address, endpoint, ms, route};
 use stackmast::actor::Core;
-use stackmast::direct::answers::{AnswerProof, CallFailure, Framing};
+use stackmast::direct::answers::{AnswerProof, CallFailure, Framing, Identity};
 use stackmast::direct::core::GatewayCore;
 use stackmast::direct::event::{Action, Event, Generation, IncomingRequest, Refused};
 use stackmast::direct::forwarded_stream::StreamEnd;
@@ -195,7 +195,10 @@
         let proof = AnswerProof { framing: Framing::Connection, ..good() };
         core.handle(Event::Answered { caller, attempt, proof, is_open: true }, at + ms(50));
         core.handle(Event::FirstEvent { caller }, at + ms(51));
-        crash(&mut core, caller, &endpoint, ended(caller, attempt, true), at + ms(60));
+        let closed = stream_ended(caller, attempt, StreamEnd::ConnectionClosed, Some("9"));
+        core.handle(closed, at + ms(60));
+        let gone = Event::Identified { caller, attempt, identity: Identity::Gone };
+        crash(&mut core, caller, &endpoint, gone, at + ms(61));
     }
     assert!(refusal(&refused(&mut core, 4, &[COMMON, POISON], ms(9_000))).is_some());
 }
