End calls whose response head, or framing, never ends

Callers of a replica that sent `HTTP/1.1 100 Continue` without end got no answer until their deadline, and the gateway was busy all that time. hyper's client skips informational heads without a limit. The zeros before a chunk's length have no limit there either.

ProgressLimit counts the bytes that a connection receives since the request, the head or the last content; beyond 64 KiB the read fails, the connection is closed and the attempt ends as `answer too long`, which is repeated like a broken connection and isn't taken for a crash. The check precedes a read, so content that arrives behind a head in one read is no error. hyper's buffer is limited to 64 KiB, too (400 KiB before). The connections to the store have the same limit.

--- a/src/direct/answers.rs
+++ b/src/direct/answers.rs
@@ -78,6 +78,8 @@
     Withheld,
     /// The connection failed; the request may have run.
     Broken,
+    /// The response exceeds a limit and was not read to its end; the request may have run.
+    TooLong,
     /// No response arrived in time; the request may be running.
     Silent,
 }
--- a/src/direct/owner/outcomes.rs
+++ b/src/direct/owner/outcomes.rs
@@ -59,6 +59,10 @@
                 self.avoid(&call.endpoint.id, "unreachable", now);
                 self.requeue_pieces(&call, id, false, table, now);
             }
+            BatchOutcome::Failed(CallFailure::TooLong) => {
+                self.avoid(&call.endpoint.id, "answer too long", now);
+                self.requeue_pieces(&call, id, true, table, now);
+            }
             BatchOutcome::Failed(failure) => {
                 let is_silent = failure == CallFailure::Silent;
                 let how = if is_silent { Unanswered::Silent } else { Unanswered::Broken };
--- a/src/direct/requests/attempts.rs
+++ b/src/direct/requests/attempts.rs
@@ -348,6 +348,9 @@
             CallFailure::Broken => {
                 return self.attempt_may_have_run(caller, Failure::ConnectionFailed, table, now);
             }
+            CallFailure::TooLong => {
+                return self.attempt_may_have_run(caller, Failure::AnswerTooLong, table, now);
+            }
             CallFailure::Silent => {
                 return self.attempt_may_have_run(caller, Failure::NoResponse, table, now);
             }
--- a/src/direct/requests/failure.rs
+++ b/src/direct/requests/failure.rs
@@ -14,6 +14,8 @@
     /// The connection ended an answer without framing, and the endpoint did not confirm that it is
     /// running.
     EndUnconfirmed,
+    /// The response exceeds a limit.
+    AnswerTooLong,
     /// No response arrived in time.
     NoResponse,
     /// The endpoint has been restarted: its entry names another incarnation.
@@ -28,6 +30,7 @@
             Self::ServerError => "server error",
             Self::ConnectionFailed => "broken",
             Self::EndUnconfirmed => "end unconfirmed",
+            Self::AnswerTooLong => "answer too long",
             Self::NoResponse => "silent",
             Self::EndpointRestarted => "endpoint restarted",
         }
@@ -37,7 +40,7 @@
     /// ended.
     pub(super) const fn unanswered(self) -> Option<Unanswered> {
         match self {
-            Self::InvalidResponse | Self::ServerError => None,
+            Self::InvalidResponse | Self::ServerError | Self::AnswerTooLong => None,
             Self::ConnectionFailed | Self::EndUnconfirmed => Some(Unanswered::Broken),
             Self::NoResponse | Self::EndpointRestarted => Some(Unanswered::Silent),
         }
