Answers of services without a length or chunks are no results

Callers of a pipeline saw 200 with a part of the answer, with a valid digest over that part, or an answer made from a part of an earlier stage's result: an agent took the end of the connection for the end of a service's answer that has neither a length nor chunks. A crash of the endpoint ends the connection too.

Now the agent reads the head and takes such an answer as a breach of the protocol: the outcome is unknown, as of other interrupted calls, the agent logs "answer without a length or chunks" with the attempt, and `explain` has endpoint_misbehaved. A stage that may be repeated is run elsewhere by the gateway, so its caller gets the complete answer; one that may not is refused with `ran` unknown. Nothing of the body is read or passed on, since the head settles it.

Asking the endpoint again was weighed: it is safe only for stages that may be repeated, and the gateway already repeats these, within its budget and at another endpoint; a service has no call that returns the result of an attempt that it ran.

--- a/src/agent/endpoint.rs
+++ b/src/agent/endpoint.rs
@@ -6,12 +6,14 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
+use hyper::header::TRANSFER_ENCODING;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde::Deserialize;
+use slog::{Logger, warn};
 
 use super::core::AgentCore;
 use super::event::{CallStart, EndpointEvent, EndpointFailure, Event};
@@ -60,17 +62,18 @@
 pub struct EndpointClient {
     address: SocketAddr,
     client: Client<HttpConnector, Full<Bytes>>,
+    log: Logger,
 }
 
 impl EndpointClient {
     /// Creates a client of the endpoint at `address`.
-    pub fn new(address: SocketAddr) -> Self {
+    pub fn new(address: SocketAddr, log: Logger) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         // The library retries a request only if none of its bytes was written.
         let client = Client::builder(TokioExecutor::new()).build(connector);
-        Self { address, client }
+        Self { address, client, log }
     }
 
     /// Calls the endpoint and forwards the events of the call to the core.
@@ -128,6 +131,10 @@
         let uri = format!("http://{}/v1/stages/{}", self.address, run.stage);
         let response = self.send(begin_request(uri, attempt, *run)?).await?;
         check_answer(&response, attempt)?;
+        if !states_its_end(&response) {
+            self.log_unframed(attempt, response.status());
+            return Err(EndpointFailure::Misbehaved);
+        }
         let mut body = response.into_body();
         let mut offset = 0;
         while let Some(data) = next_data(&mut body).await? {
@@ -138,6 +145,11 @@
         Ok(offset)
     }
 
+    fn log_unframed(&self, attempt: AttemptId, status: StatusCode) {
+        let (attempt, status) = (attempt.to_string(), status.as_u16());
+        warn!(self.log, "answer without a length or chunks"; "attempt" => attempt, "status" => status);
+    }
+
     async fn call_engine(
         &self,
         attempt: AttemptId,
@@ -218,6 +230,17 @@
     Ok(())
 }
 
+/// Whether the response states its length or comes in chunks. Otherwise it ends with its
+/// connection, and so does a part of it if the endpoint crashes.
+fn states_its_end(response: &Response<Incoming>) -> bool {
+    // The client reads a body with a transfer encoding other than chunks to the end of the
+    // connection.
+    let encoding = response.headers().get_all(TRANSFER_ENCODING).iter().next_back();
+    let coding = encoding.and_then(|e| e.to_str().ok()).and_then(|e| e.rsplit(',').next());
+    let is_chunked = coding.is_some_and(|c| c.trim().eq_ignore_ascii_case("chunked"));
+    is_chunked || response.body().size_hint().exact().is_some()
+}
+
 async fn next_data(body: &mut Incoming) -> Result<Option<Bytes>, EndpointFailure> {
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| EndpointFailure::ConnectionLost)?;
--- a/src/agent/event.rs
+++ b/src/agent/event.rs
@@ -52,7 +52,8 @@
     ConnectionLost,
     /// The endpoint answered with an error status.
     Failed,
-    /// The endpoint broke the protocol, for example by answering for another attempt.
+    /// The endpoint broke the protocol, for example by answering for another attempt or without a
+    /// length or chunks.
     Misbehaved,
     /// The endpoint does not know the attempt that was to be resumed.
     UnknownAttempt,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use slog::Logger;
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -89,6 +90,7 @@
 struct Base {
     settings: Arc<Settings>,
     incarnation: Incarnation,
+    log: Logger,
     audit: Audit,
     channels: Arc<Channels>,
     distributor: Arc<Distributor>,
@@ -100,7 +102,8 @@
     fn new(settings: Arc<Settings>, role: &'static str) -> Result<Self, DaemonError> {
         let metrics = PrometheusBuilder::new().install_recorder().context(MetricsSnafu)?;
         m::describe();
-        let audit = Audit::new(logging::logger(&settings.host, role));
+        let log = logging::logger(&settings.host, role);
+        let audit = Audit::new(log.clone());
         let channels = Arc::<Channels>::default();
         let store = Arc::new(ConfigStore::new(audit.clone()));
         let distributor = Arc::new(Distributor::new(distribution::Setup {
@@ -114,7 +117,7 @@
         }));
         let incarnation = Incarnation(rand::random::<u64>().max(1));
         let drain = Arc::<Notify>::default();
-        Ok(Self { settings, incarnation, audit, channels, distributor, metrics, drain })
+        Ok(Self { settings, incarnation, log, audit, channels, distributor, metrics, drain })
     }
 
     fn admin(&self, role: RoleHandle) -> Result<Listener, ListenError> {
@@ -263,7 +266,7 @@
     let core = AgentCore::new(base.incarnation, endpoint, bounds);
     let (handle, mailbox) = actor::mailbox();
     let kind = Arc::new(Mutex::new(EndpointKind::Service));
-    let client = EndpointClient::new(address);
+    let client = EndpointClient::new(address, base.log.clone());
     let orders = Orders {
         endpoint: endpoint.to_owned(),
         incarnation: base.incarnation,
--- a/src/message.rs
+++ b/src/message.rs
@@ -170,7 +170,8 @@
     EndpointFailed,
     /// The attempt made no progress for far longer than such a stage takes.
     Stalled,
-    /// The endpoint responded to another attempt, or its response exceeds the size limit.
+    /// The endpoint responded to another attempt, or its response exceeds the size limit or has
+    /// neither a length nor chunks.
     EndpointMisbehaved,
     /// The agent that issued the ticket did not grant the run.
     ClaimRefused,
--- a/testbed/src/engine.rs
+++ b/testbed/src/engine.rs
@@ -13,7 +13,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::runs::{Run, Runs, StageData, token};
-use crate::serve::{Answer, Call, Handler, header, json, streamed, whole};
+use crate::serve::{Answer, Call, Handler, header, json, streamed, whole, without_framing};
 use crate::service::{Fault, Faults};
 
 /// Number of finished streams that are kept for resumption.
@@ -245,7 +245,10 @@
                 }
             }
         });
-        let mut answer = streamed(receiver);
+        let mut answer = match self.faults.get() {
+            Fault::Unframed(_) => without_framing(streamed(receiver)),
+            _ => streamed(receiver),
+        };
         let named = match self.faults.get() {
             Fault::WrongAttempt => "0000000000000000-0",
             _ => attempt,
--- a/testbed/src/serve.rs
+++ b/testbed/src/serve.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Version};
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use hyper_util::server::conn::auto;
 use tokio::net::TcpListener;
@@ -97,6 +97,21 @@
     Response::new(BodyExt::boxed(StreamBody::new(frames)))
 }
 
+/// Turns a streamed response into one without a length or chunks, whose end only the end of its
+/// connection states. On the wire, it can't be told from one that a crash cut.
+pub fn without_framing(mut answer: Answer) -> Answer {
+    *answer.version_mut() = Version::HTTP_10;
+    answer
+}
+
+/// Response without a length or chunks, with this body.
+pub fn unframed(body: Bytes) -> Answer {
+    let (sender, receiver) = mpsc::channel(1);
+    // The channel has room for the only piece.
+    sender.try_send(body).ok();
+    without_framing(streamed(receiver))
+}
+
 /// Value of a header; empty if it is missing or not text.
 pub fn header<'a>(call: &'a Call, name: &str) -> &'a str {
     call.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or_default()
--- a/testbed/src/service.rs
+++ b/testbed/src/service.rs
@@ -3,13 +3,14 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use bytes::Bytes;
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
 use stackmast::agent::endpoint::{ATTEMPT_HEADER, REQUEST_HEADER};
 use tokio::sync::Semaphore;
 
 use crate::runs::{Run, Runs, StageData};
-use crate::serve::{Answer, Call, Handler, header, whole};
+use crate::serve::{Answer, Call, Handler, header, unframed, whole};
 
 /// Fault of a stand-in.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -23,6 +24,9 @@
     Stalls,
     /// Responds with the id of another attempt.
     WrongAttempt,
+    /// Responds without a length or chunks, and closes the connection after this percentage of the
+    /// result, like a process that crashes there. An engine sends its complete stream.
+    Unframed(u32),
     /// Multiplies the duration of calls by this factor.
     Slow(u32),
 }
@@ -103,6 +107,11 @@
     }
 }
 
+fn first_part(mut result: Vec<u8>, percentage: u32) -> Bytes {
+    result.truncate(result.len() * percentage as usize / 100);
+    Bytes::from(result)
+}
+
 impl Handler for PlainService {
     async fn handle(&self, call: Call) -> Answer {
         let path = call.uri().path().to_owned();
@@ -113,7 +122,10 @@
         if self.faults.get() == Fault::Fails {
             return whole(StatusCode::INTERNAL_SERVER_ERROR, "");
         }
-        let mut answer = whole(StatusCode::OK, result);
+        let mut answer = match self.faults.get() {
+            Fault::Unframed(percentage) => unframed(first_part(result, percentage)),
+            _ => whole(StatusCode::OK, result),
+        };
         let attempt = match self.faults.get() {
             Fault::WrongAttempt => "0000000000000000-0",
             _ => header(&call, ATTEMPT_HEADER),
