A part of a configuration that was cut is fetched again

A process never took a configuration again whose part the platform's answer had cut once: an answer without a length or chunks ends with its connection, so the first half of a part came as the whole part, its digest did not match, and the configuration was rejected and audited as if its publication were at fault. A rejected manifest is not fetched again, so the process kept the old configuration until a newer one was published.

Evidence, a_configuration_is_in_force_after_the_platform_cut: each process polls while the platform closes after half of each part, then the platform answers whole. Case "the manifest" passed before as well: a JSON object that was cut does not parse, and a failed read is repeated.

Now the digest is checked at receipt if the answer states neither a length nor chunks, and a mismatch is an incomplete answer, which the next poll repeats. A framed part with a wrong digest is still a rejected configuration, audited once, since there the publication is at fault. Parts of peers come over gRPC, which states its end.

--- a/src/agent/endpoint.rs
+++ b/src/agent/endpoint.rs
@@ -6,8 +6,7 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
-use hyper::header::TRANSFER_ENCODING;
+use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -20,6 +19,7 @@
 use super::orders::Order;
 use crate::actor::Handle;
 use crate::config::EndpointKind;
+use crate::framing::states_its_end;
 use crate::message::{AttemptId, Run};
 
 /// Timeout for connecting to the endpoint.
@@ -230,17 +230,6 @@
     Ok(())
 }
 
-/// Whether the response states its length or comes in chunks. Otherwise it ends with its
-/// connection, and so does a part of it if the endpoint crashes.
-fn states_its_end(response: &Response<Incoming>) -> bool {
-    // The client reads a body with a transfer encoding other than chunks to the end of the
-    // connection.
-    let encoding = response.headers().get_all(TRANSFER_ENCODING).iter().next_back();
-    let coding = encoding.and_then(|e| e.to_str().ok()).and_then(|e| e.rsplit(',').next());
-    let is_chunked = coding.is_some_and(|c| c.trim().eq_ignore_ascii_case("chunked"));
-    is_chunked || response.body().size_hint().exact().is_some()
-}
-
 async fn next_data(body: &mut Incoming) -> Result<Option<Bytes>, EndpointFailure> {
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| EndpointFailure::ConnectionLost)?;
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -12,7 +12,8 @@
 use serde::{Deserialize, Serialize};
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
 
-use crate::config::parts::{MANIFEST_KEY, MAX_PART_LEN, Manifest, PART_PREFIX};
+use crate::config::parts::{self, MANIFEST_KEY, MAX_PART_LEN, Manifest, PART_PREFIX};
+use crate::framing::states_its_end;
 use crate::metrics as m;
 
 /// Timeout of a call.
@@ -101,6 +102,14 @@
     pub hosts: Vec<Host>,
 }
 
+/// A successful answer of the platform.
+#[derive(Debug)]
+struct Answer {
+    body: Bytes,
+    /// Whether the body is complete by its length or chunks; otherwise it may have been cut.
+    states_its_end: bool,
+}
+
 /// HTTP client of the platform.
 #[derive(Debug, Clone)]
 pub struct Platform {
@@ -117,38 +126,42 @@
     /// Fetches the manifest of the configuration; `None` if none is published.
     pub async fn manifest(&self) -> Result<Option<Manifest>, PlatformError> {
         let path = format!("/v1/values/{MANIFEST_KEY}");
-        let Some(bytes) = self.get(&path).await? else {
+        let Some(answer) = self.get(&path).await? else {
             return Ok(None);
         };
-        serde_json::from_slice(&bytes).map(Some).context(SyntaxSnafu { path })
+        serde_json::from_slice(&answer.body).map(Some).context(SyntaxSnafu { path })
     }
 
     /// Fetches a part of the configuration by its digest.
     pub async fn part(&self, digest: &str) -> Result<Bytes, PlatformError> {
         let path = format!("/v1/values/{PART_PREFIX}{digest}");
-        let found = self.get(&path).await?;
-        found.context(StatusSnafu { path, status: StatusCode::NOT_FOUND })
+        let status = StatusCode::NOT_FOUND;
+        let answer = self.get(&path).await?.context(StatusSnafu { path: &path, status })?;
+        // A part that was cut is fetched again; one that was published with other content makes
+        // the store reject the configuration.
+        ensure!(answer.states_its_end || parts::digest(&answer.body) == digest, BodySnafu { path });
+        Ok(answer.body)
     }
 
     /// Fetches the list of hosts.
     pub async fn hosts(&self) -> Result<HostList, PlatformError> {
         let path = "/v1/hosts".to_owned();
-        let bytes = self.get(&path).await?.unwrap_or_default();
-        serde_json::from_slice(&bytes).context(SyntaxSnafu { path })
+        let body = self.get(&path).await?.map(|answer| answer.body).unwrap_or_default();
+        serde_json::from_slice(&body).context(SyntaxSnafu { path })
     }
 
-    async fn get(&self, path: &str) -> Result<Option<Bytes>, PlatformError> {
+    async fn get(&self, path: &str) -> Result<Option<Answer>, PlatformError> {
         let called = tokio::time::timeout(CALL_TIMEOUT, self.call(path)).await;
         let result = called.unwrap_or_else(|_| TimedOutSnafu { path }.fail());
         let outcome = if result.is_ok() { "ok" } else { "failed" };
         metrics::counter!(m::PLATFORM_CALLS, "outcome" => outcome).increment(1);
-        if let Ok(Some(bytes)) = &result {
-            m::control_bytes("in", bytes.len());
+        if let Ok(Some(answer)) = &result {
+            m::control_bytes("in", answer.body.len());
         }
         result
     }
 
-    async fn call(&self, path: &str) -> Result<Option<Bytes>, PlatformError> {
+    async fn call(&self, path: &str) -> Result<Option<Answer>, PlatformError> {
         let uri = format!("http://{}{path}", self.address);
         let request = hyper::Request::get(uri).body(Empty::new()).context(RequestSnafu { path })?;
         let response = self.client.request(request).await.context(CallSnafu { path })?;
@@ -157,8 +170,9 @@
             return Ok(None);
         }
         ensure!(status.is_success(), StatusSnafu { path, status });
+        let states_its_end = states_its_end(&response);
         let body = Limited::new(response.into_body(), MAX_ANSWER_LEN).collect().await;
         let body = body.ok().context(BodySnafu { path })?;
-        Ok(Some(body.to_bytes()))
+        Ok(Some(Answer { body: body.to_bytes(), states_its_end }))
     }
 }
--- a/testbed/src/platform.rs
+++ b/testbed/src/platform.rs
@@ -11,7 +11,7 @@
 use stackmast::config::parts::{MANIFEST_KEY, MAX_PART_LEN, PART_PREFIX, PartsError, split};
 use stackmast::platform::{Host, HostList};
 
-use crate::serve::{Answer, Call, Handler, json, whole};
+use crate::serve::{Answer, Call, Handler, json, unframed, whole};
 
 /// Response behaviour of the platform.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -23,6 +23,9 @@
     Down,
     /// Responds after this delay.
     Slow(Duration),
+    /// Responds to paths that contain this text without a length or chunks, and closes the
+    /// connection after half of the value, like a process that crashes there.
+    CutUnframed(&'static str),
     /// Responds with the configuration before the last publication.
     Stale,
 }
@@ -89,7 +92,7 @@
         match mode {
             Mode::Down => return whole(StatusCode::SERVICE_UNAVAILABLE, ""),
             Mode::Slow(time) => tokio::time::sleep(time).await,
-            Mode::Up | Mode::Stale => {}
+            Mode::Up | Mode::CutUnframed(_) | Mode::Stale => {}
         }
         let state = self.state();
         let path = call.uri().path();
@@ -98,9 +101,12 @@
         }
         let values = if mode == Mode::Stale { &state.stale } else { &state.values };
         let value = path.strip_prefix("/v1/values/").and_then(|key| values.get(key));
-        match value {
-            Some(value) => whole(StatusCode::OK, value.clone()),
-            None => whole(StatusCode::NOT_FOUND, ""),
+        match (value, mode) {
+            (Some(value), Mode::CutUnframed(text)) if path.contains(text) => {
+                unframed(value.slice(..value.len() / 2))
+            }
+            (Some(value), _) => whole(StatusCode::OK, value.clone()),
+            (None, _) => whole(StatusCode::NOT_FOUND, ""),
         }
     }
 }
--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -11,6 +11,10 @@
 use stackmast_testbed::fleet::Fleet;
 use stackmast_testbed::platform::Mode;
 use stackmast_testbed::proxy::Link;
+use test_case::test_case;
+
+/// Calls to the platform after which each process has polled it.
+const MANY_CALLS: u64 = 100;
 
 async fn versions(fleet: &Fleet) -> Vec<u64> {
     let mut versions = Vec::new();
@@ -102,6 +106,26 @@
     fleet.wait_version(next).await.expect("a good one is taken");
 }
 
+/// Guards against a configuration that is rejected for good since a part of it was cut once.
+#[test_case("manifest"; "the manifest")]
+#[test_case("part/"; "a part")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_is_in_force_after_the_platform_cut(document: &'static str) {
+    let mut fleet = testenv::fleet(testenv::small()).await;
+    fleet.platform.set_mode(Mode::CutUnframed(document));
+    let version = fleet.publish(lower_priority).expect("published");
+    let before = fleet.platform.calls();
+    testenv::until("polls", || async { fleet.platform.calls() > before + MANY_CALLS }).await;
+
+    fleet.platform.set_mode(Mode::Up);
+
+    fleet.wait_version(version).await.expect("in force everywhere");
+    for process in fleet.processes() {
+        let audit = fleet.admin(process, Method::GET, "/v1/audit?count=100").await.expect("one");
+        assert!(!audit.to_string().contains("config_rejected"), "{audit}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn two_configurations_of_one_version_are_a_conflict() {
     let mut fleet = testenv::fleet(testenv::small()).await;
