The client of the testbed refuses answers without a length or chunks

The client of tests, loads and soaks took an answer that ends with its connection for a complete one, so a gateway, or an administration listener, that answers so and is killed midway would have passed for one that answers in full.

Such an answer is now an error of its own, by the same function as in the agent and in the client of the platform.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,7 +16,7 @@
 pub mod direct;
 pub mod distribution;
 pub mod fleet;
-mod framing;
+pub mod framing;
 pub mod gateway;
 pub mod http;
 pub mod invariant;
--- a/testbed/src/client.rs
+++ b/testbed/src/client.rs
@@ -11,7 +11,8 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde_json::{Value, json};
-use snafu::{ResultExt, Snafu};
+use snafu::{ResultExt, Snafu, ensure};
+use stackmast::framing::states_its_end;
 
 /// Reason why a request got no response.
 #[derive(Debug, Snafu)]
@@ -28,6 +29,9 @@
         /// Underlying error.
         source: hyper::Error,
     },
+    /// The response has neither a length nor chunks, so nothing shows that it is complete.
+    #[snafu(display("response without a length or chunks"))]
+    Unframed,
     /// The request could not be built.
     #[snafu(display("{source}"))]
     Request {
@@ -174,6 +178,7 @@
 
     async fn send(&self, request: Request<Full<Bytes>>) -> Result<Reply, ClientError> {
         let response = self.http.request(request).await.context(CallSnafu)?;
+        ensure!(states_its_end(&response), UnframedSnafu);
         let (parts, body) = response.into_parts();
         let body = body.collect().await.context(CutSnafu)?.to_bytes();
         Ok(Reply { status: parts.status, headers: parts.headers, body })
--- a/tests/unframed_results.rs
+++ b/tests/unframed_results.rs
@@ -5,7 +5,7 @@
 
 use hyper::Method;
 use serde_json::json;
-use stackmast_testbed::client::{Ask, Client};
+use stackmast_testbed::client::{Ask, Client, ClientError};
 use stackmast_testbed::fleet::Fleet;
 use stackmast_testbed::proxy::Link;
 use stackmast_testbed::service::Fault;
@@ -59,6 +59,21 @@
     assert!(cut.is_empty(), "stages that ran on a cut input: {cut:?}");
 }
 
+/// Guards against a client of the tests that takes a part of an answer for the whole.
+#[test_case(0; "nothing of it")]
+#[test_case(50; "half of it")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_client_refuses_an_unframed_answer_after(percentage: u32) {
+    let fleet = testenv::fleet(testenv::small()).await;
+    let stand_in = &fleet.stand_ins["notifier-0"];
+    stand_in.faults.set(Fault::Unframed(percentage));
+
+    let client = Client::default();
+    let reply = client.call(Method::POST, stand_in.address, "/v1/stages/send", "", "{}").await;
+
+    assert!(matches!(reply, Err(ClientError::Unframed)), "{reply:?}");
+}
+
 /// Guards against a stream of an engine that ends as complete with its connection.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_unframed_stream_of_an_engine_is_resumed_when_it_is_cut() {
