A body that is shorter than its stated length is refused as cut

A request ran, and got its answer, though its connection ended before its body did: the HTTP server ends a body with its connection without an error, so `body_cut` was never reported. No other content ran than the caller's, since no part of a JSON object parses; what could be missing is white space behind it.

Evidence, a_body_that_is_shorter_than_its_length_is_refused_and_not_run: the connection ends one byte before the stated length.

Now the number of bytes that came is compared with the stated length.

--- a/src/http.rs
+++ b/src/http.rs
@@ -154,7 +154,11 @@
 
 async fn collect(body: RequestBody, limit: usize) -> Result<Bytes, BadInput> {
     let mut body = std::pin::pin!(body);
-    if matches!(body.size_hint(), SizeHint::Exact(len) if len > limit as u64) {
+    let stated_len = match body.size_hint() {
+        SizeHint::Exact(len) => Some(len),
+        _ => None,
+    };
+    if stated_len.is_some_and(|len| len > limit as u64) {
         return Err(BadInput::TooLarge { limit });
     }
     let mut buffer = BytesMut::new();
@@ -165,6 +169,10 @@
         }
         buffer.extend_from_slice(&data);
     }
+    // The server ends a body with its connection, without an error.
+    if stated_len.is_some_and(|len| len != buffer.len() as u64) {
+        return Err(BadInput::Incomplete);
+    }
     Ok(buffer.freeze())
 }
 
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -85,6 +85,27 @@
     });
 }
 
+/// Guards against a request that runs although its connection ended before its body.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_is_shorter_than_its_length_is_refused_and_not_run() {
+    let fleet = testenv::fleet(testenv::small()).await;
+    let mut cut = TcpStream::connect(fleet.callers(0)).await.expect("connected");
+    let body = r#"{"organisation": "keepers-0", "input": {"key": "cut", "tokens": 4}}"#;
+    let length = body.len() + 1;
+    let request = format!(
+        "POST /v1/pipelines/guest-reply HTTP/1.1\r\nHost: gateway\r\nConnection: close\r\n\
+         Content-Length: {length}\r\n\r\n{body}"
+    );
+    cut.write_all(request.as_bytes()).await.expect("sent");
+    cut.shutdown().await.expect("ended");
+
+    let mut answer = String::new();
+    cut.read_to_string(&mut answer).await.expect("an answer");
+
+    assert!(answer.contains("body_cut"), "{answer}");
+    assert!(fleet.runs.of_key("cut").is_empty());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_incomplete_body_times_out_and_does_not_affect_others() {
     let fleet = testenv::fleet(testenv::small()).await;
