A stream is resumed only where its last id names its last event

What callers saw: a stream on a route with `resume_streams` that broke off carried events twice.

Cause: the place of a resumption was the last `id:` line seen, wherever it was. - Events without an id behind it were forwarded and came again with the next run, from the very beginning if no event had an id. - Lines were split at line feeds only, the id was trimmed and taken as it was: an id that a header can't hold was sent as an empty `Last-Event-Id`, so that the next run began anew; so were an id with NUL (to be ignored) and one in a line that a lone carriage return ends. An id that loses its spaces on the way was sent as another one.

The place is now a value of its own (`event_order`), read once, line by line, as the specification of server-sent events says: the last id of an event counts, an empty one resets it, one with NUL is ignored, comments and `retry` are no events. It says whether the last id names the last event and reaches an endpoint unchanged; only then is the stream resumed, else it is aborted, which its caller sees. A run of which nothing was forwarded still leaves the place as it was. The core gives the place of a run to the shell with `Deliver`.

The check of ids in direct_members reads the same ids from the new type.

--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::direct::answers::{AnswerProof, BatchOutcome, BatchReport, CallFailure, Identity};
+use crate::direct::event_order::Place;
 use crate::direct::forwarded_stream::ForwardedStream;
 use crate::direct::limits::permits::NeededPermit;
 use crate::direct::log_events::LogEvent;
@@ -365,6 +366,8 @@
         caller: u64,
         /// Number of the attempt.
         attempt: u64,
+        /// Place in the stream at which the events of the response begin.
+        place: Place,
     },
     /// Refuse a request.
     Refuse {
--- /dev/null
+++ b/src/direct/event_order.rs
@@ -0,0 +1,158 @@
+//! The place in a stream, as the ids of its events state it. Ids are read as the specification of
+//! server-sent events says.
+
+/// Place in a stream: what is known of the events that its caller has.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Place {
+    /// Id of the last event that has one.
+    last: Option<String>,
+    /// Whether the last id names the last event, so that the stream can be resumed after it.
+    is_exact: bool,
+}
+
+/// Number and ids of the events of one run.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct EventSummary {
+    /// Number of events.
+    pub events: u64,
+    /// Id of the first event that has one.
+    pub first_id: Option<String>,
+    /// Id of the last event that has one.
+    pub last_id: Option<String>,
+    /// Number of events whose id is not one more than that of the event before.
+    pub jumps: u64,
+}
+
+/// Reads the complete events of one run before they are forwarded.
+#[derive(Debug)]
+pub struct EventOrder {
+    place: Place,
+    summary: EventSummary,
+}
+
+/// An event whose lines are being read.
+#[derive(Debug, Default)]
+struct OpenEvent<'a> {
+    has_lines: bool,
+    /// Whether readers see more of it than its id.
+    has_content: bool,
+    id: Option<&'a [u8]>,
+}
+
+impl Default for Place {
+    /// The beginning of a stream.
+    fn default() -> Self {
+        Self { last: None, is_exact: true }
+    }
+}
+
+impl Place {
+    /// The place behind the event with this id; an empty id is the beginning of the stream.
+    pub fn after(id: &str) -> Self {
+        let last = Some(id).filter(|id| !id.is_empty()).map(ToOwned::to_owned);
+        Self { last, ..Self::default() }
+    }
+
+    /// Id of the event after which a run resumes the stream; `None` at its beginning.
+    pub fn last_id(&self) -> Option<&str> {
+        self.last.as_deref()
+    }
+
+    /// Whether a run that is asked to resume the stream after [`Self::last_id`] repeats no event.
+    pub fn may_resume(&self) -> bool {
+        self.is_exact
+    }
+}
+
+impl EventOrder {
+    /// Reads a run that begins at `place`.
+    pub fn new(place: Place) -> Self {
+        Self { place, summary: EventSummary::default() }
+    }
+
+    /// Reads complete events.
+    pub fn check(&mut self, events: &[u8]) {
+        let mut event = OpenEvent::default();
+        for line in lines(events) {
+            if !line.is_empty() {
+                event.read(line);
+                continue;
+            }
+            if event.has_lines {
+                self.pass(&event);
+            }
+            event = OpenEvent::default();
+        }
+    }
+
+    /// Returns the place behind the events, and their number and ids.
+    pub fn into_parts(self) -> (Place, EventSummary) {
+        (self.place, self.summary)
+    }
+
+    fn pass(&mut self, event: &OpenEvent<'_>) {
+        match event.id {
+            Some(id) if !id.is_empty() => self.pass_id(id),
+            Some(_) => self.place.is_exact = false,
+            None if event.has_content => self.place.is_exact = false,
+            None => {}
+        }
+        self.summary.events += 1;
+    }
+
+    fn pass_id(&mut self, bytes: &[u8]) {
+        let id = String::from_utf8_lossy(bytes);
+        self.place.last = Some(id.clone().into_owned());
+        self.place.is_exact = is_header_value(bytes);
+        self.summary.add(&id);
+    }
+}
+
+impl EventSummary {
+    fn add(&mut self, id: &str) {
+        if let Some(last) = self.last_id.as_deref().and_then(number) {
+            self.jumps += u64::from(number(id) != last.checked_add(1));
+        }
+        self.first_id.get_or_insert_with(|| id.to_owned());
+        self.last_id = Some(id.to_owned());
+    }
+}
+
+impl<'a> OpenEvent<'a> {
+    fn read(&mut self, line: &'a [u8]) {
+        self.has_lines = true;
+        let colon = line.iter().position(|byte| *byte == b':').unwrap_or(line.len());
+        let (name, value) = line.split_at(colon);
+        let value = value.strip_prefix(b":").unwrap_or(value);
+        let value = value.strip_prefix(b" ").unwrap_or(value);
+        match name {
+            b"id" if !value.contains(&0) => self.id = Some(value),
+            // Comments have no name; readers see neither them nor the reconnection time.
+            b"id" | b"retry" | b"" => {}
+            _ => self.has_content = true,
+        }
+    }
+}
+
+/// Lines, whose ends are `\n`, `\r\n` or `\r`.
+fn lines(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let mut at = 0;
+    std::iter::from_fn(move || {
+        let rest = &bytes[at..];
+        let length = rest.iter().position(|byte| matches!(byte, b'\n' | b'\r'))?;
+        at += length + if rest[length..].starts_with(b"\r\n") { 2 } else { 1 };
+        Some(&rest[..length])
+    })
+}
+
+/// Value of an id that is a whole number.
+fn number(id: &str) -> Option<u64> {
+    let is_number = id.bytes().all(|byte| byte.is_ascii_digit());
+    id.parse().ok().filter(|_| is_number)
+}
+
+/// Whether an id reaches an endpoint unchanged as the value of a header.
+fn is_header_value(id: &[u8]) -> bool {
+    let is_visible = id.iter().all(|byte| !byte.is_ascii_control());
+    is_visible && id.trim_ascii().len() == id.len() && str::from_utf8(id).is_ok()
+}
--- a/src/direct/forwarded_stream.rs
+++ b/src/direct/forwarded_stream.rs
@@ -1,5 +1,7 @@
 //! What was forwarded of a stream, and how the stream ended.
 
+use crate::direct::event_order::Place;
+
 /// How a stream of an endpoint ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StreamEnd {
@@ -45,4 +47,6 @@
     pub last_event: Option<String>,
     /// Number of events whose id is not one more than that of the event before.
     pub jumps: u64,
+    /// Place behind the forwarded events.
+    pub place: Place,
 }
--- a/src/direct/forwarding.rs
+++ b/src/direct/forwarding.rs
@@ -10,8 +10,9 @@
 use crate::direct::client::BodyError;
 use crate::direct::core::GatewayCore;
 use crate::direct::event::Event;
+use crate::direct::event_order::{EventOrder, EventSummary, Place};
 use crate::direct::forwarded_stream::{ForwardedStream, StreamEnd};
-use crate::direct::stream::{EventSplitter, EventSummary};
+use crate::direct::stream::EventSplitter;
 
 /// Forwards the events of a stream as they arrive, complete events only. A stream that only the end
 /// of its connection ends is broken off if it ends inside an event or before the first one.
@@ -20,10 +21,12 @@
     attempt: u64,
     mut body: UnsyncBoxBody<Bytes, BodyError>,
     framing: Framing,
+    place: Place,
     events: mpsc::Sender<Bytes>,
     core: Handle<GatewayCore>,
 ) {
     let mut splitter = EventSplitter::default();
+    let mut order = EventOrder::new(place);
     let mut is_first = true;
     let end = loop {
         match body.frame().await {
@@ -44,6 +47,7 @@
                     }
                     continue;
                 };
+                order.check(&whole);
                 if events.send(whole).await.is_err() {
                     return;
                 }
@@ -54,7 +58,8 @@
         }
     };
     drop(events);
-    let EventSummary { events, first_id, last_id, jumps } = splitter.into_summary();
-    let stream = ForwardedStream { end, events, first_event: first_id, last_event: last_id, jumps };
+    let (place, EventSummary { events, first_id, last_id, jumps }) = order.into_parts();
+    let stream =
+        ForwardedStream { end, events, first_event: first_id, last_event: last_id, jumps, place };
     core.send(Event::StreamEnded { caller, attempt, stream }).await.ok();
 }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -28,6 +28,7 @@
 pub mod engines;
 pub mod event;
 pub mod event_lag;
+pub mod event_order;
 pub mod forwarded_stream;
 mod forwarding;
 pub mod gates;
--- a/src/direct/requests/attempts.rs
+++ b/src/direct/requests/attempts.rs
@@ -4,6 +4,7 @@
 
 use crate::direct::answers::{AnswerProof, CallFailure, Framing};
 use crate::direct::event::{Action, CallParams, Refused};
+use crate::direct::event_order::Place;
 use crate::direct::log_events::{LogEvent, ms};
 use crate::direct::published::model::{Endpoint, Name};
 use crate::direct::published::table::Table;
@@ -81,7 +82,7 @@
             timeout: request.deadline.saturating_sub(now),
             organisation: request.organisation.clone(),
             inputs: request.inputs().into_iter().map(|m| m.handle).collect(),
-            after_event: request.last_event.clone(),
+            after_event: request.after_event().map(ToOwned::to_owned),
             level: request.urgency().engine_level(),
             reuse_connection: request.may_repeat(),
             streams: request.route.streams,
@@ -130,6 +131,7 @@
         };
         open.framing = proof.framing;
         let open = open.clone();
+        let place = request.place.clone();
         let endpoint = open.endpoint.clone();
         // A misdirected request was answered by another endpoint, so its load report does not
         // apply.
@@ -156,7 +158,7 @@
             self.log_avoided(&endpoint.id, "server errors");
         }
         if is_open {
-            self.out.push(Action::Deliver { caller, attempt });
+            self.out.push(Action::Deliver { caller, attempt, place });
             if let Some(request) = self.requests.get_mut(&caller) {
                 request.phase = Phase::Streaming;
             }
@@ -172,7 +174,8 @@
         let Some(attempt) = self.requests.get(&caller).and_then(|r| r.attempt.clone()) else {
             return;
         };
-        self.out.push(Action::Deliver { caller, attempt: attempt.number });
+        let place = Place::default();
+        self.out.push(Action::Deliver { caller, attempt: attempt.number, place });
         if (200..300).contains(&status) {
             self.record_durations(caller, true, now);
         }
--- a/src/direct/requests/mod.rs
+++ b/src/direct/requests/mod.rs
@@ -70,7 +70,7 @@
 use crate::direct::requests::owners::OwnerRanking;
 use crate::direct::requests::ramp::Ramps;
 use crate::direct::requests::request::{Phase, Request};
-use crate::direct::requests::resumption::stream_of;
+use crate::direct::requests::resumption::{place_of, stream_of};
 use crate::direct::requests::stopping::Stopping;
 use crate::direct::requests::stream_origins::StreamOrigins;
 use crate::message::Timestamp;
@@ -325,7 +325,7 @@
             uncertain_attempts: 0,
             runs: Vec::new(),
             tried: Vec::new(),
-            last_event: incoming.after_event.clone(),
+            place: place_of(&incoming, route),
             lookup: None,
             origin: None,
             holds_results: false,
--- a/src/direct/requests/request.rs
+++ b/src/direct/requests/request.rs
@@ -6,6 +6,7 @@
 
 use crate::direct::answers::Framing;
 use crate::direct::event::IncomingRequest;
+use crate::direct::event_order::Place;
 use crate::direct::origins::Origin;
 use crate::direct::peers::message::{JobId, StoredResult};
 use crate::direct::poison::fingerprint::Fingerprint;
@@ -133,8 +134,8 @@
     pub runs: Vec<Run>,
     /// Endpoints that the request was sent to.
     pub tried: Vec<Name>,
-    /// Id of the last stream event that was forwarded.
-    pub last_event: Option<String>,
+    /// Place behind the events that the caller has, or states to have.
+    pub place: Place,
     /// The lookup of the stream's origin, while the caller resumes a stream whose origin is unknown.
     pub lookup: Option<OriginLookup>,
     /// Origin of the stream, once an event of it was forwarded.
@@ -176,6 +177,11 @@
         is_of_origin && self.allowed_regions.allows(endpoint)
     }
 
+    /// Id of the event after which an endpoint is asked to resume the stream.
+    pub fn after_event(&self) -> Option<&str> {
+        self.place.last_id().or(self.incoming.after_event.as_deref())
+    }
+
     /// Ids of the parts of the prompt that other requests may share, in order: all but the last one.
     pub fn shared_prompt_parts(&self) -> impl Iterator<Item = &str> {
         let parts = self.incoming.generation.as_ref().map_or(&[][..], |g| &g.parts);
--- a/src/direct/requests/resumption.rs
+++ b/src/direct/requests/resumption.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::direct::event::{Action, IncomingRequest, Refused};
+use crate::direct::event_order::Place;
 use crate::direct::log_events::{LogEvent, StreamEvent, ms};
 use crate::direct::origins::Origin;
 use crate::direct::origins::versions::Version;
@@ -78,6 +79,13 @@
     if is_resumption(incoming, route) { incoming.resumes.as_ref() } else { Some(&incoming.id) }
 }
 
+/// Place behind the events that the caller of a request has; the beginning of the stream if the
+/// caller can't resume it.
+pub(super) fn place_of(incoming: &IncomingRequest, route: &Route) -> Place {
+    let after = incoming.after_event.as_deref().filter(|_| is_resumption(incoming, route));
+    after.map(Place::after).unwrap_or_default()
+}
+
 impl Request {
     /// See [`stream_of`].
     pub(super) fn stream(&self) -> Option<&Name> {
--- a/src/direct/requests/stream_end.rs
+++ b/src/direct/requests/stream_end.rs
@@ -70,13 +70,14 @@
             return;
         };
         request.uncertain_attempts += 1;
-        if stream.last_event.is_some() {
+        if stream.events > 0 {
+            request.place = stream.place;
             request.origin.get_or_insert_with(|| Origin::of(&request.pool, &closed.endpoint));
         }
-        request.last_event = stream.last_event.or_else(|| request.last_event.take());
         let pool = request.pool.clone();
         let will_retry = may_retry
             && request.route.resumable
+            && request.place.may_resume()
             && !request.has_stages()
             && self.repeats.try_take(&pool, self.gateway_count, now);
         let next = if will_retry { "resumed" } else { "aborted" };
@@ -99,7 +100,7 @@
             request: request.incoming.id.clone(),
             endpoint: endpoint.id.clone(),
             framing: framing.as_str(),
-            after_event: request.last_event.clone(),
+            after_event: request.after_event().map(ToOwned::to_owned),
             first_event: stream.first_event.clone(),
             last_event: stream.last_event.clone(),
             events: stream.events,
--- a/src/direct/shell.rs
+++ b/src/direct/shell.rs
@@ -21,6 +21,7 @@
 };
 use crate::direct::core::GatewayCore;
 use crate::direct::event::{Action, CallParams, Event, IncomingRequest, PieceParams, Refusal};
+use crate::direct::event_order::Place;
 use crate::direct::forwarding::forward_events;
 use crate::direct::gates::Gates;
 use crate::direct::log_events::{LogEvent, ms};
@@ -316,7 +317,7 @@
         }
     }
 
-    fn deliver(&self, caller: u64, attempt: u64) {
+    fn deliver(&self, caller: u64, attempt: u64, place: Place) {
         let mut callers = lock(&self.callers);
         let Some(entry) = callers.get_mut(&caller) else {
             return;
@@ -344,7 +345,8 @@
                 };
                 let framing = answer.proof.framing;
                 let core = self.core.clone();
-                let forwarding = forward_events(caller, attempt, body, framing, events, core);
+                let forwarding =
+                    forward_events(caller, attempt, body, framing, place, events, core);
                 entry.task = Some((attempt, tokio::spawn(forwarding).abort_handle()));
             }
         }
@@ -429,7 +431,7 @@
         match action {
             Action::Call { caller, attempt, params } => self.call(caller, attempt, params),
             Action::CancelAttempt { caller, attempt } => self.cancel_attempt(caller, attempt),
-            Action::Deliver { caller, attempt } => self.deliver(caller, attempt),
+            Action::Deliver { caller, attempt, place } => self.deliver(caller, attempt, place),
             Action::Refuse { caller, refusal } => self.end(caller, Some(refusal), false),
             Action::EndStream { caller } => self.end(caller, None, true),
             Action::AbortStream { caller } => self.end(caller, None, false),
--- a/tests/direct_members.rs
+++ b/tests/direct_members.rs
@@ -8,6 +8,7 @@
 use directenv::{address, deployment, endpoint, ms, position};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use stackmast::direct::event_order::{EventOrder, Place};
 use stackmast::direct::owner::producers::{Producers, Usage};
 use stackmast::direct::peers::member::Location;
 use stackmast::direct::peers::members::{Member, MemberState, Members, MembershipChanges};
@@ -354,5 +355,7 @@
     let events: Vec<_> = chunks.iter().filter_map(|c| splitter.push(c.as_bytes())).collect();
     assert_eq!(events, expected);
     assert_eq!(splitter.is_at_boundary(), chunks.concat() == expected.concat());
-    assert_eq!(splitter.into_summary().last_id.as_deref(), last);
+    let mut order = EventOrder::new(Place::default());
+    events.iter().for_each(|events| order.check(events));
+    assert_eq!(order.into_parts().1.last_id.as_deref(), last);
 }
--- a/tests/directenv/gateway.rs
+++ b/tests/directenv/gateway.rs
@@ -8,6 +8,7 @@
 use stackmast::direct::core::{GatewayCore, Setup};
 use stackmast::direct::departures::Departure;
 use stackmast::direct::event::{Action, CallParams, Event, IncomingRequest, Refusal};
+use stackmast::direct::event_order::{EventOrder, EventSummary, Place};
 use stackmast::direct::forwarded_stream::{ForwardedStream, StreamEnd};
 use stackmast::direct::limits::known::AnnouncedLimit;
 use stackmast::direct::peers::heartbeat::{self, GatewayState};
@@ -255,6 +256,23 @@
     let last_event = last_event.map(ToOwned::to_owned);
     let events = u64::from(last_event.is_some());
     let first_event = last_event.clone();
-    let stream = ForwardedStream { end, events, first_event, last_event, jumps: 0 };
+    let place = last_event.as_deref().map(Place::after).unwrap_or_default();
+    let stream = ForwardedStream { end, events, first_event, last_event, jumps: 0, place };
+    Event::StreamEnded { caller, attempt, stream }
+}
+
+/// The end of a stream whose connection failed behind these events.
+pub fn broken_behind(caller: u64, attempt: u64, events: &str) -> Event {
+    let mut order = EventOrder::new(Place::default());
+    order.check(events.as_bytes());
+    let (place, EventSummary { events, first_id, last_id, jumps }) = order.into_parts();
+    let stream = ForwardedStream {
+        end: StreamEnd::ReadFailed,
+        events,
+        first_event: first_id,
+        last_event: last_id,
+        jumps,
+        place,
+    };
     Event::StreamEnded { caller, attempt, stream }
 }
