A run that repeats events is broken off before them

What callers saw: events twice in one stream. A run that ignored `Last-Event-Id` and began anew, or began with the last event, was forwarded as it came, behind the events of the first run and to callers that resumed a stream themselves; so was an id that fell or came again within one run.

Cause: nothing compared the events with the place at which the run was to go on.

Each complete event is now compared before it is forwarded, in the pass that reads its id. Ids that are whole numbers must rise. Others must differ from the last one, from the first one of the answer and from the one after which the run was to resume. What was in order in the same read is still forwarded; then the stream ends as `out of order`, which counts as a failure of the endpoint. As with any broken stream, it is resumed at another endpoint, after the same event, where route, attempts and budget allow it, and is aborted otherwise. Where ids without an order show only behind forwarded events that the run had begun at an earlier place, it is not resumed. `stream_ended` has `expected_id` and `received_id`.

--- a/src/direct/event_order.rs
+++ b/src/direct/event_order.rs
@@ -1,15 +1,31 @@
-//! The place in a stream, as the ids of its events state it. Ids are read as the specification of
-//! server-sent events says.
+//! The place in a stream, as the ids of its events state it, and the check that each event follows
+//! the one before.
+//!
+//! Ids are read as the specification of server-sent events says. They rise; those that are not whole
+//! numbers are compared for equality only.
 
 /// Place in a stream: what is known of the events that its caller has.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Place {
+    /// Id of the first event that has one; `None` also if the caller resumes the stream.
+    first: Option<String>,
     /// Id of the last event that has one.
     last: Option<String>,
     /// Whether the last id names the last event, so that the stream can be resumed after it.
     is_exact: bool,
 }
 
+/// An event that does not follow the one before.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OutOfOrder {
+    /// Position of the event in the checked bytes.
+    pub at: usize,
+    /// What its id should have been.
+    pub expected: String,
+    /// Its id.
+    pub received: String,
+}
+
 /// Number and ids of the events of one run.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct EventSummary {
@@ -23,16 +39,19 @@
     pub jumps: u64,
 }
 
-/// Reads the complete events of one run before they are forwarded.
+/// Checks the complete events of one run before they are forwarded.
 #[derive(Debug)]
 pub struct EventOrder {
     place: Place,
+    /// Id of the event after which the run was asked to resume the stream.
+    resumed_after: Option<String>,
     summary: EventSummary,
 }
 
 /// An event whose lines are being read.
 #[derive(Debug, Default)]
 struct OpenEvent<'a> {
+    at: usize,
     has_lines: bool,
     /// Whether readers see more of it than its id.
     has_content: bool,
@@ -42,7 +61,7 @@
 impl Default for Place {
     /// The beginning of a stream.
     fn default() -> Self {
-        Self { last: None, is_exact: true }
+        Self { first: None, last: None, is_exact: true }
     }
 }
 
@@ -62,49 +81,81 @@
     pub fn may_resume(&self) -> bool {
         self.is_exact
     }
+
+    /// Moves behind an event with an id.
+    fn pass(&mut self, id: &str, is_exact: bool) {
+        if self.last.is_none() {
+            self.first = Some(id.to_owned());
+        }
+        self.last = Some(id.to_owned());
+        self.is_exact = is_exact;
+    }
 }
 
 impl EventOrder {
-    /// Reads a run that begins at `place`.
+    /// Checks a run that begins at `place`.
     pub fn new(place: Place) -> Self {
-        Self { place, summary: EventSummary::default() }
+        let resumed_after = place.last.clone();
+        Self { place, resumed_after, summary: EventSummary::default() }
     }
 
-    /// Reads complete events.
-    pub fn check(&mut self, events: &[u8]) {
+    /// Checks complete events up to the first that is out of order.
+    pub fn check(&mut self, events: &[u8]) -> Result<(), OutOfOrder> {
         let mut event = OpenEvent::default();
-        for line in lines(events) {
+        for (at, line) in lines(events) {
             if !line.is_empty() {
                 event.read(line);
                 continue;
             }
             if event.has_lines {
-                self.pass(&event);
+                self.pass(&event)?;
             }
-            event = OpenEvent::default();
+            event = OpenEvent { at, ..OpenEvent::default() };
         }
+        Ok(())
     }
 
-    /// Returns the place behind the events, and their number and ids.
+    /// Returns the place behind the events in order, and their number and ids.
     pub fn into_parts(self) -> (Place, EventSummary) {
         (self.place, self.summary)
     }
 
-    fn pass(&mut self, event: &OpenEvent<'_>) {
+    fn pass(&mut self, event: &OpenEvent<'_>) -> Result<(), OutOfOrder> {
         match event.id {
-            Some(id) if !id.is_empty() => self.pass_id(id),
+            Some(id) if !id.is_empty() => self.pass_id(event.at, id)?,
             Some(_) => self.place.is_exact = false,
             None if event.has_content => self.place.is_exact = false,
             None => {}
         }
         self.summary.events += 1;
+        Ok(())
     }
 
-    fn pass_id(&mut self, bytes: &[u8]) {
+    fn pass_id(&mut self, at: usize, bytes: &[u8]) -> Result<(), OutOfOrder> {
         let id = String::from_utf8_lossy(bytes);
-        self.place.last = Some(id.clone().into_owned());
-        self.place.is_exact = is_header_value(bytes);
+        if let Some(expected) = self.violated(&id) {
+            return Err(OutOfOrder { at, expected, received: id.into_owned() });
+        }
+        self.place.pass(&id, is_header_value(bytes));
         self.summary.add(&id);
+        Ok(())
+    }
+
+    /// What the id of the next event should be instead of `id`.
+    fn violated(&mut self, id: &str) -> Option<String> {
+        let last = self.place.last.as_deref()?;
+        if let (Some(last), Some(id)) = (number(last), number(id)) {
+            return (id <= last).then(|| format!("above {last}"));
+        }
+        if id == last {
+            return Some(format!("other than {last}"));
+        }
+        let earlier = [&self.place.first, &self.resumed_after];
+        let earlier = earlier.into_iter().flatten().find(|earlier| *earlier == id)?;
+        let expected = format!("other than {earlier}");
+        // The run repeats earlier events, and some were forwarded before this showed.
+        self.place.is_exact &= self.summary.events == 0;
+        Some(expected)
     }
 }
 
@@ -134,14 +185,14 @@
     }
 }
 
-/// Lines, whose ends are `\n`, `\r\n` or `\r`.
-fn lines(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
+/// Lines with the position behind their ends, which are `\n`, `\r\n` or `\r`.
+fn lines(bytes: &[u8]) -> impl Iterator<Item = (usize, &[u8])> {
     let mut at = 0;
     std::iter::from_fn(move || {
         let rest = &bytes[at..];
         let length = rest.iter().position(|byte| matches!(byte, b'\n' | b'\r'))?;
         at += length + if rest[length..].starts_with(b"\r\n") { 2 } else { 1 };
-        Some(&rest[..length])
+        Some((at, &rest[..length]))
     })
 }
 
--- a/src/direct/forwarded_stream.rs
+++ b/src/direct/forwarded_stream.rs
@@ -1,6 +1,6 @@
 //! What was forwarded of a stream, and how the stream ended.
 
-use crate::direct::event_order::Place;
+use crate::direct::event_order::{OutOfOrder, Place};
 
 /// How a stream of an endpoint ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -14,6 +14,8 @@
     InsideEvent,
     /// The connection ended before the first event of a body without framing.
     BeforeFirstEvent,
+    /// The id of an event does not follow that of the event before.
+    OutOfOrder,
     /// An event is too long.
     EventTooLong,
     /// Reading failed.
@@ -28,6 +30,7 @@
             Self::ConnectionClosed => "connection closed",
             Self::InsideEvent => "inside an event",
             Self::BeforeFirstEvent => "before the first event",
+            Self::OutOfOrder => "out of order",
             Self::EventTooLong => "event too long",
             Self::ReadFailed => "read failed",
         }
@@ -49,4 +52,6 @@
     pub jumps: u64,
     /// Place behind the forwarded events.
     pub place: Place,
+    /// The event that was out of order and not forwarded.
+    pub out_of_order: Option<OutOfOrder>,
 }
--- a/src/direct/forwarding.rs
+++ b/src/direct/forwarding.rs
@@ -15,7 +15,8 @@
 use crate::direct::stream::EventSplitter;
 
 /// Forwards the events of a stream as they arrive, complete events only. A stream that only the end
-/// of its connection ends is broken off if it ends inside an event or before the first one.
+/// of its connection ends is broken off if it ends inside an event or before the first one. An event
+/// that does not follow the events before it breaks off the stream and is not forwarded.
 pub(super) async fn forward_events(
     caller: u64,
     attempt: u64,
@@ -27,6 +28,7 @@
 ) {
     let mut splitter = EventSplitter::default();
     let mut order = EventOrder::new(place);
+    let mut out_of_order = None;
     let mut is_first = true;
     let end = loop {
         match body.frame().await {
@@ -41,25 +43,41 @@
                 let Ok(data) = frame.into_data() else {
                     continue;
                 };
-                let Some(whole) = splitter.push(&data) else {
+                let Some(mut whole) = splitter.push(&data) else {
                     if splitter.is_too_long() {
                         break StreamEnd::EventTooLong;
                     }
                     continue;
                 };
-                order.check(&whole);
+                if let Err(violation) = order.check(&whole) {
+                    whole.truncate(violation.at);
+                    out_of_order = Some(violation);
+                }
+                if whole.is_empty() {
+                    break StreamEnd::OutOfOrder;
+                }
                 if events.send(whole).await.is_err() {
                     return;
                 }
                 if std::mem::take(&mut is_first) {
                     core.send(Event::FirstEvent { caller }).await.ok();
                 }
+                if out_of_order.is_some() {
+                    break StreamEnd::OutOfOrder;
+                }
             }
         }
     };
     drop(events);
     let (place, EventSummary { events, first_id, last_id, jumps }) = order.into_parts();
-    let stream =
-        ForwardedStream { end, events, first_event: first_id, last_event: last_id, jumps, place };
+    let stream = ForwardedStream {
+        end,
+        events,
+        first_event: first_id,
+        last_event: last_id,
+        jumps,
+        place,
+        out_of_order,
+    };
     core.send(Event::StreamEnded { caller, attempt, stream }).await.ok();
 }
--- a/src/direct/log_events/streams.rs
+++ b/src/direct/log_events/streams.rs
@@ -53,8 +53,14 @@
         /// Number of events whose id is not one more than that of the event before.
         jumps: u64,
         /// How the stream ended: `complete`, `connection closed`, `inside an event`, `before the
-        /// first event`, `event too long` or `read failed`.
+        /// first event`, `out of order`, `event too long` or `read failed`.
         end: &'static str,
+        /// What the id of the event that was out of order should have been.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        expected_id: Option<String>,
+        /// Id of the event that was out of order.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        received_id: Option<String>,
     },
     /// The endpoint of an answer that ended with its connection was asked for its identity.
     EndChecked {
--- a/src/direct/requests/stream_end.rs
+++ b/src/direct/requests/stream_end.rs
@@ -96,6 +96,7 @@
         let Some(Attempt { endpoint, framing, .. }) = &request.attempt else {
             return;
         };
+        let violation = stream.out_of_order.as_ref();
         self.out.push(Action::Log(LogEvent::Stream(StreamEvent::StreamEnded {
             request: request.incoming.id.clone(),
             endpoint: endpoint.id.clone(),
@@ -106,6 +107,8 @@
             events: stream.events,
             jumps: stream.jumps,
             end: stream.end.as_str(),
+            expected_id: violation.map(|violation| violation.expected.clone()),
+            received_id: violation.map(|violation| violation.received.clone()),
         })));
     }
 }
--- a/tests/direct_members.rs
+++ b/tests/direct_members.rs
@@ -356,6 +356,6 @@
     assert_eq!(events, expected);
     assert_eq!(splitter.is_at_boundary(), chunks.concat() == expected.concat());
     let mut order = EventOrder::new(Place::default());
-    events.iter().for_each(|events| order.check(events));
+    events.iter().for_each(|events| order.check(events).expect("in order"));
     assert_eq!(order.into_parts().1.last_id.as_deref(), last);
 }
--- a/tests/directenv/gateway.rs
+++ b/tests/directenv/gateway.rs
@@ -257,22 +257,32 @@
     let events = u64::from(last_event.is_some());
     let first_event = last_event.clone();
     let place = last_event.as_deref().map(Place::after).unwrap_or_default();
-    let stream = ForwardedStream { end, events, first_event, last_event, jumps: 0, place };
+    let stream = ForwardedStream {
+        end,
+        events,
+        first_event,
+        last_event,
+        jumps: 0,
+        place,
+        out_of_order: None,
+    };
     Event::StreamEnded { caller, attempt, stream }
 }
 
-/// The end of a stream whose connection failed behind these events.
-pub fn broken_behind(caller: u64, attempt: u64, events: &str) -> Event {
-    let mut order = EventOrder::new(Place::default());
-    order.check(events.as_bytes());
+/// The end of a stream whose connection failed behind these events, or that was broken off because
+/// one of them is out of order.
+pub fn broken_behind(caller: u64, attempt: u64, place: Place, events: &str) -> Event {
+    let mut order = EventOrder::new(place);
+    let out_of_order = order.check(events.as_bytes()).err();
     let (place, EventSummary { events, first_id, last_id, jumps }) = order.into_parts();
     let stream = ForwardedStream {
-        end: StreamEnd::ReadFailed,
+        end: out_of_order.as_ref().map_or(StreamEnd::ReadFailed, |_| StreamEnd::OutOfOrder),
         events,
         first_event: first_id,
         last_event: last_id,
         jumps,
         place,
+        out_of_order,
     };
     Event::StreamEnded { caller, attempt, stream }
 }
