A run that skips events is broken off where ids were numbered one by one

What callers saw: streams that lacked events, complete at their end. A run that was asked to go on after event 2 and began with 4 was forwarded, and so was a run that left out a number.

The place now counts the steps between ids while all of them are by one, over all runs of an answer. After three such steps a number that is left out ends the run as `out of order`; at the start of a run by which the gateway resumes the stream one step is enough. Streams with other ids (10, 20, 30; text; any uneven step) are never judged so. The step from a caller's `Last-Event-Id` to the first event counts only if it is by one and is no fault otherwise: the gateway has not seen the ids before it.

--- a/src/direct/event_order.rs
+++ b/src/direct/event_order.rs
@@ -1,16 +1,25 @@
 //! The place in a stream, as the ids of its events state it, and the check that each event follows
 //! the one before.
 //!
-//! Ids are read as the specification of server-sent events says. They rise; those that are not whole
-//! numbers are compared for equality only.
+//! Ids are read as the specification of server-sent events says. They rise, but not every deployment
+//! numbers its events one by one, so an event counts as missing only in a stream that has numbered
+//! its events so before. Ids that are not whole numbers are compared for equality only.
+
+/// Number of steps by one, and no others, after which a run that skips a number lacks an event.
+const STEPS_WITHIN_RUN: u32 = 3;
+/// The same for the first event of a run that resumes a stream.
+const STEPS_BEFORE_RESUMPTION: u32 = 1;
 
 /// Place in a stream: what is known of the events that its caller has.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Place {
-    /// Id of the first event that has one; `None` also if the caller resumes the stream.
+    /// Id of the first event of the answer that has one.
     first: Option<String>,
     /// Id of the last event that has one.
     last: Option<String>,
+    /// Number of steps between ids if all of them were by one. The step to the first event of a
+    /// caller that resumes the stream counts only if it is by one: that caller may lack events.
+    steps_by_one: Option<u32>,
     /// Whether the last id names the last event, so that the stream can be resumed after it.
     is_exact: bool,
 }
@@ -61,7 +70,7 @@
 impl Default for Place {
     /// The beginning of a stream.
     fn default() -> Self {
-        Self { first: None, last: None, is_exact: true }
+        Self { first: None, last: None, steps_by_one: Some(0), is_exact: true }
     }
 }
 
@@ -84,9 +93,15 @@
 
     /// Moves behind an event with an id.
     fn pass(&mut self, id: &str, is_exact: bool) {
-        if self.last.is_none() {
-            self.first = Some(id.to_owned());
+        if let Some(last) = &self.last {
+            let is_by_one = number(id).is_some_and(|id| next_number(last) == Some(id));
+            match &mut self.steps_by_one {
+                Some(steps) if is_by_one => *steps = steps.saturating_add(1),
+                steps if self.first.is_some() => *steps = None,
+                _ => {}
+            }
         }
+        self.first.get_or_insert_with(|| id.to_owned());
         self.last = Some(id.to_owned());
         self.is_exact = is_exact;
     }
@@ -141,11 +156,22 @@
         Ok(())
     }
 
+    /// Whether the stream has numbered its events one by one for so long that the next event does
+    /// so, too.
+    fn is_numbered(&self) -> bool {
+        let is_resumption = self.resumed_after.is_some() && self.summary.last_id.is_none();
+        let required = if is_resumption { STEPS_BEFORE_RESUMPTION } else { STEPS_WITHIN_RUN };
+        self.place.steps_by_one.is_some_and(|steps| steps >= required)
+    }
+
     /// What the id of the next event should be instead of `id`.
     fn violated(&mut self, id: &str) -> Option<String> {
         let last = self.place.last.as_deref()?;
         if let (Some(last), Some(id)) = (number(last), number(id)) {
-            return (id <= last).then(|| format!("above {last}"));
+            if id <= last {
+                return Some(format!("above {last}"));
+            }
+            return (id - last > 1 && self.is_numbered()).then(|| format!("{}", last + 1));
         }
         if id == last {
             return Some(format!("other than {last}"));
@@ -161,8 +187,8 @@
 
 impl EventSummary {
     fn add(&mut self, id: &str) {
-        if let Some(last) = self.last_id.as_deref().and_then(number) {
-            self.jumps += u64::from(number(id) != last.checked_add(1));
+        if let Some(last) = self.last_id.as_deref().filter(|last| number(last).is_some()) {
+            self.jumps += u64::from(number(id).is_none() || number(id) != next_number(last));
         }
         self.first_id.get_or_insert_with(|| id.to_owned());
         self.last_id = Some(id.to_owned());
@@ -202,6 +228,11 @@
     id.parse().ok().filter(|_| is_number)
 }
 
+/// The number after an id that is a whole number.
+fn next_number(id: &str) -> Option<u64> {
+    number(id)?.checked_add(1)
+}
+
 /// Whether an id reaches an endpoint unchanged as the value of a header.
 fn is_header_value(id: &[u8]) -> bool {
     let is_visible = id.iter().all(|byte| !byte.is_ascii_control());
--- a/tests/direct_event_order.rs
+++ b/tests/direct_event_order.rs
@@ -89,8 +89,17 @@
     ids.split_whitespace().map(|id| format!("id: {id}\ndata: x\n\n")).collect()
 }
 
-/// Guards against events that are forwarded twice.
-#[test_case(&["1 2 3 4 7"], None; "rising")]
+/// Guards against events that are forwarded twice, or are missing.
+#[test_case(&["1 2 3 5 9 10 11 12 13 15"], None; "rising, with an uneven step early")]
+#[test_case(&["1 2 3 4 6"], Some("5"); "skips after three steps by one")]
+#[test_case(&["10 20 30 40 60"], None; "in tens")]
+#[test_case(&["a 1 2 3 4 6"], None; "not all are numbers")]
+#[test_case(&["1 2", "4"], Some("3"); "a run begins too late")]
+#[test_case(&["1 2 3", "4", "6"], Some("5"); "a third run begins too late")]
+#[test_case(&["1", "3"], None; "too early to tell")]
+#[test_case(&["1 2", "3 5"], None; "too early to tell within a run")]
+#[test_case(&["1 2", "3 4 6"], Some("5"); "steps count over runs")]
+#[test_case(&["10 20", "40"], None; "a run begins later, in tens")]
 #[test_case(&["1 2 1"], Some("above 2"); "goes back")]
 #[test_case(&["1 2 2"], Some("above 2"); "repeats")]
 #[test_case(&["10 9"], Some("above 10"); "compared as numbers")]
@@ -121,6 +130,9 @@
 /// Guards against events that a caller which resumes gets again.
 #[test_case("4", "5 6", "5 6"; "goes on")]
 #[test_case("4", "9 10", "9 10"; "a later event can be the next one")]
+#[test_case("4", "5 6 7 9", "5 6 7"; "skips")]
+#[test_case("4", "9 10 11 12 14", "9 10 11 12"; "begins later and skips")]
+#[test_case("4", "10 20 30 40 60", "10 20 30 40 60"; "in tens")]
 #[test_case("4", "4 5", ""; "begins with the last event")]
 #[test_case("4", "1 2", ""; "begins anew")]
 #[test_case("b", "b c", ""; "begins with the last event without numbers")]
@@ -143,6 +155,8 @@
 #[test_case("a b c", "c d", true; "none was")]
 #[test_case("1 2 3", "1 2 3", true; "none was, with numbers")]
 #[test_case("1 2 3", "4 5 5", true; "the run had gone on")]
+#[test_case("1 2 3", "4 5 7", true; "the run had gone on until it skipped an event")]
+#[test_case("1 2 3", "5", true; "the run began too late")]
 fn stream_may_be_resumed_behind_events(first: &str, second: &str, may_resume: bool) {
     let mut order = EventOrder::new(Place::default());
     order.check(events(first).as_bytes()).expect("in order");
