An event ends at any empty line that a line feed ends

What callers saw: a complete stream whose events end with a line feed and an empty line of carriage return and line feed was held back and then broken off (`inside an event`); with the last of several events ending so, a resumption went on before that event.

Cause: the ends of events were looked for as two line feeds or two carriage returns with line feeds; the specification of server-sent events allows both kinds side by side. Every end with `\r\n\r\n` also ends with `\n\r\n`, so that one pattern covers both. An end that is torn before its line feed is still held until the line feed comes.

Streams whose lines all end with a lone carriage return stay held back: the byte behind the second one decides whether it ends the event.

--- a/src/direct/stream.rs
+++ b/src/direct/stream.rs
@@ -30,8 +30,10 @@
     }
 }
 
+/// The end of the last complete event: an empty line, whatever ends the line before it. Lines that
+/// end with a carriage return alone are recognised within events only.
 fn last_event_end(bytes: &[u8]) -> Option<usize> {
     let line_feeds = bytes.windows(2).rposition(|w| w == b"\n\n").map(|i| i + 2);
-    let with_returns = bytes.windows(4).rposition(|w| w == b"\r\n\r\n").map(|i| i + 4);
-    line_feeds.max(with_returns)
+    let with_return = bytes.windows(3).rposition(|w| w == b"\n\r\n").map(|i| i + 3);
+    line_feeds.max(with_return)
 }
--- a/tests/direct_members.rs
+++ b/tests/direct_members.rs
@@ -350,6 +350,11 @@
 #[test_case(&["data: a\n\ndata: b\n\n"], &["data: a\n\ndata: b\n\n"], None; "without ids")]
 #[test_case(&["id: 9\ndata: a\n\nid: 10\ndata"], &["id: 9\ndata: a\n\n"], Some("9"); "torn at the end")]
 #[test_case(&["id: 4\r\ndata: a\r\n\r\n"], &["id: 4\r\ndata: a\r\n\r\n"], Some("4"); "with carriage returns")]
+#[test_case(&["id: 4\r\ndata: a\r\n\r", "\n"], &["id: 4\r\ndata: a\r\n\r\n"], Some("4"); "torn between carriage return and line feed")]
+#[test_case(&["id: 4\r\ndata: a\n\r\n"], &["id: 4\r\ndata: a\n\r\n"], Some("4"); "with mixed line ends")]
+#[test_case(&["id: 4\ndata: a\n\r", "\nid"], &["id: 4\ndata: a\n\r\n"], Some("4"); "with mixed line ends, torn")]
+#[test_case(&["id: 4\ndata: a\r\n\n"], &["id: 4\ndata: a\r\n\n"], Some("4"); "with a line feed after them")]
+#[test_case(&["id: 4\ndata: a\n\r"], &[], None; "with a carriage return at the end")]
 fn only_complete_events_are_passed_on(chunks: &[&str], expected: &[&str], last: Option<&str>) {
     let mut splitter = EventSplitter::default();
     let events: Vec<_> = chunks.iter().filter_map(|c| splitter.push(c.as_bytes())).collect();
