Search each byte of a stream once for the end of an event

Callers of other services waited for seconds, or got no answer, while a replica sent bytes to a stream without the end of an event. The splitter searched its whole buffer, of up to 1 MiB, with each read. It now searches the new bytes and the three before them, in which an end may have begun.

--- a/src/direct/stream.rs
+++ b/src/direct/stream.rs
@@ -4,21 +4,33 @@
 
 /// Maximum length of an event in bytes; a longer one aborts the stream.
 pub const MAX_EVENT_LEN: usize = 1 << 20;
+/// Maximum length of the end of an event in bytes: two line ends.
+const MAX_EVENT_END_LEN: usize = 4;
 
 /// Buffers bytes and returns complete events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    /// Number of bytes searched for the end of an event.
+    scanned: u64,
 }
 
 impl EventSplitter {
     /// Appends bytes and returns the events that are complete now, unchanged.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        // The bytes before are known to contain no event end, but may contain the start of one.
+        let start = self.buffer.len().saturating_sub(MAX_EVENT_END_LEN - 1);
         self.buffer.extend_from_slice(bytes);
-        let end = last_event_end(&self.buffer)?;
+        self.scanned += (self.buffer.len() - start) as u64;
+        let end = start + last_event_end(&self.buffer[start..])?;
         Some(self.buffer.split_to(end).freeze())
     }
 
+    /// Number of bytes that were searched for the end of an event.
+    pub const fn scanned_bytes(&self) -> u64 {
+        self.scanned
+    }
+
     /// Whether no incomplete event is buffered, so that the stream may end here.
     pub fn is_at_boundary(&self) -> bool {
         self.buffer.is_empty()
--- a/tests/direct_members.rs
+++ b/tests/direct_members.rs
@@ -16,7 +16,7 @@
 use stackmast::direct::published::documents::{Document, Documents, EntryState, Revised, Seen};
 use stackmast::direct::repeats::{RepeatBudget, RepeatLimiter};
 use stackmast::direct::stop::others_serve;
-use stackmast::direct::stream::EventSplitter;
+use stackmast::direct::stream::{EventSplitter, MAX_EVENT_LEN};
 use test_case::test_case;
 
 fn member(port: u16, incarnation: u64, heartbeat: u64, state: MemberState) -> Member {
@@ -364,3 +364,33 @@
     events.iter().for_each(|events| order.check(events).expect("in order"));
     assert_eq!(order.into_parts().1.last_id.as_deref(), last);
 }
+
+/// Guards against a cost of the square of an event's length, of a stream that arrives in small
+/// pieces.
+#[test]
+fn event_in_small_pieces_is_searched_once() {
+    let mut splitter = EventSplitter::default();
+    let (pieces, piece) = (MAX_EVENT_LEN / 64, [b'a'; 64]);
+    for _ in 0..pieces {
+        assert_eq!(splitter.push(&piece), None);
+    }
+    assert!(!splitter.is_too_long());
+    assert!(splitter.scanned_bytes() <= 2 * MAX_EVENT_LEN as u64, "{}", splitter.scanned_bytes());
+    let whole = splitter.push(b"\n\n").expect("an event");
+    assert_eq!(whole.len(), MAX_EVENT_LEN + 2);
+}
+
+/// Guards against an end of an event that is not found because it arrives in several pieces.
+#[test_case("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"; "line feeds")]
+#[test_case("id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n"; "with carriage returns")]
+fn event_end_is_found_in_pieces_of_any_length(stream: &str) {
+    for length in 1..stream.len() {
+        let mut splitter = EventSplitter::default();
+        let pieces = stream.as_bytes().chunks(length);
+        let events: Vec<u8> = pieces.filter_map(|piece| splitter.push(piece)).flatten().collect();
+        assert_eq!(events, stream.as_bytes());
+        let mut order = EventOrder::new(Place::default());
+        order.check(&events).expect("in order");
+        assert_eq!(order.into_parts().1.events, 2);
+    }
+}
