A crash counts though the caller leaves while the end is checked

A crash that only the list proves, seconds later, was no longer counted against the content and the parts of the prompt; before it was.

An attempt whose answer has ended is recorded like one whose connection failed.

--- a/src/direct/requests/poison.rs
+++ b/src/direct/requests/poison.rs
@@ -151,7 +151,10 @@
     pub(super) fn cancel_attempt(&mut self, caller: u64, now: Timestamp) {
         if let Some(attempt) = self.close_attempt(caller) {
             self.out.push(Action::CancelAttempt { caller, attempt: attempt.number });
-            self.report_unanswered(caller, &attempt, Unanswered::GivenUp, now);
+            // A crash may have ended an answer whose end was not confirmed yet.
+            let is_ended = attempt.unconfirmed_end.is_some();
+            let how = if is_ended { Unanswered::Broken } else { Unanswered::GivenUp };
+            self.report_unanswered(caller, &attempt, how, now);
         }
     }
 
--- a/tests/direct_poison_parts.rs
+++ b/tests/direct_poison_parts.rs
@@ -351,3 +351,27 @@
     let actions = submit(&mut core, 5, request(5), ms(12_000));
     assert!(refusal(&actions).is_some_and(|r| r.reason == Refused::Poison), "{actions:?}");
 }
+
+/// Guards against a crash that does not count since the caller left, or its deadline passed, while
+/// the end of the answer was being confirmed: the address is silent, and the entry shows the crash
+/// later.
+#[test_case(ms(1_900); "after a gap of two seconds")]
+#[test_case(ms(300); "early")]
+fn a_crash_counts_though_the_caller_leaves_during_the_check_of_the_end(leaves: Duration) {
+    let mut core = core();
+    for caller in 1..=3 {
+        let at = ms(5_000 * caller);
+        let (attempt, endpoint) = begin(&mut core, caller, &[COMMON, POISON], at);
+        let proof = AnswerProof { framing: Framing::Connection, ..good() };
+        core.handle(Event::Answered { caller, attempt, proof, is_open: true }, at + ms(50));
+        core.handle(Event::FirstEvent { caller }, at + ms(51));
+        let closed = stream_ended(caller, attempt, StreamEnd::ConnectionClosed, Some("9"));
+        core.handle(closed, at + ms(60));
+        core.handle(Event::CallerDisconnected { caller }, at + ms(60) + leaves);
+        let back = Endpoint { incarnation: 100 + caller, ..endpoint.clone() };
+        let documents = listed(&[Arc::new(back)], 10 + caller);
+        let listed_at = at + ms(3_060);
+        core.handle(Event::Published { documents, extent: Extent::Partial }, listed_at);
+    }
+    assert!(refusal(&refused(&mut core, 4, &[COMMON, POISON], ms(21_000))).is_some());
+}
