The check of an unframed end: deadlines, silence, suspensions, permits

An end at the deadline is cut without a question. - The verdict came up to 2.1 s after the end, since the time was compared only when a question returned; a caller leaves after 2 s. It has a timer now. - Time in which this process was suspended counted as silence of the endpoint. - Endpoints with a rate limit got no question at all, so that all their unframed answers were lost, and each withheld question opened a connection.

They are one commit since all of them change the same few decisions of unframed_end.rs.

--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -413,6 +413,8 @@
         endpoint: Arc<Endpoint>,
         /// Path of its health check, if known.
         health_path: Option<Name>,
+        /// When the permit for the question expires, for an endpoint with a rate limit.
+        permit: Option<Timestamp>,
     },
     /// Result of a run, for the detection of poison requests; handled within the core.
     PoisonReport(RunReport),
--- a/src/direct/requests/attempts.rs
+++ b/src/direct/requests/attempts.rs
@@ -36,6 +36,7 @@
             return;
         };
         let connections = self.connection_share(&request.pool, table);
+        let health_path = table.pool(&request.pool).and_then(|pool| pool.health_path.clone());
         let runs = self.runs_of_next_call(request);
         let Some(request) = self.requests.get_mut(&caller) else {
             return;
@@ -67,6 +68,7 @@
             sent_at: None,
             framing: Framing::default(),
             began_at: None,
+            health_path,
             unconfirmed_end: None,
             prompt,
         });
@@ -150,25 +152,37 @@
         if proof.status >= 500 && self.may_retry(caller, now) {
             return self.attempt_may_have_run(caller, Failure::ServerError, table, now);
         }
-        if !is_endpoint_failure(proof.status) {
-            let took = self.elapsed_since(open.ordered_at, now);
-            self.observations.answered(&endpoint, took);
-            self.ramps.answered(&endpoint, open.ordered_at);
-        } else if self.observations.failed(&endpoint, now) {
-            self.log_avoided(&endpoint.id, "server errors");
+        if !is_open && proof.framing == Framing::Connection {
+            let answer = UnframedAnswer::Whole { status: proof.status };
+            return self.check_end(caller, answer, table, now);
         }
+        self.book_answer(caller, proof.status, now);
         if is_open {
             self.out.push(Action::Deliver { caller, attempt, place });
             if let Some(request) = self.requests.get_mut(&caller) {
                 request.phase = Phase::Streaming;
             }
-        } else if proof.framing == Framing::Connection {
-            self.check_end(caller, UnframedAnswer::Whole { status: proof.status }, table, now);
         } else {
             self.deliver_answer(caller, proof.status, now);
         }
     }
 
+    /// Records what an answer shows about the endpoint of the open attempt.
+    pub(super) fn book_answer(&mut self, caller: u64, status: u16, now: Timestamp) {
+        let Some(open) = self.requests.get(&caller).and_then(|r| r.attempt.as_ref()) else {
+            return;
+        };
+        let (endpoint, ordered_at) = (open.endpoint.clone(), open.ordered_at);
+        let answered_at = open.unconfirmed_end.as_ref().map_or(now, |end| end.at);
+        if !is_endpoint_failure(status) {
+            let took = self.elapsed_since(ordered_at, answered_at);
+            self.observations.answered(&endpoint, took);
+            self.ramps.answered(&endpoint, ordered_at);
+        } else if self.observations.failed(&endpoint, now) {
+            self.log_avoided(&endpoint.id, "server errors");
+        }
+    }
+
     /// Delivers the complete answer of the open attempt.
     pub(super) fn deliver_answer(&mut self, caller: u64, status: u16, now: Timestamp) {
         let Some(attempt) = self.requests.get(&caller).and_then(|r| r.attempt.clone()) else {
--- a/src/direct/requests/mod.rs
+++ b/src/direct/requests/mod.rs
@@ -378,7 +378,7 @@
                 Timer::Response(attempt) => self.response_timed_out(caller, attempt, table, now),
                 Timer::InputsFetched(attempt) => self.inputs_fetched(caller, attempt),
                 Timer::Survival(attempt) => self.survived(caller, attempt),
-                Timer::EndCheck(attempt) => self.check_end_again(caller, attempt, table),
+                Timer::EndCheck(attempt) => self.end_check_due(caller, attempt, table, now),
                 Timer::OriginLookup(round) => self.origin_lookup_timed_out(caller, round),
             }
         }
--- a/src/direct/requests/permits.rs
+++ b/src/direct/requests/permits.rs
@@ -68,6 +68,29 @@
         self.out.push(Action::RequestPermit(NeededPermit { endpoint, purpose, priority, wait }));
     }
 
+    /// Asks for a permit for the question that confirms the end of an answer.
+    pub(super) fn await_check_permit(
+        &mut self,
+        caller: u64,
+        endpoint: Arc<Endpoint>,
+        wait: Duration,
+    ) {
+        let Some(request) = self.requests.get_mut(&caller) else {
+            return;
+        };
+        self.last_permit += 1;
+        let (number, priority) = (self.last_permit, request.priority);
+        let awaited = AwaitedPermit {
+            number,
+            reason: "end check",
+            candidates: 1,
+            endpoint: endpoint.clone(),
+        };
+        request.permit = Some(awaited);
+        let purpose = Purpose::Request { caller, number };
+        self.out.push(Action::RequestPermit(NeededPermit { endpoint, purpose, priority, wait }));
+    }
+
     /// Removes the permit with this number if the request still waits for it.
     fn take_awaited(&mut self, caller: u64, number: u64) -> Option<AwaitedPermit> {
         self.requests.get_mut(&caller)?.permit.take_if(|awaited| awaited.number == number)
@@ -86,6 +109,9 @@
         let Some(awaited) = self.take_awaited(caller, number) else {
             return;
         };
+        if self.is_checking_end(caller) {
+            return self.send_question(caller, Some(until));
+        }
         let AwaitedPermit { endpoint, reason, candidates, .. } = awaited;
         if !self.check_before_send(caller, now) {
             return;
@@ -124,7 +150,12 @@
         now: Timestamp,
     ) {
         self.retry_times.record(endpoint, priority, retry_at);
-        if self.take_awaited(caller, number).is_some() {
+        if self.take_awaited(caller, number).is_none() {
+            return;
+        }
+        if self.is_checking_end(caller) {
+            self.ask_again(caller, now);
+        } else {
             self.dispatch(caller, table, now);
         }
     }
--- a/src/direct/requests/request.rs
+++ b/src/direct/requests/request.rs
@@ -71,6 +71,8 @@
     pub framing: Framing,
     /// When the first event of the answer was forwarded.
     pub began_at: Option<Timestamp>,
+    /// Path of the endpoint's health check, if known.
+    pub health_path: Option<Name>,
     /// The end of the answer, while it is not known whether a crash of the endpoint caused it.
     pub unconfirmed_end: Option<UnconfirmedEnd>,
     /// What the engine does with the prompt; `None` after the first event, and if there is no
--- a/src/direct/shell.rs
+++ b/src/direct/shell.rs
@@ -411,9 +411,10 @@
         attempt: u64,
         endpoint: Arc<Endpoint>,
         health_path: Option<Name>,
+        permit: Option<Timestamp>,
     ) {
         let (core, client) = (self.core.clone(), self.client.clone());
-        let exchange = self.exchange(&endpoint, CallKind::Health, None);
+        let exchange = self.exchange(&endpoint, CallKind::Health, permit);
         tokio::spawn(async move {
             let identity = client.identify(endpoint, health_path, exchange).await;
             core.send(Event::Identified { caller, attempt, identity }).await.ok();
@@ -451,8 +452,8 @@
             }
             Action::RequestReport(endpoint) => self.request_report(endpoint),
             Action::Probe(endpoint) => self.probe(endpoint),
-            Action::Identify { caller, attempt, endpoint, health_path } => {
-                self.identify(caller, attempt, endpoint, health_path);
+            Action::Identify { caller, attempt, endpoint, health_path, permit } => {
+                self.identify(caller, attempt, endpoint, health_path, permit);
             }
             // The core handles these itself before it returns its actions.
             Action::PoisonReport(_) | Action::RequestPermit(_) => {}
--- a/tests/direct_unframed_ends.rs
+++ b/tests/direct_unframed_ends.rs
@@ -7,19 +7,21 @@
 use std::time::Duration;
 
 use directenv::gateway::{
-    answered, calls, configured, good, incoming, is_delivered, publish, refusal, resumable,
+    answered, calls, configured, good, incoming, is_delivered, listed, publish, refusal, resumable,
     stream_ended, submit,
 };
-use directenv::{deployment, ms, position, route};
+use directenv::status_headers::{pause_for, receive_status};
+use directenv::{deployment, endpoint, ms, position, route};
 use stackmast::actor::Core;
-use stackmast::direct::answers::{AnswerProof, Framing, Identity};
+use stackmast::direct::answers::{AnswerProof, CallFailure, Framing, Identity};
 use stackmast::direct::core::GatewayCore;
 use stackmast::direct::event::{Action, Event, Refused};
 use stackmast::direct::forwarded_stream::StreamEnd;
 use stackmast::direct::log_events::{LogEvent, StreamEvent};
 use stackmast::direct::published::documents::{Document, Revised};
 use stackmast::direct::published::list_position::Extent;
-use stackmast::direct::published::model::{Endpoint, Repeat, Route};
+use stackmast::direct::published::model::{Endpoint, Name, Repeat, Route};
+use stackmast::direct::statement::{RateLimit, RequestRate, Statement};
 use test_case::test_case;
 
 /// Time after the end of an answer at which its endpoint is not asked any more.
@@ -60,6 +62,14 @@
     actions.iter().any(is_question)
 }
 
+/// Path of the health check that is asked.
+fn health_path(actions: &[Action]) -> Option<Name> {
+    actions.iter().find_map(|a| match a {
+        Action::Identify { health_path, .. } => health_path.clone(),
+        _ => None,
+    })
+}
+
 fn ends_whole(actions: &[Action]) -> bool {
     actions.iter().any(|a| matches!(a, Action::EndStream { .. }))
 }
@@ -111,18 +121,143 @@
     let mut now = ms(90);
     let mut questions = 1;
     let last = loop {
-        let actions = core.handle(identified(attempt, Identity::Unknown), now);
+        core.handle(identified(attempt, Identity::Unknown), now);
+        now += ms(100);
+        let actions = core.handle(Event::Tick, now);
         if is_aborted(&actions) {
             break actions;
         }
-        now += ms(100);
-        assert!(is_asked(&core.handle(Event::Tick, now), &endpoint), "at {now:?}");
+        assert!(is_asked(&actions, &endpoint), "at {now:?}");
         questions += 1;
     };
     assert_eq!(now, ms(90) + CHECK_TIMEOUT);
     assert_eq!(check_of(&last), Some(("stream", "unknown", questions)));
 }
 
+/// Guards against a verdict that comes after the caller has left, since a question got no response
+/// for long.
+#[test]
+fn question_without_a_response_does_not_delay_the_verdict() {
+    let mut core = configured(vec![resumable()]);
+    let (attempt, called, _) = end_stream(&mut core);
+    core.handle(identified(attempt, Identity::Unknown), ms(1_090));
+    assert!(is_asked(&core.handle(Event::Tick, ms(1_190)), &called));
+    assert!(calls(&core.handle(Event::Tick, ms(1_580))).is_empty());
+    let resumed = calls(&core.handle(Event::Tick, ms(90) + CHECK_TIMEOUT));
+    assert_eq!(resumed.len(), 1, "resumed at another endpoint");
+}
+
+/// Guards against a sound stream that is cut since this process was suspended while it asked.
+#[test]
+fn suspension_does_not_count_as_silence() {
+    let mut core = configured(vec![stream_route()]);
+    let (attempt, endpoint, _) = end_stream(&mut core);
+    core.on_suspension(ms(3_000), ms(3_100));
+    let mut actions = core.handle(identified(attempt, Identity::Unknown), ms(3_100));
+    actions.extend(core.handle(Event::Tick, ms(3_250)));
+    assert!(!is_aborted(&actions) && is_asked(&actions, &endpoint));
+    assert!(ends_whole(&core.handle(identified(attempt, Identity::Same), ms(3_252))));
+}
+
+/// Guards against a stream that its running endpoint stopped at the deadline, and that ends as
+/// complete: the deadline that the endpoint got is a whole number of milliseconds, and a suspended
+/// gateway reads the end later.
+#[test_case(Duration::from_micros(999_300); "just before it")]
+#[test_case(ms(1_600); "after a suspension")]
+fn stream_that_ends_at_its_deadline_is_not_complete(at: Duration) {
+    let mut core = configured(vec![Route { timeout: ms(1_000), ..stream_route() }]);
+    let (attempt, _) = begin(&mut core);
+    core.handle(Event::Answered { caller: 1, attempt, proof: unframed(), is_open: true }, ms(50));
+    if at > ms(1_000) {
+        core.on_suspension(ms(1_000), at);
+    }
+    let closed = stream_ended(1, attempt, StreamEnd::ConnectionClosed, Some("7"));
+    let actions = core.handle(closed, at);
+    assert!(is_aborted(&actions) && !ends_whole(&actions));
+    assert_eq!(check_of(&actions), Some(("stream", "unknown", 0)));
+}
+
+/// Guards against questions to an endpoint that asked for a pause.
+#[test]
+fn question_waits_for_the_end_of_a_pause() {
+    let mut core = configured(vec![stream_route()]);
+    let (attempt, endpoint) = begin(&mut core);
+    core.handle(Event::Answered { caller: 1, attempt, proof: unframed(), is_open: true }, ms(50));
+    receive_status(&mut core, &endpoint, pause_for(ms(500)), 60);
+    let closed = stream_ended(1, attempt, StreamEnd::ConnectionClosed, Some("7"));
+    let mut now = ms(90);
+    let mut actions = core.handle(closed, now);
+    while !is_asked(&actions, &endpoint) {
+        assert!(now < ms(1_400), "not asked");
+        now += ms(50);
+        actions = core.handle(Event::Tick, now);
+    }
+    assert!(now >= ms(560), "asked at {now:?}");
+    assert!(ends_whole(&core.handle(identified(attempt, Identity::Same), now)));
+}
+
+/// Guards against sound answers of an endpoint with a rate limit that are lost, and against
+/// questions beyond the limit.
+#[test]
+fn question_to_a_limited_endpoint_has_a_permit() {
+    let mut core = configured(vec![stream_route()]);
+    let start = ms(10_000);
+    core.handle(Event::Tick, start);
+    let request = incoming("r", Vec::new());
+    let (attempt, params) = calls(&submit(&mut core, 1, request, start))[0].clone();
+    let begins = Event::Answered { caller: 1, attempt, proof: unframed(), is_open: true };
+    core.handle(begins, start);
+    let limit = Some(RateLimit::At(RequestRate::per_second(20.0)));
+    let statement = Statement { limit, ..Statement::default() };
+    receive_status(&mut core, &params.endpoint, statement, 10_010);
+    let closed = stream_ended(1, attempt, StreamEnd::ConnectionClosed, Some("7"));
+    let mut now = ms(10_050);
+    let mut actions = core.handle(closed, now);
+    while !is_asked(&actions, &params.endpoint) {
+        assert!(now < ms(11_500), "not asked");
+        now += ms(20);
+        actions = core.handle(Event::Tick, now);
+    }
+    let is_permitted = |a: &Action| matches!(a, Action::Identify { permit: Some(_), .. });
+    assert!(actions.iter().any(is_permitted));
+    assert!(ends_whole(&core.handle(identified(attempt, Identity::Same), now)));
+}
+
+/// Guards against an endpoint whose answers are cut again and again, and that is avoided less than
+/// one whose connections break.
+#[test]
+fn endpoint_whose_answers_are_cut_is_avoided() {
+    let share = |fail: &dyn Fn(&mut GatewayCore, u64, u64, Duration)| {
+        let routes = vec![Route { max_attempts: 1, ..route("r", Repeat::AtMostOnce, &[]) }];
+        let mut core = configured(routes);
+        let mut sent = Vec::new();
+        for caller in 1..=40 {
+            let at = ms(1_700 * caller);
+            let actions = submit(&mut core, caller, incoming("r", Vec::new()), at);
+            let (attempt, params) = calls(&actions)[0].clone();
+            sent.push(params.endpoint.id.clone());
+            if sent[0] == params.endpoint.id {
+                fail(&mut core, caller, attempt, at);
+                continue;
+            }
+            let proof = good();
+            core.handle(Event::Answered { caller, attempt, proof, is_open: false }, at + ms(50));
+        }
+        sent.iter().filter(|id| **id == sent[0]).count()
+    };
+    let cut = share(&|core, caller, attempt, at| {
+        let answered = Event::Answered { caller, attempt, proof: unframed(), is_open: false };
+        core.handle(answered, at + ms(50));
+        let gone = Event::Identified { caller, attempt, identity: Identity::Gone };
+        core.handle(gone, at + ms(60));
+    });
+    let broken = share(&|core, caller, attempt, at| {
+        let failure = CallFailure::Broken;
+        core.handle(Event::CallFailed { caller, attempt, failure }, at + ms(60));
+    });
+    assert!(cut <= broken, "{cut} of 40 requests, {broken} to one whose connections break");
+}
+
 /// Guards against a sound stream that is cut since its endpoint had no slot for the first question.
 #[test]
 fn end_that_is_confirmed_later_is_regular() {
@@ -139,11 +274,14 @@
 #[test]
 fn endpoint_that_is_listed_with_another_incarnation_confirms_nothing() {
     let mut core = configured(vec![stream_route()]);
-    let (attempt, called, _) = end_stream(&mut core);
-    let returned = Endpoint { incarnation: called.incarnation + 1, ..(*called).clone() };
-    let document = Document::Endpoint(Arc::new(returned));
-    let documents = vec![Revised { position: position(3), created_revision: 0, document }];
-    core.handle(Event::Published { documents, extent: Extent::Partial }, ms(91));
+    let list = |incarnation, revision| {
+        let engines =
+            [1, 2].map(|n| Arc::new(Endpoint { incarnation, ..(*endpoint("engine", n)).clone() }));
+        Event::Published { documents: listed(&engines, revision), extent: Extent::Partial }
+    };
+    core.handle(list(5, 3), ms(0));
+    let (attempt, _, _) = end_stream(&mut core);
+    core.handle(list(6, 4), ms(91));
     let actions = core.handle(identified(attempt, Identity::Same), ms(92));
     assert!(is_aborted(&actions) && !ends_whole(&actions));
     assert_eq!(check_of(&actions), Some(("stream", "gone", 1)));
@@ -243,9 +381,26 @@
     }
     publish(&mut core, configuration, ms(0));
     let (_, _, actions) = end_stream(&mut core);
-    let path = actions.iter().find_map(|a| match a {
-        Action::Identify { health_path, .. } => health_path.clone(),
-        _ => None,
-    });
-    assert_eq!(path.as_deref(), Some("/alive"));
+    assert_eq!(health_path(&actions).as_deref(), Some("/alive"));
+}
+
+/// Guards against a question at another path since a newer configuration lacks the pool.
+#[test]
+fn question_goes_to_the_health_check_of_the_pool_at_the_call() {
+    let mut core = configured(Vec::new());
+    let mut first = deployment(2, vec![stream_route()]);
+    for pool in &mut first.pools {
+        pool.health_path = Some("/alive".into());
+    }
+    publish(&mut core, first, ms(0));
+    let (attempt, _) = begin(&mut core);
+    core.handle(Event::Answered { caller: 1, attempt, proof: unframed(), is_open: true }, ms(50));
+    let mut second = deployment(3, Vec::new());
+    second.pools.retain(|pool| &*pool.name != "engine");
+    let document = Document::Deployment(Arc::new(second));
+    let documents = vec![Revised { position: position(9), created_revision: 0, document }];
+    core.handle(Event::Published { documents, extent: Extent::Partial }, ms(60));
+    let closed = stream_ended(1, attempt, StreamEnd::ConnectionClosed, Some("7"));
+    let actions = core.handle(closed, ms(90));
+    assert_eq!(health_path(&actions).as_deref(), Some("/alive"));
 }
