Break off streams that go on without events

A replica that sent blank lines or comments without end kept its callers' streams, and the gateway, busy until the deadline: each block was forwarded as a complete event. The bytes since the last line with an `id` or `data` field are now counted, and a stream with more than 64 KiB of them is broken off (`stream_ended` with `end="no more events"`). 8,000 comments of `: ping` in a row remain allowed.

--- a/src/direct/forwarded_stream.rs
+++ b/src/direct/forwarded_stream.rs
@@ -18,6 +18,8 @@
     OutOfOrder,
     /// An event is too long.
     EventTooLong,
+    /// Too many bytes without an event that has an id or data.
+    NoEvents,
     /// Reading failed.
     ReadFailed,
 }
@@ -32,6 +34,7 @@
             Self::BeforeFirstEvent => "before the first event",
             Self::OutOfOrder => "out of order",
             Self::EventTooLong => "event too long",
+            Self::NoEvents => "no more events",
             Self::ReadFailed => "read failed",
         }
     }
--- a/src/direct/forwarding.rs
+++ b/src/direct/forwarding.rs
@@ -13,6 +13,7 @@
 use crate::direct::event_order::{EventOrder, EventSummary, Place};
 use crate::direct::forwarded_stream::{ForwardedStream, StreamEnd};
 use crate::direct::stream::EventSplitter;
+use crate::direct::stream_progress::StreamProgress;
 
 /// Forwards the events of a stream as they arrive, complete events only. A stream that only the end
 /// of its connection ends is broken off if it ends inside an event or before the first one. An event
@@ -29,6 +30,7 @@
     let mut splitter = EventSplitter::default();
     let mut order = EventOrder::new(place);
     let mut out_of_order = None;
+    let mut progress = StreamProgress::default();
     let mut is_first = true;
     let end = loop {
         match body.frame().await {
@@ -49,6 +51,10 @@
                     }
                     continue;
                 };
+                progress.add(&whole);
+                if progress.is_missing() {
+                    break StreamEnd::NoEvents;
+                }
                 if let Err(violation) = order.check(&whole) {
                     whole.truncate(violation.at);
                     out_of_order = Some(violation);
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -56,3 +56,4 @@
 pub mod store_reading;
 mod store_restore;
 pub mod stream;
+pub mod stream_progress;
