--- a/src/direct/stream.rs
+++ b/src/direct/stream.rs
@@ -4,6 +4,8 @@
 
 /// Maximum length of an event in bytes; a longer one aborts the stream.
 pub const MAX_EVENT_LEN: usize = 1 << 20;
+/// Maximum number of pieces that an event may arrive in; each costs processor time.
+pub const MAX_EVENT_PIECES: usize = 8 << 10;
 /// Maximum length of the end of an event in bytes: two line ends.
 const MAX_EVENT_END_LEN: usize = 4;
 
@@ -11,6 +13,8 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    /// Number of pieces since the last complete event.
+    pieces: usize,
     /// Number of bytes searched for the end of an event.
     scanned: u64,
 }
@@ -21,8 +25,10 @@
         // The bytes before are known to contain no event end, but may contain the start of one.
         let start = self.buffer.len().saturating_sub(MAX_EVENT_END_LEN - 1);
         self.buffer.extend_from_slice(bytes);
+        self.pieces += 1;
         self.scanned += (self.buffer.len() - start) as u64;
         let end = start + last_event_end(&self.buffer[start..])?;
+        self.pieces = 0;
         Some(self.buffer.split_to(end).freeze())
     }
 
@@ -36,9 +42,9 @@
         self.buffer.is_empty()
     }
 
-    /// Whether the buffered bytes are too long for an event.
+    /// Whether the buffered bytes are too long, or arrived in too many pieces, for an event.
     pub fn is_too_long(&self) -> bool {
-        self.buffer.len() > MAX_EVENT_LEN
+        self.buffer.len() > MAX_EVENT_LEN || self.pieces > MAX_EVENT_PIECES
     }
 }
 
