--- a/src/direct/log_events/streams.rs
+++ b/src/direct/log_events/streams.rs
@@ -53,7 +53,7 @@
         /// Number of events whose id is not one more than that of the event before.
         jumps: u64,
         /// How the stream ended: `complete`, `connection closed`, `inside an event`, `before the
-        /// first event`, `out of order`, `event too long` or `read failed`.
+        /// first event`, `out of order`, `event too long`, `no more events` or `read failed`.
         end: &'static str,
         /// What the id of the event that was out of order should have been.
         #[serde(skip_serializing_if = "Option::is_none")]
--- a/src/direct/requests/attempts.rs
+++ b/src/direct/requests/attempts.rs
@@ -156,7 +156,7 @@
             let answer = UnframedAnswer::Whole { status: proof.status };
             return self.check_end(caller, answer, table, now);
         }
-        self.book_answer(caller, proof.status, now);
+        self.record_answer(caller, proof.status, now);
         if is_open {
             self.out.push(Action::Deliver { caller, attempt, place });
             if let Some(request) = self.requests.get_mut(&caller) {
@@ -168,7 +168,7 @@
     }
 
     /// Records what an answer shows about the endpoint of the open attempt.
-    pub(super) fn book_answer(&mut self, caller: u64, status: u16, now: Timestamp) {
+    pub(super) fn record_answer(&mut self, caller: u64, status: u16, now: Timestamp) {
         let Some(open) = self.requests.get(&caller).and_then(|r| r.attempt.as_ref()) else {
             return;
         };
--- a/src/direct/requests/unframed_end.rs
+++ b/src/direct/requests/unframed_end.rs
@@ -4,7 +4,7 @@
 //! ends the connection as well. So the endpoint is asked for its identity after the end: if it
 //! responds, its process is running, and the end is the regular one. A closed port, or another
 //! endpoint at the address, proves the contrary. Without a usable response the endpoint is asked
-//! again for a short time; an end that nobody confirmed counts as a crash. An end at the deadline of
+//! again for a short time; an unconfirmed end counts as a crash. An end at the deadline of
 //! the request is not asked about: a running endpoint stops there.
 
 use std::sync::Arc;
@@ -62,7 +62,7 @@
     /// Number of questions that were sent.
     checks: u32,
     /// Whether the last question has no response yet, or waits for a permit.
-    is_open: bool,
+    is_question_open: bool,
 }
 
 /// Whether the endpoint of an attempt is listed with another incarnation now.
@@ -87,7 +87,8 @@
         let Some(open) = &mut request.attempt else {
             return;
         };
-        open.unconfirmed_end = Some(UnconfirmedEnd { answer, at: now, checks: 0, is_open: false });
+        open.unconfirmed_end =
+            Some(UnconfirmedEnd { answer, at: now, checks: 0, is_question_open: false });
         if now + DEADLINE_MARGIN >= request.deadline {
             return self.conclude(caller, Identity::Unknown, table, now);
         }
@@ -109,7 +110,7 @@
         else {
             return;
         };
-        let (until, is_open) = (self.check_until(end), end.is_open);
+        let (until, is_open) = (self.check_until(end), end.is_question_open);
         if now >= until {
             return self.conclude(caller, Identity::Unknown, table, now);
         }
@@ -144,7 +145,7 @@
         if let Some(until) = self.backoffs.paused_until(&endpoint, now) {
             self.timers.insert((until, caller, Timer::EndCheck(attempt)));
         } else if self.limits.rate(&endpoint, now).is_some() {
-            self.set_question(caller, true);
+            self.set_question_open(caller, true);
             self.await_check_permit(caller, endpoint, CHECK_TIMEOUT);
         } else {
             self.send_question(caller, None);
@@ -153,7 +154,7 @@
 
     /// Sends the question; `permit` is when its permit expires, for an endpoint with a rate limit.
     pub(super) fn send_question(&mut self, caller: u64, permit: Option<Timestamp>) {
-        self.set_question(caller, true);
+        self.set_question_open(caller, true);
         let Some(open) = self.requests.get_mut(&caller).and_then(|r| r.attempt.as_mut()) else {
             return;
         };
@@ -171,17 +172,17 @@
 
     /// The question got no usable response, or no permit: asks again after a pause.
     pub(super) fn ask_again(&mut self, caller: u64, now: Timestamp) {
-        self.set_question(caller, false);
+        self.set_question_open(caller, false);
         let attempt = self.requests.get(&caller).and_then(|r| r.attempt.as_ref());
         if let Some(attempt) = attempt.map(|a| a.number) {
             self.timers.insert((now + CHECK_INTERVAL, caller, Timer::EndCheck(attempt)));
         }
     }
 
-    fn set_question(&mut self, caller: u64, is_open: bool) {
+    fn set_question_open(&mut self, caller: u64, is_open: bool) {
         let open = self.requests.get_mut(&caller).and_then(|r| r.attempt.as_mut());
         if let Some(end) = open.and_then(|open| open.unconfirmed_end.as_mut()) {
-            end.is_open = is_open;
+            end.is_question_open = is_open;
         }
     }
 
@@ -222,7 +223,7 @@
             UnframedAnswer::Stream(_) if is_same => self.stream_is_complete(caller, now),
             UnframedAnswer::Stream(stream) => self.stream_broke(caller, stream, table, now),
             UnframedAnswer::Whole { status } if is_same => {
-                self.book_answer(caller, status, now);
+                self.record_answer(caller, status, now);
                 self.deliver_answer(caller, status, now);
             }
             UnframedAnswer::Whole { .. } => {
--- a/src/direct/stream_progress.rs
+++ b/src/direct/stream_progress.rs
@@ -1,4 +1,4 @@
-//! Detects a stream that goes on but has no more events.
+//! Detects a stream that continues without events.
 
 /// Maximum number of bytes of a stream without an event that has an id or data.
 pub const MAX_BYTES_WITHOUT_EVENT: usize = 64 << 10;
--- a/src/framing.rs
+++ b/src/framing.rs
@@ -4,7 +4,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, TRANSFER_ENCODING};
 
-/// Whether the response states its length or comes in chunks. Otherwise it ends with its
+/// Whether the response has a length or chunks. Otherwise it ends with its
 /// connection, and so does a part of it if the sender crashes.
 pub fn states_its_end(response: &Response<Incoming>) -> bool {
     is_chunked(response.headers()) || response.body().size_hint().exact().is_some()
