Log for how long a gateway has known the versions of a pool

The line stream_origin was the same for a gateway that has seen a whole release and for one that started a second ago; versions_known_ms tells them apart. No change of logic.

--- a/src/direct/log_events/streams.rs
+++ b/src/direct/log_events/streams.rs
@@ -30,6 +30,9 @@
         /// Milliseconds since this gateway's list of endpoints was known to be current; `None` if
         /// it was not yet.
         list_age_ms: Option<u64>,
+        /// Milliseconds for which this gateway has known the versions of the pool; `None` if it has
+        /// listed no endpoint of the pool.
+        versions_known_ms: Option<u64>,
         /// Milliseconds that the request waited.
         took_ms: u64,
     },
--- a/src/direct/origins/versions.rs
+++ b/src/direct/origins/versions.rs
@@ -31,6 +31,8 @@
 #[derive(Debug, Default)]
 pub struct RecentVersions {
     pools: HashMap<Name, BTreeMap<Version, Use>>,
+    /// When this process first listed endpoints of each pool.
+    known_since: HashMap<Name, Timestamp>,
 }
 
 impl RecentVersions {
@@ -48,6 +50,7 @@
         let mut with_changes = Vec::new();
         if is_new_configuration {
             self.pools.retain(|name, _| table.pool(name).is_some());
+            self.known_since.retain(|name, _| table.pool(name).is_some());
         }
         for pool in pools {
             let uses = self.pools.entry(pool.name.clone()).or_default();
@@ -60,6 +63,9 @@
                 at.into_iter().for_each(|at| add(uses, &listed[at]));
             }
             uses.retain(|_, used| !used.listed.is_empty() || now < used.until);
+            if !uses.is_empty() {
+                self.known_since.entry(pool.name.clone()).or_insert(now);
+            }
             if !uses.keys().eq(&before) {
                 with_changes.push(pool.name.clone());
             }
@@ -73,6 +79,11 @@
         uses.filter(move |(_, used)| !used.listed.is_empty() || now < used.until).map(|(v, _)| v)
     }
 
+    /// How long this process has known the versions of a pool.
+    pub fn known_for(&self, pool: &str, now: Timestamp) -> Option<Duration> {
+        self.known_since.get(pool).map(|since| now.saturating_sub(*since))
+    }
+
     /// Whether a pool has or had several versions.
     pub fn has_several(&self, pool: &str, now: Timestamp) -> bool {
         self.of(pool, now).nth(1).is_some()
--- a/src/direct/requests/resumption.rs
+++ b/src/direct/requests/resumption.rs
@@ -300,6 +300,7 @@
             asked: lookup.asked.len(),
             answered: lookup.answered.len(),
             list_age_ms: self.origins.list_age(now).map(ms),
+            versions_known_ms: self.origins.versions.known_for(&request.pool, now).map(ms),
             took_ms: ms(now.saturating_sub(lookup.began)),
         })));
     }
