--- a/tests/directenv/group.rs
+++ b/tests/directenv/group.rs
@@ -18,6 +18,8 @@
 use super::gateway::{calls, listed, refusal, setup};
 use super::{address, ms, position};
 
+/// Time between two reads of the store by each gateway.
+const STORE_CHECK: Duration = Duration::from_millis(1_000);
 /// Time between two ticks of all gateways.
 const TICK: Duration = Duration::from_millis(10);
 
@@ -37,6 +39,10 @@
     revision: u64,
     /// Gateways whose messages to and from other gateways are lost.
     pub silent: Vec<usize>,
+    /// Gateways that reach neither other gateways nor the store.
+    pub cut_off: Vec<usize>,
+    /// Gateways whose processes are suspended, and since when.
+    paused: HashMap<usize, Duration>,
     pub now: Duration,
     /// Actions of each gateway other than messages, until they are taken.
     actions: Vec<Vec<Action>>,
@@ -54,6 +60,8 @@
             endpoints,
             revision: 1,
             silent: Vec::new(),
+            cut_off: Vec::new(),
+            paused: HashMap::new(),
             now: Duration::ZERO,
             actions: (0..gateways).map(|_| Vec::new()).collect(),
             sent: HashMap::new(),
@@ -95,6 +103,26 @@
         self.cores[gateway] = None;
     }
 
+    /// Suspends a gateway's process: it handles nothing until it is resumed.
+    pub fn pause(&mut self, gateway: usize) {
+        self.paused.insert(gateway, self.now);
+    }
+
+    /// Resumes a gateway's process if it is suspended. It reads the list at once.
+    pub fn resume(&mut self, gateway: usize) {
+        if let Some(since) = self.paused.remove(&gateway)
+            && let Some(core) = &mut self.cores[gateway]
+        {
+            core.on_suspension(self.now - since, self.now);
+        }
+        self.read_list(gateway);
+    }
+
+    /// Whether a gateway receives nothing, neither from others nor from the store.
+    fn is_isolated(&self, gateway: usize) -> bool {
+        self.cut_off.contains(&gateway) || self.paused.contains_key(&gateway)
+    }
+
     /// A gateway notices that its connection to another one has failed.
     pub fn connection_failed(&mut self, gateway: usize, peer: usize) {
         self.handle(gateway, Event::PeerOutboundFailed { address: Self::address_of(peer) });
@@ -110,7 +138,11 @@
     pub fn list_at(&mut self, gateways: &[usize], endpoints: Vec<Arc<Endpoint>>) {
         self.endpoints = endpoints;
         self.revision += 1;
-        gateways.iter().for_each(|gateway| self.read_list(*gateway));
+        for &gateway in gateways {
+            if !self.is_isolated(gateway) {
+                self.read_list(gateway);
+            }
+        }
     }
 
     /// A gateway reads the store, which has nothing new.
@@ -136,6 +168,10 @@
             self.now += TICK;
             (0..self.cores.len()).for_each(|gateway| {
                 self.handle(gateway, Event::Tick);
+                if self.now.as_millis() % STORE_CHECK.as_millis() == 0 && !self.is_isolated(gateway)
+                {
+                    self.check_store(gateway);
+                }
             });
         }
     }
@@ -145,6 +181,9 @@
     pub fn handle(&mut self, gateway: usize, event: Event) -> Vec<Action> {
         let mut events = VecDeque::from([(gateway, event)]);
         while let Some((at, event)) = events.pop_front() {
+            if self.paused.contains_key(&at) {
+                continue;
+            }
             let Some(core) = &mut self.cores[at] else {
                 continue;
             };
@@ -170,7 +209,8 @@
         let bytes = Outgoing::new(message.clone()).encode_for(Some(FORM)).len();
         let sent = self.sent.entry(message.kind()).or_default();
         *sent = (sent.0 + 1, sent.1 + bytes);
-        if self.silent.contains(&from) || self.silent.contains(&receiver) {
+        let is_lost = |gateway| self.silent.contains(&gateway) || self.is_isolated(gateway);
+        if is_lost(from) || is_lost(receiver) {
             return (from, Event::Tick);
         }
         if self.cores[receiver].is_none() {
