--- a/src/direct/peers/bulk.rs
+++ b/src/direct/peers/bulk.rs
@@ -14,8 +14,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
-use crate::actor::Handle;
-use crate::direct::core::GatewayCore;
+use crate::actor::{Core, Handle};
 use crate::direct::event::Event;
 use crate::direct::peers::codec::json;
 use crate::direct::peers::links::{CONNECT_TIMEOUT, Connection, Hello, MAX_FRAME, framed};
@@ -122,7 +121,12 @@
 
 impl BulkReceiver {
     /// Receives a configuration, and aborts an earlier transfer from the same peer.
-    pub fn start(&self, connection: Connection, hello: Hello, core: Handle<GatewayCore>) {
+    pub fn start<C: Core<Event = Event>>(
+        &self,
+        connection: Connection,
+        hello: Hello,
+        core: Handle<C>,
+    ) {
         let mut running = self.running.lock().unwrap_or_else(PoisonError::into_inner);
         running.retain(|_, task| !task.is_finished());
         let from = hello.address;
@@ -134,7 +138,11 @@
 }
 
 /// Receives a configuration and reports each chunk as progress.
-async fn receive(mut connection: Connection, hello: Hello, core: &Handle<GatewayCore>) {
+async fn receive<C: Core<Event = Event>>(
+    mut connection: Connection,
+    hello: Hello,
+    core: &Handle<C>,
+) {
     let Hello { address: from, pull, bytes: expected, .. } = hello;
     let mut received = BytesMut::new();
     while let Ok(Some(Ok(chunk))) = timeout(CHUNK_TIMEOUT, connection.next()).await {
--- a/src/direct/peers/links.rs
+++ b/src/direct/peers/links.rs
@@ -20,8 +20,7 @@
 use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::actor::{Handle, Stopped};
-use crate::direct::core::GatewayCore;
+use crate::actor::{Core, Handle, Stopped};
 use crate::direct::event::Event;
 use crate::direct::peers::build::Build;
 use crate::direct::peers::bulk::{BulkReceiver, BulkSender};
@@ -111,17 +110,17 @@
 
 type Queues = Arc<Mutex<HashMap<SocketAddr, Link>>>;
 
-/// The connections to other gateways.
-pub struct PeerLinks {
+/// The connections to other gateways and to witnesses.
+pub struct PeerLinks<C: Core> {
     hello: Hello,
-    core: Handle<GatewayCore>,
+    core: Handle<C>,
     queues: Queues,
     bulk: BulkSender,
 }
 
-impl PeerLinks {
+impl<C: Core<Event = Event>> PeerLinks<C> {
     /// Creates the set of connections, which is empty at first.
-    pub fn new(own: SocketAddr, incarnation: u64, core: Handle<GatewayCore>) -> Self {
+    pub fn new(own: SocketAddr, incarnation: u64, core: Handle<C>) -> Self {
         let hello = Hello::new(own, incarnation);
         let bulk = BulkSender::new(Hello { awaits_greeting: false, ..hello.clone() });
         Self { hello, core, queues: Queues::default(), bulk }
@@ -203,11 +202,11 @@
 }
 
 /// Sends queued messages until the connection fails; returns whether it was established.
-async fn run_link(
+async fn run_link<C: Core<Event = Event>>(
     to: SocketAddr,
     hello: &Hello,
     queue: mpsc::Receiver<Arc<Outgoing>>,
-    core: &Handle<GatewayCore>,
+    core: &Handle<C>,
 ) -> bool {
     let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await else {
         return false;
@@ -234,10 +233,10 @@
     }
 }
 
-async fn send_all(
+async fn send_all<C: Core<Event = Event>>(
     mut connection: Connection,
     mut queue: mpsc::Receiver<Arc<Outgoing>>,
-    core: &Handle<GatewayCore>,
+    core: &Handle<C>,
 ) {
     // The form that the peer reads, once its greeting has arrived on this connection.
     let mut form = None;
@@ -280,7 +279,11 @@
 }
 
 /// Accepts connections of other gateways and responds with the greeting.
-pub async fn accept(listener: TcpListener, core: Handle<GatewayCore>, greeting: Hello) {
+pub async fn accept<C: Core<Event = Event>>(
+    listener: TcpListener,
+    core: Handle<C>,
+    greeting: Hello,
+) {
     let bulk_receiver = BulkReceiver::default();
     let greeting = json(&greeting);
     loop {
@@ -294,10 +297,10 @@
     }
 }
 
-async fn receive(
+async fn receive<C: Core<Event = Event>>(
     stream: TcpStream,
     bulk_receiver: BulkReceiver,
-    core: Handle<GatewayCore>,
+    core: Handle<C>,
     greeting: Bytes,
 ) {
     let mut connection = framed(stream);
@@ -323,10 +326,10 @@
 /// Forwards messages from a peer to the core until the connection ends, or until a message is in an
 /// unknown form. In that case the connection is closed, so that the peer notices at once and sends
 /// its state again.
-async fn receive_all(
+async fn receive_all<C: Core<Event = Event>>(
     mut connection: Connection,
     hello: &Hello,
-    core: &Handle<GatewayCore>,
+    core: &Handle<C>,
 ) -> Result<(), Stopped> {
     let from = hello.address;
     while let Ok(Some(Ok(frame))) = timeout(IDLE_TIMEOUT, connection.next()).await {
--- a/src/direct/shell.rs
+++ b/src/direct/shell.rs
@@ -233,7 +233,7 @@
 pub struct GatewayShell<C> {
     core: Handle<GatewayCore>,
     client: Arc<C>,
-    peers: PeerLinks,
+    peers: PeerLinks<GatewayCore>,
     callers: Callers,
     state: watch::Sender<State>,
     lines: LogWriter,
@@ -246,7 +246,7 @@
     pub fn new(
         core: Handle<GatewayCore>,
         client: Arc<C>,
-        peers: PeerLinks,
+        peers: PeerLinks<GatewayCore>,
         lines: LogWriter,
     ) -> (Self, Gateway) {
         let (state, receiver) = watch::channel(State::default());
--- a/tests/direct_bulk.rs
+++ b/tests/direct_bulk.rs
@@ -33,7 +33,7 @@
 }
 
 /// The connections of a sending gateway.
-fn sender() -> PeerLinks {
+fn sender() -> PeerLinks<GatewayCore> {
     let (core, waiting) = mailbox();
     tokio::spawn(run(new_core(), Idle, waiting));
     PeerLinks::new(address(9), 1, core)
--- a/tests/direct_upgrades.rs
+++ b/tests/direct_upgrades.rs
@@ -40,7 +40,7 @@
 }
 
 /// A gateway: the address for its peers, its outgoing links and its core.
-async fn gateway() -> (SocketAddr, PeerLinks, Handle<GatewayCore>) {
+async fn gateway() -> (SocketAddr, PeerLinks<GatewayCore>, Handle<GatewayCore>) {
     let listener = TcpListener::bind(address(0)).await.expect("a port");
     let at = listener.local_addr().expect("its address");
     let (core, waiting) = mailbox();
