Streams of lost gateways are continued only by the version that began them

Cause: a gateway took the versions that it had listed since its start for all that can have begun a stream, and another one as young confirmed it. Without a record, a version is now inferred only by a gateway that has followed the list for as long as callers resume streams, without interruption (an outdated list or a suspension interrupts it); an older gateway infers it for a younger one, in the same message.

Records are sent to three witnesses of the version that began the stream, always, and to three gateways while a pool has several versions. A later origin also replaces the record at holders of an earlier one. Messages keep their form.

--- a/benches/limits.rs
+++ b/benches/limits.rs
@@ -126,6 +126,7 @@
 /// A gateway that has received its peers' state with announced limits.
 fn gateway(gateways: u16, limited: usize, now: Duration) -> GatewayCore {
     let mut core = GatewayCore::new(Setup {
+        witness_port: None,
         address: address(1),
         incarnation: 1,
         capacity: 190,
--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -120,6 +120,13 @@
 impl GatewayCore {
     /// Creates a core without documents or known peers.
     pub fn new(setup: Setup) -> Self {
+        let mut requests = Requests::new(
+            setup.address,
+            setup.incarnation,
+            setup.data_centre.clone(),
+            setup.repeats,
+        );
+        requests.set_witness_port(setup.witness_port);
         let mut unanswered_peers: BTreeSet<SocketAddr> = setup.seeds.iter().copied().collect();
         unanswered_peers.remove(&setup.address);
         Self {
@@ -138,12 +145,7 @@
             eras: Eras::default(),
             is_published_older: false,
             table: Table::default(),
-            requests: Requests::new(
-                setup.address,
-                setup.incarnation,
-                setup.data_centre,
-                setup.repeats,
-            ),
+            requests,
             owners: Owners::new(setup.address, setup.repeats),
             pulls: Pulls::default(),
             deferred_requests: DeferredRequests::default(),
@@ -251,7 +253,9 @@
             }
             Event::PeerOutboundFailed { address } => {
                 let incarnation = self.members.incarnation_of(address);
-                if incarnation
+                if self.requests.is_witness(address) {
+                    self.requests.report_streams_again(address);
+                } else if incarnation
                     .is_some_and(|incarnation| self.members.suspect(address, incarnation, now))
                 {
                     self.probe_peer(address, now);
--- a/src/direct/log_events/streams.rs
+++ b/src/direct/log_events/streams.rs
@@ -1,6 +1,8 @@
 //! Log events about the ends of streams, resumed streams, and the software versions that may resume
 //! them.
 
+use std::net::SocketAddr;
+
 use serde::Serialize;
 
 use crate::direct::origins::versions::Version;
@@ -20,22 +22,40 @@
         pool: Name,
         /// Version that began the stream; `None` if it is unknown, or has no name.
         software_version: Version,
-        /// `own` (this gateway's record), `holder`, `only_version` (no record, and the pool has had
-        /// one version only) or `unknown` (refused).
+        /// `own` (this gateway's record), `holder`, `witness`, `only_version` (no record, and the
+        /// pool has had one version only) or `unknown` (refused).
         source: &'static str,
-        /// Number of gateways that were asked.
+        /// Number of gateways and witnesses that were asked.
         asked: usize,
-        /// Number of gateways that responded or are down.
+        /// Number of those that responded or are down.
         answered: usize,
         /// Milliseconds since this gateway's list of endpoints was known to be current; `None` if
         /// it was not yet.
         list_age_ms: Option<u64>,
-        /// Milliseconds for which this gateway has known the versions of the pool; `None` if it has
-        /// listed no endpoint of the pool.
+        /// Milliseconds for which this gateway has followed the versions of the pool without
+        /// interruption; `None` if it has listed no endpoint of the pool.
         versions_known_ms: Option<u64>,
         /// Milliseconds that the request waited.
         took_ms: u64,
     },
+    /// A gateway asked this witness for the origin of a stream.
+    OriginAsked {
+        /// Id of the request that received the first event of the stream.
+        stream: Name,
+        /// Address of the gateway.
+        gateway: SocketAddr,
+        /// Version that began the stream; `None` if there is no record, or the version has no name.
+        software_version: Version,
+        /// Whether there is a record.
+        is_known: bool,
+        /// Number of records that are held.
+        held: usize,
+    },
+    /// A witness stops.
+    WitnessStopped {
+        /// Number of records that are lost with it.
+        held: usize,
+    },
     /// A stream of an endpoint ended, or broke off.
     StreamEnded {
         /// Request id given by the caller.
@@ -95,6 +115,8 @@
     pub const fn kind(&self) -> &'static str {
         match self {
             Self::StreamOrigin { .. } => "stream_origin",
+            Self::OriginAsked { .. } => "origin_asked",
+            Self::WitnessStopped { .. } => "witness_stopped",
             Self::StreamEnded { .. } => "stream_ended",
             Self::EndChecked { .. } => "end_checked",
             Self::SoftwareVersions { .. } => "software_versions",
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -57,3 +57,4 @@
 mod store_restore;
 pub mod stream;
 pub mod stream_progress;
+pub mod witness;
--- a/src/direct/origins/holders.rs
+++ b/src/direct/origins/holders.rs
@@ -56,7 +56,7 @@
         let holder = |m: &Member| Holder { address: m.address, incarnation: m.incarnation };
         let mut candidates: Vec<Holder> = able.map(holder).collect();
         let seed = xxh3_64(CANDIDATES.as_bytes());
-        candidates.sort_by_cached_key(|holder| Reverse(weight(*holder, seed)));
+        candidates.sort_by_cached_key(|holder| Reverse(weight(holder.address, seed)));
         candidates.truncate(MAX_CANDIDATES);
         let has_changed = self.candidates != candidates;
         self.candidates = candidates;
@@ -74,14 +74,25 @@
     }
 
     fn ranked(&self, stream: &str, count: usize) -> Vec<Holder> {
-        let seed = xxh3_64(stream.as_bytes());
-        let mut ranked = self.candidates.clone();
-        ranked.sort_by_cached_key(|holder| Reverse(weight(*holder, seed)));
-        ranked.truncate(count);
-        ranked
+        first_ranked(self.candidates.iter().copied(), |holder| holder.address, stream, count)
     }
 }
 
-fn weight(holder: Holder, seed: u64) -> u64 {
-    xxh3_64_with_seed(&address_bytes(holder.address), seed)
+/// The first candidates of a stream by hash weight.
+pub(super) fn first_ranked<T>(
+    candidates: impl Iterator<Item = T>,
+    address: impl Fn(&T) -> SocketAddr,
+    stream: &str,
+    count: usize,
+) -> Vec<T> {
+    let seed = xxh3_64(stream.as_bytes());
+    let mut ranked: Vec<T> = candidates.collect();
+    ranked.sort_by_cached_key(|candidate| Reverse(weight(address(candidate), seed)));
+    ranked.truncate(count);
+    ranked
+}
+
+/// Hash weight of an address.
+pub(super) fn weight(address: SocketAddr, seed: u64) -> u64 {
+    xxh3_64_with_seed(&address_bytes(address), seed)
 }
--- a/src/direct/origins/mod.rs
+++ b/src/direct/origins/mod.rs
@@ -4,14 +4,16 @@
 //! compatible. A stream is therefore continued only by the version that began it.
 //!
 //! The caller of a broken stream resumes it at any gateway, and names the request that received the
-//! first event. While a pool has several versions, the gateway that begins a stream sends its
-//! origin to a few others (`holders`), which keep it until the caller's deadline (`records`). A
-//! gateway at which a stream is resumed asks them. Nothing is recorded while a pool has one version
-//! (`versions`).
+//! first event. The gateway that begins a stream sends its origin to a few processes beside
+//! endpoints of that version (`witnesses`), which keep it until the caller's deadline (`records`)
+//! and survive the loss of all gateways. While a pool has several versions (`versions`), it also
+//! sends it to a few other gateways (`holders`). A gateway at which a stream is resumed asks all of
+//! them.
 
 pub mod holders;
 pub mod records;
 pub mod versions;
+pub mod witnesses;
 
 use serde::{Deserialize, Serialize};
 
--- a/src/direct/origins/records.rs
+++ b/src/direct/origins/records.rs
@@ -20,6 +20,23 @@
     pub expires: Timestamp,
     /// Holders that this gateway has sent the record to.
     pub holders: Vec<Holder>,
+    /// Holders of an earlier origin of the stream, which receive this one as well.
+    pub earlier_holders: Vec<Holder>,
+}
+
+impl Record {
+    /// Sets the holders of the record; returns those that it has not been sent to. Holders of an
+    /// earlier origin remain.
+    pub fn set_holders(&mut self, mut holders: Vec<Holder>) -> Vec<Holder> {
+        for earlier in &self.earlier_holders {
+            if holders.iter().all(|holder| holder.address != earlier.address) {
+                holders.push(*earlier);
+            }
+        }
+        let new = holders.iter().filter(|holder| !self.holders.contains(holder)).copied().collect();
+        self.holders = holders;
+        new
+    }
 }
 
 /// Records by stream: the id of the caller's request that received the first event.
@@ -33,7 +50,7 @@
     /// Records the origin of a stream. A later origin replaces an earlier one: until the first
     /// event arrives, the request may be sent to another endpoint.
     pub fn insert(&mut self, stream: &Name, origin: Origin, expires: Timestamp, now: Timestamp) {
-        self.remove(stream);
+        let earlier_holders = self.remove(stream).map_or_else(Vec::new, |record| record.holders);
         self.expire(now);
         if self.records.len() >= MAX_RECORDS
             && let Some((_, first)) = self.expiries.pop_first()
@@ -41,7 +58,8 @@
             self.records.remove(&first);
         }
         self.expiries.insert((expires, stream.clone()));
-        self.records.insert(stream.clone(), Record { origin, expires, holders: Vec::new() });
+        let record = Record { origin, expires, holders: Vec::new(), earlier_holders };
+        self.records.insert(stream.clone(), record);
     }
 
     /// The origin of a stream, if it is recorded.
@@ -55,13 +73,9 @@
         self.records.get_mut(stream)
     }
 
-    /// The streams with an origin in one of these pools, in an order that makes replays
-    /// deterministic.
-    pub fn streams_of(&self, is_pool: impl Fn(&Name) -> bool) -> Vec<Name> {
-        let is_of_pool =
-            |stream: &&Name| self.records.get(*stream).is_some_and(|r| is_pool(&r.origin.pool));
-        let streams = self.expiries.iter().map(|(_, stream)| stream);
-        streams.filter(is_of_pool).cloned().collect()
+    /// All streams, in an order that makes replays deterministic.
+    pub fn streams(&self) -> impl Iterator<Item = Name> {
+        self.expiries.iter().map(|(_, stream)| stream.clone())
     }
 
     /// Records that a holder may have lost what was sent to it. Returns the streams of these records.
@@ -80,11 +94,11 @@
         lost
     }
 
-    /// Removes the record of a stream, which is complete.
-    pub fn remove(&mut self, stream: &str) {
-        if let Some((stream, record)) = self.records.remove_entry(stream) {
-            self.expiries.remove(&(record.expires, stream));
-        }
+    /// Removes the record of a stream, which is complete, and returns it.
+    pub fn remove(&mut self, stream: &str) -> Option<Record> {
+        let (stream, record) = self.records.remove_entry(stream)?;
+        self.expiries.remove(&(record.expires, stream));
+        Some(record)
     }
 
     /// Removes expired records.
--- a/src/direct/origins/versions.rs
+++ b/src/direct/origins/versions.rs
@@ -1,7 +1,7 @@
 //! The software versions that the endpoints of each pool have, or had until recently.
 //!
-//! While a pool has one version, each of its streams began at that version, and no gateway needs to
-//! record it.
+//! While a pool has one version, each of its streams began at that version. A process can tell only
+//! for the time in which it has followed the list of endpoints without interruption.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -31,7 +31,7 @@
 #[derive(Debug, Default)]
 pub struct RecentVersions {
     pools: HashMap<Name, BTreeMap<Version, Use>>,
-    /// When this process first listed endpoints of each pool.
+    /// Since when this process has followed the endpoints of each pool without interruption.
     known_since: HashMap<Name, Timestamp>,
 }
 
@@ -79,6 +79,19 @@
         uses.filter(move |(_, used)| !used.listed.is_empty() || now < used.until).map(|(v, _)| v)
     }
 
+    /// The list of endpoints was outdated until now: versions may have been added and removed
+    /// unnoticed.
+    pub fn interrupt(&mut self, now: Timestamp) {
+        self.known_since.values_mut().for_each(|since| *since = now);
+    }
+
+    /// The version that all streams of a pool began at, as far as callers may resume them; `None`
+    /// if there are several, or if this process has not followed the list for long enough.
+    pub fn only_version(&self, pool: &str, now: Timestamp) -> Option<&Version> {
+        let is_known = self.known_for(pool, now).is_some_and(|known_for| known_for >= RETENTION);
+        self.of(pool, now).next().filter(|_| is_known && !self.has_several(pool, now))
+    }
+
     /// How long this process has known the versions of a pool.
     pub fn known_for(&self, pool: &str, now: Timestamp) -> Option<Duration> {
         self.known_since.get(pool).map(|since| now.saturating_sub(*since))
--- a/src/direct/peers/message.rs
+++ b/src/direct/peers/message.rs
@@ -303,7 +303,8 @@
         stream: Name,
         /// Origin of the stream, if the sender knows it.
         origin: Option<Origin>,
-        /// Versions of the pool that the sender has listed recently.
+        /// Versions of the pool that the sender has listed recently; empty if it has no record, and
+        /// inferred the origin from the only version of the pool.
         versions: Vec<Version>,
     },
     /// Crash records by fingerprint: the parts of prompts under which endpoints crashed.
--- a/src/direct/requests/mod.rs
+++ b/src/direct/requests/mod.rs
@@ -232,7 +232,7 @@
         now: Timestamp,
     ) -> Vec<Action> {
         self.gateway_count = members.known_count();
-        self.update_holders(members, builds, now);
+        self.update_holders(members, builds);
         for caller in std::mem::take(&mut self.pending_lookups) {
             self.look_up(caller, table, now);
         }
--- a/src/direct/requests/resumption.rs
+++ b/src/direct/requests/resumption.rs
@@ -9,7 +9,6 @@
 use crate::direct::event_order::Place;
 use crate::direct::log_events::{LogEvent, StreamEvent, ms};
 use crate::direct::origins::Origin;
-use crate::direct::origins::versions::Version;
 use crate::direct::peers::message::PeerMessage;
 use crate::direct::published::model::{Name, Route};
 use crate::direct::published::table::Table;
@@ -29,9 +28,8 @@
     asked: BTreeSet<SocketAddr>,
     /// Those of them that responded or are down.
     answered: BTreeSet<SocketAddr>,
-    has_response: bool,
-    /// Versions of the pool that the gateways which responded have listed recently.
-    versions: BTreeSet<Version>,
+    /// Origins that other gateways inferred, since a pool has had one version only.
+    inferred: Vec<Origin>,
     rounds: u32,
     began: Timestamp,
 }
@@ -45,8 +43,8 @@
     pub stream: Name,
     /// Origin of the stream, if the holder knows it.
     pub origin: Option<Origin>,
-    /// Versions of the pool that the holder has listed recently.
-    pub versions: Vec<Version>,
+    /// Whether the holder has no record, and inferred the origin.
+    pub is_inferred: bool,
 }
 
 /// How the origin of a stream was determined.
@@ -54,6 +52,7 @@
 enum Source {
     Own,
     Holder,
+    Witness,
     OnlyVersion,
 }
 
@@ -63,6 +62,7 @@
         match self {
             Self::Own => "own",
             Self::Holder => "holder",
+            Self::Witness => "witness",
             Self::OnlyVersion => "only_version",
         }
     }
@@ -131,7 +131,7 @@
         if let Some(origin) = self.origins.get(&stream, now).cloned() {
             return self.origin_found(caller, origin, Source::Own, table, now);
         }
-        let holders = self.origins.holders.asked(&stream).into_iter().map(|h| h.address);
+        let holders = self.origins.asked_for(&stream, &request.pool, now).into_iter();
         let is_unanswered = |h: &SocketAddr| *h != self.own && !lookup.answered.contains(h);
         let unanswered: Vec<SocketAddr> = holders.filter(is_unanswered).collect();
         // A gateway that knows others, none of which is up, waits for one to be up.
@@ -183,26 +183,35 @@
         table: &Table,
         now: Timestamp,
     ) {
-        let OriginResponse { number, stream, origin, versions } = response;
+        let OriginResponse { number, stream, origin, is_inferred } = response;
+        self.origins.witnesses.reached(from);
         let request = self.requests.get_mut(&number).filter(|r| r.stream() == Some(&stream));
         let lookup = request.and_then(|request| request.lookup.as_mut());
         let Some(lookup) = lookup.filter(|lookup| lookup.asked.contains(&from)) else {
             return;
         };
         lookup.answered.insert(from);
-        lookup.has_response = true;
-        lookup.versions.extend(versions);
         let is_last = lookup.answered.len() == lookup.asked.len();
-        match origin {
-            Some(origin) => self.origin_found(number, origin, Source::Holder, table, now),
-            None if is_last || self.possible_versions(number, now).len() < 2 => {
+        let is_witness = self.origins.witnesses.is_witness(from);
+        let record = if is_inferred {
+            lookup.inferred.extend(origin);
+            None
+        } else {
+            origin
+        };
+        let source = if is_witness { Source::Witness } else { Source::Holder };
+        let request = self.requests.get(&number);
+        let is_decided = |r: &Request| !is_witness && self.inferred_origin(r, now).is_some();
+        match record {
+            Some(origin) => self.origin_found(number, origin, source, table, now),
+            None if is_last || request.is_some_and(is_decided) => {
                 self.decide_by_versions(number, table, now);
             }
             None => {}
         }
     }
 
-    /// A gateway is down, so it does not respond to lookups.
+    /// A process is down, so it does not respond to lookups.
     pub fn holder_removed(&mut self, address: SocketAddr) {
         let is_waiting = |request: &Request| {
             let lookup = request.lookup.as_ref();
@@ -217,43 +226,29 @@
         }
     }
 
-    /// The versions that can have begun the stream of a request without a record: those that this
-    /// gateway and the holders which responded have listed recently.
-    fn possible_versions(&self, caller: u64, now: Timestamp) -> BTreeSet<Version> {
-        let Some(request) = self.requests.get(&caller) else {
-            return BTreeSet::new();
-        };
-        let own = self.origins.versions.of(&request.pool, now).cloned();
-        let of_holders = request.lookup.iter().flat_map(|lookup| lookup.versions.iter().cloned());
-        own.chain(of_holders).collect()
+    /// The only origin that the stream of a request can have according to this gateway and those
+    /// that responded; `None` if none of them can tell, or they differ.
+    fn inferred_origin(&self, request: &Request, now: Timestamp) -> Option<Origin> {
+        let of_others = request.lookup.iter().flat_map(|lookup| lookup.inferred.iter().cloned());
+        let mut origins = self.origins.only_origin(&request.pool, now).into_iter().chain(of_others);
+        let first = origins.next()?;
+        origins.all(|origin| origin == first).then_some(first)
     }
 
-    /// Whether another gateway has confirmed the versions that are known here, or none is needed.
-    fn are_versions_confirmed(&self, request: &Request, now: Timestamp) -> bool {
-        let has_response = request.lookup.as_ref().is_some_and(|lookup| lookup.has_response);
-        let is_alone = self.gateway_count <= 1;
-        has_response || is_alone || self.origins.is_list_current(now)
-    }
-
-    /// No record was found. If the pool has had one version only, that version began the stream.
+    /// No record was found. If the pool has had one version only for as long as callers resume
+    /// streams, that version began the stream.
     fn decide_by_versions(&mut self, caller: u64, table: &Table, now: Timestamp) {
         let Some(request) = self.requests.get(&caller) else {
             return;
         };
-        let pool = request.pool.clone();
-        let are_confirmed = self.are_versions_confirmed(request, now);
-        let mut versions = self.possible_versions(caller, now);
-        match versions.pop_first() {
-            Some(version) if versions.is_empty() && are_confirmed => {
-                let origin = Origin { pool, version };
-                self.origin_found(caller, origin, Source::OnlyVersion, table, now);
-            }
-            Some(_) => {
-                self.log_origin(caller, None, "unknown", now);
-                self.refuse(caller, Refused::UnknownOrigin, RETRY_SOON, now);
-            }
-            None => self.refuse(caller, Refused::NoEndpoint, RETRY_SOON, now),
+        if let Some(origin) = self.inferred_origin(request, now) {
+            return self.origin_found(caller, origin, Source::OnlyVersion, table, now);
+        }
+        if table.pool_endpoints(&request.pool).is_empty() {
+            return self.refuse(caller, Refused::NoEndpoint, RETRY_SOON, now);
         }
+        self.log_origin(caller, None, "unknown", now);
+        self.refuse(caller, Refused::UnknownOrigin, RETRY_SOON, now);
     }
 
     /// The origin of a stream is known: continues the request at endpoints of that version.
--- a/src/direct/requests/stream_origins.rs
+++ b/src/direct/requests/stream_origins.rs
@@ -9,9 +9,10 @@
 use crate::direct::event::Action;
 use crate::direct::log_events::{LogEvent, StreamEvent};
 use crate::direct::origins::Origin;
-use crate::direct::origins::holders::Holders;
+use crate::direct::origins::holders::{Holder, Holders};
 use crate::direct::origins::records::Records;
 use crate::direct::origins::versions::RecentVersions;
+use crate::direct::origins::witnesses::Witnesses;
 use crate::direct::peers::build::Builds;
 use crate::direct::peers::members::Members;
 use crate::direct::peers::message::{BegunStream, PeerMessage};
@@ -22,8 +23,9 @@
 use crate::direct::requests::{DEFAULT_TIMEOUT, Requests};
 use crate::message::Timestamp;
 
-/// Maximum age of the list of endpoints by which a gateway decides alone which version began a
-/// stream. Readers of the store confirm the list at least every 2 s.
+/// Maximum age of the list of endpoints by which a gateway decides which version began a stream;
+/// beyond it, versions may have been added and removed unnoticed. Readers of the store confirm the
+/// list at least every 2 s.
 const MAX_LIST_AGE: Duration = Duration::from_secs(3);
 
 /// What a gateway knows of the origins of streams.
@@ -35,6 +37,7 @@
     received: Records,
     pub(super) versions: RecentVersions,
     pub(super) holders: Holders,
+    pub(super) witnesses: Witnesses,
     /// When the list of endpoints was last known to be current.
     list_current_at: Option<Timestamp>,
     /// Own streams whose records are sent by the next call of [`Requests::report_streams`].
@@ -57,11 +60,42 @@
         self.list_age(now).is_some_and(|age| age < MAX_LIST_AGE)
     }
 
-    /// Has the records of own streams sent to the holders that lack them, for pools with several
-    /// versions.
-    fn report_again(&mut self, now: Timestamp) {
-        let streams = self.own.streams_of(|pool| self.versions.has_several(pool, now));
-        self.pending_reports.extend(streams);
+    /// The version that began a stream of a pool without a record, if only one can have.
+    pub(super) fn only_origin(&self, pool: &Name, now: Timestamp) -> Option<Origin> {
+        let version = self.versions.only_version(pool, now).filter(|_| self.is_list_current(now));
+        version.map(|version| Origin { pool: pool.clone(), version: version.clone() })
+    }
+
+    /// Sets when the list of endpoints was last known to be current.
+    fn set_list_current_at(&mut self, at: Option<Timestamp>) {
+        if let (Some(before), Some(at)) = (self.list_current_at, at)
+            && at > before + MAX_LIST_AGE
+        {
+            self.versions.interrupt(at);
+        }
+        self.list_current_at = at;
+    }
+
+    /// The processes that hold the record of a stream.
+    fn holders_of(&self, stream: &str, origin: &Origin, now: Timestamp) -> Vec<Holder> {
+        let witnesses = self.witnesses.of(stream, origin, now).into_iter();
+        let witnesses = witnesses.map(|address| Holder { address, incarnation: 0 });
+        let mut holders: Vec<Holder> = witnesses.collect();
+        if self.versions.has_several(&origin.pool, now) {
+            holders.extend(self.holders.of(stream));
+        }
+        holders
+    }
+
+    /// The processes that are asked for the record of a stream.
+    pub(super) fn asked_for(&self, stream: &str, pool: &str, now: Timestamp) -> Vec<SocketAddr> {
+        let gateways = self.holders.asked(stream).into_iter().map(|holder| holder.address);
+        gateways.chain(self.witnesses.asked(stream, pool, now)).collect()
+    }
+
+    /// Has the records of own streams sent to the holders that lack them.
+    fn report_again(&mut self) {
+        self.pending_reports.extend(self.own.streams());
     }
 }
 
@@ -80,9 +114,7 @@
             return;
         };
         let origin = Origin::of(&request.pool, endpoint);
-        if self.origins.versions.has_several(&origin.pool, now) {
-            self.origins.pending_reports.push(stream.clone());
-        }
+        self.origins.pending_reports.push(stream.clone());
         self.origins.own.insert(stream, origin, request.resumable_until(), now);
     }
 
@@ -94,9 +126,9 @@
     }
 
     /// Updates the holders if members or builds changed; new holders receive the records.
-    pub(super) fn update_holders(&mut self, members: &Members, builds: &Builds, now: Timestamp) {
+    pub(super) fn update_holders(&mut self, members: &Members, builds: &Builds) {
         if self.origins.holders.update(members, builds) {
-            self.origins.report_again(now);
+            self.origins.report_again();
         }
     }
 
@@ -104,18 +136,20 @@
     pub(super) fn report_streams(&mut self, now: Timestamp) {
         let mut records: BTreeMap<SocketAddr, Vec<BegunStream>> = BTreeMap::new();
         for stream in std::mem::take(&mut self.origins.pending_reports) {
-            let holders = self.origins.holders.of(&stream);
+            let Some(origin) = self.origins.own.origin(&stream, now).cloned() else {
+                continue;
+            };
+            let holders = self.origins.holders_of(&stream, &origin, now);
             let Some(record) = self.origins.own.get_mut(&stream) else {
                 continue;
             };
             let expires_in = record.expires.saturating_sub(now);
-            let new = holders.iter().filter(|h| !record.holders.contains(h));
-            for holder in new.filter(|holder| holder.address != self.own) {
-                let (stream, origin) = (stream.clone(), record.origin.clone());
+            let new = record.set_holders(holders);
+            for holder in new.into_iter().filter(|holder| holder.address != self.own) {
+                let (stream, origin) = (stream.clone(), origin.clone());
                 let records = records.entry(holder.address).or_default();
                 records.push(BegunStream { stream, origin, expires_in });
             }
-            record.holders = holders;
         }
         for (to, records) in records {
             self.out.push(Action::Send { to, message: PeerMessage::StreamsBegan(records) });
@@ -138,11 +172,31 @@
     }
 
     /// Sets when the list of endpoints was last known to be current.
-    pub const fn set_list_current_at(&mut self, at: Option<Timestamp>) {
-        self.origins.list_current_at = at;
+    pub fn set_list_current_at(&mut self, at: Option<Timestamp>) {
+        self.origins.set_list_current_at(at);
+    }
+
+    /// Sets the port at which the witnesses beside endpoints listen.
+    pub const fn set_witness_port(&mut self, port: Option<u16>) {
+        self.origins.witnesses.set_port(port);
     }
 
-    /// Responds to a gateway at which a caller resumes a stream.
+    /// Whether an address is the one of a witness.
+    pub fn is_witness(&self, address: SocketAddr) -> bool {
+        self.origins.witnesses.is_witness(address)
+    }
+
+    /// A process could not be reached: lookups don't wait for it. A witness is not used for some
+    /// time.
+    pub fn holder_unreachable(&mut self, address: SocketAddr, now: Timestamp) {
+        self.origins.witnesses.unreachable(address, now);
+        self.origins.own.forget_holder(address);
+        self.holder_removed(address);
+    }
+
+    /// Responds to a gateway at which a caller resumes a stream, with the record or the only
+    /// version that can have begun the stream. The asking gateway may have followed the list for a
+    /// shorter time.
     pub fn origin_requested(
         &mut self,
         from: SocketAddr,
@@ -151,14 +205,18 @@
         pool: &Name,
         now: Timestamp,
     ) {
-        let origin = self.origins.get(&stream, now).cloned();
-        let versions = self.origins.versions.of(pool, now).cloned().collect();
+        let record = self.origins.get(&stream, now).cloned();
+        let (origin, versions) = if record.is_some() {
+            (record, self.origins.versions.of(pool, now).cloned().collect())
+        } else {
+            (self.origins.only_origin(pool, now), Vec::new())
+        };
         let message = PeerMessage::StreamOrigin { number, stream, origin, versions };
         self.out.push(Action::Send { to: from, message });
     }
 
-    /// Updates the versions of pools after their endpoints changed. If a pool newly has several
-    /// versions, the origins of its open streams are recorded from now on.
+    /// Updates the versions and witnesses of pools after their endpoints changed. Holders that lack
+    /// the records of open streams receive them.
     pub(super) fn update_versions(&mut self, table: &Table, merged: &Merged, now: Timestamp) {
         let is_new_configuration = merged.previous_version.is_some();
         let versions = &mut self.origins.versions;
@@ -168,8 +226,9 @@
             let event = StreamEvent::SoftwareVersions { pool: pool.clone(), versions };
             self.out.push(Action::Log(LogEvent::Stream(event)));
         }
-        if !changed.is_empty() {
-            self.origins.report_again(now);
+        let has_witnesses = self.origins.witnesses.update(table);
+        if has_witnesses || !changed.is_empty() {
+            self.origins.report_again();
         }
     }
 }
--- a/src/direct/setup.rs
+++ b/src/direct/setup.rs
@@ -21,6 +21,8 @@
     pub region: Name,
     /// Addresses of gateways that it contacts first.
     pub seeds: Vec<SocketAddr>,
+    /// Port at which a witness listens beside each endpoint; `None` if the deployment has none.
+    pub witness_port: Option<u16>,
     /// Parameters of the repeat budget.
     pub repeats: RepeatBudget,
     /// Time from the signal to stop until the process is killed.
--- a/testbed/src/group.rs
+++ b/testbed/src/group.rs
@@ -339,6 +339,7 @@
         let life = self.hosts[host].life;
         let (data_centre, region) = (self.hosts[host].data_centre, self.hosts[host].region);
         let core = GatewayCore::new(Setup {
+            witness_port: None,
             address: Self::address(host),
             incarnation: life,
             capacity: self.hosts[host].capacity,
--- a/tests/direct_pulls.rs
+++ b/tests/direct_pulls.rs
@@ -25,6 +25,7 @@
 /// A gateway with a configuration of version 1 and one endpoint.
 fn gateway() -> GatewayCore {
     let mut core = GatewayCore::new(Setup {
+        witness_port: None,
         address: address(1),
         incarnation: 1,
         capacity: 90,
--- a/tests/directenv/gateway.rs
+++ b/tests/directenv/gateway.rs
@@ -33,6 +33,7 @@
 
 pub fn setup() -> Setup {
     Setup {
+        witness_port: None,
         address: address(1),
         incarnation: 1,
         capacity: 1_000,
--- a/tests/directenv/mod.rs
+++ b/tests/directenv/mod.rs
@@ -17,7 +17,7 @@
 pub mod timeline;
 pub mod world;
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -30,6 +30,7 @@
 };
 use stackmast::direct::published::position::Position;
 use stackmast::direct::published::regions::AllowedRegions;
+use stackmast::direct::published::software::VERSION_LABEL;
 use stackmast::direct::published::table::Table;
 
 pub const CALL: Duration = Duration::from_millis(240);
@@ -84,6 +85,16 @@
     })
 }
 
+/// An engine of a software version, on a host of its own.
+pub fn engine_of(version: &str, number: u16) -> Arc<Endpoint> {
+    let mut engine = (*endpoint("engine", number)).clone();
+    engine.labels.insert(VERSION_LABEL.to_owned(), version.to_owned());
+    engine
+        .address
+        .set_ip(Ipv4Addr::from(u32::from(Ipv4Addr::new(10, 64, 0, 0)) + u32::from(number)).into());
+    Arc::new(engine)
+}
+
 /// A route over the pool "engine"; each of `stages` is (pool, stages before it, result bytes).
 pub fn route(name: &str, repeat: Repeat, stages: &[(&str, &[usize], u64)]) -> Route {
     Route {
--- a/tests/directenv/timeline.rs
+++ b/tests/directenv/timeline.rs
@@ -82,6 +82,7 @@
         self.incarnation += 1;
         self.wake = None;
         self.core = Some(GatewayCore::new(Setup {
+            witness_port: None,
             address: address(number as u16 + 1),
             incarnation: self.incarnation,
             ..setup
--- a/tests/directenv/world.rs
+++ b/tests/directenv/world.rs
@@ -230,6 +230,7 @@
         self.incarnations[number] += 1;
         let seeds = (0..GATEWAYS).map(|n| address(n + 1)).collect();
         self.gateways[number] = Some(GatewayCore::new(Setup {
+            witness_port: None,
             address: address(number as u16 + 1),
             incarnation: self.incarnations[number],
             capacity: 1_000,
