What an inference rests on, and which witnesses are asked

Without a failing test: a suspension interrupts what a gateway knows; records move on from unreachable witnesses at once; a port that accepts and closes is paused like one that refuses; an unreachable process doesn't use up a round of a lookup; 16 candidates a version bound the connections (64); MAX_STREAM_AGE is the one constant for a minute.

--- a/src/direct/core.rs
+++ b/src/direct/core.rs
@@ -254,7 +254,7 @@
             Event::PeerOutboundFailed { address } => {
                 let incarnation = self.members.incarnation_of(address);
                 if self.requests.is_witness(address) {
-                    self.requests.report_streams_again(address);
+                    self.requests.holder_unreachable(address, now);
                 } else if incarnation
                     .is_some_and(|incarnation| self.members.suspect(address, incarnation, now))
                 {
--- a/src/direct/origins/holders.rs
+++ b/src/direct/origins/holders.rs
@@ -24,13 +24,14 @@
 /// Key by which these gateways are ranked.
 const CANDIDATES: &str = "holders of the origins of streams";
 
-/// An incarnation of a gateway that holds records.
+/// A process that holds records.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Holder {
-    /// Address at which the gateway's peers connect to it.
+    /// Address at which others connect to the process.
     pub address: SocketAddr,
-    /// Incarnation of the gateway; another one has lost the records.
-    pub incarnation: u64,
+    /// Incarnation of a gateway; another one has lost the records. `None` for a witness, whose
+    /// incarnations are not known.
+    pub incarnation: Option<u64>,
 }
 
 /// The gateways among which holders are selected. Ranked once for each change of the members.
@@ -53,7 +54,7 @@
         self.changes = changes;
         let able = members.up().filter(|m| builds.holds_origins(m.address)).chain([members.own()]);
         let able = able.filter(|member| member.state != MemberState::Leaving);
-        let holder = |m: &Member| Holder { address: m.address, incarnation: m.incarnation };
+        let holder = |m: &Member| Holder { address: m.address, incarnation: Some(m.incarnation) };
         let mut candidates: Vec<Holder> = able.map(holder).collect();
         let seed = xxh3_64(CANDIDATES.as_bytes());
         candidates.sort_by_cached_key(|holder| Reverse(weight(holder.address, seed)));
--- a/src/direct/origins/mod.rs
+++ b/src/direct/origins/mod.rs
@@ -15,11 +15,17 @@
 pub mod versions;
 pub mod witnesses;
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use crate::direct::published::model::{Endpoint, Name};
 use crate::direct::published::software::version_of;
 
+/// Maximum age of a stream that a caller resumes. Records expire, and versions are forgotten, after
+/// this time at the latest.
+pub const MAX_STREAM_AGE: Duration = Duration::from_secs(60);
+
 /// The pool and the software version of the endpoint that began a stream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Origin {
--- a/src/direct/origins/records.rs
+++ b/src/direct/origins/records.rs
@@ -20,19 +20,11 @@
     pub expires: Timestamp,
     /// Holders that this gateway has sent the record to.
     pub holders: Vec<Holder>,
-    /// Holders of an earlier origin of the stream, which receive this one as well.
-    pub earlier_holders: Vec<Holder>,
 }
 
 impl Record {
-    /// Sets the holders of the record; returns those that it has not been sent to. Holders of an
-    /// earlier origin remain.
-    pub fn set_holders(&mut self, mut holders: Vec<Holder>) -> Vec<Holder> {
-        for earlier in &self.earlier_holders {
-            if holders.iter().all(|holder| holder.address != earlier.address) {
-                holders.push(*earlier);
-            }
-        }
+    /// Sets the holders of the record; returns those that it has not been sent to.
+    pub fn set_holders(&mut self, holders: Vec<Holder>) -> Vec<Holder> {
         let new = holders.iter().filter(|holder| !self.holders.contains(holder)).copied().collect();
         self.holders = holders;
         new
@@ -47,10 +39,9 @@
 }
 
 impl Records {
-    /// Records the origin of a stream. A later origin replaces an earlier one: until the first
-    /// event arrives, the request may be sent to another endpoint.
+    /// Records the origin of a stream. A later record of the stream replaces an earlier one.
     pub fn insert(&mut self, stream: &Name, origin: Origin, expires: Timestamp, now: Timestamp) {
-        let earlier_holders = self.remove(stream).map_or_else(Vec::new, |record| record.holders);
+        self.remove(stream);
         self.expire(now);
         if self.records.len() >= MAX_RECORDS
             && let Some((_, first)) = self.expiries.pop_first()
@@ -58,8 +49,7 @@
             self.records.remove(&first);
         }
         self.expiries.insert((expires, stream.clone()));
-        let record = Record { origin, expires, holders: Vec::new(), earlier_holders };
-        self.records.insert(stream.clone(), record);
+        self.records.insert(stream.clone(), Record { origin, expires, holders: Vec::new() });
     }
 
     /// The origin of a stream, if it is recorded.
@@ -94,11 +84,11 @@
         lost
     }
 
-    /// Removes the record of a stream, which is complete, and returns it.
-    pub fn remove(&mut self, stream: &str) -> Option<Record> {
-        let (stream, record) = self.records.remove_entry(stream)?;
-        self.expiries.remove(&(record.expires, stream));
-        Some(record)
+    /// Removes the record of a stream, which is complete.
+    pub fn remove(&mut self, stream: &str) {
+        if let Some((stream, record)) = self.records.remove_entry(stream) {
+            self.expiries.remove(&(record.expires, stream));
+        }
     }
 
     /// Removes expired records.
--- a/src/direct/origins/versions.rs
+++ b/src/direct/origins/versions.rs
@@ -7,15 +7,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::direct::published::model::{Endpoint, Name, Work};
+use crate::direct::origins::MAX_STREAM_AGE;
+use crate::direct::published::model::{Endpoint, Name, Target, Work};
 use crate::direct::published::software::version_of;
 use crate::direct::published::table::Table;
 use crate::message::Timestamp;
 
-/// How long a version counts after its last endpoint was removed: callers wait at most this long
-/// for a stream that the endpoint began.
-const RETENTION: Duration = Duration::from_secs(60);
-
 /// A software version; `None` for endpoints whose entries name none.
 pub type Version = Option<Name>;
 
@@ -33,6 +30,8 @@
     pools: HashMap<Name, BTreeMap<Version, Use>>,
     /// Since when this process has followed the endpoints of each pool without interruption.
     known_since: HashMap<Name, Timestamp>,
+    /// Targets of each route whose streams may be resumed.
+    targets: HashMap<Name, Vec<Target>>,
 }
 
 impl RecentVersions {
@@ -51,6 +50,7 @@
         if is_new_configuration {
             self.pools.retain(|name, _| table.pool(name).is_some());
             self.known_since.retain(|name, _| table.pool(name).is_some());
+            self.update_targets(table, now);
         }
         for pool in pools {
             let uses = self.pools.entry(pool.name.clone()).or_default();
@@ -82,13 +82,28 @@
     /// The list of endpoints was outdated until now: versions may have been added and removed
     /// unnoticed.
     pub fn interrupt(&mut self, now: Timestamp) {
-        self.known_since.values_mut().for_each(|since| *since = now);
+        self.known_since.values_mut().for_each(|since| *since = now.max(*since));
+    }
+
+    /// Applies the routes of a new configuration. Streams of a route whose targets changed may have
+    /// begun in another pool than the one that continues them, so nothing is known of the pools.
+    fn update_targets(&mut self, table: &Table, now: Timestamp) {
+        let mut targets = HashMap::new();
+        for route in table.deployment.routes.iter().filter(|r| r.streams && r.resumable) {
+            if self.targets.get(&route.name).is_some_and(|before| *before != route.targets) {
+                let pools = route.targets.iter().map(|target| &target.pool);
+                self.known_since.extend(pools.map(|pool| (pool.clone(), now)));
+            }
+            targets.insert(route.name.clone(), route.targets.clone());
+        }
+        self.targets = targets;
     }
 
     /// The version that all streams of a pool began at, as far as callers may resume them; `None`
     /// if there are several, or if this process has not followed the list for long enough.
     pub fn only_version(&self, pool: &str, now: Timestamp) -> Option<&Version> {
-        let is_known = self.known_for(pool, now).is_some_and(|known_for| known_for >= RETENTION);
+        let is_known =
+            self.known_for(pool, now).is_some_and(|known_for| known_for >= MAX_STREAM_AGE);
         self.of(pool, now).next().filter(|_| is_known && !self.has_several(pool, now))
     }
 
@@ -117,7 +132,7 @@
 fn remove(uses: &mut BTreeMap<Version, Use>, id: &Name, now: Timestamp) {
     for used in uses.values_mut() {
         if used.listed.remove(id) {
-            used.until = now + RETENTION;
+            used.until = now + MAX_STREAM_AGE;
         }
     }
 }
--- a/src/direct/origins/witnesses.rs
+++ b/src/direct/origins/witnesses.rs
@@ -6,7 +6,7 @@
 //! all hosts; a host without one refuses the connection, and is not asked again for some time.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,12 +23,12 @@
 
 /// Number of witnesses that hold the record of a stream.
 const WITNESSES_PER_STREAM: usize = 3;
-/// Number of witnesses of each version that are asked for a record: more than hold it, since
-/// endpoints may have been added since the record was sent.
-const ASKED_PER_VERSION: usize = 6;
+/// Number of witnesses of each list of a version that are asked for a record: more than hold it,
+/// since endpoints may have been added since the record was sent.
+const ASKED_PER_LIST: usize = 6;
 /// Maximum number of witnesses of a version among which those of a stream are selected; bounds the
 /// number of connections of a gateway.
-const MAX_CANDIDATES: usize = 64;
+const MAX_CANDIDATES: usize = 16;
 /// Key by which these witnesses are ranked.
 const CANDIDATES: &str = "witnesses of the origins of streams";
 /// Time for which a witness is not used after it could not be reached; doubled each time.
@@ -36,6 +36,39 @@
 /// Maximum of that time.
 const MAX_PAUSE: Duration = Duration::from_secs(30);
 
+/// The witnesses of one version of a pool, the highest hash weight first.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct Candidates {
+    /// Those beside endpoints that are not leaving.
+    staying: Vec<SocketAddr>,
+    all: Vec<SocketAddr>,
+}
+
+impl Candidates {
+    fn add(&mut self, endpoint: &Endpoint, port: u16) {
+        let address = SocketAddr::new(endpoint.address.ip(), port);
+        self.all.push(address);
+        if !endpoint.leaving {
+            self.staying.push(address);
+        }
+    }
+
+    fn rank(&mut self) {
+        let seed = xxh3_64(CANDIDATES.as_bytes());
+        for list in [&mut self.staying, &mut self.all] {
+            list.sort_unstable();
+            list.dedup();
+            list.sort_by_cached_key(|address| Reverse(weight(*address, seed)));
+            list.truncate(MAX_CANDIDATES);
+        }
+    }
+
+    /// Those that receive new records.
+    fn receiving(&self) -> &[SocketAddr] {
+        if self.staying.is_empty() { &self.all } else { &self.staying }
+    }
+}
+
 /// A witness that could not be reached.
 #[derive(Debug, Clone, Copy)]
 struct Pause {
@@ -48,7 +81,7 @@
 pub struct Witnesses {
     /// Port at which witnesses listen; `None` if there are none.
     port: Option<u16>,
-    candidates: HashMap<Name, BTreeMap<Version, Vec<SocketAddr>>>,
+    candidates: HashMap<Name, BTreeMap<Version, Candidates>>,
     pauses: HashMap<SocketAddr, Pause>,
 }
 
@@ -87,32 +120,34 @@
     /// Whether an address is the one of a witness.
     pub fn is_witness(&self, address: SocketAddr) -> bool {
         let mut candidates = self.candidates.values().flat_map(BTreeMap::values);
-        Some(address.port()) == self.port && candidates.any(|c| c.contains(&address))
+        Some(address.port()) == self.port && candidates.any(|c| c.all.contains(&address))
     }
 
     /// The witnesses that hold the record of a stream.
     pub fn of(&self, stream: &str, origin: &Origin, now: Timestamp) -> Vec<SocketAddr> {
         let candidates = self.candidates.get(&origin.pool).and_then(|p| p.get(&origin.version));
-        self.first(candidates.into_iter().flatten(), stream, WITNESSES_PER_STREAM, now)
+        let receiving = candidates.map_or(&[][..], Candidates::receiving);
+        self.first(receiving, stream, WITNESSES_PER_STREAM, now)
     }
 
-    /// The witnesses that are asked for the record of a stream of a pool.
-    pub fn asked(&self, stream: &str, pool: &str, now: Timestamp) -> Vec<SocketAddr> {
+    /// The witnesses that are asked for the record of a stream of a pool: those that hold it now,
+    /// and those that did before endpoints began to leave.
+    pub fn asked(&self, stream: &str, pool: &str, now: Timestamp) -> BTreeSet<SocketAddr> {
         let versions = self.candidates.get(pool).into_iter().flat_map(BTreeMap::values);
-        let asked = versions.map(|c| self.first(c.iter(), stream, ASKED_PER_VERSION, now));
-        asked.flatten().collect()
+        let lists = versions.flat_map(|candidates| [candidates.receiving(), &candidates.all]);
+        lists.flat_map(|list| self.first(list, stream, ASKED_PER_LIST, now)).collect()
     }
 
-    fn first<'a>(
+    fn first(
         &self,
-        candidates: impl Iterator<Item = &'a SocketAddr>,
+        candidates: &[SocketAddr],
         stream: &str,
         count: usize,
         now: Timestamp,
     ) -> Vec<SocketAddr> {
         let is_used =
             |address: &SocketAddr| self.pauses.get(address).is_none_or(|p| now >= p.until);
-        first_ranked(candidates.copied().filter(is_used), |address| *address, stream, count)
+        first_ranked(candidates.iter().copied().filter(is_used), |address| *address, stream, count)
     }
 
     /// Records that a witness could not be reached, so that it is not used for some time.
@@ -120,7 +155,8 @@
         if !self.is_witness(address) {
             return;
         }
-        let length = self.pauses.get(&address).map_or(MIN_PAUSE, |p| (p.length * 2).min(MAX_PAUSE));
+        let recent = self.pauses.get(&address).filter(|pause| now < pause.until + MAX_PAUSE);
+        let length = recent.map_or(MIN_PAUSE, |pause| (pause.length * 2).min(MAX_PAUSE));
         self.pauses.insert(address, Pause { until: now + length, length });
     }
 
@@ -130,25 +166,15 @@
     }
 }
 
-/// The candidates of each version. Endpoints that are leaving count where a version has no others.
 fn candidates<'a>(
     endpoints: impl Iterator<Item = &'a Arc<Endpoint>>,
     port: u16,
-) -> BTreeMap<Version, Vec<SocketAddr>> {
-    let mut versions: BTreeMap<Version, (Vec<SocketAddr>, Vec<SocketAddr>)> = BTreeMap::new();
+) -> BTreeMap<Version, Candidates> {
+    let mut versions: BTreeMap<Version, Candidates> = BTreeMap::new();
     for endpoint in endpoints {
-        let (staying, leaving) = versions.entry(version_of(endpoint).map(Name::from)).or_default();
-        let list = if endpoint.leaving { leaving } else { staying };
-        list.push(SocketAddr::new(endpoint.address.ip(), port));
+        let version = version_of(endpoint).map(Name::from);
+        versions.entry(version).or_default().add(endpoint, port);
     }
-    let seed = xxh3_64(CANDIDATES.as_bytes());
-    let select = |(staying, leaving): (Vec<SocketAddr>, Vec<SocketAddr>)| {
-        let mut selected = if staying.is_empty() { leaving } else { staying };
-        selected.sort_unstable();
-        selected.dedup();
-        selected.sort_by_cached_key(|address| Reverse(weight(*address, seed)));
-        selected.truncate(MAX_CANDIDATES);
-        selected
-    };
-    versions.into_iter().map(|(version, lists)| (version, select(lists))).collect()
+    versions.values_mut().for_each(Candidates::rank);
+    versions
 }
--- a/src/direct/peer_messages.rs
+++ b/src/direct/peer_messages.rs
@@ -127,8 +127,7 @@
                 self.requests.origin_requested(from, number, stream, &pool, now);
             }
             PeerMessage::StreamOrigin { number, stream, origin, versions } => {
-                let is_inferred = versions.is_empty() && !self.requests.is_witness(from);
-                let response = OriginResponse { number, stream, origin, is_inferred };
+                let response = OriginResponse { number, stream, origin, versions };
                 self.requests.origin_received(from, response, &self.table, now);
             }
             PeerMessage::Cancelled { job, reason, not_started, retry_after } => {
@@ -250,6 +249,9 @@
     pub(super) fn on_unreachable(&mut self, address: SocketAddr, now: Timestamp) {
         self.unanswered_peers.remove(&address);
         self.requests.holder_unreachable(address, now);
+        if self.requests.is_witness(address) {
+            self.builds.remove(address);
+        }
         if let Some(incarnation) = self.members.incarnation_of(address)
             && self.members.mark_unreachable(address, incarnation, now)
         {
--- a/src/direct/requests/mod.rs
+++ b/src/direct/requests/mod.rs
@@ -387,6 +387,7 @@
     /// The process was suspended until now: defers the timers that are due by [`RESUME_GRACE`].
     pub fn on_suspension(&mut self, now: Timestamp) {
         self.resumed_at = now;
+        self.origins.versions.interrupt(now);
         let later = self.timers.split_off(&(now, 0, Timer::Deadline));
         let due = std::mem::replace(&mut self.timers, later).into_iter();
         self.timers.extend(due.map(|(_, caller, timer)| (now + RESUME_GRACE, caller, timer)));
--- a/src/direct/requests/resumption.rs
+++ b/src/direct/requests/resumption.rs
@@ -1,7 +1,7 @@
 //! Streams that callers resume: the lookup of the software version that began a stream, and what
 //! follows from it.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -9,10 +9,12 @@
 use crate::direct::event_order::Place;
 use crate::direct::log_events::{LogEvent, StreamEvent, ms};
 use crate::direct::origins::Origin;
+use crate::direct::origins::versions::Version;
 use crate::direct::peers::message::PeerMessage;
 use crate::direct::published::model::{Name, Route};
 use crate::direct::published::table::Table;
 use crate::direct::requests::request::Request;
+use crate::direct::requests::stream_origins::HolderKind;
 use crate::direct::requests::{RETRY_SOON, Requests, Timer};
 use crate::message::Timestamp;
 
@@ -25,15 +27,34 @@
 /// The lookup of the origin of a stream that a caller resumes.
 #[derive(Debug, Clone, Default)]
 pub struct OriginLookup {
-    asked: BTreeSet<SocketAddr>,
+    asked: BTreeMap<SocketAddr, HolderKind>,
     /// Those of them that responded or are down.
     answered: BTreeSet<SocketAddr>,
     /// Origins that other gateways inferred, since a pool has had one version only.
     inferred: Vec<Origin>,
+    /// Versions of the pool that gateways without a record have listed recently.
+    versions: BTreeSet<Version>,
+    /// Number of times that all unanswered ones were asked.
     rounds: u32,
+    /// Whether those that have not responded are to be asked again.
+    is_round_due: bool,
     began: Timestamp,
 }
 
+impl OriginLookup {
+    /// Whether all processes of a kind that were asked responded or are down.
+    fn is_answered_by(&self, kind: HolderKind) -> bool {
+        let mut asked = self.asked.iter().filter(|(_, asked)| **asked == kind);
+        asked.all(|(address, _)| self.answered.contains(address))
+    }
+
+    /// Whether a gateway responded or is down.
+    fn has_gateway(&self) -> bool {
+        let is_gateway = |a: &SocketAddr| self.asked.get(a) == Some(&HolderKind::Gateway);
+        self.answered.iter().any(is_gateway)
+    }
+}
+
 /// The response of a holder to a lookup.
 #[derive(Debug)]
 pub struct OriginResponse {
@@ -43,8 +64,9 @@
     pub stream: Name,
     /// Origin of the stream, if the holder knows it.
     pub origin: Option<Origin>,
-    /// Whether the holder has no record, and inferred the origin.
-    pub is_inferred: bool,
+    /// Versions of the pool that the holder has listed recently; empty if it has no record and
+    /// inferred the origin.
+    pub versions: Vec<Version>,
 }
 
 /// How the origin of a stream was determined.
@@ -100,7 +122,8 @@
             return;
         };
         if is_resumption(&request.incoming, &request.route) {
-            request.lookup = Some(OriginLookup { began: now, ..OriginLookup::default() });
+            let (began, is_round_due) = (now, true);
+            request.lookup = Some(OriginLookup { began, is_round_due, ..OriginLookup::default() });
             self.pending_lookups.push(caller);
         } else {
             self.proceed(caller, table, now);
@@ -131,24 +154,27 @@
         if let Some(origin) = self.origins.get(&stream, now).cloned() {
             return self.origin_found(caller, origin, Source::Own, table, now);
         }
-        let holders = self.origins.asked_for(&stream, &request.pool, now).into_iter();
-        let is_unanswered = |h: &SocketAddr| *h != self.own && !lookup.answered.contains(h);
-        let unanswered: Vec<SocketAddr> = holders.filter(is_unanswered).collect();
+        let mut unanswered = self.origins.asked(&stream, &request.route, now);
+        unanswered.retain(|h, _| *h != self.own && !lookup.answered.contains(h));
         // A gateway that knows others, none of which is up, waits for one to be up.
         let is_alone = self.gateway_count <= 1;
-        let is_complete = unanswered.is_empty() && (is_alone || !lookup.answered.is_empty());
-        if is_complete || lookup.rounds == MAX_ROUNDS {
+        let is_complete = unanswered.is_empty() && (is_alone || lookup.has_gateway());
+        if is_complete || lookup.is_round_due && lookup.rounds == MAX_ROUNDS {
             return self.decide_by_versions(caller, table, now);
         }
+        if !lookup.is_round_due {
+            unanswered.retain(|holder, _| !lookup.asked.contains_key(holder));
+        }
         self.ask_holders(caller, &stream, unanswered, now);
     }
 
-    /// Asks holders for the origin of a stream, and again if they don't respond in time.
+    /// Asks holders for the origin of a stream. In a round, those that don't respond in time are
+    /// asked again in the next one.
     fn ask_holders(
         &mut self,
         caller: u64,
         stream: &Name,
-        holders: Vec<SocketAddr>,
+        holders: BTreeMap<SocketAddr, HolderKind>,
         now: Timestamp,
     ) {
         let Some(request) = self.requests.get_mut(&caller) else {
@@ -157,10 +183,12 @@
         let Some(lookup) = &mut request.lookup else {
             return;
         };
-        lookup.rounds += 1;
-        lookup.asked.extend(holders.iter().copied());
-        self.timers.insert((now + ROUND, caller, Timer::OriginLookup(lookup.rounds)));
-        for to in holders {
+        if std::mem::take(&mut lookup.is_round_due) {
+            lookup.rounds += 1;
+            self.timers.insert((now + ROUND, caller, Timer::OriginLookup(lookup.rounds)));
+        }
+        lookup.asked.extend(&holders);
+        for to in holders.into_keys() {
             let (stream, pool) = (stream.clone(), request.pool.clone());
             let message = PeerMessage::AskOrigin { number: caller, stream, pool };
             self.out.push(Action::Send { to, message });
@@ -169,8 +197,9 @@
 
     /// Holders have not responded in time: asks them again.
     pub(super) fn origin_lookup_timed_out(&mut self, caller: u64, round: u32) {
-        let lookup = self.requests.get(&caller).and_then(|request| request.lookup.as_ref());
-        if lookup.is_some_and(|lookup| lookup.rounds == round) {
+        let lookup = self.requests.get_mut(&caller).and_then(|request| request.lookup.as_mut());
+        if let Some(lookup) = lookup.filter(|lookup| lookup.rounds == round) {
+            lookup.is_round_due = true;
             self.pending_lookups.push(caller);
         }
     }
@@ -183,31 +212,34 @@
         table: &Table,
         now: Timestamp,
     ) {
-        let OriginResponse { number, stream, origin, is_inferred } = response;
+        let OriginResponse { number, stream, origin, versions } = response;
         self.origins.witnesses.reached(from);
         let request = self.requests.get_mut(&number).filter(|r| r.stream() == Some(&stream));
-        let lookup = request.and_then(|request| request.lookup.as_mut());
-        let Some(lookup) = lookup.filter(|lookup| lookup.asked.contains(&from)) else {
+        let Some(lookup) = request.and_then(|request| request.lookup.as_mut()) else {
+            return;
+        };
+        let Some(kind) = lookup.asked.get(&from).copied() else {
             return;
         };
         lookup.answered.insert(from);
+        match origin {
+            Some(origin) if versions.is_empty() => lookup.inferred.push(origin),
+            Some(origin) => {
+                let source = match kind {
+                    HolderKind::Gateway => Source::Holder,
+                    HolderKind::Witness => Source::Witness,
+                };
+                return self.origin_found(number, origin, source, table, now);
+            }
+            None => lookup.versions.extend(versions),
+        }
         let is_last = lookup.answered.len() == lookup.asked.len();
-        let is_witness = self.origins.witnesses.is_witness(from);
-        let record = if is_inferred {
-            lookup.inferred.extend(origin);
-            None
-        } else {
-            origin
-        };
-        let source = if is_witness { Source::Witness } else { Source::Holder };
+        // One gateway suffices if it does not contradict what this one infers.
+        let is_confirmed = lookup.has_gateway() && lookup.is_answered_by(HolderKind::Witness);
         let request = self.requests.get(&number);
-        let is_decided = |r: &Request| !is_witness && self.inferred_origin(r, now).is_some();
-        match record {
-            Some(origin) => self.origin_found(number, origin, source, table, now),
-            None if is_last || request.is_some_and(is_decided) => {
-                self.decide_by_versions(number, table, now);
-            }
-            None => {}
+        let is_inferred = request.is_some_and(|r| self.inferred_origin(r, now).is_some());
+        if is_last || is_confirmed && is_inferred {
+            self.decide_by_versions(number, table, now);
         }
     }
 
@@ -215,7 +247,7 @@
     pub fn holder_removed(&mut self, address: SocketAddr) {
         let is_waiting = |request: &Request| {
             let lookup = request.lookup.as_ref();
-            lookup.is_some_and(|l| l.asked.contains(&address) && !l.answered.contains(&address))
+            lookup.is_some_and(|l| l.asked.contains_key(&address) && !l.answered.contains(&address))
         };
         for caller in self.callers_where(is_waiting) {
             let lookup = self.requests.get_mut(&caller).and_then(|request| request.lookup.as_mut());
@@ -227,12 +259,15 @@
     }
 
     /// The only origin that the stream of a request can have according to this gateway and those
-    /// that responded; `None` if none of them can tell, or they differ.
+    /// that responded; `None` if none of them can tell, or if any of them knows another version.
     fn inferred_origin(&self, request: &Request, now: Timestamp) -> Option<Origin> {
-        let of_others = request.lookup.iter().flat_map(|lookup| lookup.inferred.iter().cloned());
-        let mut origins = self.origins.only_origin(&request.pool, now).into_iter().chain(of_others);
-        let first = origins.next()?;
-        origins.all(|origin| origin == first).then_some(first)
+        let lookup = request.lookup.as_ref()?;
+        let own = self.origins.only_origin(&request.pool, now);
+        let mut inferred = own.into_iter().chain(lookup.inferred.iter().cloned());
+        let first = inferred.next()?;
+        let mut known = self.origins.versions.of(&request.pool, now).chain(&lookup.versions);
+        let is_only = known.all(|version| *version == first.version);
+        (is_only && inferred.all(|origin| origin == first)).then_some(first)
     }
 
     /// No record was found. If the pool has had one version only for as long as callers resume
--- a/src/direct/requests/stream_origins.rs
+++ b/src/direct/requests/stream_origins.rs
@@ -8,16 +8,16 @@
 
 use crate::direct::event::Action;
 use crate::direct::log_events::{LogEvent, StreamEvent};
-use crate::direct::origins::Origin;
 use crate::direct::origins::holders::{Holder, Holders};
 use crate::direct::origins::records::Records;
 use crate::direct::origins::versions::RecentVersions;
 use crate::direct::origins::witnesses::Witnesses;
+use crate::direct::origins::{MAX_STREAM_AGE, Origin};
 use crate::direct::peers::build::Builds;
 use crate::direct::peers::members::Members;
 use crate::direct::peers::message::{BegunStream, PeerMessage};
 use crate::direct::published::documents::Merged;
-use crate::direct::published::model::{Endpoint, Name};
+use crate::direct::published::model::{Endpoint, Name, Route};
 use crate::direct::published::table::Table;
 use crate::direct::requests::request::Request;
 use crate::direct::requests::{DEFAULT_TIMEOUT, Requests};
@@ -28,6 +28,13 @@
 /// list at least every 2 s.
 const MAX_LIST_AGE: Duration = Duration::from_secs(3);
 
+/// Kind of a process that holds records.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum HolderKind {
+    Gateway,
+    Witness,
+}
+
 /// What a gateway knows of the origins of streams.
 #[derive(Debug, Default)]
 pub(super) struct StreamOrigins {
@@ -79,7 +86,7 @@
     /// The processes that hold the record of a stream.
     fn holders_of(&self, stream: &str, origin: &Origin, now: Timestamp) -> Vec<Holder> {
         let witnesses = self.witnesses.of(stream, origin, now).into_iter();
-        let witnesses = witnesses.map(|address| Holder { address, incarnation: 0 });
+        let witnesses = witnesses.map(|address| Holder { address, incarnation: None });
         let mut holders: Vec<Holder> = witnesses.collect();
         if self.versions.has_several(&origin.pool, now) {
             holders.extend(self.holders.of(stream));
@@ -87,10 +94,20 @@
         holders
     }
 
-    /// The processes that are asked for the record of a stream.
-    pub(super) fn asked_for(&self, stream: &str, pool: &str, now: Timestamp) -> Vec<SocketAddr> {
-        let gateways = self.holders.asked(stream).into_iter().map(|holder| holder.address);
-        gateways.chain(self.witnesses.asked(stream, pool, now)).collect()
+    /// The processes that are asked for the record of a stream of a route.
+    pub(super) fn asked(
+        &self,
+        stream: &str,
+        route: &Route,
+        now: Timestamp,
+    ) -> BTreeMap<SocketAddr, HolderKind> {
+        let gateways = self.holders.asked(stream).into_iter();
+        let gateways = gateways.map(|holder| (holder.address, HolderKind::Gateway));
+        let witnesses = route
+            .targets
+            .iter()
+            .flat_map(|target| self.witnesses.asked(stream, &target.pool, now).into_iter());
+        gateways.chain(witnesses.map(|address| (address, HolderKind::Witness))).collect()
     }
 
     /// Has the records of own streams sent to the holders that lack them.
@@ -102,18 +119,23 @@
 impl Request {
     /// When the caller stops waiting for the stream, over all its tries.
     fn resumable_until(&self) -> Timestamp {
-        self.arrived + self.incoming.timeout.unwrap_or(DEFAULT_TIMEOUT).min(DEFAULT_TIMEOUT)
+        self.arrived + self.incoming.timeout.unwrap_or(DEFAULT_TIMEOUT).min(MAX_STREAM_AGE)
     }
 }
 
 impl Requests {
-    /// Records that a request is sent to an endpoint that may begin its stream.
+    /// Records that a request is sent to an endpoint that may begin its stream. Further attempts
+    /// are made at the same version, so that no holder has a record of another one.
     pub(super) fn record_stream(&mut self, caller: u64, endpoint: &Arc<Endpoint>, now: Timestamp) {
-        let request = self.requests.get(&caller).filter(|r| r.route.streams && r.route.resumable);
-        let Some((request, stream)) = request.and_then(|r| Some((r, r.stream()?))) else {
+        let request = self.requests.get_mut(&caller);
+        let Some(request) = request.filter(|r| r.route.streams && r.route.resumable) else {
             return;
         };
         let origin = Origin::of(&request.pool, endpoint);
+        request.origin = Some(origin.clone());
+        let Some(stream) = request.stream() else {
+            return;
+        };
         self.origins.pending_reports.push(stream.clone());
         self.origins.own.insert(stream, origin, request.resumable_until(), now);
     }
@@ -165,7 +187,7 @@
     /// Stores records of another gateway, for which this one is a holder.
     pub fn streams_began(&mut self, streams: Vec<BegunStream>, now: Timestamp) {
         for BegunStream { stream, origin, expires_in } in streams {
-            let expires = now + expires_in.min(DEFAULT_TIMEOUT);
+            let expires = now + expires_in.min(MAX_STREAM_AGE);
             self.origins.received.insert(&stream, origin, expires, now);
         }
         crate::metrics::stream_origins_held(self.origins.received.len());
@@ -187,10 +209,10 @@
     }
 
     /// A process could not be reached: lookups don't wait for it. A witness is not used for some
-    /// time.
+    /// time, and its records are sent to others.
     pub fn holder_unreachable(&mut self, address: SocketAddr, now: Timestamp) {
         self.origins.witnesses.unreachable(address, now);
-        self.origins.own.forget_holder(address);
+        self.report_streams_again(address);
         self.holder_removed(address);
     }
 
@@ -206,11 +228,13 @@
         now: Timestamp,
     ) {
         let record = self.origins.get(&stream, now).cloned();
-        let (origin, versions) = if record.is_some() {
-            (record, self.origins.versions.of(pool, now).cloned().collect())
+        let inferred = self.origins.only_origin(pool, now).filter(|_| record.is_none());
+        let versions = if inferred.is_some() {
+            Vec::new()
         } else {
-            (self.origins.only_origin(pool, now), Vec::new())
+            self.origins.versions.of(pool, now).cloned().collect()
         };
+        let origin = record.or(inferred);
         let message = PeerMessage::StreamOrigin { number, stream, origin, versions };
         self.out.push(Action::Send { to: from, message });
     }
@@ -226,8 +250,8 @@
             let event = StreamEvent::SoftwareVersions { pool: pool.clone(), versions };
             self.out.push(Action::Log(LogEvent::Stream(event)));
         }
-        let has_witnesses = self.origins.witnesses.update(table);
-        if has_witnesses || !changed.is_empty() {
+        let are_witnesses_changed = self.origins.witnesses.update(table);
+        if are_witnesses_changed || !changed.is_empty() {
             self.origins.report_again();
         }
     }
--- a/src/direct/witness/core.rs
+++ b/src/direct/witness/core.rs
@@ -6,14 +6,12 @@
 use crate::actor::Core;
 use crate::direct::event::{Action, Event};
 use crate::direct::log_events::{LogEvent, StreamEvent, ms};
+use crate::direct::origins::MAX_STREAM_AGE;
 use crate::direct::origins::records::Records;
 use crate::direct::peers::message::{BegunStream, PeerMessage};
 use crate::direct::published::model::Name;
 use crate::message::Timestamp;
 
-/// Maximum time for which a record is held, whatever its sender states.
-const MAX_RETENTION: Duration = Duration::from_secs(60);
-
 /// State of a witness.
 #[derive(Debug, Default)]
 pub struct WitnessCore {
@@ -46,7 +44,7 @@
 
     fn hold(&mut self, streams: Vec<BegunStream>, now: Timestamp) {
         for BegunStream { stream, origin, expires_in } in streams {
-            self.records.insert(&stream, origin, now + expires_in.min(MAX_RETENTION), now);
+            self.records.insert(&stream, origin, now + expires_in.min(MAX_STREAM_AGE), now);
         }
         crate::metrics::stream_origins_held(self.records.len());
     }
@@ -60,7 +58,8 @@
             is_known: origin.is_some(),
             held: self.records.len(),
         })));
-        let message = PeerMessage::StreamOrigin { number, stream, origin, versions: Vec::new() };
+        let versions = origin.iter().map(|origin| origin.version.clone()).collect();
+        let message = PeerMessage::StreamOrigin { number, stream, origin, versions };
         self.out.push(Action::Send { to: from, message });
     }
 }
--- a/tests/direct_lost_gateways.rs
+++ b/tests/direct_lost_gateways.rs
@@ -7,12 +7,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use directenv::gateway::{begins, calls, incoming, resumable};
+use directenv::gateway::{begins, calls, incoming, refusal, resumable};
 use directenv::group::Group;
-use directenv::{deployment, engine_of, ms};
+use directenv::{deployment, endpoint, engine_of, ms};
+use stackmast::config::Selector;
 use stackmast::direct::answers::CallFailure;
 use stackmast::direct::event::{Event, IncomingRequest, Refused};
-use stackmast::direct::published::model::Endpoint;
+use stackmast::direct::origins::Origin;
+use stackmast::direct::peers::message::PeerMessage;
+use stackmast::direct::published::model::{Deployment, Endpoint, Route, Target};
 use stackmast::direct::published::software::version_of;
 use test_case::test_matrix;
 
@@ -22,6 +25,8 @@
 const CALLERS: u64 = 1_000;
 /// Number of gateways.
 const GATEWAYS: usize = 4;
+/// Time after which a gateway knows all versions that can have begun a stream.
+const KNOWN: Duration = Duration::from_secs(61);
 /// Number of streams of a test.
 const STREAMS: u64 = 12;
 
@@ -223,8 +228,7 @@
 // Guards against streams that are refused though witnesses know the version that began them.
 #[test_matrix([Loss::AtOnce, Loss::OneByOne, Loss::ButOnePaused, Loss::ButOneCutOff])]
 fn streams_of_two_versions_are_resumed_after(loss: Loss) {
-    let both: Vec<_> = engines("v1", 1..=3).into_iter().chain(engines("v1.1", 4..=6)).collect();
-    let mut group = group(both, true);
+    let mut group = group(both_versions(), true);
     group.run_for(ms(5_000));
     let began: Vec<String> =
         (0..STREAMS).map(|number| begin(&mut group, number as usize % 2, number)).collect();
@@ -232,60 +236,141 @@
     isolate(&mut group, loss);
     lose(&mut group, loss, |_| {});
     rejoin(&mut group);
-    for gateway in 0..GATEWAYS {
-        for (number, first) in (0..).zip(&began) {
-            assert_eq!(resume(&mut group, gateway, number).as_ref(), Ok(first), "{number}");
-            group.handle(gateway, Event::CallerDisconnected { caller: CALLERS + number });
-        }
+    check_resumed(&mut group, &began);
+}
+
+/// Three engines of each of two versions.
+fn both_versions() -> Vec<Arc<Endpoint>> {
+    engines("v1", 1..=3).into_iter().chain(engines("v1.1", 4..=6)).collect()
+}
+
+/// Checks that streams are continued by the version that began them, each at another gateway.
+fn check_resumed(group: &mut Group, began: &[String]) {
+    for (number, first) in (0..).zip(began) {
+        let resumed = resume(group, number as usize % GATEWAYS, number);
+        assert_eq!(resumed.as_ref(), Ok(first), "stream {number}");
     }
 }
 
-// Guards against a witness that keeps the version of an attempt which failed before the first
-// event, after another version began the stream.
+/// Loses all gateways at once.
+fn lose_all(group: &mut Group) {
+    lose(group, Loss::AtOnce, |_| {});
+}
+
+// Guards against records of an attempt that failed before the first event, which remain at some
+// holders while another version begins the stream.
 #[test]
-fn a_witness_learns_that_another_version_began_the_stream_after_all() {
-    let both: Vec<_> = engines("v1", 1..=3).into_iter().chain(engines("v1.1", 4..=6)).collect();
-    let mut group = group(both, true);
+fn a_request_keeps_the_version_of_its_first_attempt() {
+    let mut group = group(both_versions(), true);
     group.run_for(ms(5_000));
     let mut began = Vec::new();
     for number in 0..STREAMS {
-        let (attempt, _) = group.submit(0, number, stream(number), WAIT).call.expect("sent");
+        let (attempt, call) = group.submit(0, number, stream(number), WAIT).call.expect("sent");
         let failed = Event::CallFailed { caller: number, attempt, failure: CallFailure::NotSent };
-        let (attempt, call) = calls(&group.handle(0, failed))[0].clone();
+        let (attempt, second) = calls(&group.handle(0, failed))[0].clone();
+        assert_eq!(version_of(&second.endpoint), version_of(&call.endpoint), "stream {number}");
         group.handle(0, begins(number, attempt));
         group.handle(0, Event::FirstEvent { caller: number });
-        began.push(version_of(&call.endpoint).expect("a version").to_owned());
+        began.push(version_of(&second.endpoint).expect("a version").to_owned());
     }
-    (0..GATEWAYS).for_each(|gateway| group.kill(gateway));
-    (0..GATEWAYS).for_each(|gateway| group.start(gateway));
-    group.run_for(ms(500));
-    check(&mut group, &began);
+    lose_all(&mut group);
+    check_resumed(&mut group, &began);
 }
 
 // Guards against records that are lost with witnesses which leave, and with those that are not asked
 // once endpoints were added.
 #[test]
 fn records_move_to_other_witnesses_when_endpoints_change() {
-    let few = engines("v1", 1..=3);
     let other = engines("v2", 20..=22);
-    let mut group = group(few.iter().chain(&other).cloned().collect(), true);
+    let few = engines("v1", 1..=3).into_iter().chain(other.iter().cloned()).collect();
+    let mut group = group(few, true);
     let began: Vec<String> = (0..STREAMS).map(|number| begin(&mut group, 0, number)).collect();
-    let replaced: Vec<_> = engines("v1", 4..=12).into_iter().chain(other).collect();
-    group.list(replaced);
-    group.run_for(ms(500));
-    (0..GATEWAYS).for_each(|gateway| group.kill(gateway));
-    (0..GATEWAYS).for_each(|gateway| group.start(gateway));
+    group.list(engines("v1", 4..=12).into_iter().chain(other).collect());
     group.run_for(ms(500));
-    for (number, first) in (0..).zip(&began) {
-        assert_eq!(resume(&mut group, 1, number).as_ref(), Ok(first), "stream {number}");
+    lose_all(&mut group);
+    check_resumed(&mut group, &began);
+}
+
+// Guards against records that are at no witness, since the selected ones don't run.
+#[test]
+fn records_move_to_other_witnesses_when_some_are_unreachable() {
+    let mut group = group(engines("v1", 1..=8), true);
+    (1..=4).for_each(|number| group.kill_witness(number));
+    let began: Vec<String> = (0..STREAMS).map(|number| begin(&mut group, 0, number)).collect();
+    lose_all(&mut group);
+    check_resumed(&mut group, &began);
+}
+
+// Guards against streams that are refused since the witnesses with their records run beside
+// endpoints that began to leave after the loss.
+#[test]
+fn witnesses_beside_leaving_endpoints_are_asked() {
+    let mut group = group(engines("v1", 1..=12), true);
+    let began: Vec<String> = (0..STREAMS).map(|number| begin(&mut group, 0, number)).collect();
+    lose(&mut group, Loss::AtOnce, |group| {
+        let leave = |endpoint: Arc<Endpoint>| Endpoint { leaving: true, ..(*endpoint).clone() };
+        let leaving = engines("v1", 2..=12).into_iter().map(|e| Arc::new(leave(e)));
+        group.list(engines("v1", 1..=1).into_iter().chain(leaving).collect());
+    });
+    check_resumed(&mut group, &began);
+}
+
+// Guards against a stream that is continued in the pool to which its route was moved, by a version
+// that did not begin it.
+#[test]
+fn a_stream_is_not_continued_in_another_pool_after_its_route_was_moved() {
+    let other = endpoint("third", 9);
+    let engines = engines("v1", 1..=3).into_iter().chain([other]).collect();
+    let mut group = Group::new(GATEWAYS, with_two_pools(1, "engine"), engines);
+    group.run_for(KNOWN);
+    begin(&mut group, 0, 0);
+    group.configure(with_two_pools(2, "other"));
+    group.kill(0);
+    group.run_for(ms(1_000));
+    for gateway in 1..GATEWAYS {
+        let outcome = group.submit(gateway, CALLERS, resumption(0), WAIT);
+        assert!(outcome.call.is_none(), "continued at {:?}", outcome.call);
+    }
+}
+
+/// A configuration with two pools that run whole requests, and a route to one of them.
+fn with_two_pools(version: u64, target: &str) -> Deployment {
+    let target = Target { pool: target.into(), weight: 1 };
+    let mut deployment = deployment(version, vec![Route { targets: vec![target], ..resumable() }]);
+    let mut other = deployment.pools.last().expect("engines").clone();
+    other.name = "other".into();
+    other.endpoints = Selector::parse("service=third").expect("a selector");
+    deployment.pools.push(other);
+    deployment
+}
+
+// Guards against a gateway that knows of two versions and trusts another one, whose list is a moment
+// behind, that there was one.
+#[test]
+fn another_gateway_that_knows_one_version_does_not_overrule_the_own_list() {
+    let mut group = group(engines("v1", 1..=3), false);
+    group.run_for(KNOWN);
+    group.silent = vec![0, 2, 3];
+    group.list_at(&[1], both_versions());
+    let event = Event::Submit { caller: CALLERS, incoming: resumption(0) };
+    let mut actions = group.handle(1, event);
+    let origin = Origin { pool: "engine".into(), version: Some("v1".into()) };
+    for from in [0, 2, 3] {
+        let (stream, origin) = (stream(0).id, Some(origin.clone()));
+        let message =
+            PeerMessage::StreamOrigin { number: CALLERS, stream, origin, versions: Vec::new() };
+        let event = Event::PeerMessage { from: Group::address_of(from), message };
+        actions.extend(group.handle(1, event));
     }
+    assert!(calls(&actions).is_empty(), "the stream may have begun at v1.1");
+    assert_eq!(refusal(&actions).map(|refusal| refusal.reason), Some(Refused::UnknownOrigin));
 }
 
 // Guards against a connection to each host without a witness for each stream.
 #[test]
 fn hosts_without_a_witness_are_not_asked_again_for_each_stream() {
     let mut group = group(engines("v1", 1..=3), true);
-    group.kill_witnesses();
+    (1..=3).for_each(|number| group.kill_witness(number));
     (0..STREAMS).for_each(|number| drop(begin(&mut group, 0, number)));
     let (records, _) = group.sent_of_kind("streams_began");
     assert!(records <= 3, "{records} messages to three hosts");
--- a/tests/directenv/group.rs
+++ b/tests/directenv/group.rs
@@ -17,7 +17,7 @@
 use stackmast::direct::witness::core::WitnessCore;
 
 use super::gateway::{calls, listed, refusal, setup};
-use super::{address, ms, position};
+use super::{address, engine_of, ms, position};
 
 /// Port of the witnesses beside endpoints.
 const WITNESS_PORT: u16 = 7_755;
@@ -98,7 +98,8 @@
         group
     }
 
-    fn address_of(gateway: usize) -> SocketAddr {
+    /// Address at which peers connect to a gateway.
+    pub fn address_of(gateway: usize) -> SocketAddr {
         address(gateway as u16 + 1)
     }
 
@@ -114,10 +115,7 @@
             ..setup()
         };
         self.cores[gateway] = Some(GatewayCore::new(setup));
-        let document = Document::Deployment(self.deployment.clone());
-        let deployment = Revised { position: position(1), created_revision: 0, document };
-        let documents = Event::Published { documents: vec![deployment], extent: Extent::Partial };
-        self.handle(gateway, documents);
+        self.read_configuration(gateway);
         self.read_list(gateway);
     }
 
@@ -136,9 +134,26 @@
         self.witnesses.clear();
     }
 
-    /// Numbers of records that the witnesses hold.
-    pub fn records_of_witnesses(&self) -> Vec<usize> {
-        self.witnesses.values().map(WitnessCore::records).collect()
+    /// Ends the witness beside the engine with this number.
+    pub fn kill_witness(&mut self, number: u16) {
+        let host = engine_of("", number).address.ip();
+        self.witnesses.remove(&SocketAddr::new(host, WITNESS_PORT));
+    }
+
+    /// Publishes a configuration, which all gateways read at once.
+    pub fn configure(&mut self, deployment: Deployment) {
+        self.deployment = Arc::new(deployment);
+        for gateway in 0..self.cores.len() {
+            self.read_configuration(gateway);
+        }
+    }
+
+    fn read_configuration(&mut self, gateway: usize) {
+        let document = Document::Deployment(self.deployment.clone());
+        let position = position(self.deployment.version);
+        let deployment = Revised { position, created_revision: 0, document };
+        let documents = Event::Published { documents: vec![deployment], extent: Extent::Partial };
+        self.handle(gateway, documents);
     }
 
     /// The core of a gateway whose process runs.
