The slack of the repeat budget after a restart

A process that starts doesn't know what the previous one on its host used of the budget, and used its whole share again: four processes that are killed twice within a window sent 96 repeats where 66 are allowed (direct_repeats, red before). In the first window after its start a process uses a fifth of its share of the slack, not three fifths, so that two restarts within one window stay within the budget; the part that follows its own first sends is as before.

One test moves to 20 s after the start: 24 streams that break in the first second are more than the slack allows now.

--- a/src/direct/repeats.rs
+++ b/src/direct/repeats.rs
@@ -13,6 +13,10 @@
 
 /// Share of the budget that is used; the rest covers windows that start at other times.
 const USED_SHARE: f64 = 0.6;
+/// Share of the slack that is used in the first window after the start of the process: what the
+/// previous processes of this host used in that window is not known. Covers two restarts within one
+/// window.
+const USED_SLACK_AT_START: f64 = 0.2;
 /// Number of steps into which a window is divided for counting.
 const STEPS: u32 = 10;
 
@@ -58,7 +62,8 @@
         self.step(pool, now).firsts += count;
     }
 
-    /// Uses one repeat of the budget, shared by `processes`; returns false if none is left.
+    /// Uses one repeat of the budget, shared by `processes`; returns false if none is left. `now` is
+    /// the time since the process started.
     pub fn try_take(&mut self, pool: &Name, processes: usize, now: Timestamp) -> bool {
         let budget = self.budget;
         self.step(pool, now);
@@ -66,7 +71,8 @@
         let firsts: u32 = steps.iter().map(|s| s.firsts).sum();
         let repeats: u32 = steps.iter().map(|s| s.repeats).sum();
         let slack = budget.slack / processes.max(1) as f64;
-        let allowed = USED_SHARE * (budget.ratio * f64::from(firsts) + slack);
+        let slack_share = if now < budget.window { USED_SLACK_AT_START } else { USED_SHARE };
+        let allowed = USED_SHARE * budget.ratio * f64::from(firsts) + slack_share * slack;
         if f64::from(repeats) + 1.0 > allowed {
             return false;
         }
