--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -36,6 +36,7 @@
 pub mod log_events;
 pub mod origins;
 pub mod owner;
+mod peer_builds;
 mod peer_messages;
 pub mod peers;
 pub mod poison;
--- a/src/direct/origins/witnesses.rs
+++ b/src/direct/origins/witnesses.rs
@@ -166,6 +166,7 @@
     }
 }
 
+/// The candidates of each version among the endpoints of a pool.
 fn candidates<'a>(
     endpoints: impl Iterator<Item = &'a Arc<Endpoint>>,
     port: u16,
--- a/src/direct/peer_messages.rs
+++ b/src/direct/peer_messages.rs
@@ -11,7 +11,6 @@
 use crate::direct::limits::known::AnnouncedLimit;
 use crate::direct::limits::limiter::Asker;
 use crate::direct::log_events::{LogEvent, PeerUnread};
-use crate::direct::peers::build::{Build, GreetingChange};
 use crate::direct::peers::codec::Unreadable;
 use crate::direct::peers::heartbeat::{GatewayState, Heartbeat, Probe};
 use crate::direct::peers::members::MembershipChanges;
@@ -279,33 +278,6 @@
         self.limiter_down(address, now);
     }
 
-    /// Handles a peer's greeting, which names its build.
-    pub(super) fn on_greeting(&mut self, address: SocketAddr, incarnation: u64, build: &Build) {
-        match self.builds.on_greeting(address, incarnation, build) {
-            GreetingChange::Unchanged => {}
-            GreetingChange::OtherBuild => {
-                self.log_build(address, incarnation, build, "first");
-                // It has not read a heartbeat in the current form.
-                self.next_heartbeat = Timestamp::ZERO;
-            }
-            GreetingChange::OwnBuild(before) => {
-                self.log_build(address, incarnation, &before, "last")
-            }
-        }
-    }
-
-    fn log_build(
-        &mut self,
-        address: SocketAddr,
-        incarnation: u64,
-        build: &Build,
-        heard: &'static str,
-    ) {
-        crate::metrics::peers_of_other_builds(self.builds.other_count());
-        let Build { version, commit, form } = build.clone();
-        self.log(LogEvent::PeerBuild { address, incarnation, version, commit, form, heard });
-    }
-
     /// Handles a peer's message that this build can't read. A gateway that submitted a job learns
     /// at once that the job is not accepted here. Other lost messages are sent again: an unknown
     /// form ends the connection, and a new greeting follows.
