--- a/tests/direct_origins.rs
+++ b/tests/direct_origins.rs
@@ -10,7 +10,7 @@
 
 use directenv::gateway::{begins, incoming, resumable};
 use directenv::group::Group;
-use directenv::{address, deployment, endpoint, ms, table};
+use directenv::{address, deployment, endpoint, engine_of, ms, table};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use stackmast::direct::event::{Event, IncomingRequest, Refused};
@@ -26,6 +26,8 @@
 use test_case::test_case;
 
 const SECOND: Duration = Duration::from_secs(1);
+/// Number of streams whose cost is counted.
+const STREAMS: u64 = 200;
 
 fn members(count: u16) -> Members {
     let mut members =
@@ -272,7 +274,20 @@
     let versions = ["v1", "v2"];
     let engines = (1..=4).map(|number| of_version(number, versions[usize::from(number) % 2]));
     let mut group = Group::new(gateways, deployment(1, vec![resumable()]), engines.collect());
-    let streams = 200;
+    let sent = resume_streams(&mut group, gateways);
+    let [(began, bytes), (asked, _), (answered, _)] = sent;
+    // A resumed stream is recorded again, by the gateway that continues it.
+    assert!(began <= 6 * STREAMS as usize && bytes <= 60 * began, "{began} records, {bytes} bytes");
+    assert!(
+        asked <= 4 * STREAMS as usize && answered <= asked,
+        "{asked} asked, {answered} answered"
+    );
+}
+
+/// Begins streams and resumes each one at another gateway; returns the number of records, questions
+/// and responses, and their bytes.
+fn resume_streams(group: &mut Group, gateways: usize) -> [(usize, usize); 3] {
+    let streams = STREAMS;
     let stream = |number: u64| format!("9c41d07be2a3{number:04x}").into();
     for number in 0..streams {
         let request = IncomingRequest { id: stream(number), ..incoming("r", Vec::new()) };
@@ -290,11 +305,24 @@
     let kinds = ["streams_began", "ask_origin", "stream_origin"];
     let sent = kinds.map(|kind| group.sent_of_kind(kind));
     println!("{gateways} gateways, {streams} streams and resumptions: {sent:?} messages and bytes");
-    let [(began, bytes), (asked, _), (answered, _)] = sent;
-    // A resumed stream is recorded again, by the gateway that continues it.
-    assert!(began <= 6 * streams as usize && bytes <= 60 * began, "{began} records, {bytes} bytes");
-    assert!(
-        asked <= 4 * streams as usize && answered <= asked,
-        "{asked} asked, {answered} answered"
-    );
+    sent
+}
+
+// Guards against records and questions that grow with the number of gateways or of engines.
+#[test_case(30, 40; "30 gateways, 40 engines")]
+#[test_case(30, 160; "30 gateways, 160 engines")]
+#[test_case(100, 40; "100 gateways, 40 engines")]
+fn the_cost_of_witnesses_is_constant_with(gateways: usize, engines: u16) {
+    let gateways =
+        std::env::var("STACKMAST_GATEWAYS").map_or(gateways, |n| n.parse().expect("a number"));
+    let versions = ["v1", "v2"];
+    let engine = |number: u16| engine_of(versions[usize::from(number) % 2], number);
+    let engines = (1..=engines).map(engine).collect();
+    let deployment = deployment(1, vec![resumable()]);
+    let mut group = Group::with_witnesses(gateways, deployment, engines);
+    let [(began, bytes), (asked, _), _] = resume_streams(&mut group, gateways);
+    // Three gateways and three witnesses, twice.
+    assert!(began <= 12 * STREAMS as usize && bytes <= 60 * began, "{began}, {bytes} bytes");
+    // Four gateways, and six witnesses of each of two versions.
+    assert!(asked <= 16 * STREAMS as usize, "{asked} questions");
 }
