--- a/review/standins-2/src/gateway.rs
+++ b/review/standins-2/src/gateway.rs
@@ -97,6 +97,22 @@
         self.child.id()
     }
 
+    /// Writes another address of the store to the settings file.
+    pub fn set_store(&self, store: SocketAddr) -> Result<()> {
+        let text = std::fs::read_to_string(&self.settings)?;
+        let (before, rest) = text.split_once(r#""platform": {"address": ""#).ok_or("no address")?;
+        let after = rest.split_once('"').ok_or("no address")?.1;
+        let text = format!("{before}\"platform\": {{\"address\": \"{store}\"{after}");
+        Ok(std::fs::write(&self.settings, text)?)
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&mut self, name: &str) -> Result<()> {
+        let process = self.process().to_string();
+        let status = Command::new("kill").args([format!("-{name}"), process]).status()?;
+        if status.success() { Ok(()) } else { Err("no signal sent".into()) }
+    }
+
     /// Ends the process with SIGKILL.
     pub fn kill(&mut self) -> Option<ExitStatus> {
         self.child.kill().ok();
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -5,6 +5,7 @@
 mod false_promise;
 mod gateway;
 mod http;
+mod moved_store;
 mod record;
 mod store;
 mod uploads;
@@ -48,6 +49,7 @@
     };
     let held = match case.as_str() {
         "false-promise" => false_promise::run(&setup),
+        "moved-store" => moved_store::run(&setup),
         "uploads" => uploads::run(&setup),
         _ => Err(format!("no case {case}").into()),
     };
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -20,17 +21,31 @@
 #[derive(Clone)]
 pub struct Store {
     contents: Arc<(Mutex<Contents>, Condvar)>,
+    /// Open connections, which are closed with the store.
+    connections: Arc<Mutex<Vec<TcpStream>>>,
+    is_closed: Arc<AtomicBool>,
     pub address: SocketAddr,
 }
 
 impl Store {
     pub fn start() -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let store = Self { contents: Arc::default(), address: listener.local_addr()? };
+        let store = Self {
+            contents: Arc::default(),
+            connections: Arc::default(),
+            is_closed: Arc::default(),
+            address: listener.local_addr()?,
+        };
         let server = store.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if server.is_closed.load(Ordering::Relaxed) {
+                    return;
+                }
                 let store = server.clone();
+                if let Ok(stream) = stream.try_clone() {
+                    server.connections.lock().expect("connections").push(stream);
+                }
                 std::thread::spawn(move || store.serve(stream));
             }
         });
@@ -46,6 +61,24 @@
         self.contents.1.notify_all();
     }
 
+    /// Takes over the contents of another store, with their revisions.
+    pub fn copy_from(&self, other: &Self) {
+        let other = other.contents.0.lock().expect("contents");
+        let mut contents = self.contents.0.lock().expect("contents");
+        contents.revision = other.revision;
+        contents.items = other.items.clone();
+    }
+
+    /// Closes the listener and all connections.
+    pub fn close(&self) {
+        self.is_closed.store(true, Ordering::Relaxed);
+        // The listener is closed once it has accepted this connection.
+        TcpStream::connect(self.address).ok();
+        for stream in self.connections.lock().expect("connections").drain(..) {
+            stream.shutdown(std::net::Shutdown::Both).ok();
+        }
+    }
+
     fn serve(&self, stream: TcpStream) {
         let mut connection = Connection::new(stream);
         while let Ok(Some(request)) = connection.read() {
