Review: number the cases by gravity

Claim: none new. Cases 4 to 7 become 5 to 8, since a graver one, found at the entry of KNOWN-RED.txt, takes number 4. Only numbers and paths change.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Case 7: a reload of the settings keeps the old address of the store, so that dropped keys stay valid.
+# Case 7: a replica's 503 without Stackmast-Not-Executed is passed on as a promise.
 # Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 # TROUBLE=0 leaves out the disruption.
 set -u
@@ -12,7 +12,7 @@
 done
 folder="$(mktemp -d)" || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout 110 "$standins" moved-store "$program" "$folder" "$here/record.txt"
+timeout 110 "$standins" false-promise "$program" "$folder" "$here/record.txt"
 status=$?
 [ "$status" -le 2 ] || status=2
 exit "$status"
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -1,4 +1,4 @@
-//! Stand-ins of the review's cases 5 and up: `review-standins-2 CASE PROGRAM FOLDER RECORD`.
+//! Stand-ins of the review's cases 6 and up: `review-standins-2 CASE PROGRAM FOLDER RECORD`.
 //!
 //! Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
