Review: send signals by the shell's own command

Claim: the scripts of cases 6 and 8 need no program `kill` on the machine, only bash, which run.sh needs anyway.

--- a/review/standins-2/src/gateway.rs
+++ b/review/standins-2/src/gateway.rs
@@ -108,9 +108,7 @@
 
     /// Sends a signal to the process.
     pub fn signal(&mut self, name: &str) -> Result<()> {
-        let process = self.process().to_string();
-        let status = Command::new("kill").args([format!("-{name}"), process]).status()?;
-        if status.success() { Ok(()) } else { Err("no signal sent".into()) }
+        send_signal(name, self.process())
     }
 
     /// Ends the process with SIGKILL.
@@ -120,6 +118,12 @@
     }
 }
 
+/// Sends a signal to a process, by the shell's own command.
+pub fn send_signal(name: &str, process: u32) -> Result<()> {
+    let status = Command::new("bash").args(["-c", &format!("kill -{name} {process}")]).status()?;
+    if status.success() { Ok(()) } else { Err("no signal sent".into()) }
+}
+
 /// Resident memory of a process, in bytes; 0 if it has ended.
 pub fn memory_of(process: u32) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
--- a/review/standins-2/src/uploads.rs
+++ b/review/standins-2/src/uploads.rs
@@ -141,10 +141,7 @@
                 let memory = crate::gateway::memory_of(process);
                 highest.fetch_max(memory, Ordering::Relaxed);
                 if memory > MEMORY_BYTES {
-                    let kill = std::process::Command::new("kill")
-                        .args(["-KILL", &process.to_string()])
-                        .status();
-                    return kill.is_ok_and(|status| status.success());
+                    return crate::gateway::send_signal("KILL", process).is_ok();
                 }
                 std::thread::sleep(Duration::from_millis(5));
             }
