--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -26,6 +26,7 @@
     rm -rf "$folder"
 }
 trap end_all EXIT
+trap 'exit 2' INT TERM HUP
 
 # Writes the settings file of a machine; $2 is the number of this version of the file.
 settings() {
@@ -83,6 +84,7 @@
     say "$name: started as process ${pid[$name]}"
 done
 
+# One machine at a time: share 0.25 of the machines.
 for round in $(seq $rounds); do
     for name in "${names[@]}"; do
         settings "$name" $((round + 1))
@@ -92,14 +94,12 @@
         else
             say "round $round, $name: settings file changed, no signal sent"
         fi
-    done
-    sleep 3
-    for name in "${names[@]}"; do
+        sleep 1
         if kill -0 "${pid[$name]}" 2>/dev/null; then
             say "round $round, $name: process ${pid[$name]} runs on"
             continue
         fi
-        wait "${pid[$name]}"
+        wait "${pid[$name]}" 2>/dev/null
         say "round $round, $name: process ${pid[$name]} ended by itself with code $?; the platform starts it again"
         ends[$name]=$((ends[$name] + 1))
         start "$name"
--- a/review/standins-2/src/gateway.rs
+++ b/review/standins-2/src/gateway.rs
@@ -1,5 +1,6 @@
 //! Gateways as processes: their settings, their start and their end.
 
+use std::io::Write;
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus};
@@ -138,5 +139,10 @@
     let errors = log.try_clone()?;
     let mut command = Command::new(program);
     command.env("STACKMAST_SETTINGS", settings).stdout(log).stderr(errors);
-    Ok(command.spawn()?)
+    let child = command.spawn()?;
+    // The script ends what is listed here, should this process not come to it.
+    let list = settings.with_file_name("processes");
+    let mut list = std::fs::File::options().create(true).append(true).open(list)?;
+    writeln!(list, "{}", child.id())?;
+    Ok(child)
 }
--- a/review/standins-2/src/moved_store.rs
+++ b/review/standins-2/src/moved_store.rs
@@ -17,6 +17,10 @@
 const SETTLING: Duration = Duration::from_secs(5);
 /// Time after the change in which callers ask.
 const ASKING: Duration = Duration::from_secs(12);
+/// Gateways; each gets one SIGHUP, one after the other.
+const GATEWAYS: u8 = 4;
+/// Pause between two signals.
+const GAP: Duration = Duration::from_secs(1);
 /// Pause between two requests.
 const PAUSE: Duration = Duration::from_millis(200);
 
@@ -33,22 +37,39 @@
     let mut store = Store::start()?;
     store.put("servers/i-desk-0", &entry);
     store.put("op/config", &configuration(7, r#""key-1","key-2""#));
-    let (ip, seed) = (address(1), address(1));
-    let mut gateway =
-        Gateway::start(&setup.program, &setup.folder, "front-1", (ip, seed), store.address)?;
-    let answer = ask(gateway.front, "before", "key-1")?;
-    record.line(&format!("version 7, request with key-1: answered {}", answer.status()));
-    if answer.status() != 200 {
-        return Err("the deployment does not serve".into());
+    let mut gateways = Vec::new();
+    for number in 1..=GATEWAYS {
+        let (addresses, name) = ((address(number), address(1)), format!("front-{number}"));
+        let (program, folder) = (&setup.program, &setup.folder);
+        gateways.push(Gateway::start(program, folder, &name, addresses, store.address)?);
+    }
+    for (number, gateway) in gateways.iter().enumerate() {
+        let answer = ask(gateway.front, &format!("before-{number}"), "key-1")?;
+        record.line(&format!(
+            "{}: version 7, request with key-1: answered {}",
+            gateway.name,
+            answer.status()
+        ));
+        if answer.status() != 200 {
+            return Err("the deployment does not serve".into());
+        }
     }
 
     if setup.has_trouble {
+        // The store answers at both addresses until every machine has been told.
         let other = Store::start()?;
         other.copy_from(&store);
-        gateway.set_store(other.address)?;
-        gateway.signal("HUP")?;
-        record.line("the store has another address; settings file changed, SIGHUP sent; the old address is closed");
+        for gateway in &mut gateways {
+            gateway.set_store(other.address)?;
+            gateway.signal("HUP")?;
+            record.line(&format!(
+                "{}: settings name the store's other address, SIGHUP sent",
+                gateway.name
+            ));
+            std::thread::sleep(GAP);
+        }
         store.close();
+        record.line("the store's old address is closed");
         store = other;
     }
     std::thread::sleep(SETTLING);
@@ -59,6 +80,7 @@
     let mut late = 0;
     let mut number = 0;
     while acknowledged.elapsed() < ASKING {
+        let gateway = &gateways[number % gateways.len()];
         let sent_after = acknowledged.elapsed();
         let id = format!("{number:016x}");
         number += 1;
@@ -67,15 +89,21 @@
         let is_late = has_run && sent_after > CONFIG_TIME;
         late += usize::from(is_late);
         record.line(&format!(
-            "request {id} with key-1, sent {} ms after: answered {status}, has run: {has_run}{}",
+            "{}: request {id} with key-1, sent {} ms after: answered {status}, has run: {has_run}{}",
+            gateway.name,
             sent_after.as_millis(),
             if is_late { ", with a dropped key" } else { "" },
         ));
         std::thread::sleep(PAUSE);
     }
-    let with_valid_key = ask(gateway.front, "after", "key-2")?.status();
-    record.line(&format!("request with key-2, which is valid: answered {with_valid_key}"));
-    record.line(&format!("gateway is ready: {}", gateway.is_ready()));
+    for (number, gateway) in gateways.iter().enumerate() {
+        let status = ask(gateway.front, &format!("after-{number}"), "key-2")?.status();
+        let is_ready = gateway.is_ready();
+        record.line(&format!(
+            "{}: request with key-2, which is valid: answered {status}; ready: {is_ready}",
+            gateway.name
+        ));
+    }
     record.line(&format!("requests run with the dropped key more than 2,000 ms after: {late}"));
     Ok(late == 0)
 }
