--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -6,10 +6,9 @@
 use std::time::{Duration, Instant};
 
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
-use slog::Logger;
+use slog::{Logger, warn};
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Notify;
 use tonic::transport::server::TcpIncoming;
 
@@ -37,6 +36,7 @@
 use crate::peer::PeerService;
 use crate::platform::{HostState, Platform};
 use crate::settings::{Role, Settings};
+use crate::signals::{ReloadSignals, SignalError, StopSignals};
 use crate::view::{Location, View};
 use crate::wire::MAX_MESSAGE_LEN;
 use crate::wire::v1::agent_server::AgentServer;
@@ -63,10 +63,10 @@
         source: std::io::Error,
     },
     /// Signals can't be received.
-    #[snafu(display("can't receive signals: {source}"))]
+    #[snafu(display("{source}"), context(false))]
     Signals {
         /// Cause of the failure.
-        source: std::io::Error,
+        source: SignalError,
     },
     /// The metrics could not be set up.
     #[snafu(display("can't record metrics: {source}"))]
@@ -83,7 +83,19 @@
         .enable_all()
         .build()
         .context(RuntimeSnafu)?;
-    runtime.block_on(serve(Arc::new(settings)))
+    runtime.block_on(async {
+        // First, since SIGHUP may arrive at any time and would end the process.
+        let reload_signals = ReloadSignals::catch()?;
+        serve(Arc::new(settings), reload_signals).await
+    })
+}
+
+/// Logs each SIGHUP: the daemon reads its settings only when it starts.
+async fn log_reload_signals(mut signals: ReloadSignals, log: Logger) {
+    loop {
+        signals.received().await;
+        warn!(log, "SIGHUP ignored: changed settings take effect at the next start");
+    }
 }
 
 /// The parts that processes of both roles have.
@@ -138,11 +150,9 @@
 
     /// Waits for a signal or an order to stop; further signals have no effect.
     async fn wait_for_stop(&self) -> Result<(), DaemonError> {
-        let mut term = signal(SignalKind::terminate()).context(SignalsSnafu)?;
-        let mut interrupt = signal(SignalKind::interrupt()).context(SignalsSnafu)?;
+        let mut signals = StopSignals::catch()?;
         tokio::select! {
-            _ = term.recv() => {}
-            _ = interrupt.recv() => {}
+            () = signals.received() => {}
             () = self.drain.notified() => {}
         }
         self.audit.record(Change::Draining);
@@ -159,12 +169,17 @@
     }
 }
 
-async fn serve(settings: Arc<Settings>) -> Result<(), DaemonError> {
-    match settings.role.clone() {
-        Role::Gateway { callers } => serve_gateway(Base::new(settings, "gateway")?, callers).await,
-        Role::Agent { endpoint, address } => {
-            serve_agent(Base::new(settings, "agent")?, &endpoint, address).await
-        }
+async fn serve(settings: Arc<Settings>, reload_signals: ReloadSignals) -> Result<(), DaemonError> {
+    let role = settings.role.clone();
+    let name = match role {
+        Role::Gateway { .. } => "gateway",
+        Role::Agent { .. } => "agent",
+    };
+    let base = Base::new(settings, name)?;
+    tokio::spawn(log_reload_signals(reload_signals, base.log.clone()));
+    match role {
+        Role::Gateway { callers } => serve_gateway(base, callers).await,
+        Role::Agent { endpoint, address } => serve_agent(base, &endpoint, address).await,
     }
 }
 
--- a/src/direct/log_events/kinds.rs
+++ b/src/direct/log_events/kinds.rs
@@ -101,7 +101,7 @@
             Self::NoReport { .. } => "no_report",
             Self::Overloaded { .. } => "short_of_time",
             Self::Stopped { .. } => "stopped",
-            Self::Reloaded { .. } => "reloaded",
+            Self::Reloaded(_) => "reloaded",
             Self::Load(event) => event.kind(),
             Self::Poison(event) => event.kind(),
             Self::Stream(event) => event.kind(),
--- a/src/direct/log_events/mod.rs
+++ b/src/direct/log_events/mod.rs
@@ -4,6 +4,7 @@
 mod load;
 mod members;
 mod poison;
+mod process;
 mod store;
 mod streams;
 
@@ -16,6 +17,7 @@
 pub use crate::direct::log_events::load::LoadEvent;
 pub use crate::direct::log_events::members::{MemberSuspected, PeerUnread, StoreReadingChange};
 pub use crate::direct::log_events::poison::PoisonEvent;
+pub use crate::direct::log_events::process::Reloaded;
 pub use crate::direct::log_events::store::{
     EndpointEntry, ListMerged, PublishedVersion, StoreEra, StoreReadOutcome, StoreReturned,
 };
@@ -474,11 +476,8 @@
         /// Number of unfinished jobs.
         jobs: usize,
     },
-    /// The settings file was read again.
-    Reloaded {
-        /// `taken`, or why the new settings were refused.
-        outcome: String,
-    },
+    /// See [`Reloaded`].
+    Reloaded(Reloaded),
     /// See [`LoadEvent`].
     #[serde(untagged)]
     Load(LoadEvent),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod request_trace;
 pub mod result;
 pub mod settings;
+pub mod signals;
 mod tables;
 pub mod tool;
 pub mod view;
