--- a/src/direct/answers.rs
+++ b/src/direct/answers.rs
@@ -35,9 +35,11 @@
     pub signed: bool,
     /// Whether the response names the id of this request.
     pub names_request: bool,
-    /// Whether the endpoint states that it has not run the request.
+    /// Whether the endpoint states that it has not run the request. A status alone states nothing:
+    /// an endpoint may run a request and answer 503.
     pub not_run: bool,
-    /// Whether the endpoint at this address is another one than the one that was called.
+    /// Whether the response proves that the endpoint at this address is another one than the one
+    /// that was called, and so did not run the request.
     pub from_other_endpoint: bool,
     /// What determines the end of the body.
     pub framing: Framing,
--- a/src/direct/requests/attempts.rs
+++ b/src/direct/requests/attempts.rs
@@ -144,10 +144,8 @@
         if proof.not_run || proof.from_other_endpoint {
             return self.attempt_not_run(caller, proof, table, now);
         }
-        let is_success = (200..300).contains(&proof.status);
-        let is_valid = proof.names_request && (proof.signed || !is_success);
-        if !is_valid {
-            return self.attempt_may_have_run(caller, Failure::InvalidResponse, table, now);
+        if let Some(failure) = Failure::of_answer(&proof) {
+            return self.attempt_may_have_run(caller, failure, table, now);
         }
         if proof.status >= 500 && self.may_retry(caller, now) {
             return self.attempt_may_have_run(caller, Failure::ServerError, table, now);
@@ -341,7 +339,7 @@
         let pool = request.pool.clone();
         let will_retry = may_retry && self.repeats.try_take(&pool, self.gateway_count, now);
         let next = if will_retry { "again" } else { "abandoned" };
-        self.log_attempt_failed(caller, &attempt, failure.as_str().to_owned(), next);
+        self.log_attempt_failed(caller, &attempt, failure.to_string(), next);
         if will_retry {
             self.dispatch(caller, table, now);
         } else {
--- a/src/direct/requests/failure.rs
+++ b/src/direct/requests/failure.rs
@@ -1,5 +1,8 @@
 //! Failures of attempts, and what they show about the endpoint.
 
+use std::fmt;
+
+use crate::direct::answers::AnswerProof;
 use crate::direct::poison::Unanswered;
 
 /// Failure of an attempt that may have run.
@@ -9,6 +12,11 @@
     InvalidResponse,
     /// The endpoint returned a server error.
     ServerError,
+    /// The response has a status that would promise the caller that nothing ran, and no proof of it.
+    UnprovenRefusal {
+        /// Status of the response.
+        status: u16,
+    },
     /// The connection failed.
     ConnectionFailed,
     /// The connection ended an answer without framing, and the endpoint did not confirm that it is
@@ -22,31 +30,53 @@
     EndpointRestarted,
 }
 
-impl Failure {
-    /// The failure as written to log events.
-    pub(super) const fn as_str(self) -> &'static str {
-        match self {
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
             Self::InvalidResponse => "invalid response",
             Self::ServerError => "server error",
+            Self::UnprovenRefusal { status } => {
+                return write!(f, "status {status} without a proof that nothing ran");
+            }
             Self::ConnectionFailed => "broken",
             Self::EndUnconfirmed => "end unconfirmed",
             Self::AnswerTooLong => "answer too long",
             Self::NoResponse => "silent",
             Self::EndpointRestarted => "endpoint restarted",
+        })
+    }
+}
+
+impl Failure {
+    /// What a response shows that can't be passed to the caller although it proves nothing about the
+    /// run; `None` if it can.
+    pub(super) fn of_answer(proof: &AnswerProof) -> Option<Self> {
+        let status = proof.status;
+        let is_final = (200..600).contains(&status);
+        let is_success = (200..300).contains(&status);
+        if !is_final || !proof.names_request || is_success && !proof.signed {
+            return Some(Self::InvalidResponse);
         }
+        STATUSES_NOT_RUN.contains(&status).then_some(Self::UnprovenRefusal { status })
     }
 
     /// Kind of missing response, if the failure suggests that the endpoint's process may have
     /// ended.
     pub(super) const fn unanswered(self) -> Option<Unanswered> {
         match self {
-            Self::InvalidResponse | Self::ServerError | Self::AnswerTooLong => None,
+            Self::InvalidResponse
+            | Self::ServerError
+            | Self::UnprovenRefusal { .. }
+            | Self::AnswerTooLong => None,
             Self::ConnectionFailed | Self::EndUnconfirmed => Some(Unanswered::Broken),
             Self::NoResponse | Self::EndpointRestarted => Some(Unanswered::Silent),
         }
     }
 }
 
+/// Statuses that promise a caller that its request has not run and never will.
+const STATUSES_NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+
 /// Status by which an endpoint reports that the caller's deadline has passed, perhaps before the
 /// request ran.
 pub(super) const STATUS_DEADLINE_PASSED: u16 = 504;
--- a/tests/direct_requests.rs
+++ b/tests/direct_requests.rs
@@ -22,7 +22,7 @@
 use stackmast::direct::published::documents::{Document, Revised};
 use stackmast::direct::published::list_position::Extent;
 use stackmast::direct::published::model::{Repeat, Route};
-use test_case::test_case;
+use test_case::{test_case, test_matrix};
 
 #[test]
 fn a_process_without_a_configuration_is_not_ready_and_refuses_as_not_run() {
@@ -148,6 +148,46 @@
     assert!(calls(&actions).is_empty(), "and is not run again");
 }
 
+/// Guards against a status of an endpoint that is passed on as the promise that nothing ran: a
+/// caller would repeat a request that has run.
+#[test_matrix([408, 421, 429, 503], [true, false])]
+fn refusal_without_proof_is_no_promise(status: u16, signed: bool) {
+    let mut core = configured(vec![route("r", Repeat::AtMostOnce, &[])]);
+    let attempt = calls(&submit(&mut core, 1, incoming("r", Vec::new()), ms(0)))[0].0;
+    let proof = AnswerProof { status, signed, ..good() };
+    let actions = core.handle(answered(attempt, proof), ms(20));
+    assert!(!is_delivered(&actions) && calls(&actions).is_empty());
+    assert!(!refusal(&actions).expect("an outcome").not_run);
+}
+
+/// Guards against a promise to a caller whose request one endpoint refused with proof after another
+/// one may have run it.
+#[test]
+fn refusal_without_proof_counts_as_a_run_of_a_repeated_request() {
+    let mut core = configured(vec![route("r", Repeat::Idempotent, &[])]);
+    let attempt = calls(&submit(&mut core, 1, incoming("r", Vec::new()), ms(0)))[0].0;
+    let unproven = AnswerProof { status: 503, signed: false, ..good() };
+    let actions = core.handle(answered(attempt, unproven), ms(20));
+    let mut attempt = calls(&actions)[0].0;
+    let proven = AnswerProof { status: 503, not_run: true, ..AnswerProof::default() };
+    let refusal = (1..10).find_map(|step| {
+        let actions = core.handle(answered(attempt, proven), ms(20 + step));
+        attempt = calls(&actions).first().map_or(attempt, |call| call.0);
+        refusal(&actions)
+    });
+    assert!(!refusal.expect("an outcome").not_run);
+}
+
+/// Guards against a status that is no final one and reaches a caller.
+#[test_matrix([0, 99, 101, 199, 600, 999])]
+fn status_that_is_not_final_is_not_delivered(status: u16) {
+    let mut core = configured(vec![route("r", Repeat::AtMostOnce, &[])]);
+    let attempt = calls(&submit(&mut core, 1, incoming("r", Vec::new()), ms(0)))[0].0;
+    let actions = core.handle(answered(attempt, AnswerProof { status, ..good() }), ms(20));
+    assert!(!is_delivered(&actions));
+    assert!(!refusal(&actions).expect("an outcome").not_run);
+}
+
 #[test_case(CallFailure::Broken; "broken")]
 #[test_case(CallFailure::Silent; "silent")]
 fn a_request_that_may_have_run_is_not_run_again(failure: CallFailure) {
