--- a/src/agent/endpoint.rs
+++ b/src/agent/endpoint.rs
@@ -9,7 +9,6 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde::Deserialize;
 use slog::{Logger, warn};
@@ -21,6 +20,7 @@
 use crate::config::EndpointKind;
 use crate::framing::states_its_end;
 use crate::message::{AttemptId, Run};
+use crate::response_check::{CheckedConnector, Malformed};
 
 /// Timeout for connecting to the endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -61,16 +61,14 @@
 #[derive(Debug, Clone)]
 pub struct EndpointClient {
     address: SocketAddr,
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<CheckedConnector, Full<Bytes>>,
     log: Logger,
 }
 
 impl EndpointClient {
     /// Creates a client of the endpoint at `address`.
     pub fn new(address: SocketAddr, log: Logger) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let connector = CheckedConnector::new(CONNECT_TIMEOUT);
         // The library retries a request only if none of its bytes was written.
         let client = Client::builder(TokioExecutor::new()).build(connector);
         Self { address, client, log }
@@ -179,12 +177,13 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, EndpointFailure> {
         let sent = self.client.request(request).await;
-        sent.map_err(|e| {
-            if e.is_connect() {
-                EndpointFailure::Unreachable
-            } else {
-                EndpointFailure::ConnectionLost
+        sent.map_err(|error| match Malformed::cause_of(&error) {
+            Some(fault) => {
+                warn!(self.log, "malformed response"; "fault" => fault.to_string());
+                EndpointFailure::Misbehaved
             }
+            None if error.is_connect() => EndpointFailure::Unreachable,
+            None => EndpointFailure::ConnectionLost,
         })
     }
 }
@@ -232,7 +231,10 @@
 
 async fn next_data(body: &mut Incoming) -> Result<Option<Bytes>, EndpointFailure> {
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| EndpointFailure::ConnectionLost)?;
+        let frame = frame.map_err(|error| match Malformed::cause_of(&error) {
+            Some(_) => EndpointFailure::Misbehaved,
+            None => EndpointFailure::ConnectionLost,
+        })?;
         if let Ok(data) = frame.into_data() {
             return Ok(Some(data));
         }
--- a/src/direct/answers.rs
+++ b/src/direct/answers.rs
@@ -2,6 +2,7 @@
 
 use crate::direct::engines::load::Load;
 use crate::direct::peers::message::Handle;
+use crate::response_check::Malformed;
 
 /// What determines the end of a response's body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -82,6 +83,8 @@
     Broken,
     /// The response exceeds a limit and was not read to its end; the request may have run.
     TooLong,
+    /// What was received is no well-formed response; the request may have run.
+    Malformed(Malformed),
     /// The response belongs to another call, or has another number of items; the pieces may have
     /// run.
     ForeignAnswer,
--- a/src/direct/client.rs
+++ b/src/direct/client.rs
@@ -14,6 +14,7 @@
 use crate::direct::peers::message::Handle;
 use crate::direct::published::model::{Endpoint, Name};
 use crate::direct::statement::Statement;
+use crate::response_check::Malformed;
 
 /// Caller's request as it is forwarded.
 #[derive(Debug, Clone)]
@@ -69,6 +70,9 @@
     /// Called with the endpoint status headers when the response's head has been read.
     fn on_status(&mut self, statement: Statement);
 
+    /// Called when what was received is no well-formed response.
+    fn on_malformed(&mut self, fault: Malformed);
+
     /// Called with the response headers that this build does not know; each is passed once.
     fn on_unknown_headers(&mut self, headers: BTreeSet<String>);
 }
--- a/src/direct/forwarded_stream.rs
+++ b/src/direct/forwarded_stream.rs
@@ -1,6 +1,9 @@
 //! What was forwarded of a stream, and how the stream ended.
 
+use std::fmt;
+
 use crate::direct::event_order::{OutOfOrder, Place};
+use crate::response_check::Malformed;
 
 /// How a stream of an endpoint ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -20,14 +23,15 @@
     EventTooLong,
     /// Too many bytes without an event that has an id or data.
     NoEvents,
+    /// What was received does not belong to a well-formed response.
+    Malformed(Malformed),
     /// Reading failed.
     ReadFailed,
 }
 
-impl StreamEnd {
-    /// The end as written to log events.
-    pub const fn as_str(self) -> &'static str {
-        match self {
+impl fmt::Display for StreamEnd {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
             Self::Complete => "complete",
             Self::ConnectionClosed => "connection closed",
             Self::InsideEvent => "inside an event",
@@ -35,8 +39,9 @@
             Self::OutOfOrder => "out of order",
             Self::EventTooLong => "event too long",
             Self::NoEvents => "no more events",
+            Self::Malformed(fault) => return write!(f, "malformed response: {fault}"),
             Self::ReadFailed => "read failed",
-        }
+        })
     }
 }
 
--- a/src/direct/forwarding.rs
+++ b/src/direct/forwarding.rs
@@ -1,5 +1,7 @@
 //! Forwards a stream from an endpoint to its caller.
 
+use std::error::Error;
+
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::combinators::UnsyncBoxBody;
@@ -14,6 +16,7 @@
 use crate::direct::forwarded_stream::{ForwardedStream, StreamEnd};
 use crate::direct::stream::EventSplitter;
 use crate::direct::stream_progress::StreamProgress;
+use crate::response_check::Malformed;
 
 /// Forwards the events of a stream as they arrive, complete events only. A stream that only the end
 /// of its connection ends is broken off if it ends inside an event or before the first one. An event
@@ -40,7 +43,7 @@
             None if !splitter.is_at_boundary() => break StreamEnd::InsideEvent,
             None if framing == Framing::Connection => break StreamEnd::ConnectionClosed,
             None => break StreamEnd::Complete,
-            Some(Err(_)) => break StreamEnd::ReadFailed,
+            Some(Err(error)) => break read_failed(&*error),
             Some(Ok(frame)) => {
                 let Ok(data) = frame.into_data() else {
                     continue;
@@ -87,3 +90,7 @@
     };
     core.send(Event::StreamEnded { caller, attempt, stream }).await.ok();
 }
+
+fn read_failed(error: &(dyn Error + 'static)) -> StreamEnd {
+    Malformed::cause_of(error).map_or(StreamEnd::ReadFailed, StreamEnd::Malformed)
+}
--- a/src/direct/log_events/mod.rs
+++ b/src/direct/log_events/mod.rs
@@ -17,7 +17,7 @@
 pub use crate::direct::log_events::load::LoadEvent;
 pub use crate::direct::log_events::members::{MemberSuspected, PeerUnread, StoreReadingChange};
 pub use crate::direct::log_events::poison::PoisonEvent;
-pub use crate::direct::log_events::process::Reloaded;
+pub use crate::direct::log_events::process::{MalformedResponse, Reloaded};
 pub use crate::direct::log_events::store::{
     EndpointEntry, ListMerged, PublishedVersion, StoreEra, StoreReadOutcome, StoreReturned,
 };
@@ -476,6 +476,8 @@
         /// Number of unfinished jobs.
         jobs: usize,
     },
+    /// See [`MalformedResponse`].
+    MalformedResponse(MalformedResponse),
     /// See [`Reloaded`].
     Reloaded(Reloaded),
     /// See [`LoadEvent`].
--- a/src/direct/log_events/process.rs
+++ b/src/direct/log_events/process.rs
@@ -1,7 +1,9 @@
-//! Log events on the process itself.
+//! Log events on the process itself and on what it receives.
 
 use serde::Serialize;
 
+use crate::direct::published::model::Name;
+
 /// The settings file was read again.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Reloaded {
@@ -14,3 +16,14 @@
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub at_next_start: Vec<&'static str>,
 }
+
+/// An endpoint sent what is no well-formed response.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct MalformedResponse {
+    /// Id of the endpoint.
+    pub endpoint: Name,
+    /// Kind of call: `request`, `pieces`, `report`, `free` or `health`.
+    pub asked: &'static str,
+    /// What is wrong with the response.
+    pub fault: String,
+}
--- a/src/direct/log_events/store.rs
+++ b/src/direct/log_events/store.rs
@@ -93,6 +93,9 @@
     /// `whole`, or `unreachable`, `silent`, `torn`, `outdated`, `refused`, `unreadable`
     /// or `unusable`.
     pub outcome: &'static str,
+    /// What is wrong with a response that is not well-formed.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub fault: Option<String>,
     /// Bytes received.
     pub bytes: usize,
     /// Bytes announced as the length of the response.
--- a/src/direct/log_events/streams.rs
+++ b/src/direct/log_events/streams.rs
@@ -76,8 +76,9 @@
         /// Number of events whose id is not one more than that of the event before.
         jumps: u64,
         /// How the stream ended: `complete`, `connection closed`, `inside an event`, `before the
-        /// first event`, `out of order`, `event too long`, `no more events` or `read failed`.
-        end: &'static str,
+        /// first event`, `out of order`, `event too long`, `no more events`, `read failed` or
+        /// `malformed response` with the fault.
+        end: String,
         /// What the id of the event that was out of order should have been.
         #[serde(skip_serializing_if = "Option::is_none")]
         expected_id: Option<String>,
--- a/src/direct/owner/outcomes.rs
+++ b/src/direct/owner/outcomes.rs
@@ -63,6 +63,10 @@
                 self.avoid(&call.endpoint.id, "answer too long", now);
                 self.requeue_pieces(&call, id, true, table, now);
             }
+            BatchOutcome::Failed(CallFailure::Malformed(_)) => {
+                self.avoid(&call.endpoint.id, "malformed response", now);
+                self.requeue_pieces(&call, id, true, table, now);
+            }
             BatchOutcome::Failed(CallFailure::ForeignAnswer) => {
                 self.avoid(&call.endpoint.id, "foreign answer", now);
                 self.requeue_pieces(&call, id, true, table, now);
--- a/src/direct/peers/links.rs
+++ b/src/direct/peers/links.rs
@@ -41,6 +41,10 @@
 const GREETING_TIMEOUT: Duration = Duration::from_millis(100);
 /// Capacity of the queue for one peer; messages beyond it are dropped.
 const QUEUE_CAPACITY: usize = 1_024;
+/// Time limit for receiving a greeting.
+const RECEIVED_GREETING_TIMEOUT: Duration = Duration::from_secs(5);
+/// Size limit of a greeting in bytes.
+const MAX_GREETING: usize = 16 << 10;
 /// Size limit of a message in bytes; the largest is a complete configuration or list.
 pub(super) const MAX_FRAME: usize = 16 << 20;
 
@@ -304,10 +308,20 @@
     greeting: Bytes,
 ) {
     let mut connection = framed(stream);
-    let Some(Ok(first)) = connection.next().await else {
-        return;
+    // Anyone can connect, so only a greeting raises the limit.
+    connection.codec_mut().set_max_frame_length(MAX_GREETING);
+    let first = match timeout(RECEIVED_GREETING_TIMEOUT, connection.next()).await {
+        Ok(Some(Ok(first))) => first,
+        // The sender closed the connection, as a probe does.
+        Ok(None) => return,
+        Ok(Some(Err(_))) | Err(_) => {
+            metrics::counter!(crate::metrics::PEER_UNREADABLE).increment(1);
+            return;
+        }
     };
+    connection.codec_mut().set_max_frame_length(MAX_FRAME);
     let Ok(hello) = serde_json::from_slice::<Hello>(&first) else {
+        metrics::counter!(crate::metrics::PEER_UNREADABLE).increment(1);
         return;
     };
     if hello.bulk {
--- a/src/direct/published/store_read.rs
+++ b/src/direct/published/store_read.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::response_check::Malformed;
+
 /// Outcome and timing of one read of the publisher's store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StoreRead {
@@ -11,6 +13,8 @@
     pub watch: bool,
     /// `whole` for a complete response, otherwise the kind of failure.
     pub outcome: &'static str,
+    /// What is wrong with a response that is not well-formed.
+    pub fault: Option<Malformed>,
     /// Bytes received.
     pub bytes: usize,
     /// Bytes announced by the response, if any.
--- a/src/direct/requests/attempts.rs
+++ b/src/direct/requests/attempts.rs
@@ -363,6 +363,9 @@
             CallFailure::Broken => {
                 return self.attempt_may_have_run(caller, Failure::ConnectionFailed, table, now);
             }
+            CallFailure::Malformed(fault) => {
+                return self.attempt_may_have_run(caller, Failure::Malformed(fault), table, now);
+            }
             CallFailure::ForeignAnswer => {
                 return self.attempt_may_have_run(caller, Failure::InvalidResponse, table, now);
             }
--- a/src/direct/requests/failure.rs
+++ b/src/direct/requests/failure.rs
@@ -4,6 +4,7 @@
 
 use crate::direct::answers::AnswerProof;
 use crate::direct::poison::Unanswered;
+use crate::response_check::Malformed;
 
 /// Failure of an attempt that may have run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -17,6 +18,8 @@
         /// Status of the response.
         status: u16,
     },
+    /// What was received is no well-formed response.
+    Malformed(Malformed),
     /// The connection failed.
     ConnectionFailed,
     /// The connection ended an answer without framing, and the endpoint did not confirm that it is
@@ -38,6 +41,7 @@
             Self::UnprovenRefusal { status } => {
                 return write!(f, "status {status} without a proof that nothing ran");
             }
+            Self::Malformed(fault) => return write!(f, "malformed response: {fault}"),
             Self::ConnectionFailed => "broken",
             Self::EndUnconfirmed => "end unconfirmed",
             Self::AnswerTooLong => "answer too long",
@@ -67,6 +71,7 @@
             Self::InvalidResponse
             | Self::ServerError
             | Self::UnprovenRefusal { .. }
+            | Self::Malformed(_)
             | Self::AnswerTooLong => None,
             Self::ConnectionFailed | Self::EndUnconfirmed => Some(Unanswered::Broken),
             Self::NoResponse | Self::EndpointRestarted => Some(Unanswered::Silent),
--- a/src/direct/requests/stream_end.rs
+++ b/src/direct/requests/stream_end.rs
@@ -106,7 +106,7 @@
             last_event: stream.last_event.clone(),
             events: stream.events,
             jumps: stream.jumps,
-            end: stream.end.as_str(),
+            end: stream.end.to_string(),
             expected_id: violation.map(|violation| violation.expected.clone()),
             received_id: violation.map(|violation| violation.received.clone()),
         })));
--- a/src/direct/shell.rs
+++ b/src/direct/shell.rs
@@ -24,7 +24,7 @@
 use crate::direct::event_order::Place;
 use crate::direct::forwarding::forward_events;
 use crate::direct::gates::Gates;
-use crate::direct::log_events::{LogEvent, ms};
+use crate::direct::log_events::{LogEvent, MalformedResponse, ms};
 use crate::direct::peers::links::PeerLinks;
 use crate::direct::published::model::{Endpoint, Name};
 pub use crate::direct::state::State;
@@ -32,6 +32,7 @@
 use crate::direct::store_reading::StoreUse;
 use crate::logging::LogWriter;
 use crate::message::Timestamp;
+use crate::response_check::Malformed;
 
 /// Maximum number of stream events buffered for a slow caller.
 const EVENT_BUFFER: usize = 64;
@@ -196,6 +197,7 @@
     sent: Option<Timestamp>,
     /// Caller and attempt to report with [`Event::CallSent`] when the message is sent.
     report_as_sent: Option<(u64, u64)>,
+    lines: LogWriter,
 }
 
 impl Exchange for EndpointExchange {
@@ -223,6 +225,14 @@
         self.core.post(event, &Runtime::current());
     }
 
+    fn on_malformed(&mut self, fault: Malformed) {
+        let endpoint = self.endpoint.id.clone();
+        let (asked, fault) = (self.asked.as_str(), fault.to_string());
+        let event = LogEvent::MalformedResponse(MalformedResponse { endpoint, asked, fault });
+        crate::metrics::log_event(&event);
+        self.lines.write(&event);
+    }
+
     fn on_unknown_headers(&mut self, fields: BTreeSet<String>) {
         let event = Event::UnknownFields { document: ENDPOINT_ANSWER, fields };
         self.core.post(event, &Runtime::current());
@@ -274,8 +284,16 @@
         asked: CallKind,
         permit: Option<Timestamp>,
     ) -> EndpointExchange {
-        let (core, endpoint, gates) = (self.core.clone(), endpoint.clone(), self.gates.clone());
-        EndpointExchange { core, endpoint, asked, gates, permit, sent: None, report_as_sent: None }
+        EndpointExchange {
+            core: self.core.clone(),
+            endpoint: endpoint.clone(),
+            asked,
+            gates: self.gates.clone(),
+            permit,
+            sent: None,
+            report_as_sent: None,
+            lines: self.lines.clone(),
+        }
     }
 
     fn call(&self, caller: u64, attempt: u64, params: CallParams) {
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,6 +1,7 @@
 //! JSON-lines logging, one line per decision or state change; bounded and non-blocking.
 
 use std::io::Write;
+use std::sync::Arc;
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -34,7 +35,7 @@
 /// in [`crate::metrics::LINES_DROPPED`] when the thread can't keep up.
 #[derive(Debug, Clone)]
 pub struct LogWriter {
-    host: String,
+    host: Arc<str>,
     sender: SyncSender<Vec<u8>>,
 }
 
@@ -43,7 +44,7 @@
     pub fn new(host: &str) -> Self {
         let (sender, receiver) = sync_channel(BUFFERED_LINES);
         std::thread::spawn(move || write_lines(&receiver));
-        Self { host: host.to_owned(), sender }
+        Self { host: host.into(), sender }
     }
 
     /// Queues a line, or drops it if the queue is full.
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -7,7 +7,6 @@
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::StatusCode;
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde::{Deserialize, Serialize};
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
@@ -15,6 +14,7 @@
 use crate::config::parts::{self, MANIFEST_KEY, MAX_PART_LEN, Manifest, PART_PREFIX};
 use crate::framing::states_its_end;
 use crate::metrics as m;
+use crate::response_check::CheckedConnector;
 
 /// Timeout of a call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -114,13 +114,14 @@
 #[derive(Debug, Clone)]
 pub struct Platform {
     address: SocketAddr,
-    client: Client<HttpConnector, Empty<Bytes>>,
+    client: Client<CheckedConnector, Empty<Bytes>>,
 }
 
 impl Platform {
     /// Creates a client for the platform at `address`.
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, client: Client::builder(TokioExecutor::new()).build_http() }
+        let connector = CheckedConnector::new(CALL_TIMEOUT);
+        Self { address, client: Client::builder(TokioExecutor::new()).build(connector) }
     }
 
     /// Fetches the manifest of the configuration; `None` if none is published.
--- a/tests/direct_links.rs
+++ b/tests/direct_links.rs
@@ -104,3 +104,18 @@
     let closed = timeout(Duration::from_secs(1), stream.read_u8()).await;
     assert!(closed.is_ok_and(|end| end.is_err()), "it is closed");
 }
+
+/// Guards against a connection of a stranger that fills the memory before it has named itself.
+#[tokio::test]
+async fn long_greeting_closes_the_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (core, waiting) = mailbox();
+    tokio::spawn(run(new_core(), Idle, waiting));
+    let greeting = PeerLinks::new(address, 1, core.clone()).greeting();
+    tokio::spawn(accept(listener, core, greeting));
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    stream.write_all(&100_000_u32.to_be_bytes()).await.expect("a length");
+    let read = timeout(Duration::from_secs(1), stream.read(&mut [0; 16])).await;
+    assert!(matches!(read, Ok(Ok(0) | Err(_))), "{read:?}");
+}
--- a/tests/direct_pulls.rs
+++ b/tests/direct_pulls.rs
@@ -225,6 +225,7 @@
     core.handle(Event::ConfigurationReadProgress, ms(2_000));
     assert!(asked(&mut core, NEWER, 2_000, 2_300).is_empty());
     let read = StoreRead {
+        fault: None,
         subject: StoreRead::CONFIGURATION,
         watch: true,
         outcome: StoreRead::COMPLETE,
