A stopping gateway begins no stream that it can't end (late requests)

Callers saw: a stream that a gateway accepted 1.7 s after SIGTERM was cut off when the process ended, because its replica began 6 s later.

Cause: the rest of the process's time was checked on arrival, in stages and at the dispatch, but not when the answer began. Ruled out: the decision on arrival; by the durations known then the stream fits.

--- a/src/direct/requests/attempts.rs
+++ b/src/direct/requests/attempts.rs
@@ -67,6 +67,7 @@
             ordered_at: now,
             sent_at: None,
             framing: Framing::default(),
+            answered_at: None,
             began_at: None,
             health_path,
             unconfirmed_end: None,
@@ -132,6 +133,7 @@
             return;
         };
         open.framing = proof.framing;
+        open.answered_at = Some(now);
         let open = open.clone();
         let place = request.place.clone();
         let endpoint = open.endpoint.clone();
@@ -154,6 +156,9 @@
             let answer = UnframedAnswer::Whole { status: proof.status };
             return self.check_end(caller, answer, table, now);
         }
+        if is_open && !self.may_begin_answer(caller, now) {
+            return;
+        }
         self.record_answer(caller, proof.status, now);
         if is_open {
             self.out.push(Action::Deliver { caller, attempt, place });
--- a/src/direct/requests/durations.rs
+++ b/src/direct/requests/durations.rs
@@ -29,6 +29,8 @@
     Stages,
     /// From the call of the endpoint to the complete answer.
     Run,
+    /// From the head of the answer to its end.
+    Answer,
 }
 
 /// Required confidence of an estimate.
--- a/src/direct/requests/request.rs
+++ b/src/direct/requests/request.rs
@@ -69,6 +69,8 @@
     pub sent_at: Option<Timestamp>,
     /// What determines the end of the answer.
     pub framing: Framing,
+    /// When the head of the answer was received.
+    pub answered_at: Option<Timestamp>,
     /// When the first event of the answer was forwarded.
     pub began_at: Option<Timestamp>,
     /// Path of the endpoint's health check, if known.
--- a/src/direct/requests/stopping.rs
+++ b/src/direct/requests/stopping.rs
@@ -1,4 +1,5 @@
-//! Requests of a stopping process: nothing is started that can't finish before the process ends.
+//! Requests of a stopping process: nothing is started, and no answer begun, that can't finish before
+//! the process ends.
 
 use std::time::Duration;
 
@@ -33,6 +34,7 @@
     Arrival,
     Stages,
     Dispatch,
+    Answer,
 }
 
 impl Checkpoint {
@@ -41,6 +43,7 @@
             Self::Arrival => "door",
             Self::Stages => "stages",
             Self::Dispatch => "dispatch",
+            Self::Answer => "answer",
         }
     }
 
@@ -49,6 +52,7 @@
         match self {
             Self::Arrival => Span::Total,
             Self::Stages | Self::Dispatch => Span::Run,
+            Self::Answer => Span::Answer,
         }
     }
 }
@@ -104,7 +108,10 @@
         );
         let time_left = request.deadline.saturating_sub(now);
         let (route, size) = (&request.route.name, request.size());
-        let expected = self.durations.expected(route, at.remaining_span(), size, confidence);
+        let expected = match at {
+            Checkpoint::Answer => self.expected_answer(request),
+            _ => self.durations.expected(route, at.remaining_span(), size, confidence),
+        };
         // A young process has no samples. Where a typical duration would suffice, it accepts,
         // because a refusal has a certain cost.
         let unknown = if confidence == Confidence::Typical { Duration::ZERO } else { time_left };
@@ -112,7 +119,9 @@
         let expected = expected.min(time_left);
         let taken = match at {
             Checkpoint::Arrival => stop.accepts(expected, now),
-            Checkpoint::Stages | Checkpoint::Dispatch => stop.is_before_end(now + expected),
+            Checkpoint::Stages | Checkpoint::Dispatch | Checkpoint::Answer => {
+                stop.is_before_end(now + expected)
+            }
         };
         let is_logged = at == Checkpoint::Arrival || !taken;
         let event = is_logged
@@ -120,6 +129,17 @@
         (taken, event.flatten())
     }
 
+    /// Expected duration of an answer whose head was received: a safe upper bound if there are
+    /// enough similar ones, else a typical duration. Without any, the answer is begun.
+    fn expected_answer(&self, request: &Request) -> Option<Duration> {
+        let expected = |confidence| {
+            let (route, size) = (&request.route.name, request.size());
+            self.durations.expected(route, Span::Answer, size, confidence)
+        };
+        let known = expected(Confidence::UpperBound).or_else(|| expected(Confidence::Typical));
+        Some(known.unwrap_or_default())
+    }
+
     /// Typical remaining time of the stages of a request that waits for them.
     fn stages_time_left(&self, request: &Request, at: Checkpoint, now: Timestamp) -> Duration {
         if at != Checkpoint::Stages {
@@ -175,6 +195,21 @@
         taken
     }
 
+    /// Whether a stream whose head was received can end before the process does; otherwise its
+    /// caller gets a failure, since a stream that has begun would be cut off. It may have run.
+    pub(super) fn may_begin_answer(&mut self, caller: u64, now: Timestamp) -> bool {
+        let request = self.requests.get(&caller).filter(|r| r.phase != Phase::Streaming);
+        let Some(request) = request else {
+            return true;
+        };
+        let (taken, event) = self.can_finish(request, Checkpoint::Answer, now);
+        self.out.extend(event.map(Action::Log));
+        if !taken {
+            self.refuse(caller, Refused::Draining, self.retry_elsewhere_after(), now);
+        }
+        taken
+    }
+
     /// Logs that a new request was refused without considering it.
     pub(super) fn log_closed(&mut self, request: &Name, now: Timestamp) {
         let event = self.stop_decision(request, Checkpoint::Arrival, false, None, now);
@@ -225,12 +260,17 @@
         let Some(request) = self.requests.get(&caller) else {
             return;
         };
-        let Some(ordered_at) = request.attempt.as_ref().map(|a| a.ordered_at) else {
+        let Some(attempt) = &request.attempt else {
             return;
         };
         let (route, size) = (&request.route.name, request.size());
-        for (span, since) in [(Span::Total, request.arrived), (Span::Run, ordered_at)] {
-            let Some(took) = self.elapsed_since(since, now) else {
+        let spans = [
+            (Span::Total, Some(request.arrived)),
+            (Span::Run, Some(attempt.ordered_at)),
+            (Span::Answer, attempt.answered_at),
+        ];
+        for (span, since) in spans {
+            let Some(took) = since.and_then(|since| self.elapsed_since(since, now)) else {
                 continue;
             };
             if is_complete {
--- a/tests/direct_stops.rs
+++ b/tests/direct_stops.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use directenv::gateway::{
-    announced_state, calls, configured, good, incoming, receive_gossip, refusal, serving,
-    stream_ended, submit,
+    announced_state, calls, configured, good, incoming, is_delivered, receive_gossip, refusal,
+    serving, stream_ended, submit,
 };
 use directenv::{address, job, ms, route};
 use stackmast::actor::Core;
@@ -232,6 +232,29 @@
     assert!(actions.iter().any(|a| matches!(a, Action::AbortStream { caller: 3 })), "at once");
 }
 
+/// Guards against a stream that is begun although it can't end before the process, and is cut off: a
+/// gateway that stops alone accepts it, and its endpoint begins late.
+#[test_case(true, 6_000, false; "late, with similar streams before")]
+#[test_case(true, 4_000, true; "early enough")]
+#[test_case(false, 6_000, true; "nothing is known of its duration")]
+fn answer_is_begun_only_if_it_can_end(is_known: bool, begins_after: u64, is_begun: bool) {
+    let mut core = configured(vec![stream("long")]);
+    for number in 0..8 {
+        if is_known {
+            serve(&mut core, 10 + number, "long", ms(2_000));
+        }
+    }
+    core.handle(Event::Drain { at: SIGNAL }, SIGNAL);
+    let sent = SIGNAL + ms(1_700);
+    let attempt = calls(&submit(&mut core, 3, long_request("long", Vec::new()), sent))[0].0;
+    let head = Event::Answered { caller: 3, attempt, proof: good(), is_open: true };
+    let actions = core.handle(head, SIGNAL + ms(begins_after));
+    assert_eq!(is_delivered(&actions), is_begun);
+    let refusal = refusal(&actions);
+    assert_eq!(refusal.is_none(), is_begun);
+    assert!(refusal.is_none_or(|refusal| !refusal.not_run), "it may have run");
+}
+
 #[test]
 fn a_stopping_owner_hands_back_the_jobs_of_others_at_its_end() {
     let (mut core, _) = beside_an_owner(SIGNAL + ms(1_000));
