--- a/src/direct/log_events/mod.rs
+++ b/src/direct/log_events/mod.rs
@@ -438,7 +438,8 @@
     StopDecided {
         /// Request id given by the caller.
         request: Name,
-        /// `door` (on arrival), `stages` (while stages run) or `dispatch` (before sending).
+        /// `door` (on arrival), `stages` (while stages run), `dispatch` (before sending) or `answer`
+        /// (before a stream is begun).
         at: &'static str,
         /// Whether the request continues.
         taken: bool,
--- a/src/direct/requests/mod.rs
+++ b/src/direct/requests/mod.rs
@@ -96,6 +96,7 @@
     Survival(u64),
     EndCheck(u64),
     OriginLookup(u32),
+    ListConfirmation,
 }
 
 /// The requests of one gateway and the state that decisions on them depend on.
@@ -148,6 +149,8 @@
     origins: StreamOrigins,
     /// Callers whose streams' origins are looked up by the next call of [`Self::actions`].
     pending_lookups: Vec<u64>,
+    /// Callers whose streams wait until the list of endpoints is confirmed.
+    awaiting_list: Vec<u64>,
     /// Callers whose jobs are submitted again, to the same owner.
     pub(super) pending_resubmissions: Vec<u64>,
     pub(super) out: Vec<Action>,
@@ -189,6 +192,7 @@
             pending_submissions: Vec::new(),
             origins: StreamOrigins::default(),
             pending_lookups: Vec::new(),
+            awaiting_list: Vec::new(),
             pending_resubmissions: Vec::new(),
             out: Vec::new(),
         }
@@ -380,6 +384,7 @@
                 Timer::Survival(attempt) => self.survived(caller, attempt),
                 Timer::EndCheck(attempt) => self.end_check_due(caller, attempt, table, now),
                 Timer::OriginLookup(round) => self.origin_lookup_timed_out(caller, round),
+                Timer::ListConfirmation => self.list_not_confirmed(caller, now),
             }
         }
     }
--- a/src/direct/requests/resumption.rs
+++ b/src/direct/requests/resumption.rs
@@ -23,6 +23,9 @@
 const ROUND: Duration = Duration::from_millis(100);
 /// Number of times that holders are asked.
 const MAX_ROUNDS: u32 = 3;
+/// Maximum wait until the list of endpoints is confirmed. Readers of the store confirm it at least
+/// every 2 s, and the other gateways learn of it with the next heartbeat.
+const MAX_LIST_WAIT: Duration = Duration::from_millis(2_500);
 
 /// The lookup of the origin of a stream that a caller resumes.
 #[derive(Debug, Clone, Default)]
@@ -38,6 +41,8 @@
     rounds: u32,
     /// Whether those that have not responded are to be asked again.
     is_round_due: bool,
+    /// Whether only the confirmation of the list of endpoints is missing.
+    awaits_list: bool,
     began: Timestamp,
 }
 
@@ -154,6 +159,9 @@
         if let Some(origin) = self.origins.get(&stream, now).cloned() {
             return self.origin_found(caller, origin, Source::Own, table, now);
         }
+        if lookup.awaits_list {
+            return self.decide_by_confirmed_list(caller, table, now);
+        }
         let mut unanswered = self.origins.asked(&stream, &request.route, now);
         unanswered.retain(|h, _| *h != self.own && !lookup.answered.contains(h));
         // A gateway that knows others, none of which is up, waits for one to be up.
@@ -271,13 +279,17 @@
     }
 
     /// No record was found. If the pool has had one version only for as long as callers resume
-    /// streams, that version began the stream.
+    /// streams, that version began the stream. A version may have joined since the list of endpoints
+    /// was last confirmed, so the list must be confirmed after the caller has come.
     fn decide_by_versions(&mut self, caller: u64, table: &Table, now: Timestamp) {
         let Some(request) = self.requests.get(&caller) else {
             return;
         };
         if let Some(origin) = self.inferred_origin(request, now) {
-            return self.origin_found(caller, origin, Source::OnlyVersion, table, now);
+            if self.is_list_confirmed_for(request) {
+                return self.origin_found(caller, origin, Source::OnlyVersion, table, now);
+            }
+            return self.await_list(caller, now);
         }
         if table.pool_endpoints(&request.pool).is_empty() {
             return self.refuse(caller, Refused::NoEndpoint, RETRY_SOON, now);
@@ -286,6 +298,66 @@
         self.refuse(caller, Refused::UnknownOrigin, RETRY_SOON, now);
     }
 
+    /// Whether the list of endpoints has been confirmed since the caller of a request resumed its
+    /// stream.
+    fn is_list_confirmed_for(&self, request: &Request) -> bool {
+        let began = request.lookup.as_ref().map(|lookup| lookup.began);
+        began.is_some_and(|began| self.origins.is_list_confirmed(began))
+    }
+
+    /// Lets a request wait until the list of endpoints is confirmed.
+    fn await_list(&mut self, caller: u64, now: Timestamp) {
+        let lookup = self.requests.get_mut(&caller).and_then(|request| request.lookup.as_mut());
+        let Some(lookup) = lookup.filter(|lookup| !lookup.awaits_list) else {
+            return;
+        };
+        lookup.awaits_list = true;
+        self.awaiting_list.push(caller);
+        self.timers.insert((now + MAX_LIST_WAIT, caller, Timer::ListConfirmation));
+    }
+
+    /// The list of endpoints may have been confirmed: decides on the requests that wait for it.
+    pub(super) fn list_confirmed(&mut self) {
+        let waiting = std::mem::take(&mut self.awaiting_list);
+        for caller in waiting {
+            match self.requests.get(&caller) {
+                None => {}
+                Some(request) if self.is_list_confirmed_for(request) => {
+                    self.pending_lookups.push(caller);
+                }
+                Some(_) => self.awaiting_list.push(caller),
+            }
+        }
+    }
+
+    /// Decides by the list of endpoints that a request has waited for. If it has another version,
+    /// the processes that hold records of its streams are asked as well.
+    fn decide_by_confirmed_list(&mut self, caller: u64, table: &Table, now: Timestamp) {
+        let Some(request) = self.requests.get(&caller) else {
+            return;
+        };
+        if !self.is_list_confirmed_for(request) {
+            return;
+        }
+        if let Some(origin) = self.inferred_origin(request, now) {
+            return self.origin_found(caller, origin, Source::OnlyVersion, table, now);
+        }
+        let lookup = self.requests.get_mut(&caller).and_then(|request| request.lookup.as_mut());
+        if let Some(lookup) = lookup {
+            (lookup.awaits_list, lookup.is_round_due, lookup.rounds) = (false, true, 0);
+            self.pending_lookups.push(caller);
+        }
+    }
+
+    /// The list of endpoints was not confirmed in time: which versions there are now is unknown.
+    pub(super) fn list_not_confirmed(&mut self, caller: u64, now: Timestamp) {
+        let lookup = self.requests.get(&caller).and_then(|request| request.lookup.as_ref());
+        if lookup.is_some_and(|lookup| lookup.awaits_list) {
+            self.log_origin(caller, None, "unconfirmed", now);
+            self.refuse(caller, Refused::UnknownOrigin, RETRY_SOON, now);
+        }
+    }
+
     /// The origin of a stream is known: continues the request at endpoints of that version.
     fn origin_found(
         &mut self,
--- a/src/direct/requests/stream_origins.rs
+++ b/src/direct/requests/stream_origins.rs
@@ -67,6 +67,11 @@
         self.list_age(now).is_some_and(|age| age < MAX_LIST_AGE)
     }
 
+    /// Whether the list of endpoints was current at a time, or later.
+    pub(super) fn is_list_confirmed(&self, at: Timestamp) -> bool {
+        self.list_current_at.is_some_and(|current_at| current_at >= at)
+    }
+
     /// The version that began a stream of a pool without a record, if only one can have.
     pub(super) fn only_origin(&self, pool: &Name, now: Timestamp) -> Option<Origin> {
         let version = self.versions.only_version(pool, now).filter(|_| self.is_list_current(now));
@@ -196,6 +201,7 @@
     /// Sets when the list of endpoints was last known to be current.
     pub fn set_list_current_at(&mut self, at: Option<Timestamp>) {
         self.origins.set_list_current_at(at);
+        self.list_confirmed();
     }
 
     /// Sets the port at which the witnesses beside endpoints listen.
