--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod direct;
 pub mod distribution;
 pub mod fleet;
+mod forwarded_writes;
 pub mod framing;
 pub mod gateway;
 pub mod http;
--- a/src/response_check/stream.rs
+++ b/src/response_check/stream.rs
@@ -102,15 +102,5 @@
         Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
     }
 
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
+    crate::forward_flushes!();
 }
