--- a/src/direct/requests/mod.rs
+++ b/src/direct/requests/mod.rs
@@ -331,6 +331,7 @@
             tried: Vec::new(),
             place: place_of(&incoming, route),
             lookup: None,
+            has_begun: false,
             origin: None,
             holds_results: false,
             incoming,
--- a/src/direct/requests/request.rs
+++ b/src/direct/requests/request.rs
@@ -142,6 +142,8 @@
     pub place: Place,
     /// The lookup of the stream's origin, while the caller resumes a stream whose origin is unknown.
     pub lookup: Option<OriginLookup>,
+    /// Whether a record shows that the stream which the caller resumes has begun.
+    pub has_begun: bool,
     /// Origin of the stream, once an event of it was forwarded.
     pub origin: Option<Origin>,
     /// Whether owners hold results of the stages for this request.
@@ -159,6 +161,12 @@
         !self.route.stages.is_empty() && self.incoming.has_pieces()
     }
 
+    /// Whether an owner may have started the stages before: for this request, or for the stream that
+    /// its caller resumes. What was admitted once is not refused later.
+    pub fn may_have_started(&self) -> bool {
+        self.holds_results || self.sends > 0 || self.has_begun
+    }
+
     /// Whether the stages were submitted and their results have been freed since.
     pub fn results_freed(&self) -> bool {
         self.has_stages() && !self.holds_results
--- a/src/direct/requests/resumption.rs
+++ b/src/direct/requests/resumption.rs
@@ -372,6 +372,7 @@
             return;
         };
         request.lookup = None;
+        request.has_begun = source != Source::OnlyVersion;
         if !request.route.targets.iter().any(|target| target.pool == origin.pool) {
             return self.refuse(caller, Refused::NoEndpoint, RETRY_SOON, now);
         }
--- a/src/direct/requests/stages.rs
+++ b/src/direct/requests/stages.rs
@@ -72,7 +72,7 @@
             };
             return self.refuse(caller, reason, retry_after, now);
         };
-        let resubmitted = request.holds_results || request.sends > 0;
+        let resubmitted = request.may_have_started();
         request.phase = Phase::Stages {
             owner: owner.address,
             incarnation: owner.incarnation,
--- a/tests/direct_resumed_streams.rs
+++ b/tests/direct_resumed_streams.rs
@@ -11,16 +11,19 @@
     stream_ended, submit,
 };
 use directenv::group::Group;
-use directenv::{deployment, endpoint, endpoints, engine_of, ms, position, route};
+use directenv::{address, deployment, endpoint, endpoints, engine_of, ms, position, route};
 use stackmast::actor::Core;
 use stackmast::config::Selector;
 use stackmast::direct::core::GatewayCore;
 use stackmast::direct::event::{Action, CallParams, Event, IncomingRequest, Refused};
 use stackmast::direct::forwarded_stream::StreamEnd;
 use stackmast::direct::log_events::LogEvent;
+use stackmast::direct::origins::Origin;
+use stackmast::direct::peers::message::{BegunStream, PeerMessage};
 use stackmast::direct::published::list_position::Extent;
 use stackmast::direct::published::model::{Endpoint, Repeat, Route, Target};
 use stackmast::direct::published::software::version_of;
+use stackmast::direct::store_reading::StorePart;
 use test_case::test_case;
 
 /// Number of streams in a test; enough that a gateway which ignores versions does not pass by chance.
@@ -401,3 +404,35 @@
         assert_eq!(pool_of(&resumed), pool_of(&began), "stream {number}");
     }
 }
+
+/// Guards against callers that lost a stream with all gateways and are refused like new ones when they
+/// resume it: what was admitted once is not refused for room. A stream without a record is no proof.
+#[test_case(true; "with a record")]
+#[test_case(false; "without a record")]
+fn stages_of_a_stream_that_has_begun_are_submitted_as_started(has_record: bool) {
+    let staged = route("r", Repeat::AtMostOnce, &[("first", &[], 10)]);
+    let mut core = configured(vec![Route { stages: staged.stages, ..resumable() }]);
+    core.handle(Event::Tick, KNOWN);
+    let parts = [StorePart::Operator, StorePart::Endpoints];
+    for part in parts {
+        core.handle(Event::StoreChecked { part }, KNOWN);
+    }
+    if has_record {
+        let origin = Origin { pool: "engine".into(), version: None };
+        let expires_in = Duration::from_secs(30);
+        let record = BegunStream { stream: stream(1).id, origin, expires_in };
+        let message = PeerMessage::StreamsBegan(vec![record]);
+        core.handle(Event::PeerMessage { from: address(9), message }, KNOWN);
+    }
+    let resumed = IncomingRequest { pieces: vec![1], ..resumption(1) };
+    let mut actions = submit(&mut core, 1, resumed, KNOWN + ms(1));
+    for part in parts {
+        actions.extend(core.handle(Event::StoreChecked { part }, KNOWN + ms(400)));
+    }
+    actions.extend(core.handle(Event::Tick, KNOWN + ms(401)));
+    let submitted = actions.iter().find_map(|action| match action {
+        Action::Log(LogEvent::StagesSubmitted { resubmitted, .. }) => Some(*resubmitted),
+        _ => None,
+    });
+    assert_eq!(submitted, Some(has_record), "{actions:?}");
+}
