--- a/src/direct/requests/resumption.rs
+++ b/src/direct/requests/resumption.rs
@@ -280,7 +280,7 @@
 
     /// No record was found. If the pool has had one version only for as long as callers resume
     /// streams, that version began the stream. A version may have joined since the list of endpoints
-    /// was last confirmed, so the list must be confirmed after the caller has come.
+    /// was last confirmed, so the list must be confirmed after the arrival of the request.
     fn decide_by_versions(&mut self, caller: u64, table: &Table, now: Timestamp) {
         let Some(request) = self.requests.get(&caller) else {
             return;
--- a/src/direct/requests/stopping.rs
+++ b/src/direct/requests/stopping.rs
@@ -184,10 +184,15 @@
     /// This includes streams that are to be resumed, because their callers may resume them at
     /// another gateway.
     pub(super) fn may_be_sent(&mut self, caller: u64, now: Timestamp) -> bool {
+        self.refuse_if_too_late(caller, Checkpoint::Dispatch, now)
+    }
+
+    /// Refuses a request that can't finish before the process ends; returns whether it can.
+    fn refuse_if_too_late(&mut self, caller: u64, at: Checkpoint, now: Timestamp) -> bool {
         let Some(request) = self.requests.get(&caller) else {
             return false;
         };
-        let (taken, event) = self.can_finish(request, Checkpoint::Dispatch, now);
+        let (taken, event) = self.can_finish(request, at, now);
         self.out.extend(event.map(Action::Log));
         if !taken {
             self.refuse(caller, Refused::Draining, self.retry_elsewhere_after(), now);
@@ -198,16 +203,8 @@
     /// Whether a stream whose head was received can end before the process does; otherwise its
     /// caller gets a failure, since a stream that has begun would be cut off. It may have run.
     pub(super) fn may_begin_answer(&mut self, caller: u64, now: Timestamp) -> bool {
-        let request = self.requests.get(&caller).filter(|r| r.phase != Phase::Streaming);
-        let Some(request) = request else {
-            return true;
-        };
-        let (taken, event) = self.can_finish(request, Checkpoint::Answer, now);
-        self.out.extend(event.map(Action::Log));
-        if !taken {
-            self.refuse(caller, Refused::Draining, self.retry_elsewhere_after(), now);
-        }
-        taken
+        let is_begun = self.requests.get(&caller).is_none_or(|r| r.phase == Phase::Streaming);
+        is_begun || self.refuse_if_too_late(caller, Checkpoint::Answer, now)
     }
 
     /// Logs that a new request was refused without considering it.
--- a/src/response_check/malformed.rs
+++ b/src/response_check/malformed.rs
@@ -56,7 +56,7 @@
     /// A chunk is not followed by a line end.
     #[snafu(display("chunk longer than its length"))]
     ChunkEnd,
-    /// The body goes on behind its stated length.
+    /// The body is longer than its stated length.
     #[snafu(display("body longer than its length"))]
     LengthTooSmall,
     /// Bytes that belong to no response: no request is waiting for one.
--- a/src/response_check/mod.rs
+++ b/src/response_check/mod.rs
@@ -119,7 +119,7 @@
         }
     }
 
-    /// Checks the next bytes; returns how many were used, at least one.
+    /// Checks the next bytes; returns how many were used, which are none only behind a response.
     fn step(&mut self, bytes: &[u8]) -> Result<usize, Malformed> {
         match &mut self.state {
             State::Idle => Ok(0),
