--- a/src/admin.rs
+++ b/src/admin.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use metrics_exporter_prometheus::PrometheusHandle;
+use percent_encoding::percent_decode_str;
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
 use tokio::sync::Notify;
@@ -293,6 +294,7 @@
     };
     let path = ctx.req().uri().path();
     let text = path.trim_end_matches("/explain").rsplit('/').next().unwrap_or_default();
+    let text = percent_decode_str(text).decode_utf8_lossy();
     let id: RequestId = match text.parse() {
         Ok(id) => id,
         Err(error) => {
--- a/src/agent/endpoint.rs
+++ b/src/agent/endpoint.rs
@@ -7,7 +7,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 use serde::Deserialize;
@@ -20,6 +20,7 @@
 use crate::config::EndpointKind;
 use crate::framing::states_its_end;
 use crate::message::{AttemptId, Run};
+use crate::request_target::RequestTarget;
 use crate::response_check::{CheckedConnector, Malformed};
 
 /// Timeout for connecting to the endpoint.
@@ -96,8 +97,8 @@
 
     /// Cancels a stream at an engine; failures are ignored.
     pub async fn cancel(&self, attempt: AttemptId) {
-        let uri = format!("http://{}/v1/streams/{attempt}", self.address);
-        let request = Request::builder().method(Method::DELETE).uri(uri).body(Full::default());
+        let uri = stream_target(attempt).at(self.address);
+        let request = uri.and_then(|uri| Request::delete(uri).body(Full::default()));
         if let Ok(request) = request {
             self.client.request(request).await.ok();
         }
@@ -105,9 +106,10 @@
 
     /// Sends an order to the engine.
     pub async fn order(&self, order: &Order) -> OrderOutcome {
-        let uri = format!("http://{}/v1/orders", self.address);
+        let uri = RequestTarget::new("/v1/orders").at(self.address);
         let body = serde_json::to_vec(order).unwrap_or_default();
-        let Ok(request) = Request::post(uri).body(Full::new(Bytes::from(body))) else {
+        let body = Full::new(Bytes::from(body));
+        let Ok(request) = uri.and_then(|uri| Request::post(uri).body(body)) else {
             return OrderOutcome::Failed;
         };
         match self.client.request(request).await.map(|r| r.status()) {
@@ -126,8 +128,8 @@
         let CallStart::Begin(run) = start else {
             return Err(EndpointFailure::UnknownAttempt);
         };
-        let uri = format!("http://{}/v1/stages/{}", self.address, run.stage);
-        let response = self.send(begin_request(uri, attempt, *run)?).await?;
+        let target = RequestTarget::new("/v1/stages").segment(&run.stage);
+        let response = self.send(self.begin_request(&target, attempt, *run)?).await?;
         check_answer(&response, attempt)?;
         if !states_its_end(&response) {
             self.log_unframed(attempt, response.status());
@@ -154,13 +156,13 @@
         start: CallStart,
         events: &Events<'_>,
     ) -> Result<u64, EndpointFailure> {
-        let uri = format!("http://{}/v1/streams/{attempt}", self.address);
+        let target = stream_target(attempt);
         let request = match start {
-            CallStart::Begin(run) => begin_request(uri, attempt, *run)?,
+            CallStart::Begin(run) => self.begin_request(&target, attempt, *run)?,
             CallStart::Resume { offset, after } => {
                 tokio::time::sleep(after).await;
-                let uri = format!("{uri}?offset={offset}");
-                let request = Request::get(uri).body(Full::default());
+                let uri = target.field("offset", offset).at(self.address);
+                let request = uri.and_then(|uri| Request::get(uri).body(Full::default()));
                 request.map_err(|_| EndpointFailure::Failed)?
             }
         };
@@ -172,6 +174,24 @@
         read_lines(response.into_body(), events).await
     }
 
+    fn begin_request(
+        &self,
+        target: &RequestTarget,
+        attempt: AttemptId,
+        run: Run,
+    ) -> Result<Request<Full<Bytes>>, EndpointFailure> {
+        let uri = target.at(self.address).map_err(|_| EndpointFailure::Failed)?;
+        Request::post(uri)
+            .header(ATTEMPT_HEADER, attempt.to_string())
+            .header(REQUEST_HEADER, run.request)
+            .header(ORGANISATION_HEADER, run.organisation)
+            .header(PRIORITY_HEADER, run.priority.to_string())
+            .header(DEADLINE_HEADER, run.time_left.as_millis().to_string())
+            .header(hyper::header::CONTENT_TYPE, "application/json")
+            .body(Full::new(run.input))
+            .map_err(|_| EndpointFailure::Failed)
+    }
+
     async fn send(
         &self,
         request: Request<Full<Bytes>>,
@@ -202,20 +222,9 @@
     }
 }
 
-fn begin_request(
-    uri: String,
-    attempt: AttemptId,
-    run: Run,
-) -> Result<Request<Full<Bytes>>, EndpointFailure> {
-    Request::post(uri)
-        .header(ATTEMPT_HEADER, attempt.to_string())
-        .header(REQUEST_HEADER, run.request)
-        .header(ORGANISATION_HEADER, run.organisation)
-        .header(PRIORITY_HEADER, run.priority.to_string())
-        .header(DEADLINE_HEADER, run.time_left.as_millis().to_string())
-        .header(hyper::header::CONTENT_TYPE, "application/json")
-        .body(Full::new(run.input))
-        .map_err(|_| EndpointFailure::Failed)
+/// Target of the stream of an attempt at an engine.
+fn stream_target(attempt: AttemptId) -> RequestTarget {
+    RequestTarget::new("/v1/streams").segment(attempt)
 }
 
 fn check_answer(response: &Response<Incoming>, attempt: AttemptId) -> Result<(), EndpointFailure> {
--- a/src/direct/client.rs
+++ b/src/direct/client.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
+use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, StatusCode};
 
 use crate::direct::answers::{AnswerProof, BatchOutcome, BatchReport, CallFailure, Identity};
@@ -22,7 +23,7 @@
     /// Method of the request.
     pub method: Method,
     /// Path and query of the request.
-    pub target: String,
+    pub target: PathAndQuery,
     /// Headers, without those of a single connection.
     pub headers: HeaderMap,
     /// Body of the request.
--- a/src/direct/log_events/kinds.rs
+++ b/src/direct/log_events/kinds.rs
@@ -42,6 +42,7 @@
             subject: read.subject,
             watch: read.watch,
             outcome: read.outcome,
+            query: read.query.clone(),
             fault: read.fault.map(|fault| fault.to_string()),
             bytes: read.bytes,
             expected: read.expected,
--- a/src/direct/log_events/store.rs
+++ b/src/direct/log_events/store.rs
@@ -1,5 +1,7 @@
 //! Log events about the publisher's store: its eras and restores from an older copy.
 
+use std::sync::Arc;
+
 use serde::Serialize;
 
 use crate::direct::published::model::Name;
@@ -90,9 +92,12 @@
     pub subject: &'static str,
     /// Whether the read was a watch.
     pub watch: bool,
-    /// `whole`, or `unreachable`, `silent`, `torn`, `outdated`, `refused`, `unreadable`
-    /// or `unusable`.
+    /// `whole`, or `unreachable`, `silent`, `torn`, `outdated`, `refused`, `unreadable`, `unusable`
+    /// or `endless`.
     pub outcome: &'static str,
+    /// Path and query of a call that failed.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub query: Option<Arc<str>>,
     /// What is wrong with a response that is not well-formed.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub fault: Option<String>,
--- a/src/direct/published/store_read.rs
+++ b/src/direct/published/store_read.rs
@@ -1,11 +1,12 @@
 //! The outcome of one read of the publisher's store, for log events.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::response_check::Malformed;
 
 /// Outcome and timing of one read of the publisher's store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StoreRead {
     /// The kind of document that was read.
     pub subject: &'static str,
@@ -13,6 +14,8 @@
     pub watch: bool,
     /// `whole` for a complete response, otherwise the kind of failure.
     pub outcome: &'static str,
+    /// Path and query of a call that failed.
+    pub query: Option<Arc<str>>,
     /// What is wrong with a response that is not well-formed.
     pub fault: Option<Malformed>,
     /// Bytes received.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod platform;
 pub mod policy;
 pub mod refusal;
+pub mod request_target;
 pub mod request_trace;
 pub mod response_check;
 pub mod result;
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -14,6 +14,7 @@
 use crate::config::parts::{self, MANIFEST_KEY, MAX_PART_LEN, Manifest, PART_PREFIX};
 use crate::framing::states_its_end;
 use crate::metrics as m;
+use crate::request_target::RequestTarget;
 use crate::response_check::CheckedConnector;
 
 /// Timeout of a call.
@@ -126,18 +127,19 @@
 
     /// Fetches the manifest of the configuration; `None` if none is published.
     pub async fn manifest(&self) -> Result<Option<Manifest>, PlatformError> {
-        let path = format!("/v1/values/{MANIFEST_KEY}");
-        let Some(answer) = self.get(&path).await? else {
+        let target = value_target(MANIFEST_KEY);
+        let Some(answer) = self.get(&target).await? else {
             return Ok(None);
         };
+        let path = target.to_string();
         serde_json::from_slice(&answer.body).map(Some).context(SyntaxSnafu { path })
     }
 
     /// Fetches a part of the configuration by its digest.
     pub async fn part(&self, digest: &str) -> Result<Bytes, PlatformError> {
-        let path = format!("/v1/values/{PART_PREFIX}{digest}");
-        let status = StatusCode::NOT_FOUND;
-        let answer = self.get(&path).await?.context(StatusSnafu { path: &path, status })?;
+        let target = value_target(PART_PREFIX.trim_end_matches('/')).segment(digest);
+        let (path, status) = (target.to_string(), StatusCode::NOT_FOUND);
+        let answer = self.get(&target).await?.context(StatusSnafu { path: &path, status })?;
         // A part that was cut is fetched again; one that was published with other content makes
         // the store reject the configuration.
         ensure!(answer.states_its_end || parts::digest(&answer.body) == digest, BodySnafu { path });
@@ -146,14 +148,14 @@
 
     /// Fetches the list of hosts.
     pub async fn hosts(&self) -> Result<HostList, PlatformError> {
-        let path = "/v1/hosts".to_owned();
-        let body = self.get(&path).await?.map(|answer| answer.body).unwrap_or_default();
-        serde_json::from_slice(&body).context(SyntaxSnafu { path })
+        let target = RequestTarget::new("/v1/hosts");
+        let body = self.get(&target).await?.map(|answer| answer.body).unwrap_or_default();
+        serde_json::from_slice(&body).context(SyntaxSnafu { path: target.to_string() })
     }
 
-    async fn get(&self, path: &str) -> Result<Option<Answer>, PlatformError> {
-        let called = tokio::time::timeout(CALL_TIMEOUT, self.call(path)).await;
-        let result = called.unwrap_or_else(|_| TimedOutSnafu { path }.fail());
+    async fn get(&self, target: &RequestTarget) -> Result<Option<Answer>, PlatformError> {
+        let called = tokio::time::timeout(CALL_TIMEOUT, self.call(target)).await;
+        let result = called.unwrap_or_else(|_| TimedOutSnafu { path: target.to_string() }.fail());
         let outcome = if result.is_ok() { "ok" } else { "failed" };
         metrics::counter!(m::PLATFORM_CALLS, "outcome" => outcome).increment(1);
         if let Ok(Some(answer)) = &result {
@@ -162,9 +164,11 @@
         result
     }
 
-    async fn call(&self, path: &str) -> Result<Option<Answer>, PlatformError> {
-        let uri = format!("http://{}{path}", self.address);
-        let request = hyper::Request::get(uri).body(Empty::new()).context(RequestSnafu { path })?;
+    async fn call(&self, target: &RequestTarget) -> Result<Option<Answer>, PlatformError> {
+        let path = &target.to_string();
+        let uri = target.at(self.address);
+        let request = uri.and_then(|uri| hyper::Request::get(uri).body(Empty::new()));
+        let request = request.context(RequestSnafu { path })?;
         let response = self.client.request(request).await.context(CallSnafu { path })?;
         let status = response.status();
         if status == StatusCode::NOT_FOUND {
@@ -177,3 +181,8 @@
         Ok(Some(Answer { body: body.to_bytes(), states_its_end }))
     }
 }
+
+/// Target of a value at the platform; the slashes of its key separate segments.
+fn value_target(key: &str) -> RequestTarget {
+    key.split('/').fold(RequestTarget::new("/v1/values"), RequestTarget::segment)
+}
--- a/src/tool.rs
+++ b/src/tool.rs
@@ -34,6 +34,7 @@
 use crate::policy::limit::Limiter;
 use crate::policy::predict::SizeClass;
 use crate::policy::route::{RoutingContext, choose};
+use crate::request_target::RequestTarget;
 use crate::request_trace::trace_request;
 use crate::tables::{endpoints_table, explanation_text, requests_table, status_table};
 use crate::view::{Location, View};
@@ -217,27 +218,30 @@
             try_request(Path::new(file), pipeline, organisation, labels, &matches)
         }
         ["story", request, files @ ..] => show_trace(request, files),
-        ["status"] => show::<Status>(&matches, "/v1/status", status_table),
+        ["status"] => show::<Status>(&matches, &RequestTarget::new("/v1/status"), status_table),
         ["endpoints"] => {
-            show::<Vec<EndpointStatus>>(&matches, "/v1/endpoints", |e| endpoints_table(e))
+            let target = RequestTarget::new("/v1/endpoints");
+            show::<Vec<EndpointStatus>>(&matches, &target, |e| endpoints_table(e))
         }
         ["requests"] => {
-            let path = with_count(&matches, "/v1/requests");
-            show::<Vec<RequestStatus>>(&matches, &path, |r| requests_table(r))
+            let target = with_count(&matches, "/v1/requests");
+            show::<Vec<RequestStatus>>(&matches, &target, |r| requests_table(r))
         }
         ["explain", request] => {
-            let path = format!("/v1/requests/{request}/explain");
-            show::<Explanation>(&matches, &path, explanation_text)
+            let target = RequestTarget::new("/v1/requests").segment(request).segment("explain");
+            show::<Explanation>(&matches, &target, explanation_text)
         }
         ["audit"] => {
-            let path = with_count(&matches, "/v1/audit");
-            show::<Vec<Entry>>(&matches, &path, |entries| {
+            let target = with_count(&matches, "/v1/audit");
+            show::<Vec<Entry>>(&matches, &target, |entries| {
                 entries.iter().map(|e| format!("{e}\n")).collect()
             })
         }
-        ["config"] => show::<Value>(&matches, "/v1/config", |v| format!("{v:#}\n")),
+        ["config"] => {
+            show::<Value>(&matches, &RequestTarget::new("/v1/config"), |v| format!("{v:#}\n"))
+        }
         ["drain"] => {
-            let answer = call(&matches, Method::POST, "/v1/drain")?;
+            let answer = call(&matches, Method::POST, &RequestTarget::new("/v1/drain"))?;
             Ok(format!("{answer}\n"))
         }
         _ => UsageSnafu.fail(),
@@ -405,19 +409,20 @@
     [step].into_iter().chain(decisions).collect()
 }
 
-fn with_count(matches: &Matches, path: &str) -> String {
+fn with_count(matches: &Matches, path: &'static str) -> RequestTarget {
+    let target = RequestTarget::new(path);
     match matches.opt_str("count") {
-        Some(count) => format!("{path}?count={count}"),
-        None => path.to_owned(),
+        Some(count) => target.field("count", count),
+        None => target,
     }
 }
 
 fn show<T: DeserializeOwned>(
     matches: &Matches,
-    path: &str,
+    target: &RequestTarget,
     table: impl Fn(&T) -> String,
 ) -> Result<String, ToolError> {
-    let value = call(matches, Method::GET, path)?;
+    let value = call(matches, Method::GET, target)?;
     if matches.opt_present("json") {
         return to_json(&value);
     }
@@ -425,7 +430,7 @@
     Ok(table(&parsed))
 }
 
-fn call(matches: &Matches, method: Method, path: &str) -> Result<Value, ToolError> {
+fn call(matches: &Matches, method: Method, target: &RequestTarget) -> Result<Value, ToolError> {
     let Some(address) = matches.opt_str("admin") else {
         return UsageSnafu.fail();
     };
@@ -433,7 +438,7 @@
     let token = token.unwrap_or_default();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|_| ToolError::Unreachable { address: address.clone() })?;
-    let asked = send_request(&address, method, path, &token);
+    let asked = send_request(&address, method, target, &token);
     let answer = runtime.block_on(async { tokio::time::timeout(TIMEOUT, asked).await });
     let Some((status, body)) = answer.ok().flatten() else {
         return UnreachableSnafu { address }.fail();
@@ -449,13 +454,13 @@
 async fn send_request(
     address: &str,
     method: Method,
-    path: &str,
+    target: &RequestTarget,
     token: &str,
 ) -> Option<(StatusCode, Bytes)> {
     let address: SocketAddr = address.parse().ok()?;
     let request = Request::builder()
         .method(method)
-        .uri(format!("http://{address}{path}"))
+        .uri(target.at(address).ok()?)
         .header("authorization", format!("Bearer {token}"))
         .body(Full::<Bytes>::default())
         .ok()?;
--- a/tests/direct_gates.rs
+++ b/tests/direct_gates.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use directenv::gateway::{incoming, listed, new_core};
 use directenv::{address, deployment, endpoint, ms, position, route};
+use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, StatusCode};
 use stackmast::actor::{mailbox, run};
 use stackmast::direct::answers::{AnswerProof, BatchOutcome, BatchReport, CallFailure, Identity};
@@ -150,7 +151,8 @@
         .expect("a core");
     let ask = async || {
         let (method, headers, body) = (Method::GET, HeaderMap::new(), Bytes::new());
-        let request = ForwardedRequest { method, target: "/r/x".to_owned(), headers, body };
+        let target = PathAndQuery::from_static("/r/x");
+        let request = ForwardedRequest { method, target, headers, body };
         gateway.submit(incoming("r", Vec::new()), request).await.expect("an answer")
     };
     let after = async {
--- a/tests/direct_pulls.rs
+++ b/tests/direct_pulls.rs
@@ -225,6 +225,7 @@
     core.handle(Event::ConfigurationReadProgress, ms(2_000));
     assert!(asked(&mut core, NEWER, 2_000, 2_300).is_empty());
     let read = StoreRead {
+        query: None,
         fault: None,
         subject: StoreRead::CONFIGURATION,
         watch: true,
@@ -236,7 +237,7 @@
         transfer_time: ms(300),
         decode_time: ms(10),
     };
-    assert!(pulls(&core.handle(Event::StoreRead(read), ms(2_300))).is_empty());
+    assert!(pulls(&core.handle(Event::StoreRead(read.clone()), ms(2_300))).is_empty());
     let document = Document::Deployment(deployment(2, Vec::new()).into());
     let documents = vec![Revised { position: position(3), created_revision: 0, document }];
     core.handle(Event::Published { documents, extent: Extent::Partial }, ms(2_301));
