--- a/src/direct/publication.rs
+++ b/src/direct/publication.rs
@@ -99,6 +99,7 @@
                 let list = CompleteList { at, source: PUBLISHER, sender: ListSender::Publisher };
                 (self.merge_complete_list(documents, list, now), Some(at))
             }
+            Extent::Truncated => (self.documents.merge_truncated_list(documents, now), None),
         };
         self.log_list_merged(PUBLISHER, entries, complete_to, before);
         self.merged(&merged, PUBLISHER, true, now);
--- a/src/direct/published/documents.rs
+++ b/src/direct/published/documents.rs
@@ -323,6 +323,15 @@
         revised.collect()
     }
 
+    /// Merges the part of the publisher's list that can be read. The endpoints in it are used; whether
+    /// others are listed is not known, so the list is not verified. A part without endpoints says
+    /// nothing about the list.
+    pub fn merge_truncated_list(&mut self, documents: Vec<Revised>, now: Timestamp) -> Merged {
+        let is_endpoint = |d: &Revised| matches!(d.document, Document::Endpoint(_));
+        self.has_full_list |= documents.iter().any(is_endpoint);
+        self.merge(documents, now)
+    }
+
     /// Records that a peer sent its complete list, whose position can't be verified.
     pub const fn mark_list_received(&mut self) {
         self.has_full_list = true;
--- a/src/direct/published/list_position.rs
+++ b/src/direct/published/list_position.rs
@@ -25,6 +25,8 @@
         /// Position of the list; for a list in pages, that of the first page.
         at: Position,
     },
+    /// The part of the list that can be read; the rest can't be asked for.
+    Truncated,
 }
 
 /// How the receiver of a peer's entries verifies that it holds every change up to the peer's
--- a/tests/direct_list_positions.rs
+++ b/tests/direct_list_positions.rs
@@ -49,15 +49,25 @@
     Event::Published { documents, extent: Extent::Complete { at: position(at) } }
 }
 
+fn truncated(documents: Vec<Revised>) -> Event {
+    Event::Published { documents, extent: Extent::Truncated }
+}
+
 /// A gateway with a configuration and the given list.
 fn gateway(documents: Vec<Revised>, at: u64) -> GatewayCore {
+    let mut core = configured_gateway();
+    core.handle(list(documents, at), ms(1));
+    core
+}
+
+/// A gateway with a configuration and no list.
+fn configured_gateway() -> GatewayCore {
     let mut core = new_core();
     let deployment = deployment(1, vec![route("r", Repeat::Idempotent, &[])]);
     let document = Document::Deployment(Arc::new(deployment));
     let configured = Revised { position: position(1), created_revision: 0, document };
     let extent = Extent::Partial;
     core.handle(Event::Published { documents: vec![configured], extent }, ms(0));
-    core.handle(list(documents, at), ms(1));
     core
 }
 
@@ -277,3 +287,38 @@
     core.handle(Event::Tick, ms(1_300));
     assert_eq!(core.store_use(), StoreUse::Watch);
 }
+
+fn becomes_ready(actions: &[Action]) -> bool {
+    actions.iter().any(|action| matches!(action, Action::SetReady(true)))
+}
+
+/// Guards against a gateway that serves nothing because a part of the list can't be read, or that
+/// takes that part for the list.
+#[test]
+fn a_truncated_list_is_used_and_not_announced() {
+    let mut core = configured_gateway();
+    let mut actions = core.handle(truncated(vec![listed(1, 5)]), ms(1));
+    actions.extend(core.handle(Event::Tick, ms(2_000)));
+    assert!(becomes_ready(&actions));
+    assert!(core.table().endpoint("engine-1").is_some());
+    assert_eq!(announced(&mut core), 0);
+}
+
+/// Guards against a gateway that is ready without a list.
+#[test]
+fn a_truncated_list_without_endpoints_says_nothing() {
+    let mut core = configured_gateway();
+    let mut actions = core.handle(truncated(vec![removed(1, 5)]), ms(1));
+    actions.extend(core.handle(Event::Tick, ms(2_000)));
+    assert!(!becomes_ready(&actions));
+}
+
+/// Guards against endpoints that are taken for removed because their part of the list can't be read.
+#[test]
+fn a_truncated_list_removes_nothing() {
+    let mut core = gateway(vec![listed(1, 5), listed(2, 6)], 7);
+    core.handle(truncated(vec![changed(1, true, 9)]), ms(2));
+    assert!(is_leaving(&core, "engine-1"));
+    assert!(core.table().endpoint("engine-2").is_some());
+    assert_eq!(announced(&mut core), 6);
+}
