--- a/src/direct/publication.rs
+++ b/src/direct/publication.rs
@@ -14,6 +14,7 @@
 use crate::direct::peers::pulls::OwnState;
 use crate::direct::published::documents::{Document, Merged, Revised, Seen};
 use crate::direct::published::evacuations::{EvacuationChange, Evacuations};
+use crate::direct::published::figure_limits::limit_figures;
 use crate::direct::published::list_position::{Extent, Verification};
 use crate::direct::published::model::{Deployment, Endpoint, Name};
 use crate::direct::published::position::Position;
@@ -120,10 +121,12 @@
         &mut self,
         from: SocketAddr,
         position: Position,
-        deployment: Arc<Deployment>,
+        mut deployment: Arc<Deployment>,
         now: Timestamp,
     ) {
         self.pulls.answered(from, now);
+        // A peer of an earlier build limits no figures.
+        limit_figures(Arc::make_mut(&mut deployment));
         let document = Document::Deployment(deployment);
         let merged =
             self.documents.merge(vec![Revised { position, created_revision: 0, document }], now);
--- a/src/direct/published/mod.rs
+++ b/src/direct/published/mod.rs
@@ -8,6 +8,7 @@
 pub mod documents;
 mod entry;
 pub mod evacuations;
+pub mod figure_limits;
 pub mod list_position;
 pub mod model;
 pub mod outage;
