--- a/src/direct/log_events/store.rs
+++ b/src/direct/log_events/store.rs
@@ -95,7 +95,7 @@
     /// `whole`, or `unreachable`, `silent`, `torn`, `outdated`, `refused`, `unreadable`, `unusable`
     /// or `endless`.
     pub outcome: &'static str,
-    /// Path and query of a call that failed.
+    /// Path and query of a call that failed; with the cause if the outcome is `endless`.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub query: Option<Arc<str>>,
     /// What is wrong with a response that is not well-formed.
--- a/src/direct/published/store_read.rs
+++ b/src/direct/published/store_read.rs
@@ -14,7 +14,7 @@
     pub watch: bool,
     /// `whole` for a complete response, otherwise the kind of failure.
     pub outcome: &'static str,
-    /// Path and query of a call that failed.
+    /// Path and query of a call that failed; with the cause if the rest of a range can't be asked for.
     pub query: Option<Arc<str>>,
     /// What is wrong with a response that is not well-formed.
     pub fault: Option<Malformed>,
--- a/testbed/src/client.rs
+++ b/testbed/src/client.rs
@@ -13,6 +13,7 @@
 use serde_json::{Value, json};
 use snafu::{ResultExt, Snafu, ensure};
 use stackmast::framing::states_its_end;
+use stackmast::request_target::RequestTarget;
 
 /// Reason why a request got no response.
 #[derive(Debug, Snafu)]
@@ -152,7 +153,7 @@
 
     /// Sends a request to a gateway.
     pub async fn ask(&self, gateway: SocketAddr, ask: &Ask) -> Result<Reply, ClientError> {
-        let path = format!("/v1/pipelines/{}", ask.pipeline);
+        let path = RequestTarget::new("/v1/pipelines").segment(&ask.pipeline).to_string();
         self.call(Method::POST, gateway, &path, "", ask.body().to_string()).await
     }
 
