--- a/src/direct/published/documents.rs
+++ b/src/direct/published/documents.rs
@@ -395,17 +395,10 @@
             return;
         };
         let incarnation = endpoint.incarnation;
-        let mut entry = Entry {
-            position,
-            endpoint: Some(endpoint.clone()),
-            incarnation,
-            was_leaving: false,
-            listed_at: position,
-            created_revision,
-            unconfirmed: None,
-            expired: None,
-            changed_at: now,
-        };
+        let mut entry = Entry::new(position, now);
+        entry.endpoint = Some(endpoint.clone());
+        entry.incarnation = incarnation;
+        entry.created_revision = created_revision;
         if let Some(known) = known {
             if known.incarnation != 0 && incarnation != known.incarnation {
                 merged.restarted.push(id.clone());
@@ -436,17 +429,7 @@
         let Some(known) = self.superseded_entry(&id, position, now) else {
             return;
         };
-        let mut entry = Entry {
-            position,
-            endpoint: None,
-            incarnation: 0,
-            was_leaving: false,
-            listed_at: position,
-            created_revision: 0,
-            unconfirmed: None,
-            expired: None,
-            changed_at: now,
-        };
+        let mut entry = Entry::new(position, now);
         if let Some(known) = known {
             entry.incarnation = known.incarnation;
             (entry.listed_at, entry.created_revision) = (known.listed_at, known.created_revision);
--- a/src/direct/published/entry.rs
+++ b/src/direct/published/entry.rs
@@ -28,6 +28,21 @@
 }
 
 impl Entry {
+    /// Creates an entry as of a position, without an endpoint.
+    pub(super) const fn new(position: Position, now: Timestamp) -> Self {
+        Self {
+            position,
+            endpoint: None,
+            incarnation: 0,
+            was_leaving: false,
+            listed_at: position,
+            created_revision: 0,
+            unconfirmed: None,
+            expired: None,
+            changed_at: now,
+        }
+    }
+
     /// Returns the endpoint if it may be used.
     pub(super) fn usable(&self) -> Option<&Arc<Endpoint>> {
         self.endpoint.as_ref().or(self.expired.as_ref().map(|(endpoint, _)| endpoint))
--- a/src/direct/published/figure_limits.rs
+++ b/src/direct/published/figure_limits.rs
@@ -17,8 +17,9 @@
 const MAX_TOKENS: u64 = 1 << 40;
 /// Maximum size of the head or the body of a caller's request, in bytes.
 const MAX_REQUEST_BYTES: usize = 1 << 30;
-/// Maximum number of slots of an endpoint, and of pieces in a call.
+/// Maximum number of slots of an endpoint.
 const MAX_SLOTS: u32 = 1 << 16;
+/// Maximum number of pieces in a call.
 const MAX_PIECES: usize = 1 << 16;
 /// Maximum weight of a target.
 const MAX_WEIGHT: u32 = 1 << 20;
