--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -7,6 +7,7 @@
 //! (see `client`) translates the published documents, the front end's protocol and the endpoints'
 //! protocol.
 //!
+//! - `caller_capacity`, `caller_budget`: connections and bytes that callers make the process hold.
 //! - `published`: routes, pools and endpoints, merged from all sources and compiled.
 //! - `peers`: the other gateways, their messages, and pulls from them.
 //! - `engines`: load of the model engines.
@@ -20,6 +21,8 @@
 
 pub mod answers;
 pub mod backoff;
+pub mod caller_budget;
+pub mod caller_capacity;
 pub mod client;
 pub mod cold;
 pub mod core;
