--- a/src/direct/caller_budget.rs
+++ b/src/direct/caller_budget.rs
@@ -142,9 +142,9 @@
         self.budget.longest_body()
     }
 
-    /// Lease of what the request's body will hold.
-    pub fn body_lease(&self) -> CallerBodyLease {
-        CallerBodyLease { budget: self.budget.clone(), id: self.id, held: 0 }
+    /// Lease of what the request's body will hold, in addition to `head_bytes` of its parsed head.
+    pub fn body_lease(&self, head_bytes: usize) -> CallerBodyLease {
+        CallerBodyLease { budget: self.budget.clone(), id: self.id, head_bytes, held: 0 }
     }
 
     /// The body was refused; its remainder is read and dropped.
@@ -175,15 +175,16 @@
 pub struct CallerBodyLease {
     budget: CallerBudget,
     id: ConnectionId,
+    head_bytes: usize,
     held: usize,
 }
 
 impl CallerBodyLease {
-    /// Raises the part to `bytes`; `None` if there is no capacity.
+    /// Raises the part to `bytes` and those of the parsed head; `None` if there is no capacity.
     pub async fn grow(&mut self, bytes: usize) -> Option<()> {
-        let (id, held) = (self.id, self.held);
-        self.budget.granted(|ledger, now| ledger.hold(id, held, bytes, now)).await?;
-        self.held = bytes;
+        let (id, held, wanted) = (self.id, self.held, self.head_bytes + bytes);
+        self.budget.granted(|ledger, now| ledger.hold(id, held, wanted, now)).await?;
+        self.held = wanted;
         Some(())
     }
 }
--- a/src/direct/caller_capacity.rs
+++ b/src/direct/caller_capacity.rs
@@ -14,7 +14,8 @@
 
 /// Bytes that a connection holds apart from its buffers.
 const CONNECTION_BYTES: usize = 12 << 10;
-/// Bodies hold at most [`BODY_PARTS`] in this many parts of the budget, so that connections find room.
+/// Bodies and parsed heads hold at most [`BODY_PARTS`] in this many parts of the budget, so that
+/// connections find room.
 const PARTS: usize = 4;
 /// See [`PARTS`].
 const BODY_PARTS: usize = 3;
@@ -39,7 +40,7 @@
         Self { bytes: connections * (CONNECTION_BYTES + buffer_bytes), connections }
     }
 
-    /// Bytes that bodies may hold together.
+    /// Bytes that bodies and parsed heads may hold together.
     const fn body_bytes(&self) -> usize {
         self.bytes / PARTS * BODY_PARTS
     }
@@ -103,7 +104,7 @@
     receiving: Order,
     /// Bytes of connections and their buffers.
     connection_bytes: usize,
-    /// Bytes of bodies.
+    /// Bytes of bodies and parsed heads.
     body_bytes: usize,
 }
 
