--- a/src/direct/caller_capacity.rs
+++ b/src/direct/caller_capacity.rs
@@ -14,6 +14,8 @@
 
 /// Bytes that a connection holds apart from its buffers.
 const CONNECTION_BYTES: usize = 12 << 10;
+/// Bytes that may wait in the system's receive buffer of a connection while its request is handled.
+pub const UNREAD_BYTES: usize = 32 << 10;
 /// Bodies and parsed heads hold at most [`BODY_PARTS`] in this many parts of the budget, so that
 /// connections find room.
 const PARTS: usize = 4;
@@ -160,7 +162,7 @@
         let Some(connection) = connection else {
             return Err(Denied::Finally);
         };
-        let bytes = connection.buffer_bytes;
+        let bytes = connection.buffer_bytes + UNREAD_BYTES;
         if !self.has_room(bytes) {
             return Err(self.give_way(Some(id)));
         }
