--- a/src/direct/peers/links.rs
+++ b/src/direct/peers/links.rs
@@ -21,6 +21,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::actor::{Core, Handle, Stopped};
+use crate::direct::caller_budget::{CallerBudget, CallerConnection};
 use crate::direct::event::Event;
 use crate::direct::peers::build::Build;
 use crate::direct::peers::bulk::{BulkReceiver, BulkSender};
@@ -282,46 +283,66 @@
     }
 }
 
-/// Accepts connections of other gateways and responds with the greeting.
+/// Budget of the connections that have not sent their greeting.
+pub fn unknown_peers(connections: usize) -> CallerBudget {
+    CallerBudget::of_connections(connections, MAX_GREETING)
+}
+
+/// Accepts connections of other gateways and responds with the greeting. Beyond the budget
+/// `unknown`, the oldest connection that has not sent its greeting is closed.
 pub async fn accept<C: Core<Event = Event>>(
     listener: TcpListener,
     core: Handle<C>,
     greeting: Hello,
+    unknown: CallerBudget,
 ) {
     let bulk_receiver = BulkReceiver::default();
     let greeting = json(&greeting);
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
+                let Some(sender) = unknown.open(MAX_GREETING).await else {
+                    metrics::counter!(crate::metrics::PEER_UNREADABLE).increment(1);
+                    continue;
+                };
                 let (bulk_receiver, core) = (bulk_receiver.clone(), core.clone());
-                tokio::spawn(receive(stream, bulk_receiver, core, greeting.clone()));
+                tokio::spawn(receive(stream, sender, bulk_receiver, core, greeting.clone()));
             }
             Err(_) => tokio::time::sleep(CONNECT_TIMEOUT).await,
         }
     }
 }
 
+/// Reads the greeting of a connection; `None` if none arrives.
+async fn receive_greeting(connection: &mut Connection, sender: CallerConnection) -> Option<Hello> {
+    // Anyone can connect, so only a greeting raises the limit.
+    connection.codec_mut().set_max_frame_length(MAX_GREETING);
+    let first = tokio::select! {
+        first = timeout(RECEIVED_GREETING_TIMEOUT, connection.next()) => first,
+        () = sender.gives_way() => Ok(Some(Err(std::io::ErrorKind::QuotaExceeded.into()))),
+    };
+    let greeting = match first {
+        Ok(Some(Ok(first))) => serde_json::from_slice(&first).ok(),
+        // The sender closed the connection, as a probe does.
+        Ok(None) => return None,
+        Ok(Some(Err(_))) | Err(_) => None,
+    };
+    if greeting.is_none() {
+        metrics::counter!(crate::metrics::PEER_UNREADABLE).increment(1);
+    }
+    connection.codec_mut().set_max_frame_length(MAX_FRAME);
+    greeting
+}
+
 async fn receive<C: Core<Event = Event>>(
     stream: TcpStream,
+    sender: CallerConnection,
     bulk_receiver: BulkReceiver,
     core: Handle<C>,
     greeting: Bytes,
 ) {
     let mut connection = framed(stream);
-    // Anyone can connect, so only a greeting raises the limit.
-    connection.codec_mut().set_max_frame_length(MAX_GREETING);
-    let first = match timeout(RECEIVED_GREETING_TIMEOUT, connection.next()).await {
-        Ok(Some(Ok(first))) => first,
-        // The sender closed the connection, as a probe does.
-        Ok(None) => return,
-        Ok(Some(Err(_))) | Err(_) => {
-            metrics::counter!(crate::metrics::PEER_UNREADABLE).increment(1);
-            return;
-        }
-    };
-    connection.codec_mut().set_max_frame_length(MAX_FRAME);
-    let Ok(hello) = serde_json::from_slice::<Hello>(&first) else {
-        metrics::counter!(crate::metrics::PEER_UNREADABLE).increment(1);
+    let Some(hello) = receive_greeting(&mut connection, sender).await else {
         return;
     };
     if hello.bulk {
--- a/tests/direct_bulk.rs
+++ b/tests/direct_bulk.rs
@@ -11,7 +11,7 @@
 use directenv::{address, deployment, position, route};
 use stackmast::actor::{Handle, mailbox, run};
 use stackmast::direct::core::GatewayCore;
-use stackmast::direct::peers::links::{PeerLinks, accept};
+use stackmast::direct::peers::links::{PeerLinks, accept, unknown_peers};
 use stackmast::direct::peers::message::PeerMessage;
 use stackmast::direct::published::model::{Name, Repeat};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -20,6 +20,8 @@
 
 /// Size of a chunk in bytes.
 const CHUNK_BYTES: usize = 16 << 10;
+/// Connections that may be open without a greeting.
+const UNKNOWN_PEERS: usize = 64;
 
 /// A gateway that accepts connections, and its address.
 async fn gateway() -> (Handle<GatewayCore>, SocketAddr) {
@@ -28,7 +30,7 @@
     let (core, waiting) = mailbox();
     tokio::spawn(run(new_core(), Idle, waiting));
     let greeting = PeerLinks::new(at, 1, core.clone()).greeting();
-    tokio::spawn(accept(listener, core.clone(), greeting));
+    tokio::spawn(accept(listener, core.clone(), greeting, unknown_peers(UNKNOWN_PEERS)));
     (core, at)
 }
 
--- a/tests/direct_links.rs
+++ b/tests/direct_links.rs
@@ -13,7 +13,7 @@
 use directenv::{address, ms};
 use stackmast::actor::{Core, mailbox, run};
 use stackmast::direct::event::{Action, Event};
-use stackmast::direct::peers::links::{PeerLinks, accept};
+use stackmast::direct::peers::links::{PeerLinks, accept, unknown_peers};
 use stackmast::direct::peers::members::{Member, MemberState};
 use stackmast::direct::peers::message::PeerMessage;
 use test_case::test_case;
@@ -21,6 +21,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
+/// Connections that may be open without a greeting.
+const UNKNOWN_PEERS: usize = 64;
+
 fn beat(from: SocketAddr, heartbeat: u64) -> Event {
     let state = MemberState::Serving;
     let member = Member { address: from, incarnation: 1, heartbeat, state, capacity: 1_000 };
@@ -92,7 +95,7 @@
     let (core, waiting) = mailbox();
     tokio::spawn(run(new_core(), Idle, waiting));
     let greeting = PeerLinks::new(at, 1, core.clone()).greeting();
-    tokio::spawn(accept(listener, core, greeting));
+    tokio::spawn(accept(listener, core, greeting, unknown_peers(UNKNOWN_PEERS)));
     let mut stream = TcpStream::connect(at).await.expect("a connection");
     let hello = br#"{"address":"127.0.0.1:9","incarnation":1}"#;
     stream.write_u32(hello.len() as u32).await.expect("a length");
@@ -113,7 +116,7 @@
     let (core, waiting) = mailbox();
     tokio::spawn(run(new_core(), Idle, waiting));
     let greeting = PeerLinks::new(address, 1, core.clone()).greeting();
-    tokio::spawn(accept(listener, core, greeting));
+    tokio::spawn(accept(listener, core, greeting, unknown_peers(UNKNOWN_PEERS)));
     let mut stream = TcpStream::connect(address).await.expect("a connection");
     stream.write_all(&100_000_u32.to_be_bytes()).await.expect("a length");
     let read = timeout(Duration::from_secs(1), stream.read(&mut [0; 16])).await;
--- a/tests/direct_upgrades.rs
+++ b/tests/direct_upgrades.rs
@@ -22,7 +22,7 @@
 use stackmast::direct::log_events::LogEvent;
 use stackmast::direct::peers::build::Build;
 use stackmast::direct::peers::codec::{FORM, Unreadable, read};
-use stackmast::direct::peers::links::{PeerLinks, accept};
+use stackmast::direct::peers::links::{PeerLinks, accept, unknown_peers};
 use stackmast::direct::peers::message::{JobReason, PeerMessage};
 use stackmast::direct::published::evacuations::EvacuationChange;
 use stackmast::direct::published::model::Repeat;
@@ -32,6 +32,8 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 const WITHIN: Duration = Duration::from_secs(2);
+/// Connections that may be open without a greeting.
+const UNKNOWN_PEERS: usize = 64;
 
 type Connection = Framed<TcpStream, LengthDelimitedCodec>;
 
@@ -46,7 +48,8 @@
     let (core, waiting) = mailbox();
     tokio::spawn(run(new_core(), Idle, waiting));
     let peers = PeerLinks::new(at, 1, core.clone());
-    tokio::spawn(accept(listener, core.clone(), peers.greeting()));
+    let unknown = unknown_peers(UNKNOWN_PEERS);
+    tokio::spawn(accept(listener, core.clone(), peers.greeting(), unknown));
     (at, peers, core)
 }
 
