--- a/src/direct/caller_budget.rs
+++ b/src/direct/caller_budget.rs
@@ -9,6 +9,7 @@
 use tokio::time::timeout;
 
 use crate::direct::caller_capacity::{CallerCapacity, CallerLedger, ConnectionId, Denied};
+use crate::direct::log_events::{LoadEvent, LogEvent};
 
 /// Time after which another connection gives way if the first one still holds its part.
 const GIVE_WAY_TIME: Duration = Duration::from_millis(20);
@@ -29,13 +30,48 @@
     ledger: CallerLedger,
     /// Senders by which connections learn that they must give way.
     signals: HashMap<ConnectionId, watch::Sender<bool>>,
+    /// Connections that had to give way since the last [`CallerBudget::usage`].
+    gave_way: usize,
+    /// Connections and requests that were refused since then.
+    refused: usize,
+}
+
+/// Use of a budget, and what its limits have done since the last observation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerUsage {
+    /// Number of open connections.
+    pub connections: usize,
+    /// Bytes that they and their requests hold.
+    pub bytes: usize,
+    /// Connections that had to give way.
+    pub gave_way: usize,
+    /// Connections and requests that were refused.
+    pub refused: usize,
+    /// What the process may hold.
+    pub capacity: CallerCapacity,
+}
+
+impl CallerUsage {
+    /// The log line for it, if a limit was reached.
+    pub fn log_event(&self) -> Option<LogEvent> {
+        let Self { connections, bytes, gave_way, refused, capacity } = *self;
+        let event = LoadEvent::CallersLimited {
+            connections,
+            max_connections: capacity.connections,
+            bytes,
+            max_bytes: capacity.bytes,
+            gave_way,
+            refused,
+        };
+        (gave_way + refused > 0).then_some(LogEvent::Load(event))
+    }
 }
 
 impl CallerBudget {
     /// Creates the budget of a process without callers.
     pub fn new(capacity: CallerCapacity) -> Self {
         let ledger = CallerLedger::new(capacity);
-        let state = State { ledger, signals: HashMap::new() };
+        let state = State { ledger, signals: HashMap::new(), gave_way: 0, refused: 0 };
         Self(Arc::new(Shared { state: Mutex::new(state), freed: Notify::new() }))
     }
 
@@ -48,6 +84,18 @@
         self.state().ledger.capacity().longest_body()
     }
 
+    /// Observes the use of the budget.
+    pub fn usage(&self) -> CallerUsage {
+        let mut state = self.state();
+        CallerUsage {
+            connections: state.ledger.connections(),
+            bytes: state.ledger.bytes(),
+            gave_way: std::mem::take(&mut state.gave_way),
+            refused: std::mem::take(&mut state.refused),
+            capacity: state.ledger.capacity(),
+        }
+    }
+
     /// Admits a new connection with a read buffer of this length; `None` if there is no capacity.
     pub async fn open(&self, buffer_bytes: usize) -> Option<CallerConnection> {
         let id = self.granted(|ledger, now| ledger.open(buffer_bytes, now)).await?;
@@ -79,10 +127,15 @@
     ) -> Result<T, Denied> {
         let mut state = self.state();
         let result = request(&mut state.ledger, Instant::now());
-        if let Err(Denied::Until(id)) = result
-            && let Some(signal) = state.signals.get(&id)
-        {
-            signal.send_replace(true);
+        match result {
+            Ok(_) => {}
+            Err(Denied::Finally) => state.refused += 1,
+            Err(Denied::Until(id)) => {
+                state.gave_way += 1;
+                if let Some(signal) = state.signals.get(&id) {
+                    signal.send_replace(true);
+                }
+            }
         }
         result
     }
--- a/src/direct/log_events/load.rs
+++ b/src/direct/log_events/load.rs
@@ -105,6 +105,21 @@
         /// Number of those that are overloaded.
         overloaded_peers: usize,
     },
+    /// Callers reached the limits of what the process holds for them within the last second.
+    CallersLimited {
+        /// Number of their connections now.
+        connections: usize,
+        /// Maximum number of their connections.
+        max_connections: usize,
+        /// Bytes that their connections and requests hold now.
+        bytes: usize,
+        /// Maximum number of these bytes.
+        max_bytes: usize,
+        /// Connections that were closed for others.
+        gave_way: usize,
+        /// Connections and requests that were refused.
+        refused: usize,
+    },
 }
 
 impl LoadEvent {
@@ -118,6 +133,7 @@
             Self::EnginesBusy { .. } => "engines_busy",
             Self::PromptFetch { .. } => "prompt_fetch",
             Self::Shedding { .. } => "shedding",
+            Self::CallersLimited { .. } => "callers_limited",
         }
     }
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -4,6 +4,7 @@
 
 use metrics::{counter, describe_counter, describe_gauge, describe_histogram, gauge, histogram};
 
+use crate::direct::caller_budget::CallerUsage;
 use crate::direct::engines::load::SharedLoad;
 use crate::direct::log_events::{LoadEvent, LogEvent, StreamEvent};
 use crate::direct::peers::build::Build;
@@ -70,6 +71,12 @@
 pub const PUBLISHED_VERSION: &str = "stackmast_published_version";
 /// Connections of callers that were closed unread.
 pub const CONNECTIONS_SHED: &str = "stackmast_connections_shed_total";
+/// Open connections of callers.
+pub const CALLER_CONNECTIONS: &str = "stackmast_caller_connections";
+/// Bytes that connections and requests of callers hold.
+pub const CALLER_BYTES: &str = "stackmast_caller_bytes";
+/// Connections and requests of callers that reached a limit, by outcome.
+pub const CALLERS_LIMITED: &str = "stackmast_callers_limited_total";
 /// Data centres that are being evacuated.
 pub const EVACUATED_DATA_CENTRES: &str = "stackmast_evacuated_data_centres";
 /// Request contents refused because they crashed endpoints.
@@ -143,6 +150,9 @@
     describe_counter!(UNREADABLE_DOCUMENTS, "Documents of the platform that could not be read");
     describe_counter!(UNKNOWN_HEADERS, "Headers of the platform that are not read, by source");
     describe_counter!(CONNECTIONS_SHED, "Connections of callers that were closed unread");
+    describe_gauge!(CALLER_CONNECTIONS, "Open connections of callers");
+    describe_gauge!(CALLER_BYTES, "Bytes that connections and requests of callers hold");
+    describe_counter!(CALLERS_LIMITED, "Connections and requests beyond a limit, by outcome");
     describe_gauge!(STORE_ERA, "Newest era of the publisher's store");
     describe_gauge!(PUBLISHED_VERSION, "Version of the configuration in the publisher's store");
     describe_gauge!(EVACUATED_DATA_CENTRES, "Data centres that get no new work by order");
@@ -290,6 +300,14 @@
     counter!(CONNECTIONS_SHED).increment(1);
 }
 
+/// Records what callers make the process hold, and what reached a limit since the last time.
+pub fn callers(usage: &CallerUsage) {
+    gauge!(CALLER_CONNECTIONS).set(usage.connections as f64);
+    gauge!(CALLER_BYTES).set(usage.bytes as f64);
+    counter!(CALLERS_LIMITED, "outcome" => "gave_way").increment(usage.gave_way as u64);
+    counter!(CALLERS_LIMITED, "outcome" => "refused").increment(usage.refused as u64);
+}
+
 /// Sets the numbers of request contents and parts of prompts refused because they crashed endpoints.
 pub fn poison(contents: usize, prompt_parts: usize) {
     gauge!(POISON_REQUESTS).set(contents as f64);
