--- a/src/direct/caller_budget.rs
+++ b/src/direct/caller_budget.rs
@@ -80,8 +80,9 @@
         Self::new(CallerCapacity::of_connections(connections, buffer_bytes))
     }
 
-    fn longest_body(&self) -> usize {
-        self.state().ledger.capacity().longest_body()
+    /// What the process may hold for callers.
+    pub fn capacity(&self) -> CallerCapacity {
+        self.state().ledger.capacity()
     }
 
     /// Observes the use of the budget.
@@ -101,7 +102,7 @@
         let id = self.granted(|ledger, now| ledger.open(buffer_bytes, now)).await?;
         let (signal, gives_way) = watch::channel(false);
         self.state().signals.insert(id, signal);
-        Some(CallerConnection { budget: self.clone(), id, gives_way })
+        Some(CallerConnection { budget: self.clone(), id, buffer_bytes, gives_way })
     }
 
     /// Requests a part of the budget until it is granted, or `None` if it is finally denied.
@@ -156,10 +157,16 @@
 pub struct CallerConnection {
     budget: CallerBudget,
     id: ConnectionId,
+    buffer_bytes: usize,
     gives_way: watch::Receiver<bool>,
 }
 
 impl CallerConnection {
+    /// Length of the connection's read buffer.
+    pub const fn buffer_bytes(&self) -> usize {
+        self.buffer_bytes
+    }
+
     /// Admits a request whose head was received; `None` if there is no capacity.
     pub async fn begin(&self) -> Option<CallerRequest> {
         let id = self.id;
@@ -192,7 +199,7 @@
 impl CallerRequest {
     /// Length of the longest body that can be received.
     pub fn longest_body(&self) -> usize {
-        self.budget.longest_body()
+        self.budget.capacity().longest_body()
     }
 
     /// Lease of what the request's body will hold, in addition to `head_bytes` of its parsed head.
--- a/src/direct/caller_capacity.rs
+++ b/src/direct/caller_capacity.rs
@@ -21,6 +21,8 @@
 const PARTS: usize = 4;
 /// See [`PARTS`].
 const BODY_PARTS: usize = 3;
+/// A connection's read buffer takes at most one in this many parts of the budget.
+const BUFFERS: usize = 256;
 /// A body may hold this many times the bytes that are left for bodies, so that long bodies leave room
 /// for short ones.
 const SHARE_OF_REST: usize = 2;
@@ -47,6 +49,11 @@
         self.bytes / PARTS * BODY_PARTS
     }
 
+    /// Length of the longest read buffer of a connection.
+    pub const fn longest_buffer(&self) -> usize {
+        self.bytes / BUFFERS
+    }
+
     /// Length of the longest body that a process without other requests can receive.
     pub const fn longest_body(&self) -> usize {
         self.body_bytes() / (SHARE_OF_REST + 1) * SHARE_OF_REST
