--- a/src/direct/caller_budget.rs
+++ b/src/direct/caller_budget.rs
@@ -243,6 +243,9 @@
     /// Raises the part to `bytes` and those of the parsed head; `None` if there is no capacity.
     pub async fn grow(&mut self, bytes: usize) -> Option<()> {
         let (id, held, wanted) = (self.id, self.held, self.head_bytes + bytes);
+        if wanted == held {
+            return Some(());
+        }
         self.budget.granted(|ledger, now| ledger.hold(id, held, wanted, now)).await?;
         self.held = wanted;
         Some(())
