--- a/src/direct/caller_capacity.rs
+++ b/src/direct/caller_capacity.rs
@@ -13,14 +13,19 @@
 use std::time::{Duration, Instant};
 
 /// Bytes that a connection holds apart from its buffers.
-const CONNECTION_BYTES: usize = 12 << 10;
-/// Bytes that may wait in the system's receive buffer of a connection while its request is handled.
+const STATE_BYTES: usize = 12 << 10;
+/// Bytes that a connection holds apart from its read buffer.
+const CONNECTION_BYTES: usize = STATE_BYTES + UNREAD_BYTES;
+/// Bytes that may wait in the system's receive buffer of a connection.
 pub const UNREAD_BYTES: usize = 32 << 10;
 /// Bodies and parsed heads hold at most [`BODY_PARTS`] in this many parts of the budget, so that
 /// connections find room.
 const PARTS: usize = 4;
 /// See [`PARTS`].
 const BODY_PARTS: usize = 3;
+/// One in this many parts of the budget is left to connections without a request, so that callers get
+/// a refusal when there is no room for their request.
+const REFUSALS: usize = 8;
 /// A connection's read buffer takes at most one in this many parts of the budget.
 const BUFFERS: usize = 256;
 /// A body may hold this many times the bytes that are left for bodies, so that long bodies leave room
@@ -169,8 +174,8 @@
         let Some(connection) = connection else {
             return Err(Denied::Finally);
         };
-        let bytes = connection.buffer_bytes + UNREAD_BYTES;
-        if !self.has_room(bytes) {
+        let bytes = connection.buffer_bytes;
+        if !self.has_room(bytes + self.capacity.bytes / REFUSALS) {
             return Err(self.give_way(Some(id)));
         }
         if let Some(connection) = self.connections.get_mut(&id) {
--- a/tests/direct_caller_capacity.rs
+++ b/tests/direct_caller_capacity.rs
@@ -111,6 +111,20 @@
     assert_eq!(ledger.hold(id, 0, capacity.longest_body(), now), Ok(()));
 }
 
+/// Guards against callers whose connections are closed unread while there is room for a refusal.
+#[test]
+fn requests_leave_room_for_refusals() {
+    let (mut ledger, now) = (ledger(BYTES, usize::MAX), Instant::now());
+    loop {
+        let id = ledger.open(BUFFER, now).expect("room for a connection");
+        if ledger.begin(id, now).is_err() {
+            break;
+        }
+        assert!(ledger.answer(id));
+    }
+    assert!(ledger.open(BUFFER, now).is_ok());
+}
+
 /// A step of one of the connections.
 #[derive(Debug, Clone)]
 enum Step {
